--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/errors/package-info.java
@@ -0,0 +1,2 @@
+/** Unchecked exceptions, each carrying a numbered result code. */
+package org.laurelweir.errors;
