--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/ChatDirectory.java
@@ -0,0 +1,123 @@
+package org.laurelweir.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.agrona.collections.Long2LongHashMap;
+
+/**
+ * A home's record of the chats that sit on other backend servers. A chat without an entry sits at
+ * its home, or is new, so that the directory grows with what the bound displaced, not with the
+ * chats.
+ *
+ * <p>The size is bounded without a scan: entries go into a young generation; once that holds half
+ * of the capacity, the old one is dropped and the young one takes its place. A look-up moves an old
+ * entry to the young ones. So what is dropped was not used while half a capacity of others was.
+ * Losing an entry costs a cache miss, never an answer.
+ */
+public final class ChatDirectory {
+    private static final long MISSING = -1;
+
+    /** Agrona's maps hold two longs a slot and double when two thirds full. */
+    private static final float LOAD_FACTOR = 0.65f;
+
+    private static final int INITIAL_SLOTS = 8;
+
+    private final int mHalf;
+    private final List<String> mServers = new ArrayList<>();
+    private final Map<String, Integer> mIndexes = new HashMap<>();
+    private Long2LongHashMap mYoung = newGeneration();
+    private Long2LongHashMap mOld = newGeneration();
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param capacity the most chats that it holds, at least 2
+     */
+    public ChatDirectory(int capacity) {
+        if (capacity < 2) {
+            throw new IllegalArgumentException("capacity: " + capacity);
+        }
+        mHalf = capacity / 2;
+    }
+
+    private static Long2LongHashMap newGeneration() {
+        return new Long2LongHashMap(INITIAL_SLOTS, LOAD_FACTOR, MISSING);
+    }
+
+    /**
+     * Returns where a chat sits.
+     *
+     * @param chat the chat
+     * @return the backend server's name, or null if the directory has no entry
+     */
+    public String find(ChatKey chat) {
+        long index = mYoung.get(chat.hash());
+        if (index == MISSING) {
+            index = mOld.remove(chat.hash());
+            if (index == MISSING) {
+                return null;
+            }
+            insert(chat.hash(), index);
+        }
+        return mServers.get((int) index);
+    }
+
+    /**
+     * Notes that a chat sits elsewhere.
+     *
+     * @param chat the chat
+     * @param server the name of the backend server that holds its history
+     */
+    public void put(ChatKey chat, String server) {
+        mOld.remove(chat.hash());
+        insert(chat.hash(), mIndexes.computeIfAbsent(server, this::newIndex));
+    }
+
+    private int newIndex(String server) {
+        mServers.add(server);
+        return mServers.size() - 1;
+    }
+
+    private void insert(long hash, long index) {
+        mYoung.put(hash, index);
+        if (mYoung.size() >= mHalf) {
+            mOld = mYoung;
+            mYoung = newGeneration();
+        }
+    }
+
+    /** Notes that a chat sits at its home again. */
+    public void remove(ChatKey chat) {
+        mYoung.remove(chat.hash());
+        mOld.remove(chat.hash());
+    }
+
+    /** Drops the entries that lead to a backend server, after it left. */
+    public void removeServer(String server) {
+        Integer index = mIndexes.get(server);
+        if (index == null) {
+            return;
+        }
+        mYoung.values().removeIf(i -> i.intValue() == index);
+        mOld.values().removeIf(i -> i.intValue() == index);
+    }
+
+    /** Gives each entry once: the chat and the backend server's name. */
+    public void forEach(BiConsumer<ChatKey, String> consumer) {
+        mYoung.longForEach((h, i) -> consumer.accept(new ChatKey(h), mServers.get((int) i)));
+        mOld.longForEach((h, i) -> consumer.accept(new ChatKey(h), mServers.get((int) i)));
+    }
+
+    /** Returns how many chats have an entry. */
+    public int size() {
+        return mYoung.size() + mOld.size();
+    }
+
+    /** Returns the bytes that the entries' tables take. */
+    public long tableBytes() {
+        return 2L * Long.BYTES * (mYoung.capacity() + mOld.capacity());
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/HomeLookup.java
@@ -0,0 +1,105 @@
+package org.laurelweir.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.collections.LongHashSet;
+
+/**
+ * What a sidecar does to find a chat's history when a request reaches it, by the rank that it holds
+ * for the chat. Only the home knows where a chat sits; a server that became a chat's home asks,
+ * once, those that may know: the previous home if this server joined, the servers next in rank if
+ * the previous home left without handing over.
+ */
+public final class HomeLookup {
+    /** How many ranks after a lost home are asked; a bound redirects at most twice. */
+    static final int RANKS_ASKED = 2;
+
+    private final String mSelf;
+    private final ChatDirectory mDirectory;
+    private final int mMaxAsked;
+    private final LongHashSet mAsked = new LongHashSet();
+
+    /**
+     * Creates the look-up of one sidecar.
+     *
+     * @param self its backend server's name
+     * @param directory its directory
+     * @param maxAsked how many chats it remembers to have asked for; over that it forgets them all
+     *     and may ask a second time
+     */
+    public HomeLookup(String self, ChatDirectory directory, int maxAsked) {
+        mSelf = self;
+        mDirectory = directory;
+        mMaxAsked = maxAsked;
+    }
+
+    /**
+     * Returns where a chat's history may be.
+     *
+     * @param chat the chat
+     * @param view the sidecar's view of its service
+     * @param cachedHere whether the engine here has the history
+     * @param joinedLately whether this server joined so lately that chats of its rank may still sit
+     *     with their previous homes; true for a server that came back from a flap
+     */
+    public Seat find(ChatKey chat, ServiceView view, boolean cachedHere, boolean joinedLately) {
+        Candidate home = view.ranking().home(chat);
+        if (home == null || !home.id().equals(mSelf)) {
+            return cachedHere ? Seat.HERE : Seat.UNKNOWN;
+        }
+        String elsewhere = mDirectory.find(chat);
+        if (elsewhere != null && view.candidate(elsewhere) != null) {
+            return new Seat.Elsewhere(elsewhere);
+        }
+        List<Candidate> asked = previousHolders(chat, view, home, cachedHere, joinedLately);
+        if (asked.isEmpty() || !remember(chat)) {
+            return cachedHere ? Seat.HERE : Seat.UNKNOWN;
+        }
+        return new Seat.Ask(asked);
+    }
+
+    private List<Candidate> previousHolders(
+            ChatKey chat,
+            ServiceView view,
+            Candidate home,
+            boolean cachedHere,
+            boolean joinedLately) {
+        List<Candidate> asked = new ArrayList<>();
+        if (joinedLately) {
+            asked.addAll(view.ranking().topWithout(chat, mSelf, 1));
+        }
+        if (!cachedHere && isHomeDeparted(chat, view, home)) {
+            for (Candidate c : view.ranking().topWithout(chat, mSelf, RANKS_ASKED)) {
+                if (!asked.contains(c)) {
+                    asked.add(c);
+                }
+            }
+        }
+        return asked;
+    }
+
+    private static boolean isHomeDeparted(ChatKey chat, ServiceView view, Candidate home) {
+        if (view.departed().isEmpty()) {
+            return false;
+        }
+        long own = Ranking.distance(chat, home);
+        return view.departed().stream().anyMatch(d -> Ranking.distance(chat, d) < own);
+    }
+
+    private boolean remember(ChatKey chat) {
+        if (mAsked.size() >= mMaxAsked) {
+            mAsked.clear();
+        }
+        return mAsked.add(chat.hash());
+    }
+
+    /** Forgets what was asked, after a membership change that may have moved homes here. */
+    public void onMembershipChange() {
+        mAsked.clear();
+    }
+
+    /** Returns how many chats it remembers to have asked for. */
+    public int askedCount() {
+        return mAsked.size();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/ServiceView.java
@@ -0,0 +1,122 @@
+package org.laurelweir.placement;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/**
+ * What one process knows of one service's backend servers. Immutable: a delta gives a new view, at
+ * a cost in proportion to the service's size, paid once per membership change and never per
+ * request. Views with the same members rank alike, whatever the order in which they learnt of them.
+ */
+public final class ServiceView {
+    /** How many departed backend servers a view remembers, the latest first. */
+    public static final int MAX_DEPARTED = 64;
+
+    private final String mService;
+    private final long mVersion;
+    private final NavigableMap<String, Candidate> mMembers;
+    private final List<Candidate> mDeparted;
+    private final Ranking mRanking;
+
+    private ServiceView(
+            String service,
+            long version,
+            NavigableMap<String, Candidate> members,
+            List<Candidate> departed) {
+        mService = service;
+        mVersion = version;
+        mMembers = Collections.unmodifiableNavigableMap(members);
+        mDeparted = departed;
+        mRanking = Ranking.of(members.values().stream().filter(c -> !c.draining()).toList());
+    }
+
+    /** Returns the view of a service of which nothing is known yet. */
+    public static ServiceView empty(String service) {
+        return new ServiceView(service, 0, new TreeMap<>(), List.of());
+    }
+
+    /**
+     * Returns the view after some changes.
+     *
+     * @param version the version that the changes lead to, in the control log's order
+     * @param changes applied in their order; several at once cost no more than one
+     * @return the new view, or this one if {@code version} is not above its own: a late delta never
+     *     takes a view back
+     */
+    public ServiceView apply(long version, Collection<? extends ViewChange> changes) {
+        if (version <= mVersion) {
+            return this;
+        }
+        NavigableMap<String, Candidate> members = new TreeMap<>(mMembers);
+        Deque<Candidate> departed = new ArrayDeque<>(mDeparted);
+        for (ViewChange c : changes) {
+            applyOne(c, members, departed);
+        }
+        while (departed.size() > MAX_DEPARTED) {
+            departed.removeLast();
+        }
+        return new ServiceView(mService, version, members, List.copyOf(departed));
+    }
+
+    private static void applyOne(
+            ViewChange change, NavigableMap<String, Candidate> members, Deque<Candidate> departed) {
+        if (change instanceof ViewChange.Join join) {
+            departed.removeIf(d -> d.id().equals(join.id()));
+            members.put(join.id(), join.candidate());
+            return;
+        }
+        if (change instanceof ViewChange.Drain drain) {
+            members.computeIfPresent(drain.id(), (id, c) -> c.drained());
+            return;
+        }
+        Candidate gone = members.remove(change.id());
+        if (gone != null) {
+            departed.addFirst(gone);
+        }
+    }
+
+    public String service() {
+        return mService;
+    }
+
+    /** Returns the version of the last change in the view; 0 means that nothing is known. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns how many backend servers the view knows, those that are leaving among them. */
+    public int size() {
+        return mMembers.size();
+    }
+
+    /** Returns all backend servers, by name. */
+    public List<Candidate> candidates() {
+        return new ArrayList<>(mMembers.values());
+    }
+
+    /**
+     * Returns one backend server.
+     *
+     * @param id its name
+     * @return the candidate, or null if the view does not know it
+     */
+    public Candidate candidate(String id) {
+        return mMembers.get(id);
+    }
+
+    /** Returns the latest backend servers that left, the latest first. */
+    public List<Candidate> departed() {
+        return mDeparted;
+    }
+
+    /** Returns the ranking of the backend servers that take new work. */
+    public Ranking ranking() {
+        return mRanking;
+    }
+}
