Decide placement at the router and admission at the sidecar

The router's policy follows the ranking and what it remembers; the sidecar's bound keeps the room between an open and a full factor for chats whose history is cached.

--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/BoundConfig.java
@@ -0,0 +1,25 @@
+package org.laurelweir.placement;
+
+/**
+ * How much a backend server takes on before its sidecar sends requests on.
+ *
+ * @param factor the set multiple of the mean that no server exceeds, at least 1
+ * @param openFactor the multiple up to which requests without cached history are taken; between it
+ *     and {@code factor} lies the room kept for chats whose history is cached
+ * @param capacityFloor the least bound, see {@link LoadBound}
+ * @param prefillWeight the cost of an uncached prompt token against an output token's
+ * @param maxRedirects how many times a request may be sent on
+ */
+public record BoundConfig(
+        double factor,
+        double openFactor,
+        double capacityFloor,
+        double prefillWeight,
+        int maxRedirects) {
+    /** Checks the factors. */
+    public BoundConfig {
+        if (factor < 1 || openFactor < 1 || openFactor > factor) {
+            throw new IllegalArgumentException("factors: " + openFactor + ", " + factor);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/HomeLookupTest.java
@@ -0,0 +1,52 @@
+package org.laurelweir.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class HomeLookupTest {
+    private static final ChatKey CHAT = ChatKey.of("nordhavn", "chat");
+
+    private final ServiceView mView = Candidates.view(6);
+    private final List<Candidate> mRanks = mView.ranking().top(CHAT, 6);
+    private final ChatDirectory mDirectory = new ChatDirectory(100);
+
+    private HomeLookup lookup(Candidate self) {
+        return new HomeLookup(self.id(), mDirectory, 100);
+    }
+
+    @Test
+    void homeFollowsItsDirectory() {
+        mDirectory.put(CHAT, mRanks.get(3).id());
+        assertThat(lookup(mRanks.get(0)).find(CHAT, mView, false, false))
+                .isEqualTo(new Seat.Elsewhere(mRanks.get(3).id()));
+    }
+
+    @Test
+    void joinedHomeAsksThePreviousOneOnce() {
+        HomeLookup lookup = lookup(mRanks.get(0));
+        assertThat(lookup.find(CHAT, mView, false, true))
+                .isEqualTo(new Seat.Ask(List.of(mRanks.get(1))));
+        assertThat(lookup.find(CHAT, mView, false, true)).isEqualTo(Seat.UNKNOWN);
+    }
+
+    // The caller sees only a slower first token. The home crashes; its directory is lost with it.
+    // The next in rank becomes the home and has no entry for a chat that the bound had moved on.
+    // It asks the ranks that a redirect could have reached, so the history is found again.
+    @Test
+    void nextHomeAfterACrashAsksTheRanksBelow() {
+        ServiceView after = mView.apply(2, List.of(new ViewChange.Leave(mRanks.get(0).id())));
+        HomeLookup lookup = lookup(mRanks.get(1));
+        assertThat(lookup.find(CHAT, after, false, false))
+                .isEqualTo(new Seat.Ask(mRanks.subList(2, 4)));
+        assertThat(lookup.find(CHAT, after, false, false)).isEqualTo(Seat.UNKNOWN);
+        assertThat(lookup.find(CHAT, after, true, false)).isEqualTo(Seat.HERE);
+    }
+
+    @Test
+    void seatThatLeftIsNotFollowed() {
+        mDirectory.put(CHAT, "gone");
+        assertThat(lookup(mRanks.get(0)).find(CHAT, mView, false, false)).isEqualTo(Seat.UNKNOWN);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/OutliersTest.java
@@ -0,0 +1,53 @@
+package org.laurelweir.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class OutliersTest {
+    private static final Instant START = Instant.EPOCH;
+    private static final OutlierConfig CONFIG =
+            new OutlierConfig(2, Duration.ofSeconds(2), Duration.ofSeconds(6), 0.25);
+
+    private final Outliers mOutliers = new Outliers(CONFIG);
+
+    // The caller sees a late answer once, not at each request. A server fails twice in a row and
+    // is passed over; it is tried again after the cooldown, fails once, and is passed over for
+    // twice as long, since a server that is down stays down for longer than it takes to try it.
+    @Test
+    void cooldownDoublesUpToItsMaximum() {
+        Instant now = START;
+        assertThat(mOutliers.onFailure("a", 8, now)).isFalse();
+        for (int seconds : new int[] {2, 4, 6, 6}) {
+            assertThat(mOutliers.onFailure("a", 8, now)).isTrue();
+            now = now.plusSeconds(seconds);
+            assertThat(mOutliers.isEjected("a", now.minusMillis(1))).isTrue();
+            assertThat(mOutliers.isEjected("a", now)).isFalse();
+        }
+    }
+
+    @Test
+    void successClearsTheRecord() {
+        mOutliers.onFailure("a", 8, START);
+        mOutliers.onSuccess("a");
+        assertThat(mOutliers.onFailure("a", 8, START)).isFalse();
+    }
+
+    @Test
+    void atMostAShareIsEjected() {
+        for (int i = 0; i < 8; i++) {
+            mOutliers.onFailure("w" + i, 8, START);
+            mOutliers.onFailure("w" + i, 8, START);
+        }
+        assertThat(mOutliers.ejectedCount(START)).isEqualTo(2);
+    }
+
+    @Test
+    void onlyServerIsNeverEjected() {
+        mOutliers.onFailure("a", 1, START);
+        assertThat(mOutliers.onFailure("a", 1, START)).isFalse();
+        assertThat(mOutliers.isEjected("a", START)).isFalse();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/RankingTest.java
@@ -0,0 +1,109 @@
+package org.laurelweir.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.laurelweir.lib.BackendRef;
+
+class RankingTest {
+    private static final int CHATS = 20_000;
+
+    @Property(tries = 200, seed = "11")
+    void leavingOneKeepsTheOrderOfTheOthers(
+            @ForAll @IntRange(min = 2, max = 60) int n,
+            @ForAll @IntRange(min = 0, max = 59) int gone,
+            @ForAll long hash) {
+        List<Candidate> all = Candidates.of(n);
+        Candidate left = all.get(gone % n);
+        ChatKey chat = new ChatKey(hash);
+        List<Candidate> before = new ArrayList<>(Ranking.of(all).top(chat, n));
+        List<Candidate> rest = all.stream().filter(c -> c != left).toList();
+
+        before.remove(left);
+
+        assertThat(Ranking.of(rest).top(chat, n)).isEqualTo(before);
+        assertThat(Ranking.of(all).topWithout(chat, left.id(), n)).isEqualTo(before);
+    }
+
+    @Property(tries = 200, seed = "12")
+    void rankFollowsDistance(
+            @ForAll @IntRange(min = 1, max = 40) int n,
+            @ForAll @IntRange(min = 1, max = 5) int k,
+            @ForAll long hash) {
+        ChatKey chat = new ChatKey(hash);
+        List<Candidate> byDistance =
+                Candidates.of(n).stream()
+                        .sorted(
+                                (a, b) ->
+                                        Long.compare(
+                                                Ranking.distance(chat, a),
+                                                Ranking.distance(chat, b)))
+                        .limit(k)
+                        .toList();
+
+        assertThat(Ranking.of(Candidates.of(n)).top(chat, k)).isEqualTo(byDistance);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 10, 100, 1000})
+    void joinMovesOnlyItsOwnShare(int n) {
+        Ranking before = Ranking.of(Candidates.of(n));
+        Ranking after = Ranking.of(Candidates.of(n + 1));
+        String joined = "worker-" + n;
+        long moved = 0;
+        for (long i = 0; i < CHATS; i++) {
+            ChatKey chat = ChatKey.of("account", "chat-" + i);
+            Candidate home = after.home(chat);
+            if (home.equals(before.home(chat))) {
+                continue;
+            }
+            assertThat(home.id()).isEqualTo(joined);
+            moved++;
+        }
+        assertThat(moved).isLessThan(2L * CHATS / (n + 1));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 10, 100})
+    void sharesAreEven(int n) {
+        Map<Candidate, Integer> homes = homes(Ranking.of(Candidates.of(n)), n * 2000);
+        assertThat(homes).hasSize(n);
+        assertThat(homes.values()).allSatisfy(c -> assertThat(c).isBetween(1400, 2300));
+    }
+
+    @Test
+    void shareFollowsWeight() {
+        List<Candidate> all = new ArrayList<>(Candidates.of(9));
+        Candidate heavy = new Candidate(new BackendRef("heavy", 1), "floro", 3);
+        all.add(heavy);
+        all.add(new Candidate(new BackendRef("none", 1), "floro", 0));
+        Map<Candidate, Integer> homes = homes(Ranking.of(all), 12_000);
+        assertThat(homes.get(heavy)).isBetween(2500, 3500);
+        assertThat(homes).hasSize(10);
+    }
+
+    @Test
+    void emptyRankingHasNoHome() {
+        Ranking none = Ranking.of(List.of());
+        assertThat(none.home(new ChatKey(1))).isNull();
+        assertThat(none.top(new ChatKey(1), 3)).isEmpty();
+    }
+
+    private static Map<Candidate, Integer> homes(Ranking ranking, int chats) {
+        Map<Candidate, Integer> homes = new HashMap<>();
+        LongStream.range(0, chats)
+                .mapToObj(i -> ranking.home(ChatKey.of("account", "chat-" + i)))
+                .forEach(h -> homes.merge(h, 1, Integer::sum));
+        return homes;
+    }
+}
