Look a chat's seat up once per request

A stale router reached servers that were no longer the home; these now name the home, and only on the first stop, so that no two servers send a request to and fro.

--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** JMH benchmarks of the decisions: time and bytes allocated per step. */
+package org.laurelweir.benchmarks;
--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/ranking/RingRanker.java
@@ -0,0 +1,50 @@
+package org.laurelweir.benchmarks.ranking;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import net.openhft.hashing.LongHashFunction;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatKey;
+
+/** A consistent-hash ring: the chat's one point, and the next different servers on the ring. */
+public final class RingRanker implements Ranker {
+    private final List<Candidate> mCandidates;
+    private final long[] mPoints;
+    private final int[] mOwners;
+
+    /**
+     * Builds the ring.
+     *
+     * @param candidates the servers
+     * @param pointsPerServer points of each
+     */
+    public RingRanker(Collection<Candidate> candidates, int pointsPerServer) {
+        mCandidates = candidates.stream().sorted(Comparator.comparing(Candidate::id)).toList();
+        long[][] all = new long[mCandidates.size() * pointsPerServer][];
+        for (int i = 0; i < all.length; i++) {
+            int owner = i / pointsPerServer;
+            String name = mCandidates.get(owner).id() + "#" + i % pointsPerServer;
+            all[i] = new long[] {LongHashFunction.xx3().hashChars(name), owner};
+        }
+        Arrays.sort(all, Comparator.comparingLong(a -> a[0]));
+        mPoints = Arrays.stream(all).mapToLong(a -> a[0]).toArray();
+        mOwners = Arrays.stream(all).mapToInt(a -> (int) a[1]).toArray();
+    }
+
+    @Override
+    public List<Candidate> top(ChatKey chat, int k) {
+        int found = Arrays.binarySearch(mPoints, chat.hash());
+        int at = found < 0 ? -found - 1 : found;
+        List<Candidate> top = new ArrayList<>(k);
+        for (int i = 0; i < mPoints.length && top.size() < k; i++) {
+            Candidate c = mCandidates.get(mOwners[(at + i) % mPoints.length]);
+            if (!top.contains(c)) {
+                top.add(c);
+            }
+        }
+        return top;
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/HomeLookup.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/HomeLookup.java
@@ -36,40 +36,43 @@
     /**
      * Returns where a chat's history may be.
      *
-     * @param chat the chat
+     * @param query the request
      * @param view the sidecar's view of its service
-     * @param cachedHere whether the engine here has the history
-     * @param joinedLately whether this server joined so lately that chats of its rank may still sit
-     *     with their previous homes; true for a server that came back from a flap
      */
-    public Seat find(ChatKey chat, ServiceView view, boolean cachedHere, boolean joinedLately) {
-        Candidate home = view.ranking().home(chat);
-        if (home == null || !home.id().equals(mSelf)) {
-            return cachedHere ? Seat.HERE : Seat.UNKNOWN;
+    public Seat find(SeatQuery query, ServiceView view) {
+        if (!query.firstStop()) {
+            return hereOrUnknown(query);
         }
-        String elsewhere = mDirectory.find(chat);
-        if (elsewhere != null && view.candidate(elsewhere) != null) {
+        String elsewhere = mDirectory.find(query.chat());
+        if (elsewhere != null && !elsewhere.equals(mSelf) && view.candidate(elsewhere) != null) {
             return new Seat.Elsewhere(elsewhere);
         }
-        List<Candidate> asked = previousHolders(chat, view, home, cachedHere, joinedLately);
-        if (asked.isEmpty() || !remember(chat)) {
-            return cachedHere ? Seat.HERE : Seat.UNKNOWN;
+        Candidate home = view.ranking().home(query.chat());
+        if (home == null) {
+            return hereOrUnknown(query);
+        }
+        if (!home.id().equals(mSelf)) {
+            // The router's view is older or newer than this one, or its memory of the chat is old.
+            return query.cachedHere() ? Seat.HERE : new Seat.Elsewhere(home.id());
+        }
+        List<Candidate> asked = previousHolders(query, view, home);
+        if (asked.isEmpty() || !remember(query.chat())) {
+            return hereOrUnknown(query);
         }
         return new Seat.Ask(asked);
     }
 
-    private List<Candidate> previousHolders(
-            ChatKey chat,
-            ServiceView view,
-            Candidate home,
-            boolean cachedHere,
-            boolean joinedLately) {
+    private static Seat hereOrUnknown(SeatQuery query) {
+        return query.cachedHere() ? Seat.HERE : Seat.UNKNOWN;
+    }
+
+    private List<Candidate> previousHolders(SeatQuery query, ServiceView view, Candidate home) {
         List<Candidate> asked = new ArrayList<>();
-        if (joinedLately) {
-            asked.addAll(view.ranking().topWithout(chat, mSelf, 1));
+        if (query.joinedLately()) {
+            asked.addAll(view.ranking().topWithout(query.chat(), mSelf, 1));
         }
-        if (!cachedHere && isHomeDeparted(chat, view, home)) {
-            for (Candidate c : view.ranking().topWithout(chat, mSelf, RANKS_ASKED)) {
+        if (!query.cachedHere() && isHomeDeparted(query.chat(), view, home)) {
+            for (Candidate c : view.ranking().topWithout(query.chat(), mSelf, RANKS_ASKED)) {
                 if (!asked.contains(c)) {
                     asked.add(c);
                 }
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/HomeLookupTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/HomeLookupTest.java
@@ -19,16 +19,17 @@
     @Test
     void homeFollowsItsDirectory() {
         mDirectory.put(CHAT, mRanks.get(3).id());
-        assertThat(lookup(mRanks.get(0)).find(CHAT, mView, false, false))
+        assertThat(lookup(mRanks.get(0)).find(new SeatQuery(CHAT, false, true, false), mView))
                 .isEqualTo(new Seat.Elsewhere(mRanks.get(3).id()));
     }
 
     @Test
     void joinedHomeAsksThePreviousOneOnce() {
         HomeLookup lookup = lookup(mRanks.get(0));
-        assertThat(lookup.find(CHAT, mView, false, true))
+        assertThat(lookup.find(new SeatQuery(CHAT, false, true, true), mView))
                 .isEqualTo(new Seat.Ask(List.of(mRanks.get(1))));
-        assertThat(lookup.find(CHAT, mView, false, true)).isEqualTo(Seat.UNKNOWN);
+        assertThat(lookup.find(new SeatQuery(CHAT, false, true, true), mView))
+                .isEqualTo(Seat.UNKNOWN);
     }
 
     // The caller sees only a slower first token. The home crashes; its directory is lost with it.
@@ -38,15 +39,30 @@
     void nextHomeAfterACrashAsksTheRanksBelow() {
         ServiceView after = mView.apply(2, List.of(new ViewChange.Leave(mRanks.get(0).id())));
         HomeLookup lookup = lookup(mRanks.get(1));
-        assertThat(lookup.find(CHAT, after, false, false))
+        assertThat(lookup.find(new SeatQuery(CHAT, false, true, false), after))
                 .isEqualTo(new Seat.Ask(mRanks.subList(2, 4)));
-        assertThat(lookup.find(CHAT, after, false, false)).isEqualTo(Seat.UNKNOWN);
-        assertThat(lookup.find(CHAT, after, true, false)).isEqualTo(Seat.HERE);
+        assertThat(lookup.find(new SeatQuery(CHAT, false, true, false), after))
+                .isEqualTo(Seat.UNKNOWN);
+        assertThat(lookup.find(new SeatQuery(CHAT, true, true, false), after)).isEqualTo(Seat.HERE);
     }
 
     @Test
     void seatThatLeftIsNotFollowed() {
         mDirectory.put(CHAT, "gone");
-        assertThat(lookup(mRanks.get(0)).find(CHAT, mView, false, false)).isEqualTo(Seat.UNKNOWN);
+        assertThat(lookup(mRanks.get(0)).find(new SeatQuery(CHAT, false, true, false), mView))
+                .isEqualTo(Seat.UNKNOWN);
+    }
+
+    // The caller sees one more hop, never two servers that send its request to and fro. A router
+    // with an old view sends to a server that is no longer the home; that one names the home, and
+    // a request that was sent on once is not sent back.
+    @Test
+    void staleRouterIsSentToTheHomeOnce() {
+        HomeLookup lookup = lookup(mRanks.get(2));
+        assertThat(lookup.find(new SeatQuery(CHAT, false, true, false), mView))
+                .isEqualTo(new Seat.Elsewhere(mRanks.get(0).id()));
+        assertThat(lookup.find(new SeatQuery(CHAT, false, false, false), mView))
+                .isEqualTo(Seat.UNKNOWN);
+        assertThat(lookup.find(new SeatQuery(CHAT, true, true, false), mView)).isEqualTo(Seat.HERE);
     }
 }
