--- a/org.laurelweir/src/test/java/org/laurelweir/placement/AffinityPolicyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/AffinityPolicyTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** The router's order of candidates. */
 class AffinityPolicyTest {
     private static final ChatKey CHAT = ChatKey.of("nordhavn", "chat");
     private static final PlacementRequest REQUEST =
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/BoundPolicyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/BoundPolicyTest.java
@@ -8,6 +8,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** What a sidecar does at each load. */
 class BoundPolicyTest {
     private static final WorkEstimate FRESH = new WorkEstimate(1000, 0, 100);
     private static final WorkEstimate CACHED = new WorkEstimate(1000, 900, 100);
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/ChatDirectoryTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/ChatDirectoryTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
+/** The directory against a plain map, and its bounds. */
 class ChatDirectoryTest {
     @Property(tries = 200, seed = "41")
     void answersLikeAMapAndStaysBounded(
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/HomeLookupTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/HomeLookupTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** Finding a chat's history as homes come and go. */
 class HomeLookupTest {
     private static final ChatKey CHAT = ChatKey.of("nordhavn", "chat");
 
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/LoadBoundTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/LoadBoundTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
+/** The bound and its rounding at small loads. */
 class LoadBoundTest {
     private static final double FLOOR = 100;
 
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/OutliersTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/OutliersTest.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
+/** Ejection, its cooldown and its ceiling. */
 class OutliersTest {
     private static final Instant START = Instant.EPOCH;
     private static final OutlierConfig CONFIG =
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/RankingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/RankingTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.lib.BackendRef;
 
+/** Stability, evenness and weights of the ranking. */
 class RankingTest {
     private static final int CHATS = 20_000;
 
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/ServiceViewTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/ServiceViewTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
+/** Deltas to a view. */
 class ServiceViewTest {
     private static final ChatKey CHAT = ChatKey.of("nordhavn", "chat");
 
