--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
@@ -0,0 +1,89 @@
+package org.laurelweir.benchmarks.measure;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.laurelweir.benchmarks.measure.fleet.ChurnPlan;
+import org.laurelweir.benchmarks.measure.fleet.Figures;
+import org.laurelweir.benchmarks.measure.fleet.MembershipEvent;
+import org.laurelweir.benchmarks.measure.fleet.Run;
+import org.laurelweir.benchmarks.measure.policy.Policy;
+import org.laurelweir.benchmarks.measure.report.Comparison;
+import org.laurelweir.benchmarks.measure.report.JsonReport;
+import org.laurelweir.benchmarks.measure.report.PlotReport;
+import org.laurelweir.benchmarks.measure.report.TableReport;
+import org.laurelweir.benchmarks.measure.workload.Trace;
+import org.laurelweir.benchmarks.measure.workload.TraceGenerator;
+
+/** Plays every deployment against every policy and writes a table, JSON and plots. */
+@Command(name = "measure", description = "Compares placement policies on generated arrivals")
+public final class MeasureCommand {
+    @AirlineModule private HelpOption<MeasureCommand> mHelp;
+
+    @Option(name = "--seed", description = "The same seed gives the same figures; 1 if absent")
+    private long mSeed = 1;
+
+    @Option(name = "--deployment", description = "fjordvik, archive or scaled; all if absent")
+    private List<String> mDeployments = new ArrayList<>();
+
+    @Option(name = "--out", description = "Folder for JSON and plots; target/measure if absent")
+    private String mOut = "target/measure";
+
+    @Option(name = "--threads", description = "Runs played at the same time; 3 if absent")
+    private int mThreads = 3;
+
+    /** Runs the command. */
+    public void call() {
+        if (mHelp.showHelpIfRequested()) {
+            return;
+        }
+        if (mDeployments.isEmpty()) {
+            mDeployments = List.of("fjordvik", "archive", "scaled");
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(mThreads);
+        try {
+            for (String name : mDeployments) {
+                Comparison c = compare(Deployment.read(name), pool);
+                System.out.println(TableReport.table(c));
+                Path folder = Path.of(mOut, name);
+                JsonReport.write(c, folder);
+                PlotReport.write(c, folder);
+            }
+        } finally {
+            pool.shutdown();
+        }
+    }
+
+    private Comparison compare(Deployment deployment, ExecutorService pool) {
+        Trace trace = TraceGenerator.generate(deployment, mSeed);
+        List<MembershipEvent> churn = ChurnPlan.generate(deployment, mSeed);
+        Map<Policy, Future<Figures>> runs = new EnumMap<>(Policy.class);
+        for (Policy p : Policy.values()) {
+            Callable<Figures> play =
+                    () -> new Run(deployment, trace, churn, p::newScheme, mSeed).play();
+            runs.put(p, pool.submit(play));
+        }
+        Map<Policy, Figures> figures = new EnumMap<>(Policy.class);
+        runs.forEach((p, run) -> figures.put(p, result(run)));
+        return new Comparison(deployment, mSeed, figures);
+    }
+
+    private static Figures result(Future<Figures> run) {
+        try {
+            return run.get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException("a run failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/ViewTimeline.java
@@ -0,0 +1,68 @@
+package org.laurelweir.benchmarks.measure.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.laurelweir.placement.ServiceView;
+import org.laurelweir.placement.ViewChange;
+
+/** The views of one service in the order of the control log, and who sees which when. */
+public final class ViewTimeline {
+    private final List<ServiceView> mViews = new ArrayList<>();
+    private final List<Long> mTimes = new ArrayList<>();
+
+    ViewTimeline(ServiceView first) {
+        add(Long.MIN_VALUE, first);
+    }
+
+    void change(long at, ViewChange change) {
+        ServiceView last = mViews.get(mViews.size() - 1);
+        add(at, last.apply(last.version() + 1, List.of(change)));
+    }
+
+    private void add(long at, ServiceView view) {
+        mTimes.add(at);
+        mViews.add(view);
+    }
+
+    /** Returns how many changes there were. */
+    int changes() {
+        return mViews.size() - 1;
+    }
+
+    /** Returns an observer that sees each change up to {@code maxLag} microseconds late. */
+    Observer newObserver(long maxLag, long seed) {
+        return new Observer(maxLag, seed);
+    }
+
+    /** One process's sight of the service. */
+    final class Observer {
+        private final long mMaxLag;
+        private final SplittableRandom mRandom;
+        private int mSeen;
+        private long mNextAt;
+        private boolean mNextKnown;
+
+        private Observer(long maxLag, long seed) {
+            mMaxLag = maxLag;
+            mRandom = new SplittableRandom(seed);
+        }
+
+        /** Returns what it sees; time never goes back between calls. */
+        ServiceView view(long now) {
+            while (mSeen + 1 < mViews.size()) {
+                if (!mNextKnown) {
+                    long lag = mMaxLag == 0 ? 0 : mRandom.nextLong(mMaxLag);
+                    mNextAt = Math.max(mNextAt, mTimes.get(mSeen + 1) + lag);
+                    mNextKnown = true;
+                }
+                if (mNextAt > now) {
+                    break;
+                }
+                mSeen++;
+                mNextKnown = false;
+            }
+            return mViews.get(mSeen);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
@@ -0,0 +1,257 @@
+package org.laurelweir.benchmarks.measure.policy;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.laurelweir.benchmarks.measure.Deployment.Bound;
+import org.laurelweir.benchmarks.measure.fleet.ControlBytes;
+import org.laurelweir.benchmarks.measure.fleet.Engine;
+import org.laurelweir.benchmarks.measure.fleet.Fleet;
+import org.laurelweir.benchmarks.measure.fleet.Request;
+import org.laurelweir.benchmarks.measure.fleet.Scheme;
+import org.laurelweir.placement.AffinityPolicy;
+import org.laurelweir.placement.BoundConfig;
+import org.laurelweir.placement.BoundDecision;
+import org.laurelweir.placement.BoundPolicy;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatKey;
+import org.laurelweir.placement.PlacementPolicy;
+import org.laurelweir.placement.Seat;
+import org.laurelweir.placement.SeatQuery;
+import org.laurelweir.placement.ServiceView;
+import org.laurelweir.placement.WorkEstimate;
+
+/**
+ * The policy in use: the router sends a chat to its home, the sidecars find its seat, keep the
+ * bound and send on what goes over it.
+ */
+final class DirectoryScheme implements Scheme {
+    private static final long MICROS_PER_MILLI = 1000;
+
+    private final Fleet mFleet;
+    private final PlacementPolicy mRouterPolicy = new AffinityPolicy();
+    private final BoundPolicy mBound;
+    private final BoundConfig mConfig;
+    private final long mWait;
+    private final Map<Engine, Sidecar> mSidecars = new HashMap<>();
+    private final Map<Integer, RouterMemory> mRouters = new HashMap<>();
+
+    DirectoryScheme(Fleet fleet) {
+        mFleet = fleet;
+        Bound b = fleet.deployment().bound();
+        mConfig =
+                new BoundConfig(
+                        b.factor(),
+                        b.openFactor(),
+                        b.capacityFloor(),
+                        b.prefillWeight(),
+                        b.maxRedirects());
+        mBound = new BoundPolicy(mConfig);
+        mWait = b.waitMillis() * MICROS_PER_MILLI;
+    }
+
+    @Override
+    public void onArrival(Request request) {
+        for (Candidate c : candidates(request)) {
+            Engine e = mFleet.engine(c.id());
+            if (e.isAlive()) {
+                memory(request).onSuccess(e.id());
+                deliver(request, sidecar(e), true);
+                return;
+            }
+            memory(request).onFailure(c.id(), mFleet.engines(e.service()).size());
+            request.addHop();
+            mFleet.control().addPerRequest(ControlBytes.FAILOVER);
+        }
+        mFleet.reject(request);
+    }
+
+    private List<Candidate> candidates(Request request) {
+        int service = request.turn().chat().service();
+        ServiceView view = mFleet.routerView(request.turn().router(), service);
+        return mRouterPolicy.place(request.placement(), view, memory(request)).candidates();
+    }
+
+    private RouterMemory memory(Request request) {
+        return mRouters.computeIfAbsent(request.turn().router(), r -> new RouterMemory(mFleet));
+    }
+
+    private Sidecar sidecar(Engine engine) {
+        return mSidecars.computeIfAbsent(engine, Sidecar::new);
+    }
+
+    /** Takes a request at a sidecar. */
+    private void deliver(Request request, Sidecar at, boolean firstStop) {
+        request.visited().add(at.engine());
+        Seat seat = findSeat(request, at, firstStop);
+        if (seat instanceof Seat.Ask ask) {
+            seat = ask(request, at, ask);
+        }
+        if (seat instanceof Seat.Elsewhere elsewhere) {
+            Engine to = mFleet.engine(elsewhere.server());
+            if (to.isAlive() && !request.visited().contains(to)) {
+                redirect(request, to);
+                return;
+            }
+        }
+        decide(request, at);
+    }
+
+    private Seat findSeat(Request request, Sidecar at, boolean firstStop) {
+        SeatQuery query =
+                new SeatQuery(
+                        request.turn().chat().key(),
+                        BoundPolicy.isAffine(request.workAt(at.engine())),
+                        firstStop,
+                        at.joinedLately(mFleet.now()));
+        return at.lookup().find(query, mFleet.sidecarView(at.engine()));
+    }
+
+    /** Asks the servers that may know the seat; one that has more of the history is the seat. */
+    private Seat ask(Request request, Sidecar at, Seat.Ask ask) {
+        request.addHop();
+        ChatKey chat = request.turn().chat().key();
+        int most = request.workAt(at.engine()).cachedTokens();
+        Engine best = at.engine();
+        for (Candidate c : ask.candidates()) {
+            Engine asked = mFleet.engine(c.id());
+            if (!asked.isAlive()) {
+                continue;
+            }
+            String entry = sidecar(asked).directory().find(chat);
+            Engine holder = entry == null ? asked : mFleet.engine(entry);
+            int cached = request.workAt(holder).cachedTokens();
+            if (holder.isAlive() && cached > most) {
+                best = holder;
+                most = cached;
+            }
+        }
+        return best == at.engine() ? Seat.HERE : new Seat.Elsewhere(best.id());
+    }
+
+    private void redirect(Request request, Engine to) {
+        request.addRedirect();
+        mFleet.control().addPerRequest(ControlBytes.REDIRECT);
+        deliver(request, sidecar(to), false);
+    }
+
+    /** Keeps the bound beside the engine. */
+    private void decide(Request request, Sidecar at) {
+        Engine e = at.engine();
+        Engine next = next(request, e);
+        if (e.isDraining()) {
+            sendOnOrReject(request, next);
+            return;
+        }
+        WorkEstimate work = request.workAt(e);
+        double mean = mFleet.reportedMean(e.service());
+        BoundDecision decision =
+                mBound.decide(
+                        work,
+                        request.redirects(),
+                        next != null,
+                        request.isWaited(),
+                        e.work(),
+                        mean);
+        switch (decision) {
+            case ADMIT -> admit(request, at);
+            case WAIT -> hold(request, at);
+            case REDIRECT -> redirect(request, next);
+            default -> mFleet.reject(request);
+        }
+    }
+
+    private void sendOnOrReject(Request request, Engine next) {
+        if (next == null || request.redirects() > mConfig.maxRedirects()) {
+            mFleet.reject(request);
+            return;
+        }
+        redirect(request, next);
+    }
+
+    /** Returns the next in rank that can be reached and that the request has not been to. */
+    private Engine next(Request request, Engine from) {
+        ServiceView view = mFleet.sidecarView(from);
+        int ranks = request.visited().size() + AffinityPolicy.CANDIDATES;
+        for (Candidate c : view.ranking().top(request.turn().chat().key(), ranks)) {
+            Engine e = mFleet.engine(c.id());
+            if (e.isAlive() && !request.visited().contains(e)) {
+                return e;
+            }
+        }
+        return null;
+    }
+
+    private void admit(Request request, Sidecar at) {
+        ChatKey chat = request.turn().chat().key();
+        Engine e = at.engine();
+        Candidate home = mFleet.sidecarView(e).ranking().home(chat);
+        Engine homeEngine = home == null ? e : mFleet.engine(home.id());
+        if (homeEngine == e) {
+            at.directory().remove(chat);
+        } else {
+            sidecar(homeEngine).directory().put(chat, e.id());
+        }
+        memory(request).onSeat(chat, e.id(), home);
+        mFleet.control().addPerRequest(ControlBytes.ANSWER_HINT);
+        mFleet.start(request, e);
+    }
+
+    private void hold(Request request, Sidecar at) {
+        at.waiting().add(request);
+        mFleet.later(
+                mWait,
+                () -> {
+                    if (at.waiting().remove(request)) {
+                        request.setWaited();
+                        decide(request, at);
+                    }
+                });
+    }
+
+    @Override
+    public void onEnd(Engine engine) {
+        Sidecar at = sidecar(engine);
+        int tries = at.waiting().size();
+        for (int i = 0; i < tries; i++) {
+            Request first = at.waiting().poll();
+            if (!fits(first, engine)) {
+                at.waiting().addFirst(first);
+                return;
+            }
+            admit(first, at);
+        }
+    }
+
+    private boolean fits(Request request, Engine engine) {
+        double mean = mFleet.reportedMean(engine.service());
+        return mBound.decide(request.workAt(engine), 0, false, false, engine.work(), mean)
+                == BoundDecision.ADMIT;
+    }
+
+    @Override
+    public void onJoin(Engine engine) {
+        sidecar(engine).onJoin(mFleet.now());
+    }
+
+    /** Hands the directory over: each entry to the chat's next home. */
+    @Override
+    public void onDrain(Engine engine) {
+        ServiceView view = mFleet.sidecarView(engine);
+        sidecar(engine)
+                .directory()
+                .forEach(
+                        (chat, seat) -> {
+                            List<Candidate> next = view.ranking().topWithout(chat, engine.id(), 1);
+                            if (!next.isEmpty()) {
+                                Engine e = mFleet.engine(next.get(0).id());
+                                sidecar(e).directory().put(chat, seat);
+                            }
+                        });
+    }
+
+    @Override
+    public String earlierPlace(Request request) {
+        return candidates(request).get(0).id();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/package-info.java
@@ -0,0 +1,2 @@
+/** Tables, JSON and plots of what was measured. */
+package org.laurelweir.benchmarks.measure.report;
--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/workload/package-info.java
@@ -0,0 +1,2 @@
+/** Generated arrivals: chats that return, dossiers, client accounts and surges. */
+package org.laurelweir.benchmarks.measure.workload;
