--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/Deployment.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/Deployment.java
@@ -121,6 +121,7 @@
      *
      * @param cacheTokens tokens that its prefix cache holds, least recently used out first
      * @param prefillTokensPerSecond prompt tokens computed a second
+     * @param chunkTokens prompt tokens computed at once; shorter prompts pass between the chunks
      * @param millisPerToken between output tokens when it runs nothing else
      * @param millisPerTokenPerRunning added for each other running request
      * @param maxRunning requests in its batch; more wait in the engine
@@ -128,6 +129,7 @@
     public record EngineSpec(
             long cacheTokens,
             double prefillTokensPerSecond,
+            int chunkTokens,
             double millisPerToken,
             double millisPerTokenPerRunning,
             int maxRunning) {}
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Engine.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Engine.java
@@ -9,9 +9,9 @@
 import org.laurelweir.placement.Candidate;
 
 /**
- * One backend server's engine. Prompts are computed one after the other; answers are generated side
- * by side, each token the slower the more requests ran when it began. Requests over the batch's
- * size wait inside the engine.
+ * One backend server's engine. Prompts are computed one after the other, short ones between the
+ * chunks of long ones; answers are generated side by side, each token the slower the more requests
+ * ran when it began. Requests over the batch's size wait inside the engine.
  */
 public final class Engine {
     private static final double MICROS = 1e6;
@@ -26,7 +26,8 @@
     private double mWork;
     private double mLatestReport;
     private double mReportedWork;
-    private long mPrefillFreeAt;
+    private long mShortFreeAt;
+    private long mLongFreeAt;
     private boolean mAlive = true;
     private boolean mDraining;
 
@@ -111,17 +112,39 @@
         return mRunning.size() < mSpec.maxRunning() ? mBacklog.poll() : null;
     }
 
+    /** Returns when the first token of a request would come that began now. */
+    public long firstTokenAt(int uncached, long now) {
+        long prefill = (long) (uncached / mSpec.prefillTokensPerSecond() * MICROS);
+        long from = Math.max(now, mShortFreeAt);
+        if (uncached > mSpec.chunkTokens()) {
+            from = Math.max(from, mLongFreeAt);
+        }
+        return from + prefill + (long) tokenMicros();
+    }
+
+    private double tokenMicros() {
+        double slowed = mSpec.millisPerTokenPerRunning() * mRunning.size();
+        return (mSpec.millisPerToken() + slowed) * MICROS_PER_MILLI;
+    }
+
     /** Begins a request and returns when it ends. */
     long begin(Request request, int uncached, long now) {
-        long prefillAt = Math.max(now, mPrefillFreeAt);
-        long prefill = (long) (uncached / mSpec.prefillTokensPerSecond() * MICROS);
-        mPrefillFreeAt = prefillAt + prefill;
-        double perToken =
-                mSpec.millisPerToken() + mSpec.millisPerTokenPerRunning() * mRunning.size();
+        double perToken = tokenMicros();
+        long first = firstTokenAt(uncached, now);
+        takePrefill(uncached, first - (long) perToken);
         mRunning.add(request);
-        long first = mPrefillFreeAt + (long) (perToken * MICROS_PER_MILLI);
         request.setStarted(request.units(), first);
-        return first + (long) (request.turn().output() * perToken * MICROS_PER_MILLI);
+        return first + (long) (request.turn().output() * perToken);
+    }
+
+    /** Notes until when the prompts take the engine; a short one puts off the long ones. */
+    private void takePrefill(int uncached, long until) {
+        if (uncached > mSpec.chunkTokens()) {
+            mLongFreeAt = until;
+            return;
+        }
+        mShortFreeAt = until;
+        mLongFreeAt += (long) (uncached / mSpec.prefillTokensPerSecond() * MICROS);
     }
 
     /** Ends a request; returns whether it was still running. */
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/BoundPolicy.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/BoundPolicy.java
@@ -20,33 +20,26 @@
     }
 
     /**
-     * Decides.
+     * Decides. A request whose deadline cannot be met here is sent on, or rejected at once where
+     * there is nowhere to send it: run late it would help nobody and delay others.
      *
-     * @param work the request with what is cached here
-     * @param redirects how often it was sent on already
-     * @param hasNext whether there is a next server in rank that it has not been to
-     * @param waited whether it has waited here already
+     * @param query the request
      * @param runningWork what runs here
      * @param meanWork the service's mean, as last heard
      */
-    public BoundDecision decide(
-            WorkEstimate work,
-            int redirects,
-            boolean hasNext,
-            boolean waited,
-            double runningWork,
-            double meanWork) {
-        boolean canRedirect = hasNext && redirects < mConfig.maxRedirects();
-        boolean affine = isAffine(work);
-        double factor = affine || !canRedirect ? mConfig.factor() : mConfig.openFactor();
-        double units = work.units(mConfig.prefillWeight());
+    public BoundDecision decide(BoundQuery query, double runningWork, double meanWork) {
+        boolean canRedirect = query.hasNext() && query.redirects() < mConfig.maxRedirects();
+        BoundDecision elsewhere = canRedirect ? BoundDecision.REDIRECT : BoundDecision.REJECT;
+        if (!query.deadlineReachable()) {
+            return elsewhere;
+        }
+        boolean stays = isAffine(query.work()) || !canRedirect;
+        double factor = stays ? mConfig.factor() : mConfig.openFactor();
+        double units = query.work().units(mConfig.prefillWeight());
         if (LoadBound.admits(runningWork, units, meanWork, factor, mConfig.capacityFloor())) {
             return BoundDecision.ADMIT;
         }
-        if (!waited && (affine || !canRedirect)) {
-            return BoundDecision.WAIT;
-        }
-        return canRedirect ? BoundDecision.REDIRECT : BoundDecision.REJECT;
+        return stays && !query.waited() ? BoundDecision.WAIT : elsewhere;
     }
 
     /** Returns whether enough of the prompt is cached for the chat to be kept where it is. */
