--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/Deployment.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/Deployment.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
@@ -196,27 +198,33 @@
             int account, double startMinute, double minutes, double factor, double dossierShare) {}
 
     /**
-     * Reads a deployment that comes with the program.
+     * Reads a deployment.
      *
-     * @param name the file's name without its ending
+     * @param name a file that ends in .yaml, or the name of one that comes with the program
      * @throws LaurelweirException if it is missing or has an unknown key
      */
     public static Deployment read(String name) {
-        String path = "/deployments/" + name + ".yaml";
         YAMLMapper mapper =
                 YAMLMapper.builder()
                         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                         .build();
-        try (InputStream in = Deployment.class.getResourceAsStream(path)) {
+        try (InputStream in = open(name)) {
             if (in == null) {
                 throw new LaurelweirException(ResultCode.USAGE, "no deployment " + name);
             }
             return mapper.readValue(in, Deployment.class);
         } catch (IOException e) {
-            throw new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, path, e);
+            throw new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, name, e);
         }
     }
 
+    private static InputStream open(String name) throws IOException {
+        if (name.endsWith(".yaml")) {
+            return Files.newInputStream(Path.of(name));
+        }
+        return Deployment.class.getResourceAsStream("/deployments/" + name + ".yaml");
+    }
+
     /** Returns the number of backend servers of all services. */
     public int workers() {
         return services.stream().mapToInt(ServiceSpec::workers).sum();
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Engine.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Engine.java
@@ -114,12 +114,16 @@
 
     /** Returns when the first token of a request would come that began now. */
     public long firstTokenAt(int uncached, long now) {
-        long prefill = (long) (uncached / mSpec.prefillTokensPerSecond() * MICROS);
         long from = Math.max(now, mShortFreeAt);
         if (uncached > mSpec.chunkTokens()) {
             from = Math.max(from, mLongFreeAt);
         }
-        return from + prefill + (long) tokenMicros();
+        return from + prefillMicros(uncached) + (long) tokenMicros();
+    }
+
+    /** Returns how long a prompt takes on its own. */
+    public long prefillMicros(int uncached) {
+        return (long) (uncached / mSpec.prefillTokensPerSecond() * MICROS);
     }
 
     private double tokenMicros() {
@@ -144,7 +148,7 @@
             return;
         }
         mShortFreeAt = until;
-        mLongFreeAt += (long) (uncached / mSpec.prefillTokensPerSecond() * MICROS);
+        mLongFreeAt += prefillMicros(uncached);
     }
 
     /** Ends a request; returns whether it was still running. */
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
@@ -128,7 +128,8 @@
     public void start(Request request, Engine engine) {
         WorkEstimate work = request.workAt(engine);
         engine.accept(request, work.units(mDeployment.bound().prefillWeight()));
-        mFigures.onStart(request, work.cachedTokens(), mNow);
+        double skew = mFigures.skew(engine, Figures.mean(engines(engine.service())));
+        mFigures.onStart(request, work.cachedTokens(), skew, mNow);
         beginNext(engine);
     }
 
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/JsonReport.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/JsonReport.java
@@ -47,6 +47,7 @@
         node.put("skewP50", Comparison.percentile(skew, 50));
         node.put("skewP99", Comparison.percentile(skew, 99));
         node.put("skewMax", Comparison.percentile(skew, 100));
+        node.put("admittedOverFactor", f.startsOver());
         node.put("controlBytesPerSecond", f.controlPerRouter());
         node.put(
                 "controlBytesPerSecondAtTarget",
