--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/TableReport.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/TableReport.java
@@ -1,22 +1,41 @@
 package org.laurelweir.benchmarks.measure.report;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
+import java.util.function.BiFunction;
+import java.util.stream.Collectors;
 import org.laurelweir.benchmarks.measure.fleet.Figures;
 import org.laurelweir.benchmarks.measure.policy.Policy;
 
 /** The table that bin/measure prints, in Markdown. */
 public final class TableReport {
-    private static final String HEAD =
-            """
-            | policy | reuse | reuse in churn | of all-knowing | skew p50 | p99 | max | admitted over factor | \
-            control B/s a router | at 3,800 workers | added hops | rejected | worst account | \
-            deadlines met | first token p95 ms |
-            |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
-            """;
+    private static final List<Column> COLUMNS =
+            List.of(
+                    new Column("reuse", "%.4f", (c, p) -> of(c, p).reuse().share()),
+                    new Column("in churn", "%.4f", (c, p) -> of(c, p).reuse().churnShare()),
+                    new Column("of all-knowing", "%.4f", Comparison::churnReuseOfBest),
+                    new Column("skew p50", "%.3f", (c, p) -> skew(c, p, 50)),
+                    new Column("p99", "%.3f", (c, p) -> skew(c, p, 99)),
+                    new Column("max", "%.3f", (c, p) -> skew(c, p, 100)),
+                    new Column("admitted over factor", "%.4f", (c, p) -> of(c, p).startsOver()),
+                    new Column("control B/s", "%.0f", (c, p) -> of(c, p).controlPerRouter()),
+                    new Column("at 3,800 workers", "%.0f", TableReport::controlAtTarget),
+                    new Column("added hops", "%.3f", (c, p) -> of(c, p).meanHops()),
+                    new Column("rejected", "%.0f", (c, p) -> rejected(of(c, p))),
+                    new Column(
+                            "worst account",
+                            "%.4f",
+                            (c, p) -> Comparison.worstRejectionShare(of(c, p))),
+                    new Column("deadlines met", "%.4f", (c, p) -> of(c, p).deadlinesMet()),
+                    new Column(
+                            "first token p95 ms", "%.0f", (c, p) -> of(c, p).firstTokenMillis(95)));
 
     private TableReport() {}
 
+    private record Column(
+            String title, String format, BiFunction<Comparison, Policy, Double> value) {}
+
     /** Returns the table of a comparison. */
     public static String table(Comparison c) {
         StringBuilder out = new StringBuilder();
@@ -30,32 +49,35 @@
                         c.deployment().requestsPerSecond(),
                         c.deployment().bound().factor(),
                         c.seed()));
-        out.append(HEAD);
-        c.figures().keySet().forEach(p -> out.append(row(c, p)));
+        out.append(line("policy", COLUMNS.stream().map(Column::title).toList()));
+        out.append(line("---", COLUMNS.stream().map(column -> "---").toList()));
+        c.figures().keySet().forEach(p -> out.append(line(p.title(), cells(c, p))));
         return out.toString();
     }
 
-    private static String row(Comparison c, Policy policy) {
-        Figures f = c.figures().get(policy);
-        double[] skew = f.skew();
-        return String.format(
-                Locale.ROOT,
-                "| %s | %.4f | %.4f | %.4f | %.3f | %.3f | %.3f | %.4f | %.0f | %.0f | %.3f | %d | %.4f"
-                        + " | %.4f | %.0f |%n",
-                policy.title(),
-                f.reuse().share(),
-                f.reuse().churnShare(),
-                c.churnReuseOfBest(policy),
-                Comparison.percentile(skew, 50),
-                Comparison.percentile(skew, 99),
-                Comparison.percentile(skew, 100),
-                f.startsOver(),
-                f.controlPerRouter(),
-                f.controlPerRouterAt(Comparison.TARGET_WORKERS, Comparison.TARGET_REQUESTS),
-                f.meanHops(),
-                Arrays.stream(f.rejections()).sum(),
-                Comparison.worstRejectionShare(f),
-                f.deadlinesMet(),
-                f.firstTokenMillis(95));
+    private static List<String> cells(Comparison c, Policy p) {
+        return COLUMNS.stream()
+                .map(col -> String.format(Locale.ROOT, col.format(), col.value().apply(c, p)))
+                .toList();
+    }
+
+    private static String line(String first, List<String> cells) {
+        return cells.stream().collect(Collectors.joining(" | ", "| " + first + " | ", " |\n"));
+    }
+
+    private static Figures of(Comparison c, Policy p) {
+        return c.figures().get(p);
+    }
+
+    private static double skew(Comparison c, Policy p, double percent) {
+        return Comparison.percentile(of(c, p).skew(), percent);
+    }
+
+    private static double controlAtTarget(Comparison c, Policy p) {
+        return of(c, p).controlPerRouterAt(Comparison.TARGET_WORKERS, Comparison.TARGET_REQUESTS);
+    }
+
+    private static double rejected(Figures f) {
+        return Arrays.stream(f.rejections()).sum();
     }
 }
