Keep headroom under the set multiple

A server admitted up to the factor is over it as soon as the others' requests end first, and the mean it knows is one to two seconds old.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/Deployment.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/Deployment.java
@@ -140,6 +140,7 @@
      * Limits; see {@link org.laurelweir.placement.BoundConfig}.
      *
      * @param factor the set multiple of the mean
+     * @param headroom share of the factor that admission leaves unused
      * @param openFactor the multiple for requests without cached history
      * @param capacityFloor the least bound in work units
      * @param prefillWeight cost of an uncached prompt token in output tokens
@@ -148,6 +149,7 @@
      */
     public record Bound(
             double factor,
+            double headroom,
             double openFactor,
             double capacityFloor,
             double prefillWeight,
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
@@ -47,6 +47,7 @@
         mConfig =
                 new BoundConfig(
                         b.factor(),
+                        b.headroom(),
                         b.openFactor(),
                         b.capacityFloor(),
                         b.prefillWeight(),
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/BoundConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/BoundConfig.java
@@ -4,6 +4,9 @@
  * How much a backend server takes on before its sidecar sends requests on.
  *
  * @param factor the set multiple of the mean that no server exceeds, at least 1
+ * @param headroom the share of {@code factor} that admission leaves unused, in 0 to 1. What was
+ *     admitted stays while the mean falls, and the mean that a sidecar knows is a second or two
+ *     old; without it a server is over the factor whenever the others' requests end first
  * @param openFactor the multiple up to which requests without cached history are taken; between it
  *     and {@code factor} lies the room kept for chats whose history is cached
  * @param capacityFloor the least bound, see {@link LoadBound}
@@ -12,6 +15,7 @@
  */
 public record BoundConfig(
         double factor,
+        double headroom,
         double openFactor,
         double capacityFloor,
         double prefillWeight,
@@ -21,5 +25,13 @@
         if (factor < 1 || openFactor < 1 || openFactor > factor) {
             throw new IllegalArgumentException("factors: " + openFactor + ", " + factor);
         }
+        if (headroom < 0 || factor * (1 - headroom) < 1) {
+            throw new IllegalArgumentException("headroom: " + headroom);
+        }
+    }
+
+    /** Returns the multiple up to which a server admits chats whose history is cached there. */
+    public double fullFactor() {
+        return factor * (1 - headroom);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/BoundPolicy.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/BoundPolicy.java
@@ -34,7 +34,7 @@
             return elsewhere;
         }
         boolean stays = isAffine(query.work()) || !canRedirect;
-        double factor = stays ? mConfig.factor() : mConfig.openFactor();
+        double factor = stays ? mConfig.fullFactor() : openFactor();
         double units = query.work().units(mConfig.prefillWeight());
         if (LoadBound.admits(runningWork, units, meanWork, factor, mConfig.capacityFloor())) {
             return BoundDecision.ADMIT;
@@ -42,6 +42,10 @@
         return stays && !query.waited() ? BoundDecision.WAIT : elsewhere;
     }
 
+    private double openFactor() {
+        return Math.min(mConfig.openFactor(), mConfig.fullFactor());
+    }
+
     /** Returns whether enough of the prompt is cached for the chat to be kept where it is. */
     public static boolean isAffine(WorkEstimate work) {
         return work.cachedTokens() > 0 && work.cachedTokens() >= AFFINE_SHARE * work.promptTokens();
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/BoundPolicyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/BoundPolicyTest.java
@@ -13,7 +13,7 @@
     private static final WorkEstimate FRESH = new WorkEstimate(1000, 0, 100);
     private static final WorkEstimate CACHED = new WorkEstimate(1000, 900, 100);
 
-    private final BoundPolicy mPolicy = new BoundPolicy(new BoundConfig(1.5, 1.1, 10, 0.1, 2));
+    private final BoundPolicy mPolicy = new BoundPolicy(new BoundConfig(1.5, 0, 1.1, 10, 0.1, 2));
 
     private BoundDecision decide(
             WorkEstimate work, int redirects, boolean hasNext, boolean waited, double running) {
@@ -27,6 +27,14 @@
         assertThat(decide(FRESH, 0, true, false, 1300)).isEqualTo(REDIRECT);
     }
 
+    @Test
+    void headroomIsLeftForAMeanThatFalls() {
+        BoundPolicy policy = new BoundPolicy(new BoundConfig(1.5, 0.1, 1.1, 10, 0.1, 2));
+        BoundQuery query = new BoundQuery(CACHED, 0, true, false, true);
+        assertThat(policy.decide(query, 1200, 1000)).isEqualTo(ADMIT);
+        assertThat(policy.decide(query, 1250, 1000)).isEqualTo(WAIT);
+    }
+
     @Test
     void cachedChatWaitsBeforeItMoves() {
         assertThat(decide(CACHED, 0, true, false, 1450)).isEqualTo(WAIT);
