Send overflow to servers drawn from those under the mean

Cause: the next in rank is as likely full as any, so a third of the redirected requests went on twice and ended wherever they then were. A sidecar now hears with its heartbeat of three servers of its service that lay under the mean, drawn for it alone.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
@@ -2,9 +2,13 @@
 
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import org.laurelweir.benchmarks.measure.Deployment.Bound;
 import org.laurelweir.benchmarks.measure.fleet.ControlBytes;
 import org.laurelweir.benchmarks.measure.fleet.Engine;
@@ -20,6 +24,7 @@
 import org.laurelweir.placement.ChatKey;
 import org.laurelweir.placement.FirstToken;
 import org.laurelweir.placement.PlacementPolicy;
+import org.laurelweir.placement.RedirectPolicy;
 import org.laurelweir.placement.Seat;
 import org.laurelweir.placement.SeatQuery;
 import org.laurelweir.placement.ServiceView;
@@ -33,6 +38,12 @@
     private static final long MICROS_PER_MILLI = 1000;
     private static final Duration GRACE = Duration.ofMillis(200);
 
+    /** Servers with room that a sidecar hears of with a heartbeat. */
+    private static final int OPEN_SERVERS = 3;
+
+    private static final long RANDOM_SEED = 11;
+
+    private final SplittableRandom mRandom = new SplittableRandom(RANDOM_SEED);
     private final Fleet mFleet;
     private final PlacementPolicy mRouterPolicy = new AffinityPolicy();
     private final BoundPolicy mBound;
@@ -54,6 +65,36 @@
                         b.maxRedirects());
         mBound = new BoundPolicy(mConfig);
         mWait = b.waitMillis() * MICROS_PER_MILLI;
+        hearOfOpenServers();
+    }
+
+    /** Gives each sidecar, with its heartbeat, a few servers that lay under the mean. */
+    private void hearOfOpenServers() {
+        mFleet.later(
+                mFleet.deployment().lags().loadMillis() * MICROS_PER_MILLI,
+                () -> {
+                    for (int s = 0; s < mFleet.deployment().services().size(); s++) {
+                        drawOpenServers(s);
+                    }
+                    hearOfOpenServers();
+                });
+    }
+
+    private void drawOpenServers(int service) {
+        double mean = mFleet.reportedMean(service);
+        List<String> under = new ArrayList<>();
+        for (Engine e : mFleet.engines(service)) {
+            if (e.isAlive() && !e.isDraining() && e.reportedWork() < mean) {
+                under.add(e.id());
+            }
+        }
+        for (Engine e : mFleet.engines(service)) {
+            List<String> drawn = new ArrayList<>();
+            for (int i = 0; i < OPEN_SERVERS && !under.isEmpty(); i++) {
+                drawn.add(under.get(mRandom.nextInt(under.size())));
+            }
+            sidecar(e).setOpen(drawn);
+        }
     }
 
     @Override
@@ -189,17 +230,19 @@
         redirect(request, next);
     }
 
-    /** Returns the next in rank that can be reached and that the request has not been to. */
+    /** Returns where a request would be sent on to, or null. */
     private Engine next(Request request, Engine from) {
+        Set<String> visited = new HashSet<>();
+        request.visited().forEach(e -> visited.add(e.id()));
         ServiceView view = mFleet.sidecarView(from);
-        int ranks = request.visited().size() + AffinityPolicy.CANDIDATES;
-        for (Candidate c : view.ranking().top(request.turn().chat().key(), ranks)) {
-            Engine e = mFleet.engine(c.id());
-            if (e.isAlive() && !request.visited().contains(e)) {
-                return e;
+        List<String> open = sidecar(from).open();
+        while (true) {
+            Candidate c = RedirectPolicy.choose(request.turn().chat().key(), view, open, visited);
+            if (c == null || mFleet.engine(c.id()).isAlive()) {
+                return c == null ? null : mFleet.engine(c.id());
             }
+            visited.add(c.id());
         }
-        return null;
     }
 
     private void admit(Request request, Sidecar at) {
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Sidecar.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Sidecar.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.laurelweir.benchmarks.measure.fleet.Engine;
 import org.laurelweir.benchmarks.measure.fleet.Request;
 import org.laurelweir.placement.ChatDirectory;
@@ -21,6 +22,7 @@
     private final ChatDirectory mDirectory = new ChatDirectory(DIRECTORY_CAPACITY);
     private final HomeLookup mLookup;
     private final Deque<Request> mWaiting = new ArrayDeque<>();
+    private List<String> mOpen = List.of();
     private long mJoinedAt = -JOINED_LATELY;
 
     Sidecar(Engine engine) {
@@ -44,6 +46,14 @@
         return mWaiting;
     }
 
+    List<String> open() {
+        return mOpen;
+    }
+
+    void setOpen(List<String> open) {
+        mOpen = open;
+    }
+
     void onJoin(long now) {
         mJoinedAt = now;
         mLookup.onMembershipChange();
