Let holders tell the new homes after a home is lost

Since overflow no longer follows the ranks, the next home after a crash cannot find displaced chats by asking the ranks. The servers that hold them tell it.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
@@ -109,6 +109,11 @@
         return mRouters.get(service).get(router).view(mNow);
     }
 
+    /** Returns the view that all will have seen once the lags are over. */
+    public ServiceView latestView(int service) {
+        return mTimelines.get(service).latest();
+    }
+
     /** Returns what the sidecar beside an engine sees of its service. */
     public ServiceView sidecarView(Engine engine) {
         return mSidecars.get(engine).view(mNow);
@@ -191,7 +196,10 @@
                 see(timeline, new ViewChange.Join(e.candidate()));
                 mScheme.onJoin(e);
             }
-            default -> see(timeline, new ViewChange.Leave(e.id()));
+            default -> {
+                see(timeline, new ViewChange.Leave(e.id()));
+                mScheme.onDrop(e);
+            }
         }
     }
 
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Scheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Scheme.java
@@ -18,6 +18,9 @@
     /** Learns, as the sidecar beside it, that an engine is to drain. */
     default void onDrain(Engine engine) {}
 
+    /** Learns that an engine is dropped from the views, also if it is only out of sight. */
+    default void onDrop(Engine engine) {}
+
     /** Returns the name of the engine that a chat was on before the run began. */
     String earlierPlace(Request request);
 }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/ViewTimeline.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/ViewTimeline.java
@@ -16,7 +16,7 @@
     }
 
     void change(long at, ViewChange change) {
-        ServiceView last = mViews.get(mViews.size() - 1);
+        ServiceView last = latest();
         add(at, last.apply(last.version() + 1, List.of(change)));
     }
 
@@ -25,9 +25,8 @@
         mViews.add(view);
     }
 
-    /** Returns how many changes there were. */
-    int changes() {
-        return mViews.size() - 1;
+    ServiceView latest() {
+        return mViews.get(mViews.size() - 1);
     }
 
     /** Returns an observer that sees each change up to {@code maxLag} microseconds late. */
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
@@ -255,6 +255,7 @@
         } else {
             sidecar(homeEngine).directory().put(chat, e.id());
         }
+        at.held().onAdmit(chat, home);
         memory(request).onSeat(chat, e.id(), home);
         mFleet.control().addPerRequest(ControlBytes.ANSWER_HINT);
         mFleet.start(request, e);
@@ -313,6 +314,21 @@
                         });
     }
 
+    /** The others tell the new homes of the chats that they hold for the one that left. */
+    @Override
+    public void onDrop(Engine engine) {
+        for (Engine e : mFleet.engines(engine.service())) {
+            if (e.isAlive()) {
+                ServiceView view = mFleet.latestView(e.service());
+                sidecar(e).held().onLeave(engine.id(), view, (home, chat) -> tell(home, chat, e));
+            }
+        }
+    }
+
+    private void tell(Candidate home, ChatKey chat, Engine holder) {
+        sidecar(mFleet.engine(home.id())).directory().put(chat, holder.id());
+    }
+
     @Override
     public String earlierPlace(Request request) {
         return candidates(request).get(0).id();
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Sidecar.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Sidecar.java
@@ -6,6 +6,7 @@
 import org.laurelweir.benchmarks.measure.fleet.Engine;
 import org.laurelweir.benchmarks.measure.fleet.Request;
 import org.laurelweir.placement.ChatDirectory;
+import org.laurelweir.placement.HeldChats;
 import org.laurelweir.placement.HomeLookup;
 
 /** The state of the sidecar beside one engine. */
@@ -21,12 +22,14 @@
     private final Engine mEngine;
     private final ChatDirectory mDirectory = new ChatDirectory(DIRECTORY_CAPACITY);
     private final HomeLookup mLookup;
+    private final HeldChats mHeld;
     private final Deque<Request> mWaiting = new ArrayDeque<>();
     private List<String> mOpen = List.of();
     private long mJoinedAt = -JOINED_LATELY;
 
     Sidecar(Engine engine) {
         mEngine = engine;
+        mHeld = new HeldChats(engine.id(), DIRECTORY_CAPACITY);
         mLookup = new HomeLookup(engine.id(), mDirectory, MAX_ASKED);
     }
 
@@ -42,6 +45,10 @@
         return mLookup;
     }
 
+    HeldChats held() {
+        return mHeld;
+    }
+
     Deque<Request> waiting() {
         return mWaiting;
     }
