--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.Supplier;
 import org.laurelweir.benchmarks.measure.fleet.ChurnPlan;
 import org.laurelweir.benchmarks.measure.fleet.Figures;
 import org.laurelweir.benchmarks.measure.fleet.MembershipEvent;
@@ -47,8 +48,8 @@
     @Option(name = "--out", description = "Folder for JSON and plots; target/measure if absent")
     private String mOut = "target/measure";
 
-    @Option(name = "--threads", description = "Runs played at the same time; 3 if absent")
-    private int mThreads = 3;
+    @Option(name = "--threads", description = "Runs played at the same time; 4 if absent")
+    private int mThreads = 4;
 
     /** Runs the command. */
     public void call() {
@@ -60,20 +61,25 @@
         }
         ExecutorService pool = Executors.newFixedThreadPool(mThreads);
         try {
+            List<Supplier<Comparison>> started = new ArrayList<>();
             for (String name : mDeployments) {
-                Deployment deployment = Deployment.read(name);
-                Comparison c = compare(deployment, pool);
-                System.out.println(TableReport.table(c));
-                Path folder = Path.of(mOut, deployment.name());
-                JsonReport.write(c, folder);
-                PlotReport.write(c, folder);
+                started.add(start(Deployment.read(name), pool));
             }
+            started.forEach(s -> report(s.get()));
         } finally {
             pool.shutdown();
         }
     }
 
-    private Comparison compare(Deployment deployment, ExecutorService pool) {
+    private void report(Comparison comparison) {
+        System.out.println(TableReport.table(comparison));
+        Path folder = Path.of(mOut, comparison.deployment().name());
+        JsonReport.write(comparison, folder);
+        PlotReport.write(comparison, folder);
+    }
+
+    /** Starts all runs of a deployment and returns what waits for them. */
+    private Supplier<Comparison> start(Deployment deployment, ExecutorService pool) {
         Trace trace = TraceGenerator.generate(deployment, mSeed);
         List<MembershipEvent> churn = ChurnPlan.generate(deployment, mSeed);
         Map<Policy, Future<Figures>> runs = new EnumMap<>(Policy.class);
@@ -82,9 +88,11 @@
                     () -> new Run(deployment, trace, churn, p::newScheme, mSeed).play();
             runs.put(p, pool.submit(play));
         }
-        Map<Policy, Figures> figures = new EnumMap<>(Policy.class);
-        runs.forEach((p, run) -> figures.put(p, result(run)));
-        return new Comparison(deployment, mSeed, figures);
+        return () -> {
+            Map<Policy, Figures> figures = new EnumMap<>(Policy.class);
+            runs.forEach((p, run) -> figures.put(p, result(run)));
+            return new Comparison(deployment, mSeed, figures);
+        };
     }
 
     /** The all-knowing one always plays: the others are measured against it. */
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Choices.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Choices.java
@@ -1,9 +1,10 @@
 package org.laurelweir.benchmarks.measure.policy;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.WeakHashMap;
+import java.util.function.Function;
 import org.laurelweir.benchmarks.ranking.RendezvousRanker;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.Placement;
@@ -18,18 +19,38 @@
 
     private Choices() {}
 
-    /** Returns the servers that take new work, as the view has it. */
-    static List<Candidate> open(ServiceView view) {
+    /** Returns a memory of the servers of each view that take new work. */
+    static Function<ServiceView, List<Candidate>> open() {
+        Map<ServiceView, List<Candidate>> known = new WeakHashMap<>();
+        return view -> known.computeIfAbsent(view, Choices::open);
+    }
+
+    private static List<Candidate> open(ServiceView view) {
         return view.candidates().stream().filter(c -> !c.draining()).toList();
     }
 
     /** The server with the least load that the router knows of. */
     static PlacementPolicy leastLoaded() {
-        return (request, view, hints) ->
-                new Placement(
-                        open(view).stream().sorted(byLoad(hints)).limit(TRIES).toList(),
-                        PlacementReason.LOAD,
-                        view.version());
+        Function<ServiceView, List<Candidate>> open = open();
+        return (request, view, hints) -> {
+            List<Candidate> all = open.apply(view);
+            Candidate first = least(all, hints, null);
+            Candidate second = least(all, hints, first);
+            return new Placement(List.of(first, second), PlacementReason.LOAD, view.version());
+        };
+    }
+
+    private static Candidate least(List<Candidate> all, PlacementHints hints, Candidate but) {
+        Candidate least = null;
+        double work = Double.POSITIVE_INFINITY;
+        for (Candidate c : all) {
+            double w = hints.runningWork(c.id());
+            if (c != but && w < work) {
+                least = c;
+                work = w;
+            }
+        }
+        return least == null ? but : least;
     }
 
     /** The first in rank by a plain rendezvous hash. */
@@ -47,25 +68,30 @@
         Map<ServiceView, RendezvousRanker> rankers = new WeakHashMap<>();
         return (request, view, hints) -> {
             List<Candidate> ranked = ranker(rankers, view).top(request.chat(), view.size());
-            double mean =
-                    ranked.stream().mapToDouble(c -> hints.runningWork(c.id())).average().orElse(0);
-            double most = factor * mean - request.work().outputTokens();
-            List<Candidate> under =
-                    ranked.stream().filter(c -> hints.runningWork(c.id()) <= most).toList();
-            List<Candidate> order = under.isEmpty() ? ranked : under;
-            return new Placement(
-                    order.subList(0, Math.min(TRIES, order.size())),
-                    PlacementReason.HOME,
-                    view.version());
+            double most = factor * mean(ranked, hints) - request.work().outputTokens();
+            List<Candidate> order = new ArrayList<>(TRIES);
+            for (Candidate c : ranked) {
+                if (order.size() < TRIES && hints.runningWork(c.id()) <= most) {
+                    order.add(c);
+                }
+            }
+            if (order.isEmpty()) {
+                order = ranked.subList(0, Math.min(TRIES, ranked.size()));
+            }
+            return new Placement(order, PlacementReason.HOME, view.version());
         };
     }
 
+    private static double mean(List<Candidate> candidates, PlacementHints hints) {
+        double sum = 0;
+        for (Candidate c : candidates) {
+            sum += hints.runningWork(c.id());
+        }
+        return sum / candidates.size();
+    }
+
     private static RendezvousRanker ranker(
             Map<ServiceView, RendezvousRanker> rankers, ServiceView view) {
         return rankers.computeIfAbsent(view, v -> new RendezvousRanker(open(v)));
     }
-
-    private static Comparator<Candidate> byLoad(PlacementHints hints) {
-        return Comparator.comparingDouble(c -> hints.runningWork(c.id()));
-    }
 }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/RandomOfTwo.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/RandomOfTwo.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.Placement;
 import org.laurelweir.placement.PlacementHints;
@@ -12,6 +13,7 @@
 
 /** The less loaded of two servers drawn at random, each asked for its load. */
 final class RandomOfTwo implements PlacementPolicy {
+    private final Function<ServiceView, List<Candidate>> mOpen = Choices.open();
     private final SplittableRandom mRandom;
 
     RandomOfTwo(long seed) {
@@ -20,7 +22,7 @@
 
     @Override
     public Placement place(PlacementRequest request, ServiceView view, PlacementHints hints) {
-        List<Candidate> all = Choices.open(view);
+        List<Candidate> all = mOpen.apply(view);
         Candidate one = all.get(mRandom.nextInt(all.size()));
         Candidate two = all.get(mRandom.nextInt(all.size()));
         boolean first = hints.runningWork(one.id()) <= hints.runningWork(two.id());
