Add the stand-ins of a model engine and a plain service

Tests and the demo need back ends whose every run is on record and which show faults when told to. The engine is a pure model of continuous batching and prefix caching with an HTTP shell on one event loop thread; its answers follow from the prompt, so that a caller can check them.

--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/AdminEndpoints.java
@@ -0,0 +1,54 @@
+package org.laurelweir.standin;
+
+import java.time.Instant;
+import java.util.List;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.standin.http.HttpExchange;
+
+/** The calls by which a test reads the executions and asks for faults, under a prefix. */
+public final class AdminEndpoints {
+    private static final int OK = 200;
+
+    private final String mExecutionsPath;
+    private final String mFaultsPath;
+    private final ExecutionLog mLog;
+    private final FaultPlan mFaults;
+
+    /** The answer to a read of the executions. */
+    public record Executions(List<Execution> executions) {}
+
+    /** The faults that are still to be shown. */
+    public record Faults(List<String> faults) {}
+
+    /** Creates the calls {@code PREFIX/executions} and {@code PREFIX/faults}. */
+    public AdminEndpoints(String prefix, ExecutionLog log, FaultPlan faults) {
+        mExecutionsPath = prefix + "/executions";
+        mFaultsPath = prefix + "/faults";
+        mLog = log;
+        mFaults = faults;
+    }
+
+    /** Answers the call if it is one of these; returns whether it was. */
+    public boolean handle(Instant now, HttpExchange call) {
+        if (call.path().equals(mExecutionsPath)) {
+            call.respond(OK, new Executions(mLog.list()));
+            return true;
+        }
+        if (call.path().equals(mFaultsPath)) {
+            changeFaults(now, call);
+            return true;
+        }
+        return false;
+    }
+
+    private void changeFaults(Instant now, HttpExchange call) {
+        switch (call.method()) {
+            case "GET" -> {}
+            case "POST" -> mFaults.add(now, Json.read(call.body(), Fault.Order.class));
+            case "DELETE" -> mFaults.clear();
+            default -> throw new LaurelweirException(ResultCode.METHOD_NOT_ALLOWED, call.method());
+        }
+        call.respond(OK, new Faults(mFaults.list().stream().map(Fault::toString).toList()));
+    }
+}
--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/ChatParser.java
@@ -0,0 +1,69 @@
+package org.laurelweir.standin.engine;
+
+import java.time.Instant;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.standin.Json;
+import org.laurelweir.standin.chat.Answer;
+import org.laurelweir.standin.chat.ChatRequest;
+import org.laurelweir.standin.chat.Prompt;
+import org.laurelweir.standin.http.HttpExchange;
+
+/** Turns the body and headers of a chat-completions call into a call for the engine. */
+final class ChatParser {
+    private static final String PRIORITY = "Priority";
+
+    private final String mIdPrefix;
+    private final int mAnswerTokens;
+    private long mCount;
+
+    /**
+     * Creates a parser.
+     *
+     * @param idPrefix begins each engine-side id; unlike those of earlier runs
+     * @param answerTokens the tokens of an answer that has no lower limit
+     */
+    ChatParser(String idPrefix, int answerTokens) {
+        mIdPrefix = idPrefix;
+        mAnswerTokens = answerTokens;
+    }
+
+    /**
+     * Reads a call.
+     *
+     * @throws LaurelweirException with {@code BAD_REQUEST} if the call lacks something or is wrong
+     */
+    ChatCall parse(Instant now, HttpExchange exchange) {
+        ChatRequest body = Json.read(exchange.body(), ChatRequest.class);
+        if (body.model() == null || body.messages() == null || body.messages().isEmpty()) {
+            throw new LaurelweirException(ResultCode.BAD_REQUEST, "model and messages are needed");
+        }
+        Integer limit = body.outputLimit();
+        if (limit != null && limit < 1) {
+            throw new LaurelweirException(ResultCode.BAD_REQUEST, "max_tokens is below 1");
+        }
+        Prompt prompt = Prompt.of(body.messages());
+        boolean limited = limit != null && limit < mAnswerTokens;
+        Answer answer = Answer.of(prompt, limited ? limit : mAnswerTokens);
+        mCount++;
+        EngineRequest request =
+                new EngineRequest(
+                        mIdPrefix + mCount,
+                        PromptBlocks.of(body.model(), prompt, answer.text()),
+                        answer.tokens(),
+                        priority(exchange, body));
+        return new ChatCall(request, body, answer, limited ? "length" : "stop", now);
+    }
+
+    private static int priority(HttpExchange exchange, ChatRequest body) {
+        if (body.priority() != null) {
+            return body.priority();
+        }
+        String header = exchange.header(PRIORITY).orElse("0");
+        try {
+            return Integer.parseInt(header);
+        } catch (NumberFormatException e) {
+            throw new LaurelweirException(ResultCode.BAD_REQUEST, "priority: " + header, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/http/HttpExchange.java
@@ -0,0 +1,201 @@
+package org.laurelweir.standin.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.laurelweir.standin.Json;
+
+/** One HTTP call and its answer. Used on the server's event loop thread only. */
+public final class HttpExchange {
+    private static final String JSON = "application/json";
+
+    private final Channel mChannel;
+    private final Runnable mDone;
+    private final String mMethod;
+    private final QueryStringDecoder mUri;
+    private final HttpHeaders mHeaders;
+    private final byte[] mBody;
+    private final boolean mKeepAlive;
+    private final HttpHeaders mAnswerHeaders;
+    private Runnable mOnClose = () -> {};
+    private boolean mStarted;
+    private boolean mEnded;
+
+    HttpExchange(Channel channel, FullHttpRequest request, Runnable done) {
+        mChannel = channel;
+        mDone = done;
+        mMethod = request.method().name();
+        mUri = new QueryStringDecoder(request.uri());
+        mHeaders = request.headers();
+        mBody = bytes(request.content());
+        mKeepAlive = HttpUtil.isKeepAlive(request);
+        mAnswerHeaders =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK).headers();
+    }
+
+    /** Returns the HTTP method, in capitals. */
+    public String method() {
+        return mMethod;
+    }
+
+    /** Returns the decoded path without the query. */
+    public String path() {
+        return mUri.path();
+    }
+
+    /** Returns the body, empty if there is none. */
+    public byte[] body() {
+        return mBody;
+    }
+
+    /** Returns the first value of a request header. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(mHeaders.get(name));
+    }
+
+    /** Returns the first value of a query parameter. */
+    public Optional<String> query(String name) {
+        List<String> values = mUri.parameters().getOrDefault(name, List.of());
+        return values.stream().findFirst();
+    }
+
+    /**
+     * Returns whether the answer can still be sent: it has not ended and the connection is open.
+     */
+    public boolean isOpen() {
+        return !mEnded;
+    }
+
+    /** Sets a header of the answer; only before the answer begins. */
+    public void setHeader(String name, String value) {
+        mAnswerHeaders.set(name, value);
+    }
+
+    /** Sets what is run if the connection closes before the answer has ended. */
+    public void onClose(Runnable action) {
+        mOnClose = action;
+    }
+
+    /** Answers with a value as JSON. */
+    public void respond(int status, Object value) {
+        respond(status, JSON, Json.write(value).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers with a body. Does nothing if the answer has begun or the connection is closed. */
+    public void respond(int status, String contentType, byte[] body) {
+        if (mStarted || mEnded) {
+            return;
+        }
+        mStarted = true;
+        DefaultFullHttpResponse r =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        Unpooled.wrappedBuffer(body));
+        r.headers().set(mAnswerHeaders).set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        HttpUtil.setContentLength(r, body.length);
+        HttpUtil.setKeepAlive(r, mKeepAlive);
+        mChannel.writeAndFlush(r);
+        end();
+    }
+
+    /** Begins an answer of unknown length with status 200. */
+    public void begin(String contentType) {
+        if (mStarted || mEnded) {
+            return;
+        }
+        mStarted = true;
+        DefaultHttpResponse r =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        r.headers()
+                .set(mAnswerHeaders)
+                .set(HttpHeaderNames.CONTENT_TYPE, contentType)
+                .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        HttpUtil.setKeepAlive(r, mKeepAlive);
+        mChannel.writeAndFlush(r);
+    }
+
+    /** Sends a part of an answer that has begun. */
+    public void send(String part) {
+        if (mEnded) {
+            return;
+        }
+        ByteBuf b = Unpooled.copiedBuffer(part, StandardCharsets.UTF_8);
+        mChannel.writeAndFlush(new DefaultHttpContent(b));
+    }
+
+    /** Ends an answer that has begun. */
+    public void finish() {
+        if (mEnded) {
+            return;
+        }
+        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        end();
+    }
+
+    /**
+     * Sends the head and a part of a body of known length, then closes the connection, so that the
+     * caller sees a cut answer.
+     */
+    public void cut(int status, String contentType, byte[] body, int after) {
+        if (mStarted || mEnded) {
+            return;
+        }
+        mStarted = true;
+        DefaultHttpResponse r =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        r.headers().set(mAnswerHeaders).set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        HttpUtil.setContentLength(r, body.length);
+        mChannel.write(r);
+        int n = Math.min(after, Math.max(0, body.length - 1));
+        mChannel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(body, 0, n)));
+        abort();
+    }
+
+    /** Closes the connection, after what was sent and without ending the answer. */
+    public void abort() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> mChannel.close());
+    }
+
+    /** Tells that the connection closed. */
+    void closed() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mOnClose.run();
+    }
+
+    private void end() {
+        mEnded = true;
+        if (!mKeepAlive) {
+            mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> mChannel.close());
+        }
+        mDone.run();
+    }
+
+    private static byte[] bytes(ByteBuf content) {
+        byte[] b = new byte[content.readableBytes()];
+        content.getBytes(content.readerIndex(), b);
+        return b;
+    }
+}
--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/http/HttpServer.java
@@ -0,0 +1,97 @@
+package org.laurelweir.standin.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.standin.ListenSettings;
+
+/**
+ * An HTTP/1.1 server with one thread: every call and every scheduled action runs on its event loop,
+ * so a handler needs no locks.
+ */
+public final class HttpServer implements Service {
+    private static final int MAX_BODY_BYTES = 64 << 20;
+    private static final int STOP_SECONDS = 5;
+
+    private final ListenSettings mListen;
+    private final HttpHandler mHandler;
+    private final EventLoopGroup mGroup;
+    private final EventLoop mLoop;
+    private Channel mChannel;
+
+    /** Creates a server that hands its calls to a handler. */
+    public HttpServer(ListenSettings listen, HttpHandler handler) {
+        mListen = listen;
+        mHandler = new SafeHandler(handler);
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mLoop = mGroup.next();
+    }
+
+    /**
+     * Binds the address.
+     *
+     * @throws LaurelweirException with {@code CANNOT_LISTEN}
+     */
+    @Override
+    public void start() {
+        ServerBootstrap b =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .childHandler(new Connections());
+        ChannelFuture f =
+                b.bind(new InetSocketAddress(mListen.host(), mListen.port()))
+                        .awaitUninterruptibly();
+        if (!f.isSuccess()) {
+            throw new LaurelweirException(
+                    ResultCode.CANNOT_LISTEN, mListen + ": " + f.cause(), f.cause());
+        }
+        mChannel = f.channel();
+    }
+
+    /** Closes all connections and ends the event loop. */
+    @Override
+    public void stop() {
+        mGroup.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Returns the bound address; only after the start. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    /** Hands a call to the handler again after a while. */
+    public void handleLater(HttpExchange call, Duration wait) {
+        mLoop.schedule(() -> mHandler.handle(call), wait.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Returns the event loop on which handlers run, for actions of later. */
+    public EventLoop loop() {
+        return mLoop;
+    }
+
+    private final class Connections extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new HttpConnection(mHandler));
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/package-info.java
@@ -0,0 +1,2 @@
+/** What the stand-ins share: settings, the record of executions, faults and the main loop. */
+package org.laurelweir.standin;
