Add a load generator that checks whole own answers

Without one, nobody can say whether a run through the routers lost, crossed or doubled an answer, nor give the three measures. The answers are checked against the prompts, POSTs against the services' records.

--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
@@ -13,20 +13,29 @@
 
 /** Starts a stand-in from its settings file, tells where it listens, and stops it on SIGTERM. */
 public final class StandinProgram {
+    /** The exit status on wrong use. */
+    public static final int USAGE_STATUS = 2;
+
+    private static final int FAILED_STATUS = 1;
+
     private StandinProgram() {}
 
     /**
      * Runs a stand-in until the process is told to end.
      *
-     * @param file the settings file
+     * @param settings the path of the settings file; null if none was given
      * @param type the settings record
      * @param create makes the stand-in from its settings
-     * @return the exit status if it could not start
+     * @return the exit status if it could not start: 2 on wrong use, else 1
      */
     public static <S, T extends Service & Listening> int run(
-            Path file, Class<S> type, Function<S, T> create) {
+            String settings, Class<S> type, Function<S, T> create) {
+        if (settings == null) {
+            System.err.println("--settings FILE is needed");
+            return USAGE_STATUS;
+        }
         try {
-            T service = create.apply(SettingsFile.read(file, type));
+            T service = create.apply(SettingsFile.read(Path.of(settings), type));
             service.start();
             Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
             announce(service.server().address(), service.listen().portFile());
@@ -34,10 +43,10 @@
             return 0;
         } catch (LaurelweirException e) {
             System.err.println(e);
-            return 1;
+            return FAILED_STATUS;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return 1;
+            return FAILED_STATUS;
         }
     }
 
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
@@ -174,8 +174,13 @@
         return chat;
     }
 
-    /** Records a run that neither answers nor ends before its caller goes. */
+    /**
+     * Records a run, unless a resumed one, that neither answers nor ends before its caller goes.
+     */
     private void freeze(Instant now, HttpExchange call) {
+        if (call.header(ENGINE_REQUEST).isPresent()) {
+            return;
+        }
         ChatCall chat = parse(now, call);
         String id = chat.request().id();
         mLog.start(now, id, call, chat.digest());
--- /dev/null
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/load/LoadRunTest.java
@@ -0,0 +1,157 @@
+package org.laurelweir.standin.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.laurelweir.standin.HttpCalls;
+import org.laurelweir.standin.ListenSettings;
+import org.laurelweir.standin.engine.BatchSettings;
+import org.laurelweir.standin.engine.EngineServer;
+import org.laurelweir.standin.engine.EngineSettings;
+import org.laurelweir.standin.http.HttpServer;
+import org.laurelweir.standin.plain.PlainServer;
+import org.laurelweir.standin.plain.PlainSettings;
+
+/** Whole runs of the load generator, with stand-ins in the place of routers. */
+@Timeout(120)
+class LoadRunTest {
+    private static final long SEED = 42;
+
+    private EngineServer mEngine;
+    private PlainServer mPlain;
+
+    @BeforeEach
+    void start() {
+        BatchSettings fast = new BatchSettings(5000, 8, 1_000_000, 0, 0, 0, 0);
+        mEngine =
+                new EngineServer(
+                        new EngineSettings(
+                                null, null, null, null, null, fast, 20, 1, 0, 0, 0, null, 0, null),
+                        InstantSource.system());
+        mPlain =
+                new PlainServer(
+                        new PlainSettings("bookings", null, 0, null), InstantSource.system());
+        mEngine.start();
+        mPlain.start();
+    }
+
+    @AfterEach
+    void stop() {
+        mEngine.stop();
+        mPlain.stop();
+    }
+
+    @Test
+    void returningChatsGetTheirWholeOwnAnswersFromTheCache() throws InterruptedException {
+        Report report = run(plan(mEngine.server(), 6, 0));
+
+        assertThat(report.isWhole()).as(report.table()).isTrue();
+        assertThat(report.requests().answered()).isEqualTo(18);
+        assertThat(report.cacheReuse()).isBetween(0.5, 1.0);
+        assertThat(report.skew().byRequests()).isEqualTo(1.0);
+        assertThat(report.firstToken().count()).isBetween(1L, 17L);
+    }
+
+    /**
+     * One answer is cut in the middle. Its chat ends there, the others go on, and the run is not
+     * whole.
+     */
+    @Test
+    void aCutAnswerShowsInTheReport() throws InterruptedException {
+        new HttpCalls(mEngine.server().address())
+                .call("POST", "/engine/faults", "{\"kind\":\"cut\",\"after\":4}");
+        Report report = run(plan(mEngine.server(), 6, 0));
+
+        assertThat(report.isWhole()).isFalse();
+        assertThat(report.requests().errors()).containsOnlyKeys("connection");
+        assertThat(report.requests().answered()).isBetween(15, 17);
+    }
+
+    /** The first call is refused with a time to come back; the caller returns and is answered. */
+    @Test
+    void aRefusedCallComesBack() throws InterruptedException {
+        new HttpCalls(mPlain.server().address())
+                .call("POST", "/plain/faults", "{\"kind\":\"refuse\"}");
+        Report report = run(plan(mPlain.server(), 0, 10));
+
+        assertThat(report.isWhole()).as(report.table()).isTrue();
+        assertThat(report.requests().refusals()).containsEntry("overloaded", 1);
+        assertThat(report.repeatedRuns()).isEmpty();
+    }
+
+    /**
+     * A router in between sends each call twice. Every caller gets an answer, so only the services'
+     * own records show that the POSTs were run twice.
+     */
+    @Test
+    void aPostThatIsRunTwiceShowsInTheReport() throws InterruptedException {
+        HttpCalls behind = new HttpCalls(mPlain.server().address());
+        HttpServer twice =
+                new HttpServer(
+                        ListenSettings.LOOPBACK,
+                        x -> {
+                            String body = new String(x.body(), StandardCharsets.UTF_8);
+                            String key = x.header("Idempotency-Key").orElse("none");
+                            behind.call(x.method(), x.path(), body, "Idempotency-Key", key);
+                            String answer =
+                                    behind.call(x.method(), x.path(), body, "Idempotency-Key", key)
+                                            .body();
+                            x.respond(
+                                    200,
+                                    "application/json",
+                                    answer.getBytes(StandardCharsets.UTF_8));
+                        });
+        twice.start();
+        try (twice) {
+            Report report = run(plan(twice, 0, 4));
+            assertThat(report.requests().answered()).isEqualTo(4);
+            assertThat(report.repeatedRuns()).hasSizeGreaterThanOrEqualTo(2);
+            assertThat(report.isWhole()).isFalse();
+        }
+    }
+
+    @Test
+    void controlBytesAreSummedOverTheirLabels() {
+        String page =
+                "# TYPE laurelweir_control_bytes_total counter\n"
+                        + "laurelweir_control_bytes_total{peer=\"a b\",way=\"in\"} 12\n"
+                        + "laurelweir_control_bytes_total{peer=\"c\"} 1.5E3 1700000000\n"
+                        + "laurelweir_control_bytes_total_other 7\n"
+                        + "laurelweir_control_bytes_total 3\n";
+        assertThat(Scraper.controlBytes(page)).isEqualTo(1515);
+    }
+
+    private Report run(LoadPlan plan) throws InterruptedException {
+        Observed.Targets targets =
+                new Observed.Targets(
+                        List.of(uri(mEngine.server())), List.of(uri(mPlain.server())), List.of());
+        return new LoadRun(plan).run(new Observed(targets));
+    }
+
+    private static LoadPlan plan(HttpServer router, int chats, int plainCalls) {
+        return new LoadPlan(
+                List.of(uri(router)),
+                new Accounts(List.of("k-1", "k-2", "k-3"), 1),
+                new LoadPlan.Chats(
+                        "standin", chats, 3, Duration.ZERO, 0.5, 0.5, 4000, 20, "X-Chat-Id"),
+                new LoadPlan.Plain(List.of("/bookings", "/certificates"), plainCalls),
+                4,
+                SEED,
+                1,
+                Duration.ofSeconds(60));
+    }
+
+    private static URI uri(HttpServer server) {
+        InetSocketAddress at = server.address();
+        return URI.create("http://" + at.getHostString() + ":" + at.getPort());
+    }
+}
