--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -0,0 +1,65 @@
+package org.laurelweir.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * One entry of the replicated log. The leader stamps it with its time, so that every replica
+ * decides the same; the stamp never goes back within the log.
+ */
+public sealed interface Command {
+    /** When the leader took the command. */
+    Instant at();
+
+    /** A change of settings nodes, all or nothing, under compare-and-set. */
+    record ChangeSettings(Instant at, String changeId, String author, List<NodeChange> changes)
+            implements Command {}
+
+    /**
+     * A change of one settings node.
+     *
+     * @param path the node's path
+     * @param expectedVersion the version that the author saw; 0 for a node that does not exist
+     * @param set keys to set, values as written
+     * @param remove keys to remove, so that they are inherited again
+     * @param delete whether to remove the node
+     */
+    record NodeChange(
+            String path,
+            long expectedVersion,
+            Map<String, String> set,
+            List<String> remove,
+            boolean delete) {}
+
+    /**
+     * A claim on an idempotency key, before the attempt is sent.
+     *
+     * @param replaces the attempt that held the claim and is proved never to have started, or null
+     */
+    record Claim(
+            Instant at,
+            String account,
+            String key,
+            String service,
+            long fingerprint,
+            AttemptId attempt,
+            BackendRef target,
+            AttemptId replaces,
+            Duration retention)
+            implements Command {}
+
+    /** The end of the attempt that holds a claim. */
+    record SettleClaim(Instant at, String account, String key, AttemptId attempt, ResultCode code)
+            implements Command {}
+
+    /** An operator's wish that a backend server takes no new work, or takes it again. */
+    record Drain(Instant at, String backend, boolean drain, String author) implements Command {}
+
+    /** A new, higher fencing number for orders to one backend server. */
+    record IssueFence(Instant at, String backend) implements Command {}
+}
