Decide what a router does with each request

The reducer is split by concern: streams, retries, recovery, claims, limits, outcomes and timers each keep to one class over a shared request record.

--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
@@ -0,0 +1,60 @@
+package org.laurelweir.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Bounds each client account's requests on this router: how many run and how many start. */
+final class AccountLimits {
+    private static final Duration WHILE_FULL = Duration.ofSeconds(1);
+    private static final double NANOS = 1e9;
+
+    private final Map<String, Usage> mUsages = new HashMap<>();
+
+    /**
+     * Counts a request in, if its account may start it.
+     *
+     * @return zero if it may, else when to come back
+     */
+    Duration admit(Instant now, String account, RequestPolicy policy) {
+        Usage u = mUsages.computeIfAbsent(account, a -> new Usage(now, policy.accountRate()));
+        u.refill(now, policy.accountRate());
+        if (u.mRunning >= policy.accountMaxRunning()) {
+            return WHILE_FULL;
+        }
+        if (u.mTokens < 1) {
+            return Duration.ofNanos((long) ((1 - u.mTokens) / policy.accountRate() * NANOS));
+        }
+        u.mTokens--;
+        u.mRunning++;
+        return Duration.ZERO;
+    }
+
+    /** Counts a request out. */
+    void release(String account) {
+        mUsages.get(account).mRunning--;
+    }
+
+    private static final class Usage {
+        private int mRunning;
+        private double mTokens;
+        private Instant mRefilled;
+
+        Usage(Instant now, double rate) {
+            mRefilled = now;
+            mTokens = burst(rate);
+        }
+
+        /** What the account may start at once: one second's worth, and never less than one. */
+        private static double burst(double rate) {
+            return Math.max(1, rate);
+        }
+
+        void refill(Instant now, double rate) {
+            double seconds = Math.max(0, Duration.between(mRefilled, now).toNanos() / NANOS);
+            mTokens = Math.min(burst(rate), mTokens + seconds * rate);
+            mRefilled = now;
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Attempts.java
@@ -0,0 +1,63 @@
+package org.laurelweir.routing;
+
+import java.time.Duration;
+import org.laurelweir.attempt.AttemptRequest;
+
+/** Begins attempts and follows them over new streams. */
+final class Attempts {
+    private final Requests mRequests;
+
+    Attempts(Requests requests) {
+        mRequests = requests;
+    }
+
+    /** Sends the request's present attempt for the first and only time. */
+    void begin(Step s, ActiveRequest r) {
+        long stream = openStream(s, r, false);
+        s.emit(new RouterEffect.BeginAttempt(stream, r.mTarget.address(), message(s, r)));
+    }
+
+    /** Follows the request's present attempt from the first byte that the caller lacks. */
+    void resume(Step s, ActiveRequest r) {
+        long stream = openStream(s, r, true);
+        s.emit(
+                new RouterEffect.ResumeAttempt(
+                        stream, r.mTarget.address(), r.mAttempt, r.mTarget.ref(), r.mOffset, true));
+    }
+
+    /** Leaves the stream, whose connection is suspect from now on. */
+    void drop(Step s, ActiveRequest r) {
+        if (r.mStream != 0) {
+            s.emit(new RouterEffect.DropStream(r.mStream));
+            mRequests.closeStream(r);
+        }
+    }
+
+    private long openStream(Step s, ActiveRequest r, boolean resumed) {
+        long stream = mRequests.openStream(r);
+        r.mResumed = resumed;
+        r.mHeard = s.now();
+        r.enter(ActiveRequest.Phase.STREAMING, r.mDeadline);
+        return stream;
+    }
+
+    private static AttemptRequest message(Step s, ActiveRequest r) {
+        CallerRequest q = r.mRequest;
+        return new AttemptRequest(
+                r.mAttempt,
+                r.mTarget.ref(),
+                q.account(),
+                q.service(),
+                q.chat(),
+                q.returning(),
+                q.call(),
+                q.idempotent(),
+                q.idempotencyKey(),
+                r.timeLeft(s.now()),
+                q.priority(),
+                q.cost(),
+                r.mRedirects,
+                q.policy().accountWeight(),
+                r.needsClaim() ? q.policy().claimRetention() : Duration.ZERO);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
@@ -0,0 +1,70 @@
+package org.laurelweir.routing;
+
+import java.util.List;
+import org.laurelweir.attempt.LoadHint;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.Decision;
+
+/** Tells every routing decision with what it was made from. */
+final class Decisions {
+    private static final String PROGRAM = "router";
+
+    private final RouterConfig mConfig;
+    private final Placements mPlacements;
+
+    Decisions(RouterConfig config, Placements placements) {
+        mConfig = config;
+        mPlacements = placements;
+    }
+
+    /** The request's next attempt goes to a backend server. */
+    void chose(Step s, ActiveRequest r, Placements.Choice c) {
+        String id = c.target().ref().id();
+        LoadHint load = mPlacements.load(id);
+        double bound = r.policy().boundFactor() * load.meanWork();
+        String reason =
+                r.mAttempts > 1 && !c.reason().equals("redirect")
+                        ? "retry_" + c.reason()
+                        : c.reason();
+        tell(s, r, c.candidates(), id, reason, load.runningWork(), bound);
+    }
+
+    /** The request gets an error. */
+    void gaveUp(Step s, ActiveRequest r, Failure f) {
+        tell(s, r, List.of(), f.code().name(), f.message(), 0, 0);
+    }
+
+    /** The request's attempt is followed over a new stream, or its sidecar asked about it. */
+    void recovers(Step s, ActiveRequest r, String reason) {
+        tell(s, r, List.of(), r.mTarget.ref().id(), reason, 0, 0);
+    }
+
+    private void tell(
+            Step s,
+            ActiveRequest r,
+            List<String> candidates,
+            String choice,
+            String reason,
+            double load,
+            double bound) {
+        CallerRequest q = r.mRequest;
+        s.emit(
+                new RouterEffect.Decided(
+                        new Decision(
+                                s.now(),
+                                PROGRAM,
+                                requestName(r.mCaller),
+                                q.chat(),
+                                q.account(),
+                                q.service(),
+                                candidates,
+                                choice,
+                                reason,
+                                load,
+                                bound)));
+    }
+
+    private String requestName(long caller) {
+        return new AttemptId(mConfig.name(), mConfig.incarnation(), caller, 1).requestName();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
@@ -0,0 +1,177 @@
+package org.laurelweir.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.laurelweir.attempt.LoadHint;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.placement.AffinityPolicy;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatDirectory;
+import org.laurelweir.placement.ChatKey;
+import org.laurelweir.placement.Outliers;
+import org.laurelweir.placement.Placement;
+import org.laurelweir.placement.PlacementHints;
+import org.laurelweir.placement.PlacementPolicy;
+import org.laurelweir.placement.PlacementReason;
+import org.laurelweir.placement.PlacementRequest;
+import org.laurelweir.placement.ServiceView;
+import org.laurelweir.placement.WorkEstimate;
+
+/** Chooses the backend server of each attempt, and keeps the hints that earlier answers gave. */
+final class Placements {
+    /**
+     * How long a sidecar's word that it drains is kept. It refuses new work anyway; the hint saves
+     * the way there until control's word arrives, and must not outlive an undrain.
+     */
+    private static final Duration DRAIN_HINT = Duration.ofSeconds(5);
+
+    private final Memberships mMemberships;
+    private final RouterConfig mConfig;
+    private final PlacementPolicy mPolicy = new AffinityPolicy();
+    private final Map<String, Outliers> mOutliers = new HashMap<>();
+    private final Map<String, LoadHint> mLoads = new HashMap<>();
+    private final Map<String, Instant> mDrainingUntil = new HashMap<>();
+    private final ChatDirectory mSeats;
+
+    Placements(RouterConfig config, Memberships memberships) {
+        mConfig = config;
+        mMemberships = memberships;
+        mSeats = new ChatDirectory(config.chatSeats());
+    }
+
+    /** One choice with what it was made from. */
+    record Choice(Target target, List<String> candidates, String reason) {}
+
+    /**
+     * Chooses where a request's next attempt goes, leaving out where it has been.
+     *
+     * @return the choice, or null if no backend server is left to try
+     */
+    Choice choose(Instant now, ActiveRequest r) {
+        ServiceView view = mMemberships.view(r.mRequest.service());
+        Placement placement = place(now, r, view);
+        List<Candidate> order = new ArrayList<>(placement.candidates());
+        int wanted = r.mTried.size() + AffinityPolicy.CANDIDATES;
+        view.ranking().top(r.mKey, wanted).stream()
+                .filter(c -> !order.contains(c))
+                .forEach(order::add);
+        List<String> names = placement.candidates().stream().map(Candidate::id).toList();
+        boolean first = true;
+        for (Candidate c : order) {
+            Backend b = mMemberships.backend(c.id());
+            if (b != null && !r.mTried.contains(c.ref())) {
+                String reason = first ? reasonName(placement.reason()) : "next_in_rank";
+                return new Choice(new Target(c.ref(), b.address()), names, reason);
+            }
+            first = false;
+        }
+        return null;
+    }
+
+    /**
+     * Returns the backend server that a sidecar named, or null if it is not known or has been tried
+     * already.
+     */
+    Choice named(ActiveRequest r, String id) {
+        Backend b = mMemberships.backend(id);
+        if (b == null || r.mTried.contains(b.ref())) {
+            return null;
+        }
+        return new Choice(new Target(b.ref(), b.address()), List.of(id), "redirect");
+    }
+
+    private Placement place(Instant now, ActiveRequest r, ServiceView view) {
+        CallerRequest q = r.mRequest;
+        WorkEstimate work = new WorkEstimate(q.cost().promptTokens(), 0, q.cost().outputTokens());
+        Hints hints = new Hints(outliers(q.service()), now);
+        Placement p = mPolicy.place(new PlacementRequest(r.mKey, q.account(), work), view, hints);
+        return q.chat() == 0 ? lessLoadedFirst(p) : p;
+    }
+
+    /** A request of no chat may go anywhere: of two picked by chance, the less loaded one. */
+    private Placement lessLoadedFirst(Placement p) {
+        if (p.candidates().size() < 2) {
+            return p;
+        }
+        List<Candidate> order = new ArrayList<>(p.candidates());
+        if (load(order.get(1).id()).runningWork() < load(order.get(0).id()).runningWork()) {
+            Collections.swap(order, 0, 1);
+        }
+        return new Placement(order, PlacementReason.LOAD, p.viewVersion());
+    }
+
+    private static String reasonName(PlacementReason reason) {
+        return reason.name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private Outliers outliers(String service) {
+        return mOutliers.computeIfAbsent(service, s -> new Outliers(mConfig.outliers()));
+    }
+
+    /** Returns the load that a backend server last told this router. */
+    LoadHint load(String id) {
+        return mLoads.getOrDefault(id, LoadHint.UNKNOWN);
+    }
+
+    void onLoad(Instant now, String id, LoadHint hint) {
+        mLoads.put(id, hint);
+        if (hint.draining()) {
+            mDrainingUntil.put(id, now.plus(DRAIN_HINT));
+        } else {
+            mDrainingUntil.remove(id);
+        }
+    }
+
+    /** Notes that a backend server began to answer a request. */
+    void onAnswer(ActiveRequest r) {
+        String id = r.mTarget.ref().id();
+        outliers(r.mRequest.service()).onSuccess(id);
+        if (r.mRequest.chat() != 0) {
+            mSeats.put(r.mKey, id);
+        }
+    }
+
+    /** Notes that a backend server broke off or stayed silent. */
+    void onFailure(Instant now, ActiveRequest r) {
+        String service = r.mRequest.service();
+        int servers = mMemberships.view(service).size();
+        outliers(service).onFailure(r.mTarget.ref().id(), servers, now);
+    }
+
+    /** Forgets the hints about backend servers that are gone. */
+    void prune() {
+        mLoads.keySet().removeIf(id -> mMemberships.backend(id) == null);
+        mDrainingUntil.keySet().removeIf(id -> mMemberships.backend(id) == null);
+    }
+
+    private final class Hints implements PlacementHints {
+        private final Outliers mOf;
+        private final Instant mNow;
+
+        Hints(Outliers of, Instant now) {
+            mOf = of;
+            mNow = now;
+        }
+
+        @Override
+        public double runningWork(String id) {
+            return load(id).runningWork();
+        }
+
+        @Override
+        public boolean isEjected(String id) {
+            Instant draining = mDrainingUntil.get(id);
+            return mOf.isEjected(id, mNow) || (draining != null && mNow.isBefore(draining));
+        }
+
+        @Override
+        public String seat(ChatKey chat) {
+            return mSeats.find(chat);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Recovery.java
@@ -0,0 +1,115 @@
+package org.laurelweir.routing;
+
+import org.laurelweir.attempt.AttemptState;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * Finds an attempt again after contact with its sidecar was lost, always over a new connection:
+ * something between the two ends may have lost track of the old one.
+ */
+final class Recovery {
+    /** Tries to reach an attempt before its outcome is called unknown. */
+    private static final int MAX_TRIES = 6;
+
+    /** Tries where the request may as well run elsewhere. */
+    private static final int MAX_TRIES_IDEMPOTENT = 2;
+
+    private final Placements mPlacements;
+    private final Attempts mAttempts;
+    private final Retries mRetries;
+    private final Decisions mDecisions;
+
+    Recovery(Placements placements, Attempts attempts, Retries retries, Decisions decisions) {
+        mPlacements = placements;
+        mAttempts = attempts;
+        mRetries = retries;
+        mDecisions = decisions;
+    }
+
+    /** The stream is silent, ended early or has left something out. */
+    void lost(Step s, ActiveRequest r, String reason) {
+        mAttempts.drop(s, r);
+        mPlacements.onFailure(s.now(), r);
+        mDecisions.recovers(s, r, reason);
+        retry(s, r);
+    }
+
+    /** The time of the next try has come. */
+    void onWake(Step s, ActiveRequest r) {
+        if (r.mAccepted) {
+            mAttempts.resume(s, r);
+        } else {
+            revoke(s, r);
+        }
+    }
+
+    /** Asks the sidecar to make sure that the attempt never starts, and what its state is. */
+    void revoke(Step s, ActiveRequest r) {
+        r.enter(ActiveRequest.Phase.REVOKING, s.now().plus(r.policy().silence()));
+        s.emit(
+                new RouterEffect.Revoke(
+                        r.mCaller, r.mTarget.address(), r.mAttempt, r.mTarget.ref()));
+    }
+
+    /** A stream that follows the attempt was refused; only a revocation tells what that means. */
+    void refusedFollowing(Step s, ActiveRequest r) {
+        r.mAccepted = false;
+        retry(s, r);
+    }
+
+    void onRevokeAnswered(Step s, ActiveRequest r, AttemptId attempt, AttemptState state) {
+        if (!isAwaited(r, attempt)) {
+            return;
+        }
+        switch (state) {
+            case RUNNING, FINISHED -> {
+                r.mAccepted = true;
+                mAttempts.resume(s, r);
+            }
+            case NEVER_STARTED -> neverStarted(s, r);
+            default -> unknown(s, r, "the sidecar was restarted while it had the request");
+        }
+    }
+
+    void onRevokeFailed(Step s, ActiveRequest r, AttemptId attempt) {
+        if (isAwaited(r, attempt)) {
+            retry(s, r);
+        }
+    }
+
+    private static boolean isAwaited(ActiveRequest r, AttemptId attempt) {
+        return r.mPhase == ActiveRequest.Phase.REVOKING && attempt.equals(r.mAttempt);
+    }
+
+    private void neverStarted(Step s, ActiveRequest r) {
+        if (r.mHeadSent) {
+            unknown(s, r, "the sidecar denies an answer that it began");
+            return;
+        }
+        mRetries.neverStarted(s, r);
+    }
+
+    private void retry(Step s, ActiveRequest r) {
+        r.mRecoveries++;
+        if (r.mRecoveries > (r.mayRunAgain() ? MAX_TRIES_IDEMPOTENT : MAX_TRIES)) {
+            unknown(s, r, "contact with the backend server was lost");
+            return;
+        }
+        if (r.mRecoveries == 1) {
+            onWake(s, r);
+            return;
+        }
+        r.enter(
+                ActiveRequest.Phase.RECONNECTING,
+                s.now().plus(mRetries.backoff(r.policy(), r.mRecoveries)));
+    }
+
+    private void unknown(Step s, ActiveRequest r, String message) {
+        ResultCode code = ResultCode.OUTCOME_UNKNOWN;
+        if (r.mFollowing && r.mHolderRan) {
+            code = ResultCode.ALREADY_RUN;
+        }
+        mRetries.mayHaveRun(s, r, new Failure(code, message));
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEffect.java
@@ -39,8 +39,13 @@
     /** Drop a stream without a word: the connection under it is suspect. */
     record DropStream(long stream) implements RouterEffect {}
 
-    /** Ask over a new connection that an attempt never starts. */
-    record Revoke(String address, AttemptId attempt, BackendRef target) implements RouterEffect {}
+    /**
+     * Ask over a new connection that an attempt never starts.
+     *
+     * @param caller for whom it is asked; several may ask about one attempt of another router
+     */
+    record Revoke(long caller, String address, AttemptId attempt, BackendRef target)
+            implements RouterEffect {}
 
     /** Ask the control leader for the claim on an idempotency key. */
     record Claim(
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
@@ -33,11 +33,12 @@
      */
     record StreamLost(long stream, boolean sent, String message) implements RouterEvent {}
 
-    /** A sidecar answered a revocation. */
-    record RevokeAnswered(AttemptId attempt, AttemptState state) implements RouterEvent {}
+    /** A sidecar answered the revocation that was sent for a caller. */
+    record RevokeAnswered(long caller, AttemptId attempt, AttemptState state)
+            implements RouterEvent {}
 
-    /** A revocation got no answer. */
-    record RevokeFailed(AttemptId attempt, String message) implements RouterEvent {}
+    /** The revocation that was sent for a caller got no answer. */
+    record RevokeFailed(long caller, AttemptId attempt, String message) implements RouterEvent {}
 
     /**
      * The control leader answered a claim.
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -0,0 +1,132 @@
+package org.laurelweir.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.laurelweir.lib.Reducer;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.placement.ChatKey;
+
+/** Decides for one router: hands each event to the class that it concerns. */
+public final class RouterReducer implements Reducer<RouterEvent, RouterEffect> {
+    private final RouterConfig mConfig;
+    private final Requests mRequests = new Requests();
+    private final Memberships mMemberships = new Memberships();
+    private final AccountLimits mLimits = new AccountLimits();
+    private final Placements mPlacements;
+    private final Outcomes mOutcomes;
+    private final Retries mRetries;
+    private final Recovery mRecovery;
+    private final ClaimAnswers mClaimAnswers;
+    private final Streams mStreams;
+    private final Timers mTimers;
+    private Instant mNextExchange = Instant.MIN;
+    private boolean mStopping;
+
+    /**
+     * Creates the reducer of a router that has just started and knows no backend server.
+     *
+     * @param config what the decisions depend on
+     */
+    public RouterReducer(RouterConfig config) {
+        mConfig = config;
+        mPlacements = new Placements(config, mMemberships);
+        Decisions decisions = new Decisions(config, mPlacements);
+        Claims claims = new Claims();
+        Attempts attempts = new Attempts(mRequests);
+        mOutcomes = new Outcomes(mRequests, claims, mLimits, decisions);
+        mRetries = new Retries(config, mPlacements, attempts, claims, mOutcomes, decisions);
+        mRecovery = new Recovery(mPlacements, attempts, mRetries, decisions);
+        mClaimAnswers =
+                new ClaimAnswers(mMemberships, attempts, claims, mRecovery, mOutcomes, decisions);
+        mStreams = new Streams(mRequests, mPlacements, mRetries, mRecovery, mOutcomes);
+        mTimers = new Timers(mRequests, mStreams, mRetries, mRecovery, mClaimAnswers, mOutcomes);
+    }
+
+    @Override
+    public void step(Instant now, RouterEvent event, Consumer<? super RouterEffect> effects) {
+        Step s = new Step(now, effects);
+        if (event instanceof RouterEvent.Tick) {
+            onTick(s);
+        } else if (event instanceof RouterEvent.FrameArrived e) {
+            mStreams.onFrame(s, e.stream(), e.frame());
+        } else if (event instanceof RouterEvent.StreamLost e) {
+            mStreams.onLost(s, e);
+        } else if (event instanceof RouterEvent.ExchangeAnswered e) {
+            mMemberships.apply(now, e.membership());
+            mPlacements.prune();
+        } else if (event instanceof RouterEvent.StopRequested) {
+            mStopping = true;
+        } else {
+            onRequestEvent(s, event);
+        }
+        if (mStopping && mRequests.isEmpty()) {
+            mStopping = false;
+            s.emit(new RouterEffect.Stopped());
+        }
+    }
+
+    private void onTick(Step s) {
+        mMemberships.onTick(s.now());
+        mTimers.onTick(s);
+        if (!s.now().isBefore(mNextExchange)) {
+            mNextExchange = s.now().plus(mConfig.exchangeInterval());
+            s.emit(new RouterEffect.SendExchange(mMemberships.cursor()));
+        }
+    }
+
+    private void onRequestEvent(Step s, RouterEvent event) {
+        if (event instanceof RouterEvent.RequestArrived e) {
+            onArrived(s, e.caller(), e.request());
+        } else if (event instanceof RouterEvent.CallerGone e) {
+            withRequest(e.caller(), r -> onCallerGone(s, r));
+        } else if (event instanceof RouterEvent.CallerTook e) {
+            withRequest(e.caller(), r -> mStreams.onTaken(s, r, e.offset()));
+        } else if (event instanceof RouterEvent.RevokeAnswered e) {
+            withRequest(e.caller(), r -> mRecovery.onRevokeAnswered(s, r, e.attempt(), e.state()));
+        } else if (event instanceof RouterEvent.RevokeFailed e) {
+            withRequest(e.caller(), r -> mRecovery.onRevokeFailed(s, r, e.attempt()));
+        } else if (event instanceof RouterEvent.ClaimAnswered e) {
+            withRequest(e.attempt().request(), r -> mClaimAnswers.onAnswered(s, r, e));
+        }
+    }
+
+    private void withRequest(long caller, Consumer<ActiveRequest> action) {
+        ActiveRequest r = mRequests.byCaller(caller);
+        if (r != null) {
+            action.accept(r);
+        }
+    }
+
+    private void onArrived(Step s, long caller, CallerRequest request) {
+        Duration wait = mLimits.admit(s.now(), request.account(), request.policy());
+        if (!wait.isZero()) {
+            String message = "the client account has reached its limit on this router";
+            s.emit(new RouterEffect.AnswerError(caller, ResultCode.ACCOUNT_LIMIT, message, wait));
+            return;
+        }
+        long key = request.chat() == 0 ? mRetries.spread() : request.chat();
+        ActiveRequest r = new ActiveRequest(caller, request, s.now(), new ChatKey(key));
+        mRequests.add(r);
+        mRetries.first(s, r);
+    }
+
+    /**
+     * Ends what nobody waits for. A call that may not be repeated is left to finish: cancelled half
+     * way, its outcome would be unknown for good, and the caller may yet ask for it again.
+     */
+    private void onCallerGone(Step s, ActiveRequest r) {
+        boolean begun =
+                r.mPhase != ActiveRequest.Phase.CLAIMING
+                        && r.mPhase != ActiveRequest.Phase.BACKING_OFF;
+        if (begun && !r.mRequest.idempotent()) {
+            r.mDetached = true;
+            mStreams.onTaken(s, r, r.mOffset);
+            return;
+        }
+        if (r.mStream != 0) {
+            s.emit(new RouterEffect.CancelAttempt(r.mStream));
+        }
+        mOutcomes.abandon(s, r, begun ? ResultCode.CANCELLED : ResultCode.REVOKED);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Streams.java
@@ -0,0 +1,165 @@
+package org.laurelweir.routing;
+
+import java.util.Arrays;
+import org.laurelweir.attempt.AttemptFrame;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.ResultCode;
+
+/** Turns the frames of sidecars into the answers to callers. */
+final class Streams {
+    private final Requests mRequests;
+    private final Placements mPlacements;
+    private final Retries mRetries;
+    private final Recovery mRecovery;
+    private final Outcomes mOutcomes;
+
+    Streams(
+            Requests requests,
+            Placements placements,
+            Retries retries,
+            Recovery recovery,
+            Outcomes outcomes) {
+        mRequests = requests;
+        mPlacements = placements;
+        mRetries = retries;
+        mRecovery = recovery;
+        mOutcomes = outcomes;
+    }
+
+    /**
+     * Takes a frame. One on a stream that was left, or of another attempt than the stream is for,
+     * is late or crossed: its bytes would end up in an answer that they are no part of.
+     */
+    void onFrame(Step s, long stream, AttemptFrame f) {
+        ActiveRequest r = mRequests.byStream(stream);
+        if (r == null || !f.attempt().equals(r.mAttempt)) {
+            return;
+        }
+        r.mHeard = s.now();
+        mPlacements.onLoad(s.now(), r.mTarget.ref().id(), f.load());
+        Frame frame = f.frame();
+        if (frame instanceof Frame.Head h) {
+            onHead(s, r, h);
+        } else if (frame instanceof Frame.Data d) {
+            onData(s, r, d);
+        } else if (frame instanceof Frame.End e) {
+            onEnd(s, r, e);
+        } else if (frame instanceof Frame.Refused n) {
+            onRefused(s, r, n);
+        } else if (frame instanceof Frame.Failed n) {
+            onFailed(s, r, n);
+        } else {
+            r.mAccepted = true;
+        }
+    }
+
+    /** The stream ended without a closing frame. */
+    void onLost(Step s, RouterEvent.StreamLost lost) {
+        ActiveRequest r = mRequests.byStream(lost.stream());
+        if (r == null) {
+            return;
+        }
+        boolean begun = r.mResumed || lost.sent() || r.mAccepted;
+        mRequests.closeStream(r);
+        if (begun) {
+            mRecovery.lost(s, r, "stream_lost");
+            return;
+        }
+        mPlacements.onFailure(s.now(), r);
+        mRetries.notSent(s, r, lost.message());
+    }
+
+    /** The caller took output; a stream that waited for it is heard from again. */
+    void onTaken(Step s, ActiveRequest r, long offset) {
+        r.mTaken = Math.max(r.mTaken, offset);
+        r.mHeard = s.now();
+        acknowledge(s, r);
+    }
+
+    private void onHead(Step s, ActiveRequest r, Frame.Head h) {
+        r.mAccepted = true;
+        if (r.mHeadSent) {
+            return;
+        }
+        r.mHeadSent = true;
+        r.mRecoveries = 0;
+        mPlacements.onAnswer(r);
+        if (!r.mDetached) {
+            s.emit(new RouterEffect.AnswerHead(r.mCaller, h.status(), h.headers()));
+        }
+    }
+
+    private void onData(Step s, ActiveRequest r, Frame.Data d) {
+        long end = d.offset() + d.bytes().length;
+        if (end <= r.mOffset) {
+            return;
+        }
+        if (!r.mHeadSent || d.offset() > r.mOffset) {
+            mRecovery.lost(s, r, "gap");
+            return;
+        }
+        int known = (int) (r.mOffset - d.offset());
+        r.mOffset = end;
+        r.mRecoveries = 0;
+        if (r.mDetached) {
+            r.mTaken = end;
+            acknowledge(s, r);
+            return;
+        }
+        byte[] fresh =
+                known == 0 ? d.bytes() : Arrays.copyOfRange(d.bytes(), known, d.bytes().length);
+        s.emit(new RouterEffect.AnswerData(r.mCaller, fresh));
+    }
+
+    private static void acknowledge(Step s, ActiveRequest r) {
+        if (r.mStream != 0) {
+            s.emit(new RouterEffect.Acknowledge(r.mStream, r.mTaken));
+        }
+    }
+
+    /**
+     * Completes the answer if its length is what was passed on. Where bytes are missing they are
+     * asked for once; otherwise the caller's connection is cut, for a shortened answer that ends
+     * well would be taken for the whole one.
+     */
+    private void onEnd(Step s, ActiveRequest r, Frame.End e) {
+        if (r.mHeadSent && e.length() == r.mOffset) {
+            mRequests.closeStream(r);
+            mOutcomes.whole(s, r);
+            return;
+        }
+        if (!r.mEndMismatched && e.length() >= r.mOffset) {
+            r.mEndMismatched = true;
+            r.mAccepted = true;
+            mRecovery.lost(s, r, "gap");
+            return;
+        }
+        String message = "the answer has " + e.length() + " bytes, not " + r.mOffset;
+        mRequests.closeStream(r);
+        mOutcomes.fail(s, r, new Failure(ResultCode.ANSWER_CUT, message));
+    }
+
+    private void onRefused(Step s, ActiveRequest r, Frame.Refused f) {
+        mRequests.closeStream(r);
+        // Refusing a stream that follows an attempt says nothing of the attempt itself, and a
+        // second message of the same attempt is refused while the first one runs.
+        boolean ofAttempt = f.code().isNotRun() && f.code() != ResultCode.DUPLICATE_ATTEMPT;
+        if (r.mResumed || r.mHeadSent || !ofAttempt) {
+            mRecovery.refusedFollowing(s, r);
+            return;
+        }
+        mRetries.refused(s, r, f);
+    }
+
+    private void onFailed(Step s, ActiveRequest r, Frame.Failed f) {
+        mRequests.closeStream(r);
+        ResultCode code = f.code();
+        if (code == ResultCode.BACKEND_FAILED) {
+            mPlacements.onFailure(s.now(), r);
+        }
+        if (code == ResultCode.OUTPUT_NOT_KEPT && r.mFollowing) {
+            code = ResultCode.ALREADY_RUN;
+        }
+        mRetries.mayHaveRun(s, r, new Failure(code, f.message()));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Timers.java
@@ -0,0 +1,98 @@
+package org.laurelweir.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.laurelweir.lib.ResultCode;
+
+/** Watches the requests in flight: deadlines, silent streams, and waits that are over. */
+final class Timers {
+    /** Looking at all requests at every tick would cost more than their timers are worth. */
+    private static final Duration SCAN_INTERVAL = Duration.ofMillis(10);
+
+    private final Requests mRequests;
+    private final Streams mStreams;
+    private final Retries mRetries;
+    private final Recovery mRecovery;
+    private final ClaimAnswers mClaimAnswers;
+    private final Outcomes mOutcomes;
+    private Instant mNextScan = Instant.MIN;
+
+    Timers(
+            Requests requests,
+            Streams streams,
+            Retries retries,
+            Recovery recovery,
+            ClaimAnswers claimAnswers,
+            Outcomes outcomes) {
+        mRequests = requests;
+        mStreams = streams;
+        mRetries = retries;
+        mRecovery = recovery;
+        mClaimAnswers = claimAnswers;
+        mOutcomes = outcomes;
+    }
+
+    void onTick(Step s) {
+        if (s.now().isBefore(mNextScan)) {
+            return;
+        }
+        mNextScan = s.now().plus(SCAN_INTERVAL);
+        mRequests.all().forEach(r -> check(s, r));
+    }
+
+    private void check(Step s, ActiveRequest r) {
+        if (!r.mDetached && !s.now().isBefore(r.mDeadline)) {
+            onDeadline(s, r);
+            return;
+        }
+        if (r.mPhase == ActiveRequest.Phase.STREAMING) {
+            checkSilence(s, r);
+        } else if (!s.now().isBefore(r.mWakeAt)) {
+            onWake(s, r);
+        }
+    }
+
+    /**
+     * Silence counts only while the caller has taken everything: a stream is not read on for a slow
+     * caller, and what is not read can't be heard.
+     */
+    private void checkSilence(Step s, ActiveRequest r) {
+        Instant limit = r.mHeard.plus(r.policy().silence());
+        if (r.mTaken >= r.mOffset && !s.now().isBefore(limit)) {
+            mRecovery.lost(s, r, "silent");
+        }
+    }
+
+    private void onWake(Step s, ActiveRequest r) {
+        switch (r.mPhase) {
+            case CLAIMING -> mClaimAnswers.unavailable(s, r, "no answer in time");
+            case BACKING_OFF -> mRetries.next(s, r);
+            case REVOKING -> mRecovery.onRevokeFailed(s, r, r.mAttempt);
+            default -> mRecovery.onWake(s, r);
+        }
+    }
+
+    private void onDeadline(Step s, ActiveRequest r) {
+        switch (r.mPhase) {
+            case CLAIMING, BACKING_OFF -> {
+                String message = "the deadline came before the request could be run";
+                mOutcomes.fail(s, r, new Failure(ResultCode.DEADLINE_UNREACHABLE, message));
+            }
+            default -> expireBegun(s, r);
+        }
+    }
+
+    private void expireBegun(Step s, ActiveRequest r) {
+        String message = "the deadline came before the whole answer";
+        Failure failure = new Failure(ResultCode.DEADLINE_EXCEEDED, message);
+        if (!r.mRequest.idempotent()) {
+            mOutcomes.failAndDetach(s, r, failure);
+            mStreams.onTaken(s, r, r.mOffset);
+            return;
+        }
+        if (r.mStream != 0) {
+            s.emit(new RouterEffect.CancelAttempt(r.mStream));
+        }
+        mOutcomes.fail(s, r, failure);
+    }
+}
