Settle the contract of the replicated log

The initial membership is an entry like any other (Bootstrapped), so that a replica which has not stored it learns it by replication.

--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogStorage.java
@@ -0,0 +1,29 @@
+package org.laurelweir.control.storage;
+
+import java.util.List;
+import org.laurelweir.agreement.AgreementEffect.Persist;
+import org.laurelweir.agreement.AgreementEvent.Recovered;
+
+/**
+ * Keeps one replica's term, vote, log and snapshot. Used by one thread at a time.
+ *
+ * <p>Every method throws {@link org.laurelweir.errors.LaurelweirException}: {@code DISK_FAILED} if
+ * the disk reported an error, after which every further call fails the same way.
+ */
+public interface LogStorage extends AutoCloseable {
+    /** Returns the id drawn when the storage was created, part of the replica's id. */
+    long storageId();
+
+    /** Returns what the disk held when the storage was opened. */
+    Recovered recovered();
+
+    /**
+     * Carries out effects in order and syncs once at the end.
+     *
+     * @param effects in the order of their sequences
+     */
+    void persist(List<Persist> effects);
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementConfig.java
@@ -0,0 +1,103 @@
+package org.laurelweir.agreement;
+
+import java.time.Duration;
+
+/**
+ * Times and bounds of the replicated log.
+ *
+ * @param electionTimeout a follower that hears no leader for this time, up to twice, campaigns; a
+ *     leader that hears no quorum for this time steps down
+ * @param heartbeat how often a leader shows that it is alive
+ * @param maxBatchBytes payload bytes of one append message, if more than one entry is in it
+ * @param maxInFlight unanswered append messages to one follower
+ * @param maxUncommittedBytes payload bytes of uncommitted proposals, above which new ones are
+ *     rejected
+ * @param snapshotEvery entries applied between two snapshots
+ * @param snapshotTail entries kept in memory before a snapshot, for followers slightly behind
+ * @param snapshotChunkBytes the size of one piece of a snapshot
+ * @param catchUpLag entries by which a learner may lag and still become a voter
+ */
+public record AgreementConfig(
+        Duration electionTimeout,
+        Duration heartbeat,
+        int maxBatchBytes,
+        int maxInFlight,
+        int maxUncommittedBytes,
+        int snapshotEvery,
+        int snapshotTail,
+        int snapshotChunkBytes,
+        int catchUpLag) {
+
+    /** Returns a builder with the defaults for regions some tens of milliseconds apart. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Builds an {@link AgreementConfig}. */
+    public static final class Builder {
+        private Duration mElectionTimeout = Duration.ofMillis(1000);
+        private Duration mHeartbeat = Duration.ofMillis(150);
+        private int mMaxBatchBytes = 256 << 10;
+        private int mMaxInFlight = 8;
+        private int mMaxUncommittedBytes = 16 << 20;
+        private int mSnapshotEvery = 20_000;
+        private int mSnapshotTail = 5_000;
+        private int mSnapshotChunkBytes = 256 << 10;
+        private int mCatchUpLag = 100;
+
+        /** Sets the time without contact after which a leader is given up. */
+        public Builder electionTimeout(Duration timeout) {
+            mElectionTimeout = timeout;
+            return this;
+        }
+
+        /** Sets how often a leader shows that it is alive. */
+        public Builder heartbeat(Duration interval) {
+            mHeartbeat = interval;
+            return this;
+        }
+
+        /** Sets the payload bytes and the count of unanswered append messages to a follower. */
+        public Builder flow(int maxBatchBytes, int maxInFlight) {
+            mMaxBatchBytes = maxBatchBytes;
+            mMaxInFlight = maxInFlight;
+            return this;
+        }
+
+        /** Sets the bound on uncommitted proposals, in payload bytes. */
+        public Builder maxUncommittedBytes(int bytes) {
+            mMaxUncommittedBytes = bytes;
+            return this;
+        }
+
+        /**
+         * Sets how many entries lie between snapshots, how many stay before one, and its pieces.
+         */
+        public Builder snapshots(int every, int tail, int chunkBytes) {
+            mSnapshotEvery = every;
+            mSnapshotTail = tail;
+            mSnapshotChunkBytes = chunkBytes;
+            return this;
+        }
+
+        /** Sets by how many entries a learner may lag and still become a voter. */
+        public Builder catchUpLag(int entries) {
+            mCatchUpLag = entries;
+            return this;
+        }
+
+        /** Returns the configuration. */
+        public AgreementConfig build() {
+            return new AgreementConfig(
+                    mElectionTimeout,
+                    mHeartbeat,
+                    mMaxBatchBytes,
+                    mMaxInFlight,
+                    mMaxUncommittedBytes,
+                    mSnapshotEvery,
+                    mSnapshotTail,
+                    mSnapshotChunkBytes,
+                    mCatchUpLag);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementEvent.java
@@ -0,0 +1,50 @@
+package org.laurelweir.agreement;
+
+import java.util.List;
+
+/** What happens to a replica. */
+public sealed interface AgreementEvent {
+    /**
+     * The first event: what the disk held.
+     *
+     * @param hardState the term and vote
+     * @param snapshot the newest snapshot, or {@link Snapshot#NONE}; the shell has loaded it
+     * @param entries the log after the snapshot, consecutive
+     */
+    record Recovered(HardState hardState, Snapshot snapshot, List<LogEntry> entries)
+            implements AgreementEvent {}
+
+    /**
+     * Writes the first membership into an empty log. Given to one replica only, once in the life of
+     * a deployment, after all initial replicas have said that their disks are new; ignored if the
+     * log is not empty.
+     */
+    record Bootstrapped(Membership initial) implements AgreementEvent {}
+
+    /** A message arrived that was sent to this replica id. */
+    record MessageReceived(ReplicaId from, ReplicaMessage message) implements AgreementEvent {}
+
+    /** Someone wants a command in the log; ends in accepted or rejected under the same id. */
+    record Proposed(long proposalId, byte[] command) implements AgreementEvent {}
+
+    /** Someone wants the membership changed; ends in accepted or rejected under the same id. */
+    record MembershipChangeProposed(long proposalId, MembershipChange change)
+            implements AgreementEvent {}
+
+    /** Someone wants to read the latest state; ends in ready or rejected under the same id. */
+    record ReadRequested(long readId) implements AgreementEvent {}
+
+    /** Every {@link AgreementEffect.Persist} up to this sequence has been synced to disk. */
+    record Persisted(long sequence) implements AgreementEvent {}
+
+    /**
+     * Answers {@link AgreementEffect.TakeSnapshot}.
+     *
+     * @param index the last entry applied to the state, as the effect gave it
+     * @param state the encoded state
+     */
+    record SnapshotTaken(long index, byte[] state) implements AgreementEvent {}
+
+    /** Time has passed. Sent several times in each heartbeat interval. */
+    record Tick() implements AgreementEvent {}
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/HardState.java
@@ -0,0 +1,12 @@
+package org.laurelweir.agreement;
+
+/**
+ * What a replica must not forget besides its log.
+ *
+ * @param term the highest term seen
+ * @param votedFor whom it voted for in that term, or null
+ */
+public record HardState(long term, ReplicaId votedFor) {
+    /** The state of a disk never written. */
+    public static final HardState INITIAL = new HardState(0, null);
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/Membership.java
@@ -0,0 +1,123 @@
+package org.laurelweir.agreement;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/**
+ * The replicas that hold the log.
+ *
+ * @param voters those whose votes and copies count towards a quorum; sorted, unmodifiable
+ * @param learners those that receive the log and do not count; sorted, unmodifiable
+ */
+public record Membership(SortedSet<ReplicaId> voters, SortedSet<ReplicaId> learners) {
+    /** No replica: what a new disk knows. */
+    public static final Membership EMPTY = new Membership(new TreeSet<>(), new TreeSet<>());
+
+    /** Copies both sets. */
+    public Membership {
+        voters = Collections.unmodifiableSortedSet(new TreeSet<>(voters));
+        learners = Collections.unmodifiableSortedSet(new TreeSet<>(learners));
+    }
+
+    /** Returns a membership of voters only. */
+    public static Membership ofVoters(Collection<ReplicaId> voters) {
+        return new Membership(new TreeSet<>(voters), new TreeSet<>());
+    }
+
+    /** Returns how many voters make a majority. */
+    public int quorum() {
+        return voters.size() / 2 + 1;
+    }
+
+    /** Returns whether this replica is a voter. */
+    public boolean isVoter(ReplicaId id) {
+        return voters.contains(id);
+    }
+
+    /** Returns whether this replica is a voter or a learner. */
+    public boolean contains(ReplicaId id) {
+        return voters.contains(id) || learners.contains(id);
+    }
+
+    /** Returns voters and learners together. */
+    public SortedSet<ReplicaId> all() {
+        TreeSet<ReplicaId> all = new TreeSet<>(voters);
+        all.addAll(learners);
+        return all;
+    }
+
+    /** Returns this membership with a learner more. */
+    public Membership withLearner(ReplicaId id) {
+        TreeSet<ReplicaId> l = new TreeSet<>(learners);
+        l.add(id);
+        return new Membership(voters, l);
+    }
+
+    /** Returns this membership with a learner made a voter. */
+    public Membership withVoter(ReplicaId id) {
+        Membership without = without(id);
+        TreeSet<ReplicaId> v = new TreeSet<>(without.voters);
+        v.add(id);
+        return new Membership(v, without.learners);
+    }
+
+    /** Returns this membership without a replica. */
+    public Membership without(ReplicaId id) {
+        TreeSet<ReplicaId> v = new TreeSet<>(voters);
+        TreeSet<ReplicaId> l = new TreeSet<>(learners);
+        v.remove(id);
+        l.remove(id);
+        return new Membership(v, l);
+    }
+
+    /** Returns the encoding that entries, files and messages hold. */
+    public byte[] encode() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            writeAll(out, voters);
+            writeAll(out, learners);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Reads an encoding made by {@link #encode()}.
+     *
+     * @throws IllegalArgumentException if it is none
+     */
+    public static Membership decode(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            return new Membership(readAll(in), readAll(in));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not a membership", e);
+        }
+    }
+
+    private static void writeAll(DataOutputStream out, SortedSet<ReplicaId> ids)
+            throws IOException {
+        out.writeInt(ids.size());
+        for (ReplicaId id : ids) {
+            out.writeUTF(id.name());
+            out.writeLong(id.storageId());
+        }
+    }
+
+    private static SortedSet<ReplicaId> readAll(DataInputStream in) throws IOException {
+        SortedSet<ReplicaId> ids = new TreeSet<>();
+        int count = in.readInt();
+        for (int i = 0; i < count; i++) {
+            ids.add(new ReplicaId(in.readUTF(), in.readLong()));
+        }
+        return ids;
+    }
+}
