Read a program's settings file into a record

Every program starts from one YAML file; whoever writes it wants all its faults at once, each with its line. Jackson's data binder stops at the first fault and forgets lines, so its parser feeds a small tree of nodes with lines, and a record's components with their annotations are the specification. Weighed: binding with the data binder and looking lines up again afterwards (two passes that may disagree) and a schema validator (one more library, and messages about the schema, not about the key).

--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/Endpoint.java
@@ -0,0 +1,62 @@
+package org.laurelweir.runtime.config;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Where a process listens or connects, written {@code host:port}.
+ *
+ * @param host an IP number or a host name, without brackets
+ * @param port 0 to 65535; 0 lets the operating system choose when listening
+ */
+public record Endpoint(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Refuses an empty host and a port out of range. */
+    public Endpoint {
+        if (host.isEmpty() || port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("not an endpoint: " + host + ":" + port);
+        }
+    }
+
+    /**
+     * Reads an endpoint.
+     *
+     * @param text {@code host:port}, an IPv6 number in brackets
+     * @return the endpoint
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Endpoint parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("not an endpoint: " + text);
+        }
+        return new Endpoint(
+                withoutBrackets(text.substring(0, colon)),
+                Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static String withoutBrackets(String host) {
+        if (host.startsWith("[") && host.endsWith("]")) {
+            return host.substring(1, host.length() - 1);
+        }
+        if (host.indexOf(':') >= 0) {
+            throw new IllegalArgumentException("an IPv6 number stands in brackets: " + host);
+        }
+        return host;
+    }
+
+    /** Returns the socket address; resolves a host name. */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
+    /** Returns the same host with another port, such as the one the operating system chose. */
+    public Endpoint withPort(int newPort) {
+        return new Endpoint(host, newPort);
+    }
+
+    @Override
+    public String toString() {
+        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + port;
+    }
+}
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/Program.java
@@ -0,0 +1,14 @@
+package org.laurelweir.runtime.config;
+
+import java.lang.annotation.ElementType;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import java.lang.annotation.Target;
+
+/** The program to which a settings file belongs: its first key must read {@code program: VALUE}. */
+@Retention(RetentionPolicy.RUNTIME)
+@Target(ElementType.TYPE)
+public @interface Program {
+    /** The value of the file's first key. */
+    String value();
+}
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
@@ -0,0 +1,143 @@
+package org.laurelweir.runtime.config;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * Reads a program's settings file.
+ *
+ * <p>The file's specification is a record class annotated with {@link Program}. A component named
+ * {@code dataCentre} is the key {@code data-centre}. Its type is a String, int, long, double,
+ * boolean, enum, {@link java.time.Duration}, {@link org.laurelweir.settings.ByteSize}, {@link
+ * Endpoint} or Path; a record of such; or a List, a Map from names, or an Optional of these. A
+ * component has {@link Required}, {@link Default} or is an Optional; a list, map or record that is
+ * left out is empty or takes its own defaults. {@link Range}, {@link OneOf}, {@link Defines} and
+ * {@link RefersTo} narrow a value. A record's constructor may refuse values that do not agree with
+ * each other by throwing IllegalArgumentException.
+ */
+public final class SettingsFile {
+    private static final String PROGRAM_KEY = "program";
+
+    private SettingsFile() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param spec the record class that specifies the file
+     * @param path the file
+     * @return the settings
+     * @throws LaurelweirException BAD_SETTINGS_FILE with every fault, one a line
+     */
+    public static <T extends Record> T read(Class<T> spec, Path path) {
+        FaultList faults = new FaultList(path.toString());
+        T settings = bind(spec, path, faults);
+        if (faults.size() > 0) {
+            String lines =
+                    faults.inOrder().stream()
+                            .map(SettingsFault::toString)
+                            .collect(Collectors.joining("\n"));
+            throw new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, lines);
+        }
+        return settings;
+    }
+
+    /**
+     * Checks a file without using it.
+     *
+     * @param spec the record class that specifies the file
+     * @param path the file
+     * @return every fault in the order of the file; empty if there is none
+     */
+    public static List<SettingsFault> check(Class<? extends Record> spec, Path path) {
+        FaultList faults = new FaultList(path.toString());
+        bind(spec, path, faults);
+        return faults.inOrder();
+    }
+
+    /**
+     * Checks a file of whichever program its first key names.
+     *
+     * @param specs the record classes that specify the programs' files
+     * @param path the file
+     * @return every fault in the order of the file; empty if there is none
+     */
+    public static List<SettingsFault> check(List<Class<? extends Record>> specs, Path path) {
+        FaultList faults = new FaultList(path.toString());
+        YamlNode.Mapping top = parse(path, faults);
+        if (top == null) {
+            return faults.inOrder();
+        }
+        Map<String, Class<? extends Record>> byProgram = new TreeMap<>();
+        specs.forEach(s -> byProgram.put(programOf(s), s));
+        Class<? extends Record> spec = byProgram.get(firstProgram(top).orElse(""));
+        if (spec == null) {
+            addProgramFault(top, String.join(", ", byProgram.keySet()), faults);
+            return faults.inOrder();
+        }
+        return check(spec, path);
+    }
+
+    private static <T extends Record> T bind(Class<T> spec, Path path, FaultList faults) {
+        YamlNode.Mapping top = parse(path, faults);
+        if (top == null) {
+            return null;
+        }
+        String program = programOf(spec);
+        if (!firstProgram(top).equals(Optional.of(program))) {
+            addProgramFault(top, program, faults);
+        }
+        NameTable names = new NameTable();
+        T settings = new RecordBinder(faults, names).bind(spec, top, "");
+        names.resolve(faults);
+        return settings;
+    }
+
+    private static YamlNode.Mapping parse(Path path, FaultList faults) {
+        try {
+            return YamlReader.read(Files.readString(path), faults);
+        } catch (IOException e) {
+            faults.add(1, "", "cannot be read: " + e, "a readable file of UTF-8 text");
+            return null;
+        }
+    }
+
+    private static String programOf(Class<? extends Record> spec) {
+        Program program = spec.getAnnotation(Program.class);
+        if (program == null) {
+            throw new IllegalArgumentException(spec + " lacks @Program");
+        }
+        return program.value();
+    }
+
+    private static Optional<String> firstProgram(YamlNode.Mapping top) {
+        Iterator<Map.Entry<String, YamlNode.Entry>> entries = top.entries().entrySet().iterator();
+        if (!entries.hasNext()) {
+            return Optional.empty();
+        }
+        Map.Entry<String, YamlNode.Entry> first = entries.next();
+        boolean isProgram = first.getKey().equals(PROGRAM_KEY);
+        if (isProgram && first.getValue().value() instanceof YamlNode.Scalar s) {
+            return Optional.ofNullable(s.text());
+        }
+        return Optional.empty();
+    }
+
+    private static void addProgramFault(YamlNode.Mapping top, String allowed, FaultList faults) {
+        YamlNode.Entry entry = top.entries().get(PROGRAM_KEY);
+        if (entry == null) {
+            faults.add(top.line(), PROGRAM_KEY, "missing as the first key", allowed);
+            return;
+        }
+        String problem = "is " + entry.value().kind() + " or not the first key";
+        faults.add(entry.line(), PROGRAM_KEY, problem, allowed);
+    }
+}
