--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
@@ -0,0 +1,59 @@
+package org.laurelweir.runtime.log;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.MetadataKey;
+import java.util.List;
+import java.util.Locale;
+
+/** Writes one line for each routing or placement decision, its parts as fields of their own. */
+public final class DecisionLog {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final MetadataKey<String> REQUEST = text("request");
+    private static final MetadataKey<String> CHAT = text("chat");
+    private static final MetadataKey<String> ACCOUNT = text("account");
+    private static final MetadataKey<String> CANDIDATES = text("candidates");
+    private static final MetadataKey<String> CHOICE = text("choice");
+    private static final MetadataKey<String> REASON = text("reason");
+    private static final MetadataKey<Double> LOAD = MetadataKey.single("load", Double.class);
+    private static final MetadataKey<Double> BOUND = MetadataKey.single("bound", Double.class);
+
+    private DecisionLog() {}
+
+    private static MetadataKey<String> text(String label) {
+        return MetadataKey.single(label, String.class);
+    }
+
+    /**
+     * Returns whether decisions are written at all, for callers that would assemble one in vain.
+     */
+    public static boolean isEnabled() {
+        return LOGGER.atInfo().isEnabled();
+    }
+
+    /**
+     * Writes a decision; its absent parts are left out.
+     *
+     * @param d the decision
+     */
+    public static void write(Decision d) {
+        LOGGER.atInfo()
+                .with(REQUEST, d.request())
+                .with(CHAT, d.chat())
+                .with(ACCOUNT, d.account())
+                .with(CANDIDATES, joined(d.candidates()))
+                .with(CHOICE, d.choice())
+                .with(REASON, d.reason())
+                .with(LOAD, number(d.load()))
+                .with(BOUND, number(d.bound()))
+                .log("%s decision", d.kind().name().toLowerCase(Locale.ROOT));
+    }
+
+    private static String joined(List<String> names) {
+        return names.isEmpty() ? null : String.join(" ", names);
+    }
+
+    private static Double number(double value) {
+        return Double.isNaN(value) ? null : value;
+    }
+}
