--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/metrics/MetricsServer.java
@@ -0,0 +1,100 @@
+package org.laurelweir.runtime.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.runtime.config.Endpoint;
+
+/**
+ * Serves {@code /metrics} for scrapers, {@code /healthz} (200 while the process answers at all) and
+ * {@code /readyz} (200, or 503 with the reason). Has one thread of its own, so that a busy program
+ * still answers.
+ */
+public final class MetricsServer implements Service {
+    private static final int MAX_BODY_BYTES = 1024;
+    private static final int READ_TIMEOUT_SECONDS = 10;
+
+    private final Endpoint mEndpoint;
+    private final MetricRegistry mRegistry;
+    private final Readiness mReadiness;
+    private EventLoopGroup mGroup;
+    private Channel mChannel;
+
+    /**
+     * Creates the server; it listens once started.
+     *
+     * @param endpoint where to listen; with port 0 the operating system chooses
+     * @param registry what to show
+     * @param readiness asked for each {@code /readyz}
+     */
+    public MetricsServer(Endpoint endpoint, MetricRegistry registry, Readiness readiness) {
+        mEndpoint = endpoint;
+        mRegistry = registry;
+        mReadiness = readiness;
+    }
+
+    /**
+     * Listens.
+     *
+     * @throws LaurelweirException CANNOT_LISTEN if the endpoint is taken or not of this machine
+     */
+    @Override
+    public void start() {
+        mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        ChannelFuture bind =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .childHandler(new Initializer())
+                        .bind(mEndpoint.toSocketAddress())
+                        .awaitUninterruptibly();
+        if (!bind.isSuccess()) {
+            stop();
+            throw new LaurelweirException(
+                    ResultCode.CANNOT_LISTEN,
+                    "metrics cannot listen on " + mEndpoint + ": " + bind.cause().getMessage(),
+                    bind.cause());
+        }
+        mChannel = bind.channel();
+    }
+
+    /** Returns where the server listens, with the port that was chosen. Valid once started. */
+    public Endpoint endpoint() {
+        InetSocketAddress address = (InetSocketAddress) mChannel.localAddress();
+        return mEndpoint.withPort(address.getPort());
+    }
+
+    @Override
+    public void stop() {
+        if (mGroup != null) {
+            mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        }
+    }
+
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            ChannelPipeline pipeline = channel.pipeline();
+            pipeline.addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS));
+            pipeline.addLast(new HttpServerCodec());
+            pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES));
+            pipeline.addLast(new MetricsHandler(mRegistry, mReadiness));
+        }
+    }
+}
