--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/Program.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/ProgramName.java
@@ -8,7 +8,7 @@
 /** The program to which a settings file belongs: its first key must read {@code program: VALUE}. */
 @Retention(RetentionPolicy.RUNTIME)
 @Target(ElementType.TYPE)
-public @interface Program {
+public @interface ProgramName {
     /** The value of the file's first key. */
     String value();
 }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/RecordBinder.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/RecordBinder.java
@@ -60,7 +60,7 @@
             YamlNode.Mapping mapping,
             String path,
             Map<String, RecordComponent> components) {
-        boolean namesProgram = type.isAnnotationPresent(Program.class);
+        boolean namesProgram = type.isAnnotationPresent(ProgramName.class);
         mapping.entries()
                 .forEach(
                         (key, entry) -> {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
@@ -15,7 +15,7 @@
 /**
  * Reads a program's settings file.
  *
- * <p>The file's specification is a record class annotated with {@link Program}. A component named
+ * <p>The file's specification is a record class annotated with {@link ProgramName}. A component named
  * {@code dataCentre} is the key {@code data-centre}. Its type is a String, int, long, double,
  * boolean, enum, {@link java.time.Duration}, {@link org.laurelweir.settings.ByteSize}, {@link
  * Endpoint} or Path; a record of such; or a List, a Map from names, or an Optional of these. A
@@ -111,9 +111,9 @@
     }
 
     private static String programOf(Class<? extends Record> spec) {
-        Program program = spec.getAnnotation(Program.class);
+        ProgramName program = spec.getAnnotation(ProgramName.class);
         if (program == null) {
-            throw new IllegalArgumentException(spec + " lacks @Program");
+            throw new IllegalArgumentException(spec + " lacks @ProgramName");
         }
         return program.value();
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
@@ -3,15 +3,16 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.flogger.MetadataKey;
 import java.util.List;
-import java.util.Locale;
+import org.laurelweir.lib.Decision;
 
 /** Writes one line for each routing or placement decision, its parts as fields of their own. */
 public final class DecisionLog {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private static final MetadataKey<String> REQUEST = text("request");
     private static final MetadataKey<String> CHAT = text("chat");
     private static final MetadataKey<String> ACCOUNT = text("account");
+    private static final MetadataKey<String> SERVICE = text("service");
     private static final MetadataKey<String> CANDIDATES = text("candidates");
     private static final MetadataKey<String> CHOICE = text("choice");
     private static final MetadataKey<String> REASON = text("reason");
@@ -24,29 +25,33 @@
         return MetadataKey.single(label, String.class);
     }
 
-    /**
-     * Returns whether decisions are written at all, for callers that would assemble one in vain.
-     */
+    /** Returns whether decisions are written at all, for callers that would assemble one in vain. */
     public static boolean isEnabled() {
-        return LOGGER.atInfo().isEnabled();
+        return sLogger.atInfo().isEnabled();
     }
 
     /**
-     * Writes a decision; its absent parts are left out.
+     * Writes a decision. Left out are texts that are null or empty, numbers that are NaN, and chat
+     * 0.
      *
      * @param d the decision
      */
     public static void write(Decision d) {
-        LOGGER.atInfo()
-                .with(REQUEST, d.request())
-                .with(CHAT, d.chat())
-                .with(ACCOUNT, d.account())
+        sLogger.atInfo()
+                .with(REQUEST, present(d.request()))
+                .with(CHAT, d.chat() == 0 ? null : Long.toHexString(d.chat()))
+                .with(ACCOUNT, present(d.account()))
+                .with(SERVICE, present(d.service()))
                 .with(CANDIDATES, joined(d.candidates()))
-                .with(CHOICE, d.choice())
-                .with(REASON, d.reason())
+                .with(CHOICE, present(d.choice()))
+                .with(REASON, present(d.reason()))
                 .with(LOAD, number(d.load()))
                 .with(BOUND, number(d.bound()))
-                .log("%s decision", d.kind().name().toLowerCase(Locale.ROOT));
+                .log("%s decision", d.program());
+    }
+
+    private static String present(String text) {
+        return text == null || text.isEmpty() ? null : text;
     }
 
     private static String joined(List<String> names) {
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/config/SettingsFileTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/config/SettingsFileTest.java
@@ -29,7 +29,7 @@
             @Default("1MiB") @Range(min = "1KiB", max = "8MiB") ByteSize bodyBytes,
             @Default("3s") @Range(min = "10ms", max = "1m") Duration requestTime) {}
 
-    @Program("sample")
+    @ProgramName("sample")
     private record Sample(
             @Required @OneOf({"vestkyst", "vadodara"}) String region,
             @Default("0.5") @Range(min = "0", max = "1") double share,
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
@@ -11,21 +11,29 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.laurelweir.lib.Decision;
 
 /** What reaches the log, in both formats, through Flogger and through java.util.logging. */
 class LoggingTest {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Decision DECISION =
-            Decision.builder(Decision.Kind.ROUTING)
-                    .request("r1-5-77", "broker-1")
-                    .candidates(List.of("s-2", "s-1"))
-                    .choice("s-2", "home")
-                    .load(0.8, 1.25)
-                    .build();
+            new Decision(
+                    Instant.EPOCH,
+                    "router",
+                    "r1-5-77",
+                    0xabcL,
+                    "broker-1",
+                    "",
+                    List.of("s-2", "s-1"),
+                    "s-2",
+                    "home",
+                    0.8,
+                    1.25);
 
     @TempDir Path mFolder;
 
@@ -37,18 +45,19 @@
         try (Logging log = new Logging(settings)) {
             log.start();
             DecisionLog.write(DECISION);
-            LOGGER.atFine().log("below the level");
-            LOGGER.atWarning().withCause(new IllegalStateException("why")).log("two\nlines");
+            sLogger.atFine().log("below the level");
+            sLogger.atWarning().withCause(new IllegalStateException("why")).log("two\nlines");
         }
 
         List<String> lines = Files.readAllLines(file);
         assertThat(lines).hasSize(2);
         JsonNode decision = new ObjectMapper().readTree(lines.get(0));
-        assertThat(decision.path("message").asText()).isEqualTo("routing decision");
+        assertThat(decision.path("message").asText()).isEqualTo("router decision");
         assertThat(decision.path("candidates").asText()).isEqualTo("s-2 s-1");
         assertThat(decision.path("load").isNumber()).isTrue();
         assertThat(decision.path("bound").asDouble()).isEqualTo(1.25);
-        assertThat(decision.has("chat")).isFalse();
+        assertThat(decision.path("chat").asText()).isEqualTo("abc");
+        assertThat(decision.has("service")).isFalse();
         JsonNode warning = new ObjectMapper().readTree(lines.get(1));
         assertThat(warning.path("level").asText()).isEqualTo("WARN");
         assertThat(warning.path("error").asText()).contains("IllegalStateException: why");
@@ -61,7 +70,7 @@
         System.setErr(new PrintStream(captured, true, StandardCharsets.UTF_8));
         try (Logging log = new Logging(LogSettings.defaults())) {
             log.start();
-            LOGGER.atInfo().log("started");
+            sLogger.atInfo().log("started");
             DecisionLog.write(DECISION);
             java.util.logging.Logger.getLogger("io.grpc.Sample").warning("from gRPC");
         } finally {
@@ -74,10 +83,10 @@
                         l ->
                                 assertThat(l)
                                         .endsWith(
-                                                " INFO  DecisionLog: routing decision"
+                                                " INFO  DecisionLog: router decision"
                                                         + " {account=broker-1, bound=1.25,"
-                                                        + " candidates=s-2 s-1, choice=s-2,"
-                                                        + " load=0.8, reason=home,"
+                                                        + " candidates=s-2 s-1, chat=abc,"
+                                                        + " choice=s-2, load=0.8, reason=home,"
                                                         + " request=r1-5-77}"),
                         l -> assertThat(l).endsWith(" WARN  Sample: from gRPC"));
     }
