--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -0,0 +1,133 @@
+package org.laurelweir.router.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.WriteTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.rpc.EventLoops;
+
+/** Listens for callers. */
+public final class CallerServer implements Service {
+    private static final int BACKLOG = 1024;
+
+    private final EventLoops mLoops;
+    private final Endpoint mListen;
+    private final CallerConnections mConnections;
+    private Channel mListener;
+
+    /**
+     * Creates the server; it listens once started.
+     *
+     * @param loops carry the connections
+     * @param listen where; with port 0 the operating system chooses
+     * @param handler takes the requests
+     * @param limits asked for each new connection
+     * @param names of the requests
+     */
+    public CallerServer(
+            EventLoops loops,
+            Endpoint listen,
+            CallHandler handler,
+            Supplier<Limits> limits,
+            RequestNames names) {
+        mLoops = loops;
+        mListen = listen;
+        mConnections = new CallerConnections(handler, limits, names);
+    }
+
+    /**
+     * Listens.
+     *
+     * @throws LaurelweirException CANNOT_LISTEN if the address is taken or not of this machine
+     */
+    @Override
+    public void start() {
+        ChannelFuture bind =
+                new ServerBootstrap()
+                        .group(mLoops.group())
+                        .channel(mLoops.serverType())
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Initializer())
+                        .bind(mListen.toSocketAddress())
+                        .awaitUninterruptibly();
+        if (!bind.isSuccess()) {
+            throw new LaurelweirException(
+                    ResultCode.CANNOT_LISTEN,
+                    "cannot listen on " + mListen + ": " + bind.cause().getMessage(),
+                    bind.cause());
+        }
+        mListener = bind.channel();
+    }
+
+    /** Returns where the server listens, with the port that was chosen. Once started. */
+    public Endpoint endpoint() {
+        return mListen.withPort(((InetSocketAddress) mListener.localAddress()).getPort());
+    }
+
+    /** Takes no new connection, closes the idle ones, and the others after their answers. */
+    public void drain() {
+        mListener.close().awaitUninterruptibly();
+        mConnections.stopping();
+        for (Channel c : mConnections.open()) {
+            CallerConnection connection = c.pipeline().get(CallerConnection.class);
+            if (connection != null) {
+                c.eventLoop().execute(connection::onStopping);
+            }
+        }
+    }
+
+    /**
+     * Waits until every connection is closed.
+     *
+     * @param limit longest wait
+     * @return whether all are closed
+     */
+    public boolean awaitClosed(Duration limit) {
+        return mConnections
+                .open()
+                .newCloseFuture()
+                .awaitUninterruptibly(limit.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes what is left at once. */
+    @Override
+    public void stop() {
+        if (mListener != null) {
+            mListener.close().awaitUninterruptibly();
+        }
+        mConnections.open().close().awaitUninterruptibly();
+    }
+
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            Limits limits = mConnections.limits();
+            CallerConnection connection = new CallerConnection(mConnections);
+            HttpDecoderConfig decoder =
+                    new HttpDecoderConfig()
+                            .setMaxInitialLineLength(limits.headerBytes())
+                            .setMaxHeaderSize(limits.headerBytes());
+            channel.pipeline()
+                    .addLast(new ArrivalHandler(connection::onBytes))
+                    .addLast(new HttpServerCodec(decoder))
+                    .addLast(
+                            new WriteTimeoutHandler(
+                                    limits.requestTime().toMillis(), TimeUnit.MILLISECONDS))
+                    .addLast(connection);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Limits.java
@@ -0,0 +1,14 @@
+package org.laurelweir.router.http;
+
+import java.time.Duration;
+
+/**
+ * What callers may ask of this router, taken from the settings when a connection is opened.
+ *
+ * @param bodyBytes largest body of a request
+ * @param headerBytes largest sum of a request's headers
+ * @param connections most connections of callers
+ * @param requestTime longest time that a caller may take to send a request, or to take a piece of
+ *     its answer
+ */
+public record Limits(long bodyBytes, int headerBytes, int connections, Duration requestTime) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
@@ -8,6 +8,10 @@
 /** Bounds each client account's requests on this router: how many run and how many start. */
 final class AccountLimits {
     private static final Duration WHILE_FULL = Duration.ofSeconds(1);
+
+    /** For an account that may start next to nothing; it is told to look again. */
+    private static final double MAX_WAIT_SECONDS = 60;
+
     private static final double NANOS = 1e9;
 
     private final Map<String, Usage> mUsages = new HashMap<>();
@@ -24,7 +28,8 @@
             return WHILE_FULL;
         }
         if (u.mTokens < 1) {
-            return Duration.ofNanos((long) ((1 - u.mTokens) / policy.accountRate() * NANOS));
+            double seconds = (1 - u.mTokens) / policy.accountRate();
+            return Duration.ofNanos((long) (Math.min(MAX_WAIT_SECONDS, seconds) * NANOS));
         }
         u.mTokens--;
         u.mRunning++;
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.laurelweir.attempt.LoadHint;
 import org.laurelweir.membership.Backend;
@@ -13,6 +14,7 @@
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ChatDirectory;
 import org.laurelweir.placement.ChatKey;
+import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.placement.Outliers;
 import org.laurelweir.placement.Placement;
 import org.laurelweir.placement.PlacementHints;
@@ -31,15 +33,13 @@
     private static final Duration DRAIN_HINT = Duration.ofSeconds(5);
 
     private final Memberships mMemberships;
-    private final RouterConfig mConfig;
     private final PlacementPolicy mPolicy = new AffinityPolicy();
-    private final Map<String, Outliers> mOutliers = new HashMap<>();
+    private final Map<String, Ejections> mEjections = new HashMap<>();
     private final Map<String, LoadHint> mLoads = new HashMap<>();
     private final Map<String, Instant> mDrainingUntil = new HashMap<>();
     private final ChatDirectory mSeats;
 
     Placements(RouterConfig config, Memberships memberships) {
-        mConfig = config;
         mMemberships = memberships;
         mSeats = new ChatDirectory(config.chatSeats());
     }
@@ -88,7 +88,7 @@
     private Placement place(Instant now, ActiveRequest r, ServiceView view) {
         CallerRequest q = r.mRequest;
         WorkEstimate work = new WorkEstimate(q.cost().promptTokens(), 0, q.cost().outputTokens());
-        Hints hints = new Hints(outliers(q.service()), now);
+        Hints hints = new Hints(outliers(q), now);
         Placement p = mPolicy.place(new PlacementRequest(r.mKey, q.account(), work), view, hints);
         return q.chat() == 0 ? lessLoadedFirst(p) : p;
     }
@@ -106,11 +106,23 @@
     }
 
     private static String reasonName(PlacementReason reason) {
-        return reason.name().toLowerCase(java.util.Locale.ROOT);
+        return reason.name().toLowerCase(Locale.ROOT);
     }
 
-    private Outliers outliers(String service) {
-        return mOutliers.computeIfAbsent(service, s -> new Outliers(mConfig.outliers()));
+    private Outliers outliers(CallerRequest q) {
+        Ejections e = mEjections.get(q.service());
+        if (e == null || !e.config().equals(q.policy().ejection())) {
+            e = new Ejections(q.policy().ejection());
+            mEjections.put(q.service(), e);
+        }
+        return e.outliers();
+    }
+
+    /** A service's failing backend servers, by the settings under which they were judged. */
+    private record Ejections(OutlierConfig config, Outliers outliers) {
+        Ejections(OutlierConfig config) {
+            this(config, new Outliers(config));
+        }
     }
 
     /** Returns the load that a backend server last told this router. */
@@ -130,7 +142,7 @@
     /** Notes that a backend server began to answer a request. */
     void onAnswer(ActiveRequest r) {
         String id = r.mTarget.ref().id();
-        outliers(r.mRequest.service()).onSuccess(id);
+        outliers(r.mRequest).onSuccess(id);
         if (r.mRequest.chat() != 0) {
             mSeats.put(r.mKey, id);
         }
@@ -140,7 +152,7 @@
     void onFailure(Instant now, ActiveRequest r) {
         String service = r.mRequest.service();
         int servers = mMemberships.view(service).size();
-        outliers(service).onFailure(r.mTarget.ref().id(), servers, now);
+        outliers(r.mRequest).onFailure(r.mTarget.ref().id(), servers, now);
     }
 
     /** Forgets the hints about backend servers that are gone. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
@@ -1,7 +1,6 @@
 package org.laurelweir.routing;
 
 import java.time.Duration;
-import org.laurelweir.placement.OutlierConfig;
 
 /**
  * What a router's decisions depend on from its start on.
@@ -11,12 +10,6 @@
  * @param seed of the jitter
  * @param exchangeInterval how often control is asked
  * @param chatSeats how many chats the router remembers the last backend server of
- * @param outliers when a failing backend server is tried last
  */
 public record RouterConfig(
-        String name,
-        long incarnation,
-        long seed,
-        Duration exchangeInterval,
-        int chatSeats,
-        OutlierConfig outliers) {}
+        String name, long incarnation, long seed, Duration exchangeInterval, int chatSeats) {}
