--- /dev/null
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
@@ -0,0 +1,143 @@
+package org.laurelweir.wire;
+
+import java.util.List;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.RouterReport;
+import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.membership.SidecarReport;
+import org.laurelweir.wire.v1.BackendState;
+
+/** Converts announcements, membership deltas and load. */
+public final class MembershipCodec {
+    private MembershipCodec() {}
+
+    /** Returns the message of a backend server. */
+    public static org.laurelweir.wire.v1.Backend encode(Backend b) {
+        return org.laurelweir.wire.v1.Backend.newBuilder()
+                .setRef(IdCodec.encode(b.ref()))
+                .setService(b.service())
+                .setDataCentre(b.dataCentre())
+                .setRegion(b.region())
+                .setAddress(b.address())
+                .setState(encode(b.state()))
+                .setWeight(b.weight())
+                .setSession(b.session())
+                .build();
+    }
+
+    /** Returns the backend server that a message holds. */
+    public static Backend decode(org.laurelweir.wire.v1.Backend b) {
+        return new Backend(
+                IdCodec.decode(b.getRef()),
+                b.getService(),
+                b.getDataCentre(),
+                b.getRegion(),
+                b.getAddress(),
+                decode(b.getState()),
+                b.getWeight(),
+                b.getSession());
+    }
+
+    private static BackendState encode(Backend.State state) {
+        return switch (state) {
+            case SERVING -> BackendState.SERVING;
+            case DRAINING -> BackendState.DRAINING;
+            case LEFT -> BackendState.LEFT;
+        };
+    }
+
+    // A state that this version does not know is one in which no new work is sent.
+    private static Backend.State decode(BackendState state) {
+        return switch (state) {
+            case SERVING -> Backend.State.SERVING;
+            case LEFT -> Backend.State.LEFT;
+            default -> Backend.State.DRAINING;
+        };
+    }
+
+    /** Returns the message of a sidecar's report. */
+    public static org.laurelweir.wire.v1.SidecarReport encode(SidecarReport r) {
+        return org.laurelweir.wire.v1.SidecarReport.newBuilder()
+                .setBackend(encode(r.backend()))
+                .setRunningWork(r.runningWork())
+                .setRunning(r.running())
+                .setWaiting(r.waiting())
+                .build();
+    }
+
+    /** Returns the report that a message holds. */
+    public static SidecarReport decode(org.laurelweir.wire.v1.SidecarReport r) {
+        return new SidecarReport(
+                decode(r.getBackend()), r.getRunningWork(), r.getRunning(), r.getWaiting());
+    }
+
+    /** Returns the message of a router's report. */
+    public static org.laurelweir.wire.v1.RouterReport encode(RouterReport r) {
+        return org.laurelweir.wire.v1.RouterReport.newBuilder()
+                .setName(r.name())
+                .setIncarnation(r.incarnation())
+                .setDataCentre(r.dataCentre())
+                .setRegion(r.region())
+                .setAddress(r.address())
+                .setExplainAddress(r.explainAddress())
+                .build();
+    }
+
+    /** Returns the report that a message holds. */
+    public static RouterReport decode(org.laurelweir.wire.v1.RouterReport r) {
+        return new RouterReport(
+                r.getName(),
+                r.getIncarnation(),
+                r.getDataCentre(),
+                r.getRegion(),
+                r.getAddress(),
+                r.getExplainAddress());
+    }
+
+    /** Returns the message of a cursor. */
+    public static org.laurelweir.wire.v1.MembershipCursor encode(MembershipCursor c) {
+        return org.laurelweir.wire.v1.MembershipCursor.newBuilder()
+                .setControl(c.control())
+                .setControlIncarnation(c.controlIncarnation())
+                .setVersion(c.version())
+                .build();
+    }
+
+    /** Returns the cursor that a message holds. */
+    public static MembershipCursor decode(org.laurelweir.wire.v1.MembershipCursor c) {
+        return new MembershipCursor(c.getControl(), c.getControlIncarnation(), c.getVersion());
+    }
+
+    /** Returns the message of a delta. */
+    public static org.laurelweir.wire.v1.MembershipDelta encode(MembershipDelta d) {
+        org.laurelweir.wire.v1.MembershipDelta.Builder builder =
+                org.laurelweir.wire.v1.MembershipDelta.newBuilder()
+                        .setCursor(encode(d.cursor()))
+                        .setFull(d.full());
+        d.backends().forEach(b -> builder.addBackends(encode(b)));
+        return builder.build();
+    }
+
+    /** Returns the delta that a message holds. */
+    public static MembershipDelta decode(org.laurelweir.wire.v1.MembershipDelta d) {
+        List<Backend> backends =
+                d.getBackendsList().stream().map(MembershipCodec::decode).toList();
+        return new MembershipDelta(decode(d.getCursor()), d.getFull(), backends);
+    }
+
+    /** Returns the message of a service's load. */
+    public static org.laurelweir.wire.v1.ServiceLoad encode(ServiceLoad l) {
+        return org.laurelweir.wire.v1.ServiceLoad.newBuilder()
+                .setService(l.service())
+                .setMeanWork(l.meanWork())
+                .setBackends(l.backends())
+                .build();
+    }
+
+    /** Returns the load that a message holds. */
+    public static ServiceLoad decode(org.laurelweir.wire.v1.ServiceLoad l) {
+        return new ServiceLoad(l.getService(), l.getMeanWork(), l.getBackends());
+    }
+}
