Exchange with the nearest control instance that answers

An instance that stays silent is left with its connection: connections may go silent for good while new ones work. Bytes are counted at the socket, so that framing is included in the control traffic of a router.

--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
@@ -0,0 +1,44 @@
+package org.laurelweir.runtime.rpc;
+
+import java.time.Duration;
+import java.util.List;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.v1.ExchangeReply;
+import org.laurelweir.wire.v1.SettingsDelta;
+
+/**
+ * What a control instance answered to an exchange.
+ *
+ * @param membership what the asker's view lacks
+ * @param loads the mean load of each service that the asker needs
+ * @param settings the nodes that changed since the asker's position
+ * @param possiblyStale whether the instance can't confirm that its settings are the newest
+ * @param nextExchange how long to wait before the next exchange
+ * @param drain whether an operator wants this backend server drained; for sidecars
+ * @param fence the highest fencing number of this backend server; for sidecars
+ * @param controls every control instance, host:port
+ */
+public record ExchangeAnswer(
+        MembershipDelta membership,
+        List<ServiceLoad> loads,
+        SettingsDelta settings,
+        boolean possiblyStale,
+        Duration nextExchange,
+        boolean drain,
+        long fence,
+        List<String> controls) {
+
+    static ExchangeAnswer of(ExchangeReply reply) {
+        return new ExchangeAnswer(
+                MembershipCodec.toCore(reply.getMembership()),
+                reply.getLoadsList().stream().map(MembershipCodec::toCore).toList(),
+                reply.getSettings(),
+                reply.getPossiblyStale(),
+                Duration.ofMillis(reply.getNextExchangeMillis()),
+                reply.getDrain(),
+                reply.getFence(),
+                List.copyOf(reply.getControlsList()));
+    }
+}
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
@@ -0,0 +1,222 @@
+package org.laurelweir.runtime.rpc;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.MoreExecutors;
+import io.grpc.ManagedChannel;
+import io.grpc.netty.NettyChannelBuilder;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.RouterReport;
+import org.laurelweir.membership.SidecarReport;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ExchangeReply;
+import org.laurelweir.wire.v1.ExchangeRequest;
+
+/**
+ * Exchanges with the nearest control instance that answers, and counts the bytes this takes.
+ *
+ * <p>An instance that does not answer in time is left for the next one, and its connection is
+ * dropped: it may have gone silent for good while new connections work. The next try at that
+ * instance opens a new one: after one round, or after a minute's exchanges with a farther one. Any
+ * thread may use a client.
+ */
+public final class ExchangeClient implements Service {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+    private static final int EXCHANGES_BEFORE_RETURN = 60;
+
+    private final Duration mTimeout;
+    private final ByteCounter mBytes = new ByteCounter();
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<String> mAddresses;
+    private int mCurrent;
+    private int mUntilReturn;
+    private boolean mStopped;
+    private ManagedChannel mChannel;
+
+    /**
+     * Creates a client; it connects with the first exchange.
+     *
+     * @param addresses control instances, host:port, the nearest first; at least one
+     * @param timeout longest wait for one instance's answer
+     */
+    public ExchangeClient(List<String> addresses, Duration timeout) {
+        mAddresses = List.copyOf(addresses);
+        mTimeout = timeout;
+    }
+
+    @Override
+    public void start() {
+        // Connections are opened when there is something to send.
+    }
+
+    /**
+     * Tells a sidecar's report and asks for what is new.
+     *
+     * @param report what the sidecar announces
+     * @param cursor how far its view of the membership reaches
+     * @param settingsPosition the log position of its settings
+     * @return the answer; fails with a LaurelweirException UNREACHABLE if no instance answers
+     */
+    public CompletableFuture<ExchangeAnswer> exchange(
+            SidecarReport report, MembershipCursor cursor, long settingsPosition) {
+        return exchange(
+                request(cursor, settingsPosition).setSidecar(MembershipCodec.toWire(report)));
+    }
+
+    /**
+     * Tells a router's report and asks for what is new.
+     *
+     * @param report what the router tells of itself
+     * @param cursor how far its view of the membership reaches
+     * @param settingsPosition the log position of its settings
+     * @return the answer; fails with a LaurelweirException UNREACHABLE if no instance answers
+     */
+    public CompletableFuture<ExchangeAnswer> exchange(
+            RouterReport report, MembershipCursor cursor, long settingsPosition) {
+        return exchange(
+                request(cursor, settingsPosition).setRouter(MembershipCodec.toWire(report)));
+    }
+
+    /** Returns the bytes sent to control instances since the client was made, framing included. */
+    public long bytesSent() {
+        return mBytes.sent();
+    }
+
+    /** Returns the bytes received from control instances since the client was made. */
+    public long bytesReceived() {
+        return mBytes.received();
+    }
+
+    /** Returns the instance that exchanges go to now. */
+    public synchronized String currentAddress() {
+        return mAddresses.get(mCurrent);
+    }
+
+    private static ExchangeRequest.Builder request(MembershipCursor cursor, long position) {
+        return ExchangeRequest.newBuilder()
+                .setMembership(MembershipCodec.toWire(cursor))
+                .setSettingsPosition(position);
+    }
+
+    private CompletableFuture<ExchangeAnswer> exchange(ExchangeRequest.Builder request) {
+        CompletableFuture<ExchangeAnswer> answer = new CompletableFuture<>();
+        attempt(request.build(), 0, answer);
+        return answer;
+    }
+
+    private void attempt(
+            ExchangeRequest request, int failed, CompletableFuture<ExchangeAnswer> answer) {
+        ManagedChannel channel = channel();
+        if (channel == null) {
+            answer.cancel(false);
+            return;
+        }
+        FutureCallback<ExchangeReply> callback =
+                new FutureCallback<>() {
+                    @Override
+                    public void onSuccess(ExchangeReply reply) {
+                        answer.complete(ExchangeAnswer.of(reply));
+                    }
+
+                    @Override
+                    public void onFailure(Throwable failure) {
+                        leave(channel, failure);
+                        retry(request, failed + 1, answer, failure);
+                    }
+                };
+        Futures.addCallback(
+                ControlServiceGrpc.newFutureStub(channel)
+                        .withDeadlineAfter(mTimeout.toNanos(), TimeUnit.NANOSECONDS)
+                        .exchange(request),
+                callback,
+                MoreExecutors.directExecutor());
+    }
+
+    private void retry(
+            ExchangeRequest request,
+            int failed,
+            CompletableFuture<ExchangeAnswer> answer,
+            Throwable failure) {
+        if (failed < mAddresses.size()) {
+            attempt(request, failed, answer);
+            return;
+        }
+        answer.completeExceptionally(
+                new LaurelweirException(
+                        ResultCode.UNREACHABLE, "no control instance answers", failure));
+    }
+
+    private synchronized ManagedChannel channel() {
+        if (mStopped) {
+            return null;
+        }
+        if (mCurrent != 0 && --mUntilReturn <= 0) {
+            returnToNearest();
+        }
+        if (mChannel == null) {
+            mChannel = open(mAddresses.get(mCurrent));
+        }
+        return mChannel;
+    }
+
+    private void returnToNearest() {
+        if (mChannel != null) {
+            mChannel.shutdown();
+        }
+        mChannel = null;
+        mCurrent = 0;
+    }
+
+    private synchronized void leave(ManagedChannel channel, Throwable failure) {
+        // Several exchanges may have failed over one connection: only the first one moves on.
+        if (channel != mChannel) {
+            return;
+        }
+        sLogger.atInfo().log(
+                "control instance %s does not answer: %s",
+                mAddresses.get(mCurrent), failure.getMessage());
+        mChannel = null;
+        mCurrent = (mCurrent + 1) % mAddresses.size();
+        mUntilReturn = EXCHANGES_BEFORE_RETURN;
+        channel.shutdownNow();
+    }
+
+    private ManagedChannel open(String address) {
+        return NettyChannelBuilder.forTarget("dns:///" + address)
+                .usePlaintext()
+                .eventLoopGroup(mGroup)
+                .channelFactory(this::newCountedChannel)
+                .directExecutor()
+                .build();
+    }
+
+    private NioSocketChannel newCountedChannel() {
+        NioSocketChannel channel = new NioSocketChannel();
+        channel.pipeline().addFirst(mBytes);
+        return channel;
+    }
+
+    @Override
+    public synchronized void stop() {
+        mStopped = true;
+        if (mChannel != null) {
+            mChannel.shutdownNow();
+            mChannel = null;
+        }
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
@@ -0,0 +1,92 @@
+package org.laurelweir.runtime.rpc;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.RouterReport;
+import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ExchangeReply;
+import org.laurelweir.wire.v1.ExchangeRequest;
+
+class ExchangeClientTest {
+    private static final Duration TIMEOUT = Duration.ofMillis(300);
+    private static final RouterReport REPORT = new RouterReport("r", 1, "dc", "region", "", "");
+
+    private final List<Server> mServers = new ArrayList<>();
+
+    @AfterEach
+    void stopServers() {
+        mServers.forEach(Server::shutdownNow);
+    }
+
+    // The nearest control instance takes the connection and never answers. Exchanges time out
+    // there and go to the next instance, so the router's view goes on being refreshed.
+    @Test
+    void goesOnToNextInstanceWhenNearestIsSilent() throws Exception {
+        String silent = serve(false, 0);
+        String answering = serve(true, 7);
+        try (ExchangeClient client = new ExchangeClient(List.of(silent, answering), TIMEOUT)) {
+            ExchangeAnswer answer = exchange(client);
+            assertThat(answer.fence()).isEqualTo(7);
+            assertThat(client.currentAddress()).isEqualTo(answering);
+            assertThat(client.bytesSent()).isPositive();
+            assertThat(client.bytesReceived()).isPositive();
+        }
+    }
+
+    @Test
+    void failsOnceEveryInstanceHasFailed() throws Exception {
+        List<String> silent = List.of(serve(false, 0), serve(false, 0));
+        try (ExchangeClient client = new ExchangeClient(silent, TIMEOUT)) {
+            assertThatThrownBy(() -> exchange(client))
+                    .isInstanceOf(ExecutionException.class)
+                    .hasCauseInstanceOf(LaurelweirException.class);
+        }
+    }
+
+    private static ExchangeAnswer exchange(ExchangeClient client) throws Exception {
+        return client.exchange(REPORT, MembershipCursor.NONE, 0).get(30, TimeUnit.SECONDS);
+    }
+
+    private String serve(boolean answers, long fence) throws IOException {
+        Server server =
+                NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                        .addService(new FakeControl(answers, fence))
+                        .build()
+                        .start();
+        mServers.add(server);
+        return "127.0.0.1:" + server.getPort();
+    }
+
+    private static final class FakeControl extends ControlServiceGrpc.ControlServiceImplBase {
+        private final boolean mAnswers;
+        private final long mFence;
+
+        FakeControl(boolean answers, long fence) {
+            mAnswers = answers;
+            mFence = fence;
+        }
+
+        @Override
+        public void exchange(ExchangeRequest request, StreamObserver<ExchangeReply> reply) {
+            if (mAnswers) {
+                reply.onNext(ExchangeReply.newBuilder().setFence(mFence).build());
+                reply.onCompleted();
+            }
+        }
+    }
+}
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/IdCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/IdCodec.java
@@ -8,7 +8,7 @@
     private IdCodec() {}
 
     /** Returns the message of a backend server's reference. */
-    public static org.laurelweir.wire.v1.BackendRef encode(BackendRef ref) {
+    public static org.laurelweir.wire.v1.BackendRef toWire(BackendRef ref) {
         return org.laurelweir.wire.v1.BackendRef.newBuilder()
                 .setId(ref.id())
                 .setIncarnation(ref.incarnation())
@@ -16,12 +16,12 @@
     }
 
     /** Returns the reference that a message holds. */
-    public static BackendRef decode(org.laurelweir.wire.v1.BackendRef ref) {
+    public static BackendRef toCore(org.laurelweir.wire.v1.BackendRef ref) {
         return new BackendRef(ref.getId(), ref.getIncarnation());
     }
 
     /** Returns the message of an attempt's id. */
-    public static org.laurelweir.wire.v1.AttemptId encode(AttemptId id) {
+    public static org.laurelweir.wire.v1.AttemptId toWire(AttemptId id) {
         return org.laurelweir.wire.v1.AttemptId.newBuilder()
                 .setRouter(id.router())
                 .setRouterIncarnation(id.routerIncarnation())
@@ -31,7 +31,7 @@
     }
 
     /** Returns the attempt's id that a message holds. */
-    public static AttemptId decode(org.laurelweir.wire.v1.AttemptId id) {
+    public static AttemptId toCore(org.laurelweir.wire.v1.AttemptId id) {
         return new AttemptId(
                 id.getRouter(), id.getRouterIncarnation(), id.getRequest(), id.getAttempt());
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
@@ -14,33 +14,33 @@
     private MembershipCodec() {}
 
     /** Returns the message of a backend server. */
-    public static org.laurelweir.wire.v1.Backend encode(Backend b) {
+    public static org.laurelweir.wire.v1.Backend toWire(Backend b) {
         return org.laurelweir.wire.v1.Backend.newBuilder()
-                .setRef(IdCodec.encode(b.ref()))
+                .setRef(IdCodec.toWire(b.ref()))
                 .setService(b.service())
                 .setDataCentre(b.dataCentre())
                 .setRegion(b.region())
                 .setAddress(b.address())
-                .setState(encode(b.state()))
+                .setState(toWire(b.state()))
                 .setWeight(b.weight())
                 .setSession(b.session())
                 .build();
     }
 
     /** Returns the backend server that a message holds. */
-    public static Backend decode(org.laurelweir.wire.v1.Backend b) {
+    public static Backend toCore(org.laurelweir.wire.v1.Backend b) {
         return new Backend(
-                IdCodec.decode(b.getRef()),
+                IdCodec.toCore(b.getRef()),
                 b.getService(),
                 b.getDataCentre(),
                 b.getRegion(),
                 b.getAddress(),
-                decode(b.getState()),
+                toCore(b.getState()),
                 b.getWeight(),
                 b.getSession());
     }
 
-    private static BackendState encode(Backend.State state) {
+    private static BackendState toWire(Backend.State state) {
         return switch (state) {
             case SERVING -> BackendState.SERVING;
             case DRAINING -> BackendState.DRAINING;
@@ -49,7 +49,7 @@
     }
 
     // A state that this version does not know is one in which no new work is sent.
-    private static Backend.State decode(BackendState state) {
+    private static Backend.State toCore(BackendState state) {
         return switch (state) {
             case SERVING -> Backend.State.SERVING;
             case LEFT -> Backend.State.LEFT;
@@ -58,9 +58,9 @@
     }
 
     /** Returns the message of a sidecar's report. */
-    public static org.laurelweir.wire.v1.SidecarReport encode(SidecarReport r) {
+    public static org.laurelweir.wire.v1.SidecarReport toWire(SidecarReport r) {
         return org.laurelweir.wire.v1.SidecarReport.newBuilder()
-                .setBackend(encode(r.backend()))
+                .setBackend(toWire(r.backend()))
                 .setRunningWork(r.runningWork())
                 .setRunning(r.running())
                 .setWaiting(r.waiting())
@@ -68,13 +68,13 @@
     }
 
     /** Returns the report that a message holds. */
-    public static SidecarReport decode(org.laurelweir.wire.v1.SidecarReport r) {
+    public static SidecarReport toCore(org.laurelweir.wire.v1.SidecarReport r) {
         return new SidecarReport(
-                decode(r.getBackend()), r.getRunningWork(), r.getRunning(), r.getWaiting());
+                toCore(r.getBackend()), r.getRunningWork(), r.getRunning(), r.getWaiting());
     }
 
     /** Returns the message of a router's report. */
-    public static org.laurelweir.wire.v1.RouterReport encode(RouterReport r) {
+    public static org.laurelweir.wire.v1.RouterReport toWire(RouterReport r) {
         return org.laurelweir.wire.v1.RouterReport.newBuilder()
                 .setName(r.name())
                 .setIncarnation(r.incarnation())
@@ -86,7 +86,7 @@
     }
 
     /** Returns the report that a message holds. */
-    public static RouterReport decode(org.laurelweir.wire.v1.RouterReport r) {
+    public static RouterReport toCore(org.laurelweir.wire.v1.RouterReport r) {
         return new RouterReport(
                 r.getName(),
                 r.getIncarnation(),
@@ -97,7 +97,7 @@
     }
 
     /** Returns the message of a cursor. */
-    public static org.laurelweir.wire.v1.MembershipCursor encode(MembershipCursor c) {
+    public static org.laurelweir.wire.v1.MembershipCursor toWire(MembershipCursor c) {
         return org.laurelweir.wire.v1.MembershipCursor.newBuilder()
                 .setControl(c.control())
                 .setControlIncarnation(c.controlIncarnation())
@@ -106,29 +106,28 @@
     }
 
     /** Returns the cursor that a message holds. */
-    public static MembershipCursor decode(org.laurelweir.wire.v1.MembershipCursor c) {
+    public static MembershipCursor toCore(org.laurelweir.wire.v1.MembershipCursor c) {
         return new MembershipCursor(c.getControl(), c.getControlIncarnation(), c.getVersion());
     }
 
     /** Returns the message of a delta. */
-    public static org.laurelweir.wire.v1.MembershipDelta encode(MembershipDelta d) {
+    public static org.laurelweir.wire.v1.MembershipDelta toWire(MembershipDelta d) {
         org.laurelweir.wire.v1.MembershipDelta.Builder builder =
                 org.laurelweir.wire.v1.MembershipDelta.newBuilder()
-                        .setCursor(encode(d.cursor()))
+                        .setCursor(toWire(d.cursor()))
                         .setFull(d.full());
-        d.backends().forEach(b -> builder.addBackends(encode(b)));
+        d.backends().forEach(b -> builder.addBackends(toWire(b)));
         return builder.build();
     }
 
     /** Returns the delta that a message holds. */
-    public static MembershipDelta decode(org.laurelweir.wire.v1.MembershipDelta d) {
-        List<Backend> backends =
-                d.getBackendsList().stream().map(MembershipCodec::decode).toList();
-        return new MembershipDelta(decode(d.getCursor()), d.getFull(), backends);
+    public static MembershipDelta toCore(org.laurelweir.wire.v1.MembershipDelta d) {
+        List<Backend> backends = d.getBackendsList().stream().map(MembershipCodec::toCore).toList();
+        return new MembershipDelta(toCore(d.getCursor()), d.getFull(), backends);
     }
 
     /** Returns the message of a service's load. */
-    public static org.laurelweir.wire.v1.ServiceLoad encode(ServiceLoad l) {
+    public static org.laurelweir.wire.v1.ServiceLoad toWire(ServiceLoad l) {
         return org.laurelweir.wire.v1.ServiceLoad.newBuilder()
                 .setService(l.service())
                 .setMeanWork(l.meanWork())
@@ -137,7 +136,7 @@
     }
 
     /** Returns the load that a message holds. */
-    public static ServiceLoad decode(org.laurelweir.wire.v1.ServiceLoad l) {
+    public static ServiceLoad toCore(org.laurelweir.wire.v1.ServiceLoad l) {
         return new ServiceLoad(l.getService(), l.getMeanWork(), l.getBackends());
     }
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/package-info.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/package-info.java
@@ -1,5 +1,2 @@
-/**
- * Conversions between the core's records and the messages on the network and in the log. The
- * messages themselves are generated into {@code org.laurelweir.wire.v1}.
- */
+/** Conversions between the core's records and the generated messages between processes. */
 package org.laurelweir.wire;
