--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
@@ -36,6 +36,11 @@
         return new Backend(ref, service, dataCentre, region, address, newState, weight, session);
     }
 
+    /** Returns whether both announcements are of the same run and session of the same sidecar. */
+    public boolean isSameSession(Backend other) {
+        return ref.equals(other.ref) && session == other.session;
+    }
+
     /**
      * Returns whether this announcement is newer than another of the same backend server. A later
      * incarnation wins, then a later session, then the state that is further towards leaving: a
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipListener.java
@@ -0,0 +1,13 @@
+package org.laurelweir.membership;
+
+/** Told of each change of the membership, for the log. */
+@FunctionalInterface
+public interface MembershipListener {
+    /**
+     * Called after a change.
+     *
+     * @param backend as it is now
+     * @param reason why, one of a few fixed words
+     */
+    void changed(Backend backend, String reason);
+}
