--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReplyOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReplyOrBuilder.java
@@ -70,4 +70,19 @@
    */
   org.laurelweir.wire.v1.RouterStatusOrBuilder getRoutersOrBuilder(
       int index);
+
+  /**
+   * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+   * @return Whether the status field is set.
+   */
+  boolean hasStatus();
+  /**
+   * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+   * @return The status.
+   */
+  org.laurelweir.wire.v1.ControlStatus getStatus();
+  /**
+   * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+   */
+  org.laurelweir.wire.v1.ControlStatusOrBuilder getStatusOrBuilder();
 }
