--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReply.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReply.java
@@ -245,6 +245,21 @@
     return controls_.getByteString(index);
   }
 
+  public static final int LEAST_SESSION_FIELD_NUMBER = 9;
+  private int leastSession_ = 0;
+  /**
+   * <pre>
+   * The least session under which this sidecar is heard (sidecars only).
+   * </pre>
+   *
+   * <code>uint32 least_session = 9;</code>
+   * @return The leastSession.
+   */
+  @java.lang.Override
+  public int getLeastSession() {
+    return leastSession_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -283,6 +298,9 @@
     for (int i = 0; i < controls_.size(); i++) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 8, controls_.getRaw(i));
     }
+    if (leastSession_ != 0) {
+      output.writeUInt32(9, leastSession_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -328,6 +346,10 @@
       size += dataSize;
       size += 1 * getControlsList().size();
     }
+    if (leastSession_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(9, leastSession_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -365,6 +387,8 @@
         != other.getFence()) return false;
     if (!getControlsList()
         .equals(other.getControlsList())) return false;
+    if (getLeastSession()
+        != other.getLeastSession()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -403,6 +427,8 @@
       hash = (37 * hash) + CONTROLS_FIELD_NUMBER;
       hash = (53 * hash) + getControlsList().hashCode();
     }
+    hash = (37 * hash) + LEAST_SESSION_FIELD_NUMBER;
+    hash = (53 * hash) + getLeastSession();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -565,6 +591,7 @@
       fence_ = 0L;
       controls_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      leastSession_ = 0;
       return this;
     }
 
@@ -640,6 +667,9 @@
         controls_.makeImmutable();
         result.controls_ = controls_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.leastSession_ = leastSession_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -741,6 +771,9 @@
         }
         onChanged();
       }
+      if (other.getLeastSession() != 0) {
+        setLeastSession(other.getLeastSession());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -820,6 +853,11 @@
               controls_.add(s);
               break;
             } // case 66
+            case 72: {
+              leastSession_ = input.readUInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1629,6 +1667,50 @@
       onChanged();
       return this;
     }
+
+    private int leastSession_ ;
+    /**
+     * <pre>
+     * The least session under which this sidecar is heard (sidecars only).
+     * </pre>
+     *
+     * <code>uint32 least_session = 9;</code>
+     * @return The leastSession.
+     */
+    @java.lang.Override
+    public int getLeastSession() {
+      return leastSession_;
+    }
+    /**
+     * <pre>
+     * The least session under which this sidecar is heard (sidecars only).
+     * </pre>
+     *
+     * <code>uint32 least_session = 9;</code>
+     * @param value The leastSession to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeastSession(int value) {
+
+      leastSession_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The least session under which this sidecar is heard (sidecars only).
+     * </pre>
+     *
+     * <code>uint32 least_session = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeastSession() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      leastSession_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/PeerServiceGrpc.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/PeerServiceGrpc.java
@@ -49,6 +49,37 @@
     return getShareMembershipMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.laurelweir.wire.v1.AnnounceRequest,
+      org.laurelweir.wire.v1.AnnounceReply> getAnnounceMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Announce",
+      requestType = org.laurelweir.wire.v1.AnnounceRequest.class,
+      responseType = org.laurelweir.wire.v1.AnnounceReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.laurelweir.wire.v1.AnnounceRequest,
+      org.laurelweir.wire.v1.AnnounceReply> getAnnounceMethod() {
+    io.grpc.MethodDescriptor<org.laurelweir.wire.v1.AnnounceRequest, org.laurelweir.wire.v1.AnnounceReply> getAnnounceMethod;
+    if ((getAnnounceMethod = PeerServiceGrpc.getAnnounceMethod) == null) {
+      synchronized (PeerServiceGrpc.class) {
+        if ((getAnnounceMethod = PeerServiceGrpc.getAnnounceMethod) == null) {
+          PeerServiceGrpc.getAnnounceMethod = getAnnounceMethod =
+              io.grpc.MethodDescriptor.<org.laurelweir.wire.v1.AnnounceRequest, org.laurelweir.wire.v1.AnnounceReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Announce"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.laurelweir.wire.v1.AnnounceRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.laurelweir.wire.v1.AnnounceReply.getDefaultInstance()))
+              .setSchemaDescriptor(new PeerServiceMethodDescriptorSupplier("Announce"))
+              .build();
+        }
+      }
+    }
+    return getAnnounceMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -107,6 +138,16 @@
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getShareMembershipMethod(), responseObserver);
     }
 
+    /**
+     * <pre>
+     * Passes on at once that backend servers drain or left, ahead of the peer's next question.
+     * </pre>
+     */
+    public void announce(org.laurelweir.wire.v1.AnnounceRequest request,
+        io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.AnnounceReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getAnnounceMethod(), responseObserver);
+    }
+
     @java.lang.Override public final io.grpc.ServerServiceDefinition bindService() {
       return io.grpc.ServerServiceDefinition.builder(getServiceDescriptor())
           .addMethod(
@@ -116,6 +157,13 @@
                 org.laurelweir.wire.v1.ShareMembershipRequest,
                 org.laurelweir.wire.v1.ShareMembershipReply>(
                   this, METHODID_SHARE_MEMBERSHIP)))
+          .addMethod(
+            getAnnounceMethod(),
+            io.grpc.stub.ServerCalls.asyncUnaryCall(
+              new MethodHandlers<
+                org.laurelweir.wire.v1.AnnounceRequest,
+                org.laurelweir.wire.v1.AnnounceReply>(
+                  this, METHODID_ANNOUNCE)))
           .build();
     }
   }
@@ -144,6 +192,17 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getShareMembershipMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * Passes on at once that backend servers drain or left, ahead of the peer's next question.
+     * </pre>
+     */
+    public void announce(org.laurelweir.wire.v1.AnnounceRequest request,
+        io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.AnnounceReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getAnnounceMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -169,6 +228,16 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getShareMembershipMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Passes on at once that backend servers drain or left, ahead of the peer's next question.
+     * </pre>
+     */
+    public org.laurelweir.wire.v1.AnnounceReply announce(org.laurelweir.wire.v1.AnnounceRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getAnnounceMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -195,9 +264,21 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getShareMembershipMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * Passes on at once that backend servers drain or left, ahead of the peer's next question.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.laurelweir.wire.v1.AnnounceReply> announce(
+        org.laurelweir.wire.v1.AnnounceRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getAnnounceMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_SHARE_MEMBERSHIP = 0;
+  private static final int METHODID_ANNOUNCE = 1;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -220,6 +301,10 @@
           serviceImpl.shareMembership((org.laurelweir.wire.v1.ShareMembershipRequest) request,
               (io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.ShareMembershipReply>) responseObserver);
           break;
+        case METHODID_ANNOUNCE:
+          serviceImpl.announce((org.laurelweir.wire.v1.AnnounceRequest) request,
+              (io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.AnnounceReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -282,6 +367,7 @@
           serviceDescriptor = result = io.grpc.ServiceDescriptor.newBuilder(SERVICE_NAME)
               .setSchemaDescriptor(new PeerServiceFileDescriptorSupplier())
               .addMethod(getShareMembershipMethod())
+              .addMethod(getAnnounceMethod())
               .build();
         }
       }
