--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ControlServiceGrpc.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ControlServiceGrpc.java
@@ -297,6 +297,37 @@
     return getStatusMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.laurelweir.wire.v1.ChangeMembersRequest,
+      org.laurelweir.wire.v1.ChangeMembersReply> getChangeMembersMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "ChangeMembers",
+      requestType = org.laurelweir.wire.v1.ChangeMembersRequest.class,
+      responseType = org.laurelweir.wire.v1.ChangeMembersReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.laurelweir.wire.v1.ChangeMembersRequest,
+      org.laurelweir.wire.v1.ChangeMembersReply> getChangeMembersMethod() {
+    io.grpc.MethodDescriptor<org.laurelweir.wire.v1.ChangeMembersRequest, org.laurelweir.wire.v1.ChangeMembersReply> getChangeMembersMethod;
+    if ((getChangeMembersMethod = ControlServiceGrpc.getChangeMembersMethod) == null) {
+      synchronized (ControlServiceGrpc.class) {
+        if ((getChangeMembersMethod = ControlServiceGrpc.getChangeMembersMethod) == null) {
+          ControlServiceGrpc.getChangeMembersMethod = getChangeMembersMethod =
+              io.grpc.MethodDescriptor.<org.laurelweir.wire.v1.ChangeMembersRequest, org.laurelweir.wire.v1.ChangeMembersReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "ChangeMembers"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.laurelweir.wire.v1.ChangeMembersRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.laurelweir.wire.v1.ChangeMembersReply.getDefaultInstance()))
+              .setSchemaDescriptor(new ControlServiceMethodDescriptorSupplier("ChangeMembers"))
+              .build();
+        }
+      }
+    }
+    return getChangeMembersMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -420,6 +451,16 @@
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getStatusMethod(), responseObserver);
     }
 
+    /**
+     * <pre>
+     * One step of replacing a control instance's replica; only one may be under way.
+     * </pre>
+     */
+    public void changeMembers(org.laurelweir.wire.v1.ChangeMembersRequest request,
+        io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.ChangeMembersReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getChangeMembersMethod(), responseObserver);
+    }
+
     @java.lang.Override public final io.grpc.ServerServiceDefinition bindService() {
       return io.grpc.ServerServiceDefinition.builder(getServiceDescriptor())
           .addMethod(
@@ -485,6 +526,13 @@
                 org.laurelweir.wire.v1.StatusRequest,
                 org.laurelweir.wire.v1.StatusReply>(
                   this, METHODID_STATUS)))
+          .addMethod(
+            getChangeMembersMethod(),
+            io.grpc.stub.ServerCalls.asyncUnaryCall(
+              new MethodHandlers<
+                org.laurelweir.wire.v1.ChangeMembersRequest,
+                org.laurelweir.wire.v1.ChangeMembersReply>(
+                  this, METHODID_CHANGE_MEMBERS)))
           .build();
     }
   }
@@ -586,6 +634,17 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getStatusMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * One step of replacing a control instance's replica; only one may be under way.
+     * </pre>
+     */
+    public void changeMembers(org.laurelweir.wire.v1.ChangeMembersRequest request,
+        io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.ChangeMembersReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getChangeMembersMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -676,6 +735,16 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getStatusMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * One step of replacing a control instance's replica; only one may be under way.
+     * </pre>
+     */
+    public org.laurelweir.wire.v1.ChangeMembersReply changeMembers(org.laurelweir.wire.v1.ChangeMembersRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getChangeMembersMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -775,6 +844,17 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getStatusMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * One step of replacing a control instance's replica; only one may be under way.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.laurelweir.wire.v1.ChangeMembersReply> changeMembers(
+        org.laurelweir.wire.v1.ChangeMembersRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getChangeMembersMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_EXCHANGE = 0;
@@ -786,6 +866,7 @@
   private static final int METHODID_DRAIN = 6;
   private static final int METHODID_ISSUE_FENCE = 7;
   private static final int METHODID_STATUS = 8;
+  private static final int METHODID_CHANGE_MEMBERS = 9;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -840,6 +921,10 @@
           serviceImpl.status((org.laurelweir.wire.v1.StatusRequest) request,
               (io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.StatusReply>) responseObserver);
           break;
+        case METHODID_CHANGE_MEMBERS:
+          serviceImpl.changeMembers((org.laurelweir.wire.v1.ChangeMembersRequest) request,
+              (io.grpc.stub.StreamObserver<org.laurelweir.wire.v1.ChangeMembersReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -910,6 +995,7 @@
               .addMethod(getDrainMethod())
               .addMethod(getIssueFenceMethod())
               .addMethod(getStatusMethod())
+              .addMethod(getChangeMembersMethod())
               .build();
         }
       }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReplyOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReplyOrBuilder.java
@@ -138,4 +138,14 @@
    */
   com.google.protobuf.ByteString
       getControlsBytes(int index);
+
+  /**
+   * <pre>
+   * The least session under which this sidecar is heard (sidecars only).
+   * </pre>
+   *
+   * <code>uint32 least_session = 9;</code>
+   * @return The leastSession.
+   */
+  int getLeastSession();
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequest.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequest.java
@@ -118,6 +118,21 @@
     return cursor_ == null ? org.laurelweir.wire.v1.MembershipCursor.getDefaultInstance() : cursor_;
   }
 
+  public static final int WITH_ROUTERS_FIELD_NUMBER = 3;
+  private boolean withRouters_ = false;
+  /**
+   * <pre>
+   * Routers as well, for operators; asked for less often.
+   * </pre>
+   *
+   * <code>bool with_routers = 3;</code>
+   * @return The withRouters.
+   */
+  @java.lang.Override
+  public boolean getWithRouters() {
+    return withRouters_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +153,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(2, getCursor());
     }
+    if (withRouters_ != false) {
+      output.writeBool(3, withRouters_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -154,6 +172,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, getCursor());
     }
+    if (withRouters_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, withRouters_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +198,8 @@
       if (!getCursor()
           .equals(other.getCursor())) return false;
     }
+    if (getWithRouters()
+        != other.getWithRouters()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +217,9 @@
       hash = (37 * hash) + CURSOR_FIELD_NUMBER;
       hash = (53 * hash) + getCursor().hashCode();
     }
+    hash = (37 * hash) + WITH_ROUTERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWithRouters());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -336,6 +363,7 @@
         cursorBuilder_.dispose();
         cursorBuilder_ = null;
       }
+      withRouters_ = false;
       return this;
     }
 
@@ -379,6 +407,9 @@
             : cursorBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.withRouters_ = withRouters_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -434,6 +465,9 @@
       if (other.hasCursor()) {
         mergeCursor(other.getCursor());
       }
+      if (other.getWithRouters() != false) {
+        setWithRouters(other.getWithRouters());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -472,6 +506,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              withRouters_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -717,6 +756,50 @@
       }
       return cursorBuilder_;
     }
+
+    private boolean withRouters_ ;
+    /**
+     * <pre>
+     * Routers as well, for operators; asked for less often.
+     * </pre>
+     *
+     * <code>bool with_routers = 3;</code>
+     * @return The withRouters.
+     */
+    @java.lang.Override
+    public boolean getWithRouters() {
+      return withRouters_;
+    }
+    /**
+     * <pre>
+     * Routers as well, for operators; asked for less often.
+     * </pre>
+     *
+     * <code>bool with_routers = 3;</code>
+     * @param value The withRouters to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithRouters(boolean value) {
+
+      withRouters_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers as well, for operators; asked for less often.
+     * </pre>
+     *
+     * <code>bool with_routers = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithRouters() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      withRouters_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequestOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequestOrBuilder.java
@@ -46,4 +46,14 @@
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
    */
   org.laurelweir.wire.v1.MembershipCursorOrBuilder getCursorOrBuilder();
+
+  /**
+   * <pre>
+   * Routers as well, for operators; asked for less often.
+   * </pre>
+   *
+   * <code>bool with_routers = 3;</code>
+   * @return The withRouters.
+   */
+  boolean getWithRouters();
 }
