--- /dev/null
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Conversions between the core's records and the generated messages between processes. */
+package org.laurelweir.wire;
