--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReply.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReply.java
@@ -150,6 +150,32 @@
     return routers_.get(index);
   }
 
+  public static final int STATUS_FIELD_NUMBER = 4;
+  private org.laurelweir.wire.v1.ControlStatus status_;
+  /**
+   * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+   * @return Whether the status field is set.
+   */
+  @java.lang.Override
+  public boolean hasStatus() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+   * @return The status.
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ControlStatus getStatus() {
+    return status_ == null ? org.laurelweir.wire.v1.ControlStatus.getDefaultInstance() : status_;
+  }
+  /**
+   * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ControlStatusOrBuilder getStatusOrBuilder() {
+    return status_ == null ? org.laurelweir.wire.v1.ControlStatus.getDefaultInstance() : status_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +199,9 @@
     for (int i = 0; i < routers_.size(); i++) {
       output.writeMessage(3, routers_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(4, getStatus());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -194,6 +223,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, routers_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, getStatus());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -218,6 +251,11 @@
         .equals(other.getSumsList())) return false;
     if (!getRoutersList()
         .equals(other.getRoutersList())) return false;
+    if (hasStatus() != other.hasStatus()) return false;
+    if (hasStatus()) {
+      if (!getStatus()
+          .equals(other.getStatus())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -241,6 +279,10 @@
       hash = (37 * hash) + ROUTERS_FIELD_NUMBER;
       hash = (53 * hash) + getRoutersList().hashCode();
     }
+    if (hasStatus()) {
+      hash = (37 * hash) + STATUS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatus().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -374,6 +416,7 @@
         getDeltaFieldBuilder();
         getSumsFieldBuilder();
         getRoutersFieldBuilder();
+        getStatusFieldBuilder();
       }
     }
     @java.lang.Override
@@ -399,6 +442,11 @@
         routersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      status_ = null;
+      if (statusBuilder_ != null) {
+        statusBuilder_.dispose();
+        statusBuilder_ = null;
+      }
       return this;
     }
 
@@ -461,6 +509,12 @@
             : deltaBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.status_ = statusBuilder_ == null
+            ? status_
+            : statusBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -563,6 +617,9 @@
           }
         }
       }
+      if (other.hasStatus()) {
+        mergeStatus(other.getStatus());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -622,6 +679,13 @@
               }
               break;
             } // case 26
+            case 34: {
+              input.readMessage(
+                  getStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1239,6 +1303,127 @@
       }
       return routersBuilder_;
     }
+
+    private org.laurelweir.wire.v1.ControlStatus status_;
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.ControlStatus, org.laurelweir.wire.v1.ControlStatus.Builder, org.laurelweir.wire.v1.ControlStatusOrBuilder> statusBuilder_;
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     * @return Whether the status field is set.
+     */
+    public boolean hasStatus() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     * @return The status.
+     */
+    public org.laurelweir.wire.v1.ControlStatus getStatus() {
+      if (statusBuilder_ == null) {
+        return status_ == null ? org.laurelweir.wire.v1.ControlStatus.getDefaultInstance() : status_;
+      } else {
+        return statusBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    public Builder setStatus(org.laurelweir.wire.v1.ControlStatus value) {
+      if (statusBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        status_ = value;
+      } else {
+        statusBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    public Builder setStatus(
+        org.laurelweir.wire.v1.ControlStatus.Builder builderForValue) {
+      if (statusBuilder_ == null) {
+        status_ = builderForValue.build();
+      } else {
+        statusBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    public Builder mergeStatus(org.laurelweir.wire.v1.ControlStatus value) {
+      if (statusBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0) &&
+          status_ != null &&
+          status_ != org.laurelweir.wire.v1.ControlStatus.getDefaultInstance()) {
+          getStatusBuilder().mergeFrom(value);
+        } else {
+          status_ = value;
+        }
+      } else {
+        statusBuilder_.mergeFrom(value);
+      }
+      if (status_ != null) {
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    public Builder clearStatus() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      status_ = null;
+      if (statusBuilder_ != null) {
+        statusBuilder_.dispose();
+        statusBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    public org.laurelweir.wire.v1.ControlStatus.Builder getStatusBuilder() {
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return getStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    public org.laurelweir.wire.v1.ControlStatusOrBuilder getStatusOrBuilder() {
+      if (statusBuilder_ != null) {
+        return statusBuilder_.getMessageOrBuilder();
+      } else {
+        return status_ == null ?
+            org.laurelweir.wire.v1.ControlStatus.getDefaultInstance() : status_;
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.ControlStatus status = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.ControlStatus, org.laurelweir.wire.v1.ControlStatus.Builder, org.laurelweir.wire.v1.ControlStatusOrBuilder> 
+        getStatusFieldBuilder() {
+      if (statusBuilder_ == null) {
+        statusBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.laurelweir.wire.v1.ControlStatus, org.laurelweir.wire.v1.ControlStatus.Builder, org.laurelweir.wire.v1.ControlStatusOrBuilder>(
+                getStatus(),
+                getParentForChildren(),
+                isClean());
+        status_ = null;
+      }
+      return statusBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
