--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
@@ -0,0 +1,89 @@
+package org.laurelweir.router;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.laurelweir.router.rpc.ClaimCalls;
+import org.laurelweir.router.rpc.ControlExchange;
+import org.laurelweir.router.rpc.DecisionRing;
+import org.laurelweir.router.rpc.SidecarCalls;
+import org.laurelweir.routing.RouterEffect;
+import org.laurelweir.runtime.log.DecisionLog;
+
+/** Carries the decisions out. Only the decision loop's thread calls it. */
+final class Effects implements Consumer<RouterEffect> {
+    private final Callers mCallers;
+    private final SidecarCalls mSidecars;
+    private final ClaimCalls mClaims;
+    private final ControlExchange mExchange;
+    private final DecisionRing mRing;
+    private final RouterMetrics mMetrics;
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+
+    Effects(
+            Callers callers,
+            SidecarCalls sidecars,
+            ClaimCalls claims,
+            ControlExchange exchange,
+            DecisionRing ring,
+            RouterMetrics metrics) {
+        mCallers = callers;
+        mSidecars = sidecars;
+        mClaims = claims;
+        mExchange = exchange;
+        mRing = ring;
+        mMetrics = metrics;
+    }
+
+    /** Returns what opens once everything in flight has ended after a stop was requested. */
+    CountDownLatch stopped() {
+        return mStopped;
+    }
+
+    @Override
+    public void accept(RouterEffect effect) {
+        if (effect instanceof RouterEffect.AnswerHead e) {
+            mCallers.head(e);
+        } else if (effect instanceof RouterEffect.AnswerData e) {
+            mCallers.data(e);
+        } else if (effect instanceof RouterEffect.AnswerEnd e) {
+            mCallers.end(e);
+        } else if (effect instanceof RouterEffect.AnswerError e) {
+            mCallers.error(e);
+        } else if (effect instanceof RouterEffect.SendExchange e) {
+            mExchange.send(e.cursor());
+        } else if (effect instanceof RouterEffect.Decided e) {
+            DecisionLog.write(e.decision());
+            mRing.add(e.decision());
+        } else if (effect instanceof RouterEffect.Stopped) {
+            mStopped.countDown();
+        } else {
+            onAttemptEffect(effect);
+        }
+    }
+
+    private void onAttemptEffect(RouterEffect effect) {
+        if (effect instanceof RouterEffect.BeginAttempt e) {
+            mMetrics.did(e.request().id().attempt() == 1 ? "first_attempt" : "further_attempt");
+            mSidecars.begin(e);
+        } else if (effect instanceof RouterEffect.ResumeAttempt e) {
+            mMetrics.did("resume");
+            mSidecars.resume(e);
+        } else if (effect instanceof RouterEffect.Acknowledge e) {
+            mSidecars.acknowledge(e);
+        } else if (effect instanceof RouterEffect.CancelAttempt e) {
+            mMetrics.did("cancel");
+            mSidecars.cancel(e);
+        } else if (effect instanceof RouterEffect.DropStream e) {
+            mMetrics.did("drop_stream");
+            mSidecars.drop(e);
+        } else if (effect instanceof RouterEffect.Revoke e) {
+            mMetrics.did("revoke");
+            mSidecars.revoke(e);
+        } else if (effect instanceof RouterEffect.Claim e) {
+            mMetrics.did("claim");
+            mClaims.claim(e);
+        } else if (effect instanceof RouterEffect.SettleClaim e) {
+            mClaims.settle(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -0,0 +1,51 @@
+package org.laurelweir.router;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.laurelweir.runtime.config.Default;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.config.ProgramName;
+import org.laurelweir.runtime.config.Range;
+import org.laurelweir.runtime.config.Required;
+import org.laurelweir.runtime.log.LogSettings;
+
+/**
+ * A router's own settings file. What holds for callers comes from control's settings tree.
+ *
+ * @param name unique in the deployment
+ * @param region where it stands
+ * @param dataCentre where it stands
+ * @param listen where callers reach it; with port 0 the operating system chooses
+ * @param portFile where to write the callers' port
+ * @param explainListen where the command line reaches it
+ * @param metricsListen where metrics, health and readiness are served
+ * @param metricsPortFile where to write their port
+ * @param controls control instances, the nearest first
+ * @param exchangeInterval how often control is asked
+ * @param threads event loops for connections
+ * @param chatSeats how many chats it remembers the last backend server of
+ * @param decisions how many decisions it keeps for {@code explain}
+ * @param seed of the jitter of retries; 0 takes one from the start's time
+ * @param stopTimeout how long requests in flight may take once it is told to stop
+ * @param log how to log
+ */
+@ProgramName("router")
+public record RouterFile(
+        @Required String name,
+        @Required String region,
+        @Required String dataCentre,
+        @Required Endpoint listen,
+        Optional<Path> portFile,
+        @Default("127.0.0.1:0") Endpoint explainListen,
+        @Default("127.0.0.1:0") Endpoint metricsListen,
+        Optional<Path> metricsPortFile,
+        @Required List<Endpoint> controls,
+        @Default("1s") @Range(min = "100ms", max = "10s") Duration exchangeInterval,
+        @Default("2") @Range(min = "1", max = "64") int threads,
+        @Default("65536") @Range(min = "2", max = "16777216") int chatSeats,
+        @Default("2048") @Range(min = "1", max = "1000000") int decisions,
+        @Default("0") long seed,
+        @Default("10m") @Range(min = "0s", max = "1d") Duration stopTimeout,
+        LogSettings log) {}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -0,0 +1,43 @@
+package org.laurelweir.router;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.metrics.MetricNames;
+
+/** What a router counts. */
+final class RouterMetrics {
+    private final MetricRegistry mRegistry;
+
+    RouterMetrics(MetricRegistry registry) {
+        mRegistry = registry;
+    }
+
+    /** Counts a final answer. */
+    void answered(ResultCode code) {
+        String name = code.name().toLowerCase(Locale.ROOT);
+        mRegistry.counter(MetricNames.labelled("router.answers", "code", name)).inc();
+    }
+
+    /** Counts something that was done about a request, such as a retry. */
+    void did(String what) {
+        mRegistry.counter(MetricNames.labelled("router.actions", "kind", what)).inc();
+    }
+
+    /** Shows how many requests are in flight. */
+    void showInFlight(Supplier<Integer> count) {
+        Gauge<Integer> gauge = count::get;
+        mRegistry.register("router.requests.in.flight", gauge);
+    }
+
+    /** Shows the bytes exchanged with control. */
+    void showControlBytes(Supplier<Long> sent, Supplier<Long> received) {
+        Gauge<Long> out = sent::get;
+        Gauge<Long> in = received::get;
+        mRegistry.register(
+                MetricNames.labelled("router.exchange.bytes", "direction", "out"), out);
+        mRegistry.register(MetricNames.labelled("router.exchange.bytes", "direction", "in"), in);
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -0,0 +1,230 @@
+package org.laurelweir.router;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.membership.RouterReport;
+import org.laurelweir.router.http.CallerServer;
+import org.laurelweir.router.http.Limits;
+import org.laurelweir.router.request.ModelList;
+import org.laurelweir.router.request.RequestResolver;
+import org.laurelweir.router.rpc.ClaimCalls;
+import org.laurelweir.router.rpc.ControlExchange;
+import org.laurelweir.router.rpc.DecisionRing;
+import org.laurelweir.router.rpc.ExplainService;
+import org.laurelweir.router.rpc.SidecarCalls;
+import org.laurelweir.routing.RouterConfig;
+import org.laurelweir.routing.RouterEffect;
+import org.laurelweir.routing.RouterEvent;
+import org.laurelweir.routing.RouterReducer;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.log.Logging;
+import org.laurelweir.runtime.loop.ReducerLoop;
+import org.laurelweir.runtime.metrics.MetricsServer;
+import org.laurelweir.runtime.process.Program;
+import org.laurelweir.runtime.rpc.Channels;
+import org.laurelweir.runtime.rpc.EventLoops;
+import org.laurelweir.runtime.rpc.ExchangeClient;
+import org.laurelweir.runtime.rpc.PortFile;
+import org.laurelweir.runtime.rpc.RpcServer;
+import org.laurelweir.runtime.rpc.TrafficCounters;
+import org.laurelweir.settings.EffectiveSettings;
+import org.laurelweir.settings.SettingKeys;
+import org.laurelweir.settings.SettingsLookup;
+
+/** A router with all of its parts. */
+public final class RouterProgram implements Service {
+    private static final Duration TICK = Duration.ofMillis(5);
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration REVOKE_TIMEOUT = Duration.ofSeconds(1);
+
+    private final RouterFile mFile;
+    private final InstantSource mClock;
+    private final Consumer<String> mOut;
+    private final Logging mLogging;
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final RouterMetrics mMetrics = new RouterMetrics(mRegistry);
+    private final SettingsLookup mSettings;
+    private final RouterConfig mConfig;
+    private final EventLoops mLoops;
+    private final Channels mChannels;
+    private final ExchangeClient mExchangeClient;
+    private final CallerServer mCallerServer;
+    private final Callers mCallers;
+    private final DecisionRing mRing;
+    private final RpcServer mExplainServer;
+    private ReducerLoop<RouterEvent, RouterEffect> mLoop;
+    private Effects mEffects;
+    private ControlExchange mExchange;
+    private MetricsServer mMetricsServer;
+
+    /**
+     * Creates a router; it listens once started.
+     *
+     * @param file its settings file
+     * @param clock the time
+     * @param out takes the line that tells where it listens
+     */
+    public RouterProgram(RouterFile file, InstantSource clock, Consumer<String> out) {
+        mFile = file;
+        mClock = clock;
+        mOut = out;
+        mLogging = new Logging(file.log());
+        mSettings = new SettingsLookup(file.region(), file.dataCentre());
+        mConfig = config(file, clock.instant());
+        mLoops = new EventLoops("router-io", file.threads());
+        TrafficCounters traffic = new TrafficCounters(mRegistry);
+        mChannels = Channels.builder(mLoops, traffic).build();
+        mExchangeClient = new ExchangeClient(controls(), CONTROL_TIMEOUT);
+        mCallers =
+                new Callers(
+                        new RequestResolver(mSettings),
+                        new ModelList(mSettings),
+                        this::offer,
+                        mMetrics);
+        mCallerServer =
+                new CallerServer(
+                        mLoops, file.listen(), mCallers, this::limits, this::requestName);
+        mRing = new DecisionRing(file.decisions());
+        mExplainServer =
+                RpcServer.builder(mLoops, traffic)
+                        .listen(file.explainListen().host(), file.explainListen().port())
+                        .service(new ExplainService(mRing))
+                        .build();
+    }
+
+    private static RouterConfig config(RouterFile file, Instant started) {
+        long incarnation = started.toEpochMilli();
+        long seed = file.seed() == 0 ? incarnation : file.seed();
+        return new RouterConfig(
+                file.name(), incarnation, seed, file.exchangeInterval(), file.chatSeats());
+    }
+
+    private List<String> controls() {
+        return mFile.controls().stream().map(Endpoint::toString).toList();
+    }
+
+    private void offer(RouterEvent event) {
+        mLoop.offer(event);
+    }
+
+    private String requestName(long caller) {
+        return new AttemptId(mConfig.name(), mConfig.incarnation(), caller, 1).requestName();
+    }
+
+    private Limits limits() {
+        EffectiveSettings s = mSettings.effective(null, null);
+        return new Limits(
+                s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(),
+                (int) s.get(SettingKeys.LIMIT_HEADER_BYTES).bytes(),
+                s.get(SettingKeys.LIMIT_CONNECTIONS),
+                s.get(SettingKeys.LIMIT_REQUEST_TIME));
+    }
+
+    @Override
+    public void start() {
+        mLogging.start();
+        mChannels.start();
+        mExplainServer.start();
+        mCallerServer.start();
+        startDeciding();
+        startMetrics();
+        Endpoint endpoint = mCallerServer.endpoint();
+        mFile.portFile().ifPresent(f -> PortFile.write(f, endpoint.port()));
+        mOut.accept("listening on " + endpoint);
+    }
+
+    private void startDeciding() {
+        SidecarCalls sidecars = new SidecarCalls(mChannels, REVOKE_TIMEOUT, this::offer);
+        ClaimCalls claims = new ClaimCalls(mChannels, controls(), CONTROL_TIMEOUT, this::offer);
+        mExchange =
+                new ControlExchange(
+                        mExchangeClient,
+                        report(),
+                        mSettings,
+                        this::offer,
+                        claims::useControls,
+                        mClock);
+        mEffects = new Effects(mCallers, sidecars, claims, mExchange, mRing, mMetrics);
+        RouterReducer reducer = new RouterReducer(mConfig);
+        mLoop =
+                new ReducerLoop<>(
+                        "router-decide",
+                        (now, event, effects) -> {
+                            reducer.step(now, event, effects);
+                            sidecars.after(event);
+                        },
+                        mClock,
+                        new RouterEvent.Tick(),
+                        TICK,
+                        mEffects,
+                        f -> Program.halt(ResultCode.INTERNAL));
+        mLoop.start();
+    }
+
+    private RouterReport report() {
+        Endpoint explain = mFile.explainListen().withPort(mExplainServer.port());
+        return new RouterReport(
+                mFile.name(),
+                mConfig.incarnation(),
+                mFile.dataCentre(),
+                mFile.region(),
+                mCallerServer.endpoint().toString(),
+                explain.toString());
+    }
+
+    private void startMetrics() {
+        mMetrics.showInFlight(mCallers::count);
+        mMetrics.showControlBytes(mExchangeClient::bytesSent, mExchangeClient::bytesReceived);
+        mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mExchange);
+        mMetricsServer.start();
+        int port = mMetricsServer.endpoint().port();
+        mFile.metricsPortFile().ifPresent(f -> PortFile.write(f, port));
+    }
+
+    /** Returns where callers reach the router. Once started. */
+    public Endpoint endpoint() {
+        return mCallerServer.endpoint();
+    }
+
+    /** Returns where metrics, health and readiness are served. Once started. */
+    public Endpoint metricsEndpoint() {
+        return mMetricsServer.endpoint();
+    }
+
+    /**
+     * Stops without cutting an answer short: first the router is called not ready and takes no new
+     * connection, then what is in flight ends, then the rest goes.
+     */
+    @Override
+    public void stop() {
+        mExchange.stopping();
+        mCallerServer.drain();
+        mCallerServer.awaitClosed(mFile.stopTimeout());
+        mLoop.offer(new RouterEvent.StopRequested());
+        awaitStopped();
+        mLoop.stop();
+        mCallerServer.stop();
+        mExplainServer.stop();
+        mExchangeClient.stop();
+        mChannels.stop();
+        mMetricsServer.stop();
+        mLoops.stop();
+        mLogging.stop();
+    }
+
+    private void awaitStopped() {
+        try {
+            mEffects.stopped().await(mFile.stopTimeout().toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -0,0 +1,117 @@
+package org.laurelweir.router.rpc;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.RouterReport;
+import org.laurelweir.routing.RouterEvent;
+import org.laurelweir.runtime.metrics.Readiness;
+import org.laurelweir.runtime.rpc.ExchangeAnswer;
+import org.laurelweir.runtime.rpc.ExchangeClient;
+import org.laurelweir.settings.SettingsLookup;
+import org.laurelweir.settings.SettingsReader;
+import org.laurelweir.wire.SettingsCodec;
+
+/**
+ * Exchanges with control: membership goes to the decision loop, settings into force. Tells whether
+ * the router has what it needs to serve.
+ */
+public final class ControlExchange implements Readiness {
+    /**
+     * How long a router that has just started waits for a control instance that vouches for its
+     * settings. After that it serves with what it has: old settings beat none.
+     */
+    private static final Duration FRESH_WAIT = Duration.ofSeconds(10);
+
+    private final ExchangeClient mClient;
+    private final RouterReport mReport;
+    private final SettingsLookup mSettings;
+    private final Consumer<RouterEvent> mEvents;
+    private final Consumer<List<String>> mControls;
+    private final InstantSource mClock;
+    private final Instant mStarted;
+    private final SettingsReader mReader = new SettingsReader();
+    private boolean mMembershipSeen;
+    private boolean mSettingsFresh;
+    private boolean mStopping;
+
+    /**
+     * Creates the exchange.
+     *
+     * @param client reaches control
+     * @param report what the router tells of itself
+     * @param settings where new settings are put in force
+     * @param events takes membership, from any thread
+     * @param controls takes the instances that control names
+     * @param clock tells how long the router has been waiting
+     */
+    public ControlExchange(
+            ExchangeClient client,
+            RouterReport report,
+            SettingsLookup settings,
+            Consumer<RouterEvent> events,
+            Consumer<List<String>> controls,
+            InstantSource clock) {
+        mClient = client;
+        mReport = report;
+        mSettings = settings;
+        mEvents = events;
+        mControls = controls;
+        mClock = clock;
+        mStarted = clock.instant();
+    }
+
+    /** Sends one exchange; its answer becomes an event. */
+    public void send(MembershipCursor cursor) {
+        mClient.exchange(mReport, cursor, position()).whenComplete(this::onAnswer);
+    }
+
+    private synchronized long position() {
+        return mReader.position();
+    }
+
+    private void onAnswer(ExchangeAnswer answer, Throwable failure) {
+        if (failure != null) {
+            mEvents.accept(new RouterEvent.ExchangeFailed(failure.getMessage()));
+            return;
+        }
+        takeSettings(answer);
+        mControls.accept(answer.controls());
+        mEvents.accept(new RouterEvent.ExchangeAnswered(answer.membership(), answer.loads()));
+    }
+
+    private synchronized void takeSettings(ExchangeAnswer answer) {
+        if (mReader.apply(SettingsCodec.toCore(answer.settings()))) {
+            mSettings.use(mReader.tree());
+        }
+        mMembershipSeen |= answer.membership().full();
+        mSettingsFresh |= !answer.possiblyStale();
+    }
+
+    /** Has the router called not ready from now on. */
+    public synchronized void stopping() {
+        mStopping = true;
+    }
+
+    @Override
+    public synchronized Optional<String> notReadyReason() {
+        if (mStopping) {
+            return Optional.of("stopping");
+        }
+        if (!mMembershipSeen) {
+            return Optional.of("no membership has arrived");
+        }
+        if (mReader.position() == 0) {
+            return Optional.of("no settings have arrived");
+        }
+        Instant waited = mStarted.plus(FRESH_WAIT);
+        if (!mSettingsFresh && mClock.instant().isBefore(waited)) {
+            return Optional.of("settings are possibly stale");
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SidecarCalls.java
@@ -0,0 +1,182 @@
+package org.laurelweir.router.rpc;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.MoreExecutors;
+import io.grpc.ManagedChannel;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.agrona.collections.Long2ObjectHashMap;
+import org.laurelweir.attempt.AttemptFrame;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.routing.RouterEffect;
+import org.laurelweir.routing.RouterEvent;
+import org.laurelweir.runtime.rpc.Channels;
+import org.laurelweir.wire.AttemptCodec;
+import org.laurelweir.wire.IdCodec;
+import org.laurelweir.wire.v1.AttemptMessage;
+import org.laurelweir.wire.v1.Resume;
+import org.laurelweir.wire.v1.RevokeReply;
+import org.laurelweir.wire.v1.RevokeRequest;
+import org.laurelweir.wire.v1.SidecarServiceGrpc;
+
+/** Carries out what concerns sidecars. Only the decision loop's thread calls it. */
+public final class SidecarCalls {
+    private final Channels mChannels;
+    private final Duration mRevokeTimeout;
+    private final Consumer<RouterEvent> mEvents;
+    private final Long2ObjectHashMap<AttemptStream> mStreams = new Long2ObjectHashMap<>();
+
+    /**
+     * Creates the calls.
+     *
+     * @param channels connections to sidecars
+     * @param revokeTimeout longest wait for the answer to a revocation
+     * @param events takes what happens, from any thread
+     */
+    public SidecarCalls(
+            Channels channels, Duration revokeTimeout, Consumer<RouterEvent> events) {
+        mChannels = channels;
+        mRevokeTimeout = revokeTimeout;
+        mEvents = events;
+    }
+
+    /** Opens a stream and begins an attempt on it. */
+    public void begin(RouterEffect.BeginAttempt e) {
+        AttemptMessage first =
+                AttemptMessage.newBuilder().setBegin(AttemptCodec.toWire(e.request())).build();
+        open(e.stream(), e.address(), first);
+    }
+
+    /** Opens a stream and follows an attempt on it. */
+    public void resume(RouterEffect.ResumeAttempt e) {
+        Resume resume =
+                Resume.newBuilder()
+                        .setAttempt(IdCodec.toWire(e.attempt()))
+                        .setTarget(IdCodec.toWire(e.target()))
+                        .setOffset(e.offset())
+                        .build();
+        AttemptMessage first = AttemptMessage.newBuilder().setResume(resume).build();
+        open(e.stream(), e.address(), first);
+    }
+
+    private void open(long id, String address, AttemptMessage first) {
+        AttemptStream stream =
+                new AttemptStream(address, mChannels.get(address), new Events(id));
+        mStreams.put(id, stream);
+        stream.open(first);
+    }
+
+    /** Notes what the caller took. */
+    public void acknowledge(RouterEffect.Acknowledge e) {
+        AttemptStream stream = mStreams.get(e.stream());
+        if (stream != null) {
+            stream.acknowledge(e.offset());
+        }
+    }
+
+    /** Cancels an attempt at its sidecar. */
+    public void cancel(RouterEffect.CancelAttempt e) {
+        AttemptStream stream = mStreams.remove(e.stream());
+        if (stream != null) {
+            stream.cancelAttempt();
+        }
+    }
+
+    /**
+     * Leaves a stream and its connection: new attempts use a new one, and so does the resumption or
+     * revocation that follows. Other streams on the old one go on; it may be merely slow.
+     */
+    public void drop(RouterEffect.DropStream e) {
+        AttemptStream stream = mStreams.remove(e.stream());
+        if (stream != null) {
+            mChannels.fresh(stream.address(), stream.channel());
+            stream.drop();
+        }
+    }
+
+    /** Forgets a stream once its last frame, or its loss, has been decided on. */
+    public void after(RouterEvent event) {
+        if (event instanceof RouterEvent.FrameArrived f && isLast(f.frame().frame())) {
+            close(f.stream());
+        } else if (event instanceof RouterEvent.StreamLost l) {
+            close(l.stream());
+        }
+    }
+
+    private static boolean isLast(Frame frame) {
+        return frame instanceof Frame.End
+                || frame instanceof Frame.Refused
+                || frame instanceof Frame.Failed;
+    }
+
+    private void close(long id) {
+        AttemptStream stream = mStreams.remove(id);
+        if (stream != null) {
+            stream.finish();
+        }
+    }
+
+    /** Asks that an attempt never starts. */
+    public void revoke(RouterEffect.Revoke e) {
+        ManagedChannel channel = mChannels.get(e.address());
+        RevokeRequest request =
+                RevokeRequest.newBuilder()
+                        .setAttempt(IdCodec.toWire(e.attempt()))
+                        .setTarget(IdCodec.toWire(e.target()))
+                        .build();
+        Futures.addCallback(
+                SidecarServiceGrpc.newFutureStub(channel)
+                        .withDeadlineAfter(mRevokeTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                        .revoke(request),
+                new RevokeCallback(e, channel),
+                MoreExecutors.directExecutor());
+    }
+
+    private final class RevokeCallback implements FutureCallback<RevokeReply> {
+        private final RouterEffect.Revoke mRevoke;
+        private final ManagedChannel mChannel;
+
+        RevokeCallback(RouterEffect.Revoke revoke, ManagedChannel channel) {
+            mRevoke = revoke;
+            mChannel = channel;
+        }
+
+        @Override
+        public void onSuccess(RevokeReply reply) {
+            mEvents.accept(
+                    new RouterEvent.RevokeAnswered(
+                            mRevoke.caller(),
+                            mRevoke.attempt(),
+                            AttemptCodec.toCore(reply.getState())));
+        }
+
+        @Override
+        public void onFailure(Throwable failure) {
+            // The next try must not wait on the connection that stayed silent on this one.
+            mChannels.fresh(mRevoke.address(), mChannel);
+            mEvents.accept(
+                    new RouterEvent.RevokeFailed(
+                            mRevoke.caller(), mRevoke.attempt(), failure.getMessage()));
+        }
+    }
+
+    private final class Events implements AttemptStream.StreamEvents {
+        private final long mStream;
+
+        Events(long stream) {
+            mStream = stream;
+        }
+
+        @Override
+        public void onFrame(AttemptFrame frame) {
+            mEvents.accept(new RouterEvent.FrameArrived(mStream, frame));
+        }
+
+        @Override
+        public void onClosed(boolean sent, String message) {
+            mEvents.accept(new RouterEvent.StreamLost(mStream, sent, message));
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/package-info.java
@@ -0,0 +1,2 @@
+/** The router's calls to sidecars and control instances, and the service that explains decisions. */
+package org.laurelweir.router.rpc;
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeControl.java
@@ -0,0 +1,48 @@
+package org.laurelweir.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
+
+/** The claims of the replicated log, without the log. */
+final class FakeControl {
+    private final Map<String, Claim> mClaims = new HashMap<>();
+
+    private static final class Claim {
+        private long mFingerprint;
+        private AttemptId mHolder;
+        private BackendRef mTarget;
+        private ResultCode mSettled;
+    }
+
+    RouterEvent.ClaimAnswered claim(RouterEffect.Claim e) {
+        Claim c = mClaims.get(e.key());
+        if (c != null && c.mFingerprint != e.fingerprint()) {
+            return answer(e, ResultCode.IDEMPOTENCY_KEY_REUSED, c);
+        }
+        if (c == null || c.mHolder.equals(e.replaces())) {
+            c = new Claim();
+            c.mFingerprint = e.fingerprint();
+            c.mHolder = e.attempt();
+            c.mTarget = e.target();
+            mClaims.put(e.key(), c);
+        }
+        return answer(e, ResultCode.OK, c);
+    }
+
+    private static RouterEvent.ClaimAnswered answer(
+            RouterEffect.Claim e, ResultCode code, Claim c) {
+        ResultCode settled = c.mSettled == null ? ResultCode.OK : c.mSettled;
+        return new RouterEvent.ClaimAnswered(
+                e.attempt(), code, c.mHolder, c.mTarget, c.mSettled != null, settled);
+    }
+
+    void settle(RouterEffect.SettleClaim e) {
+        Claim c = mClaims.get(e.key());
+        if (c != null && c.mHolder.equals(e.attempt())) {
+            c.mSettled = e.code();
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
@@ -0,0 +1,333 @@
+package org.laurelweir.routing;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.placement.OutlierConfig;
+
+/**
+ * Two routers, three sidecars and control's claims, and the record of what callers saw and engines
+ * ran. All of it runs on one thread, as a seed says.
+ */
+final class FakeFleet {
+    static final RequestPolicy POLICY =
+            new RequestPolicy(
+                    1.25,
+                    3,
+                    0.2,
+                    Duration.ofMillis(5),
+                    Duration.ofMillis(50),
+                    1,
+                    1_000,
+                    1_000_000,
+                    Duration.ofHours(1),
+                    Duration.ofMillis(200),
+                    OutlierConfig.DEFAULT);
+
+    private static final int ROUTERS = 2;
+    private static final int SIDECARS = 3;
+
+    final List<FakeSidecar.Execution> mExecutions = new ArrayList<>();
+    final List<Caller> mCallers = new ArrayList<>();
+    final FakeNetwork mNetwork;
+    int mFirstAttempts;
+    int mReachedAttempts;
+    int mRedirects;
+
+    private final Random mRandom;
+    private final List<RouterReducer> mRouters = new ArrayList<>();
+    private final List<FakeSidecar> mSidecars = new ArrayList<>();
+    private final FakeControl mControl = new FakeControl();
+    private final Map<String, Stream> mStreams = new HashMap<>();
+    private Instant mNow = Instant.EPOCH;
+    private long mVersion;
+
+    /** What one caller asked and saw. */
+    static final class Caller {
+        final int mRouter;
+        final CallerRequest mRequest;
+        final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+        int mFinals;
+        ResultCode mCode;
+        boolean mGone;
+
+        Caller(int router, CallerRequest request) {
+            mRouter = router;
+            mRequest = request;
+        }
+    }
+
+    /** One stream: either direction may go silent for good, or the whole be lost. */
+    private static final class Stream {
+        private AttemptId mAttempt;
+        private FakeSidecar mSidecar;
+        private boolean mSilentUp;
+        private boolean mSilentDown;
+        private boolean mLost;
+        private boolean mBegunThere;
+    }
+
+    FakeFleet(long seed) {
+        mRandom = new Random(seed);
+        mNetwork = new FakeNetwork(mRandom);
+        for (int i = 0; i < ROUTERS; i++) {
+            RouterConfig config = new RouterConfig("r" + i, 1, seed, Duration.ofSeconds(1), 16);
+            mRouters.add(new RouterReducer(config));
+        }
+        for (int i = 0; i < SIDECARS; i++) {
+            mSidecars.add(new FakeSidecar("s" + i, mRandom, mExecutions));
+        }
+        announce();
+    }
+
+    void setFaults(double rate, boolean troubled) {
+        mNetwork.setFaultRate(rate);
+        mSidecars.forEach(s -> s.setTroubled(troubled));
+    }
+
+    /** Tells the routers of all sidecars. */
+    void announce() {
+        mVersion++;
+        List<Backend> backends =
+                mSidecars.stream()
+                        .map(s -> s.ref())
+                        .map(r -> new Backend(r, "svc", "dc", "rg", r.id(), SERVING, 1, 1))
+                        .toList();
+        MembershipCursor cursor = new MembershipCursor("c", 1, mVersion);
+        MembershipDelta delta = new MembershipDelta(cursor, true, backends);
+        for (int i = 0; i < ROUTERS; i++) {
+            give(i, new RouterEvent.ExchangeAnswered(delta, List.of()));
+        }
+    }
+
+    private static final Backend.State SERVING = Backend.State.SERVING;
+
+    /** Sends a request; a key makes it one that may not be repeated, as does "once". */
+    Caller arrive(int router, String body, boolean idempotent, String key) {
+        AttemptRequest.Call call =
+                new AttemptRequest.Call(
+                        "POST", "/x", List.of(), body.getBytes(StandardCharsets.UTF_8), false);
+        CallerRequest request =
+                new CallerRequest(
+                        "acc",
+                        "svc",
+                        1 + mRandom.nextInt(5),
+                        false,
+                        call,
+                        idempotent,
+                        key,
+                        Duration.ofSeconds(20),
+                        5,
+                        new AttemptRequest.Cost(1, 1),
+                        POLICY);
+        Caller c = new Caller(router, request);
+        mCallers.add(c);
+        give(router, new RouterEvent.RequestArrived(mCallers.size(), request));
+        return c;
+    }
+
+    /** Lets a little happen. */
+    void step() {
+        int what = mRandom.nextInt(10);
+        if (what < 3) {
+            mNow = mNow.plusMillis(1 + mRandom.nextInt(30));
+            for (int i = 0; i < ROUTERS; i++) {
+                give(i, new RouterEvent.Tick());
+            }
+        } else if (what < 6) {
+            mSidecars.get(mRandom.nextInt(SIDECARS)).work();
+        } else {
+            mNetwork.step();
+        }
+        if (mNetwork.strikes() && mRandom.nextInt(4) == 0) {
+            breakSomething();
+        }
+    }
+
+    boolean isSettled() {
+        return mCallers.stream().allMatch(c -> c.mGone || c.mFinals > 0) && mNetwork.isEmpty();
+    }
+
+    private void breakSomething() {
+        if (mRandom.nextInt(6) == 0) {
+            mSidecars.get(mRandom.nextInt(SIDECARS)).restart();
+            announce();
+            return;
+        }
+        if (mRandom.nextInt(8) == 0 && !mCallers.isEmpty()) {
+            hangUp(mRandom.nextInt(mCallers.size()));
+            return;
+        }
+        List<String> names = new ArrayList<>(mStreams.keySet());
+        if (names.isEmpty()) {
+            return;
+        }
+        names.sort(null);
+        String name = names.get(mRandom.nextInt(names.size()));
+        breakStream(name, mStreams.get(name));
+    }
+
+    private void hangUp(int index) {
+        Caller c = mCallers.get(index);
+        if (c.mFinals == 0 && !c.mGone) {
+            c.mGone = true;
+            give(c.mRouter, new RouterEvent.CallerGone(index + 1));
+        }
+    }
+
+    private void breakStream(String name, Stream s) {
+        switch (mRandom.nextInt(3)) {
+            case 0 -> s.mSilentUp = true;
+            case 1 -> s.mSilentDown = true;
+            default -> {
+                mStreams.remove(name);
+                s.mLost = true;
+                // Only a stream whose first message can't arrive any more may be called unsent.
+                s.mSilentUp = !s.mBegunThere && mRandom.nextBoolean();
+                String[] parts = name.split("/");
+                give(
+                        Integer.parseInt(parts[0]),
+                        new RouterEvent.StreamLost(Long.parseLong(parts[1]), !s.mSilentUp, "lost"));
+            }
+        }
+    }
+
+    private void give(int router, RouterEvent event) {
+        List<RouterEffect> effects = new ArrayList<>();
+        mRouters.get(router).step(mNow, event, effects::add);
+        effects.forEach(e -> carryOut(router, e));
+    }
+
+    private void carryOut(int router, RouterEffect effect) {
+        if (effect instanceof RouterEffect.BeginAttempt e) {
+            onBegin(router, e);
+        } else if (effect instanceof RouterEffect.ResumeAttempt e) {
+            Stream s = open(router, e.stream(), e.attempt(), e.address());
+            up(
+                    s,
+                    () ->
+                            s.mSidecar.resume(
+                                    e.attempt(),
+                                    e.target(),
+                                    e.offset(),
+                                    down(router, e.stream(), s)));
+        } else if (effect instanceof RouterEffect.CancelAttempt e) {
+            Stream s = mStreams.remove(router + "/" + e.stream());
+            if (s != null) {
+                up(s, () -> s.mSidecar.cancel(s.mAttempt));
+            }
+        } else if (effect instanceof RouterEffect.DropStream e) {
+            mStreams.remove(router + "/" + e.stream());
+        } else if (effect instanceof RouterEffect.Revoke e) {
+            onRevoke(router, e);
+        } else if (effect instanceof RouterEffect.Claim e) {
+            mNetwork.sendDamageable(
+                    "claim",
+                    () -> {
+                        RouterEvent answer = mControl.claim(e);
+                        mNetwork.sendDamageable("claimed", () -> give(router, answer));
+                    });
+        } else if (effect instanceof RouterEffect.SettleClaim e) {
+            mNetwork.sendDamageable("settle", () -> mControl.settle(e));
+        } else {
+            onAnswer(router, effect);
+        }
+    }
+
+    private void onBegin(int router, RouterEffect.BeginAttempt e) {
+        mFirstAttempts += e.request().id().attempt() == 1 ? 1 : 0;
+        Stream s = open(router, e.stream(), e.request().id(), e.address());
+        String other = mSidecars.get(mRandom.nextInt(SIDECARS)).ref().id();
+        Consumer<Frame> reader = down(router, e.stream(), s);
+        up(
+                s,
+                () -> {
+                    s.mBegunThere = true;
+                    mReachedAttempts++;
+                    s.mSidecar.begin(e.request(), other, reader);
+                });
+    }
+
+    private Stream open(int router, long stream, AttemptId attempt, String address) {
+        Stream s = new Stream();
+        s.mAttempt = attempt;
+        s.mSidecar = mSidecars.stream().filter(x -> x.ref().id().equals(address)).findAny().get();
+        mStreams.put(router + "/" + stream, s);
+        return s;
+    }
+
+    private void up(Stream s, Runnable arrival) {
+        mNetwork.send(
+                s,
+                () -> {
+                    if (!s.mSilentUp) {
+                        arrival.run();
+                    }
+                });
+    }
+
+    private Consumer<Frame> down(int router, long stream, Stream s) {
+        return frame -> {
+            if (frame instanceof Frame.Refused f && !f.redirectTo().isEmpty()) {
+                mRedirects++;
+            }
+            mNetwork.sendDamageable(
+                    s.mAttempt,
+                    () -> {
+                        if (!s.mSilentDown && !s.mLost) {
+                            long to = mNetwork.strikes() ? 1 + mRandom.nextInt(20) : stream;
+                            give(
+                                    router,
+                                    new RouterEvent.FrameArrived(
+                                            to, FakeSidecar.frame(s.mAttempt, frame)));
+                        }
+                    });
+        };
+    }
+
+    private void onRevoke(int router, RouterEffect.Revoke e) {
+        FakeSidecar sidecar =
+                mSidecars.stream().filter(x -> x.ref().id().equals(e.address())).findAny().get();
+        mNetwork.sendDamageable(
+                e,
+                () -> {
+                    var state = sidecar.revoke(e.attempt(), e.target());
+                    RouterEvent answer =
+                            new RouterEvent.RevokeAnswered(e.caller(), e.attempt(), state);
+                    mNetwork.sendDamageable(e, () -> give(router, answer));
+                });
+    }
+
+    private void onAnswer(int router, RouterEffect effect) {
+        if (effect instanceof RouterEffect.AnswerData e) {
+            Caller c = mCallers.get((int) e.caller() - 1);
+            c.mBytes.writeBytes(e.bytes());
+            long taken = c.mBytes.size();
+            mNetwork.send(c, () -> give(router, new RouterEvent.CallerTook(e.caller(), taken)));
+        } else if (effect instanceof RouterEffect.AnswerEnd e) {
+            finish(e.caller(), ResultCode.OK);
+        } else if (effect instanceof RouterEffect.AnswerError e) {
+            finish(e.caller(), e.code());
+        }
+    }
+
+    private void finish(long caller, ResultCode code) {
+        Caller c = mCallers.get((int) caller - 1);
+        c.mFinals++;
+        c.mCode = code;
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeNetwork.java
@@ -0,0 +1,72 @@
+package org.laurelweir.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Messages on their way. A seed decides when each arrives, and which are lost, sent twice or
+ * overtaken while faults are on; later every message arrives once and in order.
+ */
+final class FakeNetwork {
+    private final Random mRandom;
+    private final List<Message> mOnTheWay = new ArrayList<>();
+    private double mFaultRate;
+
+    FakeNetwork(Random random) {
+        mRandom = random;
+    }
+
+    private record Message(Object channel, boolean damageable, Runnable arrival) {}
+
+    void setFaultRate(double rate) {
+        mFaultRate = rate;
+    }
+
+    boolean strikes() {
+        return mRandom.nextDouble() < mFaultRate;
+    }
+
+    /** Sends over a channel that keeps the order and loses nothing but by being lost itself. */
+    void send(Object channel, Runnable arrival) {
+        mOnTheWay.add(new Message(channel, false, arrival));
+    }
+
+    /** Sends what may also be lost alone, doubled or overtaken. */
+    void sendDamageable(Object channel, Runnable arrival) {
+        mOnTheWay.add(new Message(channel, true, arrival));
+    }
+
+    boolean isEmpty() {
+        return mOnTheWay.isEmpty();
+    }
+
+    /** Lets one message arrive, or meet its fault. */
+    void step() {
+        if (mOnTheWay.isEmpty()) {
+            return;
+        }
+        Message m = mOnTheWay.get(mRandom.nextInt(mOnTheWay.size()));
+        if (m.damageable() && strikes()) {
+            damage(m);
+            return;
+        }
+        Message first = firstOf(m.channel());
+        mOnTheWay.remove(first);
+        first.arrival().run();
+    }
+
+    private void damage(Message m) {
+        int kind = mRandom.nextInt(3);
+        if (kind < 2) {
+            mOnTheWay.remove(m);
+        }
+        if (kind > 0) {
+            m.arrival().run();
+        }
+    }
+
+    private Message firstOf(Object channel) {
+        return mOnTheWay.stream().filter(m -> m.channel().equals(channel)).findFirst().get();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterPropertiesTest.java
@@ -0,0 +1,114 @@
+package org.laurelweir.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * What holds for every caller, whatever messages are lost, doubled, late or crossed, whichever
+ * streams go silent or end, and whenever sidecars restart.
+ */
+class RouterPropertiesTest {
+    private static final int REQUESTS = 14;
+    private static final int FAULTY_STEPS = 2_500;
+    private static final int MAX_STEPS = 40_000;
+
+    // The caller sends one request and waits; the same key may go to both routers. Meanwhile a seed
+    // breaks streams in either direction at any step, loses claims and revocations, restarts
+    // sidecars, has engines fail and callers hang up. Then the faults end, and whoever still waits
+    // must be answered: nothing but the router's own timers can free it from a silent stream.
+    @Property(seed = "20261202", tries = 1_000, shrinking = ShrinkingMode.OFF)
+    void callersAreAnsweredTruthfully(@ForAll long seed) {
+        FakeFleet fleet = new FakeFleet(seed);
+        run(fleet, new Random(seed));
+        for (int i = 0; i < fleet.mCallers.size(); i++) {
+            check(fleet, i);
+        }
+        checkRuns(fleet);
+        checkBudget(fleet);
+    }
+
+    private static void run(FakeFleet fleet, Random random) {
+        fleet.setFaults(random.nextInt(4) * 0.02, random.nextBoolean());
+        for (int i = 0; i < FAULTY_STEPS; i++) {
+            if (fleet.mCallers.size() < REQUESTS && random.nextInt(60) == 0) {
+                arrive(fleet, random);
+            }
+            fleet.step();
+        }
+        fleet.setFaults(0, false);
+        fleet.announce();
+        for (int i = 0; i < MAX_STEPS && !fleet.isSettled(); i++) {
+            fleet.step();
+        }
+    }
+
+    private static void arrive(FakeFleet fleet, Random random) {
+        int n = fleet.mCallers.size();
+        int router = random.nextInt(2);
+        switch (random.nextInt(3)) {
+            case 0 -> fleet.arrive(router, "idempotent " + n, true, "");
+            case 1 -> fleet.arrive(router, "once " + n, false, "");
+            default -> {
+                int key = random.nextInt(3);
+                fleet.arrive(router, "keyed " + key, false, "key " + key);
+            }
+        }
+    }
+
+    private static void check(FakeFleet fleet, int index) {
+        FakeFleet.Caller c = fleet.mCallers.get(index);
+        assertThat(c.mFinals).as("final answers to %d", index).isEqualTo(c.mGone ? 0 : 1);
+        byte[] seen = c.mBytes.toByteArray();
+        boolean whole = c.mCode == ResultCode.OK;
+        boolean own = runsOf(fleet, c).stream().anyMatch(e -> isAnswer(e.output(), seen, whole));
+        assertThat(own || (seen.length == 0 && !whole)).as("own bytes of %d", index).isTrue();
+        if (c.mCode != null && c.mCode.isNotRun()) {
+            assertThat(ownRuns(fleet, index)).as("runs of %d, not run", index).isEmpty();
+        }
+    }
+
+    private static boolean isAnswer(byte[] output, byte[] seen, boolean whole) {
+        if (whole) {
+            return Arrays.equals(output, seen);
+        }
+        return seen.length <= output.length
+                && Arrays.equals(Arrays.copyOf(output, seen.length), seen);
+    }
+
+    /** Runs of the same call; each request has a body of its own, but for resends of one key. */
+    private static List<FakeSidecar.Execution> runsOf(FakeFleet fleet, FakeFleet.Caller c) {
+        byte[] body = c.mRequest.call().body();
+        return fleet.mExecutions.stream()
+                .filter(e -> Arrays.equals(e.request().call().body(), body))
+                .toList();
+    }
+
+    private static List<FakeSidecar.Execution> ownRuns(FakeFleet fleet, int index) {
+        return fleet.mExecutions.stream()
+                .filter(e -> e.request().id().request() == index + 1)
+                .toList();
+    }
+
+    private static void checkRuns(FakeFleet fleet) {
+        for (FakeFleet.Caller c : fleet.mCallers) {
+            if (!c.mRequest.idempotent()) {
+                assertThat(runsOf(fleet, c)).as("runs").hasSizeLessThanOrEqualTo(1);
+            }
+        }
+    }
+
+    private static void checkBudget(FakeFleet fleet) {
+        int extra = fleet.mReachedAttempts - fleet.mFirstAttempts - fleet.mRedirects;
+        double budget =
+                2 * RetryBudget.RESERVE
+                        + fleet.mFirstAttempts * FakeFleet.POLICY.retryBudgetShare();
+        assertThat((double) extra).isLessThanOrEqualTo(budget);
+    }
+}
