--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/HomeLookup.java
@@ -0,0 +1,108 @@
+package org.laurelweir.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.collections.LongHashSet;
+
+/**
+ * What a sidecar does to find a chat's history when a request reaches it, by the rank that it holds
+ * for the chat. Only the home knows where a chat sits; a server that became a chat's home asks,
+ * once, those that may know: the previous home if this server joined, the servers next in rank if
+ * the previous home left without handing over.
+ */
+public final class HomeLookup {
+    /** How many ranks after a lost home are asked; a bound redirects at most twice. */
+    static final int RANKS_ASKED = 2;
+
+    private final String mSelf;
+    private final ChatDirectory mDirectory;
+    private final int mMaxAsked;
+    private final LongHashSet mAsked = new LongHashSet();
+
+    /**
+     * Creates the look-up of one sidecar.
+     *
+     * @param self its backend server's name
+     * @param directory its directory
+     * @param maxAsked how many chats it remembers to have asked for; over that it forgets them all
+     *     and may ask a second time
+     */
+    public HomeLookup(String self, ChatDirectory directory, int maxAsked) {
+        mSelf = self;
+        mDirectory = directory;
+        mMaxAsked = maxAsked;
+    }
+
+    /**
+     * Returns where a chat's history may be.
+     *
+     * @param query the request
+     * @param view the sidecar's view of its service
+     */
+    public Seat find(SeatQuery query, ServiceView view) {
+        if (!query.firstStop()) {
+            return hereOrUnknown(query);
+        }
+        String elsewhere = mDirectory.find(query.chat());
+        if (elsewhere != null && !elsewhere.equals(mSelf) && view.candidate(elsewhere) != null) {
+            return new Seat.Elsewhere(elsewhere);
+        }
+        Candidate home = view.ranking().home(query.chat());
+        if (home == null) {
+            return hereOrUnknown(query);
+        }
+        if (!home.id().equals(mSelf)) {
+            // The router's view is older or newer than this one, or its memory of the chat is old.
+            return query.cachedHere() ? Seat.HERE : new Seat.Elsewhere(home.id());
+        }
+        List<Candidate> asked = previousHolders(query, view, home);
+        if (asked.isEmpty() || !remember(query.chat())) {
+            return hereOrUnknown(query);
+        }
+        return new Seat.Ask(asked);
+    }
+
+    private static Seat hereOrUnknown(SeatQuery query) {
+        return query.cachedHere() ? Seat.HERE : Seat.UNKNOWN;
+    }
+
+    private List<Candidate> previousHolders(SeatQuery query, ServiceView view, Candidate home) {
+        List<Candidate> asked = new ArrayList<>();
+        if (query.joinedLately()) {
+            asked.addAll(view.ranking().topWithout(query.chat(), mSelf, 1));
+        }
+        if (!query.cachedHere() && isHomeDeparted(query.chat(), view, home)) {
+            for (Candidate c : view.ranking().topWithout(query.chat(), mSelf, RANKS_ASKED)) {
+                if (!asked.contains(c)) {
+                    asked.add(c);
+                }
+            }
+        }
+        return asked;
+    }
+
+    private static boolean isHomeDeparted(ChatKey chat, ServiceView view, Candidate home) {
+        if (view.departed().isEmpty()) {
+            return false;
+        }
+        long own = Ranking.distance(chat, home);
+        return view.departed().stream().anyMatch(d -> Ranking.distance(chat, d) < own);
+    }
+
+    private boolean remember(ChatKey chat) {
+        if (mAsked.size() >= mMaxAsked) {
+            mAsked.clear();
+        }
+        return mAsked.add(chat.hash());
+    }
+
+    /** Forgets what was asked, after a membership change that may have moved homes here. */
+    public void onMembershipChange() {
+        mAsked.clear();
+    }
+
+    /** Returns how many chats it remembers to have asked for. */
+    public int askedCount() {
+        return mAsked.size();
+    }
+}
