Start the stand-ins through the shared runtime

The runtime now has the life of a program, its log, exit codes and the port file; the stand-ins had their own of each. The settings files keep their form, as the demo and the sidecar's tests use it already. Faults are shown typed.

--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/AdminEndpoints.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/AdminEndpoints.java
@@ -19,7 +19,7 @@
     public record Executions(List<Execution> executions) {}
 
     /** The faults that are still to be shown. */
-    public record Faults(List<String> faults) {}
+    public record Faults(List<Fault.Shown> faults) {}
 
     /** Creates the calls {@code PREFIX/executions} and {@code PREFIX/faults}. */
     public AdminEndpoints(String prefix, ExecutionLog log, FaultPlan faults) {
@@ -49,6 +49,6 @@
             case "DELETE" -> mFaults.clear();
             default -> throw new LaurelweirException(ResultCode.METHOD_NOT_ALLOWED, call.method());
         }
-        call.respond(OK, new Faults(mFaults.list().stream().map(Fault::toString).toList()));
+        call.respond(OK, new Faults(mFaults.list().stream().map(Fault::show).toList()));
     }
 }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/Fault.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/Fault.java
@@ -42,6 +42,19 @@
             long delayMillis,
             @JsonAlias({"afterTokens", "afterBytes"}) int after) {}
 
+    /**
+     * A fault as the JSON answers show it.
+     *
+     * @param until when it ends, as an ISO-8601 instant; null if only the count ends it
+     */
+    public record Shown(Kind kind, int count, String until, long delayMillis, int after) {}
+
+    /** Returns this fault for a JSON answer. */
+    public Shown show() {
+        String end = until == null ? null : until.toString();
+        return new Shown(kind, count, end, delay.toMillis(), after);
+    }
+
     /** Returns whether this fault holds the whole stand-in rather than single calls. */
     public boolean holdsAll() {
         return kind == Kind.FREEZE && until != null;
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
@@ -1,55 +1,21 @@
 package org.laurelweir.standin;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.function.Function;
 import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.runtime.log.Logging;
+import org.laurelweir.runtime.process.Program;
+import org.laurelweir.runtime.rpc.PortFile;
 import org.laurelweir.standin.http.HttpServer;
 
 /** Starts a stand-in from its settings file, tells where it listens, and stops it on SIGTERM. */
 public final class StandinProgram {
-    /** The exit status on wrong use. */
-    public static final int USAGE_STATUS = 2;
-
-    private static final int FAILED_STATUS = 1;
-
     private StandinProgram() {}
 
-    /**
-     * Runs a stand-in until the process is told to end.
-     *
-     * @param settings the path of the settings file; null if none was given
-     * @param type the settings record
-     * @param create makes the stand-in from its settings
-     * @return the exit status if it could not start: 2 on wrong use, else 1
-     */
-    public static <S, T extends Service & Listening> int run(
-            String settings, Class<S> type, Function<S, T> create) {
-        if (settings == null) {
-            System.err.println("--settings FILE is needed");
-            return USAGE_STATUS;
-        }
-        try {
-            T service = create.apply(SettingsFile.read(Path.of(settings), type));
-            service.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(service::stop, "stop"));
-            announce(service.server().address(), service.listen().portFile());
-            Thread.currentThread().join();
-            return 0;
-        } catch (LaurelweirException e) {
-            System.err.println(e);
-            return FAILED_STATUS;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return FAILED_STATUS;
-        }
-    }
-
     /** A stand-in that listens for HTTP calls. */
     public interface Listening {
         /** Returns the server, bound once the stand-in has started. */
@@ -59,22 +25,46 @@
         ListenSettings listen();
     }
 
-    private static void announce(InetSocketAddress at, String portFile) {
-        if (portFile != null) {
-            writePort(Path.of(portFile), at.getPort());
-        }
-        System.out.println("listening on " + at.getHostString() + ":" + at.getPort());
-        System.out.flush();
+    /**
+     * Runs a stand-in until the process is told to end. If it can't start, the process ends with
+     * the exit code of the failure.
+     *
+     * @param name the program's name, for messages
+     * @param settings the path of the settings file; null if none was given
+     * @param type the settings record
+     * @param create makes the stand-in from its settings
+     */
+    public static <S, T extends Service & Listening> void run(
+            String name, String settings, Class<S> type, Function<S, T> create) {
+        Program.run(
+                name,
+                () -> {
+                    if (settings == null) {
+                        throw new LaurelweirException(
+                                ResultCode.USAGE, "--settings FILE is needed");
+                    }
+                    new Logging(LogSettings.defaults()).start();
+                    return new Announced<>(
+                            create.apply(SettingsFile.read(Path.of(settings), type)));
+                });
     }
 
-    /** Moves the file into place, so that a reader never sees it empty. */
-    private static void writePort(Path file, int port) {
-        Path part = file.resolveSibling(file.getFileName() + ".part");
-        try {
-            Files.writeString(part, port + "\n");
-            Files.move(part, file, StandardCopyOption.REPLACE_EXISTING);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+    /** Tells where a stand-in listens once it does. */
+    private record Announced<T extends Service & Listening>(T standin) implements Service {
+        @Override
+        public void start() {
+            standin.start();
+            InetSocketAddress at = standin.server().address();
+            if (standin.listen().portFile() != null) {
+                PortFile.write(Path.of(standin.listen().portFile()), at.getPort());
+            }
+            System.out.println("listening on " + at.getHostString() + ":" + at.getPort());
+            System.out.flush();
+        }
+
+        @Override
+        public void stop() {
+            standin.stop();
         }
     }
 }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/Main.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/Main.java
@@ -7,32 +7,38 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.time.InstantSource;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.process.Program;
 import org.laurelweir.standin.StandinProgram;
 
 /** Starts an engine from its settings file. */
-@Command(name = "standin-engine", description = "A small model engine for tests and the demo")
+@Command(name = Main.NAME, description = "A small model engine for tests and the demo")
 public final class Main {
+    static final String NAME = "standin-engine";
+
     @Option(name = "--settings", title = "FILE", description = "The YAML settings file")
     private String mSettings;
 
     @AirlineModule private HelpOption<Main> mHelp;
 
-    /** Runs until the process is told to end; 2 on wrong use, 1 if it can't start. */
+    /** Runs until the process is told to end. */
     public static void main(String[] args) {
         try {
-            Main main = SingleCommand.singleCommand(Main.class).parse(args);
-            System.exit(main.run());
+            SingleCommand.singleCommand(Main.class).parse(args).run();
         } catch (ParseException e) {
-            System.err.println(e.getMessage());
-            System.exit(StandinProgram.USAGE_STATUS);
+            System.err.println(NAME + ": " + e.getMessage());
+            System.exit(Program.exitCode(ResultCode.USAGE));
         }
     }
 
-    private int run() {
+    private void run() {
         if (mHelp.showHelpIfRequested()) {
-            return 0;
+            return;
         }
-        return StandinProgram.run(
-                mSettings, EngineSettings.class, s -> new EngineServer(s, InstantSource.system()));
+        StandinProgram.run(
+                NAME,
+                mSettings,
+                EngineSettings.class,
+                s -> new EngineServer(s, InstantSource.system()));
     }
 }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/load/Main.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/load/Main.java
@@ -12,15 +12,17 @@
 import java.util.List;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.process.Program;
 import org.laurelweir.standin.Json;
 
 /** Plays load against routers and prints what it came to. */
 @Command(
-        name = "standin-load",
+        name = Main.NAME,
         description = "Plays returning chats and plain calls and checks each answer")
 public final class Main {
+    static final String NAME = "standin-load";
+
     private static final int FAILED_STATUS = 1;
-    private static final int USAGE_STATUS = 2;
 
     @Option(name = "--router", title = "URL", description = "A router's base address; repeatable")
     private List<String> mRouters = new ArrayList<>();
@@ -122,17 +124,17 @@
 
     /**
      * Plays the load. Exits with 0 only if every request got its whole own answer, 1 if one did
-     * not, 2 on wrong use.
+     * not, and with the exit code of the failure if the run could not be made.
      */
     public static void main(String[] args) throws InterruptedException {
         try {
             System.exit(SingleCommand.singleCommand(Main.class).parse(args).run());
         } catch (ParseException e) {
-            System.err.println(e.getMessage());
-            System.exit(USAGE_STATUS);
+            System.err.println(NAME + ": " + e.getMessage());
+            System.exit(Program.exitCode(ResultCode.USAGE));
         } catch (LaurelweirException e) {
-            System.err.println(e);
-            System.exit(e.getCode() == ResultCode.USAGE ? USAGE_STATUS : FAILED_STATUS);
+            System.err.println(NAME + ": " + e);
+            System.exit(Program.exitCode(e.getCode()));
         }
     }
 
