--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/FaultList.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/FaultList.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Collectors;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
 
 /** Collects the faults of one file. */
 final class FaultList {
@@ -21,6 +24,16 @@
         return mFaults.size();
     }
 
+    /** Throws BAD_SETTINGS_FILE with every fault, one a line, if there is any. */
+    void throwIfAny() {
+        if (mFaults.isEmpty()) {
+            return;
+        }
+        String lines =
+                inOrder().stream().map(SettingsFault::toString).collect(Collectors.joining("\n"));
+        throw new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, lines);
+    }
+
     /** Returns the faults in the order of the file. */
     List<SettingsFault> inOrder() {
         return mFaults.stream().sorted(Comparator.comparingInt(SettingsFault::line)).toList();
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
@@ -8,15 +8,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 import org.laurelweir.errors.LaurelweirException;
-import org.laurelweir.lib.ResultCode;
 
 /**
  * Reads a program's settings file.
  *
- * <p>The file's specification is a record class annotated with {@link ProgramName}. A component named
- * {@code dataCentre} is the key {@code data-centre}. Its type is a String, int, long, double,
+ * <p>The file's specification is a record class annotated with {@link ProgramName}. A component
+ * named {@code dataCentre} is the key {@code data-centre}. Its type is a String, int, long, double,
  * boolean, enum, {@link java.time.Duration}, {@link org.laurelweir.settings.ByteSize}, {@link
  * Endpoint} or Path; a record of such; or a List, a Map from names, or an Optional of these. A
  * component has {@link Required}, {@link Default} or is an Optional; a list, map or record that is
@@ -40,13 +38,7 @@
     public static <T extends Record> T read(Class<T> spec, Path path) {
         FaultList faults = new FaultList(path.toString());
         T settings = bind(spec, path, faults);
-        if (faults.size() > 0) {
-            String lines =
-                    faults.inOrder().stream()
-                            .map(SettingsFault::toString)
-                            .collect(Collectors.joining("\n"));
-            throw new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, lines);
-        }
+        faults.throwIfAny();
         return settings;
     }
 
@@ -64,7 +56,8 @@
     }
 
     /**
-     * Checks a file of whichever program its first key names.
+     * Checks a file of whichever program its first key names, or of the settings tree if that key
+     * is a node's path.
      *
      * @param specs the record classes that specify the programs' files
      * @param path the file
@@ -76,6 +69,9 @@
         if (top == null) {
             return faults.inOrder();
         }
+        if (top.entries().keySet().stream().findFirst().orElse("").startsWith("/")) {
+            return TreeFile.check(path);
+        }
         Map<String, Class<? extends Record>> byProgram = new TreeMap<>();
         specs.forEach(s -> byProgram.put(programOf(s), s));
         Class<? extends Record> spec = byProgram.get(firstProgram(top).orElse(""));
@@ -101,7 +97,7 @@
         return settings;
     }
 
-    private static YamlNode.Mapping parse(Path path, FaultList faults) {
+    static YamlNode.Mapping parse(Path path, FaultList faults) {
         try {
             return YamlReader.read(Files.readString(path), faults);
         } catch (IOException e) {
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/TreeFile.java
@@ -0,0 +1,124 @@
+package org.laurelweir.runtime.config;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.laurelweir.coordination.Command.NodeChange;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.settings.NodeFault;
+import org.laurelweir.settings.SettingsCheck;
+
+/**
+ * Reads nodes of the settings tree from a YAML file: each top key is a node's path, below it stand
+ * the node's keys. A list may be written as a YAML list or with commas.
+ */
+public final class TreeFile {
+    private final FaultList mFaults;
+
+    /** The line of each node by its path and of each value by path, a space and key. */
+    private final Map<String, Integer> mLines = new LinkedHashMap<>();
+
+    private final Map<String, Map<String, String>> mNodes = new LinkedHashMap<>();
+
+    private TreeFile(FaultList faults) {
+        mFaults = faults;
+    }
+
+    /**
+     * Reads a file. References to nodes outside the file are left to control.
+     *
+     * @param path the file
+     * @return the values of each node, as control takes them, by the node's path
+     * @throws LaurelweirException BAD_SETTINGS_FILE with every fault, one a line
+     */
+    public static Map<String, Map<String, String>> read(Path path) {
+        TreeFile file = new TreeFile(new FaultList(path.toString()));
+        file.parse(SettingsFile.parse(path, file.mFaults));
+        file.report(SettingsCheck.ofNodes(file.changes()));
+        file.mFaults.throwIfAny();
+        return file.mNodes;
+    }
+
+    /**
+     * Checks a file that holds a whole tree.
+     *
+     * @param path the file
+     * @return every fault in the order of the file, unresolvable references included
+     */
+    public static List<SettingsFault> check(Path path) {
+        TreeFile file = new TreeFile(new FaultList(path.toString()));
+        file.parse(SettingsFile.parse(path, file.mFaults));
+        file.report(SettingsCheck.ofTree(file.changes()));
+        return file.mFaults.inOrder();
+    }
+
+    private void parse(YamlNode.Mapping top) {
+        if (top == null) {
+            return;
+        }
+        top.entries()
+                .forEach(
+                        (path, entry) -> {
+                            mLines.put(path, entry.line());
+                            mNodes.put(path, valuesOf(path, entry));
+                        });
+    }
+
+    private Map<String, String> valuesOf(String path, YamlNode.Entry node) {
+        Map<String, String> values = new LinkedHashMap<>();
+        if (node.value() instanceof YamlNode.Mapping m) {
+            m.entries().forEach((key, e) -> putValue(path, key, e, values));
+        } else {
+            mFaults.add(node.line(), path, "is " + node.value().kind(), "keys, or {} for none");
+        }
+        return values;
+    }
+
+    private void putValue(
+            String path, String key, YamlNode.Entry entry, Map<String, String> values) {
+        mLines.put(path + " " + key, entry.line());
+        String text = textOf(entry.value());
+        if (text == null) {
+            String allowed = "a text, number or list of such";
+            mFaults.add(entry.line(), path + " " + key, "is " + entry.value().kind(), allowed);
+            return;
+        }
+        values.put(key, text);
+    }
+
+    private static String textOf(YamlNode node) {
+        if (node instanceof YamlNode.Scalar scalar) {
+            return scalar.text();
+        }
+        if (!(node instanceof YamlNode.Sequence sequence)) {
+            return null;
+        }
+        List<String> items = new ArrayList<>();
+        for (YamlNode item : sequence.items()) {
+            boolean usable = item instanceof YamlNode.Scalar s && s.text() != null;
+            if (!usable) {
+                return null;
+            }
+            items.add(((YamlNode.Scalar) item).text());
+        }
+        return items.stream().collect(Collectors.joining(", "));
+    }
+
+    private List<NodeChange> changes() {
+        List<NodeChange> changes = new ArrayList<>();
+        mNodes.forEach(
+                (path, values) -> changes.add(new NodeChange(path, 0, values, List.of(), false)));
+        return changes;
+    }
+
+    private void report(List<NodeFault> faults) {
+        for (NodeFault f : faults) {
+            String place = f.key().isEmpty() ? f.path() : f.path() + " " + f.key();
+            int nodeLine = mLines.getOrDefault(f.path(), 1);
+            mFaults.add(mLines.getOrDefault(place, nodeLine), place, f.problem(), f.allowed());
+        }
+    }
+}
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
@@ -25,7 +25,9 @@
         return MetadataKey.single(label, String.class);
     }
 
-    /** Returns whether decisions are written at all, for callers that would assemble one in vain. */
+    /**
+     * Returns whether decisions are written at all, for callers that would assemble one in vain.
+     */
     public static boolean isEnabled() {
         return sLogger.atInfo().isEnabled();
     }
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/KeyDigest.java
@@ -0,0 +1,29 @@
+package org.laurelweir.settings;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 digests: of bearer keys, so that the settings tree holds no key, and of changes. */
+public final class KeyDigest {
+    private KeyDigest() {}
+
+    /**
+     * Returns the digest of a bearer key as account.key-digests lists it.
+     *
+     * @param key the key as the caller sends it
+     * @return 64 lower-case hexadecimal digits
+     */
+    public static String of(String key) {
+        return HexFormat.of().formatHex(newSha256().digest(key.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    static MessageDigest newSha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
@@ -0,0 +1,160 @@
+package org.laurelweir.settings;
+
+import java.util.regex.Pattern;
+
+/**
+ * Names a node of the settings tree by any subset of the levels, the most general first, such as
+ * {@code /region=vestkyst/service=seilhjerne}; {@code /} is the deployment. A level that the path
+ * does not name is null.
+ *
+ * @param region the region's name
+ * @param dataCentre the data centre's name
+ * @param service the service's name
+ * @param account the client account's name
+ * @param rule the rule's name
+ */
+public record NodePath(
+        String region, String dataCentre, String service, String account, String rule)
+        implements Comparable<NodePath> {
+    /** The deployment, which every other node inherits from. */
+    public static final NodePath DEPLOYMENT = new NodePath(null, null, null, null, null);
+
+    /** What a path looks like, for the reader of a fault. */
+    static final String FORM =
+            "/ or LEVEL=NAME parts in the order region, data-centre, service, account,"
+                    + " rule, each after a slash, such as /region=vestkyst/service=seilhjerne;"
+                    + " a name has up to 128 letters, digits and . _ : @ -";
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}");
+
+    /** Refuses names of a wrong form. */
+    public NodePath {
+        check(region);
+        check(dataCentre);
+        check(service);
+        check(account);
+        check(rule);
+    }
+
+    private static void check(String name) {
+        if (name != null && !NAME.matcher(name).matches()) {
+            throw new IllegalArgumentException("not a name: " + name);
+        }
+    }
+
+    /** Returns the node that defines a service. */
+    public static NodePath ofService(String service) {
+        return new NodePath(null, null, service, null, null);
+    }
+
+    /** Returns the node that defines a client account. */
+    public static NodePath ofAccount(String account) {
+        return new NodePath(null, null, null, account, null);
+    }
+
+    /**
+     * Reads a path.
+     *
+     * @param text as {@link #toString} writes it
+     * @return the path
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static NodePath parse(String text) {
+        if (text.equals("/")) {
+            return DEPLOYMENT;
+        }
+        if (!text.startsWith("/")) {
+            throw new IllegalArgumentException("not a path: " + text);
+        }
+        String[] names = new String[Level.values().length];
+        int last = Level.DEPLOYMENT.ordinal();
+        for (String part : text.substring(1).split("/", -1)) {
+            int equals = part.indexOf('=');
+            int level = equals < 0 ? 0 : ordinalOf(part.substring(0, equals));
+            if (level <= last) {
+                throw new IllegalArgumentException("not a path: " + text);
+            }
+            names[level] = part.substring(equals + 1);
+            last = level;
+        }
+        return new NodePath(names[1], names[2], names[3], names[4], names[5]);
+    }
+
+    private static int ordinalOf(String word) {
+        for (Level l : Level.values()) {
+            if (l.word().equals(word)) {
+                return l.ordinal();
+            }
+        }
+        return 0;
+    }
+
+    /**
+     * Returns the name at a level.
+     *
+     * @param level any level
+     * @return the name, or null if the path does not name the level
+     */
+    public String name(Level level) {
+        return switch (level) {
+            case DEPLOYMENT -> null;
+            case REGION -> region;
+            case DATA_CENTRE -> dataCentre;
+            case SERVICE -> service;
+            case ACCOUNT -> account;
+            case RULE -> rule;
+        };
+    }
+
+    /** Returns the most specific level that the path names. */
+    public Level level() {
+        for (int i = Level.values().length - 1; i > 0; i--) {
+            if (name(Level.values()[i]) != null) {
+                return Level.values()[i];
+            }
+        }
+        return Level.DEPLOYMENT;
+    }
+
+    /** Returns whether the path names this level and no other. */
+    public boolean isOnly(Level level) {
+        return level() == level && specificity() == level.bit();
+    }
+
+    /**
+     * Returns a number that is greater for the more specific of two nodes that apply to the same
+     * request: the most specific level that only one of them names decides.
+     */
+    int specificity() {
+        int bits = 0;
+        for (Level l : Level.values()) {
+            if (name(l) != null) {
+                bits |= l.bit();
+            }
+        }
+        return bits;
+    }
+
+    /** Returns the path without its rule. */
+    public NodePath withoutRule() {
+        return new NodePath(region, dataCentre, service, account, null);
+    }
+
+    @Override
+    public int compareTo(NodePath other) {
+        return toString().compareTo(other.toString());
+    }
+
+    /** Returns the path as operators write it. */
+    @Override
+    public String toString() {
+        StringBuilder s = new StringBuilder();
+        for (Level l : Level.values()) {
+            String name = name(l);
+            if (name != null) {
+                s.append('/').append(l.word()).append('=').append(name);
+            }
+        }
+        return s.length() == 0 ? "/" : s.toString();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsState.java
@@ -0,0 +1,30 @@
+package org.laurelweir.settings;
+
+import java.util.List;
+
+/**
+ * All that a {@link SettingsStore} has to remember, for snapshots of the replicated log.
+ *
+ * @param position the position of the last accepted change
+ * @param nodes every node, sorted by path
+ * @param forgotten the position of the newest accepted change that the history no longer has
+ * @param history accepted changes that are kept, the oldest first
+ * @param answers answers that are kept, the oldest first
+ */
+public record SettingsState(
+        long position,
+        List<SettingsNode> nodes,
+        long forgotten,
+        List<HistoryEntry> history,
+        List<KeptAnswer> answers) {
+    /** The state before any change. */
+    public static final SettingsState EMPTY =
+            new SettingsState(0, List.of(), 0, List.of(), List.of());
+
+    /** Copies the lists. */
+    public SettingsState {
+        nodes = List.copyOf(nodes);
+        history = List.copyOf(history);
+        answers = List.copyOf(answers);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
@@ -0,0 +1,177 @@
+package org.laurelweir.settings;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.laurelweir.coordination.Command;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * The settings tree as the replicated log makes it. Every replica that applies the same commands at
+ * the same positions holds the same state and gives the same answers.
+ *
+ * <p>A change is taken whole or not at all. A node's version is the position of its last change, so
+ * versions rise and never come again. Not safe for use by several threads; the trees that it hands
+ * out are.
+ */
+public final class SettingsStore {
+    private static final NodeFault NO_ID =
+            new NodeFault("change", "", "has no id", "an id that its author makes up");
+
+    private final Limits mLimits;
+    private final SettingsHistory mHistory;
+    private final AnswerLog mAnswers;
+    private SettingsTree mTree;
+
+    /**
+     * How much is kept; the same on every replica.
+     *
+     * @param historyEntries accepted changes; a reader that lacks more gets the whole tree
+     * @param answers first answers
+     * @param answerRetention how long a first answer is kept
+     */
+    public record Limits(int historyEntries, int answers, Duration answerRetention) {
+        /** Most of a day at 14,000 changes. */
+        public static final Limits DEFAULT = new Limits(10_000, 20_000, Duration.ofDays(1));
+    }
+
+    /**
+     * Restores a store.
+     *
+     * @param state what an earlier store remembered, or {@link SettingsState#EMPTY}
+     * @param limits how much is kept
+     */
+    public SettingsStore(SettingsState state, Limits limits) {
+        mLimits = limits;
+        mTree = SettingsTree.of(state.position(), state.nodes());
+        mHistory = new SettingsHistory(state.history(), state.forgotten(), limits.historyEntries());
+        mAnswers = new AnswerLog(state.answers(), limits.answers(), limits.answerRetention());
+    }
+
+    /** Returns all that the store remembers. */
+    public SettingsState state() {
+        return new SettingsState(
+                mTree.position(),
+                mTree.nodes(),
+                mHistory.forgotten(),
+                mHistory.all(),
+                mAnswers.all());
+    }
+
+    /** Returns the tree in force. */
+    public SettingsTree tree() {
+        return mTree;
+    }
+
+    /**
+     * Applies a change.
+     *
+     * @param position where the command stands in the log; rises from call to call
+     * @param change the change
+     * @return OK; or the first answer if the change was sent before; CHANGE_ID_REUSED if another
+     *     one was sent under its id; SETTINGS_CONFLICT if a node is not at its expected version;
+     *     SETTINGS_INVALID with every fault. But for OK the tree stays as it was.
+     */
+    public SettingsAnswer apply(long position, Command.ChangeSettings change) {
+        if (position <= mTree.position()) {
+            throw new IllegalArgumentException("position " + position + " has passed");
+        }
+        mAnswers.expire(change.at());
+        if (change.changeId().isBlank()) {
+            return refusal(ResultCode.SETTINGS_INVALID, List.of(), List.of(NO_ID));
+        }
+        String digest = ChangeDigest.of(change.changes());
+        KeptAnswer kept = mAnswers.find(change.changeId());
+        if (kept == null) {
+            SettingsAnswer answer = decide(position, change);
+            mAnswers.keep(new KeptAnswer(change.changeId(), change.at(), digest, answer));
+            return answer;
+        }
+        return kept.digest().equals(digest)
+                ? kept.answer()
+                : refusal(ResultCode.CHANGE_ID_REUSED, List.of(), List.of());
+    }
+
+    private SettingsAnswer decide(long position, Command.ChangeSettings change) {
+        ChangePlan plan = ChangePlan.of(mTree, position, change.changes());
+        if (!plan.conflicts().isEmpty()) {
+            return refusal(ResultCode.SETTINGS_CONFLICT, plan.conflicts(), List.of());
+        }
+        SettingsTree after = mTree.with(position, plan.after());
+        List<NodeFault> faults = new ArrayList<>(plan.faults());
+        faults.addAll(ReferenceCheck.faultsOf(mTree, after, plan.after()));
+        if (!faults.isEmpty()) {
+            return refusal(ResultCode.SETTINGS_INVALID, List.of(), faults);
+        }
+        mTree = after;
+        mHistory.add(
+                new HistoryEntry(
+                        position,
+                        change.at(),
+                        change.changeId(),
+                        change.author(),
+                        change.changes(),
+                        plan.before()));
+        return new SettingsAnswer(ResultCode.OK, position, plan.after(), List.of());
+    }
+
+    private SettingsAnswer refusal(
+            ResultCode code, List<SettingsNode> nodes, List<NodeFault> faults) {
+        return new SettingsAnswer(code, mTree.position(), nodes, faults);
+    }
+
+    /**
+     * Returns what a reader lacks.
+     *
+     * @param position the reader's position
+     * @return the nodes changed since, or the whole tree if changes since have been forgotten;
+     *     empty, at the tree's position, for a reader that is at it or ahead of it
+     */
+    public SettingsDelta changesAfter(long position) {
+        if (position < mHistory.forgotten()) {
+            return new SettingsDelta(mTree.position(), true, mTree.nodes());
+        }
+        List<SettingsNode> nodes = new ArrayList<>();
+        mHistory.touchedAfter(position)
+                .forEach((p, at) -> nodes.add(mTree.node(p).orElse(SettingsNode.gone(p, at))));
+        return new SettingsDelta(mTree.position(), false, nodes);
+    }
+
+    /**
+     * Returns an earlier tree.
+     *
+     * @param position a log position; the tree is the one in force there
+     * @return the tree, or nothing if changes since have been forgotten
+     */
+    public Optional<SettingsTree> treeAt(long position) {
+        if (position < mHistory.forgotten()) {
+            return Optional.empty();
+        }
+        return Optional.of(mHistory.rewind(mTree, position));
+    }
+
+    /**
+     * Compares two positions.
+     *
+     * @return what differs, sorted by path and key, or nothing if a position has been forgotten
+     */
+    public Optional<List<ValueDiff>> diff(long from, long to) {
+        return treeAt(from).flatMap(a -> treeAt(to).map(b -> TreeDiff.between(a, b)));
+    }
+
+    /**
+     * Returns accepted changes, the newest first.
+     *
+     * @param path only changes of this node, or nothing for all
+     * @param limit most entries
+     */
+    public List<HistoryEntry> history(Optional<NodePath> path, int limit) {
+        return mHistory.newest(path, limit);
+    }
+
+    /** Returns how much the store keeps. */
+    public Limits limits() {
+        return mLimits;
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/ValueDiff.java
@@ -0,0 +1,11 @@
+package org.laurelweir.settings;
+
+/**
+ * One value that differs between two positions.
+ *
+ * @param path the node
+ * @param key the key's name
+ * @param before the value at the first position, or null if it was not set
+ * @param after the value at the second position, or null if it is not set
+ */
+public record ValueDiff(NodePath path, String key, String before, String after) {}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/settings/Trees.java
@@ -0,0 +1,52 @@
+package org.laurelweir.settings;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import org.laurelweir.coordination.Command.ChangeSettings;
+import org.laurelweir.coordination.Command.NodeChange;
+
+/** Changes and arbitraries that the tests of the settings tree share. */
+final class Trees {
+    private static final List<String> FEW = List.of("a", "b");
+
+    private Trees() {}
+
+    static ChangeSettings change(String id, NodeChange... changes) {
+        return new ChangeSettings(Instant.EPOCH, id, "tester", List.of(changes));
+    }
+
+    static NodeChange set(String path, long expected, String... keysAndValues) {
+        Map<String, String> values = new java.util.HashMap<>();
+        for (int i = 0; i < keysAndValues.length; i += 2) {
+            values.put(keysAndValues[i], keysAndValues[i + 1]);
+        }
+        return new NodeChange(path, expected, values, List.of(), false);
+    }
+
+    static NodeChange delete(String path, long expected) {
+        return new NodeChange(path, expected, Map.of(), List.of(), true);
+    }
+
+    static SettingsStore store() {
+        return new SettingsStore(SettingsState.EMPTY, SettingsStore.Limits.DEFAULT);
+    }
+
+    /** Paths over so few names that many apply to one context. */
+    static Arbitrary<NodePath> paths() {
+        Arbitrary<String> name = Arbitraries.of(FEW).injectNull(0.5);
+        return Combinators.combine(name, name, name, name, name).as(NodePath::new);
+    }
+
+    static Arbitrary<SettingsContext> contexts() {
+        Arbitrary<String> name = Arbitraries.of(FEW).injectNull(0.2);
+        Arbitrary<SettingsContext.Call> call =
+                Arbitraries.of("GET", "POST")
+                        .map(m -> new SettingsContext.Call(m, "/x", null))
+                        .injectNull(0.2);
+        return Combinators.combine(name, name, name, name, call).as(SettingsContext::new);
+    }
+}
