Count a sidecar's sessions where it changes its control instance

Only the instance that hears a session says that it has vanished. A sidecar that goes on elsewhere needs a new session for its announcement to win over the departure which the instance that it left announces seconds later. Possibly stale answers make the client look for another instance: one behind a partition answers as promptly as ever.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
@@ -35,15 +36,13 @@
  */
 public final class ExchangeClient implements Service {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-    private static final int EXCHANGES_BEFORE_RETURN = 60;
 
     private final Duration mTimeout;
     private final ByteCounter mBytes = new ByteCounter();
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final List<String> mAddresses;
-    private int mCurrent;
-    private int mUntilReturn;
+    private final SessionCounter mSessions = new SessionCounter();
+    private final NearestControl mControl;
     private boolean mStopped;
     private ManagedChannel mChannel;
 
@@ -54,7 +53,7 @@
      * @param timeout longest wait for one instance's answer
      */
     public ExchangeClient(List<String> addresses, Duration timeout) {
-        mAddresses = List.copyOf(addresses);
+        mControl = new NearestControl(addresses);
         mTimeout = timeout;
     }
 
@@ -66,7 +65,7 @@
     /**
      * Tells a sidecar's report and asks for what is new.
      *
-     * @param report what the sidecar announces
+     * @param report what the sidecar announces; the client counts its sessions
      * @param cursor how far its view of the membership reaches
      * @param settingsPosition the log position of its settings
      * @return the answer; fails with a LaurelweirException UNREACHABLE if no instance answers
@@ -74,7 +73,9 @@
     public CompletableFuture<ExchangeAnswer> exchange(
             SidecarReport report, MembershipCursor cursor, long settingsPosition) {
         return exchange(
-                request(cursor, settingsPosition).setSidecar(MembershipCodec.toWire(report)));
+                () ->
+                        request(cursor, settingsPosition)
+                                .setSidecar(MembershipCodec.toWire(mSessions.stamp(report))));
     }
 
     /**
@@ -88,7 +89,7 @@
     public CompletableFuture<ExchangeAnswer> exchange(
             RouterReport report, MembershipCursor cursor, long settingsPosition) {
         return exchange(
-                request(cursor, settingsPosition).setRouter(MembershipCodec.toWire(report)));
+                () -> request(cursor, settingsPosition).setRouter(MembershipCodec.toWire(report)));
     }
 
     /** Returns the bytes sent to control instances since the client was made, framing included. */
@@ -103,7 +104,7 @@
 
     /** Returns the instance that exchanges go to now. */
     public synchronized String currentAddress() {
-        return mAddresses.get(mCurrent);
+        return mControl.address();
     }
 
     private static ExchangeRequest.Builder request(MembershipCursor cursor, long position) {
@@ -112,14 +113,16 @@
                 .setSettingsPosition(position);
     }
 
-    private CompletableFuture<ExchangeAnswer> exchange(ExchangeRequest.Builder request) {
+    private CompletableFuture<ExchangeAnswer> exchange(Supplier<ExchangeRequest.Builder> request) {
         CompletableFuture<ExchangeAnswer> answer = new CompletableFuture<>();
-        attempt(request.build(), 0, answer);
+        attempt(request, 0, answer);
         return answer;
     }
 
     private void attempt(
-            ExchangeRequest request, int failed, CompletableFuture<ExchangeAnswer> answer) {
+            Supplier<ExchangeRequest.Builder> request,
+            int failed,
+            CompletableFuture<ExchangeAnswer> answer) {
         ManagedChannel channel = channel();
         if (channel == null) {
             answer.cancel(false);
@@ -129,6 +132,7 @@
                 new FutureCallback<>() {
                     @Override
                     public void onSuccess(ExchangeReply reply) {
+                        taken(channel, reply);
                         answer.complete(ExchangeAnswer.of(reply));
                     }
 
@@ -141,17 +145,17 @@
         Futures.addCallback(
                 ControlServiceGrpc.newFutureStub(channel)
                         .withDeadlineAfter(mTimeout.toNanos(), TimeUnit.NANOSECONDS)
-                        .exchange(request),
+                        .exchange(request.get().build()),
                 callback,
                 MoreExecutors.directExecutor());
     }
 
     private void retry(
-            ExchangeRequest request,
+            Supplier<ExchangeRequest.Builder> request,
             int failed,
             CompletableFuture<ExchangeAnswer> answer,
             Throwable failure) {
-        if (failed < mAddresses.size()) {
+        if (failed < mControl.size()) {
             attempt(request, failed, answer);
             return;
         }
@@ -164,21 +168,28 @@
         if (mStopped) {
             return null;
         }
-        if (mCurrent != 0 && --mUntilReturn <= 0) {
-            returnToNearest();
+        if (mControl.returns()) {
+            move();
         }
         if (mChannel == null) {
-            mChannel = open(mAddresses.get(mCurrent));
+            mChannel = open(mControl.address());
         }
         return mChannel;
     }
 
-    private void returnToNearest() {
+    private synchronized void taken(ManagedChannel channel, ExchangeReply reply) {
+        mSessions.raise(reply.getLeastSession());
+        if (channel == mChannel && mControl.leavesStale(reply.getPossiblyStale())) {
+            move();
+        }
+    }
+
+    private void move() {
         if (mChannel != null) {
             mChannel.shutdown();
         }
         mChannel = null;
-        mCurrent = 0;
+        mSessions.moved();
     }
 
     private synchronized void leave(ManagedChannel channel, Throwable failure) {
@@ -188,10 +199,9 @@
         }
         sLogger.atInfo().log(
                 "control instance %s does not answer: %s",
-                mAddresses.get(mCurrent), failure.getMessage());
-        mChannel = null;
-        mCurrent = (mCurrent + 1) % mAddresses.size();
-        mUntilReturn = EXCHANGES_BEFORE_RETURN;
+                mControl.address(), failure.getMessage());
+        mControl.leave();
+        move();
         channel.shutdownNow();
     }
 
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
@@ -0,0 +1,75 @@
+package org.laurelweir.runtime.rpc;
+
+import java.util.List;
+
+/**
+ * Chooses the control instance to exchange with: the nearest, unless it fails or can't confirm what
+ * it says. Not safe for use by several threads.
+ */
+final class NearestControl {
+    private static final int EXCHANGES_BEFORE_RETURN = 60;
+    private static final int MOST_EXCHANGES_BEFORE_RETURN = 3600;
+    private static final int STALE_BEFORE_LEAVING = 5;
+    private static final int MOST_STALE_BEFORE_LEAVING = 300;
+
+    private final List<String> mAddresses;
+    private int mCurrent;
+    private int mUntilReturn;
+    private int mReturnAfter = EXCHANGES_BEFORE_RETURN;
+    private int mStale;
+    private int mStaleLimit = STALE_BEFORE_LEAVING;
+
+    NearestControl(List<String> addresses) {
+        mAddresses = List.copyOf(addresses);
+    }
+
+    int size() {
+        return mAddresses.size();
+    }
+
+    String address() {
+        return mAddresses.get(mCurrent);
+    }
+
+    /** Goes on to the next instance; back to the nearest later each time that it disappoints. */
+    void leave() {
+        if (mCurrent == 0) {
+            mUntilReturn = mReturnAfter;
+            mReturnAfter = Math.min(2 * mReturnAfter, MOST_EXCHANGES_BEFORE_RETURN);
+        }
+        mCurrent = (mCurrent + 1) % mAddresses.size();
+        mStale = 0;
+    }
+
+    /** Counts an exchange; returns whether the nearest instance is to be tried again. */
+    boolean returns() {
+        if (mCurrent == 0 || --mUntilReturn > 0) {
+            return false;
+        }
+        mCurrent = 0;
+        mStale = 0;
+        return true;
+    }
+
+    /**
+     * Notes whether an answer was possibly stale; returns whether to leave the instance. One behind
+     * a partition answers as promptly as ever, so only this shows it. Where every instance is
+     * stale, there is nowhere better to go, and the moves become rarer.
+     */
+    boolean leavesStale(boolean possiblyStale) {
+        if (!possiblyStale) {
+            if (mCurrent == 0) {
+                mReturnAfter = EXCHANGES_BEFORE_RETURN;
+            }
+            mStale = 0;
+            mStaleLimit = STALE_BEFORE_LEAVING;
+            return false;
+        }
+        if (mAddresses.size() == 1 || ++mStale < mStaleLimit) {
+            return false;
+        }
+        mStaleLimit = Math.min(2 * mStaleLimit, MOST_STALE_BEFORE_LEAVING);
+        leave();
+        return true;
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipListener.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipListener.java
@@ -8,6 +8,7 @@
      *
      * @param backend as it is now
      * @param reason why, one of a few fixed words
+     * @param own whether this control instance vouches for it, rather than a peer
      */
-    void changed(Backend backend, String reason);
+    void changed(Backend backend, String reason, boolean own);
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SessionTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SessionTable.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,8 +34,8 @@
         return r != null && r.backend().isSameSession(b);
     }
 
-    Collection<SidecarReport> reports() {
-        return mSessions.values().stream().map(Session::report).toList();
+    int size() {
+        return mSessions.size();
     }
 
     /** Returns the running work of those that take new work, per service. */
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -143,7 +143,7 @@
             return false;
         }
         mHeld.hold(report, time);
-        mListener.changed(b, "held back for " + time.toSeconds() + " s");
+        mListener.changed(b, "held back for " + time.toSeconds() + " s", true);
         return true;
     }
 
@@ -158,16 +158,17 @@
     /** Takes what this instance itself vouches for; it is passed on to the peers. */
     private void announce(Instant now, Backend b, String reason) {
         mOwn.merge(now, b);
-        take(now, b, reason);
+        if (take(now, b)) {
+            mListener.changed(b, reason, true);
+        }
     }
 
-    private boolean take(Instant now, Backend b, String reason) {
+    private boolean take(Instant now, Backend b) {
         Backend before = mMerged.get(b.ref().id());
         if (!mMerged.merge(now, b)) {
             return false;
         }
         mCounts.changed(before, b);
-        mListener.changed(b, reason);
         return true;
     }
 
@@ -253,7 +254,8 @@
             return;
         }
         Backend known = mMerged.get(id);
-        if (take(now, b, "heard by " + peer)) {
+        if (take(now, b)) {
+            mListener.changed(b, "heard by " + peer, false);
             if (b.state() == Backend.State.LEFT
                     && known != null
                     && known.state() == Backend.State.SERVING) {
@@ -308,11 +310,21 @@
         return loads;
     }
 
+    /** Returns whether a backend server has announced itself and not been forgotten since. */
+    public boolean knows(String id) {
+        return mMerged.get(id) != null;
+    }
+
     /** Returns every backend server known, those that left lately included. */
     public Collection<Backend> backends() {
         return mMerged.all();
     }
 
+    /** Returns how many sidecars are heard here. */
+    public int heardCount() {
+        return mSessions.size();
+    }
+
     /** Returns what a sidecar that is heard here reported last, or null. */
     public SidecarReport report(String id) {
         return mSessions.get(id);
