--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
@@ -0,0 +1,226 @@
+package org.laurelweir.admission;
+
+import java.time.Duration;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.placement.BoundDecision;
+import org.laurelweir.placement.BoundPolicy;
+import org.laurelweir.placement.BoundQuery;
+import org.laurelweir.placement.LoadBound;
+import org.laurelweir.placement.WorkEstimate;
+
+/**
+ * Decides about attempts that have not started: run now, wait a short time, go to the next in rank,
+ * or be refused at once with the time to come back. Nothing is held longer than the queue's age.
+ */
+final class Admission {
+    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
+    private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
+
+    private final String mSelf;
+    private final FairQueue mQueue = new FairQueue();
+    private final RunningLoad mLoad;
+    private final RunTimes mTimes;
+    private final NextInRank mNext;
+    private final DecisionReport mReport;
+    private final Endings mEndings;
+    private final Execution mExecution;
+    private final FrameSender mFrames;
+    private SidecarSettings mSettings;
+    private BoundPolicy mPolicy;
+
+    Admission(
+            String self,
+            RunningLoad load,
+            RunTimes times,
+            NextInRank next,
+            Endings endings,
+            Execution execution,
+            FrameSender frames) {
+        mSelf = self;
+        mLoad = load;
+        mTimes = times;
+        mNext = next;
+        mReport = new DecisionReport(load, next);
+        mEndings = endings;
+        mExecution = execution;
+        mFrames = frames;
+    }
+
+    void setSettings(SidecarSettings settings) {
+        mSettings = settings;
+        mPolicy = new BoundPolicy(settings.bound());
+    }
+
+    int waiting() {
+        return mQueue.size();
+    }
+
+    /** Forgets an attempt that was ended by others while it waited. */
+    void forget(Attempt attempt) {
+        mQueue.remove(attempt);
+    }
+
+    /** Decides about an attempt that has just arrived, given what of its prompt is cached here. */
+    void place(Step step, Attempt attempt, int cachedTokens) {
+        AttemptRequest request = attempt.request();
+        WorkEstimate work = estimate(request, cachedTokens);
+        attempt.setWork(Math.max(1, work.units(mSettings.bound().prefillWeight())));
+        boolean reachable = !isHopeless(step, attempt, Duration.ZERO);
+        String next = next(attempt);
+        BoundQuery query =
+                new BoundQuery(work, request.redirects(), !next.isEmpty(), false, reachable);
+        BoundDecision decision = mPolicy.decide(query, mLoad.work(), mLoad.mean(step.now()));
+        switch (decision) {
+            case ADMIT -> admit(step, attempt);
+            case WAIT -> enqueue(step, attempt);
+            default -> {
+                String choice = decision == BoundDecision.REDIRECT ? next : "";
+                refuseUnplaced(step, attempt, reachable, choice);
+            }
+        }
+    }
+
+    private void refuseUnplaced(Step step, Attempt attempt, boolean reachable, String next) {
+        if (reachable) {
+            refuse(step, attempt, ResultCode.OVERLOADED, AdmissionReason.OVER_BOUND, next);
+            return;
+        }
+        refuse(step, attempt, ResultCode.DEADLINE_UNREACHABLE, AdmissionReason.DEADLINE, next);
+    }
+
+    private WorkEstimate estimate(AttemptRequest request, int cachedTokens) {
+        int output = request.cost().outputTokens();
+        return new WorkEstimate(
+                request.cost().promptTokens(),
+                cachedTokens,
+                output > 0 ? output : mSettings.outputTokens());
+    }
+
+    private void admit(Step step, Attempt attempt) {
+        if (mQueue.size() > 0) {
+            enqueue(step, attempt);
+            return;
+        }
+        // Also counted in the queue's virtual time, or what an account was given while nobody
+        // waited would not count against it the moment somebody does.
+        mQueue.add(step.now(), attempt);
+        mQueue.take();
+        start(step, attempt, AdmissionReason.WITHIN_BOUND);
+    }
+
+    private void enqueue(Step step, Attempt attempt) {
+        if (isHopeless(step, attempt, mTimes.untilEnded(mQueue.size() + 1, mLoad.running()))) {
+            refuse(
+                    step,
+                    attempt,
+                    ResultCode.DEADLINE_UNREACHABLE,
+                    AdmissionReason.DEADLINE,
+                    next(attempt));
+            return;
+        }
+        mQueue.add(step.now(), attempt);
+        Attempt excess = mQueue.overflow(mSettings.queue());
+        while (excess != null) {
+            mQueue.remove(excess);
+            refuse(step, excess, ResultCode.OVERLOADED, AdmissionReason.QUEUE_FULL, next(excess));
+            excess = mQueue.overflow(mSettings.queue());
+        }
+        if (mQueue.all().contains(attempt)) {
+            report(step, attempt, mSelf, AdmissionReason.QUEUED);
+            mFrames.send(step, attempt, new Frame.Accepted(mQueue.size()));
+        }
+    }
+
+    /** Starts those that wait, in their order, while they fit under the bound. */
+    void admitWaiting(Step step) {
+        Attempt next = mQueue.next();
+        while (next != null && fits(step, next)) {
+            mQueue.take();
+            start(step, next, AdmissionReason.WAITED);
+            next = mQueue.next();
+        }
+    }
+
+    private boolean fits(Step step, Attempt attempt) {
+        return LoadBound.admits(
+                mLoad.work(),
+                attempt.work(),
+                mLoad.mean(step.now()),
+                mSettings.bound().factor(),
+                mSettings.bound().capacityFloor());
+    }
+
+    /** Refuses what has waited too long or can't be answered in time any more. */
+    void expire(Step step) {
+        for (Attempt a : mQueue.waitingSince(step.now().minus(mSettings.queue().age()))) {
+            mQueue.remove(a);
+            refuse(step, a, ResultCode.OVERLOADED, AdmissionReason.QUEUE_AGE, next(a));
+        }
+        for (Attempt a : mQueue.all()) {
+            if (isHopeless(step, a, Duration.ZERO)) {
+                mQueue.remove(a);
+                refuse(step, a, ResultCode.DEADLINE_UNREACHABLE, AdmissionReason.DEADLINE, "");
+            }
+        }
+    }
+
+    /** Refuses an attempt because nothing new is taken, and names who may take it. */
+    void turnAway(Step step, Attempt attempt, ResultCode code, AdmissionReason reason) {
+        mQueue.remove(attempt);
+        refuse(step, attempt, code, reason, next(attempt));
+    }
+
+    /** Refuses all that waits because nothing new is taken. */
+    void turnAllAway(Step step, ResultCode code, AdmissionReason reason) {
+        mQueue.all().forEach(a -> turnAway(step, a, code, reason));
+    }
+
+    /** Sends an attempt to the backend server that holds its chat's history. */
+    void sendElsewhere(Step step, Attempt attempt, String server) {
+        refuse(step, attempt, ResultCode.CHAT_ELSEWHERE, AdmissionReason.CHAT_ELSEWHERE, server);
+    }
+
+    private void start(Step step, Attempt attempt, AdmissionReason reason) {
+        report(step, attempt, mSelf, reason);
+        mExecution.start(step, attempt);
+    }
+
+    private void refuse(
+            Step step, Attempt attempt, ResultCode code, AdmissionReason reason, String next) {
+        report(step, attempt, next.isEmpty() ? code.name() : next, reason);
+        Duration retryAfter = next.isEmpty() ? retryAfter(attempt) : Duration.ZERO;
+        mEndings.refuse(step, attempt, new Frame.Refused(code, reason.text(), next, retryAfter));
+    }
+
+    private void report(Step step, Attempt attempt, String choice, AdmissionReason reason) {
+        double bound =
+                LoadBound.bound(
+                        mLoad.mean(step.now()),
+                        mSettings.bound().factor(),
+                        mSettings.bound().capacityFloor());
+        mReport.decided(step, attempt.request(), choice, reason, bound);
+    }
+
+    private String next(Attempt attempt) {
+        return mNext.next(attempt.request(), mSettings.bound().maxRedirects());
+    }
+
+    private boolean isHopeless(Step step, Attempt attempt, Duration wait) {
+        Duration left = Duration.between(step.now(), attempt.deadline());
+        return mTimes.isHopeless(attempt.work(), wait, left);
+    }
+
+    /**
+     * Returns when to come back: when those that run and wait now have likely ended, spread by up
+     * to the same time again, so that callers refused together don't return together.
+     */
+    private Duration retryAfter(Attempt attempt) {
+        Duration busy = mTimes.untilEnded(mQueue.size() + 1, mLoad.running());
+        Duration base = busy.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : busy;
+        long spread = Math.floorMod(attempt.id().hashCode(), base.toMillis());
+        Duration whole = base.plusMillis(spread);
+        return whole.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : whole;
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/FairQueue.java
@@ -0,0 +1,151 @@
+package org.laurelweir.admission;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Attempts that wait for room, bounded in count and bytes.
+ *
+ * <p>A higher priority goes first. Within a priority, client accounts share the backend server by
+ * their weights: start-time fair queueing, where each request gets a tag in virtual time at which
+ * the account's share would have it begin, and the least tag goes first. An account that surges
+ * only pushes its own tags into the future. Every eighth turn goes to whoever has waited longest,
+ * whatever its priority, so that a steady flow of urgent requests starves nobody.
+ *
+ * <p>When the queue is full, room is made within the least priority at the cost of the account that
+ * has the most work waiting for its weight, its newest request first. So a surge is refused its own
+ * excess, and a small account finds room in a full queue.
+ */
+final class FairQueue {
+    private static final int OLDEST_EVERY = 8;
+    private static final int MAX_IDLE_TAGS = 1024;
+
+    private record Entry(Attempt attempt, Instant since, double tag, long order) {
+        int priority() {
+            return attempt.request().priority();
+        }
+
+        String account() {
+            return attempt.request().account();
+        }
+
+        /** Returns the work for the account's weight. */
+        double share() {
+            return shareOf(attempt);
+        }
+    }
+
+    private static final Comparator<Entry> TURN =
+            Comparator.comparingInt((Entry e) -> -e.priority())
+                    .thenComparingDouble(Entry::tag)
+                    .thenComparingLong(Entry::order);
+
+    private final List<Entry> mEntries = new ArrayList<>();
+    private final Map<String, Double> mNextTags = new HashMap<>();
+    private double mVirtualTime;
+    private long mBytes;
+    private long mOrders;
+    private long mTurns;
+
+    /** Adds an attempt, even over the bounds; {@link #overflow} tells what has to go. */
+    void add(Instant now, Attempt attempt) {
+        String account = attempt.request().account();
+        double tag = Math.max(mVirtualTime, mNextTags.getOrDefault(account, 0.0));
+        mNextTags.put(account, tag + shareOf(attempt));
+        mEntries.add(new Entry(attempt, now, tag, mOrders++));
+        mBytes += bodyBytes(attempt);
+    }
+
+    /** Returns the attempt whose turn it is, or null where none waits. */
+    Attempt next() {
+        Entry e = nextEntry();
+        return e == null ? null : e.attempt();
+    }
+
+    /** Takes the attempt whose turn it is out. */
+    Attempt take() {
+        Entry e = nextEntry();
+        mTurns++;
+        mVirtualTime = Math.max(mVirtualTime, e.tag());
+        remove(e);
+        if (mNextTags.size() > MAX_IDLE_TAGS) {
+            mNextTags.values().removeIf(t -> t <= mVirtualTime);
+        }
+        return e.attempt();
+    }
+
+    /** Takes an attempt out whose turn it isn't; nothing happens where it doesn't wait here. */
+    void remove(Attempt attempt) {
+        for (Entry e : mEntries) {
+            if (e.attempt() == attempt) {
+                remove(e);
+                return;
+            }
+        }
+    }
+
+    /** Returns the attempt that has to go for the queue to come within bounds, or null. */
+    Attempt overflow(SidecarSettings.QueueLimits limits) {
+        if (mEntries.size() <= limits.requests() && mBytes <= limits.bytes()) {
+            return null;
+        }
+        int least = mEntries.stream().mapToInt(Entry::priority).min().orElseThrow();
+        Map<String, Double> shares = new HashMap<>();
+        for (Entry e : mEntries) {
+            if (e.priority() == least) {
+                shares.merge(e.account(), e.share(), Double::sum);
+            }
+        }
+        return mEntries.stream()
+                .filter(e -> e.priority() == least)
+                .max(
+                        Comparator.comparingDouble((Entry e) -> shares.get(e.account()))
+                                .thenComparingLong(Entry::order))
+                .orElseThrow()
+                .attempt();
+    }
+
+    /** Returns the attempts that have waited since a time or longer, in the order of arrival. */
+    List<Attempt> waitingSince(Instant time) {
+        return mEntries.stream().filter(e -> !e.since().isAfter(time)).map(Entry::attempt).toList();
+    }
+
+    /** Returns all attempts in the order of arrival. */
+    List<Attempt> all() {
+        return mEntries.stream().map(Entry::attempt).toList();
+    }
+
+    int size() {
+        return mEntries.size();
+    }
+
+    long bytes() {
+        return mBytes;
+    }
+
+    private Entry nextEntry() {
+        if (mEntries.isEmpty()) {
+            return null;
+        }
+        boolean oldest = mTurns % OLDEST_EVERY == OLDEST_EVERY - 1;
+        return oldest ? mEntries.get(0) : mEntries.stream().min(TURN).orElseThrow();
+    }
+
+    private void remove(Entry entry) {
+        mEntries.remove(entry);
+        mBytes -= bodyBytes(entry.attempt());
+    }
+
+    private static double shareOf(Attempt attempt) {
+        double weight = attempt.request().accountWeight();
+        return attempt.work() / (weight > 0 ? weight : 1);
+    }
+
+    private static long bodyBytes(Attempt attempt) {
+        return attempt.request().call().body().length;
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/FrameSender.java
@@ -0,0 +1,46 @@
+package org.laurelweir.admission;
+
+import java.util.function.BooleanSupplier;
+import org.laurelweir.attempt.AttemptFrame;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.attempt.LoadHint;
+import org.laurelweir.lib.AttemptId;
+
+/** Sends frames, each with the sidecar's load. */
+final class FrameSender {
+    private final RunningLoad mLoad;
+    private final BooleanSupplier mDraining;
+
+    /**
+     * Creates a sender.
+     *
+     * @param load what runs
+     * @param draining whether the sidecar takes no new work
+     */
+    FrameSender(RunningLoad load, BooleanSupplier draining) {
+        mLoad = load;
+        mDraining = draining;
+    }
+
+    /** Sends a frame to whoever follows the attempt; nobody may. */
+    void send(Step step, Attempt attempt, Frame frame) {
+        if (!attempt.isFollowed()) {
+            return;
+        }
+        attempt.setLastFrame(step.now());
+        send(step, attempt.stream(), attempt.id(), frame);
+    }
+
+    /** Sends a frame about an attempt on a stream. */
+    void send(Step step, long stream, AttemptId attempt, Frame frame) {
+        LoadHint hint =
+                new LoadHint(mLoad.work(), mLoad.mean(step.now()), mDraining.getAsBoolean());
+        step.emit(new SidecarEffect.SendFrame(stream, new AttemptFrame(attempt, hint, frame)));
+    }
+
+    /** Sends the last frame of a stream that follows no attempt. */
+    void sendLast(Step step, long stream, AttemptId attempt, Frame frame) {
+        send(step, stream, attempt, frame);
+        step.emit(new SidecarEffect.CloseStream(stream));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/OutputControl.java
@@ -0,0 +1,72 @@
+package org.laurelweir.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Keeps output within its bounds. Nothing that a reader still needs is dropped to make room: first
+ * go whole answers kept for a resend, the oldest first, then what readers of running attempts have
+ * acknowledged; after that the backend server's answers are read no further until there is room.
+ */
+final class OutputControl {
+    private final AttemptTable mTable;
+    private final Endings mEndings;
+    private final OutputTotal mTotal;
+
+    OutputControl(AttemptTable table, Endings endings, OutputTotal total) {
+        mTable = table;
+        mTotal = total;
+        mEndings = endings;
+    }
+
+    /** Acts on a bound that an attempt's new output may have passed. */
+    void grown(Step step, Attempt attempt, SidecarSettings.OutputLimits limits) {
+        boolean ownFull = attempt.output().unacknowledgedBytes() >= limits.attemptBytes();
+        if (ownFull || !hasRoom(step, limits)) {
+            pause(step, attempt);
+        }
+    }
+
+    /** Reads on where there is room again. */
+    void readOn(Step step, SidecarSettings.OutputLimits limits) {
+        List<Attempt> paused = new ArrayList<>();
+        for (Attempt a : mTable.all()) {
+            if (a.isReadingPaused() && a.phase() == Attempt.Phase.RUNNING) {
+                paused.add(a);
+            }
+        }
+        if (paused.isEmpty() || !hasRoom(step, limits)) {
+            return;
+        }
+        for (Attempt a : paused) {
+            // Half of the bound, so that reading does not start and stop with every piece.
+            if (a.output().unacknowledgedBytes() <= limits.attemptBytes() / 2) {
+                a.setReadingPaused(false);
+                step.emit(new SidecarEffect.ReadEngineCall(a.id(), true));
+            }
+        }
+    }
+
+    private void pause(Step step, Attempt attempt) {
+        if (!attempt.isReadingPaused()) {
+            attempt.setReadingPaused(true);
+            step.emit(new SidecarEffect.ReadEngineCall(attempt.id(), false));
+        }
+    }
+
+    private boolean hasRoom(Step step, SidecarSettings.OutputLimits limits) {
+        if (mTotal.bytes() < limits.totalBytes()) {
+            return true;
+        }
+        for (Attempt a : mTable.all()) {
+            boolean delivered = a.phase() == Attempt.Phase.ENDED && a.isEndingSent();
+            if (delivered && mTotal.bytes() >= limits.totalBytes()) {
+                mEndings.drop(step, a);
+            }
+        }
+        if (mTotal.bytes() >= limits.totalBytes()) {
+            mTable.all().forEach(a -> a.output().dropAcknowledged());
+        }
+        return mTotal.bytes() < limits.totalBytes();
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEffect.java
@@ -29,6 +29,9 @@
     /** Drop the call to the backend server, which cancels its work. */
     record CancelEngineCall(AttemptId attempt) implements SidecarEffect {}
 
+    /** Read the backend server's answer on, or read no further until told. */
+    record ReadEngineCall(AttemptId attempt, boolean reading) implements SidecarEffect {}
+
     /** Exchange with a control instance. */
     record SendExchange(SidecarReport report, MembershipCursor cursor) implements SidecarEffect {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
@@ -1,40 +1,56 @@
 package org.laurelweir.admission;
 
 import java.time.Duration;
+import java.util.Set;
+import org.laurelweir.placement.BoundConfig;
 
 /**
  * The settings that bind one sidecar.
  *
- * @param boundFactor running work may reach this multiple of the service's mean
- * @param queueRequests most requests that wait
- * @param queueBytes most bytes of bodies that wait
- * @param queueAge longest time that a request waits
- * @param outputKeepBytes most bytes of unacknowledged or kept output, over all attempts
- * @param outputKeepTime how long output that nobody follows is kept
+ * @param bound how much work its backend server takes on
+ * @param queue what may wait
+ * @param output what is kept of answers
  * @param drainTimeout how long running requests may take once draining has begun
  * @param progressInterval longest silence on a stream
- * @param outputTokens tokens that an answer is expected to have where the caller set no limit
+ * @param outputTokens tokens that an answer is expected to have where the router expects none
+ * @param refusalStatuses the backend server's HTTP statuses that are documented to mean that a call
+ *     was refused before it was run
  */
 public record SidecarSettings(
-        double boundFactor,
-        int queueRequests,
-        long queueBytes,
-        Duration queueAge,
-        long outputKeepBytes,
-        Duration outputKeepTime,
+        BoundConfig bound,
+        QueueLimits queue,
+        OutputLimits output,
         Duration drainTimeout,
         Duration progressInterval,
-        int outputTokens) {
+        int outputTokens,
+        Set<Integer> refusalStatuses) {
     /** What holds until settings arrive. */
     public static final SidecarSettings DEFAULT =
             new SidecarSettings(
-                    1.25,
-                    64,
-                    16L << 20,
-                    Duration.ofSeconds(2),
-                    64L << 20,
-                    Duration.ofSeconds(30),
+                    new BoundConfig(1.25, 1.1, 8192, 0.1, 2),
+                    new QueueLimits(64, 16L << 20, Duration.ofSeconds(2)),
+                    new OutputLimits(64L << 20, 1L << 20, Duration.ofSeconds(30)),
                     Duration.ofMinutes(10),
                     Duration.ofMillis(500),
-                    256);
+                    256,
+                    Set.of());
+
+    /**
+     * What may wait for room.
+     *
+     * @param requests most requests
+     * @param bytes most bytes of bodies
+     * @param age longest wait
+     */
+    public record QueueLimits(int requests, long bytes, Duration age) {}
+
+    /**
+     * What is kept of answers.
+     *
+     * @param totalBytes most bytes over all attempts
+     * @param attemptBytes most bytes of one attempt that its reader has not acknowledged; over it
+     *     the backend server's answer is read no further
+     * @param keepTime how long an attempt goes on, and its output is kept, while nobody follows it
+     */
+    public record OutputLimits(long totalBytes, long attemptBytes, Duration keepTime) {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/attempt/AttemptRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/attempt/AttemptRequest.java
@@ -41,6 +41,28 @@
         double accountWeight,
         Duration keepOutput) {
 
+    /** Returns this request without its body, for a process that has passed the body on. */
+    public AttemptRequest withoutBody() {
+        Call bare =
+                new Call(call.method(), call.path(), call.headers(), new byte[0], call.streamed());
+        return new AttemptRequest(
+                id,
+                target,
+                account,
+                service,
+                chat,
+                returning,
+                bare,
+                idempotent,
+                idempotencyKey,
+                timeLeft,
+                priority,
+                cost,
+                redirects,
+                accountWeight,
+                keepOutput);
+    }
+
     /**
      * An HTTP call on a backend server.
      *
