--- /dev/null
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendClient.java
@@ -0,0 +1,93 @@
+package org.laurelweir.sidecar.backend;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.laurelweir.admission.SidecarEvent;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.rpc.EventLoops;
+
+/**
+ * Calls the backend server. Each call has a connection of its own: closing it cancels the call and
+ * no other, and a call never goes out on a kept connection that the other end is just closing,
+ * which would leave it unknown whether it was run. Both ends are on one machine, so that connecting
+ * costs little.
+ */
+public final class BackendClient {
+    private static final int CONNECT_MILLIS = 1_000;
+    private static final int MAX_LINE = 16 << 10;
+    private static final int MAX_HEADERS = 64 << 10;
+    private static final int MAX_PIECE = 64 << 10;
+
+    private final EventLoops mLoops;
+    private final Endpoint mBackend;
+    private final Consumer<SidecarEvent> mEvents;
+    private final Map<AttemptId, Channel> mChannels = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a client.
+     *
+     * @param loops carry the connections
+     * @param backend where the backend server listens
+     * @param events takes what becomes of the calls, on any thread
+     */
+    public BackendClient(EventLoops loops, Endpoint backend, Consumer<SidecarEvent> events) {
+        mLoops = loops;
+        mBackend = backend;
+        mEvents = events;
+    }
+
+    /** Makes the call of an attempt. */
+    public void start(AttemptRequest request) {
+        BackendCall call = new BackendCall(request, mEvents, () -> mChannels.remove(request.id()));
+        ChannelFuture connect =
+                new Bootstrap()
+                        .group(mLoops.group())
+                        .channel(mLoops.clientType())
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(new Pipeline(call))
+                        .connect(mBackend.toSocketAddress());
+        mChannels.put(request.id(), connect.channel());
+        // Added after the entry is there, so that the call's end finds it.
+        connect.addListener(f -> call.connected(connect, mBackend.toString()));
+    }
+
+    /** Closes a call's connection, which cancels its work; nothing happens where it has ended. */
+    public void cancel(AttemptId attempt) {
+        Channel channel = mChannels.remove(attempt);
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** Reads a call's answer on, or no further, so that the backend server has to wait. */
+    public void setReading(AttemptId attempt, boolean reading) {
+        Channel channel = mChannels.get(attempt);
+        if (channel != null) {
+            channel.config().setAutoRead(reading);
+        }
+    }
+
+    private static final class Pipeline extends ChannelInitializer<Channel> {
+        private final BackendCall mCall;
+
+        Pipeline(BackendCall call) {
+            mCall = call;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADERS, MAX_PIECE));
+            channel.pipeline().addLast(mCall);
+        }
+    }
+}
