--- a/org.laurelweir/src/main/java/org/laurelweir/settings/Policies.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/Policies.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.laurelweir.admission.SidecarSettings;
+import org.laurelweir.placement.BoundConfig;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.routing.RequestPolicy;
 
@@ -28,15 +29,30 @@
     /** Returns what binds one sidecar; resolved for its service. */
     public static SidecarSettings sidecar(EffectiveSettings s) {
         return new SidecarSettings(
-                s.get(SettingKeys.BOUND_FACTOR),
-                s.get(SettingKeys.QUEUE_MAX_REQUESTS),
-                s.get(SettingKeys.QUEUE_MAX_BYTES).bytes(),
-                s.get(SettingKeys.QUEUE_MAX_AGE),
-                s.get(SettingKeys.OUTPUT_KEEP_BYTES).bytes(),
-                s.get(SettingKeys.OUTPUT_KEEP_TIME),
+                bound(s.get(SettingKeys.BOUND_FACTOR)),
+                new SidecarSettings.QueueLimits(
+                        s.get(SettingKeys.QUEUE_MAX_REQUESTS),
+                        s.get(SettingKeys.QUEUE_MAX_BYTES).bytes(),
+                        s.get(SettingKeys.QUEUE_MAX_AGE)),
+                new SidecarSettings.OutputLimits(
+                        s.get(SettingKeys.OUTPUT_KEEP_BYTES).bytes(),
+                        SidecarSettings.DEFAULT.output().attemptBytes(),
+                        s.get(SettingKeys.OUTPUT_KEEP_TIME)),
                 s.get(SettingKeys.DRAIN_TIMEOUT),
                 s.get(SettingKeys.STREAM_PROGRESS_INTERVAL),
-                s.get(SettingKeys.SERVICE_OUTPUT_TOKENS));
+                s.get(SettingKeys.SERVICE_OUTPUT_TOKENS),
+                SidecarSettings.DEFAULT.refusalStatuses());
+    }
+
+    /** Returns the bound of a factor; the room kept for cached chats shrinks with a low factor. */
+    private static BoundConfig bound(double factor) {
+        BoundConfig d = SidecarSettings.DEFAULT.bound();
+        return new BoundConfig(
+                factor,
+                Math.min(d.openFactor(), factor),
+                d.capacityFloor(),
+                d.prefillWeight(),
+                d.maxRedirects());
     }
 
     /** Returns when a router passes over a backend server; resolved for its service. */
