--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -0,0 +1,75 @@
+package org.laurelweir.control;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.laurelweir.agreement.AgreementEvent.SnapshotTaken;
+import org.laurelweir.control.replica.DiskWriter;
+import org.laurelweir.control.rpc.PeerCalls;
+import org.laurelweir.control.rpc.PendingCalls;
+import org.laurelweir.coordination.ControlEffect;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.coordination.LogCodec;
+import org.laurelweir.runtime.log.DecisionLog;
+
+/** Carries out the reducer's effects, on its thread; nothing here blocks. */
+final class ControlEffects implements Consumer<ControlEffect> {
+    private final PendingCalls mCalls;
+    private final PeerCalls mPeers;
+    private final DiskWriter mDisk;
+    private final LogCodec mCodec;
+    private final Executor mBackground;
+    private final Consumer<ControlEvent> mEvents;
+    private final ControlMetrics mMetrics;
+    private volatile boolean mWritten;
+
+    ControlEffects(
+            PendingCalls calls,
+            PeerCalls peers,
+            DiskWriter disk,
+            LogCodec codec,
+            Executor background,
+            Consumer<ControlEvent> events,
+            ControlMetrics metrics) {
+        mCalls = calls;
+        mPeers = peers;
+        mDisk = disk;
+        mCodec = codec;
+        mBackground = background;
+        mEvents = events;
+        mMetrics = metrics;
+    }
+
+    /** Returns whether anything has been given to the disk since the start. */
+    boolean hasWritten() {
+        return mWritten;
+    }
+
+    @Override
+    public void accept(ControlEffect e) {
+        if (e instanceof ControlEffect.Answer a) {
+            mMetrics.answered(a);
+            mCalls.answer(a);
+        } else if (e instanceof ControlEffect.Persist p) {
+            mWritten = true;
+            mDisk.write(p.persist());
+        } else if (e instanceof ControlEffect.SendToReplica s) {
+            mPeers.send(s.send());
+        } else if (e instanceof ControlEffect.AskPeer a) {
+            mPeers.ask(a);
+        } else if (e instanceof ControlEffect.AnnounceToPeers a) {
+            mPeers.announce(a);
+        } else if (e instanceof ControlEffect.EncodeSnapshot s) {
+            mBackground.execute(() -> encode(s));
+        } else if (e instanceof ControlEffect.Reported r) {
+            mMetrics.reported(r);
+        } else if (e instanceof ControlEffect.Decided d) {
+            DecisionLog.write(d.decision());
+        }
+    }
+
+    /** Off the reducer's thread: a large state would keep heartbeats waiting. */
+    private void encode(ControlEffect.EncodeSnapshot s) {
+        byte[] state = mCodec.encode(s.snapshot());
+        mEvents.accept(new ControlEvent.Replica(new SnapshotTaken(s.index(), state)));
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -0,0 +1,71 @@
+package org.laurelweir.control;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+import org.laurelweir.coordination.ControlEffect.Answer;
+import org.laurelweir.coordination.ControlEffect.AnswerCommand;
+import org.laurelweir.coordination.ControlEffect.AnswerExchange;
+import org.laurelweir.coordination.ControlEffect.Refuse;
+import org.laurelweir.coordination.ControlEffect.Reported;
+import org.laurelweir.runtime.metrics.Readiness;
+
+/** What a control instance shows of itself. */
+final class ControlMetrics implements Readiness {
+    private final Meter mExchanges;
+    private final Meter mCommands;
+    private final Meter mRefusals;
+    private volatile Reported mLast;
+
+    ControlMetrics(MetricRegistry registry) {
+        mExchanges = registry.meter("control.exchanges");
+        mCommands = registry.meter("control.commands");
+        mRefusals = registry.meter("control.refusals");
+        gauge(registry, "control.leader", r -> r.self().leader() ? 1 : 0);
+        gauge(registry, "control.term", r -> r.self().term());
+        gauge(registry, "control.committed", r -> r.self().committed());
+        gauge(registry, "control.possibly.stale", r -> r.self().possiblyStale() ? 1 : 0);
+        gauge(registry, "control.sidecars.heard", Reported::sessions);
+        gauge(registry, "control.backends", Reported::backends);
+        gauge(registry, "control.claims", Reported::claims);
+        gauge(registry, "control.settings.position", Reported::settingsPosition);
+    }
+
+    private void gauge(MetricRegistry registry, String name, ToLongFunction<Reported> value) {
+        registry.register(
+                name,
+                (Gauge<Long>)
+                        () -> {
+                            Reported r = mLast;
+                            return r == null ? 0 : value.applyAsLong(r);
+                        });
+    }
+
+    void reported(Reported report) {
+        mLast = report;
+    }
+
+    void answered(Answer answer) {
+        if (answer instanceof AnswerExchange) {
+            mExchanges.mark();
+        } else if (answer instanceof AnswerCommand) {
+            mCommands.mark();
+        } else if (answer instanceof Refuse) {
+            mRefusals.mark();
+        }
+    }
+
+    @Override
+    public Optional<String> notReadyReason() {
+        Reported r = mLast;
+        if (r == null) {
+            return Optional.of("starting");
+        }
+        if (r.self().possiblyStale()) {
+            return Optional.of("no contact with a leader that has a quorum");
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -0,0 +1,242 @@
+package org.laurelweir.control;
+
+import com.codahale.metrics.MetricRegistry;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.laurelweir.agreement.AgreementConfig;
+import org.laurelweir.agreement.AgreementEvent.Recovered;
+import org.laurelweir.agreement.HardState;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.control.replica.DiskWriter;
+import org.laurelweir.control.replica.FirstMembership;
+import org.laurelweir.control.replica.FirstSettings;
+import org.laurelweir.control.replica.MemoryLogStorage;
+import org.laurelweir.control.rpc.ControlRpc;
+import org.laurelweir.control.rpc.PeerCalls;
+import org.laurelweir.control.rpc.PeerRpc;
+import org.laurelweir.control.rpc.PendingCalls;
+import org.laurelweir.control.rpc.ReplicaRpc;
+import org.laurelweir.control.storage.LogStorage;
+import org.laurelweir.coordination.ControlConfig;
+import org.laurelweir.coordination.ControlEffect;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.coordination.ControlReducer;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.membership.MembershipConfig;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.config.TreeFile;
+import org.laurelweir.runtime.log.Logging;
+import org.laurelweir.runtime.loop.ReducerLoop;
+import org.laurelweir.runtime.metrics.MetricsServer;
+import org.laurelweir.runtime.process.Program;
+import org.laurelweir.runtime.rpc.Channels;
+import org.laurelweir.runtime.rpc.EventLoops;
+import org.laurelweir.runtime.rpc.PortFile;
+import org.laurelweir.runtime.rpc.RpcServer;
+import org.laurelweir.runtime.rpc.TrafficCounters;
+import org.laurelweir.wire.CommandCodec;
+
+/** A control instance: the reducer with its disk, its servers and its connections. */
+public final class ControlProgram implements Service {
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration GRACE = Duration.ofMillis(500);
+    private static final int HEARTBEATS_PER_ELECTION = 6;
+
+    private final ControlFile mFile;
+    private final InstantSource mClock;
+    private final Consumer<String> mConsole;
+    private final Logging mLogging;
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final ControlMetrics mMetrics = new ControlMetrics(mRegistry);
+    private final PendingCalls mCalls = new PendingCalls();
+    private final ScheduledExecutorService mBackground =
+            Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control-background"));
+    private final CommandCodec mCodec = new CommandCodec();
+    private final EventLoops mLoops;
+    private final Channels mChannels;
+    private final TrafficCounters mTraffic = new TrafficCounters(mRegistry);
+    // Calls may arrive as soon as the server listens; they wait the moment until the loop runs.
+    private final CompletableFuture<ReducerLoop<ControlEvent, ControlEffect>> mLoop =
+            new CompletableFuture<>();
+    private LogStorage mStorage;
+    private DiskWriter mDisk;
+    private RpcServer mServer;
+    private ControlEffects mEffects;
+    private MetricsServer mMetricsServer;
+    private boolean mRecoveredEmpty;
+
+    /**
+     * Creates an instance that has not started.
+     *
+     * @param file its settings
+     * @param clock tells the time
+     * @param console takes the line that says where it listens
+     */
+    public ControlProgram(ControlFile file, InstantSource clock, Consumer<String> console) {
+        mFile = file;
+        mClock = clock;
+        mConsole = console;
+        mLogging = new Logging(file.log());
+        mLoops = new EventLoops("control-io", file.threads());
+        mChannels = Channels.builder(mLoops, mTraffic).build();
+    }
+
+    @Override
+    public void start() {
+        mLogging.start();
+        mChannels.start();
+        mStorage = new MemoryLogStorage(new SecureRandom().nextLong());
+        Recovered recovered = mStorage.recovered();
+        mRecoveredEmpty = isEmpty(recovered);
+        ReplicaId self = new ReplicaId(mFile.name(), mStorage.storageId());
+        Map<String, String> others = new TreeMap<>();
+        mFile.peers().forEach((name, e) -> others.put(name, e.toString()));
+        others.remove(mFile.name());
+        listen(self, List.copyOf(others.values()));
+        PeerCalls peers = new PeerCalls(self, others, mChannels, this::offer);
+        startReducer(self, others, peers, recovered);
+        found(self, others, peers);
+        startMetrics();
+        mFile.portFile().ifPresent(f -> PortFile.write(f, mServer.port()));
+        mConsole.accept("listening on " + address());
+    }
+
+    /** Returns where the instance is reached. Valid once started. */
+    public Endpoint address() {
+        Endpoint told = mFile.peers().get(mFile.name());
+        return told != null ? told : mFile.listen().withPort(mServer.port());
+    }
+
+    private void listen(ReplicaId self, List<String> others) {
+        Supplier<List<String>> controls =
+                () -> {
+                    List<String> all = new ArrayList<>(List.of(address().toString()));
+                    all.addAll(others);
+                    return all;
+                };
+        mServer =
+                RpcServer.builder(mLoops, mTraffic)
+                        .listen(mFile.listen().host(), mFile.listen().port())
+                        .grace(GRACE)
+                        .service(
+                                new ControlRpc(
+                                        mCalls, this::offer, mFile.exchangeInterval(), controls))
+                        .service(new PeerRpc(mCalls, this::offer))
+                        .service(new ReplicaRpc(self, this::isEmpty, this::offer))
+                        .build();
+        mServer.start();
+    }
+
+    private void startReducer(
+            ReplicaId self, Map<String, String> others, PeerCalls peers, Recovered recovered) {
+        mDisk = new DiskWriter(mStorage, this::offer, ControlProgram::fail);
+        mEffects =
+                new ControlEffects(
+                        mCalls, peers, mDisk, mCodec, mBackground, this::offer, mMetrics);
+        Map<String, String> addresses = new TreeMap<>(others);
+        addresses.put(mFile.name(), address().toString());
+        long incarnation = mClock.instant().toEpochMilli();
+        ReducerLoop<ControlEvent, ControlEffect> loop =
+                new ReducerLoop<>(
+                        "control",
+                        new ControlReducer(
+                                config(self, incarnation, addresses),
+                                mCodec,
+                                self.storageId() ^ incarnation),
+                        mClock,
+                        new ControlEvent.Tick(),
+                        TICK,
+                        mEffects,
+                        ControlProgram::fail);
+        // First of all events: before it the replica knows neither its vote nor its log.
+        loop.offer(new ControlEvent.Replica(recovered));
+        mDisk.start();
+        loop.start();
+        mLoop.complete(loop);
+    }
+
+    private ControlConfig config(ReplicaId self, long incarnation, Map<String, String> addresses) {
+        Duration election = mFile.electionTimeout();
+        MembershipConfig defaults = MembershipConfig.builder(mFile.name(), incarnation).build();
+        return ControlConfig.builder(self, incarnation, addresses)
+                .agreement(
+                        AgreementConfig.builder()
+                                .electionTimeout(election)
+                                .heartbeat(election.dividedBy(HEARTBEATS_PER_ELECTION))
+                                .build())
+                .membership(
+                        MembershipConfig.builder(mFile.name(), incarnation)
+                                .leaving(mFile.vanishAfter(), defaults.keepLeft())
+                                .build())
+                .build();
+    }
+
+    private void found(ReplicaId self, Map<String, String> others, PeerCalls peers) {
+        Set<String> names = new TreeSet<>(others.keySet());
+        names.add(mFile.name());
+        new FirstMembership(self, names, peers, this::isEmpty, this::offer, mBackground).begin();
+        if (mRecoveredEmpty && mFile.bootstrapSettings().isPresent()) {
+            Map<String, Map<String, String>> nodes = TreeFile.read(mFile.bootstrapSettings().get());
+            new FirstSettings(nodes, mFile.name(), mCalls, this::offer, mBackground).begin();
+        }
+    }
+
+    private void startMetrics() {
+        mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mMetrics);
+        mMetricsServer.start();
+        int port = mMetricsServer.endpoint().port();
+        mFile.metricsPortFile().ifPresent(f -> PortFile.write(f, port));
+    }
+
+    private static boolean isEmpty(Recovered r) {
+        return r.hardState().equals(HardState.INITIAL)
+                && r.snapshot().index() == 0
+                && r.entries().isEmpty();
+    }
+
+    private boolean isEmpty() {
+        return mRecoveredEmpty && (mEffects == null || !mEffects.hasWritten());
+    }
+
+    private void offer(ControlEvent event) {
+        mLoop.join().offer(event);
+    }
+
+    private static void fail(Throwable failure) {
+        ResultCode code =
+                failure instanceof LaurelweirException e ? e.getCode() : ResultCode.INTERNAL;
+        Program.halt(code);
+    }
+
+    @Override
+    public void stop() {
+        if (mServer != null) {
+            mServer.stop();
+        }
+        mBackground.shutdownNow();
+        if (mLoop.isDone()) {
+            mLoop.join().stop();
+            mDisk.stop();
+        }
+        mChannels.stop();
+        if (mMetricsServer != null) {
+            mMetricsServer.stop();
+        }
+        mLoops.stop();
+        mLogging.stop();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -0,0 +1,211 @@
+package org.laurelweir.control.rpc;
+
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.laurelweir.agreement.MembershipChange;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.ReplicaCodec;
+import org.laurelweir.wire.RequestCodec;
+import org.laurelweir.wire.v1.ChangeMembersReply;
+import org.laurelweir.wire.v1.ChangeMembersRequest;
+import org.laurelweir.wire.v1.ChangeSettingsReply;
+import org.laurelweir.wire.v1.ChangeSettingsRequest;
+import org.laurelweir.wire.v1.ClaimReply;
+import org.laurelweir.wire.v1.ClaimRequest;
+import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceImplBase;
+import org.laurelweir.wire.v1.DrainReply;
+import org.laurelweir.wire.v1.DrainRequest;
+import org.laurelweir.wire.v1.ExchangeReply;
+import org.laurelweir.wire.v1.ExchangeRequest;
+import org.laurelweir.wire.v1.HistoryReply;
+import org.laurelweir.wire.v1.HistoryRequest;
+import org.laurelweir.wire.v1.IssueFenceReply;
+import org.laurelweir.wire.v1.IssueFenceRequest;
+import org.laurelweir.wire.v1.ReadSettingsReply;
+import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.SettleClaimReply;
+import org.laurelweir.wire.v1.SettleClaimRequest;
+import org.laurelweir.wire.v1.StatusReply;
+import org.laurelweir.wire.v1.StatusRequest;
+
+/** Serves routers, sidecars and operators: each call becomes an event and waits for its answer. */
+public final class ControlRpc extends ControlServiceImplBase {
+    private static final int MOST_HISTORY = 1000;
+
+    private final PendingCalls mCalls;
+    private final Consumer<ControlEvent> mEvents;
+    private final Duration mExchangeInterval;
+    private final Supplier<List<String>> mControls;
+
+    /**
+     * Creates the service.
+     *
+     * @param calls where calls wait
+     * @param events takes events, from any thread
+     * @param exchangeInterval how long askers wait between exchanges
+     * @param controls every control instance, host:port
+     */
+    public ControlRpc(
+            PendingCalls calls,
+            Consumer<ControlEvent> events,
+            Duration exchangeInterval,
+            Supplier<List<String>> controls) {
+        mCalls = calls;
+        mEvents = events;
+        mExchangeInterval = exchangeInterval;
+        mControls = controls;
+    }
+
+    @Override
+    public void exchange(ExchangeRequest r, StreamObserver<ExchangeReply> out) {
+        MembershipCursor cursor = MembershipCodec.toCore(r.getMembership());
+        switch (r.getReporterCase()) {
+            case SIDECAR ->
+                    mEvents.accept(
+                            new ControlEvent.SidecarExchanged(
+                                    openExchange(out),
+                                    MembershipCodec.toCore(r.getSidecar()),
+                                    cursor,
+                                    r.getSettingsPosition()));
+            case ROUTER ->
+                    mEvents.accept(
+                            new ControlEvent.RouterExchanged(
+                                    openExchange(out),
+                                    MembershipCodec.toCore(r.getRouter()),
+                                    cursor,
+                                    r.getSettingsPosition()));
+            case REPORTER_NOT_SET ->
+                    out.onError(
+                            Status.INVALID_ARGUMENT
+                                    .withDescription("no reporter")
+                                    .asRuntimeException());
+        }
+    }
+
+    private long openExchange(StreamObserver<ExchangeReply> out) {
+        return mCalls.open(
+                out,
+                answer ->
+                        Replies.exchange(answer)
+                                .setNextExchangeMillis((int) mExchangeInterval.toMillis())
+                                .addAllControls(mControls.get())
+                                .build());
+    }
+
+    @Override
+    public void claim(ClaimRequest r, StreamObserver<ClaimReply> out) {
+        propose(mCalls.open(out, Replies::claim), RequestCodec.toCore(r, Instant.EPOCH));
+    }
+
+    @Override
+    public void settleClaim(SettleClaimRequest r, StreamObserver<SettleClaimReply> out) {
+        propose(mCalls.open(out, Replies::settleClaim), RequestCodec.toCore(r, Instant.EPOCH));
+    }
+
+    @Override
+    public void changeSettings(ChangeSettingsRequest r, StreamObserver<ChangeSettingsReply> out) {
+        if (r.getChangeId().isEmpty()) {
+            PendingCalls.send(
+                    out,
+                    ChangeSettingsReply.newBuilder()
+                            .setCode(ResultCode.BAD_REQUEST.number())
+                            .setMessage("a change needs an id, so that it can be sent again")
+                            .build());
+            return;
+        }
+        propose(mCalls.open(out, Replies::settingsChange), RequestCodec.toCore(r, Instant.EPOCH));
+    }
+
+    @Override
+    public void drain(DrainRequest r, StreamObserver<DrainReply> out) {
+        propose(mCalls.open(out, Replies::drain), RequestCodec.toCore(r, Instant.EPOCH));
+    }
+
+    @Override
+    public void issueFence(IssueFenceRequest r, StreamObserver<IssueFenceReply> out) {
+        propose(mCalls.open(out, Replies::issueFence), RequestCodec.toCore(r, Instant.EPOCH));
+    }
+
+    private void propose(long call, org.laurelweir.coordination.Command command) {
+        mEvents.accept(new ControlEvent.CommandReceived(call, command));
+    }
+
+    @Override
+    public void readSettings(ReadSettingsRequest r, StreamObserver<ReadSettingsReply> out) {
+        NodePath path;
+        try {
+            path = path(r.getPath());
+        } catch (IllegalArgumentException e) {
+            PendingCalls.send(
+                    out,
+                    ReadSettingsReply.newBuilder()
+                            .setCode(ResultCode.BAD_REQUEST.number())
+                            .setMessage(e.getMessage())
+                            .build());
+            return;
+        }
+        mEvents.accept(
+                new ControlEvent.SettingsRead(
+                        mCalls.open(out, Replies::settings),
+                        path,
+                        r.getLinearizable(),
+                        r.getPosition()));
+    }
+
+    @Override
+    public void history(HistoryRequest r, StreamObserver<HistoryReply> out) {
+        NodePath path;
+        try {
+            path = path(r.getPath());
+        } catch (IllegalArgumentException e) {
+            PendingCalls.send(
+                    out,
+                    HistoryReply.newBuilder().setCode(ResultCode.BAD_REQUEST.number()).build());
+            return;
+        }
+        int limit = r.getLimit() == 0 ? MOST_HISTORY : Math.min(r.getLimit(), MOST_HISTORY);
+        mEvents.accept(
+                new ControlEvent.HistoryRead(mCalls.open(out, Replies::history), path, limit));
+    }
+
+    private static NodePath path(String text) {
+        return text.isEmpty() ? null : NodePath.parse(text);
+    }
+
+    @Override
+    public void status(StatusRequest r, StreamObserver<StatusReply> out) {
+        mEvents.accept(new ControlEvent.StatusRead(mCalls.open(out, StatusReplies::status)));
+    }
+
+    @Override
+    public void changeMembers(ChangeMembersRequest r, StreamObserver<ChangeMembersReply> out) {
+        ReplicaId replica = ReplicaCodec.toCore(r.getReplica());
+        MembershipChange change =
+                switch (r.getStep()) {
+                    case ADD_LEARNER -> new MembershipChange.AddLearner(replica);
+                    case PROMOTE -> new MembershipChange.Promote(replica);
+                    case REMOVE -> new MembershipChange.Remove(replica);
+                    default -> null;
+                };
+        if (change == null) {
+            PendingCalls.send(
+                    out,
+                    ChangeMembersReply.newBuilder()
+                            .setCode(ResultCode.BAD_REQUEST.number())
+                            .setMessage("no step")
+                            .build());
+            return;
+        }
+        mEvents.accept(new ControlEvent.MembersChanged(mCalls.open(out, Replies::members), change));
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerCalls.java
@@ -0,0 +1,167 @@
+package org.laurelweir.control.rpc;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.ListenableFuture;
+import com.google.common.util.concurrent.MoreExecutors;
+import io.grpc.ManagedChannel;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.laurelweir.agreement.AgreementEffect;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.coordination.ControlEffect.AnnounceToPeers;
+import org.laurelweir.coordination.ControlEffect.AskPeer;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.runtime.rpc.Channels;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.ReplicaCodec;
+import org.laurelweir.wire.v1.AnnounceRequest;
+import org.laurelweir.wire.v1.IdentifyReply;
+import org.laurelweir.wire.v1.IdentifyRequest;
+import org.laurelweir.wire.v1.PeerServiceGrpc;
+import org.laurelweir.wire.v1.ReplicaServiceGrpc;
+import org.laurelweir.wire.v1.ShareMembershipReply;
+import org.laurelweir.wire.v1.ShareMembershipRequest;
+
+/**
+ * Calls to the other control instances. None is tried again here: each is lost or answered, and the
+ * reducer decides what follows. A call without an answer in time makes its connection suspect, and
+ * the next call takes a new one.
+ */
+public final class PeerCalls {
+    private static final Duration TIMEOUT = Duration.ofMillis(1500);
+    private static final int MOST_IN_FLIGHT = 64;
+
+    private final ReplicaId mSelf;
+    private final Map<String, String> mAddresses;
+    private final Channels mChannels;
+    private final Consumer<ControlEvent> mEvents;
+    private final Map<String, Integer> mInFlight = new ConcurrentHashMap<>();
+    private final Set<String> mAsked = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates the caller.
+     *
+     * @param self this instance with its disk's id
+     * @param addresses the other control instances by name, host:port
+     * @param channels connections
+     * @param events takes answers, from any thread
+     */
+    public PeerCalls(
+            ReplicaId self,
+            Map<String, String> addresses,
+            Channels channels,
+            Consumer<ControlEvent> events) {
+        mSelf = self;
+        mAddresses = new TreeMap<>(addresses);
+        mChannels = channels;
+        mEvents = events;
+    }
+
+    /** Sends a replica's message. It is lost if the peer is slow or unknown. */
+    public void send(AgreementEffect.Send send) {
+        String name = send.to().name();
+        String address = mAddresses.get(name);
+        // A peer that takes nothing must not fill the memory with messages that are sent anew.
+        if (address == null || mInFlight.getOrDefault(name, 0) >= MOST_IN_FLIGHT) {
+            return;
+        }
+        mInFlight.merge(name, 1, Integer::sum);
+        ManagedChannel channel = mChannels.get(address);
+        watch(
+                address,
+                channel,
+                ReplicaServiceGrpc.newFutureStub(channel)
+                        .withDeadlineAfter(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                        .deliver(ReplicaCodec.toWire(mSelf, send.to(), send.message())),
+                reply -> {},
+                () -> mInFlight.merge(name, -1, Integer::sum));
+    }
+
+    /** Asks a peer what it hears, unless it still owes an answer. */
+    public void ask(AskPeer ask) {
+        String address = mAddresses.get(ask.peer());
+        if (address == null || !mAsked.add(ask.peer())) {
+            return;
+        }
+        ManagedChannel channel = mChannels.get(address);
+        ListenableFuture<ShareMembershipReply> reply =
+                PeerServiceGrpc.newFutureStub(channel)
+                        .withDeadlineAfter(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                        .shareMembership(
+                                ShareMembershipRequest.newBuilder()
+                                        .setControl(mSelf.name())
+                                        .setCursor(MembershipCodec.toWire(ask.cursor()))
+                                        .setWithRouters(ask.withRouters())
+                                        .build());
+        watch(
+                address,
+                channel,
+                reply,
+                r -> mEvents.accept(StatusReplies.toCore(ask.peer(), r)),
+                () -> mAsked.remove(ask.peer()));
+    }
+
+    /** Tells every peer what changed here. */
+    public void announce(AnnounceToPeers e) {
+        AnnounceRequest.Builder request = AnnounceRequest.newBuilder();
+        e.announcements().forEach(a -> request.addAnnouncements(MembershipCodec.toWire(a)));
+        for (String address : mAddresses.values()) {
+            ManagedChannel channel = mChannels.get(address);
+            watch(
+                    address,
+                    channel,
+                    PeerServiceGrpc.newFutureStub(channel)
+                            .withDeadlineAfter(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                            .announce(request.build()),
+                    reply -> {},
+                    () -> {});
+        }
+    }
+
+    /**
+     * Asks every peer who it is.
+     *
+     * @return an answer for each peer, null for one that gave none
+     */
+    public ListenableFuture<List<IdentifyReply>> identifyAll() {
+        return Futures.successfulAsList(
+                mAddresses.values().stream()
+                        .map(
+                                a ->
+                                        ReplicaServiceGrpc.newFutureStub(mChannels.get(a))
+                                                .withDeadlineAfter(
+                                                        TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                                                .identify(IdentifyRequest.getDefaultInstance()))
+                        .toList());
+    }
+
+    private <R> void watch(
+            String address,
+            ManagedChannel channel,
+            ListenableFuture<R> call,
+            Consumer<R> onReply,
+            Runnable onEnd) {
+        FutureCallback<R> callback =
+                new FutureCallback<>() {
+                    @Override
+                    public void onSuccess(R reply) {
+                        onEnd.run();
+                        onReply.accept(reply);
+                    }
+
+                    @Override
+                    public void onFailure(Throwable failure) {
+                        onEnd.run();
+                        mChannels.fresh(address, channel);
+                    }
+                };
+        Futures.addCallback(call, callback, MoreExecutors.directExecutor());
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerRpc.java
@@ -0,0 +1,46 @@
+package org.laurelweir.control.rpc;
+
+import io.grpc.stub.StreamObserver;
+import java.util.function.Consumer;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.v1.AnnounceReply;
+import org.laurelweir.wire.v1.AnnounceRequest;
+import org.laurelweir.wire.v1.PeerServiceGrpc.PeerServiceImplBase;
+import org.laurelweir.wire.v1.ShareMembershipReply;
+import org.laurelweir.wire.v1.ShareMembershipRequest;
+
+/** Serves the other control instances the membership. */
+public final class PeerRpc extends PeerServiceImplBase {
+    private final PendingCalls mCalls;
+    private final Consumer<ControlEvent> mEvents;
+
+    /**
+     * Creates the service.
+     *
+     * @param calls where calls wait
+     * @param events takes events, from any thread
+     */
+    public PeerRpc(PendingCalls calls, Consumer<ControlEvent> events) {
+        mCalls = calls;
+        mEvents = events;
+    }
+
+    @Override
+    public void shareMembership(
+            ShareMembershipRequest r, StreamObserver<ShareMembershipReply> out) {
+        mEvents.accept(
+                new ControlEvent.PeerAsked(
+                        mCalls.open(out, StatusReplies::share),
+                        MembershipCodec.toCore(r.getCursor()),
+                        r.getWithRouters()));
+    }
+
+    @Override
+    public void announce(AnnounceRequest r, StreamObserver<AnnounceReply> out) {
+        mEvents.accept(
+                new ControlEvent.PeerAnnounced(
+                        r.getAnnouncementsList().stream().map(MembershipCodec::toCore).toList()));
+        PendingCalls.send(out, AnnounceReply.getDefaultInstance());
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
@@ -0,0 +1,138 @@
+package org.laurelweir.control.rpc;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.TreeSet;
+import org.laurelweir.agreement.Membership;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.coordination.BackendPresence;
+import org.laurelweir.coordination.ControlEffect.Answer;
+import org.laurelweir.coordination.ControlEffect.AnswerPeer;
+import org.laurelweir.coordination.ControlEffect.AnswerStatus;
+import org.laurelweir.coordination.ControlEvent.PeerAnswered;
+import org.laurelweir.coordination.ControlPresence;
+import org.laurelweir.coordination.FleetStatus;
+import org.laurelweir.coordination.RouterPresence;
+import org.laurelweir.membership.PeerShare;
+import org.laurelweir.membership.ServiceSum;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.ReplicaCodec;
+import org.laurelweir.wire.v1.BackendStatus;
+import org.laurelweir.wire.v1.ControlStatus;
+import org.laurelweir.wire.v1.RouterStatus;
+import org.laurelweir.wire.v1.ShareMembershipReply;
+import org.laurelweir.wire.v1.StatusReply;
+
+/** Converts what operators and peers are told of the fleet. */
+final class StatusReplies {
+    private StatusReplies() {}
+
+    static StatusReply status(Answer answer) {
+        FleetStatus s = ((AnswerStatus) answer).status();
+        StatusReply.Builder reply =
+                StatusReply.newBuilder().setSettingsPosition(s.settingsPosition());
+        s.controls().forEach(c -> reply.addControls(toWire(c)));
+        s.backends().forEach(b -> reply.addBackends(toWire(b)));
+        s.routers().forEach(r -> reply.addRouters(toWire(r)));
+        s.loads().forEach(l -> reply.addLoads(MembershipCodec.toWire(l)));
+        return reply.build();
+    }
+
+    static ShareMembershipReply share(Answer answer) {
+        AnswerPeer a = (AnswerPeer) answer;
+        ShareMembershipReply.Builder reply =
+                ShareMembershipReply.newBuilder()
+                        .setCursor(MembershipCodec.toWire(a.share().cursor()))
+                        .setStatus(toWire(a.status()));
+        a.share().announcements().forEach(n -> reply.addAnnouncements(MembershipCodec.toWire(n)));
+        a.share().sums().forEach(s -> reply.addSums(toWire(s)));
+        a.routers().forEach(r -> reply.addRouters(toWire(r)));
+        return reply.build();
+    }
+
+    static PeerAnswered toCore(String peer, ShareMembershipReply m) {
+        List<ServiceSum> sums = m.getSumsList().stream().map(StatusReplies::toCore).toList();
+        return new PeerAnswered(
+                peer,
+                new PeerShare(
+                        MembershipCodec.toCore(m.getCursor()),
+                        m.getAnnouncementsList().stream().map(MembershipCodec::toCore).toList(),
+                        sums),
+                m.getRoutersList().stream().map(StatusReplies::toCore).toList(),
+                toCore(m.getStatus()));
+    }
+
+    private static BackendStatus toWire(BackendPresence b) {
+        BackendStatus.Builder status =
+                BackendStatus.newBuilder()
+                        .setBackend(MembershipCodec.toWire(b.backend()))
+                        .setDrainOrdered(b.drainOrdered());
+        if (b.report() != null) {
+            status.setRunningWork(b.report().runningWork())
+                    .setRunning(b.report().running())
+                    .setWaiting(b.report().waiting());
+        }
+        return status.build();
+    }
+
+    private static org.laurelweir.wire.v1.ServiceSum toWire(ServiceSum s) {
+        return org.laurelweir.wire.v1.ServiceSum.newBuilder()
+                .setService(s.service())
+                .setWork(s.work())
+                .setBackends(s.backends())
+                .setWeight(s.weight())
+                .build();
+    }
+
+    private static ServiceSum toCore(org.laurelweir.wire.v1.ServiceSum m) {
+        return new ServiceSum(m.getService(), m.getWork(), m.getBackends(), m.getWeight());
+    }
+
+    private static RouterStatus toWire(RouterPresence r) {
+        return RouterStatus.newBuilder()
+                .setRouter(MembershipCodec.toWire(r.report()))
+                .setSettingsPosition(r.settingsPosition())
+                .setHeardMillis(r.heard().toEpochMilli())
+                .build();
+    }
+
+    private static RouterPresence toCore(RouterStatus m) {
+        return new RouterPresence(
+                MembershipCodec.toCore(m.getRouter()),
+                m.getSettingsPosition(),
+                Instant.ofEpochMilli(m.getHeardMillis()));
+    }
+
+    private static ControlStatus toWire(ControlPresence c) {
+        ControlStatus.Builder status =
+                ControlStatus.newBuilder()
+                        .setName(c.replica().name())
+                        .setAddress(c.address())
+                        .setLeader(c.leader())
+                        .setTerm(c.term())
+                        .setApplied(c.committed())
+                        .setCommitted(c.committed())
+                        .setPossiblyStale(c.possiblyStale())
+                        .setReplica(ReplicaCodec.toWire(c.replica()));
+        c.members().voters().forEach(v -> status.addVoters(ReplicaCodec.toWire(v)));
+        c.members().learners().forEach(l -> status.addLearners(ReplicaCodec.toWire(l)));
+        return status.build();
+    }
+
+    private static ControlPresence toCore(ControlStatus m) {
+        return new ControlPresence(
+                ReplicaCodec.toCore(m.getReplica()),
+                m.getAddress(),
+                m.getLeader(),
+                m.getTerm(),
+                m.getCommitted(),
+                m.getPossiblyStale(),
+                new Membership(replicas(m.getVotersList()), replicas(m.getLearnersList())));
+    }
+
+    private static TreeSet<ReplicaId> replicas(List<org.laurelweir.wire.v1.ReplicaId> ids) {
+        TreeSet<ReplicaId> replicas = new TreeSet<>();
+        ids.forEach(id -> replicas.add(ReplicaCodec.toCore(id)));
+        return replicas;
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -0,0 +1,134 @@
+package org.laurelweir.control;
+
+import io.grpc.ManagedChannel;
+import io.grpc.netty.NettyChannelBuilder;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceBlockingStub;
+
+/** Some control instances in this process, each with its own folder. */
+final class ControlFleet implements AutoCloseable {
+    private static final Duration DEADLINE = Duration.ofSeconds(60);
+    private static final long RETRY_MILLIS = 20;
+
+    private final Path mFolder;
+    private final Map<String, Endpoint> mPeers = new TreeMap<>();
+    private final Map<String, ControlProgram> mRunning = new TreeMap<>();
+    private final Map<String, ManagedChannel> mChannels = new TreeMap<>();
+
+    ControlFleet(Path folder, int instances) throws IOException {
+        mFolder = folder;
+        for (int port : freePorts(instances)) {
+            String name = "c" + (mPeers.size() + 1);
+            Endpoint endpoint = new Endpoint("127.0.0.1", port);
+            mPeers.put(name, endpoint);
+            mChannels.put(
+                    name,
+                    NettyChannelBuilder.forTarget("dns:///" + endpoint).usePlaintext().build());
+        }
+    }
+
+    /** All are open at once, so that no port is given twice. */
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            sockets.add(s);
+            ports.add(s.getLocalPort());
+        }
+        for (ServerSocket s : sockets) {
+            s.close();
+        }
+        return ports;
+    }
+
+    ControlFleet startAll() {
+        mPeers.keySet().forEach(this::start);
+        return this;
+    }
+
+    void start(String name) {
+        start(name, mFolder.resolve(name));
+    }
+
+    void start(String name, Path dataFolder) {
+        ControlFile file =
+                new ControlFile(
+                        name,
+                        "vestkyst",
+                        "bergen",
+                        mPeers.get(name),
+                        Optional.empty(),
+                        new Endpoint("127.0.0.1", 0),
+                        Optional.empty(),
+                        mPeers,
+                        dataFolder,
+                        Optional.empty(),
+                        Duration.ofMillis(500),
+                        Duration.ofSeconds(1),
+                        Duration.ofSeconds(3),
+                        1,
+                        LogSettings.defaults());
+        ControlProgram program = new ControlProgram(file, InstantSource.system(), line -> {});
+        program.start();
+        mRunning.put(name, program);
+    }
+
+    void stop(String name) {
+        mRunning.remove(name).stop();
+    }
+
+    List<String> names() {
+        return List.copyOf(mPeers.keySet());
+    }
+
+    ControlServiceBlockingStub stub(String name) {
+        return ControlServiceGrpc.newBlockingStub(mChannels.get(name))
+                .withWaitForReady()
+                .withDeadlineAfter(DEADLINE);
+    }
+
+    /** Asks one instance after the other until one gives an answer that is wanted. */
+    <R> R ask(Function<ControlServiceBlockingStub, R> call, Predicate<R> wanted) {
+        long end = System.nanoTime() + DEADLINE.toNanos();
+        while (System.nanoTime() < end) {
+            for (String name : mRunning.keySet()) {
+                R reply = call.apply(stub(name));
+                if (wanted.test(reply)) {
+                    return reply;
+                }
+            }
+            LockSupport.parkNanos(RETRY_MILLIS * 1_000_000);
+        }
+        throw new AssertionError("no wanted answer within " + DEADLINE);
+    }
+
+    /** Returns whether an instance that does not lead, or no leader, answered. */
+    static boolean isElsewhere(int code) {
+        ResultCode c = ResultCode.of(code);
+        return c == ResultCode.NOT_LEADER || c == ResultCode.NO_QUORUM;
+    }
+
+    @Override
+    public void close() {
+        mChannels.values().forEach(ManagedChannel::shutdownNow);
+        List.copyOf(mRunning.keySet()).forEach(this::stop);
+    }
+}
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
@@ -22,6 +22,7 @@
 import org.laurelweir.wire.v1.ExchangeReply;
 import org.laurelweir.wire.v1.ExchangeRequest;
 
+/** Exchanges with instances that answer and that do not. */
 class ExchangeClientTest {
     private static final Duration TIMEOUT = Duration.ofMillis(300);
     private static final RouterReport REPORT = new RouterReport("r", 1, "dc", "region", "", "");
--- /dev/null
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
@@ -0,0 +1,88 @@
+package org.laurelweir.wire;
+
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import org.laurelweir.coordination.Command;
+import org.laurelweir.coordination.ControlState;
+import org.laurelweir.coordination.LogCodec;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.wire.v1.LogCommand;
+import org.laurelweir.wire.v1.StateSnapshot;
+
+/** Writes commands and snapshots of the replicated log as protocol buffers. */
+public final class CommandCodec implements LogCodec {
+    @Override
+    public byte[] encode(Command c) {
+        LogCommand.Builder message = LogCommand.newBuilder().setAtMillis(c.at().toEpochMilli());
+        if (c instanceof Command.ChangeSettings s) {
+            message.setChangeSettings(SettingsCodec.toWire(s));
+        } else if (c instanceof Command.Claim s) {
+            message.setClaim(RequestCodec.toWire(s));
+        } else if (c instanceof Command.SettleClaim s) {
+            message.setSettleClaim(RequestCodec.toWire(s));
+        } else if (c instanceof Command.Drain s) {
+            message.setDrain(RequestCodec.toWire(s));
+        } else if (c instanceof Command.IssueFence s) {
+            message.setIssueFence(RequestCodec.toWire(s));
+        }
+        return bytes(message.build());
+    }
+
+    @Override
+    public Command decodeCommand(byte[] bytes) {
+        try {
+            return decode(LogCommand.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            throw new LaurelweirException(ResultCode.LOG_CORRUPT, "not a command", e);
+        }
+    }
+
+    private static Command decode(LogCommand m) {
+        Instant at = Instant.ofEpochMilli(m.getAtMillis());
+        return switch (m.getBodyCase()) {
+            case CHANGE_SETTINGS -> RequestCodec.toCore(m.getChangeSettings(), at);
+            case CLAIM -> RequestCodec.toCore(m.getClaim(), at);
+            case SETTLE_CLAIM -> RequestCodec.toCore(m.getSettleClaim(), at);
+            case DRAIN -> RequestCodec.toCore(m.getDrain(), at);
+            case ISSUE_FENCE -> RequestCodec.toCore(m.getIssueFence(), at);
+            // Left out, an entry would make this replica's state differ from the others'.
+            case BODY_NOT_SET ->
+                    throw new LaurelweirException(
+                            ResultCode.LOG_CORRUPT, "a command that this version does not know");
+        };
+    }
+
+    @Override
+    public byte[] encode(ControlState.Snapshot snapshot) {
+        return bytes(SnapshotCodec.toWire(snapshot));
+    }
+
+    @Override
+    public ControlState.Snapshot decodeSnapshot(byte[] bytes) {
+        try {
+            return SnapshotCodec.toCore(StateSnapshot.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            throw new LaurelweirException(ResultCode.SNAPSHOT_CORRUPT, "not a snapshot", e);
+        }
+    }
+
+    /** Map fields have no order of their own; equal messages have to give equal bytes. */
+    private static byte[] bytes(MessageLite message) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(message.getSerializedSize());
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        out.useDeterministicSerialization();
+        try {
+            message.writeTo(out);
+            out.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
@@ -1,6 +1,7 @@
 package org.laurelweir.wire;
 
 import java.util.List;
+import org.laurelweir.membership.Announcement;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
@@ -40,6 +41,19 @@
                 b.getSession());
     }
 
+    /** Returns the message of an announcement. */
+    public static org.laurelweir.wire.v1.Announcement toWire(Announcement a) {
+        return org.laurelweir.wire.v1.Announcement.newBuilder()
+                .setBackend(toWire(a.backend()))
+                .setControl(a.control())
+                .build();
+    }
+
+    /** Returns the announcement that a message holds. */
+    public static Announcement toCore(org.laurelweir.wire.v1.Announcement a) {
+        return new Announcement(toCore(a.getBackend()), a.getControl());
+    }
+
     private static BackendState toWire(Backend.State state) {
         return switch (state) {
             case SERVING -> BackendState.SERVING;
--- /dev/null
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
@@ -0,0 +1,115 @@
+package org.laurelweir.wire;
+
+import java.util.List;
+import java.util.TreeMap;
+import org.laurelweir.coordination.Command;
+import org.laurelweir.settings.HistoryEntry;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.settings.SettingsDelta;
+import org.laurelweir.settings.SettingsNode;
+import org.laurelweir.wire.v1.ChangeSettingsRequest;
+
+/** Converts settings nodes, changes and deltas. */
+public final class SettingsCodec {
+    private SettingsCodec() {}
+
+    /** Returns the message of a node. */
+    public static org.laurelweir.wire.v1.SettingsNode toWire(SettingsNode n) {
+        return org.laurelweir.wire.v1.SettingsNode.newBuilder()
+                .setPath(n.path().toString())
+                .setVersion(n.version())
+                .putAllValues(n.values())
+                .setDeleted(n.deleted())
+                .build();
+    }
+
+    /**
+     * Returns the node that a message holds.
+     *
+     * @throws IllegalArgumentException if its path has another form
+     */
+    public static SettingsNode toCore(org.laurelweir.wire.v1.SettingsNode n) {
+        return new SettingsNode(
+                NodePath.parse(n.getPath()),
+                n.getVersion(),
+                new TreeMap<>(n.getValuesMap()),
+                n.getDeleted());
+    }
+
+    /** Returns the messages of nodes, in the same order. */
+    public static List<org.laurelweir.wire.v1.SettingsNode> nodesToWire(List<SettingsNode> nodes) {
+        return nodes.stream().map(SettingsCodec::toWire).toList();
+    }
+
+    /** Returns the nodes that messages hold, in the same order. */
+    public static List<SettingsNode> nodesToCore(List<org.laurelweir.wire.v1.SettingsNode> nodes) {
+        return nodes.stream().map(SettingsCodec::toCore).toList();
+    }
+
+    /** Returns the message of a delta. */
+    public static org.laurelweir.wire.v1.SettingsDelta toWire(SettingsDelta d) {
+        return org.laurelweir.wire.v1.SettingsDelta.newBuilder()
+                .setPosition(d.position())
+                .setFull(d.full())
+                .addAllNodes(nodesToWire(d.nodes()))
+                .build();
+    }
+
+    /** Returns the delta that a message holds. */
+    public static SettingsDelta toCore(org.laurelweir.wire.v1.SettingsDelta d) {
+        return new SettingsDelta(d.getPosition(), d.getFull(), nodesToCore(d.getNodesList()));
+    }
+
+    /** Returns the message of a change of one node. */
+    public static org.laurelweir.wire.v1.NodeChange toWire(Command.NodeChange c) {
+        return org.laurelweir.wire.v1.NodeChange.newBuilder()
+                .setPath(c.path())
+                .setExpectedVersion(c.expectedVersion())
+                .putAllSet(c.set())
+                .addAllRemove(c.remove())
+                .setDelete(c.delete())
+                .build();
+    }
+
+    /** Returns the change of one node that a message holds. */
+    public static Command.NodeChange toCore(org.laurelweir.wire.v1.NodeChange c) {
+        return new Command.NodeChange(
+                c.getPath(),
+                c.getExpectedVersion(),
+                new TreeMap<>(c.getSetMap()),
+                List.copyOf(c.getRemoveList()),
+                c.getDelete());
+    }
+
+    /** Returns the messages of changes, in the same order. */
+    public static List<org.laurelweir.wire.v1.NodeChange> changesToWire(
+            List<Command.NodeChange> changes) {
+        return changes.stream().map(SettingsCodec::toWire).toList();
+    }
+
+    /** Returns the changes that messages hold, in the same order. */
+    public static List<Command.NodeChange> changesToCore(
+            List<org.laurelweir.wire.v1.NodeChange> changes) {
+        return changes.stream().map(SettingsCodec::toCore).toList();
+    }
+
+    /** Returns the message of a change; its time is the leader's to give. */
+    public static ChangeSettingsRequest toWire(Command.ChangeSettings c) {
+        return ChangeSettingsRequest.newBuilder()
+                .setChangeId(c.changeId())
+                .setAuthor(c.author())
+                .addAllChanges(changesToWire(c.changes()))
+                .build();
+    }
+
+    /** Returns the message of an accepted change. */
+    public static org.laurelweir.wire.v1.HistoryEntry toWire(HistoryEntry e) {
+        return org.laurelweir.wire.v1.HistoryEntry.newBuilder()
+                .setPosition(e.position())
+                .setChangeId(e.changeId())
+                .setAuthor(e.author())
+                .setAtMillis(e.at().toEpochMilli())
+                .addAllChanges(changesToWire(e.changes()))
+                .build();
+    }
+}
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/AnnounceRequest.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/AnnounceRequest.java
@@ -17,8 +17,7 @@
     super(builder);
   }
   private AnnounceRequest() {
-    control_ = "";
-    backends_ = java.util.Collections.emptyList();
+    announcements_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -41,84 +40,45 @@
             org.laurelweir.wire.v1.AnnounceRequest.class, org.laurelweir.wire.v1.AnnounceRequest.Builder.class);
   }
 
-  public static final int CONTROL_FIELD_NUMBER = 1;
+  public static final int ANNOUNCEMENTS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private volatile java.lang.Object control_ = "";
+  private java.util.List<org.laurelweir.wire.v1.Announcement> announcements_;
   /**
-   * <code>string control = 1;</code>
-   * @return The control.
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
   @java.lang.Override
-  public java.lang.String getControl() {
-    java.lang.Object ref = control_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      control_ = s;
-      return s;
-    }
+  public java.util.List<org.laurelweir.wire.v1.Announcement> getAnnouncementsList() {
+    return announcements_;
   }
   /**
-   * <code>string control = 1;</code>
-   * @return The bytes for control.
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getControlBytes() {
-    java.lang.Object ref = control_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      control_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
+  public java.util.List<? extends org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+      getAnnouncementsOrBuilderList() {
+    return announcements_;
   }
-
-  public static final int BACKENDS_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private java.util.List<org.laurelweir.wire.v1.Backend> backends_;
   /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<org.laurelweir.wire.v1.Backend> getBackendsList() {
-    return backends_;
+  public int getAnnouncementsCount() {
+    return announcements_.size();
   }
   /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.laurelweir.wire.v1.BackendOrBuilder> 
-      getBackendsOrBuilderList() {
-    return backends_;
+  public org.laurelweir.wire.v1.Announcement getAnnouncements(int index) {
+    return announcements_.get(index);
   }
   /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
   @java.lang.Override
-  public int getBackendsCount() {
-    return backends_.size();
-  }
-  /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
-   */
-  @java.lang.Override
-  public org.laurelweir.wire.v1.Backend getBackends(int index) {
-    return backends_.get(index);
-  }
-  /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
-   */
-  @java.lang.Override
-  public org.laurelweir.wire.v1.BackendOrBuilder getBackendsOrBuilder(
+  public org.laurelweir.wire.v1.AnnouncementOrBuilder getAnnouncementsOrBuilder(
       int index) {
-    return backends_.get(index);
+    return announcements_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -135,11 +95,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(control_)) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 1, control_);
-    }
-    for (int i = 0; i < backends_.size(); i++) {
-      output.writeMessage(2, backends_.get(i));
+    for (int i = 0; i < announcements_.size(); i++) {
+      output.writeMessage(1, announcements_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -150,12 +107,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(control_)) {
-      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, control_);
-    }
-    for (int i = 0; i < backends_.size(); i++) {
+    for (int i = 0; i < announcements_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, backends_.get(i));
+        .computeMessageSize(1, announcements_.get(i));
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -172,10 +126,8 @@
     }
     org.laurelweir.wire.v1.AnnounceRequest other = (org.laurelweir.wire.v1.AnnounceRequest) obj;
 
-    if (!getControl()
-        .equals(other.getControl())) return false;
-    if (!getBackendsList()
-        .equals(other.getBackendsList())) return false;
+    if (!getAnnouncementsList()
+        .equals(other.getAnnouncementsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -187,11 +139,9 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + CONTROL_FIELD_NUMBER;
-    hash = (53 * hash) + getControl().hashCode();
-    if (getBackendsCount() > 0) {
-      hash = (37 * hash) + BACKENDS_FIELD_NUMBER;
-      hash = (53 * hash) + getBackendsList().hashCode();
+    if (getAnnouncementsCount() > 0) {
+      hash = (37 * hash) + ANNOUNCEMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getAnnouncementsList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -324,14 +274,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      control_ = "";
-      if (backendsBuilder_ == null) {
-        backends_ = java.util.Collections.emptyList();
+      if (announcementsBuilder_ == null) {
+        announcements_ = java.util.Collections.emptyList();
       } else {
-        backends_ = null;
-        backendsBuilder_.clear();
+        announcements_ = null;
+        announcementsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       return this;
     }
 
@@ -365,22 +314,19 @@
     }
 
     private void buildPartialRepeatedFields(org.laurelweir.wire.v1.AnnounceRequest result) {
-      if (backendsBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0)) {
-          backends_ = java.util.Collections.unmodifiableList(backends_);
-          bitField0_ = (bitField0_ & ~0x00000002);
+      if (announcementsBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0)) {
+          announcements_ = java.util.Collections.unmodifiableList(announcements_);
+          bitField0_ = (bitField0_ & ~0x00000001);
         }
-        result.backends_ = backends_;
+        result.announcements_ = announcements_;
       } else {
-        result.backends_ = backendsBuilder_.build();
+        result.announcements_ = announcementsBuilder_.build();
       }
     }
 
     private void buildPartial0(org.laurelweir.wire.v1.AnnounceRequest result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.control_ = control_;
-      }
     }
 
     @java.lang.Override
@@ -427,34 +373,29 @@
 
     public Builder mergeFrom(org.laurelweir.wire.v1.AnnounceRequest other) {
       if (other == org.laurelweir.wire.v1.AnnounceRequest.getDefaultInstance()) return this;
-      if (!other.getControl().isEmpty()) {
-        control_ = other.control_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (backendsBuilder_ == null) {
-        if (!other.backends_.isEmpty()) {
-          if (backends_.isEmpty()) {
-            backends_ = other.backends_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+      if (announcementsBuilder_ == null) {
+        if (!other.announcements_.isEmpty()) {
+          if (announcements_.isEmpty()) {
+            announcements_ = other.announcements_;
+            bitField0_ = (bitField0_ & ~0x00000001);
           } else {
-            ensureBackendsIsMutable();
-            backends_.addAll(other.backends_);
+            ensureAnnouncementsIsMutable();
+            announcements_.addAll(other.announcements_);
           }
           onChanged();
         }
       } else {
-        if (!other.backends_.isEmpty()) {
-          if (backendsBuilder_.isEmpty()) {
-            backendsBuilder_.dispose();
-            backendsBuilder_ = null;
-            backends_ = other.backends_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-            backendsBuilder_ = 
+        if (!other.announcements_.isEmpty()) {
+          if (announcementsBuilder_.isEmpty()) {
+            announcementsBuilder_.dispose();
+            announcementsBuilder_ = null;
+            announcements_ = other.announcements_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+            announcementsBuilder_ = 
               com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
-                 getBackendsFieldBuilder() : null;
+                 getAnnouncementsFieldBuilder() : null;
           } else {
-            backendsBuilder_.addAllMessages(other.backends_);
+            announcementsBuilder_.addAllMessages(other.announcements_);
           }
         }
       }
@@ -485,23 +426,18 @@
               done = true;
               break;
             case 10: {
-              control_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 18: {
-              org.laurelweir.wire.v1.Backend m =
+              org.laurelweir.wire.v1.Announcement m =
                   input.readMessage(
-                      org.laurelweir.wire.v1.Backend.parser(),
+                      org.laurelweir.wire.v1.Announcement.parser(),
                       extensionRegistry);
-              if (backendsBuilder_ == null) {
-                ensureBackendsIsMutable();
-                backends_.add(m);
+              if (announcementsBuilder_ == null) {
+                ensureAnnouncementsIsMutable();
+                announcements_.add(m);
               } else {
-                backendsBuilder_.addMessage(m);
+                announcementsBuilder_.addMessage(m);
               }
               break;
-            } // case 18
+            } // case 10
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -519,316 +455,244 @@
     }
     private int bitField0_;
 
-    private java.lang.Object control_ = "";
-    /**
-     * <code>string control = 1;</code>
-     * @return The control.
-     */
-    public java.lang.String getControl() {
-      java.lang.Object ref = control_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        control_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string control = 1;</code>
-     * @return The bytes for control.
-     */
-    public com.google.protobuf.ByteString
-        getControlBytes() {
-      java.lang.Object ref = control_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        control_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string control = 1;</code>
-     * @param value The control to set.
-     * @return This builder for chaining.
-     */
-    public Builder setControl(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      control_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string control = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearControl() {
-      control_ = getDefaultInstance().getControl();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string control = 1;</code>
-     * @param value The bytes for control to set.
-     * @return This builder for chaining.
-     */
-    public Builder setControlBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      control_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
-    private java.util.List<org.laurelweir.wire.v1.Backend> backends_ =
+    private java.util.List<org.laurelweir.wire.v1.Announcement> announcements_ =
       java.util.Collections.emptyList();
-    private void ensureBackendsIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
-        backends_ = new java.util.ArrayList<org.laurelweir.wire.v1.Backend>(backends_);
-        bitField0_ |= 0x00000002;
+    private void ensureAnnouncementsIsMutable() {
+      if (!((bitField0_ & 0x00000001) != 0)) {
+        announcements_ = new java.util.ArrayList<org.laurelweir.wire.v1.Announcement>(announcements_);
+        bitField0_ |= 0x00000001;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilderV3<
-        org.laurelweir.wire.v1.Backend, org.laurelweir.wire.v1.Backend.Builder, org.laurelweir.wire.v1.BackendOrBuilder> backendsBuilder_;
+        org.laurelweir.wire.v1.Announcement, org.laurelweir.wire.v1.Announcement.Builder, org.laurelweir.wire.v1.AnnouncementOrBuilder> announcementsBuilder_;
 
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public java.util.List<org.laurelweir.wire.v1.Backend> getBackendsList() {
-      if (backendsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(backends_);
+    public java.util.List<org.laurelweir.wire.v1.Announcement> getAnnouncementsList() {
+      if (announcementsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(announcements_);
       } else {
-        return backendsBuilder_.getMessageList();
+        return announcementsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public int getBackendsCount() {
-      if (backendsBuilder_ == null) {
-        return backends_.size();
+    public int getAnnouncementsCount() {
+      if (announcementsBuilder_ == null) {
+        return announcements_.size();
       } else {
-        return backendsBuilder_.getCount();
+        return announcementsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public org.laurelweir.wire.v1.Backend getBackends(int index) {
-      if (backendsBuilder_ == null) {
-        return backends_.get(index);
+    public org.laurelweir.wire.v1.Announcement getAnnouncements(int index) {
+      if (announcementsBuilder_ == null) {
+        return announcements_.get(index);
       } else {
-        return backendsBuilder_.getMessage(index);
+        return announcementsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder setBackends(
-        int index, org.laurelweir.wire.v1.Backend value) {
-      if (backendsBuilder_ == null) {
+    public Builder setAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement value) {
+      if (announcementsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureBackendsIsMutable();
-        backends_.set(index, value);
+        ensureAnnouncementsIsMutable();
+        announcements_.set(index, value);
         onChanged();
       } else {
-        backendsBuilder_.setMessage(index, value);
+        announcementsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder setBackends(
-        int index, org.laurelweir.wire.v1.Backend.Builder builderForValue) {
-      if (backendsBuilder_ == null) {
-        ensureBackendsIsMutable();
-        backends_.set(index, builderForValue.build());
+    public Builder setAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement.Builder builderForValue) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.set(index, builderForValue.build());
         onChanged();
       } else {
-        backendsBuilder_.setMessage(index, builderForValue.build());
+        announcementsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder addBackends(org.laurelweir.wire.v1.Backend value) {
-      if (backendsBuilder_ == null) {
+    public Builder addAnnouncements(org.laurelweir.wire.v1.Announcement value) {
+      if (announcementsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureBackendsIsMutable();
-        backends_.add(value);
+        ensureAnnouncementsIsMutable();
+        announcements_.add(value);
         onChanged();
       } else {
-        backendsBuilder_.addMessage(value);
+        announcementsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder addBackends(
-        int index, org.laurelweir.wire.v1.Backend value) {
-      if (backendsBuilder_ == null) {
+    public Builder addAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement value) {
+      if (announcementsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureBackendsIsMutable();
-        backends_.add(index, value);
+        ensureAnnouncementsIsMutable();
+        announcements_.add(index, value);
         onChanged();
       } else {
-        backendsBuilder_.addMessage(index, value);
+        announcementsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder addBackends(
-        org.laurelweir.wire.v1.Backend.Builder builderForValue) {
-      if (backendsBuilder_ == null) {
-        ensureBackendsIsMutable();
-        backends_.add(builderForValue.build());
+    public Builder addAnnouncements(
+        org.laurelweir.wire.v1.Announcement.Builder builderForValue) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.add(builderForValue.build());
         onChanged();
       } else {
-        backendsBuilder_.addMessage(builderForValue.build());
+        announcementsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder addBackends(
-        int index, org.laurelweir.wire.v1.Backend.Builder builderForValue) {
-      if (backendsBuilder_ == null) {
-        ensureBackendsIsMutable();
-        backends_.add(index, builderForValue.build());
+    public Builder addAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement.Builder builderForValue) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.add(index, builderForValue.build());
         onChanged();
       } else {
-        backendsBuilder_.addMessage(index, builderForValue.build());
+        announcementsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder addAllBackends(
-        java.lang.Iterable<? extends org.laurelweir.wire.v1.Backend> values) {
-      if (backendsBuilder_ == null) {
-        ensureBackendsIsMutable();
+    public Builder addAllAnnouncements(
+        java.lang.Iterable<? extends org.laurelweir.wire.v1.Announcement> values) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, backends_);
+            values, announcements_);
         onChanged();
       } else {
-        backendsBuilder_.addAllMessages(values);
+        announcementsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder clearBackends() {
-      if (backendsBuilder_ == null) {
-        backends_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
+    public Builder clearAnnouncements() {
+      if (announcementsBuilder_ == null) {
+        announcements_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
       } else {
-        backendsBuilder_.clear();
+        announcementsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public Builder removeBackends(int index) {
-      if (backendsBuilder_ == null) {
-        ensureBackendsIsMutable();
-        backends_.remove(index);
+    public Builder removeAnnouncements(int index) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.remove(index);
         onChanged();
       } else {
-        backendsBuilder_.remove(index);
+        announcementsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public org.laurelweir.wire.v1.Backend.Builder getBackendsBuilder(
+    public org.laurelweir.wire.v1.Announcement.Builder getAnnouncementsBuilder(
         int index) {
-      return getBackendsFieldBuilder().getBuilder(index);
+      return getAnnouncementsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public org.laurelweir.wire.v1.BackendOrBuilder getBackendsOrBuilder(
+    public org.laurelweir.wire.v1.AnnouncementOrBuilder getAnnouncementsOrBuilder(
         int index) {
-      if (backendsBuilder_ == null) {
-        return backends_.get(index);  } else {
-        return backendsBuilder_.getMessageOrBuilder(index);
+      if (announcementsBuilder_ == null) {
+        return announcements_.get(index);  } else {
+        return announcementsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public java.util.List<? extends org.laurelweir.wire.v1.BackendOrBuilder> 
-         getBackendsOrBuilderList() {
-      if (backendsBuilder_ != null) {
-        return backendsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+         getAnnouncementsOrBuilderList() {
+      if (announcementsBuilder_ != null) {
+        return announcementsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(backends_);
+        return java.util.Collections.unmodifiableList(announcements_);
       }
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public org.laurelweir.wire.v1.Backend.Builder addBackendsBuilder() {
-      return getBackendsFieldBuilder().addBuilder(
-          org.laurelweir.wire.v1.Backend.getDefaultInstance());
+    public org.laurelweir.wire.v1.Announcement.Builder addAnnouncementsBuilder() {
+      return getAnnouncementsFieldBuilder().addBuilder(
+          org.laurelweir.wire.v1.Announcement.getDefaultInstance());
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public org.laurelweir.wire.v1.Backend.Builder addBackendsBuilder(
+    public org.laurelweir.wire.v1.Announcement.Builder addAnnouncementsBuilder(
         int index) {
-      return getBackendsFieldBuilder().addBuilder(
-          index, org.laurelweir.wire.v1.Backend.getDefaultInstance());
+      return getAnnouncementsFieldBuilder().addBuilder(
+          index, org.laurelweir.wire.v1.Announcement.getDefaultInstance());
     }
     /**
-     * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+     * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
      */
-    public java.util.List<org.laurelweir.wire.v1.Backend.Builder> 
-         getBackendsBuilderList() {
-      return getBackendsFieldBuilder().getBuilderList();
+    public java.util.List<org.laurelweir.wire.v1.Announcement.Builder> 
+         getAnnouncementsBuilderList() {
+      return getAnnouncementsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilderV3<
-        org.laurelweir.wire.v1.Backend, org.laurelweir.wire.v1.Backend.Builder, org.laurelweir.wire.v1.BackendOrBuilder> 
-        getBackendsFieldBuilder() {
-      if (backendsBuilder_ == null) {
-        backendsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
-            org.laurelweir.wire.v1.Backend, org.laurelweir.wire.v1.Backend.Builder, org.laurelweir.wire.v1.BackendOrBuilder>(
-                backends_,
-                ((bitField0_ & 0x00000002) != 0),
+        org.laurelweir.wire.v1.Announcement, org.laurelweir.wire.v1.Announcement.Builder, org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+        getAnnouncementsFieldBuilder() {
+      if (announcementsBuilder_ == null) {
+        announcementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.laurelweir.wire.v1.Announcement, org.laurelweir.wire.v1.Announcement.Builder, org.laurelweir.wire.v1.AnnouncementOrBuilder>(
+                announcements_,
+                ((bitField0_ & 0x00000001) != 0),
                 getParentForChildren(),
                 isClean());
-        backends_ = null;
+        announcements_ = null;
       }
-      return backendsBuilder_;
+      return announcementsBuilder_;
     }
     @java.lang.Override
     public final Builder setUnknownFields(
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/AnnounceRequestOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/AnnounceRequestOrBuilder.java
@@ -9,38 +9,26 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string control = 1;</code>
-   * @return The control.
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
-  java.lang.String getControl();
+  java.util.List<org.laurelweir.wire.v1.Announcement> 
+      getAnnouncementsList();
   /**
-   * <code>string control = 1;</code>
-   * @return The bytes for control.
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
-  com.google.protobuf.ByteString
-      getControlBytes();
-
-  /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
-   */
-  java.util.List<org.laurelweir.wire.v1.Backend> 
-      getBackendsList();
-  /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
-   */
-  org.laurelweir.wire.v1.Backend getBackends(int index);
+  org.laurelweir.wire.v1.Announcement getAnnouncements(int index);
   /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
-  int getBackendsCount();
+  int getAnnouncementsCount();
   /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
-  java.util.List<? extends org.laurelweir.wire.v1.BackendOrBuilder> 
-      getBackendsOrBuilderList();
+  java.util.List<? extends org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+      getAnnouncementsOrBuilderList();
   /**
-   * <code>repeated .laurelweir.v1.Backend backends = 2;</code>
+   * <code>repeated .laurelweir.v1.Announcement announcements = 1;</code>
    */
-  org.laurelweir.wire.v1.BackendOrBuilder getBackendsOrBuilder(
+  org.laurelweir.wire.v1.AnnouncementOrBuilder getAnnouncementsOrBuilder(
       int index);
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Peer.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Peer.java
@@ -20,6 +20,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_laurelweir_v1_ShareMembershipRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laurelweir_v1_Announcement_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_laurelweir_v1_Announcement_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laurelweir_v1_AnnounceRequest_descriptor;
   static final 
@@ -53,22 +58,25 @@
       "1\032\033laurelweir/v1/control.proto\"p\n\026ShareM" +
       "embershipRequest\022\017\n\007control\030\001 \001(\t\022/\n\006cur" +
       "sor\030\002 \001(\0132\037.laurelweir.v1.MembershipCurs" +
-      "or\022\024\n\014with_routers\030\003 \001(\010\"L\n\017AnnounceRequ" +
-      "est\022\017\n\007control\030\001 \001(\t\022(\n\010backends\030\002 \003(\0132\026" +
-      ".laurelweir.v1.Backend\"\017\n\rAnnounceReply\"" +
-      "M\n\nServiceSum\022\017\n\007service\030\001 \001(\t\022\014\n\004work\030\002" +
-      " \001(\001\022\020\n\010backends\030\003 \001(\r\022\016\n\006weight\030\004 \001(\001\"\312" +
-      "\001\n\024ShareMembershipReply\022-\n\005delta\030\001 \001(\0132\036" +
-      ".laurelweir.v1.MembershipDelta\022\'\n\004sums\030\002" +
-      " \003(\0132\031.laurelweir.v1.ServiceSum\022,\n\007route" +
-      "rs\030\003 \003(\0132\033.laurelweir.v1.RouterStatus\022,\n" +
-      "\006status\030\004 \001(\0132\034.laurelweir.v1.ControlSta" +
-      "tus2\266\001\n\013PeerService\022]\n\017ShareMembership\022%" +
-      ".laurelweir.v1.ShareMembershipRequest\032#." +
-      "laurelweir.v1.ShareMembershipReply\022H\n\010An" +
-      "nounce\022\036.laurelweir.v1.AnnounceRequest\032\034" +
-      ".laurelweir.v1.AnnounceReplyB\032\n\026org.laur" +
-      "elweir.wire.v1P\001b\006proto3"
+      "or\022\024\n\014with_routers\030\003 \001(\010\"H\n\014Announcement" +
+      "\022\'\n\007backend\030\001 \001(\0132\026.laurelweir.v1.Backen" +
+      "d\022\017\n\007control\030\002 \001(\t\"E\n\017AnnounceRequest\0222\n" +
+      "\rannouncements\030\001 \003(\0132\033.laurelweir.v1.Ann" +
+      "ouncement\"\017\n\rAnnounceReply\"M\n\nServiceSum" +
+      "\022\017\n\007service\030\001 \001(\t\022\014\n\004work\030\002 \001(\001\022\020\n\010backe" +
+      "nds\030\003 \001(\r\022\016\n\006weight\030\004 \001(\001\"\200\002\n\024ShareMembe" +
+      "rshipReply\022/\n\006cursor\030\001 \001(\0132\037.laurelweir." +
+      "v1.MembershipCursor\0222\n\rannouncements\030\005 \003" +
+      "(\0132\033.laurelweir.v1.Announcement\022\'\n\004sums\030" +
+      "\002 \003(\0132\031.laurelweir.v1.ServiceSum\022,\n\007rout" +
+      "ers\030\003 \003(\0132\033.laurelweir.v1.RouterStatus\022," +
+      "\n\006status\030\004 \001(\0132\034.laurelweir.v1.ControlSt" +
+      "atus2\266\001\n\013PeerService\022]\n\017ShareMembership\022" +
+      "%.laurelweir.v1.ShareMembershipRequest\032#" +
+      ".laurelweir.v1.ShareMembershipReply\022H\n\010A" +
+      "nnounce\022\036.laurelweir.v1.AnnounceRequest\032" +
+      "\034.laurelweir.v1.AnnounceReplyB\032\n\026org.lau" +
+      "relweir.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -81,30 +89,36 @@
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ShareMembershipRequest_descriptor,
         new java.lang.String[] { "Control", "Cursor", "WithRouters", });
-    internal_static_laurelweir_v1_AnnounceRequest_descriptor =
+    internal_static_laurelweir_v1_Announcement_descriptor =
       getDescriptor().getMessageTypes().get(1);
+    internal_static_laurelweir_v1_Announcement_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_laurelweir_v1_Announcement_descriptor,
+        new java.lang.String[] { "Backend", "Control", });
+    internal_static_laurelweir_v1_AnnounceRequest_descriptor =
+      getDescriptor().getMessageTypes().get(2);
     internal_static_laurelweir_v1_AnnounceRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_AnnounceRequest_descriptor,
-        new java.lang.String[] { "Control", "Backends", });
+        new java.lang.String[] { "Announcements", });
     internal_static_laurelweir_v1_AnnounceReply_descriptor =
-      getDescriptor().getMessageTypes().get(2);
+      getDescriptor().getMessageTypes().get(3);
     internal_static_laurelweir_v1_AnnounceReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_AnnounceReply_descriptor,
         new java.lang.String[] { });
     internal_static_laurelweir_v1_ServiceSum_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(4);
     internal_static_laurelweir_v1_ServiceSum_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ServiceSum_descriptor,
         new java.lang.String[] { "Service", "Work", "Backends", "Weight", });
     internal_static_laurelweir_v1_ShareMembershipReply_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_laurelweir_v1_ShareMembershipReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ShareMembershipReply_descriptor,
-        new java.lang.String[] { "Delta", "Sums", "Routers", "Status", });
+        new java.lang.String[] { "Cursor", "Announcements", "Sums", "Routers", "Status", });
     org.laurelweir.wire.v1.Control.getDescriptor();
   }
 
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/PeerServiceGrpc.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/PeerServiceGrpc.java
@@ -4,7 +4,7 @@
 
 /**
  * <pre>
- * Between control instances, beside the replicated log: what each has heard itself, not durable.
+ * Between control instances, beside the replicated log: the membership, not durable.
  * </pre>
  */
 @javax.annotation.Generated(
@@ -126,7 +126,7 @@
 
   /**
    * <pre>
-   * Between control instances, beside the replicated log: what each has heard itself, not durable.
+   * Between control instances, beside the replicated log: the membership, not durable.
    * </pre>
    */
   public static abstract class PeerServiceImplBase implements io.grpc.BindableService {
@@ -170,7 +170,7 @@
 
   /**
    * <pre>
-   * Between control instances, beside the replicated log: what each has heard itself, not durable.
+   * Between control instances, beside the replicated log: the membership, not durable.
    * </pre>
    */
   public static final class PeerServiceStub extends io.grpc.stub.AbstractAsyncStub<PeerServiceStub> {
@@ -207,7 +207,7 @@
 
   /**
    * <pre>
-   * Between control instances, beside the replicated log: what each has heard itself, not durable.
+   * Between control instances, beside the replicated log: the membership, not durable.
    * </pre>
    */
   public static final class PeerServiceBlockingStub extends io.grpc.stub.AbstractBlockingStub<PeerServiceBlockingStub> {
@@ -242,7 +242,7 @@
 
   /**
    * <pre>
-   * Between control instances, beside the replicated log: what each has heard itself, not durable.
+   * Between control instances, beside the replicated log: the membership, not durable.
    * </pre>
    */
   public static final class PeerServiceFutureStub extends io.grpc.stub.AbstractFutureStub<PeerServiceFutureStub> {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReply.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReply.java
@@ -17,6 +17,7 @@
     super(builder);
   }
   private ShareMembershipReply() {
+    announcements_ = java.util.Collections.emptyList();
     sums_ = java.util.Collections.emptyList();
     routers_ = java.util.Collections.emptyList();
   }
@@ -42,30 +43,71 @@
   }
 
   private int bitField0_;
-  public static final int DELTA_FIELD_NUMBER = 1;
-  private org.laurelweir.wire.v1.MembershipDelta delta_;
+  public static final int CURSOR_FIELD_NUMBER = 1;
+  private org.laurelweir.wire.v1.MembershipCursor cursor_;
   /**
-   * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
-   * @return Whether the delta field is set.
+   * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
+   * @return Whether the cursor field is set.
    */
   @java.lang.Override
-  public boolean hasDelta() {
+  public boolean hasCursor() {
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
-   * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
-   * @return The delta.
+   * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
+   * @return The cursor.
    */
   @java.lang.Override
-  public org.laurelweir.wire.v1.MembershipDelta getDelta() {
-    return delta_ == null ? org.laurelweir.wire.v1.MembershipDelta.getDefaultInstance() : delta_;
+  public org.laurelweir.wire.v1.MembershipCursor getCursor() {
+    return cursor_ == null ? org.laurelweir.wire.v1.MembershipCursor.getDefaultInstance() : cursor_;
   }
   /**
-   * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+   * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
    */
   @java.lang.Override
-  public org.laurelweir.wire.v1.MembershipDeltaOrBuilder getDeltaOrBuilder() {
-    return delta_ == null ? org.laurelweir.wire.v1.MembershipDelta.getDefaultInstance() : delta_;
+  public org.laurelweir.wire.v1.MembershipCursorOrBuilder getCursorOrBuilder() {
+    return cursor_ == null ? org.laurelweir.wire.v1.MembershipCursor.getDefaultInstance() : cursor_;
+  }
+
+  public static final int ANNOUNCEMENTS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.laurelweir.wire.v1.Announcement> announcements_;
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.laurelweir.wire.v1.Announcement> getAnnouncementsList() {
+    return announcements_;
+  }
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+      getAnnouncementsOrBuilderList() {
+    return announcements_;
+  }
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  @java.lang.Override
+  public int getAnnouncementsCount() {
+    return announcements_.size();
+  }
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.Announcement getAnnouncements(int index) {
+    return announcements_.get(index);
+  }
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.AnnouncementOrBuilder getAnnouncementsOrBuilder(
+      int index) {
+    return announcements_.get(index);
   }
 
   public static final int SUMS_FIELD_NUMBER = 2;
@@ -191,7 +233,7 @@
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(1, getDelta());
+      output.writeMessage(1, getCursor());
     }
     for (int i = 0; i < sums_.size(); i++) {
       output.writeMessage(2, sums_.get(i));
@@ -202,6 +244,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(4, getStatus());
     }
+    for (int i = 0; i < announcements_.size(); i++) {
+      output.writeMessage(5, announcements_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -213,7 +258,7 @@
     size = 0;
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, getDelta());
+        .computeMessageSize(1, getCursor());
     }
     for (int i = 0; i < sums_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
@@ -227,6 +272,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getStatus());
     }
+    for (int i = 0; i < announcements_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, announcements_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -242,11 +291,13 @@
     }
     org.laurelweir.wire.v1.ShareMembershipReply other = (org.laurelweir.wire.v1.ShareMembershipReply) obj;
 
-    if (hasDelta() != other.hasDelta()) return false;
-    if (hasDelta()) {
-      if (!getDelta()
-          .equals(other.getDelta())) return false;
+    if (hasCursor() != other.hasCursor()) return false;
+    if (hasCursor()) {
+      if (!getCursor()
+          .equals(other.getCursor())) return false;
     }
+    if (!getAnnouncementsList()
+        .equals(other.getAnnouncementsList())) return false;
     if (!getSumsList()
         .equals(other.getSumsList())) return false;
     if (!getRoutersList()
@@ -267,9 +318,13 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    if (hasDelta()) {
-      hash = (37 * hash) + DELTA_FIELD_NUMBER;
-      hash = (53 * hash) + getDelta().hashCode();
+    if (hasCursor()) {
+      hash = (37 * hash) + CURSOR_FIELD_NUMBER;
+      hash = (53 * hash) + getCursor().hashCode();
+    }
+    if (getAnnouncementsCount() > 0) {
+      hash = (37 * hash) + ANNOUNCEMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getAnnouncementsList().hashCode();
     }
     if (getSumsCount() > 0) {
       hash = (37 * hash) + SUMS_FIELD_NUMBER;
@@ -413,7 +468,8 @@
     private void maybeForceBuilderInitialization() {
       if (com.google.protobuf.GeneratedMessageV3
               .alwaysUseFieldBuilders) {
-        getDeltaFieldBuilder();
+        getCursorFieldBuilder();
+        getAnnouncementsFieldBuilder();
         getSumsFieldBuilder();
         getRoutersFieldBuilder();
         getStatusFieldBuilder();
@@ -423,25 +479,32 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      delta_ = null;
-      if (deltaBuilder_ != null) {
-        deltaBuilder_.dispose();
-        deltaBuilder_ = null;
+      cursor_ = null;
+      if (cursorBuilder_ != null) {
+        cursorBuilder_.dispose();
+        cursorBuilder_ = null;
       }
+      if (announcementsBuilder_ == null) {
+        announcements_ = java.util.Collections.emptyList();
+      } else {
+        announcements_ = null;
+        announcementsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
       if (sumsBuilder_ == null) {
         sums_ = java.util.Collections.emptyList();
       } else {
         sums_ = null;
         sumsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000004);
       if (routersBuilder_ == null) {
         routers_ = java.util.Collections.emptyList();
       } else {
         routers_ = null;
         routersBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000008);
       status_ = null;
       if (statusBuilder_ != null) {
         statusBuilder_.dispose();
@@ -480,19 +543,28 @@
     }
 
     private void buildPartialRepeatedFields(org.laurelweir.wire.v1.ShareMembershipReply result) {
-      if (sumsBuilder_ == null) {
+      if (announcementsBuilder_ == null) {
         if (((bitField0_ & 0x00000002) != 0)) {
-          sums_ = java.util.Collections.unmodifiableList(sums_);
+          announcements_ = java.util.Collections.unmodifiableList(announcements_);
           bitField0_ = (bitField0_ & ~0x00000002);
         }
+        result.announcements_ = announcements_;
+      } else {
+        result.announcements_ = announcementsBuilder_.build();
+      }
+      if (sumsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          sums_ = java.util.Collections.unmodifiableList(sums_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
         result.sums_ = sums_;
       } else {
         result.sums_ = sumsBuilder_.build();
       }
       if (routersBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
+        if (((bitField0_ & 0x00000008) != 0)) {
           routers_ = java.util.Collections.unmodifiableList(routers_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+          bitField0_ = (bitField0_ & ~0x00000008);
         }
         result.routers_ = routers_;
       } else {
@@ -504,12 +576,12 @@
       int from_bitField0_ = bitField0_;
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.delta_ = deltaBuilder_ == null
-            ? delta_
-            : deltaBuilder_.build();
+        result.cursor_ = cursorBuilder_ == null
+            ? cursor_
+            : cursorBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.status_ = statusBuilder_ == null
             ? status_
             : statusBuilder_.build();
@@ -562,14 +634,40 @@
 
     public Builder mergeFrom(org.laurelweir.wire.v1.ShareMembershipReply other) {
       if (other == org.laurelweir.wire.v1.ShareMembershipReply.getDefaultInstance()) return this;
-      if (other.hasDelta()) {
-        mergeDelta(other.getDelta());
+      if (other.hasCursor()) {
+        mergeCursor(other.getCursor());
+      }
+      if (announcementsBuilder_ == null) {
+        if (!other.announcements_.isEmpty()) {
+          if (announcements_.isEmpty()) {
+            announcements_ = other.announcements_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureAnnouncementsIsMutable();
+            announcements_.addAll(other.announcements_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.announcements_.isEmpty()) {
+          if (announcementsBuilder_.isEmpty()) {
+            announcementsBuilder_.dispose();
+            announcementsBuilder_ = null;
+            announcements_ = other.announcements_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            announcementsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getAnnouncementsFieldBuilder() : null;
+          } else {
+            announcementsBuilder_.addAllMessages(other.announcements_);
+          }
+        }
       }
       if (sumsBuilder_ == null) {
         if (!other.sums_.isEmpty()) {
           if (sums_.isEmpty()) {
             sums_ = other.sums_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
             ensureSumsIsMutable();
             sums_.addAll(other.sums_);
@@ -582,7 +680,7 @@
             sumsBuilder_.dispose();
             sumsBuilder_ = null;
             sums_ = other.sums_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000004);
             sumsBuilder_ = 
               com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
                  getSumsFieldBuilder() : null;
@@ -595,7 +693,7 @@
         if (!other.routers_.isEmpty()) {
           if (routers_.isEmpty()) {
             routers_ = other.routers_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000008);
           } else {
             ensureRoutersIsMutable();
             routers_.addAll(other.routers_);
@@ -608,7 +706,7 @@
             routersBuilder_.dispose();
             routersBuilder_ = null;
             routers_ = other.routers_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000008);
             routersBuilder_ = 
               com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
                  getRoutersFieldBuilder() : null;
@@ -648,7 +746,7 @@
               break;
             case 10: {
               input.readMessage(
-                  getDeltaFieldBuilder().getBuilder(),
+                  getCursorFieldBuilder().getBuilder(),
                   extensionRegistry);
               bitField0_ |= 0x00000001;
               break;
@@ -683,9 +781,22 @@
               input.readMessage(
                   getStatusFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000010;
               break;
             } // case 34
+            case 42: {
+              org.laurelweir.wire.v1.Announcement m =
+                  input.readMessage(
+                      org.laurelweir.wire.v1.Announcement.parser(),
+                      extensionRegistry);
+              if (announcementsBuilder_ == null) {
+                ensureAnnouncementsIsMutable();
+                announcements_.add(m);
+              } else {
+                announcementsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -703,133 +814,373 @@
     }
     private int bitField0_;
 
-    private org.laurelweir.wire.v1.MembershipDelta delta_;
+    private org.laurelweir.wire.v1.MembershipCursor cursor_;
     private com.google.protobuf.SingleFieldBuilderV3<
-        org.laurelweir.wire.v1.MembershipDelta, org.laurelweir.wire.v1.MembershipDelta.Builder, org.laurelweir.wire.v1.MembershipDeltaOrBuilder> deltaBuilder_;
+        org.laurelweir.wire.v1.MembershipCursor, org.laurelweir.wire.v1.MembershipCursor.Builder, org.laurelweir.wire.v1.MembershipCursorOrBuilder> cursorBuilder_;
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
-     * @return Whether the delta field is set.
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
+     * @return Whether the cursor field is set.
      */
-    public boolean hasDelta() {
+    public boolean hasCursor() {
       return ((bitField0_ & 0x00000001) != 0);
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
-     * @return The delta.
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
+     * @return The cursor.
      */
-    public org.laurelweir.wire.v1.MembershipDelta getDelta() {
-      if (deltaBuilder_ == null) {
-        return delta_ == null ? org.laurelweir.wire.v1.MembershipDelta.getDefaultInstance() : delta_;
+    public org.laurelweir.wire.v1.MembershipCursor getCursor() {
+      if (cursorBuilder_ == null) {
+        return cursor_ == null ? org.laurelweir.wire.v1.MembershipCursor.getDefaultInstance() : cursor_;
       } else {
-        return deltaBuilder_.getMessage();
+        return cursorBuilder_.getMessage();
       }
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
-    public Builder setDelta(org.laurelweir.wire.v1.MembershipDelta value) {
-      if (deltaBuilder_ == null) {
+    public Builder setCursor(org.laurelweir.wire.v1.MembershipCursor value) {
+      if (cursorBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        delta_ = value;
+        cursor_ = value;
       } else {
-        deltaBuilder_.setMessage(value);
+        cursorBuilder_.setMessage(value);
       }
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
-    public Builder setDelta(
-        org.laurelweir.wire.v1.MembershipDelta.Builder builderForValue) {
-      if (deltaBuilder_ == null) {
-        delta_ = builderForValue.build();
+    public Builder setCursor(
+        org.laurelweir.wire.v1.MembershipCursor.Builder builderForValue) {
+      if (cursorBuilder_ == null) {
+        cursor_ = builderForValue.build();
       } else {
-        deltaBuilder_.setMessage(builderForValue.build());
+        cursorBuilder_.setMessage(builderForValue.build());
       }
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
-    public Builder mergeDelta(org.laurelweir.wire.v1.MembershipDelta value) {
-      if (deltaBuilder_ == null) {
+    public Builder mergeCursor(org.laurelweir.wire.v1.MembershipCursor value) {
+      if (cursorBuilder_ == null) {
         if (((bitField0_ & 0x00000001) != 0) &&
-          delta_ != null &&
-          delta_ != org.laurelweir.wire.v1.MembershipDelta.getDefaultInstance()) {
-          getDeltaBuilder().mergeFrom(value);
+          cursor_ != null &&
+          cursor_ != org.laurelweir.wire.v1.MembershipCursor.getDefaultInstance()) {
+          getCursorBuilder().mergeFrom(value);
         } else {
-          delta_ = value;
+          cursor_ = value;
         }
       } else {
-        deltaBuilder_.mergeFrom(value);
+        cursorBuilder_.mergeFrom(value);
       }
-      if (delta_ != null) {
+      if (cursor_ != null) {
         bitField0_ |= 0x00000001;
         onChanged();
       }
       return this;
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
-    public Builder clearDelta() {
+    public Builder clearCursor() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      delta_ = null;
-      if (deltaBuilder_ != null) {
-        deltaBuilder_.dispose();
-        deltaBuilder_ = null;
+      cursor_ = null;
+      if (cursorBuilder_ != null) {
+        cursorBuilder_.dispose();
+        cursorBuilder_ = null;
       }
       onChanged();
       return this;
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
-    public org.laurelweir.wire.v1.MembershipDelta.Builder getDeltaBuilder() {
+    public org.laurelweir.wire.v1.MembershipCursor.Builder getCursorBuilder() {
       bitField0_ |= 0x00000001;
       onChanged();
-      return getDeltaFieldBuilder().getBuilder();
+      return getCursorFieldBuilder().getBuilder();
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
-    public org.laurelweir.wire.v1.MembershipDeltaOrBuilder getDeltaOrBuilder() {
-      if (deltaBuilder_ != null) {
-        return deltaBuilder_.getMessageOrBuilder();
+    public org.laurelweir.wire.v1.MembershipCursorOrBuilder getCursorOrBuilder() {
+      if (cursorBuilder_ != null) {
+        return cursorBuilder_.getMessageOrBuilder();
       } else {
-        return delta_ == null ?
-            org.laurelweir.wire.v1.MembershipDelta.getDefaultInstance() : delta_;
+        return cursor_ == null ?
+            org.laurelweir.wire.v1.MembershipCursor.getDefaultInstance() : cursor_;
       }
     }
     /**
-     * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+     * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
      */
     private com.google.protobuf.SingleFieldBuilderV3<
-        org.laurelweir.wire.v1.MembershipDelta, org.laurelweir.wire.v1.MembershipDelta.Builder, org.laurelweir.wire.v1.MembershipDeltaOrBuilder> 
-        getDeltaFieldBuilder() {
-      if (deltaBuilder_ == null) {
-        deltaBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
-            org.laurelweir.wire.v1.MembershipDelta, org.laurelweir.wire.v1.MembershipDelta.Builder, org.laurelweir.wire.v1.MembershipDeltaOrBuilder>(
-                getDelta(),
+        org.laurelweir.wire.v1.MembershipCursor, org.laurelweir.wire.v1.MembershipCursor.Builder, org.laurelweir.wire.v1.MembershipCursorOrBuilder> 
+        getCursorFieldBuilder() {
+      if (cursorBuilder_ == null) {
+        cursorBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.laurelweir.wire.v1.MembershipCursor, org.laurelweir.wire.v1.MembershipCursor.Builder, org.laurelweir.wire.v1.MembershipCursorOrBuilder>(
+                getCursor(),
                 getParentForChildren(),
                 isClean());
-        delta_ = null;
+        cursor_ = null;
       }
-      return deltaBuilder_;
+      return cursorBuilder_;
+    }
+
+    private java.util.List<org.laurelweir.wire.v1.Announcement> announcements_ =
+      java.util.Collections.emptyList();
+    private void ensureAnnouncementsIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        announcements_ = new java.util.ArrayList<org.laurelweir.wire.v1.Announcement>(announcements_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.laurelweir.wire.v1.Announcement, org.laurelweir.wire.v1.Announcement.Builder, org.laurelweir.wire.v1.AnnouncementOrBuilder> announcementsBuilder_;
+
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public java.util.List<org.laurelweir.wire.v1.Announcement> getAnnouncementsList() {
+      if (announcementsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(announcements_);
+      } else {
+        return announcementsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public int getAnnouncementsCount() {
+      if (announcementsBuilder_ == null) {
+        return announcements_.size();
+      } else {
+        return announcementsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public org.laurelweir.wire.v1.Announcement getAnnouncements(int index) {
+      if (announcementsBuilder_ == null) {
+        return announcements_.get(index);
+      } else {
+        return announcementsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder setAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement value) {
+      if (announcementsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAnnouncementsIsMutable();
+        announcements_.set(index, value);
+        onChanged();
+      } else {
+        announcementsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder setAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement.Builder builderForValue) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        announcementsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder addAnnouncements(org.laurelweir.wire.v1.Announcement value) {
+      if (announcementsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAnnouncementsIsMutable();
+        announcements_.add(value);
+        onChanged();
+      } else {
+        announcementsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder addAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement value) {
+      if (announcementsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAnnouncementsIsMutable();
+        announcements_.add(index, value);
+        onChanged();
+      } else {
+        announcementsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder addAnnouncements(
+        org.laurelweir.wire.v1.Announcement.Builder builderForValue) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.add(builderForValue.build());
+        onChanged();
+      } else {
+        announcementsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder addAnnouncements(
+        int index, org.laurelweir.wire.v1.Announcement.Builder builderForValue) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        announcementsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder addAllAnnouncements(
+        java.lang.Iterable<? extends org.laurelweir.wire.v1.Announcement> values) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, announcements_);
+        onChanged();
+      } else {
+        announcementsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder clearAnnouncements() {
+      if (announcementsBuilder_ == null) {
+        announcements_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        announcementsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public Builder removeAnnouncements(int index) {
+      if (announcementsBuilder_ == null) {
+        ensureAnnouncementsIsMutable();
+        announcements_.remove(index);
+        onChanged();
+      } else {
+        announcementsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public org.laurelweir.wire.v1.Announcement.Builder getAnnouncementsBuilder(
+        int index) {
+      return getAnnouncementsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public org.laurelweir.wire.v1.AnnouncementOrBuilder getAnnouncementsOrBuilder(
+        int index) {
+      if (announcementsBuilder_ == null) {
+        return announcements_.get(index);  } else {
+        return announcementsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public java.util.List<? extends org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+         getAnnouncementsOrBuilderList() {
+      if (announcementsBuilder_ != null) {
+        return announcementsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(announcements_);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public org.laurelweir.wire.v1.Announcement.Builder addAnnouncementsBuilder() {
+      return getAnnouncementsFieldBuilder().addBuilder(
+          org.laurelweir.wire.v1.Announcement.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public org.laurelweir.wire.v1.Announcement.Builder addAnnouncementsBuilder(
+        int index) {
+      return getAnnouncementsFieldBuilder().addBuilder(
+          index, org.laurelweir.wire.v1.Announcement.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+     */
+    public java.util.List<org.laurelweir.wire.v1.Announcement.Builder> 
+         getAnnouncementsBuilderList() {
+      return getAnnouncementsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.laurelweir.wire.v1.Announcement, org.laurelweir.wire.v1.Announcement.Builder, org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+        getAnnouncementsFieldBuilder() {
+      if (announcementsBuilder_ == null) {
+        announcementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.laurelweir.wire.v1.Announcement, org.laurelweir.wire.v1.Announcement.Builder, org.laurelweir.wire.v1.AnnouncementOrBuilder>(
+                announcements_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        announcements_ = null;
+      }
+      return announcementsBuilder_;
     }
 
     private java.util.List<org.laurelweir.wire.v1.ServiceSum> sums_ =
       java.util.Collections.emptyList();
     private void ensureSumsIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
+      if (!((bitField0_ & 0x00000004) != 0)) {
         sums_ = new java.util.ArrayList<org.laurelweir.wire.v1.ServiceSum>(sums_);
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000004;
        }
     }
 
@@ -979,7 +1330,7 @@
     public Builder clearSums() {
       if (sumsBuilder_ == null) {
         sums_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
         sumsBuilder_.clear();
@@ -1056,7 +1407,7 @@
         sumsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
             org.laurelweir.wire.v1.ServiceSum, org.laurelweir.wire.v1.ServiceSum.Builder, org.laurelweir.wire.v1.ServiceSumOrBuilder>(
                 sums_,
-                ((bitField0_ & 0x00000002) != 0),
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
         sums_ = null;
@@ -1067,9 +1418,9 @@
     private java.util.List<org.laurelweir.wire.v1.RouterStatus> routers_ =
       java.util.Collections.emptyList();
     private void ensureRoutersIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
+      if (!((bitField0_ & 0x00000008) != 0)) {
         routers_ = new java.util.ArrayList<org.laurelweir.wire.v1.RouterStatus>(routers_);
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000008;
        }
     }
 
@@ -1219,7 +1570,7 @@
     public Builder clearRouters() {
       if (routersBuilder_ == null) {
         routers_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
         routersBuilder_.clear();
@@ -1296,7 +1647,7 @@
         routersBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
             org.laurelweir.wire.v1.RouterStatus, org.laurelweir.wire.v1.RouterStatus.Builder, org.laurelweir.wire.v1.RouterStatusOrBuilder>(
                 routers_,
-                ((bitField0_ & 0x00000004) != 0),
+                ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
         routers_ = null;
@@ -1312,7 +1663,7 @@
      * @return Whether the status field is set.
      */
     public boolean hasStatus() {
-      return ((bitField0_ & 0x00000008) != 0);
+      return ((bitField0_ & 0x00000010) != 0);
     }
     /**
      * <code>.laurelweir.v1.ControlStatus status = 4;</code>
@@ -1337,7 +1688,7 @@
       } else {
         statusBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -1351,7 +1702,7 @@
       } else {
         statusBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -1360,7 +1711,7 @@
      */
     public Builder mergeStatus(org.laurelweir.wire.v1.ControlStatus value) {
       if (statusBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0) &&
+        if (((bitField0_ & 0x00000010) != 0) &&
           status_ != null &&
           status_ != org.laurelweir.wire.v1.ControlStatus.getDefaultInstance()) {
           getStatusBuilder().mergeFrom(value);
@@ -1371,7 +1722,7 @@
         statusBuilder_.mergeFrom(value);
       }
       if (status_ != null) {
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000010;
         onChanged();
       }
       return this;
@@ -1380,7 +1731,7 @@
      * <code>.laurelweir.v1.ControlStatus status = 4;</code>
      */
     public Builder clearStatus() {
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000010);
       status_ = null;
       if (statusBuilder_ != null) {
         statusBuilder_.dispose();
@@ -1393,7 +1744,7 @@
      * <code>.laurelweir.v1.ControlStatus status = 4;</code>
      */
     public org.laurelweir.wire.v1.ControlStatus.Builder getStatusBuilder() {
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return getStatusFieldBuilder().getBuilder();
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReplyOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipReplyOrBuilder.java
@@ -9,19 +9,43 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
-   * @return Whether the delta field is set.
+   * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
+   * @return Whether the cursor field is set.
    */
-  boolean hasDelta();
+  boolean hasCursor();
   /**
-   * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
-   * @return The delta.
+   * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
+   * @return The cursor.
    */
-  org.laurelweir.wire.v1.MembershipDelta getDelta();
+  org.laurelweir.wire.v1.MembershipCursor getCursor();
   /**
-   * <code>.laurelweir.v1.MembershipDelta delta = 1;</code>
+   * <code>.laurelweir.v1.MembershipCursor cursor = 1;</code>
    */
-  org.laurelweir.wire.v1.MembershipDeltaOrBuilder getDeltaOrBuilder();
+  org.laurelweir.wire.v1.MembershipCursorOrBuilder getCursorOrBuilder();
+
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  java.util.List<org.laurelweir.wire.v1.Announcement> 
+      getAnnouncementsList();
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  org.laurelweir.wire.v1.Announcement getAnnouncements(int index);
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  int getAnnouncementsCount();
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  java.util.List<? extends org.laurelweir.wire.v1.AnnouncementOrBuilder> 
+      getAnnouncementsOrBuilderList();
+  /**
+   * <code>repeated .laurelweir.v1.Announcement announcements = 5;</code>
+   */
+  org.laurelweir.wire.v1.AnnouncementOrBuilder getAnnouncementsOrBuilder(
+      int index);
 
   /**
    * <code>repeated .laurelweir.v1.ServiceSum sums = 2;</code>
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequest.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequest.java
@@ -84,7 +84,7 @@
   private org.laurelweir.wire.v1.MembershipCursor cursor_;
   /**
    * <pre>
-   * What the asker has of the answerer's own announcements.
+   * How far the asker knows the answerer's changes.
    * </pre>
    *
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -96,7 +96,7 @@
   }
   /**
    * <pre>
-   * What the asker has of the answerer's own announcements.
+   * How far the asker knows the answerer's changes.
    * </pre>
    *
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -108,7 +108,7 @@
   }
   /**
    * <pre>
-   * What the asker has of the answerer's own announcements.
+   * How far the asker knows the answerer's changes.
    * </pre>
    *
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -605,7 +605,7 @@
         org.laurelweir.wire.v1.MembershipCursor, org.laurelweir.wire.v1.MembershipCursor.Builder, org.laurelweir.wire.v1.MembershipCursorOrBuilder> cursorBuilder_;
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -616,7 +616,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -631,7 +631,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -651,7 +651,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -669,7 +669,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -694,7 +694,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -711,7 +711,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -723,7 +723,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -738,7 +738,7 @@
     }
     /**
      * <pre>
-     * What the asker has of the answerer's own announcements.
+     * How far the asker knows the answerer's changes.
      * </pre>
      *
      * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequestOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ShareMembershipRequestOrBuilder.java
@@ -22,7 +22,7 @@
 
   /**
    * <pre>
-   * What the asker has of the answerer's own announcements.
+   * How far the asker knows the answerer's changes.
    * </pre>
    *
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -31,7 +31,7 @@
   boolean hasCursor();
   /**
    * <pre>
-   * What the asker has of the answerer's own announcements.
+   * How far the asker knows the answerer's changes.
    * </pre>
    *
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
@@ -40,7 +40,7 @@
   org.laurelweir.wire.v1.MembershipCursor getCursor();
   /**
    * <pre>
-   * What the asker has of the answerer's own announcements.
+   * How far the asker knows the answerer's changes.
    * </pre>
    *
    * <code>.laurelweir.v1.MembershipCursor cursor = 2;</code>
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -16,9 +16,17 @@
     /** When the leader took the command. */
     Instant at();
 
+    /** Returns the command as taken at another time. */
+    Command stamped(Instant time);
+
     /** A change of settings nodes, all or nothing, under compare-and-set. */
     record ChangeSettings(Instant at, String changeId, String author, List<NodeChange> changes)
-            implements Command {}
+            implements Command {
+        @Override
+        public ChangeSettings stamped(Instant time) {
+            return new ChangeSettings(time, changeId, author, changes);
+        }
+    }
 
     /**
      * A change of one settings node.
@@ -51,15 +59,36 @@
             BackendRef target,
             AttemptId replaces,
             Duration retention)
-            implements Command {}
+            implements Command {
+        @Override
+        public Claim stamped(Instant time) {
+            return new Claim(
+                    time, account, key, service, fingerprint, attempt, target, replaces, retention);
+        }
+    }
 
     /** The end of the attempt that holds a claim. */
     record SettleClaim(Instant at, String account, String key, AttemptId attempt, ResultCode code)
-            implements Command {}
+            implements Command {
+        @Override
+        public SettleClaim stamped(Instant time) {
+            return new SettleClaim(time, account, key, attempt, code);
+        }
+    }
 
     /** An operator's wish that a backend server takes no new work, or takes it again. */
-    record Drain(Instant at, String backend, boolean drain, String author) implements Command {}
+    record Drain(Instant at, String backend, boolean drain, String author) implements Command {
+        @Override
+        public Drain stamped(Instant time) {
+            return new Drain(time, backend, drain, author);
+        }
+    }
 
     /** A new, higher fencing number for orders to one backend server. */
-    record IssueFence(Instant at, String backend) implements Command {}
+    record IssueFence(Instant at, String backend) implements Command {
+        @Override
+        public IssueFence stamped(Instant time) {
+            return new IssueFence(time, backend);
+        }
+    }
 }
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -0,0 +1,107 @@
+package org.laurelweir.coordination;
+
+import java.util.List;
+import org.laurelweir.agreement.AgreementEffect;
+import org.laurelweir.agreement.Membership;
+import org.laurelweir.lib.Decision;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Announcement;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PeerShare;
+import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.settings.HistoryEntry;
+import org.laurelweir.settings.SettingsDelta;
+import org.laurelweir.settings.SettingsNode;
+
+/** Everything that a control instance's reducer wants done. */
+public sealed interface ControlEffect {
+    /** The answer to one call. */
+    sealed interface Answer extends ControlEffect {
+        /** The call's number, as its event gave it. */
+        long call();
+    }
+
+    /** Send a message to another replica; it may be lost. */
+    record SendToReplica(AgreementEffect.Send send) implements ControlEffect {}
+
+    /** Write to disk and sync, and report it as persisted. */
+    record Persist(AgreementEffect.Persist persist) implements ControlEffect {}
+
+    /** Encode a snapshot and report it as taken under the index. */
+    record EncodeSnapshot(long index, ControlState.Snapshot snapshot) implements ControlEffect {}
+
+    /**
+     * Answer an exchange.
+     *
+     * @param orders what only a sidecar is told, or null
+     */
+    record AnswerExchange(
+            long call,
+            MembershipDelta membership,
+            SettingsDelta settings,
+            List<ServiceLoad> loads,
+            boolean possiblyStale,
+            SidecarOrders orders)
+            implements Answer {}
+
+    /**
+     * What a sidecar is told of itself.
+     *
+     * @param drain whether an operator wants its backend server drained
+     * @param fence the highest fencing number given for it
+     * @param leastSession the least session under which it is heard
+     */
+    record SidecarOrders(boolean drain, long fence, int leastSession) {}
+
+    /** Answer a command that was carried out. */
+    record AnswerCommand(long call, CommandResult result) implements Answer {}
+
+    /**
+     * Answer a command, read or membership change that this instance can't tell the result of.
+     *
+     * @param code OUTCOME_UNKNOWN if it may still be carried out; with any other code it was not
+     *     and won't be
+     * @param leader the address to ask instead, or empty
+     */
+    record Refuse(long call, ResultCode code, String message, String leader) implements Answer {}
+
+    /** Answer a read of settings. */
+    record AnswerSettings(long call, long position, List<SettingsNode> nodes) implements Answer {}
+
+    /** Answer a read of accepted changes. */
+    record AnswerHistory(long call, List<HistoryEntry> entries) implements Answer {}
+
+    /** Answer an operator's question. */
+    record AnswerStatus(long call, FleetStatus status) implements Answer {}
+
+    /** Answer a change of the replicas that was carried out. */
+    record AnswerMembers(long call, Membership members) implements Answer {}
+
+    /** Answer a peer. */
+    record AnswerPeer(
+            long call, PeerShare share, List<RouterPresence> routers, ControlPresence status)
+            implements Answer {}
+
+    /** Ask a peer for what it hears. */
+    record AskPeer(String peer, MembershipCursor cursor, boolean withRouters)
+            implements ControlEffect {}
+
+    /** Tell every peer at once what changed here; it may be lost. */
+    record AnnounceToPeers(List<Announcement> announcements) implements ControlEffect {}
+
+    /**
+     * How this instance does, for metrics and readiness; sent about once a second.
+     *
+     * @param sessions sidecars heard here
+     * @param backends backend servers known, those that left lately included
+     * @param claims idempotency keys in use
+     * @param settingsPosition the log position of the settings in force
+     */
+    record Reported(
+            ControlPresence self, int sessions, int backends, int claims, long settingsPosition)
+            implements ControlEffect {}
+
+    /** Log a decision. */
+    record Decided(Decision decision) implements ControlEffect {}
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -0,0 +1,71 @@
+package org.laurelweir.coordination;
+
+import java.util.List;
+import org.laurelweir.agreement.AgreementEvent;
+import org.laurelweir.agreement.MembershipChange;
+import org.laurelweir.membership.Announcement;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.PeerShare;
+import org.laurelweir.membership.RouterReport;
+import org.laurelweir.membership.SidecarReport;
+import org.laurelweir.settings.NodePath;
+
+/**
+ * Everything that a control instance's reducer reacts to. A call's number is the shell's; each call
+ * is answered by one effect under the same number.
+ */
+public sealed interface ControlEvent {
+    /** Time has passed; the shell sends one every few tens of milliseconds. */
+    record Tick() implements ControlEvent {}
+
+    /** Something happened to the replica of the log. */
+    record Replica(AgreementEvent event) implements ControlEvent {}
+
+    /** A sidecar reports and asks for what is new. */
+    record SidecarExchanged(
+            long call, SidecarReport report, MembershipCursor cursor, long settingsPosition)
+            implements ControlEvent {}
+
+    /** A router reports and asks for what is new. */
+    record RouterExchanged(
+            long call, RouterReport report, MembershipCursor cursor, long settingsPosition)
+            implements ControlEvent {}
+
+    /** Someone wants a command carried out; the time in it is replaced by the leader's. */
+    record CommandReceived(long call, Command command) implements ControlEvent {}
+
+    /**
+     * Someone reads settings.
+     *
+     * @param path one node, or null for all
+     * @param linearizable whether to refuse rather than answer what may be stale
+     * @param position an earlier log position, or 0 for what is in force
+     */
+    record SettingsRead(long call, NodePath path, boolean linearizable, long position)
+            implements ControlEvent {}
+
+    /**
+     * Someone reads accepted changes.
+     *
+     * @param path only those of one node, or null for all
+     */
+    record HistoryRead(long call, NodePath path, int limit) implements ControlEvent {}
+
+    /** An operator asks how the fleet does. */
+    record StatusRead(long call) implements ControlEvent {}
+
+    /** An operator wants the replicas changed by one step. */
+    record MembersChanged(long call, MembershipChange change) implements ControlEvent {}
+
+    /** A peer asks for what is heard here. */
+    record PeerAsked(long call, MembershipCursor cursor, boolean withRouters)
+            implements ControlEvent {}
+
+    /** A peer answered what it hears. */
+    record PeerAnswered(
+            String peer, PeerShare share, List<RouterPresence> routers, ControlPresence status)
+            implements ControlEvent {}
+
+    /** A peer passes on at once what changed there. */
+    record PeerAnnounced(List<Announcement> announcements) implements ControlEvent {}
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlPresence.java
@@ -0,0 +1,24 @@
+package org.laurelweir.coordination;
+
+import org.laurelweir.agreement.Membership;
+import org.laurelweir.agreement.ReplicaId;
+
+/**
+ * A control instance as it describes itself.
+ *
+ * @param replica its name with its disk's id
+ * @param address where it is reached
+ * @param leader whether it leads
+ * @param term its term
+ * @param committed the last entry that it knows to be committed; all up to it have been applied
+ * @param possiblyStale whether it can't confirm that nothing newer was accepted
+ * @param members the replicas of the log as it knows them
+ */
+public record ControlPresence(
+        ReplicaId replica,
+        String address,
+        boolean leader,
+        long term,
+        long committed,
+        boolean possiblyStale,
+        Membership members) {}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -0,0 +1,131 @@
+package org.laurelweir.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.laurelweir.agreement.AgreementEvent;
+import org.laurelweir.coordination.ControlEvent.CommandReceived;
+import org.laurelweir.coordination.ControlEvent.HistoryRead;
+import org.laurelweir.coordination.ControlEvent.MembersChanged;
+import org.laurelweir.coordination.ControlEvent.PeerAnnounced;
+import org.laurelweir.coordination.ControlEvent.PeerAnswered;
+import org.laurelweir.coordination.ControlEvent.PeerAsked;
+import org.laurelweir.coordination.ControlEvent.RouterExchanged;
+import org.laurelweir.coordination.ControlEvent.SettingsRead;
+import org.laurelweir.coordination.ControlEvent.SidecarExchanged;
+import org.laurelweir.coordination.ControlEvent.StatusRead;
+import org.laurelweir.lib.Reducer;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.SharedMembership;
+
+/**
+ * Decides what a control instance does. Durable is what goes through the replicated log; the
+ * membership beside it is not, and is served without a quorum.
+ */
+public final class ControlReducer implements Reducer<ControlEvent, ControlEffect> {
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
+
+    private final DecisionNotes mNotes;
+    private final SharedMembership mMembership;
+    private final LogReplica mReplica;
+    private final RouterTable mRouters = new RouterTable();
+    private final Exchanges mExchanges;
+    private final Queries mQueries;
+    private final PeerSharing mSharing;
+    private Instant mNextReport = Instant.MIN;
+    private Instant mNow;
+    private Consumer<? super ControlEffect> mEffects;
+
+    /**
+     * Creates the reducer; its first event is {@link AgreementEvent.Recovered}.
+     *
+     * @param config what the instance is told at its start
+     * @param codec how the log is written
+     * @param seed for election timeouts; must differ between instances
+     */
+    public ControlReducer(ControlConfig config, LogCodec codec, long seed) {
+        mNotes = new DecisionNotes(config.name());
+        mReplica = new LogReplica(config, codec, seed, mNotes);
+        List<String> peers = new ArrayList<>(config.addresses().keySet());
+        peers.remove(config.name());
+        mMembership = new SharedMembership(config.membership(), peers, this::backendChanged);
+        mExchanges = new Exchanges(mMembership, mReplica, mRouters);
+        mQueries = new Queries(mMembership, mReplica, mRouters);
+        mSharing = new PeerSharing(config, mMembership, mReplica, mRouters, mQueries);
+    }
+
+    @Override
+    public void step(Instant now, ControlEvent event, Consumer<? super ControlEffect> effects) {
+        mNow = now;
+        mEffects = effects;
+        if (event instanceof ControlEvent.Tick) {
+            tick();
+        } else if (event instanceof ControlEvent.Replica e) {
+            mReplica.step(now, e.event(), effects);
+        } else if (event instanceof SidecarExchanged e) {
+            mExchanges.answer(now, e, effects);
+        } else if (event instanceof RouterExchanged e) {
+            mExchanges.answer(now, e, effects);
+        } else if (event instanceof CommandReceived e) {
+            onCommand(e);
+        } else {
+            takeRest(event);
+        }
+        mSharing.flush(effects);
+    }
+
+    private void takeRest(ControlEvent event) {
+        if (event instanceof PeerAsked e) {
+            mSharing.answer(mNow, e, mEffects);
+        } else if (event instanceof PeerAnswered e) {
+            mSharing.take(mNow, e);
+        } else if (event instanceof PeerAnnounced e) {
+            mMembership.mergeEarly(mNow, e.announcements());
+        } else if (event instanceof SettingsRead e) {
+            mQueries.answer(mNow, e, mEffects);
+        } else if (event instanceof HistoryRead e) {
+            mQueries.answer(e, mEffects);
+        } else if (event instanceof StatusRead e) {
+            mQueries.answer(mNow, e, mEffects);
+        } else if (event instanceof MembersChanged e) {
+            mReplica.change(mNow, e.call(), e.change(), mEffects);
+        }
+    }
+
+    private void tick() {
+        mReplica.step(mNow, new AgreementEvent.Tick(), mEffects);
+        mMembership.tick(mNow);
+        mRouters.forget(mNow);
+        mSharing.tick(mNow, mEffects);
+        if (!mNow.isBefore(mNextReport)) {
+            mNextReport = mNow.plus(REPORT_INTERVAL);
+            mEffects.accept(mQueries.report(mNow));
+        }
+    }
+
+    private void onCommand(CommandReceived e) {
+        if (e.command() instanceof Command.Drain d
+                && d.drain()
+                && !mMembership.knows(d.backend())) {
+            String message = "no backend server " + d.backend() + " has announced itself";
+            mEffects.accept(
+                    new ControlEffect.Refuse(
+                            e.call(), ResultCode.UNKNOWN_BACKEND_SERVER, message, ""));
+            return;
+        }
+        mReplica.propose(mNow, e.call(), e.command(), mEffects);
+    }
+
+    private void backendChanged(Backend backend, String reason, boolean heardHere) {
+        if (!heardHere) {
+            return;
+        }
+        mNotes.backendChanged(mNow, backend, reason, mEffects);
+        if (backend.state() != Backend.State.SERVING) {
+            mSharing.urgent(backend);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -0,0 +1,106 @@
+package org.laurelweir.coordination;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.laurelweir.agreement.AgreementEffect.RoleChanged;
+import org.laurelweir.agreement.Membership;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.coordination.CommandResult.ClaimResult;
+import org.laurelweir.coordination.CommandResult.FenceResult;
+import org.laurelweir.lib.Decision;
+import org.laurelweir.membership.Backend;
+
+/** Words a control instance's decisions for the log. */
+final class DecisionNotes {
+    private static final String PROGRAM = "control";
+
+    private final String mName;
+
+    DecisionNotes(String name) {
+        mName = name;
+    }
+
+    void roleChanged(Instant now, RoleChanged e, Consumer<? super ControlEffect> effects) {
+        String leader = e.leader() == null ? "none" : e.leader().name();
+        String reason = mName + " is " + e.role() + " of term " + e.term();
+        note(now, new Subject("", "", ""), List.of(), leader, reason, effects);
+    }
+
+    void replicasChanged(Instant now, Membership m, Consumer<? super ControlEffect> effects) {
+        List<String> voters = m.voters().stream().map(ReplicaId::toString).toList();
+        String learners =
+                m.learners().stream().map(ReplicaId::toString).collect(Collectors.joining(" "));
+        String reason = learners.isEmpty() ? "replicas" : "replicas; learning: " + learners;
+        note(now, new Subject("", "", ""), voters, "voters", reason, effects);
+    }
+
+    void backendChanged(
+            Instant now, Backend b, String reason, Consumer<? super ControlEffect> effects) {
+        String id = b.ref().id();
+        String choice = b.state().name();
+        note(now, new Subject("", "", b.service()), List.of(id), choice, reason, effects);
+    }
+
+    void applied(Instant now, Command c, CommandResult r, Consumer<? super ControlEffect> out) {
+        if (c instanceof Command.Claim claim) {
+            claimed(now, claim, (ClaimResult) r, out);
+        } else if (c instanceof Command.ChangeSettings s) {
+            List<String> paths = s.changes().stream().map(Command.NodeChange::path).toList();
+            String reason = "settings changed by " + s.author();
+            note(now, new Subject(s.changeId(), "", ""), paths, r.code().name(), reason, out);
+        } else if (c instanceof Command.Drain d) {
+            String order = d.drain() ? "drain" : "undrain";
+            List<String> backend = List.of(d.backend());
+            String reason = "ordered by " + d.author();
+            note(now, new Subject("", "", ""), backend, order, reason, out);
+        } else if (c instanceof Command.IssueFence f) {
+            String fence = Long.toString(((FenceResult) r).fence());
+            List<String> backend = List.of(f.backend());
+            note(now, new Subject("", "", ""), backend, fence, "fencing number issued", out);
+        }
+    }
+
+    private void claimed(
+            Instant now, Command.Claim c, ClaimResult r, Consumer<? super ControlEffect> out) {
+        Subject subject = new Subject(c.attempt().requestName(), c.account(), c.service());
+        String holder = r.holder() == null ? r.code().name() : r.holder().toString();
+        note(now, subject, List.of(c.attempt().toString()), holder, reason(c, r), out);
+    }
+
+    private static String reason(Command.Claim c, ClaimResult r) {
+        if (c.attempt().equals(r.holder())) {
+            return c.replaces() == null ? "claim granted" : "claim taken over";
+        }
+        if (r.holder() == null) {
+            return "claim refused";
+        }
+        return r.settled() ? "claim settled: " + r.settledCode() : "claim held by another";
+    }
+
+    private void note(
+            Instant now,
+            Subject subject,
+            List<String> candidates,
+            String choice,
+            String reason,
+            Consumer<? super ControlEffect> effects) {
+        effects.accept(
+                new ControlEffect.Decided(
+                        new Decision(
+                                now,
+                                PROGRAM,
+                                subject.request(),
+                                0,
+                                subject.account(),
+                                subject.service(),
+                                candidates,
+                                choice,
+                                reason,
+                                Double.NaN,
+                                Double.NaN)));
+    }
+
+    private record Subject(String request, String account, String service) {}
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Exchanges.java
@@ -0,0 +1,79 @@
+package org.laurelweir.coordination;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Consumer;
+import org.laurelweir.coordination.ControlEffect.AnswerExchange;
+import org.laurelweir.coordination.ControlEffect.SidecarOrders;
+import org.laurelweir.coordination.ControlEvent.RouterExchanged;
+import org.laurelweir.coordination.ControlEvent.SidecarExchanged;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.settings.SettingsDelta;
+import org.laurelweir.settings.SettingsNode;
+
+/**
+ * Answers exchanges. An answer costs what is new to the reader: a sidecar is told of its own
+ * service alone, and neither of single client accounts.
+ */
+final class Exchanges {
+    private final SharedMembership mMembership;
+    private final LogReplica mReplica;
+    private final RouterTable mRouters;
+
+    Exchanges(SharedMembership membership, LogReplica replica, RouterTable routers) {
+        mMembership = membership;
+        mReplica = replica;
+        mRouters = routers;
+    }
+
+    void answer(Instant now, SidecarExchanged e, Consumer<? super ControlEffect> effects) {
+        Backend b = e.report().backend();
+        int leastSession = mMembership.hear(now, e.report());
+        String id = b.ref().id();
+        SidecarOrders orders =
+                new SidecarOrders(
+                        mReplica.state().isDrainOrdered(id),
+                        mReplica.state().fence(id),
+                        leastSession);
+        effects.accept(
+                new AnswerExchange(
+                        e.call(),
+                        mMembership.deltaSince(e.cursor(), b.service()),
+                        withoutAccounts(settings(e.settingsPosition())),
+                        List.of(mMembership.load(b.service())),
+                        isPossiblyStale(now, e.settingsPosition()),
+                        orders));
+    }
+
+    void answer(Instant now, RouterExchanged e, Consumer<? super ControlEffect> effects) {
+        mRouters.heard(new RouterPresence(e.report(), e.settingsPosition(), now));
+        effects.accept(
+                new AnswerExchange(
+                        e.call(),
+                        mMembership.deltaSince(e.cursor(), null),
+                        settings(e.settingsPosition()),
+                        mMembership.loads(),
+                        isPossiblyStale(now, e.settingsPosition()),
+                        null));
+    }
+
+    private SettingsDelta settings(long position) {
+        return mReplica.state().settings().changesAfter(position);
+    }
+
+    /** A reader that is ahead shows that newer settings were accepted, whatever the leader said. */
+    private boolean isPossiblyStale(Instant now, long readerPosition) {
+        long position = mReplica.state().settings().tree().position();
+        return readerPosition > position || mReplica.isPossiblyStale(now);
+    }
+
+    private static SettingsDelta withoutAccounts(SettingsDelta delta) {
+        if (delta.nodes().isEmpty()) {
+            return delta;
+        }
+        List<SettingsNode> nodes =
+                delta.nodes().stream().filter(n -> n.path().account() == null).toList();
+        return new SettingsDelta(delta.position(), delta.full(), nodes);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
@@ -0,0 +1,20 @@
+package org.laurelweir.coordination;
+
+import java.util.List;
+import org.laurelweir.membership.ServiceLoad;
+
+/**
+ * The fleet as one control instance knows it.
+ *
+ * @param controls the control instances, this one first
+ * @param backends the backend servers, those that left lately included
+ * @param routers the routers
+ * @param loads the services' loads
+ * @param settingsPosition the log position of the settings in force
+ */
+public record FleetStatus(
+        List<ControlPresence> controls,
+        List<BackendPresence> backends,
+        List<RouterPresence> routers,
+        List<ServiceLoad> loads,
+        long settingsPosition) {}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -0,0 +1,159 @@
+package org.laurelweir.coordination;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.laurelweir.agreement.AgreementEffect;
+import org.laurelweir.agreement.AgreementEvent;
+import org.laurelweir.agreement.AgreementReducer;
+import org.laurelweir.agreement.MembershipChange;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.agreement.Role;
+import org.laurelweir.agreement.Snapshot;
+import org.laurelweir.coordination.ControlEffect.AnswerCommand;
+import org.laurelweir.coordination.ControlEffect.AnswerMembers;
+import org.laurelweir.coordination.ControlEffect.EncodeSnapshot;
+import org.laurelweir.coordination.ControlEffect.Refuse;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * The replica of the log together with the state machine that it feeds: takes commands to their
+ * results, reads to their moment, and snapshots in and out.
+ */
+final class LogReplica {
+    private final ControlConfig mConfig;
+    private final LogCodec mCodec;
+    private final ControlState mState;
+    private final AgreementReducer mAgreement;
+    private final Freshness mFreshness;
+    private final DecisionNotes mNotes;
+    private final Map<Long, Command> mCommands = new HashMap<>();
+    private final Set<Long> mMemberChanges = new HashSet<>();
+    private final Map<Long, Runnable> mReads = new HashMap<>();
+    private Instant mNow;
+    private Consumer<? super ControlEffect> mEffects;
+    private CommandResult mLastResult;
+
+    LogReplica(ControlConfig config, LogCodec codec, long seed, DecisionNotes notes) {
+        mConfig = config;
+        mCodec = codec;
+        mState = new ControlState(config.limits());
+        mAgreement = new AgreementReducer(config.replica(), config.agreement(), seed);
+        mFreshness = new Freshness(mAgreement, config.freshFor());
+        mNotes = notes;
+    }
+
+    /** Returns the state as applied; not to be changed. */
+    ControlState state() {
+        return mState;
+    }
+
+    boolean isPossiblyStale(Instant now) {
+        return mFreshness.isPossiblyStale(now);
+    }
+
+    ControlPresence presence(Instant now) {
+        return new ControlPresence(
+                mConfig.replica(),
+                mConfig.address(),
+                mAgreement.role() == Role.LEADER,
+                mAgreement.term(),
+                mAgreement.commitIndex(),
+                isPossiblyStale(now),
+                mAgreement.membership());
+    }
+
+    void step(Instant now, AgreementEvent event, Consumer<? super ControlEffect> effects) {
+        mNow = now;
+        mEffects = effects;
+        if (event instanceof AgreementEvent.Recovered r && r.snapshot().index() > 0) {
+            restore(r.snapshot());
+        }
+        mAgreement.step(now, event, this::take);
+        if (event instanceof AgreementEvent.MessageReceived m) {
+            mFreshness.received(now, m);
+        }
+    }
+
+    /** Takes a command to its result, unless this replica does not lead. */
+    void propose(Instant now, long call, Command command, Consumer<? super ControlEffect> out) {
+        // Files hold milliseconds; all replicas have to apply the same instant.
+        Command stamped = command.stamped(Instant.ofEpochMilli(now.toEpochMilli()));
+        mCommands.put(call, stamped);
+        step(now, new AgreementEvent.Proposed(call, mCodec.encode(stamped)), out);
+    }
+
+    void change(Instant now, long call, MembershipChange c, Consumer<? super ControlEffect> out) {
+        mMemberChanges.add(call);
+        step(now, new AgreementEvent.MembershipChangeProposed(call, c), out);
+    }
+
+    /** Runs a read once the state is at least as new as any write that ended before. */
+    void read(Instant now, long call, Runnable read, Consumer<? super ControlEffect> out) {
+        mReads.put(call, read);
+        step(now, new AgreementEvent.ReadRequested(call), out);
+    }
+
+    private void take(AgreementEffect e) {
+        if (e instanceof AgreementEffect.Send s) {
+            mEffects.accept(new ControlEffect.SendToReplica(s));
+        } else if (e instanceof AgreementEffect.Persist p) {
+            mEffects.accept(new ControlEffect.Persist(p));
+        } else if (e instanceof AgreementEffect.Apply a) {
+            mLastResult = mState.apply(a.index(), mCodec.decodeCommand(a.command()));
+        } else if (e instanceof AgreementEffect.ProposalAccepted a) {
+            accepted(a.proposalId());
+        } else if (e instanceof AgreementEffect.ProposalRejected r) {
+            rejected(r);
+        } else if (e instanceof AgreementEffect.ReadReady r) {
+            mReads.remove(r.readId()).run();
+        } else if (e instanceof AgreementEffect.ReadRejected r) {
+            mReads.remove(r.readId());
+            refuse(r.readId(), r.code(), r.leader());
+        } else {
+            takeRest(e);
+        }
+    }
+
+    private void takeRest(AgreementEffect e) {
+        if (e instanceof AgreementEffect.TakeSnapshot t) {
+            mEffects.accept(new EncodeSnapshot(t.index(), mState.snapshot()));
+        } else if (e instanceof AgreementEffect.InstallSnapshot i) {
+            restore(i.snapshot());
+        } else if (e instanceof AgreementEffect.RoleChanged r) {
+            mFreshness.roleChanged(r.role());
+            mNotes.roleChanged(mNow, r, mEffects);
+        } else if (e instanceof AgreementEffect.MembershipChanged m) {
+            mNotes.replicasChanged(mNow, m.membership(), mEffects);
+        }
+    }
+
+    private void restore(Snapshot snapshot) {
+        mState.restore(mCodec.decodeSnapshot(snapshot.state()));
+    }
+
+    private void accepted(long call) {
+        if (mMemberChanges.remove(call)) {
+            mEffects.accept(new AnswerMembers(call, mAgreement.membership()));
+            return;
+        }
+        mNotes.applied(mNow, mCommands.remove(call), mLastResult, mEffects);
+        mEffects.accept(new AnswerCommand(call, mLastResult));
+    }
+
+    private void rejected(AgreementEffect.ProposalRejected r) {
+        mMemberChanges.remove(r.proposalId());
+        mCommands.remove(r.proposalId());
+        refuse(r.proposalId(), r.code(), r.leader());
+    }
+
+    private void refuse(long call, ResultCode code, ReplicaId leader) {
+        boolean leaderless = code == ResultCode.NOT_LEADER && leader == null;
+        ResultCode told = leaderless ? ResultCode.NO_QUORUM : code;
+        String message = mConfig.name() + " does not lead";
+        mEffects.accept(new Refuse(call, told, message, mConfig.addressOf(leader)));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
@@ -0,0 +1,88 @@
+package org.laurelweir.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.laurelweir.coordination.ControlEffect.AnnounceToPeers;
+import org.laurelweir.coordination.ControlEffect.AnswerPeer;
+import org.laurelweir.coordination.ControlEffect.AskPeer;
+import org.laurelweir.coordination.ControlEvent.PeerAnswered;
+import org.laurelweir.coordination.ControlEvent.PeerAsked;
+import org.laurelweir.membership.Announcement;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.SharedMembership;
+
+/** Exchanges with the other control instances what each of them hears. */
+final class PeerSharing {
+    private static final int ROUTERS_EVERY = 10;
+
+    private final ControlConfig mConfig;
+    private final SharedMembership mMembership;
+    private final LogReplica mReplica;
+    private final RouterTable mRouters;
+    private final Queries mQueries;
+    private final List<String> mPeers = new ArrayList<>();
+    private final List<Announcement> mUrgent = new ArrayList<>();
+    private Instant mNextRound = Instant.MIN;
+    private int mRound;
+
+    PeerSharing(
+            ControlConfig config,
+            SharedMembership membership,
+            LogReplica replica,
+            RouterTable routers,
+            Queries queries) {
+        mConfig = config;
+        mMembership = membership;
+        mReplica = replica;
+        mRouters = routers;
+        mQueries = queries;
+        mPeers.addAll(new TreeSet<>(config.addresses().keySet()));
+        mPeers.remove(config.name());
+    }
+
+    /** Notes a change that peers should learn of before they next ask. */
+    void urgent(Backend backend) {
+        mUrgent.add(new Announcement(backend, mConfig.name()));
+    }
+
+    /** Sends what is urgent. */
+    void flush(Consumer<? super ControlEffect> effects) {
+        if (!mUrgent.isEmpty()) {
+            if (!mPeers.isEmpty()) {
+                effects.accept(new AnnounceToPeers(List.copyOf(mUrgent)));
+            }
+            mUrgent.clear();
+        }
+    }
+
+    void tick(Instant now, Consumer<? super ControlEffect> effects) {
+        if (now.isBefore(mNextRound)) {
+            return;
+        }
+        Duration interval = mConfig.shareInterval();
+        mNextRound = now.plus(interval);
+        boolean withRouters = mRound++ % ROUTERS_EVERY == 0;
+        for (String peer : mPeers) {
+            effects.accept(new AskPeer(peer, mMembership.cursorOf(peer), withRouters));
+        }
+    }
+
+    void answer(Instant now, PeerAsked e, Consumer<? super ControlEffect> effects) {
+        effects.accept(
+                new AnswerPeer(
+                        e.call(),
+                        mMembership.shareSince(e.cursor()),
+                        e.withRouters() ? mRouters.own() : List.of(),
+                        mReplica.presence(now)));
+    }
+
+    void take(Instant now, PeerAnswered e) {
+        mMembership.merge(now, e.peer(), e.share());
+        mRouters.told(e.routers());
+        mQueries.peerTold(e.status());
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
@@ -0,0 +1,108 @@
+package org.laurelweir.coordination;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.laurelweir.coordination.ControlEffect.AnswerHistory;
+import org.laurelweir.coordination.ControlEffect.AnswerSettings;
+import org.laurelweir.coordination.ControlEffect.AnswerStatus;
+import org.laurelweir.coordination.ControlEffect.Refuse;
+import org.laurelweir.coordination.ControlEvent.HistoryRead;
+import org.laurelweir.coordination.ControlEvent.SettingsRead;
+import org.laurelweir.coordination.ControlEvent.StatusRead;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.settings.SettingsNode;
+import org.laurelweir.settings.SettingsTree;
+
+/** Answers operators' questions. */
+final class Queries {
+    private final SharedMembership mMembership;
+    private final LogReplica mReplica;
+    private final RouterTable mRouters;
+    private final Map<String, ControlPresence> mPeers = new TreeMap<>();
+
+    Queries(SharedMembership membership, LogReplica replica, RouterTable routers) {
+        mMembership = membership;
+        mReplica = replica;
+        mRouters = routers;
+    }
+
+    /** Keeps what a peer said of itself. */
+    void peerTold(ControlPresence peer) {
+        mPeers.put(peer.replica().name(), peer);
+    }
+
+    void answer(Instant now, SettingsRead e, Consumer<? super ControlEffect> effects) {
+        if (e.linearizable()) {
+            mReplica.read(now, e.call(), () -> answerNow(e, effects), effects);
+        } else {
+            answerNow(e, effects);
+        }
+    }
+
+    private void answerNow(SettingsRead e, Consumer<? super ControlEffect> effects) {
+        SettingsTree tree = mReplica.state().settings().tree();
+        if (e.position() > 0) {
+            Optional<SettingsTree> earlier = mReplica.state().settings().treeAt(e.position());
+            if (earlier.isEmpty() || e.position() > tree.position()) {
+                String message = "position " + e.position() + " is not kept here";
+                effects.accept(new Refuse(e.call(), ResultCode.BAD_REQUEST, message, ""));
+                return;
+            }
+            tree = earlier.get();
+        }
+        effects.accept(new AnswerSettings(e.call(), tree.position(), nodes(tree, e.path())));
+    }
+
+    private static List<SettingsNode> nodes(SettingsTree tree, NodePath path) {
+        return path == null ? tree.nodes() : tree.node(path).map(List::of).orElse(List.of());
+    }
+
+    void answer(HistoryRead e, Consumer<? super ControlEffect> effects) {
+        effects.accept(
+                new AnswerHistory(
+                        e.call(),
+                        mReplica.state()
+                                .settings()
+                                .history(Optional.ofNullable(e.path()), e.limit())));
+    }
+
+    ControlEffect.Reported report(Instant now) {
+        return new ControlEffect.Reported(
+                mReplica.presence(now),
+                mMembership.heardCount(),
+                mMembership.backends().size(),
+                mReplica.state().claimCount(),
+                mReplica.state().settings().tree().position());
+    }
+
+    void answer(Instant now, StatusRead e, Consumer<? super ControlEffect> effects) {
+        List<ControlPresence> controls = new ArrayList<>();
+        controls.add(mReplica.presence(now));
+        controls.addAll(mPeers.values());
+        List<BackendPresence> backends =
+                mMembership.backends().stream()
+                        .map(
+                                b ->
+                                        new BackendPresence(
+                                                b,
+                                                mMembership.report(b.ref().id()),
+                                                mReplica.state().isDrainOrdered(b.ref().id())))
+                        .toList();
+        effects.accept(
+                new AnswerStatus(
+                        e.call(),
+                        new FleetStatus(
+                                controls,
+                                backends,
+                                mRouters.all(),
+                                mMembership.loads(),
+                                mReplica.state().settings().tree().position())));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/RouterPresence.java
@@ -0,0 +1,13 @@
+package org.laurelweir.coordination;
+
+import java.time.Instant;
+import org.laurelweir.membership.RouterReport;
+
+/**
+ * A router as some control instance hears it.
+ *
+ * @param report what it told of itself
+ * @param settingsPosition the log position of the settings that it has
+ * @param heard when it exchanged last, by that instance's clock
+ */
+public record RouterPresence(RouterReport report, long settingsPosition, Instant heard) {}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/RouterTable.java
@@ -0,0 +1,45 @@
+package org.laurelweir.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Routers by name, as heard here or told by peers, for operators. */
+final class RouterTable {
+    private static final Duration KEPT = Duration.ofMinutes(1);
+
+    private final Map<String, RouterPresence> mOwn = new TreeMap<>();
+    private final Map<String, RouterPresence> mAll = new TreeMap<>();
+
+    void heard(RouterPresence router) {
+        mOwn.put(router.report().name(), router);
+        mAll.put(router.report().name(), router);
+    }
+
+    void told(Collection<RouterPresence> routers) {
+        for (RouterPresence r : routers) {
+            RouterPresence known = mAll.get(r.report().name());
+            if (known == null || r.heard().isAfter(known.heard())) {
+                mAll.put(r.report().name(), r);
+            }
+        }
+    }
+
+    List<RouterPresence> own() {
+        return new ArrayList<>(mOwn.values());
+    }
+
+    List<RouterPresence> all() {
+        return new ArrayList<>(mAll.values());
+    }
+
+    void forget(Instant now) {
+        Instant latest = now.minus(KEPT);
+        mOwn.values().removeIf(r -> r.heard().isBefore(latest));
+        mAll.values().removeIf(r -> r.heard().isBefore(latest));
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipLog.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipLog.java
@@ -20,12 +20,12 @@
  * under way would bring one back. A reader whose cursor is older than something forgotten gets the
  * whole view instead of changes.
  */
-public final class MembershipLog {
+final class MembershipLog {
     private final String mControl;
     private final long mIncarnation;
     private final Duration mKeepLeft;
     private final Map<String, Long> mVersions = new HashMap<>();
-    private final NavigableMap<Long, Backend> mChanges = new TreeMap<>();
+    private final NavigableMap<Long, Announcement> mChanges = new TreeMap<>();
     private final ArrayDeque<Departure> mLeft = new ArrayDeque<>();
     private long mVersion;
     private long mForgotten;
@@ -37,39 +37,28 @@
      * @param incarnation that instance's run, which cursors carry
      * @param keepLeft how long backend servers that left are remembered
      */
-    public MembershipLog(String control, long incarnation, Duration keepLeft) {
+    MembershipLog(String control, long incarnation, Duration keepLeft) {
         mControl = control;
         mIncarnation = incarnation;
         mKeepLeft = keepLeft;
     }
 
     /** Returns the newest announcement of a backend server, or null if it is not known. */
-    public Backend get(String id) {
+    Announcement get(String id) {
         Long version = mVersions.get(id);
         return version == null ? null : mChanges.get(version);
     }
 
     /** Returns every backend server known, those that left included, oldest change first. */
-    public Collection<Backend> all() {
+    Collection<Announcement> all() {
         return mChanges.values();
     }
 
-    /** Returns how often anything changed. */
-    public long version() {
-        return mVersion;
-    }
-
-    /**
-     * Takes an announcement if it is newer than the one known.
-     *
-     * @param now when
-     * @param backend what was announced
-     * @return whether it was newer
-     */
-    public boolean merge(Instant now, Backend backend) {
-        String id = backend.ref().id();
-        Backend known = get(id);
-        if (known != null && !backend.supersedes(known)) {
+    /** Takes an announcement if it is newer than the one known; returns whether it was. */
+    boolean merge(Instant now, Announcement a) {
+        String id = a.backend().ref().id();
+        Announcement known = get(id);
+        if (known != null && !a.backend().supersedes(known.backend())) {
             return false;
         }
         if (known != null) {
@@ -77,55 +66,59 @@
         }
         mVersion++;
         mVersions.put(id, mVersion);
-        mChanges.put(mVersion, backend);
-        if (backend.state() == Backend.State.LEFT) {
+        mChanges.put(mVersion, a);
+        if (a.backend().state() == Backend.State.LEFT) {
             mLeft.add(new Departure(now, id, mVersion));
         }
         return true;
     }
 
-    /**
-     * Forgets those that left long ago.
-     *
-     * @param now the time
-     */
-    public void forget(Instant now) {
+    /** Forgets those that left long ago. */
+    void forget(Instant now) {
         Instant latest = now.minus(mKeepLeft);
         while (!mLeft.isEmpty() && mLeft.peek().at().isBefore(latest)) {
             Departure d = mLeft.poll();
-            if (mChanges.containsKey(d.version())) {
-                mChanges.remove(d.version());
+            if (mChanges.remove(d.version()) != null) {
                 mVersions.remove(d.id());
                 mForgotten = d.version();
             }
         }
     }
 
+    /** Returns the cursor of a reader that has everything. */
+    MembershipCursor cursor() {
+        return new MembershipCursor(mControl, mIncarnation, mVersion);
+    }
+
+    /** Returns whether a reader there can be given changes, rather than the whole view. */
+    boolean continues(MembershipCursor cursor) {
+        return cursor.control().equals(mControl)
+                && cursor.controlIncarnation() == mIncarnation
+                && cursor.version() >= mForgotten
+                && cursor.version() <= mVersion;
+    }
+
+    /** Returns what changed since a cursor, or all if it can't be continued. */
+    Collection<Announcement> since(MembershipCursor cursor) {
+        return continues(cursor)
+                ? mChanges.tailMap(cursor.version(), false).values()
+                : mChanges.values();
+    }
+
     /**
      * Returns what a reader lacks.
      *
      * @param cursor where the reader stands
      * @param wanted the backend servers that the reader follows
      */
-    public MembershipDelta deltaSince(MembershipCursor cursor, Predicate<Backend> wanted) {
-        boolean full = !continues(cursor);
-        Collection<Backend> changed =
-                full ? mChanges.values() : mChanges.tailMap(cursor.version(), false).values();
+    MembershipDelta deltaSince(MembershipCursor cursor, Predicate<Backend> wanted) {
         List<Backend> backends = new ArrayList<>();
-        for (Backend b : changed) {
-            if (wanted.test(b)) {
-                backends.add(b);
+        for (Announcement a : since(cursor)) {
+            if (wanted.test(a.backend())) {
+                backends.add(a.backend());
             }
         }
-        return new MembershipDelta(
-                new MembershipCursor(mControl, mIncarnation, mVersion), full, backends);
-    }
-
-    private boolean continues(MembershipCursor cursor) {
-        return cursor.control().equals(mControl)
-                && cursor.controlIncarnation() == mIncarnation
-                && cursor.version() >= mForgotten
-                && cursor.version() <= mVersion;
+        return new MembershipDelta(cursor(), !continues(cursor), backends);
     }
 
     private record Departure(Instant at, String id, long version) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Orphans.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Orphans.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 
 /**
- * Announcements of a run of a control instance that has ended. A sidecar that still lives has
- * announced itself elsewhere by the deadline; one that died together with that instance is missed
- * by nobody else.
+ * Announcements that this instance made before it was started anew, as peers remember them. A
+ * sidecar that still lives has spoken here or elsewhere by the deadline; one that died meanwhile is
+ * missed by nobody else.
  */
 final class Orphans {
     private final SeenTime mTime;
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/PeerShare.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/PeerShare.java
@@ -3,9 +3,11 @@
 import java.util.List;
 
 /**
- * What one control instance tells a peer of what it hears itself.
+ * What one control instance tells a peer.
  *
- * @param delta what changed since the peer's cursor
- * @param sums running work per service
+ * @param cursor where the peer stands after taking it
+ * @param announcements what changed since the peer's cursor
+ * @param sums running work per service beside the sidecars that the instance hears itself
  */
-public record PeerShare(MembershipDelta delta, List<ServiceSum> sums) {}
+public record PeerShare(
+        MembershipCursor cursor, List<Announcement> announcements, List<ServiceSum> sums) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/PeerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/PeerTable.java
@@ -8,12 +8,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** What the other control instances have told, and how long ago. */
+/** How far the other control instances are known here, what they carry, and who is silent. */
 final class PeerTable {
     private final SeenTime mTime;
     private final MembershipConfig mConfig;
     private final Map<String, Peer> mPeers = new TreeMap<>();
-    private final Map<String, String> mHearers = new HashMap<>();
 
     PeerTable(SeenTime time, MembershipConfig config, Collection<String> names) {
         mTime = time;
@@ -21,39 +20,18 @@
         names.forEach(n -> mPeers.put(n, new Peer()));
     }
 
-    Collection<String> names() {
-        return mPeers.keySet();
-    }
-
     MembershipCursor cursor(String peer) {
         Peer p = mPeers.get(peer);
         return p == null ? MembershipCursor.NONE : p.mCursor;
     }
 
-    /** Notes an answer; returns whether the peer has been started anew since the one before. */
-    boolean answered(String peer, PeerShare share) {
+    void answered(String peer, PeerShare share) {
         Peer p = mPeers.computeIfAbsent(peer, n -> new Peer());
-        MembershipCursor before = p.mCursor;
-        p.mCursor = share.delta().cursor();
+        p.mCursor = share.cursor();
         p.mAnswered = mTime.seen();
         p.mGivenUp = false;
         p.mSums.clear();
         share.sums().forEach(s -> p.mSums.put(s.service(), s));
-        return !before.equals(MembershipCursor.NONE)
-                && before.controlIncarnation() != p.mCursor.controlIncarnation();
-    }
-
-    /** Notes which peer hears a sidecar; null for this instance itself. */
-    void hears(String peer, String backendId) {
-        if (peer == null) {
-            mHearers.remove(backendId);
-        } else {
-            mHearers.put(backendId, peer);
-        }
-    }
-
-    boolean isHeardBy(String peer, String backendId) {
-        return peer.equals(mHearers.get(backendId));
     }
 
     /** Adds what the peers that answer hear of a service to a sum. */
@@ -91,7 +69,7 @@
         Duration latest = mTime.seen().minus(mConfig.orphanAfter());
         mPeers.forEach(
                 (name, p) -> {
-                    if (!p.mGivenUp && p.hasAnswered() && p.mAnswered.compareTo(latest) < 0) {
+                    if (!p.mGivenUp && p.mAnswered.compareTo(latest) < 0) {
                         p.mGivenUp = true;
                         gone.add(name);
                     }
@@ -100,7 +78,7 @@
     }
 
     private boolean isAnswering(Peer p) {
-        return p.hasAnswered()
+        return !p.mCursor.equals(MembershipCursor.NONE)
                 && p.mAnswered.plus(mConfig.peerSilence()).compareTo(mTime.seen()) >= 0;
     }
 
@@ -108,11 +86,7 @@
     private static final class Peer {
         private final Map<String, ServiceSum> mSums = new HashMap<>();
         private MembershipCursor mCursor = MembershipCursor.NONE;
-        private Duration mAnswered;
+        private Duration mAnswered = Duration.ZERO;
         private boolean mGivenUp;
-
-        private boolean hasAnswered() {
-            return mAnswered != null;
-        }
     }
 }
