--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -4,9 +4,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
@@ -24,8 +24,8 @@
 
     private final SeenTime mTime = new SeenTime();
     private final MembershipListener mListener;
-    private final MembershipLog mOwn;
-    private final MembershipLog mMerged;
+    private final String mSelf;
+    private final MembershipLog mLog;
     private final SessionTable mSessions;
     private final HeldBackends mHeld;
     private final FlapDamper mDamper;
@@ -33,7 +33,7 @@
     private final Orphans mOrphans;
     private final ServiceCounts mCounts = new ServiceCounts();
     // Departures that a peer announced of sessions that are heard here all the same.
-    private final Map<String, Backend> mDisputed = new HashMap<>();
+    private final Set<String> mDisputed = new HashSet<>();
 
     /**
      * Creates an empty membership.
@@ -45,8 +45,8 @@
     public SharedMembership(
             MembershipConfig config, Collection<String> peers, MembershipListener listener) {
         mListener = listener;
-        mOwn = new MembershipLog(config.control(), config.incarnation(), config.keepLeft());
-        mMerged = new MembershipLog(config.control(), config.incarnation(), config.keepLeft());
+        mSelf = config.control();
+        mLog = new MembershipLog(config.control(), config.incarnation(), config.keepLeft());
         mSessions = new SessionTable(mTime, config.vanishAfter());
         mHeld = new HeldBackends(mTime, config.vanishAfter());
         mDamper = new FlapDamper(config);
@@ -64,27 +64,30 @@
      */
     public int hear(Instant now, SidecarReport report) {
         Backend b = report.backend();
-        Backend known = mMerged.get(b.ref().id());
         if (mHeld.refresh(report)) {
             return b.session();
         }
-        if (known == null || (b.supersedes(known) && !b.isSameSession(known))) {
-            join(now, report, known);
+        Announcement known = mLog.get(b.ref().id());
+        if (known == null || isNewSession(b, known.backend())) {
+            join(now, report, known == null ? null : known.backend());
             return b.session();
         }
-        if (b.isSameSession(known) && known.state() != Backend.State.LEFT) {
-            stay(now, report, known);
+        int least = leastSession(known);
+        if (b.isSameSession(known.backend()) && b.session() >= least) {
+            stay(now, report, known.backend());
         }
-        return leastSession(known);
+        return least;
     }
 
-    private int leastSession(Backend known) {
-        Backend disputed = mDisputed.get(known.ref().id());
-        boolean over = known.state() == Backend.State.LEFT;
-        if (disputed != null && disputed.isSameSession(known)) {
-            over = true;
-        }
-        return over ? known.session() + 1 : known.session();
+    private static boolean isNewSession(Backend b, Backend known) {
+        return b.supersedes(known) && !b.isSameSession(known);
+    }
+
+    /** A session that has ended, or that another instance hears, is not heard here. */
+    private int leastSession(Announcement known) {
+        Backend b = known.backend();
+        boolean over = b.state() == Backend.State.LEFT || !known.control().equals(mSelf);
+        return over || mDisputed.contains(b.ref().id()) ? b.session() + 1 : b.session();
     }
 
     private void stay(Instant now, SidecarReport report, Backend known) {
@@ -96,11 +99,9 @@
         }
         if (b.supersedes(known)) {
             announce(now, b, "draining");
-        } else {
-            mOwn.merge(now, known);
         }
-        mPeers.hears(null, b.ref().id());
-        Backend newest = mMerged.get(b.ref().id());
+        mOrphans.remove(b.ref().id());
+        Backend newest = mLog.get(b.ref().id()).backend();
         mSessions.put(
                 new SidecarReport(
                         newest, report.runningWork(), report.running(), report.waiting()));
@@ -150,25 +151,23 @@
     private void admit(Instant now, SidecarReport report, String reason) {
         Backend b = report.backend();
         mSessions.put(report);
-        mPeers.hears(null, b.ref().id());
         mDisputed.remove(b.ref().id());
         announce(now, b, reason);
     }
 
-    /** Takes what this instance itself vouches for; it is passed on to the peers. */
+    /** Takes what this instance itself vouches for. */
     private void announce(Instant now, Backend b, String reason) {
-        mOwn.merge(now, b);
-        if (take(now, b)) {
+        if (take(now, new Announcement(b, mSelf))) {
             mListener.changed(b, reason, true);
         }
     }
 
-    private boolean take(Instant now, Backend b) {
-        Backend before = mMerged.get(b.ref().id());
-        if (!mMerged.merge(now, b)) {
+    private boolean take(Instant now, Announcement a) {
+        Announcement before = mLog.get(a.backend().ref().id());
+        if (!mLog.merge(now, a)) {
             return false;
         }
-        mCounts.changed(before, b);
+        mCounts.changed(before == null ? null : before.backend(), a.backend());
         return true;
     }
 
@@ -187,31 +186,31 @@
             admit(now, r, "held back long enough");
         }
         giveUpOrphans(now);
-        mOwn.forget(now);
-        mMerged.forget(now);
+        mLog.forget(now);
         mDamper.forget(now);
     }
 
     private void giveUpOrphans(Instant now) {
+        for (Backend b : mOrphans.due()) {
+            giveUp(now, b, "not heard since this instance started");
+        }
         // An instance that is cut off itself must not declare everyone else gone.
         if (!mPeers.hasMajority()) {
             return;
         }
         for (String peer : mPeers.giveUp()) {
-            for (Backend b : List.copyOf(mMerged.all())) {
-                if (mPeers.isHeardBy(peer, b.ref().id())) {
-                    giveUp(now, b);
+            for (Announcement a : List.copyOf(mLog.all())) {
+                if (a.control().equals(peer)) {
+                    giveUp(now, a.backend(), "its control instance is gone");
                 }
             }
         }
-        for (Backend b : mOrphans.due()) {
-            giveUp(now, b);
-        }
     }
 
-    private void giveUp(Instant now, Backend b) {
-        if (b.equals(mMerged.get(b.ref().id())) && !mSessions.hears(b)) {
-            announce(now, b.withState(Backend.State.LEFT), "its control instance is gone");
+    private void giveUp(Instant now, Backend b, String reason) {
+        Announcement known = mLog.get(b.ref().id());
+        if (known != null && known.backend().equals(b)) {
+            announce(now, b.withState(Backend.State.LEFT), reason);
         }
     }
 
@@ -220,54 +219,47 @@
      *
      * @param now when
      * @param peer the peer's name
-     * @param share what it hears
+     * @param share what it knows
      */
     public void merge(Instant now, String peer, PeerShare share) {
-        if (mPeers.answered(peer, share)) {
-            // Sidecars heard by its run before go on to some instance within seconds, if alive.
-            for (Backend b : mMerged.all()) {
-                if (mPeers.isHeardBy(peer, b.ref().id())) {
-                    mOrphans.add(b);
-                }
-            }
-        }
-        for (Backend b : share.delta().backends()) {
-            mergeOne(now, peer, b);
-        }
+        mPeers.answered(peer, share);
+        share.announcements().forEach(a -> mergeOne(now, a));
     }
 
     /**
      * Takes single announcements that a peer passed on at once, ahead of its next answer.
      *
      * @param now when
-     * @param peer the peer's name
-     * @param backends what changed there
+     * @param announcements what changed there
      */
-    public void mergeEarly(Instant now, String peer, List<Backend> backends) {
-        backends.forEach(b -> mergeOne(now, peer, b));
+    public void mergeEarly(Instant now, List<Announcement> announcements) {
+        announcements.forEach(a -> mergeOne(now, a));
     }
 
-    private void mergeOne(Instant now, String peer, Backend b) {
+    private void mergeOne(Instant now, Announcement a) {
+        Backend b = a.backend();
         String id = b.ref().id();
+        // Peers that could not reach this instance took its sidecars for gone. Here it is known to
+        // be alive: it is asked for a new session, which then wins over the departure everywhere.
         if (b.state() == Backend.State.LEFT && mSessions.hears(b)) {
-            mDisputed.put(id, b);
+            mDisputed.add(id);
             return;
         }
-        Backend known = mMerged.get(id);
-        if (take(now, b)) {
-            mListener.changed(b, "heard by " + peer, false);
-            if (b.state() == Backend.State.LEFT
-                    && known != null
-                    && known.state() == Backend.State.SERVING) {
-                mDamper.vanished(now, id);
-            }
-            mSessions.remove(id);
-            mHeld.remove(id);
+        Announcement known = mLog.get(id);
+        if (!take(now, a)) {
+            return;
+        }
+        mListener.changed(b, "heard by " + a.control(), false);
+        boolean served = known != null && known.backend().state() == Backend.State.SERVING;
+        if (served && b.state() == Backend.State.LEFT) {
+            mDamper.vanished(now, id);
         }
-        Backend newest = mMerged.get(id);
-        if (newest.isSameSession(b)) {
-            mPeers.hears(peer, id);
-            mOrphans.remove(id);
+        mSessions.remove(id);
+        mHeld.remove(id);
+        mDisputed.remove(id);
+        if (a.control().equals(mSelf)) {
+            // From before this instance was started anew. Nobody else would miss it.
+            mOrphans.add(b);
         }
     }
 
@@ -278,20 +270,23 @@
      * @param service the only service that it follows, or null for all
      */
     public MembershipDelta deltaSince(MembershipCursor cursor, String service) {
-        return mMerged.deltaSince(
-                cursor, service == null ? EVERY : b -> b.service().equals(service));
+        return mLog.deltaSince(cursor, service == null ? EVERY : b -> b.service().equals(service));
     }
 
     /**
-     * Returns what a peer lacks of what is heard here.
+     * Returns what a peer lacks. Everything known is passed on, not only what is heard here: where
+     * two peers can't reach each other, a third one carries it.
      *
-     * @param cursor where the peer stands in this instance's own announcements
+     * @param cursor where the peer stands in this instance's changes
      */
     public PeerShare shareSince(MembershipCursor cursor) {
-        return new PeerShare(mOwn.deltaSince(cursor, EVERY), List.copyOf(mSessions.sums().all()));
+        return new PeerShare(
+                mLog.cursor(),
+                List.copyOf(mLog.since(cursor)),
+                List.copyOf(mSessions.sums().all()));
     }
 
-    /** Returns how far a peer's own announcements are known here. */
+    /** Returns how far a peer's changes are known here. */
     public MembershipCursor cursorOf(String peer) {
         return mPeers.cursor(peer);
     }
@@ -312,12 +307,12 @@
 
     /** Returns whether a backend server has announced itself and not been forgotten since. */
     public boolean knows(String id) {
-        return mMerged.get(id) != null;
+        return mLog.get(id) != null;
     }
 
     /** Returns every backend server known, those that left lately included. */
     public Collection<Backend> backends() {
-        return mMerged.all();
+        return mLog.all().stream().map(Announcement::backend).toList();
     }
 
     /** Returns how many sidecars are heard here. */
