--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -84,7 +84,7 @@
                                     MembershipCodec.toCore(r.getRouter()),
                                     cursor,
                                     r.getSettingsPosition()));
-            case REPORTER_NOT_SET ->
+            default ->
                     out.onError(
                             Status.INVALID_ARGUMENT
                                     .withDescription("no reporter")
