--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -25,7 +25,7 @@
     private final ModelList mModels;
     private final Consumer<RouterEvent> mEvents;
     private final RouterMetrics mMetrics;
-    private final Map<Long, CallerAnswer> mAnswers = new ConcurrentHashMap<>();
+    private final Map<Long, Caller> mCallers = new ConcurrentHashMap<>();
 
     Callers(
             RequestResolver resolver,
@@ -46,7 +46,7 @@
                 return;
             }
             RouterEvent event = new RouterEvent.RequestArrived(caller, mResolver.resolve(call));
-            mAnswers.put(caller, answer);
+            mCallers.put(caller, new Caller(answer));
             mEvents.accept(event);
         } catch (LaurelweirException e) {
             refuse(answer, e.getCode(), e.getMessage());
@@ -72,7 +72,7 @@
 
     @Override
     public void onGone(long caller) {
-        if (mAnswers.remove(caller) != null) {
+        if (mCallers.remove(caller) != null) {
             mMetrics.answered(ResultCode.CALLER_GONE);
             mEvents.accept(new RouterEvent.CallerGone(caller));
         }
@@ -80,42 +80,61 @@
 
     @Override
     public void onTaken(long caller, long offset) {
-        if (mAnswers.containsKey(caller)) {
+        Caller c = mCallers.get(caller);
+        if (c != null) {
+            c.mTaken = offset;
             mEvents.accept(new RouterEvent.CallerTook(caller, offset));
         }
     }
 
     void head(RouterEffect.AnswerHead e) {
-        CallerAnswer answer = mAnswers.get(e.caller());
-        if (answer != null) {
-            answer.head(e.status(), e.headers());
+        Caller c = mCallers.get(e.caller());
+        if (c != null) {
+            c.mAnswer.head(e.status(), e.headers());
         }
     }
 
     void data(RouterEffect.AnswerData e) {
-        CallerAnswer answer = mAnswers.get(e.caller());
-        if (answer != null) {
-            answer.data(e.bytes());
+        Caller c = mCallers.get(e.caller());
+        if (c != null) {
+            c.mSent += e.bytes().length;
+            c.mAnswer.data(e.bytes());
         }
     }
 
     void end(RouterEffect.AnswerEnd e) {
-        CallerAnswer answer = mAnswers.remove(e.caller());
-        if (answer != null) {
+        Caller c = mCallers.remove(e.caller());
+        if (c != null) {
             mMetrics.answered(ResultCode.OK);
-            answer.end();
+            c.mAnswer.end();
         }
     }
 
     void error(RouterEffect.AnswerError e) {
-        CallerAnswer answer = mAnswers.remove(e.caller());
-        if (answer != null) {
+        Caller c = mCallers.remove(e.caller());
+        if (c != null) {
             mMetrics.answered(e.code());
-            answer.error(e.code(), e.message(), e.retryAfter());
+            c.mAnswer.error(e.code(), e.message(), e.retryAfter());
         }
     }
 
     int count() {
-        return mAnswers.size();
+        return mCallers.size();
+    }
+
+    /** Returns the bytes of answers under way that callers have not taken yet. */
+    long waitingBytes() {
+        return mCallers.values().stream().mapToLong(c -> Math.max(0, c.mSent - c.mTaken)).sum();
+    }
+
+    /** One caller's answer, and how far it has got. */
+    private static final class Caller {
+        private final CallerAnswer mAnswer;
+        private volatile long mSent;
+        private volatile long mTaken;
+
+        Caller(CallerAnswer answer) {
+            mAnswer = answer;
+        }
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -26,18 +26,19 @@
         mRegistry.counter(MetricNames.labelled("router.actions", "kind", what)).inc();
     }
 
-    /** Shows how many requests are in flight. */
-    void showInFlight(Supplier<Integer> count) {
-        Gauge<Integer> gauge = count::get;
-        mRegistry.register("router.requests.in.flight", gauge);
+    /** Shows how many requests are in flight, and what of their answers waits for callers. */
+    void showInFlight(Supplier<Integer> count, Supplier<Long> waitingBytes) {
+        Gauge<Integer> requests = count::get;
+        Gauge<Long> bytes = waitingBytes::get;
+        mRegistry.register("router.requests.in.flight", requests);
+        mRegistry.register("router.answer.bytes.waiting", bytes);
     }
 
     /** Shows the bytes exchanged with control. */
     void showControlBytes(Supplier<Long> sent, Supplier<Long> received) {
         Gauge<Long> out = sent::get;
         Gauge<Long> in = received::get;
-        mRegistry.register(
-                MetricNames.labelled("router.exchange.bytes", "direction", "out"), out);
+        mRegistry.register(MetricNames.labelled("router.exchange.bytes", "direction", "out"), out);
         mRegistry.register(MetricNames.labelled("router.exchange.bytes", "direction", "in"), in);
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -60,9 +60,9 @@
     private final Callers mCallers;
     private final DecisionRing mRing;
     private final RpcServer mExplainServer;
-    private ReducerLoop<RouterEvent, RouterEffect> mLoop;
-    private Effects mEffects;
-    private ControlExchange mExchange;
+    private final ControlExchange mExchange;
+    private final Effects mEffects;
+    private final ReducerLoop<RouterEvent, RouterEffect> mLoop;
     private MetricsServer mMetricsServer;
 
     /**
@@ -90,14 +90,40 @@
                         this::offer,
                         mMetrics);
         mCallerServer =
-                new CallerServer(
-                        mLoops, file.listen(), mCallers, this::limits, this::requestName);
+                new CallerServer(mLoops, file.listen(), mCallers, this::limits, this::requestName);
         mRing = new DecisionRing(file.decisions());
         mExplainServer =
                 RpcServer.builder(mLoops, traffic)
                         .listen(file.explainListen().host(), file.explainListen().port())
                         .service(new ExplainService(mRing))
                         .build();
+        SidecarCalls sidecars = new SidecarCalls(mChannels, REVOKE_TIMEOUT, this::offer);
+        ClaimCalls claims = new ClaimCalls(mChannels, controls(), CONTROL_TIMEOUT, this::offer);
+        mExchange =
+                new ControlExchange(
+                        mExchangeClient,
+                        this::report,
+                        mSettings,
+                        this::offer,
+                        claims::useControls,
+                        clock);
+        mEffects = new Effects(mCallers, sidecars, claims, mExchange, mRing, mMetrics);
+        mLoop = newLoop(sidecars);
+    }
+
+    private ReducerLoop<RouterEvent, RouterEffect> newLoop(SidecarCalls sidecars) {
+        RouterReducer reducer = new RouterReducer(mConfig);
+        return new ReducerLoop<>(
+                "router-decide",
+                (now, event, effects) -> {
+                    reducer.step(now, event, effects);
+                    sidecars.after(event);
+                },
+                mClock,
+                new RouterEvent.Tick(),
+                TICK,
+                mEffects,
+                f -> Program.halt(ResultCode.INTERNAL));
     }
 
     private static RouterConfig config(RouterFile file, Instant started) {
@@ -134,41 +160,13 @@
         mChannels.start();
         mExplainServer.start();
         mCallerServer.start();
-        startDeciding();
+        mLoop.start();
         startMetrics();
         Endpoint endpoint = mCallerServer.endpoint();
         mFile.portFile().ifPresent(f -> PortFile.write(f, endpoint.port()));
         mOut.accept("listening on " + endpoint);
     }
 
-    private void startDeciding() {
-        SidecarCalls sidecars = new SidecarCalls(mChannels, REVOKE_TIMEOUT, this::offer);
-        ClaimCalls claims = new ClaimCalls(mChannels, controls(), CONTROL_TIMEOUT, this::offer);
-        mExchange =
-                new ControlExchange(
-                        mExchangeClient,
-                        report(),
-                        mSettings,
-                        this::offer,
-                        claims::useControls,
-                        mClock);
-        mEffects = new Effects(mCallers, sidecars, claims, mExchange, mRing, mMetrics);
-        RouterReducer reducer = new RouterReducer(mConfig);
-        mLoop =
-                new ReducerLoop<>(
-                        "router-decide",
-                        (now, event, effects) -> {
-                            reducer.step(now, event, effects);
-                            sidecars.after(event);
-                        },
-                        mClock,
-                        new RouterEvent.Tick(),
-                        TICK,
-                        mEffects,
-                        f -> Program.halt(ResultCode.INTERNAL));
-        mLoop.start();
-    }
-
     private RouterReport report() {
         Endpoint explain = mFile.explainListen().withPort(mExplainServer.port());
         return new RouterReport(
@@ -181,7 +179,7 @@
     }
 
     private void startMetrics() {
-        mMetrics.showInFlight(mCallers::count);
+        mMetrics.showInFlight(mCallers::count, mCallers::waitingBytes);
         mMetrics.showControlBytes(mExchangeClient::bytesSent, mExchangeClient::bytesReceived);
         mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mExchange);
         mMetricsServer.start();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -116,8 +116,7 @@
     private void sendContinue(HttpRequest head) {
         if (HttpUtil.is100ContinueExpected(head)) {
             mChannel.writeAndFlush(
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
@@ -9,6 +9,7 @@
 import org.laurelweir.routing.CallerRequest;
 import org.laurelweir.settings.EffectiveSettings;
 import org.laurelweir.settings.KeyDigest;
+import org.laurelweir.settings.Policies;
 import org.laurelweir.settings.SettingKeys;
 import org.laurelweir.settings.SettingsContext;
 import org.laurelweir.settings.SettingsLookup;
@@ -77,8 +78,7 @@
         ChatBody body = ChatBody.parse(call.body());
         SettingsTree tree = mSettings.tree();
         String service =
-                tree.serviceOfModel(body.model())
-                        .orElseThrow(() -> unknownModel(body.model()));
+                tree.serviceOfModel(body.model()).orElseThrow(() -> unknownModel(body.model()));
         EffectiveSettings settings = settings(service, account, call, body.model());
         AttemptRequest.Cost cost =
                 new AttemptRequest.Cost(
@@ -143,7 +143,8 @@
                 deadline(call, settings),
                 priority(call, settings),
                 cost,
-                Policies.of(settings));
+                Policies.request(settings),
+                Policies.outliers(settings));
     }
 
     private static String idempotencyKey(HttpCall call) {
@@ -157,12 +158,9 @@
     }
 
     private static Duration deadline(HttpCall call, EffectiveSettings settings) {
-        Duration max = settings.get(SettingKeys.DEADLINE_MAX);
-        Duration wanted = settings.get(SettingKeys.DEADLINE_DEFAULT);
-        if (!call.header(DEADLINE_HEADER).isEmpty()) {
-            wanted = Duration.ofMillis(number(call, DEADLINE_HEADER, Integer.MAX_VALUE));
-        }
-        return wanted.compareTo(max) < 0 ? wanted : max;
+        boolean asked = !call.header(DEADLINE_HEADER).isEmpty();
+        int millis = asked ? number(call, DEADLINE_HEADER, Integer.MAX_VALUE) : 0;
+        return Policies.deadline(settings, asked ? Duration.ofMillis(millis) : null);
     }
 
     private static int priority(HttpCall call, EffectiveSettings settings) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/AttemptStream.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/AttemptStream.java
@@ -57,8 +57,7 @@
     }
 
     void open(AttemptMessage first) {
-        CallOptions options =
-                CallOptions.DEFAULT.withStreamTracerFactory(mTracer.factory());
+        CallOptions options = CallOptions.DEFAULT.withStreamTracerFactory(mTracer.factory());
         ClientCalls.asyncBidiStreamingCall(
                 mChannel.newCall(SidecarServiceGrpc.getAttemptMethod(), options), this);
         mCall.onNext(first);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ClaimCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ClaimCalls.java
@@ -111,7 +111,6 @@
                 r -> {},
                 f ->
                         sLogger.atWarning().log(
-                                "the end of %s is not recorded: %s",
-                                e.attempt(), f.getMessage()));
+                                "the end of %s is not recorded: %s", e.attempt(), f.getMessage()));
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.routing.RouterEvent;
@@ -28,7 +29,7 @@
     private static final Duration FRESH_WAIT = Duration.ofSeconds(10);
 
     private final ExchangeClient mClient;
-    private final RouterReport mReport;
+    private final Supplier<RouterReport> mReport;
     private final SettingsLookup mSettings;
     private final Consumer<RouterEvent> mEvents;
     private final Consumer<List<String>> mControls;
@@ -51,7 +52,7 @@
      */
     public ControlExchange(
             ExchangeClient client,
-            RouterReport report,
+            Supplier<RouterReport> report,
             SettingsLookup settings,
             Consumer<RouterEvent> events,
             Consumer<List<String>> controls,
@@ -67,7 +68,7 @@
 
     /** Sends one exchange; its answer becomes an event. */
     public void send(MembershipCursor cursor) {
-        mClient.exchange(mReport, cursor, position()).whenComplete(this::onAnswer);
+        mClient.exchange(mReport.get(), cursor, position()).whenComplete(this::onAnswer);
     }
 
     private synchronized long position() {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlLeader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlLeader.java
@@ -95,8 +95,7 @@
             ControlServiceFutureStub stub =
                     ControlServiceGrpc.newFutureStub(mChannel)
                             .withDeadlineAfter(mTimeout.toMillis(), TimeUnit.MILLISECONDS);
-            Futures.addCallback(
-                    mQuestion.send().apply(stub), this, MoreExecutors.directExecutor());
+            Futures.addCallback(mQuestion.send().apply(stub), this, MoreExecutors.directExecutor());
         }
 
         @Override
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SidecarCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SidecarCalls.java
@@ -35,8 +35,7 @@
      * @param revokeTimeout longest wait for the answer to a revocation
      * @param events takes what happens, from any thread
      */
-    public SidecarCalls(
-            Channels channels, Duration revokeTimeout, Consumer<RouterEvent> events) {
+    public SidecarCalls(Channels channels, Duration revokeTimeout, Consumer<RouterEvent> events) {
         mChannels = channels;
         mRevokeTimeout = revokeTimeout;
         mEvents = events;
@@ -62,8 +61,7 @@
     }
 
     private void open(long id, String address, AttemptMessage first) {
-        AttemptStream stream =
-                new AttemptStream(address, mChannels.get(address), new Events(id));
+        AttemptStream stream = new AttemptStream(address, mChannels.get(address), new Events(id));
         mStreams.put(id, stream);
         stream.open(first);
     }
--- /dev/null
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
@@ -0,0 +1,70 @@
+package org.laurelweir.router;
+
+import io.grpc.stub.StreamObserver;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.settings.SettingsDelta;
+import org.laurelweir.settings.SettingsNode;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.SettingsCodec;
+import org.laurelweir.wire.v1.ClaimReply;
+import org.laurelweir.wire.v1.ClaimRequest;
+import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ExchangeReply;
+import org.laurelweir.wire.v1.ExchangeRequest;
+import org.laurelweir.wire.v1.SettleClaimReply;
+import org.laurelweir.wire.v1.SettleClaimRequest;
+
+/** A control instance that tells one membership and one settings tree, and grants every claim. */
+final class FakeControlServer extends ControlServiceGrpc.ControlServiceImplBase {
+    private final List<SettingsNode> mNodes = new ArrayList<>();
+    private final List<Backend> mBackends = new ArrayList<>();
+
+    void set(String path, Map<String, String> values) {
+        mNodes.add(SettingsNode.of(NodePath.parse(path), 1, values));
+    }
+
+    void add(Backend backend) {
+        mBackends.add(backend);
+    }
+
+    @Override
+    public void exchange(ExchangeRequest request, StreamObserver<ExchangeReply> reply) {
+        MembershipCursor cursor = new MembershipCursor("c1", 1, 1);
+        MembershipDelta membership = new MembershipDelta(cursor, true, mBackends);
+        SettingsDelta settings = new SettingsDelta(1, true, mNodes);
+        answer(
+                reply,
+                ExchangeReply.newBuilder()
+                        .setMembership(MembershipCodec.toWire(membership))
+                        .setSettings(SettingsCodec.toWire(settings))
+                        .build());
+    }
+
+    @Override
+    public void claim(ClaimRequest request, StreamObserver<ClaimReply> reply) {
+        answer(
+                reply,
+                ClaimReply.newBuilder()
+                        .setCode(ResultCode.OK.number())
+                        .setHolder(request.getAttempt())
+                        .setHolderTarget(request.getTarget())
+                        .build());
+    }
+
+    @Override
+    public void settleClaim(SettleClaimRequest request, StreamObserver<SettleClaimReply> reply) {
+        answer(reply, SettleClaimReply.getDefaultInstance());
+    }
+
+    private static <T> void answer(StreamObserver<T> reply, T message) {
+        reply.onNext(message);
+        reply.onCompleted();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeSidecarServer.java
@@ -0,0 +1,122 @@
+package org.laurelweir.router;
+
+import io.grpc.stub.StreamObserver;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.AttemptState;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.attempt.Header;
+import org.laurelweir.attempt.LoadHint;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.wire.AttemptCodec;
+import org.laurelweir.wire.IdCodec;
+import org.laurelweir.wire.v1.AttemptFrame;
+import org.laurelweir.wire.v1.AttemptMessage;
+import org.laurelweir.wire.v1.RevokeReply;
+import org.laurelweir.wire.v1.RevokeRequest;
+import org.laurelweir.wire.v1.SidecarServiceGrpc;
+
+/** A sidecar that answers as each test says. */
+final class FakeSidecarServer extends SidecarServiceGrpc.SidecarServiceImplBase {
+    final BlockingQueue<Session> mSessions = new LinkedBlockingQueue<>();
+    volatile Script mScript = s -> s.answer("text/plain", "ok");
+
+    /** What the sidecar does with an attempt. */
+    interface Script {
+        void run(Session session);
+    }
+
+    /** One stream that an attempt was begun on. */
+    static final class Session {
+        final AttemptRequest mRequest;
+        final CountDownLatch mCancelled = new CountDownLatch(1);
+        private final StreamObserver<AttemptFrame> mFrames;
+        private long mOffset;
+
+        Session(AttemptRequest request, StreamObserver<AttemptFrame> frames) {
+            mRequest = request;
+            mFrames = frames;
+        }
+
+        void send(Frame frame) {
+            org.laurelweir.attempt.AttemptFrame f =
+                    new org.laurelweir.attempt.AttemptFrame(mRequest.id(), LoadHint.UNKNOWN, frame);
+            mFrames.onNext(AttemptCodec.toWire(f));
+        }
+
+        void head(String contentType) {
+            send(new Frame.Accepted(0));
+            send(new Frame.Head(200, List.of(new Header("Content-Type", contentType))));
+        }
+
+        void data(String text) {
+            data(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void data(byte[] bytes) {
+            send(new Frame.Data(mOffset, bytes));
+            mOffset += bytes.length;
+        }
+
+        void end(long length) {
+            send(new Frame.End(length, Frame.Usage.NONE));
+        }
+
+        void answer(String contentType, String text) {
+            head(contentType);
+            data(text);
+            end(mOffset);
+        }
+    }
+
+    @Override
+    public StreamObserver<AttemptMessage> attempt(StreamObserver<AttemptFrame> frames) {
+        return new StreamObserver<>() {
+            private Session mSession;
+
+            @Override
+            public void onNext(AttemptMessage message) {
+                if (message.hasBegin()) {
+                    mSession = new Session(AttemptCodec.toCore(message.getBegin()), frames);
+                    mScript.run(mSession);
+                    mSessions.add(mSession);
+                } else if (message.hasResume()) {
+                    frames.onNext(notKept(message));
+                } else if (message.hasCancel()) {
+                    mSession.mCancelled.countDown();
+                }
+            }
+
+            @Override
+            public void onError(Throwable failure) {
+                // The router left; the attempt would go on.
+            }
+
+            @Override
+            public void onCompleted() {
+                frames.onCompleted();
+            }
+        };
+    }
+
+    private static AttemptFrame notKept(AttemptMessage resume) {
+        return AttemptCodec.toWire(
+                new org.laurelweir.attempt.AttemptFrame(
+                        IdCodec.toCore(resume.getResume().getAttempt()),
+                        LoadHint.UNKNOWN,
+                        new Frame.Failed(ResultCode.OUTPUT_NOT_KEPT, "gone")));
+    }
+
+    @Override
+    public void revoke(RevokeRequest request, StreamObserver<RevokeReply> reply) {
+        reply.onNext(
+                RevokeReply.newBuilder()
+                        .setState(AttemptCodec.toWire(AttemptState.RUNNING))
+                        .build());
+        reply.onCompleted();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -0,0 +1,163 @@
+package org.laurelweir.router;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.runtime.rpc.EventLoops;
+import org.laurelweir.runtime.rpc.RpcServer;
+import org.laurelweir.runtime.rpc.TrafficCounters;
+import org.laurelweir.settings.KeyDigest;
+
+/** A whole router in this process, with a fake control instance and a fake sidecar over gRPC. */
+final class RouterFixture implements AutoCloseable {
+    static final String KEY = "broker-key";
+    static final String CHAT = "/v1/chat/completions";
+
+    final FakeControlServer mControl = new FakeControlServer();
+    final FakeSidecarServer mSidecar = new FakeSidecarServer();
+    final BlockingQueue<String> mOutput = new LinkedBlockingQueue<>();
+    final HttpClient mHttp = HttpClient.newHttpClient();
+    private final EventLoops mLoops = new EventLoops("fake", 2);
+    private final RpcServer mControlServer = server(mControl);
+    private final RpcServer mSidecarServer = server(mSidecar);
+    final RouterProgram mRouter;
+
+    RouterFixture(Map<String, String> deploymentSettings) throws Exception {
+        mControlServer.start();
+        mSidecarServer.start();
+        mControl.set("/", deploymentSettings);
+        mControl.set("/account=broker", Map.of("account.key-digests", KeyDigest.of(KEY)));
+        mControl.set(
+                "/service=hjerne",
+                Map.of(
+                        "service.models",
+                        "hjerne-1",
+                        "service.idempotent-calls",
+                        "POST /v1/chat/completions"));
+        mControl.set(
+                "/service=bok",
+                Map.of("service.kind", "plain", "service.path-prefix", "/havnebok"));
+        announce("hjerne");
+        announce("bok");
+        mRouter = new RouterProgram(file(), InstantSource.system(), mOutput::add);
+        mRouter.start();
+        awaitReady();
+    }
+
+    private RpcServer server(io.grpc.BindableService service) {
+        TrafficCounters traffic = new TrafficCounters(new MetricRegistry());
+        return RpcServer.builder(mLoops, traffic).service(service).build();
+    }
+
+    private void announce(String service) {
+        String address = "127.0.0.1:" + mSidecarServer.port();
+        BackendRef ref = new BackendRef(service + "-1", 1);
+        mControl.add(new Backend(ref, service, "bergen", "vestkyst", address, SERVING, 1, 1));
+    }
+
+    private static final Backend.State SERVING = Backend.State.SERVING;
+
+    private RouterFile file() {
+        Endpoint any = new Endpoint("127.0.0.1", 0);
+        return new RouterFile(
+                "r1",
+                "vestkyst",
+                "bergen",
+                any,
+                Optional.empty(),
+                any,
+                any,
+                Optional.empty(),
+                List.of(new Endpoint("127.0.0.1", mControlServer.port())),
+                Duration.ofMillis(100),
+                2,
+                1024,
+                128,
+                1,
+                Duration.ofSeconds(30),
+                LogSettings.defaults());
+    }
+
+    private void awaitReady() throws Exception {
+        while (mHttp.send(get(ready()), text()).statusCode() != 200) {
+            Thread.onSpinWait();
+        }
+    }
+
+    URI ready() {
+        return URI.create("http://" + mRouter.metricsEndpoint() + "/readyz");
+    }
+
+    URI metrics() {
+        return URI.create("http://" + mRouter.metricsEndpoint() + "/metrics");
+    }
+
+    URI uri(String path) {
+        return URI.create("http://" + mRouter.endpoint() + path);
+    }
+
+    static HttpRequest get(URI uri) {
+        return HttpRequest.newBuilder(uri).header("Authorization", "Bearer " + KEY).build();
+    }
+
+    HttpResponse<String> chat(String body) throws Exception {
+        return mHttp.send(chatRequest(body), text());
+    }
+
+    HttpRequest chatRequest(String body) {
+        return HttpRequest.newBuilder(uri(CHAT))
+                .header("Authorization", "Bearer " + KEY)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    static String question(String text) {
+        return "{\"model\":\"hjerne-1\",\"messages\":[{\"role\":\"user\",\"content\":\""
+                + text
+                + "\"}]}";
+    }
+
+    static HttpResponse.BodyHandler<String> text() {
+        return HttpResponse.BodyHandlers.ofString();
+    }
+
+    /** Opens a bare connection, for what no HTTP client would send. */
+    Socket socket() throws IOException {
+        Socket socket = new Socket("127.0.0.1", mRouter.endpoint().port());
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    static String rawChat(String question) {
+        String body = question(question);
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                + KEY
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    @Override
+    public void close() {
+        mRouter.stop();
+        mControlServer.stop();
+        mSidecarServer.stop();
+        mLoops.stop();
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/CallerRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.placement.OutlierConfig;
 
 /**
  * A caller's request after the shell has read and resolved it: authenticated, its service known.
@@ -17,6 +18,7 @@
  * @param priority higher goes first
  * @param cost what the call is expected to spend
  * @param policy the settings that bind this request
+ * @param ejection when the service's failing backend servers are tried last
  */
 public record CallerRequest(
         String account,
@@ -29,4 +31,5 @@
         Duration deadline,
         int priority,
         AttemptRequest.Cost cost,
-        RequestPolicy policy) {}
+        RequestPolicy policy,
+        OutlierConfig ejection) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/ClaimAnswers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/ClaimAnswers.java
@@ -10,7 +10,6 @@
 
     private final Memberships mMemberships;
     private final Attempts mAttempts;
-    private final Claims mClaims;
     private final Recovery mRecovery;
     private final Outcomes mOutcomes;
     private final Decisions mDecisions;
@@ -18,13 +17,11 @@
     ClaimAnswers(
             Memberships memberships,
             Attempts attempts,
-            Claims claims,
             Recovery recovery,
             Outcomes outcomes,
             Decisions decisions) {
         mMemberships = memberships;
         mAttempts = attempts;
-        mClaims = claims;
         mRecovery = recovery;
         mOutcomes = outcomes;
         mDecisions = decisions;
@@ -60,11 +57,6 @@
             unavailable(s, r, "others hold it");
             return;
         }
-        if (answer.settled() && answer.settledCode().isNotRun()) {
-            r.mReplaces = answer.holder();
-            mClaims.claim(s, r);
-            return;
-        }
         follow(s, r, answer);
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
@@ -111,8 +111,8 @@
 
     private Outliers outliers(CallerRequest q) {
         Ejections e = mEjections.get(q.service());
-        if (e == null || !e.config().equals(q.policy().ejection())) {
-            e = new Ejections(q.policy().ejection());
+        if (e == null || !e.config().equals(q.ejection())) {
+            e = new Ejections(q.ejection());
             mEjections.put(q.service(), e);
         }
         return e.outliers();
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RequestPolicy.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RequestPolicy.java
@@ -1,7 +1,6 @@
 package org.laurelweir.routing;
 
 import java.time.Duration;
-import org.laurelweir.placement.OutlierConfig;
 
 /**
  * The settings that bind one request, taken when it arrives.
@@ -16,7 +15,6 @@
  * @param accountRate requests a second that the account may start on this router
  * @param claimRetention how long a claim on an idempotency key holds
  * @param silence longest time without a frame before the connection is taken as lost
- * @param ejection when a failing backend server is tried last
  */
 public record RequestPolicy(
         double boundFactor,
@@ -28,8 +26,7 @@
         int accountMaxRunning,
         double accountRate,
         Duration claimRetention,
-        Duration silence,
-        OutlierConfig ejection) {
+        Duration silence) {
     /** What holds until settings arrive. */
     public static final RequestPolicy DEFAULT =
             new RequestPolicy(
@@ -42,6 +39,5 @@
                     1_000_000,
                     1_000_000,
                     Duration.ofHours(24),
-                    Duration.ofSeconds(2),
-                    OutlierConfig.DEFAULT);
+                    Duration.ofSeconds(2));
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -37,8 +37,7 @@
         mOutcomes = new Outcomes(mRequests, claims, mLimits, decisions);
         mRetries = new Retries(config, mPlacements, attempts, claims, mOutcomes, decisions);
         mRecovery = new Recovery(mPlacements, attempts, mRetries, decisions);
-        mClaimAnswers =
-                new ClaimAnswers(mMemberships, attempts, claims, mRecovery, mOutcomes, decisions);
+        mClaimAnswers = new ClaimAnswers(mMemberships, attempts, mRecovery, mOutcomes, decisions);
         mStreams = new Streams(mRequests, mPlacements, mRetries, mRecovery, mOutcomes);
         mTimers = new Timers(mRequests, mStreams, mRetries, mRecovery, mClaimAnswers, mOutcomes);
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/FakeControl.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeControl.java
@@ -22,7 +22,7 @@
         if (c != null && c.mFingerprint != e.fingerprint()) {
             return answer(e, ResultCode.IDEMPOTENCY_KEY_REUSED, c);
         }
-        if (c == null || c.mHolder.equals(e.replaces())) {
+        if (c == null || (c.mHolder.equals(e.replaces()) && c.mSettled == null)) {
             c = new Claim();
             c.mFingerprint = e.fingerprint();
             c.mHolder = e.attempt();
@@ -41,7 +41,12 @@
 
     void settle(RouterEffect.SettleClaim e) {
         Claim c = mClaims.get(e.key());
-        if (c != null && c.mHolder.equals(e.attempt())) {
+        if (c == null || !c.mHolder.equals(e.attempt()) || c.mSettled != null) {
+            return;
+        }
+        if (e.code().isNotRun()) {
+            mClaims.remove(e.key());
+        } else {
             c.mSettled = e.code();
         }
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
@@ -35,8 +35,7 @@
                     1_000,
                     1_000_000,
                     Duration.ofHours(1),
-                    Duration.ofMillis(200),
-                    OutlierConfig.DEFAULT);
+                    Duration.ofMillis(200));
 
     private static final int ROUTERS = 2;
     private static final int SIDECARS = 3;
@@ -133,7 +132,8 @@
                         Duration.ofSeconds(20),
                         5,
                         new AttemptRequest.Cost(1, 1),
-                        POLICY);
+                        POLICY,
+                        OutlierConfig.DEFAULT);
         Caller c = new Caller(router, request);
         mCallers.add(c);
         give(router, new RouterEvent.RequestArrived(mCallers.size(), request));
