--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeSidecarServer.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeSidecarServer.java
@@ -16,6 +16,7 @@
 import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.v1.AttemptFrame;
 import org.laurelweir.wire.v1.AttemptMessage;
+import org.laurelweir.wire.v1.Resume;
 import org.laurelweir.wire.v1.RevokeReply;
 import org.laurelweir.wire.v1.RevokeRequest;
 import org.laurelweir.wire.v1.SidecarServiceGrpc;
@@ -25,11 +26,18 @@
     final BlockingQueue<Session> mSessions = new LinkedBlockingQueue<>();
     volatile Script mScript = s -> s.answer("text/plain", "ok");
 
+    volatile OnResume mOnResume = FakeSidecarServer::refuseToResume;
+
     /** What the sidecar does with an attempt. */
     interface Script {
         void run(Session session);
     }
 
+    /** What the sidecar does with a stream that follows an attempt. */
+    interface OnResume {
+        void run(Resume resume, StreamObserver<AttemptFrame> frames);
+    }
+
     /** One stream that an attempt was begun on. */
     static final class Session {
         final AttemptRequest mRequest;
@@ -42,6 +50,13 @@
             mFrames = frames;
         }
 
+        /** Goes on with the attempt on another stream, from a byte offset on. */
+        Session onStream(StreamObserver<AttemptFrame> frames, long offset) {
+            Session s = new Session(mRequest, frames);
+            s.mOffset = offset;
+            return s;
+        }
+
         void send(Frame frame) {
             org.laurelweir.attempt.AttemptFrame f =
                     new org.laurelweir.attempt.AttemptFrame(mRequest.id(), LoadHint.UNKNOWN, frame);
@@ -85,7 +100,7 @@
                     mScript.run(mSession);
                     mSessions.add(mSession);
                 } else if (message.hasResume()) {
-                    frames.onNext(notKept(message));
+                    mOnResume.run(message.getResume(), frames);
                 } else if (message.hasCancel()) {
                     mSession.mCancelled.countDown();
                 }
@@ -103,12 +118,12 @@
         };
     }
 
-    private static AttemptFrame notKept(AttemptMessage resume) {
-        return AttemptCodec.toWire(
-                new org.laurelweir.attempt.AttemptFrame(
-                        IdCodec.toCore(resume.getResume().getAttempt()),
-                        LoadHint.UNKNOWN,
-                        new Frame.Failed(ResultCode.OUTPUT_NOT_KEPT, "gone")));
+    private static void refuseToResume(Resume resume, StreamObserver<AttemptFrame> frames) {
+        Frame.Failed failed = new Frame.Failed(ResultCode.OUTPUT_NOT_KEPT, "gone");
+        frames.onNext(
+                AttemptCodec.toWire(
+                        new org.laurelweir.attempt.AttemptFrame(
+                                IdCodec.toCore(resume.getAttempt()), LoadHint.UNKNOWN, failed)));
     }
 
     @Override
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -35,11 +35,13 @@
     private final EventLoops mLoops = new EventLoops("fake", 2);
     private final RpcServer mControlServer = server(mControl);
     private final RpcServer mSidecarServer = server(mSidecar);
+    final Relay mRelay;
     final RouterProgram mRouter;
 
     RouterFixture(Map<String, String> deploymentSettings) throws Exception {
         mControlServer.start();
         mSidecarServer.start();
+        mRelay = new Relay(mSidecarServer.port());
         mControl.set("/", deploymentSettings);
         mControl.set("/account=broker", Map.of("account.key-digests", KeyDigest.of(KEY)));
         mControl.set(
@@ -65,7 +67,7 @@
     }
 
     private void announce(String service) {
-        String address = "127.0.0.1:" + mSidecarServer.port();
+        String address = "127.0.0.1:" + mRelay.port();
         BackendRef ref = new BackendRef(service + "-1", 1);
         mControl.add(new Backend(ref, service, "bergen", "vestkyst", address, SERVING, 1, 1));
     }
@@ -156,6 +158,7 @@
     @Override
     public void close() {
         mRouter.stop();
+        mRelay.close();
         mControlServer.stop();
         mSidecarServer.stop();
         mLoops.stop();
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Exchanges.java
@@ -0,0 +1,33 @@
+package org.laurelweir.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.laurelweir.membership.MembershipCursor;
+
+/** Exchanges with control at an interval, one at a time. */
+final class Exchanges {
+    private final Duration mInterval;
+    private Instant mNext = Instant.MIN;
+    private boolean mUnderWay;
+
+    Exchanges(Duration interval) {
+        mInterval = interval;
+    }
+
+    /**
+     * Asks control if it is time and the last answer, or its failure, has arrived: of two answers
+     * under way the older one could arrive last and take the cursor back.
+     */
+    void onTick(Step s, MembershipCursor cursor) {
+        if (mUnderWay || s.now().isBefore(mNext)) {
+            return;
+        }
+        mUnderWay = true;
+        mNext = s.now().plus(mInterval);
+        s.emit(new RouterEffect.SendExchange(cursor));
+    }
+
+    void onEnded() {
+        mUnderWay = false;
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -9,7 +9,7 @@
 
 /** Decides for one router: hands each event to the class that it concerns. */
 public final class RouterReducer implements Reducer<RouterEvent, RouterEffect> {
-    private final RouterConfig mConfig;
+    private final Exchanges mExchanges;
     private final Requests mRequests = new Requests();
     private final Memberships mMemberships = new Memberships();
     private final AccountLimits mLimits = new AccountLimits();
@@ -20,7 +20,6 @@
     private final ClaimAnswers mClaimAnswers;
     private final Streams mStreams;
     private final Timers mTimers;
-    private Instant mNextExchange = Instant.MIN;
     private boolean mStopping;
 
     /**
@@ -29,7 +28,7 @@
      * @param config what the decisions depend on
      */
     public RouterReducer(RouterConfig config) {
-        mConfig = config;
+        mExchanges = new Exchanges(config.exchangeInterval());
         mPlacements = new Placements(config, mMemberships);
         Decisions decisions = new Decisions(config, mPlacements);
         Claims claims = new Claims();
@@ -52,9 +51,9 @@
         } else if (event instanceof RouterEvent.StreamLost e) {
             mStreams.onLost(s, e);
         } else if (event instanceof RouterEvent.ExchangeAnswered e) {
-            mMemberships.apply(now, e.membership());
-            mPlacements.prune();
-            mPlacements.onMeans(e.loads());
+            onExchange(now, e);
+        } else if (event instanceof RouterEvent.ExchangeFailed) {
+            mExchanges.onEnded();
         } else if (event instanceof RouterEvent.StopRequested) {
             mStopping = true;
         } else {
@@ -66,13 +65,17 @@
         }
     }
 
+    private void onExchange(Instant now, RouterEvent.ExchangeAnswered answer) {
+        mExchanges.onEnded();
+        mMemberships.apply(now, answer.membership());
+        mPlacements.prune();
+        mPlacements.onMeans(answer.loads());
+    }
+
     private void onTick(Step s) {
         mMemberships.onTick(s.now());
         mTimers.onTick(s);
-        if (!s.now().isBefore(mNextExchange)) {
-            mNextExchange = s.now().plus(mConfig.exchangeInterval());
-            s.emit(new RouterEffect.SendExchange(mMemberships.cursor()));
-        }
+        mExchanges.onTick(s, mMemberships.cursor());
     }
 
     private void onRequestEvent(Step s, RouterEvent event) {
