Check attempts against the engine's own record of what ran

Any order of begins, resumes, acknowledgements, cancels, revocations, closed streams, engine answers, long waits, drains and restarts, 3000 histories from one seed. It found first that a begin repeated across a restart is refused as not run by the run that can't know; the model now says what routers and their connections guarantee, that one begin can't reach two runs.

--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
@@ -0,0 +1,252 @@
+package org.laurelweir.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.laurelweir.attempt.AttemptState;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.ServiceLoad;
+
+/**
+ * Any order of messages, also late, repeated and crossed ones, against the engine's own record of
+ * what ran.
+ */
+class AttemptHistoryTest {
+    private enum Kind {
+        BEGIN,
+        RESUME,
+        ACKNOWLEDGE,
+        CANCEL,
+        REVOKE,
+        CLOSE_STREAM,
+        ENGINE,
+        TICK,
+        WAIT_LONG,
+        RESTART,
+        DRAIN,
+        MEAN
+    }
+
+    /** One thing that happens; the numbers choose among what there is. */
+    private record Happening(Kind kind, int which, int how) {}
+
+    @Property(tries = 3000, seed = "42001")
+    void neverTwiceNeverAfterDenialAndAlwaysWhole(@ForAll("histories") List<Happening> happenings) {
+        World world = new World();
+        happenings.forEach(world::happen);
+    }
+
+    @Provide
+    Arbitrary<List<Happening>> histories() {
+        Arbitrary<Kind> kinds =
+                Arbitraries.frequency(
+                        Tuple.of(8, Kind.BEGIN),
+                        Tuple.of(5, Kind.RESUME),
+                        Tuple.of(3, Kind.ACKNOWLEDGE),
+                        Tuple.of(1, Kind.CANCEL),
+                        Tuple.of(3, Kind.REVOKE),
+                        Tuple.of(2, Kind.CLOSE_STREAM),
+                        Tuple.of(24, Kind.ENGINE),
+                        Tuple.of(4, Kind.TICK),
+                        Tuple.of(1, Kind.WAIT_LONG),
+                        Tuple.of(1, Kind.RESTART),
+                        Tuple.of(1, Kind.DRAIN),
+                        Tuple.of(1, Kind.MEAN));
+        Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 1 << 16);
+        return Combinators.combine(kinds, numbers, numbers)
+                .as(Happening::new)
+                .list()
+                .ofMinSize(20)
+                .ofMaxSize(120);
+    }
+
+    /** Routers, a sidecar that may restart, and its engine. */
+    private static final class World {
+        private static final int REQUESTS = 2;
+        private static final int TRIES = 2;
+        private static final Duration[] WAITS = {
+            Duration.ofSeconds(3), Duration.ofSeconds(40), Duration.ofMinutes(31)
+        };
+
+        private final FakeEngine mEngine = new FakeEngine();
+        private final Set<AttemptId> mDenied = new HashSet<>();
+        private final Map<Long, StreamCheck> mStreams = new HashMap<>();
+        private final Map<AttemptId, Long> mBegunAt = new HashMap<>();
+        private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
+        private long mIncarnation = 1;
+        private SidecarReducer mSidecar = sidecar();
+        private long mStreamCount;
+        private AttemptId mRevoking;
+
+        private SidecarReducer sidecar() {
+            return new SidecarReducer(
+                    new SidecarIdentity(self(), Requests.SERVICE, "bergen", "vestkyst", "a", 1));
+        }
+
+        private BackendRef self() {
+            return new BackendRef("engine-1", mIncarnation);
+        }
+
+        private AttemptId attempt(int which) {
+            return new AttemptId("router-1", 1, which % REQUESTS, 1 + which / REQUESTS % TRIES);
+        }
+
+        /** Each attempt was sent to one run of the sidecar, as routers do. */
+        private BackendRef target(AttemptId id) {
+            return new BackendRef("engine-1", id.attempt());
+        }
+
+        void happen(Happening h) {
+            mNow = mNow.plusMillis(h.how() % 200);
+            AttemptId id = attempt(h.which());
+            switch (h.kind()) {
+                case BEGIN -> begin(id, h.how());
+                case RESUME -> resume(id, h.how());
+                case ACKNOWLEDGE -> acknowledge(id, h.how());
+                case CANCEL -> step(new SidecarEvent.AttemptCancelled(id));
+                case REVOKE -> revoke(id);
+                case CLOSE_STREAM -> closeStream(h.how());
+                case ENGINE -> engine(id, h.how());
+                case TICK -> step(new SidecarEvent.Tick());
+                case WAIT_LONG -> waitLong(h.how());
+                case RESTART -> restart();
+                case DRAIN -> exchange(h.how() % 3 == 0, 0);
+                default -> exchange(false, h.how());
+            }
+        }
+
+        private void begin(AttemptId id, int how) {
+            // A router begins an attempt once, and the connection that carries the message ends
+            // with the sidecar's run: what reached one run can't reach the next one.
+            if (mBegunAt.computeIfAbsent(id, i -> mIncarnation) != mIncarnation) {
+                return;
+            }
+            Requests request = Requests.request(id).target(target(id)).outputTokens(3000);
+            if (how % 3 == 0) {
+                request.key("key", Duration.ofMinutes(5));
+            }
+            mStreams.put(++mStreamCount, new StreamCheck(id, 0));
+            step(new SidecarEvent.AttemptBegun(mStreamCount, request.build()));
+        }
+
+        private void resume(AttemptId id, int how) {
+            long offset = offset(how);
+            mStreams.put(++mStreamCount, new StreamCheck(id, offset));
+            step(new SidecarEvent.AttemptResumed(mStreamCount, id, target(id), offset));
+        }
+
+        private long offset(int how) {
+            return how % 2 == 0 ? 0 : how % 40;
+        }
+
+        private void acknowledge(AttemptId id, int how) {
+            step(new SidecarEvent.OutputAcknowledged(id, how % 40));
+        }
+
+        private void revoke(AttemptId id) {
+            mRevoking = id;
+            step(new SidecarEvent.AttemptRevoked(0, id, target(id)));
+        }
+
+        private void closeStream(int how) {
+            List<Long> open = new ArrayList<>(mStreams.keySet());
+            if (!open.isEmpty()) {
+                long stream = open.get(how % open.size());
+                mStreams.remove(stream);
+                step(new SidecarEvent.StreamClosed(stream));
+            }
+        }
+
+        private void engine(AttemptId id, int how) {
+            SidecarEvent event = mEngine.act(id, act(how));
+            if (event != null) {
+                step(event);
+            }
+        }
+
+        private static FakeEngine.Act act(int how) {
+            if (how % 32 == 0) {
+                return FakeEngine.Act.REFUSE_CONNECTION;
+            }
+            return how % 32 == 1 ? FakeEngine.Act.BREAK : FakeEngine.Act.GO_ON;
+        }
+
+        private void waitLong(int how) {
+            mNow = mNow.plus(WAITS[how % WAITS.length]);
+            step(new SidecarEvent.Tick());
+        }
+
+        private void restart() {
+            mIncarnation++;
+            mStreams.clear();
+            mSidecar = sidecar();
+        }
+
+        private void exchange(boolean drain, double mean) {
+            step(
+                    new SidecarEvent.ExchangeAnswered(
+                            new MembershipDelta(MembershipCursor.NONE, false, List.of()),
+                            List.of(new ServiceLoad(Requests.SERVICE, mean, 3)),
+                            drain,
+                            0));
+        }
+
+        private void step(SidecarEvent event) {
+            mSidecar.step(mNow, event, this::check);
+        }
+
+        private void check(SidecarEffect effect) {
+            if (effect instanceof SidecarEffect.StartEngineCall e) {
+                AttemptId id = e.request().id();
+                assertThat(mDenied).as("run after denial").doesNotContain(id);
+                assertThat(mEngine.runCount(id)).as("runs of %s before", id).isZero();
+                mEngine.called(id);
+            } else if (effect instanceof SidecarEffect.AnswerRevoke e) {
+                checkRevoke(e);
+            } else if (effect instanceof SidecarEffect.SendFrame e) {
+                checkFrame(e);
+            } else if (effect instanceof SidecarEffect.CloseStream e) {
+                mStreams.remove(e.stream());
+            }
+        }
+
+        private void checkFrame(SidecarEffect.SendFrame e) {
+            StreamCheck stream = mStreams.get(e.stream());
+            assertThat(stream).as("a frame on a closed stream: %s", e).isNotNull();
+            stream.take(e.frame());
+            if (e.frame().frame() instanceof Frame.Refused r) {
+                assertThat(r.code().isNotRun()).isTrue();
+                deny(e.frame().attempt());
+            }
+        }
+
+        private void checkRevoke(SidecarEffect.AnswerRevoke e) {
+            if (e.state() == AttemptState.NEVER_STARTED) {
+                deny(mRevoking);
+            }
+        }
+
+        private void deny(AttemptId id) {
+            assertThat(mEngine.runCount(id)).as("runs of %s, denied", id).isZero();
+            mDenied.add(id);
+        }
+    }
+}
