Seat chats at their homes, leave in order, and gate orders by fence

Leaving refuses what waits, hands the directory over and waits for what runs. Orders pass only after control has told the highest fencing number.

--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
@@ -53,6 +53,10 @@
         mPolicy = new BoundPolicy(settings.bound());
     }
 
+    boolean isSelf(String server) {
+        return server.equals(mSelf);
+    }
+
     int waiting() {
         return mQueue.size();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Endings.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Endings.java
@@ -10,18 +10,21 @@
     private final RunningLoad mLoad;
     private final FrameSender mFrames;
     private final RunTimes mTimes;
+    private final ChatHomes mHomes;
 
     Endings(
             AttemptTable table,
             AttemptMemory memory,
             RunningLoad load,
             FrameSender frames,
-            RunTimes times) {
+            RunTimes times,
+            ChatHomes homes) {
         mTable = table;
         mMemory = memory;
         mLoad = load;
         mFrames = frames;
         mTimes = times;
+        mHomes = homes;
     }
 
     /**
@@ -41,7 +44,8 @@
     /** Ends an attempt that was started; its output stays for a while. */
     void end(Step step, Attempt attempt, Frame ending) {
         release(attempt);
-        if (ending instanceof Frame.End) {
+        if (ending instanceof Frame.End e && isSuccess(attempt)) {
+            mHomes.answered(attempt.request(), e.usage());
             mTimes.add(attempt.work(), Duration.between(attempt.started(), step.now()));
         }
         attempt.end(step.now(), ending);
@@ -64,6 +68,10 @@
         mTable.remove(attempt);
     }
 
+    private static boolean isSuccess(Attempt attempt) {
+        return attempt.head().status() / 100 == 2;
+    }
+
     private void release(Attempt attempt) {
         if (attempt.phase() == Attempt.Phase.RUNNING) {
             mLoad.remove(attempt.work());
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Members.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Members.java
@@ -25,8 +25,12 @@
         mView = ServiceView.empty(service);
     }
 
-    /** Takes what a control instance says of the membership; of other services nothing is kept. */
-    void apply(MembershipDelta delta) {
+    /**
+     * Takes what a control instance says of the membership; of other services nothing is kept.
+     *
+     * @return whether anything changed
+     */
+    boolean apply(MembershipDelta delta) {
         List<ViewChange> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (Backend b : delta.backends()) {
@@ -39,9 +43,11 @@
             leaveAbsent(present, changes);
         }
         mCursor = delta.cursor();
-        if (!changes.isEmpty()) {
-            mView = mView.apply(mView.version() + 1, changes);
+        if (changes.isEmpty()) {
+            return false;
         }
+        mView = mView.apply(mView.version() + 1, changes);
+        return true;
     }
 
     private void change(Backend backend, List<ViewChange> changes) {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEffect.java
@@ -54,6 +54,13 @@
     /** Log a decision and keep it for {@code explain}. */
     record Decided(Decision decision) implements SidecarEffect {}
 
+    /**
+     * Control knows a later incarnation of this sidecar than this one.
+     *
+     * @param idle whether nothing was begun here, so that a still later one can take over
+     */
+    record Superseded(long incarnation, boolean idle) implements SidecarEffect {}
+
     /** Everything in flight has ended: the process may exit. */
     record Stopped() implements SidecarEffect {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEvent.java
@@ -58,7 +58,13 @@
     /** Whether the backend server can be reached at all. */
     record EngineReachable(boolean reachable) implements SidecarEvent {}
 
-    /** A control instance answered an exchange. */
+    /**
+     * A control instance answered an exchange.
+     *
+     * @param drain whether an operator wants this backend server drained
+     * @param fence the highest fencing number issued for this backend server, or -1 where the
+     *     control instance may be out of date
+     */
     record ExchangeAnswered(
             MembershipDelta membership, List<ServiceLoad> loads, boolean drain, long fence)
             implements SidecarEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -8,6 +8,7 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.placement.Candidate;
 
 /**
  * Decides everything that a sidecar does. This class only hands events to the part that each
@@ -23,11 +24,13 @@
     private final SidecarIdentity mSelf;
     private final RunningLoad mLoad;
     private final Members mMembers;
-    private final Drain mDrain = new Drain();
     private final Announcer mAnnouncer;
+    private final Orders mOrders = new Orders();
     private final AttemptTable mTable = new AttemptTable();
     private final AttemptMemory mMemory =
             new AttemptMemory(MEMORY_KEEP, MAX_REMEMBERED, MAX_ROUTER_RUNS);
+    private final ChatHomes mHomes;
+    private final ChatQuestions mQuestions;
     private final Followers mFollowers;
     private final Endings mEndings;
     private final OutputControl mOutput;
@@ -35,9 +38,11 @@
     private final Timeouts mTimeouts;
     private final Arrivals mArrivals;
     private final Admission mAdmission;
+    private final Seating mSeating;
+    private final Drain mDrain;
     private SidecarSettings mSettings = SidecarSettings.DEFAULT;
     private boolean mReachable = true;
-    private boolean mStopped;
+    private boolean mStarted;
 
     /**
      * Creates the reducer of an idle sidecar.
@@ -45,42 +50,46 @@
      * @param self who the sidecar is
      */
     public SidecarReducer(SidecarIdentity self) {
+        String name = self.ref().id();
         mSelf = self;
         mLoad = new RunningLoad(self.weight());
         mMembers = new Members(self.service());
         mAnnouncer = new Announcer(self);
+        mHomes = new ChatHomes(name, mMembers);
+        mQuestions = new ChatQuestions(mMembers);
         RunTimes times = new RunTimes();
         OutputTotal total = new OutputTotal();
         FrameSender frames = new FrameSender(mLoad, this::isClosed);
-        mEndings = new Endings(mTable, mMemory, mLoad, frames, times);
+        mEndings = new Endings(mTable, mMemory, mLoad, frames, times, mHomes);
         mFollowers = new Followers(mTable, mEndings, frames);
         mOutput = new OutputControl(mTable, mEndings, total);
         mExecution = new Execution(mTable, mEndings, mFollowers, frames, mLoad, mOutput);
         mTimeouts = new Timeouts(mTable, mEndings, mExecution);
         mArrivals = new Arrivals(self.ref(), mTable, mMemory, mFollowers, frames, total);
-        NextInRank next = new NextInRank(self.ref().id(), mMembers);
-        mAdmission =
-                new Admission(self.ref().id(), mLoad, times, next, mEndings, mExecution, frames);
+        NextInRank next = new NextInRank(name, mMembers);
+        mAdmission = new Admission(name, mLoad, times, next, mEndings, mExecution, frames);
         mAdmission.setSettings(mSettings);
+        mSeating = new Seating(mHomes, mQuestions, mMembers, mAdmission);
+        mDrain = new Drain(mTable, mAdmission, mQuestions, mHomes, mExecution);
     }
 
     @Override
     public void step(Instant now, SidecarEvent event, Consumer<? super SidecarEffect> effects) {
         Step step = new Step(now, effects);
-        take(step, event);
+        if (!mStarted) {
+            mStarted = true;
+            mHomes.joined(now);
+        }
+        if (!takeAboutAttempt(step, event) && !takeFromEngine(step, event)) {
+            takeOther(step, event);
+        }
         mOutput.readOn(step, mSettings.output());
         mAdmission.admitWaiting(step);
-        mAnnouncer.setState(state());
-        if (!mStopped) {
-            mAnnouncer.announce(step, mLoad, mAdmission.waiting(), mMembers.cursor());
-        }
-        stopIfDone(step);
+        announce(step);
     }
 
-    private void take(Step step, SidecarEvent event) {
-        if (event instanceof SidecarEvent.Tick) {
-            tick(step);
-        } else if (event instanceof SidecarEvent.AttemptBegun e) {
+    private boolean takeAboutAttempt(Step step, SidecarEvent event) {
+        if (event instanceof SidecarEvent.AttemptBegun e) {
             begin(step, e);
         } else if (event instanceof SidecarEvent.AttemptResumed e) {
             mArrivals.resume(step, e);
@@ -92,7 +101,14 @@
             mFollowers.closed(step, e.stream());
         } else if (event instanceof SidecarEvent.AttemptRevoked e) {
             revoke(step, e);
-        } else if (event instanceof SidecarEvent.EngineAnswered e) {
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean takeFromEngine(Step step, SidecarEvent event) {
+        if (event instanceof SidecarEvent.EngineAnswered e) {
             mExecution.answered(step, e, mSettings);
         } else if (event instanceof SidecarEvent.EngineSent e) {
             mExecution.sent(step, e, mSettings);
@@ -100,30 +116,42 @@
             mExecution.finished(step, e);
         } else if (event instanceof SidecarEvent.EngineFailed e) {
             mExecution.failed(step, e);
+        } else if (event instanceof SidecarEvent.EngineReachable e) {
+            mReachable = e.reachable();
         } else {
-            takeOther(step, event);
+            return false;
         }
+        return true;
     }
 
     private void takeOther(Step step, SidecarEvent event) {
-        if (event instanceof SidecarEvent.EngineReachable e) {
-            mReachable = e.reachable();
+        if (event instanceof SidecarEvent.Tick) {
+            tick(step);
         } else if (event instanceof SidecarEvent.ExchangeAnswered e) {
             exchanged(step, e);
         } else if (event instanceof SidecarEvent.SettingsChanged e) {
             mSettings = e.settings();
             mAdmission.setSettings(mSettings);
+        } else if (event instanceof SidecarEvent.ChatsLocated e) {
+            mSeating.answered(step, e);
+        } else if (event instanceof SidecarEvent.ChatsAsked e) {
+            mHomes.answer(step, e);
+        } else if (event instanceof SidecarEvent.ChatsHandedOver e) {
+            e.locations().forEach(mHomes::located);
+        } else if (event instanceof SidecarEvent.OrderReceived e) {
+            mOrders.received(step, e);
         } else if (event instanceof SidecarEvent.StopRequested) {
-            mDrain.stop(step.now());
-            turnWaitingAway(step);
+            mDrain.stop(step);
         }
     }
 
     private void tick(Step step) {
         mTimeouts.check(step, mSettings);
         mMemory.expire(step.now());
+        mSeating.expire(step);
         mAdmission.expire(step);
         mFollowers.sendProgress(step, mSettings.progressInterval());
+        mHomes.sendNotices(step);
     }
 
     private void begin(Step step, SidecarEvent.AttemptBegun event) {
@@ -132,12 +160,12 @@
             return;
         }
         if (mDrain.isDraining()) {
-            mAdmission.turnAway(step, attempt, mDrain.code(), AdmissionReason.DRAINING);
+            mDrain.turnAway(step, attempt);
         } else if (!mReachable) {
             mAdmission.turnAway(
                     step, attempt, ResultCode.BACKEND_REFUSED, AdmissionReason.UNREACHABLE);
         } else {
-            mAdmission.place(step, attempt, 0);
+            mSeating.seat(step, attempt);
         }
     }
 
@@ -168,6 +196,7 @@
     }
 
     private void refuseWaiting(Step step, Attempt attempt) {
+        mQuestions.forget(attempt);
         mAdmission.forget(attempt);
         String message = "withdrawn before it started";
         mEndings.refuse(
@@ -175,19 +204,40 @@
     }
 
     private void exchanged(Step step, SidecarEvent.ExchangeAnswered event) {
-        mMembers.apply(event.membership());
+        if (mMembers.apply(event.membership())) {
+            mHomes.membersChanged();
+            checkIncarnation(step);
+        }
         for (ServiceLoad l : event.loads()) {
             if (l.service().equals(mSelf.service())) {
                 mLoad.setMean(step.now(), l.meanWork());
             }
         }
-        mDrain.setOrdered(event.drain());
-        turnWaitingAway(step);
+        mOrders.heard(event.fence());
+        mDrain.order(step, event.drain());
     }
 
-    private void turnWaitingAway(Step step) {
-        if (mDrain.isDraining()) {
-            mAdmission.turnAllAway(step, mDrain.code(), AdmissionReason.DRAINING);
+    /**
+     * Looks for a later incarnation of this sidecar. The clock that gave ours may have gone back
+     * since the run before: routers then go on asking for that run, and everything they send here
+     * is refused.
+     */
+    private void checkIncarnation(Step step) {
+        Candidate self = mMembers.view().candidate(mSelf.ref().id());
+        if (self != null && self.ref().incarnation() > mSelf.ref().incarnation()) {
+            step.emit(new SidecarEffect.Superseded(self.ref().incarnation(), mTable.isEmpty()));
+        }
+    }
+
+    private void announce(Step step) {
+        if (mDrain.isStopped()) {
+            return;
+        }
+        boolean stopped = mDrain.endStop(step, mSettings.drainTimeout());
+        mAnnouncer.setState(state());
+        mAnnouncer.announce(step, mLoad, mAdmission.waiting(), mMembers.cursor());
+        if (stopped) {
+            step.emit(new SidecarEffect.Stopped());
         }
     }
 
@@ -197,22 +247,9 @@
     }
 
     private Backend.State state() {
-        if (mStopped) {
+        if (mDrain.isStopped()) {
             return Backend.State.LEFT;
         }
         return isClosed() ? Backend.State.DRAINING : Backend.State.SERVING;
     }
-
-    private void stopIfDone(Step step) {
-        if (mStopped || !mDrain.isStopping()) {
-            return;
-        }
-        boolean done = mTable.all().stream().allMatch(Attempt::isEndingSent);
-        if (done || mDrain.isOverdue(step.now(), mSettings.drainTimeout())) {
-            mStopped = true;
-            mAnnouncer.setState(Backend.State.LEFT);
-            mAnnouncer.announce(step, mLoad, 0, mMembers.cursor());
-            step.emit(new SidecarEffect.Stopped());
-        }
-    }
 }
