Probe again when a follower's hint lies before the match

A follower that refuses an append names the last index before the whole term that conflicts. That may lie before an entry already known to match, if the leader's log holds the beginning of the same term; the leader took such a refusal for a late one, ignored it, and the follower stayed behind for good. It now probes from just after the match.

An append whose previous entry neither side holds is refused, too.

--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementConfig.java
@@ -8,7 +8,7 @@
  * @param electionTimeout a follower that hears no leader for this time, up to twice, campaigns; a
  *     leader that hears no quorum for this time steps down
  * @param heartbeat how often a leader shows that it is alive
- * @param maxBatchBytes payload bytes of one append message, if more than one entry is in it
+ * @param maxBatchBytes about the size of one append message, if more than one entry is in it
  * @param maxInFlight unanswered append messages to one follower
  * @param maxUncommittedBytes payload bytes of uncommitted proposals, above which new ones are
  *     rejected
@@ -57,7 +57,7 @@
             return this;
         }
 
-        /** Sets the payload bytes and the count of unanswered append messages to a follower. */
+        /** Sets the size of append messages and how many to one follower may be unanswered. */
         public Builder flow(int maxBatchBytes, int maxInFlight) {
             mMaxBatchBytes = maxBatchBytes;
             mMaxInFlight = maxInFlight;
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AppendReceiver.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AppendReceiver.java
@@ -35,6 +35,9 @@
     /** What lies before the entries held was committed, so it is the leader's too. */
     private boolean matches(AppendRequest m) {
         ReplicatedLog log = mState.log();
+        if (m.prevIndex() > log.lastIndex()) {
+            return false;
+        }
         return m.prevIndex() < log.baseIndex() || log.termAt(m.prevIndex()) == m.prevTerm();
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/FollowerProgress.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/FollowerProgress.java
@@ -92,9 +92,12 @@
         mNextIndex = Math.max(mNextIndex, mMatchIndex + 1);
     }
 
-    /** Goes back after a mismatch; a reply older than what is known to match changes nothing. */
+    /**
+     * Goes back after a mismatch, though never before what is known to match: a follower that skips
+     * a whole term may name an index before it, and so may a late reply.
+     */
     void mismatched(long lastToTry) {
-        if (mMode == Mode.SNAPSHOT || lastToTry < mMatchIndex) {
+        if (mMode == Mode.SNAPSHOT) {
             return;
         }
         probeFrom(Math.max(mMatchIndex + 1, Math.min(mNextIndex, lastToTry + 1)));
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicatedLog.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicatedLog.java
@@ -11,6 +11,9 @@
     /** What {@link #termAt} gives for an index that is not held. */
     static final long UNKNOWN_TERM = -1;
 
+    /** What an entry takes in a message besides its payload, about. */
+    static final int ENTRY_BYTES = 24;
+
     private final ArrayList<LogEntry> mEntries = new ArrayList<>();
     private final MembershipHistory mMemberships = new MembershipHistory();
     private Snapshot mSnapshot;
@@ -89,7 +92,7 @@
         long bytes = 0;
         for (long i = from; i <= lastIndex(); i++) {
             LogEntry e = entry(i);
-            bytes += e.payload().length;
+            bytes += ENTRY_BYTES + e.payload().length;
             if (!slice.isEmpty() && bytes > maxBytes) {
                 break;
             }
