Operate the fleet from a command line

Settings are read and written as one file form, so that get, an editor and apply fit together; a version in the file is expected as it stands, so an older file can't undo somebody else's change unseen. Each invocation makes one change id and sends it again, to the leader it is hinted at or the next instance, a bounded number of times; where no answer comes the id is shown for a safe resend.

edit is done by the launch script, as the programs start no other process. explain asks the routers first and then only the sidecars that they chose, so that a question costs few connections in a large fleet.

--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
@@ -0,0 +1,120 @@
+package org.laurelweir.pgm;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.pgm.command.Check;
+import org.laurelweir.pgm.command.Completion;
+import org.laurelweir.pgm.command.Drain;
+import org.laurelweir.pgm.command.Explain;
+import org.laurelweir.pgm.command.Order;
+import org.laurelweir.pgm.command.SettingsApply;
+import org.laurelweir.pgm.command.SettingsDiff;
+import org.laurelweir.pgm.command.SettingsEdit;
+import org.laurelweir.pgm.command.SettingsGet;
+import org.laurelweir.pgm.command.SettingsHistory;
+import org.laurelweir.pgm.command.SettingsSet;
+import org.laurelweir.pgm.command.Status;
+import org.laurelweir.pgm.command.Undrain;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.runtime.log.Logging;
+import org.laurelweir.runtime.process.Program;
+
+/** Entry of the command line. */
+public final class Main {
+    private static final List<String> HELP_OPTIONS = List.of("-h", "--help");
+    private static final String HELP = "help";
+
+    private final Console mConsole;
+    private final Cli<PgmCommand> mCli = newCli();
+
+    /** Creates an entry that writes to a console. */
+    public Main(Console console) {
+        mConsole = console;
+    }
+
+    /** Runs one command and ends with its status. */
+    public static void main(String[] args) {
+        new Logging(
+                        new LogSettings(
+                                LogSettings.Format.PLAIN,
+                                LogSettings.Level.ERROR,
+                                Optional.empty()))
+                .start();
+        Console console = new Console(System.out, System.err, System.getenv());
+        System.exit(new Main(console).run(args));
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @param args the command line
+     * @return the process's status: 0, 1 for a difference, fault or nothing found, else the exit
+     *     code of the result code that docs/CODES.md lists
+     */
+    public int run(String... args) {
+        List<String> words = new ArrayList<>(List.of(args));
+        try {
+            if (asksForHelp(words)) {
+                Help.help(mCli.getMetadata(), commandWords(words), mConsole.out());
+                return PgmCommand.SUCCESS;
+            }
+            return mCli.parse(words.toArray(String[]::new)).run(mConsole);
+        } catch (LaurelweirException e) {
+            mConsole.remark(Texts.PROGRAM + ": " + e);
+            return Program.exitCode(e.getCode());
+        } catch (ParseException e) {
+            mConsole.remark(Texts.PROGRAM + ": " + e.getMessage());
+            return Program.exitCode(ResultCode.USAGE);
+        } catch (IOException e) {
+            return Program.exitCode(ResultCode.INTERNAL);
+        }
+    }
+
+    /** Returns whether help is asked for, and removes the words that ask. */
+    private static boolean asksForHelp(List<String> words) {
+        if (words.isEmpty()) {
+            return true;
+        }
+        if (words.get(0).equals(HELP)) {
+            words.remove(0);
+            return true;
+        }
+        return words.removeIf(HELP_OPTIONS::contains);
+    }
+
+    /** Returns the leading words that name a command, without options and arguments. */
+    private static List<String> commandWords(List<String> words) {
+        boolean inGroup = !words.isEmpty() && words.get(0).equals(Texts.SETTINGS);
+        return words.subList(0, Math.min(words.size(), inGroup ? 2 : 1));
+    }
+
+    private static Cli<PgmCommand> newCli() {
+        CliBuilder<PgmCommand> cli =
+                Cli.<PgmCommand>builder(Texts.PROGRAM)
+                        .withDescription(Texts.ABOUT)
+                        .withCommand(Check.class)
+                        .withCommand(Completion.class)
+                        .withCommand(Drain.class)
+                        .withCommand(Explain.class)
+                        .withCommand(Order.class)
+                        .withCommand(Status.class)
+                        .withCommand(Undrain.class);
+        cli.withGroup(Texts.SETTINGS)
+                .withDescription(Texts.SETTINGS_GROUP)
+                .withCommand(SettingsApply.class)
+                .withCommand(SettingsDiff.class)
+                .withCommand(SettingsEdit.class)
+                .withCommand(SettingsGet.class)
+                .withCommand(SettingsHistory.class)
+                .withCommand(SettingsSet.class);
+        return cli.build();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -0,0 +1,81 @@
+package org.laurelweir.pgm;
+
+/** Every text that the command line shows, with places for {@link String#format}. */
+public final class Texts {
+    public static final String PROGRAM = "laurelweir";
+    public static final String ABOUT = "Operates a fleet of routers.";
+    public static final String SETTINGS = "settings";
+    public static final String SETTINGS_GROUP = "Reads and changes the settings tree.";
+
+    public static final String GET = "Shows settings nodes as a file that apply takes.";
+    public static final String SET = "Sets keys of one settings node, all or nothing.";
+    public static final String EDIT =
+            "Opens settings nodes in $VISUAL or $EDITOR and applies them.";
+    public static final String DIFF = "Shows what apply would change; status 1 if anything.";
+    public static final String APPLY = "Makes the settings tree agree with a file.";
+    public static final String HISTORY = "Lists accepted changes, the newest first.";
+    public static final String CHECK = "Checks settings files of any program, with every fault.";
+    public static final String DRAIN = "Lets a backend server finish and take no new work.";
+    public static final String UNDRAIN = "Lets a drained backend server take work again.";
+    public static final String STATUS = "Shows control instances, backend servers and routers.";
+    public static final String EXPLAIN = "Shows the decisions for a request or chat, with inputs.";
+    public static final String ORDER = "Orders a backend server to load something or change role.";
+    public static final String COMPLETION = "Prints a completion script for bash.";
+
+    public static final String OPTION_CONTROL =
+            "Control instances, host:port parted by commas; $LAURELWEIR_CONTROL if absent.";
+    public static final String OPTION_TIMEOUT = "Longest wait for one answer, in seconds.";
+    public static final String OPTION_JSON = "Write the result as one JSON document.";
+    public static final String OPTION_AUTHOR = "Who changes; $USER if absent.";
+    public static final String OPTION_CHANGE_ID =
+            "Id of an earlier invocation that got no answer, to send it again safely.";
+    public static final String OPTION_EXPECT =
+            "Version of the node that you saw, 0 for none; the present one if absent.";
+    public static final String OPTION_EFFECTIVE =
+            "Show what holds for the path's levels, and the node each value comes from.";
+    public static final String OPTION_POSITION = "Show the tree as of an earlier position.";
+    public static final String OPTION_UNSET = "Key that the node shall inherit again; repeatable.";
+    public static final String OPTION_DELETE = "Remove the node.";
+    public static final String OPTION_PRUNE = "Also remove nodes that the file lacks.";
+    public static final String OPTION_LIMIT = "Most entries to show.";
+    public static final String ARGUMENT_PATH =
+            "Node such as /region=vestkyst/service=seilhjerne; / is the deployment.";
+    public static final String ARGUMENT_PATH_OR_ALL = ARGUMENT_PATH + " Every node if absent.";
+    public static final String ARGUMENTS_SET = "The node's path, then KEY=VALUE pairs.";
+    public static final String ARGUMENT_TREE_FILE = "File of settings nodes, as get writes it.";
+    public static final String ARGUMENT_FILES = "Settings files.";
+    public static final String ARGUMENT_BACKEND = "The backend server's name.";
+    public static final String ARGUMENT_SUBJECT =
+            "A request's name or a chat's key; the newest decisions if absent.";
+    public static final String ARGUMENTS_ORDER =
+            "The backend server's name, the order's kind and its argument.";
+
+    public static final String NO_CONTROL =
+            "name a control instance: --control or $LAURELWEIR_CONTROL";
+    public static final String NO_ANSWER = "no control instance answered: %s";
+    public static final String NO_ANSWER_CHANGE =
+            "%s; the change may be in force or not: send it again with --change-id %s";
+    public static final String NOT_A_PAIR = "not KEY=VALUE: %s";
+    public static final String NOTHING_TO_SET = "name a KEY=VALUE, --unset or --delete";
+    public static final String DELETE_ALONE = "--delete takes no keys";
+    public static final String EDIT_BY_SCRIPT =
+            "edit is carried out by the script bin/laurelweir: this program starts no editor";
+    public static final String NO_SUCH_NODE = "no such node: %s";
+    public static final String NO_SUCH_BACKEND = "no such backend server: %s";
+    public static final String FILE_UNREADABLE = "%s: cannot be read: %s";
+    public static final String FILE_FAULT = "%s:%d: %s";
+    public static final String FAULTS = "%d faults";
+    public static final String CONFLICT = "%s stands at version %d by now: %s";
+    public static final String NO_CHANGE = "nothing to change";
+    public static final String CHANGED = "in force at position %d (change %s)";
+    public static final String NO_FAULT = "%s: no fault";
+    public static final String DRAIN_ORDERED =
+            "%s takes no new work; see status for what still runs";
+    public static final String UNDRAIN_ORDERED = "%s takes work again";
+    public static final String ORDER_TAKEN = "%s took the order under fence %d";
+    public static final String SILENT_PROGRAM = "no answer from %s at %s: %s";
+    public static final String NO_DECISION = "no decision found";
+    public static final String DEFAULT_ORIGIN = "default";
+
+    private Texts() {}
+}
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
@@ -0,0 +1,110 @@
+package org.laurelweir.pgm.command;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import org.laurelweir.pgm.Console;
+import org.laurelweir.pgm.PgmCommand;
+import org.laurelweir.pgm.Texts;
+import org.laurelweir.pgm.fleet.DecisionReader;
+import org.laurelweir.pgm.fleet.DecisionReader.SilentProgram;
+import org.laurelweir.pgm.fleet.FleetConnection;
+import org.laurelweir.wire.v1.Decision;
+import org.laurelweir.wire.v1.ExplainRequest;
+
+/** Shows the decisions for a request or chat. */
+@Command(name = "explain", description = Texts.EXPLAIN)
+public final class Explain implements PgmCommand {
+    @AirlineModule private FleetOptions mFleet = new FleetOptions();
+    @AirlineModule private HelpFlag mHelp = new HelpFlag();
+
+    @Option(name = "--limit", title = "COUNT", description = Texts.OPTION_LIMIT)
+    private int mLimit = 20;
+
+    @Arguments(title = "SUBJECT", description = Texts.ARGUMENT_SUBJECT)
+    private String mSubject = "";
+
+    /** Decisions, for scripts. */
+    record Decisions(List<DecisionView> decisions, List<SilentProgram> silent) {}
+
+    /** One decision. */
+    record DecisionView(
+            String at,
+            String program,
+            String request,
+            String chat,
+            String account,
+            String service,
+            List<String> candidates,
+            String choice,
+            String reason,
+            double load,
+            double bound) {
+        static DecisionView of(Decision d) {
+            return new DecisionView(
+                    Instant.ofEpochMilli(d.getAtMillis()).toString(),
+                    d.getProgram(),
+                    d.getRequest(),
+                    Long.toHexString(d.getChat()),
+                    d.getAccount(),
+                    d.getService(),
+                    List.copyOf(d.getCandidatesList()),
+                    d.getChoice(),
+                    d.getReason(),
+                    d.getLoad(),
+                    d.getBound());
+        }
+
+        List<String> lines() {
+            return List.of(
+                    at + " " + program + " " + request + ": " + choice + ", " + reason,
+                    String.format(
+                            Locale.ROOT,
+                            "  chat %s, account %s, service %s, load %.1f, bound %.1f",
+                            chat,
+                            account,
+                            service,
+                            load,
+                            bound),
+                    "  candidates " + String.join(", ", candidates));
+        }
+    }
+
+    @Override
+    public int run(Console console) {
+        return mFleet.withFleet(console, f -> show(f, console));
+    }
+
+    private int show(FleetConnection fleet, Console console) {
+        ExplainRequest request =
+                ExplainRequest.newBuilder().setSubject(mSubject).setLimit(mLimit).build();
+        DecisionReader reader = fleet.decisions();
+        List<DecisionView> decisions =
+                reader.read(fleet.control().status(), request).stream()
+                        .map(DecisionView::of)
+                        .toList();
+        if (mFleet.isJson()) {
+            console.printJson(new Decisions(decisions, reader.silentPrograms()));
+        } else {
+            decisions.forEach(d -> console.print(d.lines()));
+            remark(reader.silentPrograms(), console);
+        }
+        if (decisions.isEmpty()) {
+            console.remark(Texts.NO_DECISION);
+            return NEGATIVE;
+        }
+        return SUCCESS;
+    }
+
+    private static void remark(List<SilentProgram> silent, Console console) {
+        silent.forEach(
+                s ->
+                        console.remark(
+                                String.format(
+                                        Texts.SILENT_PROGRAM, s.name(), s.address(), s.reason())));
+    }
+}
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/FleetOptions.java
@@ -0,0 +1,55 @@
+package org.laurelweir.pgm.command;
+
+import com.github.rvesse.airline.annotations.Option;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.pgm.Console;
+import org.laurelweir.pgm.Texts;
+import org.laurelweir.pgm.fleet.FleetConnection;
+
+/** The options of every command that calls the fleet. */
+public final class FleetOptions {
+    private static final String CONTROL_VARIABLE = "LAURELWEIR_CONTROL";
+    private static final long PAUSE_NANOS = 250_000_000;
+
+    @Option(name = "--control", title = "ADDRESSES", description = Texts.OPTION_CONTROL)
+    private String mControl = "";
+
+    @Option(name = "--timeout", title = "SECONDS", description = Texts.OPTION_TIMEOUT)
+    private int mTimeoutSeconds = 3;
+
+    @Option(name = "--json", description = Texts.OPTION_JSON)
+    private boolean mJson;
+
+    /** Returns whether the result is meant for a script. */
+    boolean isJson() {
+        return mJson;
+    }
+
+    /**
+     * Connects to the fleet while a command's work runs.
+     *
+     * @param console gives the control instances where no option does
+     * @param work the command
+     * @return the work's result
+     */
+    int withFleet(Console console, Function<FleetConnection, Integer> work) {
+        String text = mControl.isEmpty() ? console.variable(CONTROL_VARIABLE) : mControl;
+        List<String> addresses =
+                Stream.of(text.split(",")).map(String::strip).filter(a -> !a.isEmpty()).toList();
+        if (addresses.isEmpty()) {
+            throw new LaurelweirException(ResultCode.USAGE, Texts.NO_CONTROL);
+        }
+        Duration timeout = Duration.ofSeconds(mTimeoutSeconds);
+        Runnable pause = () -> LockSupport.parkNanos(PAUSE_NANOS);
+        try (FleetConnection fleet = new FleetConnection(addresses, timeout, pause)) {
+            fleet.start();
+            return work.apply(fleet);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/package-info.java
@@ -0,0 +1,2 @@
+/** One class for each subcommand. */
+package org.laurelweir.pgm.command;
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -0,0 +1,163 @@
+package org.laurelweir.pgm.fleet;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.laurelweir.pgm.Table;
+import org.laurelweir.wire.v1.BackendStatus;
+import org.laurelweir.wire.v1.ControlStatus;
+import org.laurelweir.wire.v1.RouterStatus;
+import org.laurelweir.wire.v1.ServiceLoad;
+import org.laurelweir.wire.v1.StatusReply;
+
+/**
+ * The fleet as {@code status} shows it.
+ *
+ * @param settingsPosition the position of the newest accepted change of settings
+ * @param controls control instances
+ * @param services services with their load; work is in token units
+ * @param backends backend servers
+ * @param routers routers
+ */
+public record FleetView(
+        long settingsPosition,
+        List<Control> controls,
+        List<ServiceMean> services,
+        List<BackendServer> backends,
+        List<Router> routers) {
+
+    /** A control instance. */
+    record Control(
+            String name,
+            String address,
+            boolean leader,
+            long term,
+            long applied,
+            long committed,
+            boolean possiblyStale) {
+        static Control of(ControlStatus c) {
+            return new Control(
+                    c.getName(),
+                    c.getAddress(),
+                    c.getLeader(),
+                    c.getTerm(),
+                    c.getApplied(),
+                    c.getCommitted(),
+                    c.getPossiblyStale());
+        }
+    }
+
+    /** A service's mean load. */
+    record ServiceMean(String service, int backends, double meanWork) {
+        static ServiceMean of(ServiceLoad l) {
+            return new ServiceMean(l.getService(), l.getBackends(), l.getMeanWork());
+        }
+    }
+
+    /** A backend server with its sidecar. */
+    record BackendServer(
+            String id,
+            String service,
+            String dataCentre,
+            String address,
+            String state,
+            boolean drainOrdered,
+            int running,
+            int waiting,
+            double work) {
+        static BackendServer of(BackendStatus b) {
+            return new BackendServer(
+                    b.getBackend().getRef().getId(),
+                    b.getBackend().getService(),
+                    b.getBackend().getDataCentre(),
+                    b.getBackend().getAddress(),
+                    b.getBackend().getState().name(),
+                    b.getDrainOrdered(),
+                    b.getRunning(),
+                    b.getWaiting(),
+                    b.getRunningWork());
+        }
+    }
+
+    /** A router. */
+    record Router(
+            String name,
+            String dataCentre,
+            String address,
+            String explainAddress,
+            long settingsPosition,
+            String heard) {
+        static Router of(RouterStatus r) {
+            return new Router(
+                    r.getRouter().getName(),
+                    r.getRouter().getDataCentre(),
+                    r.getRouter().getAddress(),
+                    r.getRouter().getExplainAddress(),
+                    r.getSettingsPosition(),
+                    Instant.ofEpochMilli(r.getHeardMillis()).toString());
+        }
+    }
+
+    /** Returns the view of an answer of control. */
+    public static FleetView of(StatusReply reply) {
+        return new FleetView(
+                reply.getSettingsPosition(),
+                reply.getControlsList().stream().map(Control::of).toList(),
+                reply.getLoadsList().stream().map(ServiceMean::of).toList(),
+                reply.getBackendsList().stream().map(BackendServer::of).toList(),
+                reply.getRoutersList().stream().map(Router::of).toList());
+    }
+
+    /** Returns the view for people: a table for each kind of program. */
+    public List<String> lines() {
+        List<String> lines = new ArrayList<>();
+        lines.add("settings position " + settingsPosition);
+        List.of(controlTable(), serviceTable(), backendTable(), routerTable())
+                .forEach(
+                        t -> {
+                            lines.add("");
+                            lines.addAll(t.lines());
+                        });
+        return lines;
+    }
+
+    private Table controlTable() {
+        Table t = new Table("CONTROL", "ADDRESS", "ROLE", "TERM", "APPLIED", "COMMITTED", "STATE");
+        for (Control c : controls) {
+            String role = c.leader ? "leader" : "follower";
+            String state = c.possiblyStale ? "possibly stale" : "current";
+            t.add(c.name, c.address, role, c.term, c.applied, c.committed, state);
+        }
+        return t;
+    }
+
+    private Table serviceTable() {
+        Table t = new Table("SERVICE", "BACKEND SERVERS", "MEAN WORK");
+        services.forEach(s -> t.add(s.service, s.backends, s.meanWork));
+        return t;
+    }
+
+    private Table backendTable() {
+        Table t =
+                new Table(
+                        "BACKEND SERVER",
+                        "SERVICE",
+                        "DATA CENTRE",
+                        "ADDRESS",
+                        "STATE",
+                        "RUNNING",
+                        "WAITING",
+                        "WORK");
+        for (BackendServer b : backends) {
+            String state = b.state + (b.drainOrdered ? " (drain ordered)" : "");
+            t.add(b.id, b.service, b.dataCentre, b.address, state, b.running, b.waiting, b.work);
+        }
+        return t;
+    }
+
+    private Table routerTable() {
+        Table t = new Table("ROUTER", "DATA CENTRE", "ADDRESS", "SETTINGS", "HEARD");
+        routers.forEach(r -> t.add(r.name, r.dataCentre, r.address, r.settingsPosition, r.heard));
+        return t;
+    }
+}
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/package-info.java
@@ -0,0 +1,2 @@
+/** Settings trees as files, and what a file changes in the tree in force. */
+package org.laurelweir.pgm.tree;
--- /dev/null
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -0,0 +1,303 @@
+package org.laurelweir.pgm;
+
+import com.codahale.metrics.MetricRegistry;
+import io.grpc.BindableService;
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.runtime.rpc.EventLoops;
+import org.laurelweir.runtime.rpc.RpcServer;
+import org.laurelweir.runtime.rpc.TrafficCounters;
+import org.laurelweir.wire.v1.Backend;
+import org.laurelweir.wire.v1.BackendRef;
+import org.laurelweir.wire.v1.BackendState;
+import org.laurelweir.wire.v1.BackendStatus;
+import org.laurelweir.wire.v1.ChangeSettingsReply;
+import org.laurelweir.wire.v1.ChangeSettingsRequest;
+import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.Decision;
+import org.laurelweir.wire.v1.DrainReply;
+import org.laurelweir.wire.v1.DrainRequest;
+import org.laurelweir.wire.v1.ExplainReply;
+import org.laurelweir.wire.v1.ExplainRequest;
+import org.laurelweir.wire.v1.HistoryEntry;
+import org.laurelweir.wire.v1.HistoryReply;
+import org.laurelweir.wire.v1.HistoryRequest;
+import org.laurelweir.wire.v1.IssueFenceReply;
+import org.laurelweir.wire.v1.IssueFenceRequest;
+import org.laurelweir.wire.v1.NodeChange;
+import org.laurelweir.wire.v1.OrderReply;
+import org.laurelweir.wire.v1.OrderRequest;
+import org.laurelweir.wire.v1.ReadSettingsReply;
+import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.RouterReport;
+import org.laurelweir.wire.v1.RouterServiceGrpc;
+import org.laurelweir.wire.v1.RouterStatus;
+import org.laurelweir.wire.v1.SettingsNode;
+import org.laurelweir.wire.v1.SidecarServiceGrpc;
+import org.laurelweir.wire.v1.StatusReply;
+import org.laurelweir.wire.v1.StatusRequest;
+
+/** A leader and a follower of control, a router and a sidecar, over loopback and without a log. */
+final class FakeFleet implements Service {
+    static final String BACKEND = "sh-1";
+
+    private final EventLoops mLoops = new EventLoops("fake", 1);
+    private final Map<String, SettingsNode> mNodes = new TreeMap<>();
+    private final Map<String, ChangeSettingsReply> mAnswers = new HashMap<>();
+    private final List<HistoryEntry> mHistory = new ArrayList<>();
+    private final List<OrderRequest> mOrders = new ArrayList<>();
+    private final List<DrainRequest> mDrains = new ArrayList<>();
+    private final RpcServer mLeader = server(new Leader());
+    private final RpcServer mFollower = server(new Follower());
+    private final RpcServer mRouter = server(new Router());
+    private final RpcServer mSidecar = server(new Sidecar());
+    private long mPosition;
+    private int mChangeCalls;
+    private int mLostAnswers;
+
+    @Override
+    public void start() {
+        List.of(mLeader, mFollower, mRouter, mSidecar).forEach(RpcServer::start);
+    }
+
+    @Override
+    public void stop() {
+        List.of(mLeader, mFollower, mRouter, mSidecar).forEach(RpcServer::stop);
+        mLoops.stop();
+    }
+
+    String leader() {
+        return address(mLeader);
+    }
+
+    String follower() {
+        return address(mFollower);
+    }
+
+    /** Makes that many answers to changes get lost after the change was accepted. */
+    synchronized void loseAnswers(int count) {
+        mLostAnswers = count;
+    }
+
+    synchronized void put(String path, long version, Map<String, String> values) {
+        mPosition = version;
+        mNodes.put(path, node(path, values));
+    }
+
+    synchronized SettingsNode node(String path) {
+        return mNodes.get(path);
+    }
+
+    synchronized int changeCalls() {
+        return mChangeCalls;
+    }
+
+    synchronized List<OrderRequest> orders() {
+        return List.copyOf(mOrders);
+    }
+
+    synchronized List<DrainRequest> drains() {
+        return List.copyOf(mDrains);
+    }
+
+    private RpcServer server(BindableService service) {
+        return RpcServer.builder(mLoops, new TrafficCounters(new MetricRegistry()))
+                .service(service)
+                .build();
+    }
+
+    private static String address(RpcServer server) {
+        return "127.0.0.1:" + server.port();
+    }
+
+    private SettingsNode node(String path, Map<String, String> values) {
+        return SettingsNode.newBuilder()
+                .setPath(path)
+                .setVersion(mPosition)
+                .putAllValues(values)
+                .build();
+    }
+
+    private ChangeSettingsReply accept(ChangeSettingsRequest request) {
+        ChangeSettingsReply.Builder reply = ChangeSettingsReply.newBuilder();
+        for (NodeChange c : request.getChangesList()) {
+            SettingsNode present = mNodes.get(c.getPath());
+            if ((present == null ? 0 : present.getVersion()) != c.getExpectedVersion()) {
+                return reply.setCode(ResultCode.SETTINGS_CONFLICT.number())
+                        .addNodes(present)
+                        .build();
+            }
+        }
+        mPosition++;
+        request.getChangesList().forEach(this::change);
+        mHistory.add(
+                HistoryEntry.newBuilder()
+                        .setPosition(mPosition)
+                        .setChangeId(request.getChangeId())
+                        .setAuthor(request.getAuthor())
+                        .addAllChanges(request.getChangesList())
+                        .build());
+        return reply.setPosition(mPosition).build();
+    }
+
+    private void change(NodeChange c) {
+        Map<String, String> values = new TreeMap<>();
+        if (mNodes.containsKey(c.getPath())) {
+            values.putAll(mNodes.get(c.getPath()).getValuesMap());
+        }
+        values.putAll(c.getSetMap());
+        values.keySet().removeAll(c.getRemoveList());
+        if (c.getDelete()) {
+            mNodes.remove(c.getPath());
+        } else {
+            mNodes.put(c.getPath(), node(c.getPath(), values));
+        }
+    }
+
+    private static <T> void answer(StreamObserver<T> observer, T reply) {
+        observer.onNext(reply);
+        observer.onCompleted();
+    }
+
+    private final class Leader extends ControlServiceGrpc.ControlServiceImplBase {
+        @Override
+        public void readSettings(
+                ReadSettingsRequest request, StreamObserver<ReadSettingsReply> observer) {
+            synchronized (FakeFleet.this) {
+                ReadSettingsReply.Builder reply =
+                        ReadSettingsReply.newBuilder().setPosition(mPosition);
+                mNodes.values().stream()
+                        .filter(
+                                n ->
+                                        request.getPath().isEmpty()
+                                                || n.getPath().equals(request.getPath()))
+                        .forEach(reply::addNodes);
+                answer(observer, reply.build());
+            }
+        }
+
+        @Override
+        public void changeSettings(
+                ChangeSettingsRequest request, StreamObserver<ChangeSettingsReply> observer) {
+            synchronized (FakeFleet.this) {
+                mChangeCalls++;
+                ChangeSettingsReply reply =
+                        mAnswers.computeIfAbsent(request.getChangeId(), id -> accept(request));
+                if (mLostAnswers > 0) {
+                    mLostAnswers--;
+                    observer.onError(Status.UNAVAILABLE.asRuntimeException());
+                    return;
+                }
+                answer(observer, reply);
+            }
+        }
+
+        @Override
+        public void history(HistoryRequest request, StreamObserver<HistoryReply> observer) {
+            synchronized (FakeFleet.this) {
+                answer(observer, HistoryReply.newBuilder().addAllEntries(mHistory).build());
+            }
+        }
+
+        @Override
+        public void drain(DrainRequest request, StreamObserver<DrainReply> observer) {
+            synchronized (FakeFleet.this) {
+                mDrains.add(request);
+                answer(observer, DrainReply.getDefaultInstance());
+            }
+        }
+
+        @Override
+        public void issueFence(
+                IssueFenceRequest request, StreamObserver<IssueFenceReply> observer) {
+            answer(observer, IssueFenceReply.newBuilder().setFence(7).build());
+        }
+
+        @Override
+        public void status(StatusRequest request, StreamObserver<StatusReply> observer) {
+            Backend.Builder backend =
+                    Backend.newBuilder()
+                            .setRef(BackendRef.newBuilder().setId(BACKEND))
+                            .setService("seilhjerne")
+                            .setAddress(address(mSidecar))
+                            .setState(BackendState.SERVING);
+            RouterReport.Builder router =
+                    RouterReport.newBuilder().setName("r1").setExplainAddress(address(mRouter));
+            RouterReport.Builder gone =
+                    RouterReport.newBuilder().setName("r2").setExplainAddress("127.0.0.1:1");
+            answer(
+                    observer,
+                    StatusReply.newBuilder()
+                            .addBackends(BackendStatus.newBuilder().setBackend(backend))
+                            .addRouters(RouterStatus.newBuilder().setRouter(router))
+                            .addRouters(RouterStatus.newBuilder().setRouter(gone))
+                            .build());
+        }
+    }
+
+    private final class Follower extends ControlServiceGrpc.ControlServiceImplBase {
+        @Override
+        public void changeSettings(
+                ChangeSettingsRequest request, StreamObserver<ChangeSettingsReply> observer) {
+            answer(
+                    observer,
+                    ChangeSettingsReply.newBuilder()
+                            .setCode(ResultCode.NOT_LEADER.number())
+                            .setLeader(leader())
+                            .build());
+        }
+
+        @Override
+        public void readSettings(
+                ReadSettingsRequest request, StreamObserver<ReadSettingsReply> observer) {
+            answer(
+                    observer,
+                    ReadSettingsReply.newBuilder()
+                            .setCode(ResultCode.NOT_LEADER.number())
+                            .setLeader(leader())
+                            .build());
+        }
+    }
+
+    private static final class Router extends RouterServiceGrpc.RouterServiceImplBase {
+        @Override
+        public void explain(ExplainRequest request, StreamObserver<ExplainReply> observer) {
+            answer(observer, FakeFleet.decision("router", request, 1));
+        }
+    }
+
+    private final class Sidecar extends SidecarServiceGrpc.SidecarServiceImplBase {
+        @Override
+        public void explain(ExplainRequest request, StreamObserver<ExplainReply> observer) {
+            answer(observer, FakeFleet.decision("sidecar", request, 2));
+        }
+
+        @Override
+        public void order(OrderRequest request, StreamObserver<OrderReply> observer) {
+            synchronized (FakeFleet.this) {
+                mOrders.add(request);
+                answer(observer, OrderReply.getDefaultInstance());
+            }
+        }
+    }
+
+    private static ExplainReply decision(String program, ExplainRequest request, long at) {
+        return ExplainReply.newBuilder()
+                .addDecisions(
+                        Decision.newBuilder()
+                                .setProgram(program)
+                                .setRequest(request.getSubject())
+                                .setAtMillis(at)
+                                .addCandidates(BACKEND)
+                                .setChoice(BACKEND)
+                                .setReason("home"))
+                .build();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -0,0 +1,209 @@
+package org.laurelweir.pgm;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.process.Program;
+
+/** Whole command lines against a fake fleet on loopback. */
+class MainTest {
+    private static final String NODE = "/service=seilhjerne";
+
+    private final FakeFleet mFleet = new FakeFleet();
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+    private String mControl;
+    @TempDir private Path mFolder;
+
+    @BeforeEach
+    void start() {
+        mFleet.start();
+        mControl = mFleet.leader();
+        mFleet.put(NODE, 5, Map.of("bound.factor", "1.25"));
+    }
+
+    @AfterEach
+    void stop() {
+        mFleet.stop();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "check",
+                "completion",
+                "drain",
+                "explain",
+                "order",
+                "status",
+                "undrain",
+                "settings apply",
+                "settings diff",
+                "settings edit",
+                "settings get",
+                "settings history",
+                "settings set"
+            })
+    void helpNeedsNoArguments(String command) {
+        assertThat(run((command + " --help").split(" "))).isZero();
+        assertThat(mOut.toString()).contains("laurelweir " + command);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"bogus", "drain", "settings set", "settings set /x", "order a b"})
+    void wrongUseHasItsOwnStatus(String command) {
+        assertThat(run(command.split(" "))).isEqualTo(Program.exitCode(ResultCode.USAGE));
+        assertThat(mErr.toString()).startsWith("laurelweir: ");
+    }
+
+    @Test
+    void followsTheHintToTheLeader() {
+        mControl = mFleet.follower();
+        assertThat(run("settings", "set", NODE, "bound.factor=1.5")).isZero();
+        assertThat(mFleet.node(NODE).getValuesMap()).containsEntry("bound.factor", "1.5");
+    }
+
+    @Test
+    void resendsALostChangeUnderTheSameId() {
+        // The operator sees the change accepted, once. Order: control accepts the change and its
+        // answers get lost twice; the same invocation sends it again under the same id, so control
+        // gives the first answer instead of a conflict with itself.
+        mFleet.loseAnswers(2);
+        assertThat(run("settings", "set", NODE, "bound.factor=1.5")).isZero();
+        assertThat(mFleet.changeCalls()).isEqualTo(3);
+        assertThat(mFleet.node(NODE).getVersion()).isEqualTo(6);
+    }
+
+    @Test
+    void tellsHowToResendWhenNoAnswerComes() {
+        // The operator sees that the outcome is open, with the id for a safe resend. Order: control
+        // accepts the change, every answer gets lost and the tries run out; the operator sends the
+        // same change again later under that id and gets the first answer.
+        mFleet.loseAnswers(Integer.MAX_VALUE);
+        assertThat(run("settings", "set", NODE, "--change-id", "c1", "bound.factor=1.5"))
+                .isEqualTo(Program.exitCode(ResultCode.UNREACHABLE));
+        assertThat(mErr.toString()).contains("--change-id c1");
+
+        mFleet.loseAnswers(0);
+        assertThat(
+                        run(
+                                "settings",
+                                "set",
+                                NODE,
+                                "--expect",
+                                "5",
+                                "--change-id",
+                                "c1",
+                                "bound.factor=1.5"))
+                .isZero();
+        assertThat(mFleet.node(NODE).getVersion()).isEqualTo(6);
+    }
+
+    @Test
+    void showsTheWinnerOfARace() {
+        assertThat(run("settings", "set", NODE, "--expect", "4", "bound.factor=2"))
+                .isEqualTo(Program.exitCode(ResultCode.SETTINGS_CONFLICT));
+        assertThat(mErr.toString()).contains(NODE + " stands at version 5", "bound.factor=1.25");
+    }
+
+    @Test
+    void appliesWhatGetWroteAndAnEditorChanged() throws IOException {
+        run("settings", "get");
+        Path file = mFolder.resolve("tree.yaml");
+        Files.writeString(file, mOut.toString().replace("1.25", "1.30"));
+        assertThat(run("settings", "diff", file.toString())).isEqualTo(1);
+        assertThat(mOut.toString()).contains("- bound.factor: 1.25", "+ bound.factor: 1.30");
+        assertThat(run("settings", "apply", file.toString())).isZero();
+        assertThat(mFleet.node(NODE).getValuesMap()).containsEntry("bound.factor", "1.30");
+        assertThat(run("settings", "diff", file.toString())).isZero();
+        assertThat(run("settings", "history", "--json")).isZero();
+        assertThat(json().at("/entries/0/nodes/0/set/bound.factor").asText()).isEqualTo("1.30");
+    }
+
+    @Test
+    void refusesAFileMadeBeforeSomebodyElsesChange() throws IOException {
+        // The second operator sees a conflict instead of undoing the first one's change. Order:
+        // both
+        // export the node at version 5; the first applies, which makes version 6; the second
+        // applies
+        // a file that still names version 5.
+        Path file = mFolder.resolve("tree.yaml");
+        Files.writeString(file, NODE + ":\n  version: 5\n  values:\n    bound.factor: 3\n");
+        run("settings", "set", NODE, "bound.factor=2");
+        assertThat(run("settings", "apply", file.toString()))
+                .isEqualTo(Program.exitCode(ResultCode.SETTINGS_CONFLICT));
+        assertThat(mFleet.node(NODE).getValuesMap()).containsEntry("bound.factor", "2");
+    }
+
+    @Test
+    void namesFileAndLineOfAFault() throws IOException {
+        Path file = mFolder.resolve("tree.yaml");
+        Files.writeString(file, NODE + ":\n  values:\n    a.b: 1\n    a.b: 2\n");
+        assertThat(run("settings", "diff", file.toString()))
+                .isEqualTo(Program.exitCode(ResultCode.BAD_SETTINGS_FILE));
+        assertThat(mErr.toString()).contains(file + ":4: ");
+    }
+
+    @Test
+    void ordersUnderANewFence() {
+        assertThat(run("order", FakeFleet.BACKEND, "load-model", "seil-2")).isZero();
+        assertThat(mFleet.orders()).hasSize(1);
+        assertThat(mFleet.orders().get(0).getFence()).isEqualTo(7);
+        assertThat(run("order", "nobody", "load-model", "seil-2"))
+                .isEqualTo(Program.exitCode(ResultCode.UNKNOWN_BACKEND_SERVER));
+    }
+
+    @Test
+    void drainsAndUndrains() {
+        assertThat(run("drain", FakeFleet.BACKEND)).isZero();
+        assertThat(run("undrain", FakeFleet.BACKEND, "--json")).isZero();
+        assertThat(mFleet.drains()).extracting(d -> d.getDrain()).isEqualTo(List.of(true, false));
+    }
+
+    @Test
+    void explainsFromRouterAndSidecarWhileAnotherRouterIsGone() throws IOException {
+        assertThat(run("explain", "--json", "f00d")).isZero();
+        assertThat(json().at("/decisions/0/program").asText()).isEqualTo("router");
+        assertThat(json().at("/decisions/1/program").asText()).isEqualTo("sidecar");
+        assertThat(json().at("/silent/0/name").asText()).isEqualTo("r2");
+    }
+
+    @Test
+    void showsTheFleet() throws IOException {
+        assertThat(run("status", "--json")).isZero();
+        assertThat(json().at("/backends/0/id").asText()).isEqualTo(FakeFleet.BACKEND);
+        assertThat(run("status")).isZero();
+        assertThat(mOut.toString()).contains("seilhjerne", "SERVING");
+    }
+
+    private int run(String... args) {
+        mOut.reset();
+        mErr.reset();
+        Console console =
+                new Console(
+                        new PrintStream(mOut, true, StandardCharsets.UTF_8),
+                        new PrintStream(mErr, true, StandardCharsets.UTF_8),
+                        Map.of("LAURELWEIR_CONTROL", mControl, "USER", "operator"));
+        return new Main(console).run(args);
+    }
+
+    private JsonNode json() throws IOException {
+        return new ObjectMapper().readTree(mOut.toString());
+    }
+}
