--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ControlStatus.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ControlStatus.java
@@ -19,6 +19,8 @@
   private ControlStatus() {
     name_ = "";
     address_ = "";
+    voters_ = java.util.Collections.emptyList();
+    learners_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -41,6 +43,7 @@
             org.laurelweir.wire.v1.ControlStatus.class, org.laurelweir.wire.v1.ControlStatus.Builder.class);
   }
 
+  private int bitField0_;
   public static final int NAME_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object name_ = "";
@@ -174,6 +177,114 @@
     return possiblyStale_;
   }
 
+  public static final int VOTERS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.laurelweir.wire.v1.ReplicaId> voters_;
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.laurelweir.wire.v1.ReplicaId> getVotersList() {
+    return voters_;
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+      getVotersOrBuilderList() {
+    return voters_;
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  @java.lang.Override
+  public int getVotersCount() {
+    return voters_.size();
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplicaId getVoters(int index) {
+    return voters_.get(index);
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplicaIdOrBuilder getVotersOrBuilder(
+      int index) {
+    return voters_.get(index);
+  }
+
+  public static final int LEARNERS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.laurelweir.wire.v1.ReplicaId> learners_;
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.laurelweir.wire.v1.ReplicaId> getLearnersList() {
+    return learners_;
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+      getLearnersOrBuilderList() {
+    return learners_;
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  @java.lang.Override
+  public int getLearnersCount() {
+    return learners_.size();
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplicaId getLearners(int index) {
+    return learners_.get(index);
+  }
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplicaIdOrBuilder getLearnersOrBuilder(
+      int index) {
+    return learners_.get(index);
+  }
+
+  public static final int REPLICA_FIELD_NUMBER = 10;
+  private org.laurelweir.wire.v1.ReplicaId replica_;
+  /**
+   * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+   * @return Whether the replica field is set.
+   */
+  @java.lang.Override
+  public boolean hasReplica() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+   * @return The replica.
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplicaId getReplica() {
+    return replica_ == null ? org.laurelweir.wire.v1.ReplicaId.getDefaultInstance() : replica_;
+  }
+  /**
+   * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplicaIdOrBuilder getReplicaOrBuilder() {
+    return replica_ == null ? org.laurelweir.wire.v1.ReplicaId.getDefaultInstance() : replica_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -209,6 +320,15 @@
     if (possiblyStale_ != false) {
       output.writeBool(7, possiblyStale_);
     }
+    for (int i = 0; i < voters_.size(); i++) {
+      output.writeMessage(8, voters_.get(i));
+    }
+    for (int i = 0; i < learners_.size(); i++) {
+      output.writeMessage(9, learners_.get(i));
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(10, getReplica());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -244,6 +364,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, possiblyStale_);
     }
+    for (int i = 0; i < voters_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, voters_.get(i));
+    }
+    for (int i = 0; i < learners_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, learners_.get(i));
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getReplica());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -273,6 +405,15 @@
         != other.getCommitted()) return false;
     if (getPossiblyStale()
         != other.getPossiblyStale()) return false;
+    if (!getVotersList()
+        .equals(other.getVotersList())) return false;
+    if (!getLearnersList()
+        .equals(other.getLearnersList())) return false;
+    if (hasReplica() != other.hasReplica()) return false;
+    if (hasReplica()) {
+      if (!getReplica()
+          .equals(other.getReplica())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -303,6 +444,18 @@
     hash = (37 * hash) + POSSIBLY_STALE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getPossiblyStale());
+    if (getVotersCount() > 0) {
+      hash = (37 * hash) + VOTERS_FIELD_NUMBER;
+      hash = (53 * hash) + getVotersList().hashCode();
+    }
+    if (getLearnersCount() > 0) {
+      hash = (37 * hash) + LEARNERS_FIELD_NUMBER;
+      hash = (53 * hash) + getLearnersList().hashCode();
+    }
+    if (hasReplica()) {
+      hash = (37 * hash) + REPLICA_FIELD_NUMBER;
+      hash = (53 * hash) + getReplica().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -422,13 +575,21 @@
 
     // Construct using org.laurelweir.wire.v1.ControlStatus.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessageV3.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessageV3
+              .alwaysUseFieldBuilders) {
+        getVotersFieldBuilder();
+        getLearnersFieldBuilder();
+        getReplicaFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -441,6 +602,25 @@
       applied_ = 0L;
       committed_ = 0L;
       possiblyStale_ = false;
+      if (votersBuilder_ == null) {
+        voters_ = java.util.Collections.emptyList();
+      } else {
+        voters_ = null;
+        votersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      if (learnersBuilder_ == null) {
+        learners_ = java.util.Collections.emptyList();
+      } else {
+        learners_ = null;
+        learnersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      replica_ = null;
+      if (replicaBuilder_ != null) {
+        replicaBuilder_.dispose();
+        replicaBuilder_ = null;
+      }
       return this;
     }
 
@@ -467,11 +647,33 @@
     @java.lang.Override
     public org.laurelweir.wire.v1.ControlStatus buildPartial() {
       org.laurelweir.wire.v1.ControlStatus result = new org.laurelweir.wire.v1.ControlStatus(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.laurelweir.wire.v1.ControlStatus result) {
+      if (votersBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          voters_ = java.util.Collections.unmodifiableList(voters_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.voters_ = voters_;
+      } else {
+        result.voters_ = votersBuilder_.build();
+      }
+      if (learnersBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          learners_ = java.util.Collections.unmodifiableList(learners_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.learners_ = learners_;
+      } else {
+        result.learners_ = learnersBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.laurelweir.wire.v1.ControlStatus result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -495,6 +697,14 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.possiblyStale_ = possiblyStale_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.replica_ = replicaBuilder_ == null
+            ? replica_
+            : replicaBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -566,6 +776,61 @@
       if (other.getPossiblyStale() != false) {
         setPossiblyStale(other.getPossiblyStale());
       }
+      if (votersBuilder_ == null) {
+        if (!other.voters_.isEmpty()) {
+          if (voters_.isEmpty()) {
+            voters_ = other.voters_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureVotersIsMutable();
+            voters_.addAll(other.voters_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.voters_.isEmpty()) {
+          if (votersBuilder_.isEmpty()) {
+            votersBuilder_.dispose();
+            votersBuilder_ = null;
+            voters_ = other.voters_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            votersBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getVotersFieldBuilder() : null;
+          } else {
+            votersBuilder_.addAllMessages(other.voters_);
+          }
+        }
+      }
+      if (learnersBuilder_ == null) {
+        if (!other.learners_.isEmpty()) {
+          if (learners_.isEmpty()) {
+            learners_ = other.learners_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureLearnersIsMutable();
+            learners_.addAll(other.learners_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.learners_.isEmpty()) {
+          if (learnersBuilder_.isEmpty()) {
+            learnersBuilder_.dispose();
+            learnersBuilder_ = null;
+            learners_ = other.learners_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            learnersBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getLearnersFieldBuilder() : null;
+          } else {
+            learnersBuilder_.addAllMessages(other.learners_);
+          }
+        }
+      }
+      if (other.hasReplica()) {
+        mergeReplica(other.getReplica());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -627,6 +892,39 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              org.laurelweir.wire.v1.ReplicaId m =
+                  input.readMessage(
+                      org.laurelweir.wire.v1.ReplicaId.parser(),
+                      extensionRegistry);
+              if (votersBuilder_ == null) {
+                ensureVotersIsMutable();
+                voters_.add(m);
+              } else {
+                votersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 74: {
+              org.laurelweir.wire.v1.ReplicaId m =
+                  input.readMessage(
+                      org.laurelweir.wire.v1.ReplicaId.parser(),
+                      extensionRegistry);
+              if (learnersBuilder_ == null) {
+                ensureLearnersIsMutable();
+                learners_.add(m);
+              } else {
+                learnersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
+            case 82: {
+              input.readMessage(
+                  getReplicaFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -947,6 +1245,607 @@
       onChanged();
       return this;
     }
+
+    private java.util.List<org.laurelweir.wire.v1.ReplicaId> voters_ =
+      java.util.Collections.emptyList();
+    private void ensureVotersIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        voters_ = new java.util.ArrayList<org.laurelweir.wire.v1.ReplicaId>(voters_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder> votersBuilder_;
+
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public java.util.List<org.laurelweir.wire.v1.ReplicaId> getVotersList() {
+      if (votersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(voters_);
+      } else {
+        return votersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public int getVotersCount() {
+      if (votersBuilder_ == null) {
+        return voters_.size();
+      } else {
+        return votersBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId getVoters(int index) {
+      if (votersBuilder_ == null) {
+        return voters_.get(index);
+      } else {
+        return votersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder setVoters(
+        int index, org.laurelweir.wire.v1.ReplicaId value) {
+      if (votersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureVotersIsMutable();
+        voters_.set(index, value);
+        onChanged();
+      } else {
+        votersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder setVoters(
+        int index, org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (votersBuilder_ == null) {
+        ensureVotersIsMutable();
+        voters_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        votersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder addVoters(org.laurelweir.wire.v1.ReplicaId value) {
+      if (votersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureVotersIsMutable();
+        voters_.add(value);
+        onChanged();
+      } else {
+        votersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder addVoters(
+        int index, org.laurelweir.wire.v1.ReplicaId value) {
+      if (votersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureVotersIsMutable();
+        voters_.add(index, value);
+        onChanged();
+      } else {
+        votersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder addVoters(
+        org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (votersBuilder_ == null) {
+        ensureVotersIsMutable();
+        voters_.add(builderForValue.build());
+        onChanged();
+      } else {
+        votersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder addVoters(
+        int index, org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (votersBuilder_ == null) {
+        ensureVotersIsMutable();
+        voters_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        votersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder addAllVoters(
+        java.lang.Iterable<? extends org.laurelweir.wire.v1.ReplicaId> values) {
+      if (votersBuilder_ == null) {
+        ensureVotersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, voters_);
+        onChanged();
+      } else {
+        votersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder clearVoters() {
+      if (votersBuilder_ == null) {
+        voters_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        votersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public Builder removeVoters(int index) {
+      if (votersBuilder_ == null) {
+        ensureVotersIsMutable();
+        voters_.remove(index);
+        onChanged();
+      } else {
+        votersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder getVotersBuilder(
+        int index) {
+      return getVotersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaIdOrBuilder getVotersOrBuilder(
+        int index) {
+      if (votersBuilder_ == null) {
+        return voters_.get(index);  } else {
+        return votersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public java.util.List<? extends org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+         getVotersOrBuilderList() {
+      if (votersBuilder_ != null) {
+        return votersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(voters_);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder addVotersBuilder() {
+      return getVotersFieldBuilder().addBuilder(
+          org.laurelweir.wire.v1.ReplicaId.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder addVotersBuilder(
+        int index) {
+      return getVotersFieldBuilder().addBuilder(
+          index, org.laurelweir.wire.v1.ReplicaId.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+     */
+    public java.util.List<org.laurelweir.wire.v1.ReplicaId.Builder> 
+         getVotersBuilderList() {
+      return getVotersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+        getVotersFieldBuilder() {
+      if (votersBuilder_ == null) {
+        votersBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder>(
+                voters_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        voters_ = null;
+      }
+      return votersBuilder_;
+    }
+
+    private java.util.List<org.laurelweir.wire.v1.ReplicaId> learners_ =
+      java.util.Collections.emptyList();
+    private void ensureLearnersIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        learners_ = new java.util.ArrayList<org.laurelweir.wire.v1.ReplicaId>(learners_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder> learnersBuilder_;
+
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public java.util.List<org.laurelweir.wire.v1.ReplicaId> getLearnersList() {
+      if (learnersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(learners_);
+      } else {
+        return learnersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public int getLearnersCount() {
+      if (learnersBuilder_ == null) {
+        return learners_.size();
+      } else {
+        return learnersBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId getLearners(int index) {
+      if (learnersBuilder_ == null) {
+        return learners_.get(index);
+      } else {
+        return learnersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder setLearners(
+        int index, org.laurelweir.wire.v1.ReplicaId value) {
+      if (learnersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLearnersIsMutable();
+        learners_.set(index, value);
+        onChanged();
+      } else {
+        learnersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder setLearners(
+        int index, org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (learnersBuilder_ == null) {
+        ensureLearnersIsMutable();
+        learners_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        learnersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder addLearners(org.laurelweir.wire.v1.ReplicaId value) {
+      if (learnersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLearnersIsMutable();
+        learners_.add(value);
+        onChanged();
+      } else {
+        learnersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder addLearners(
+        int index, org.laurelweir.wire.v1.ReplicaId value) {
+      if (learnersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLearnersIsMutable();
+        learners_.add(index, value);
+        onChanged();
+      } else {
+        learnersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder addLearners(
+        org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (learnersBuilder_ == null) {
+        ensureLearnersIsMutable();
+        learners_.add(builderForValue.build());
+        onChanged();
+      } else {
+        learnersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder addLearners(
+        int index, org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (learnersBuilder_ == null) {
+        ensureLearnersIsMutable();
+        learners_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        learnersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder addAllLearners(
+        java.lang.Iterable<? extends org.laurelweir.wire.v1.ReplicaId> values) {
+      if (learnersBuilder_ == null) {
+        ensureLearnersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, learners_);
+        onChanged();
+      } else {
+        learnersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder clearLearners() {
+      if (learnersBuilder_ == null) {
+        learners_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        learnersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public Builder removeLearners(int index) {
+      if (learnersBuilder_ == null) {
+        ensureLearnersIsMutable();
+        learners_.remove(index);
+        onChanged();
+      } else {
+        learnersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder getLearnersBuilder(
+        int index) {
+      return getLearnersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaIdOrBuilder getLearnersOrBuilder(
+        int index) {
+      if (learnersBuilder_ == null) {
+        return learners_.get(index);  } else {
+        return learnersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public java.util.List<? extends org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+         getLearnersOrBuilderList() {
+      if (learnersBuilder_ != null) {
+        return learnersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(learners_);
+      }
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder addLearnersBuilder() {
+      return getLearnersFieldBuilder().addBuilder(
+          org.laurelweir.wire.v1.ReplicaId.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder addLearnersBuilder(
+        int index) {
+      return getLearnersFieldBuilder().addBuilder(
+          index, org.laurelweir.wire.v1.ReplicaId.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+     */
+    public java.util.List<org.laurelweir.wire.v1.ReplicaId.Builder> 
+         getLearnersBuilderList() {
+      return getLearnersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+        getLearnersFieldBuilder() {
+      if (learnersBuilder_ == null) {
+        learnersBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder>(
+                learners_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        learners_ = null;
+      }
+      return learnersBuilder_;
+    }
+
+    private org.laurelweir.wire.v1.ReplicaId replica_;
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder> replicaBuilder_;
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     * @return Whether the replica field is set.
+     */
+    public boolean hasReplica() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     * @return The replica.
+     */
+    public org.laurelweir.wire.v1.ReplicaId getReplica() {
+      if (replicaBuilder_ == null) {
+        return replica_ == null ? org.laurelweir.wire.v1.ReplicaId.getDefaultInstance() : replica_;
+      } else {
+        return replicaBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    public Builder setReplica(org.laurelweir.wire.v1.ReplicaId value) {
+      if (replicaBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        replica_ = value;
+      } else {
+        replicaBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    public Builder setReplica(
+        org.laurelweir.wire.v1.ReplicaId.Builder builderForValue) {
+      if (replicaBuilder_ == null) {
+        replica_ = builderForValue.build();
+      } else {
+        replicaBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    public Builder mergeReplica(org.laurelweir.wire.v1.ReplicaId value) {
+      if (replicaBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          replica_ != null &&
+          replica_ != org.laurelweir.wire.v1.ReplicaId.getDefaultInstance()) {
+          getReplicaBuilder().mergeFrom(value);
+        } else {
+          replica_ = value;
+        }
+      } else {
+        replicaBuilder_.mergeFrom(value);
+      }
+      if (replica_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    public Builder clearReplica() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      replica_ = null;
+      if (replicaBuilder_ != null) {
+        replicaBuilder_.dispose();
+        replicaBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaId.Builder getReplicaBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return getReplicaFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    public org.laurelweir.wire.v1.ReplicaIdOrBuilder getReplicaOrBuilder() {
+      if (replicaBuilder_ != null) {
+        return replicaBuilder_.getMessageOrBuilder();
+      } else {
+        return replica_ == null ?
+            org.laurelweir.wire.v1.ReplicaId.getDefaultInstance() : replica_;
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+        getReplicaFieldBuilder() {
+      if (replicaBuilder_ == null) {
+        replicaBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.laurelweir.wire.v1.ReplicaId, org.laurelweir.wire.v1.ReplicaId.Builder, org.laurelweir.wire.v1.ReplicaIdOrBuilder>(
+                getReplica(),
+                getParentForChildren(),
+                isClean());
+        replica_ = null;
+      }
+      return replicaBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ControlStatusOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ControlStatusOrBuilder.java
@@ -61,4 +61,67 @@
    * @return The possiblyStale.
    */
   boolean getPossiblyStale();
+
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  java.util.List<org.laurelweir.wire.v1.ReplicaId> 
+      getVotersList();
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  org.laurelweir.wire.v1.ReplicaId getVoters(int index);
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  int getVotersCount();
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  java.util.List<? extends org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+      getVotersOrBuilderList();
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId voters = 8;</code>
+   */
+  org.laurelweir.wire.v1.ReplicaIdOrBuilder getVotersOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  java.util.List<org.laurelweir.wire.v1.ReplicaId> 
+      getLearnersList();
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  org.laurelweir.wire.v1.ReplicaId getLearners(int index);
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  int getLearnersCount();
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  java.util.List<? extends org.laurelweir.wire.v1.ReplicaIdOrBuilder> 
+      getLearnersOrBuilderList();
+  /**
+   * <code>repeated .laurelweir.v1.ReplicaId learners = 9;</code>
+   */
+  org.laurelweir.wire.v1.ReplicaIdOrBuilder getLearnersOrBuilder(
+      int index);
+
+  /**
+   * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+   * @return Whether the replica field is set.
+   */
+  boolean hasReplica();
+  /**
+   * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+   * @return The replica.
+   */
+  org.laurelweir.wire.v1.ReplicaId getReplica();
+  /**
+   * <code>.laurelweir.v1.ReplicaId replica = 10;</code>
+   */
+  org.laurelweir.wire.v1.ReplicaIdOrBuilder getReplicaOrBuilder();
 }
