--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/TrafficCounters.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/TrafficCounters.java
@@ -1,6 +1,8 @@
 package org.laurelweir.runtime.rpc;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Counting;
+import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricRegistry;
 import io.grpc.CallOptions;
 import io.grpc.Channel;
@@ -10,6 +12,8 @@
 import io.grpc.Metadata;
 import io.grpc.MethodDescriptor;
 import io.grpc.ServerStreamTracer;
+import java.util.function.LongSupplier;
+import org.laurelweir.runtime.metrics.MetricNames;
 
 /**
  * Counts the bytes that gRPC messages take on the wire, by service and direction, as seen by this
@@ -34,6 +38,19 @@
         mRegistry = registry;
     }
 
+    /**
+     * Shows control bytes that something else counts, such as a connection of its own that sees
+     * what HTTP/2 adds.
+     *
+     * @param service the name under which they are shown
+     * @param in bytes received so far
+     * @param out bytes sent so far
+     */
+    public void show(String service, LongSupplier in, LongSupplier out) {
+        mRegistry.register(name(CONTROL, service, "in"), new CountedElsewhere(in));
+        mRegistry.register(name(CONTROL, service, "out"), new CountedElsewhere(out));
+    }
+
     ServerStreamTracer.Factory serverTracers() {
         return new ServerStreamTracer.Factory() {
             @Override
@@ -68,8 +85,18 @@
         String family = method.equals(PAYLOAD_METHOD) ? PAYLOAD : CONTROL;
         String service = MethodDescriptor.extractFullServiceName(method);
         String simple = service.substring(service.lastIndexOf('.') + 1);
-        String labels = "{service=\"" + simple + "\",direction=\"" + direction + "\"}";
-        return mRegistry.counter(family + labels);
+        return mRegistry.counter(name(family, simple, direction));
+    }
+
+    private static String name(String family, String service, String direction) {
+        return MetricNames.labelled(family, "service", service, "direction", direction);
+    }
+
+    private record CountedElsewhere(LongSupplier bytes) implements Metric, Counting {
+        @Override
+        public long getCount() {
+            return bytes.getAsLong();
+        }
     }
 
     private static final class ServerBytes extends ServerStreamTracer {
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/RpcServerTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/RpcServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.codahale.metrics.Counting;
 import com.codahale.metrics.MetricRegistry;
 import io.grpc.stub.StreamObserver;
 import java.util.Map;
@@ -49,6 +50,19 @@
         assertThat(counts(atClient)).isEqualTo(Map.of(in, answered, out, asked));
     }
 
+    @Test
+    void showsBytesThatAreCountedElsewhere() {
+        MetricRegistry registry = new MetricRegistry();
+        new TrafficCounters(registry).show("ControlExchange", () -> 7, () -> 11);
+        assertThat(shown(registry, "in")).isEqualTo(7);
+        assertThat(shown(registry, "out")).isEqualTo(11);
+    }
+
+    private static long shown(MetricRegistry registry, String direction) {
+        String name = "control.bytes{service=\"ControlExchange\",direction=\"" + direction + "\"}";
+        return ((Counting) registry.getMetrics().get(name)).getCount();
+    }
+
     @Test
     void tellsThatTheAddressIsTaken() {
         try (RpcServer first = serving(new MetricRegistry())) {
