--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -63,8 +63,6 @@
     public static final String NO_SUCH_NODE = "no such node: %s";
     public static final String NO_SUCH_BACKEND = "no such backend server: %s";
     public static final String FILE_UNREADABLE = "%s: cannot be read: %s";
-    public static final String FILE_FAULT = "%s:%d: %s";
-    public static final String FAULTS = "%d faults";
     public static final String CONFLICT = "%s stands at version %d by now: %s";
     public static final String NO_CHANGE = "nothing to change";
     public static final String CHANGED = "in force at position %d (change %s)";
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/SettingsDocument.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/SettingsDocument.java
@@ -1,42 +1,34 @@
 package org.laurelweir.pgm.tree;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.type.TypeReference;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.pgm.Texts;
+import org.laurelweir.runtime.config.TreeFile;
 
 /**
- * Settings nodes as a YAML file: the paths are the keys, and below each stand its values and, where
- * the file was made from a tree, the version that was seen.
+ * Settings nodes as a tree file. The version that was seen stands as a remark behind each path, so
+ * that the same file serves where no version matters.
  */
 public final class SettingsDocument {
-    private static final JsonInclude.Value NON_NULL =
-            JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.NON_NULL);
-    private static final ObjectMapper MAPPER =
-            YAMLMapper.builder()
-                    .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES)
-                    .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
-                    .disable(YAMLGenerator.Feature.SPLIT_LINES)
-                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-                    .defaultPropertyInclusion(NON_NULL)
-                    .build();
+    private static final Pattern VERSION =
+            Pattern.compile("^(/\\S*):.*# version (\\d+)\\s*$", Pattern.MULTILINE);
 
-    /** The part of a file below a path. */
-    private record Body(Long version, TreeMap<String, String> values) {}
+    /** Texts that YAML reads as they stand; others are quoted. */
+    private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9/][A-Za-z0-9/ ,._*@+%-]*");
+
+    private static final Pattern WORD_WITH_MEANING =
+            Pattern.compile("null|true|false|yes|no|on|off|y|n", Pattern.CASE_INSENSITIVE);
 
     private SettingsDocument() {}
 
@@ -45,49 +37,56 @@
      *
      * @param file the file
      * @return its nodes in order
-     * @throws LaurelweirException BAD_SETTINGS_FILE with file, line and what is wrong
+     * @throws LaurelweirException BAD_SETTINGS_FILE with every fault, one a line
      */
     public static List<DocumentNode> read(Path file) {
-        try {
-            return parse(Files.readString(file));
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
-            throw fault(String.format(Texts.FILE_FAULT, file, line, e.getOriginalMessage()), e);
-        } catch (IOException e) {
-            throw fault(String.format(Texts.FILE_UNREADABLE, file, e), e);
-        }
-    }
-
-    private static List<DocumentNode> parse(String text) throws JsonProcessingException {
+        Map<String, Map<String, String>> values = TreeFile.read(file);
+        Map<String, Long> versions = versions(file);
         List<DocumentNode> nodes = new ArrayList<>();
-        if (text.lines().allMatch(l -> l.isBlank() || l.startsWith("#"))) {
-            return nodes;
-        }
-        Map<String, Body> bodies =
-                MAPPER.readValue(text, new TypeReference<LinkedHashMap<String, Body>>() {});
-        bodies.forEach((path, body) -> nodes.add(node(path, body)));
+        values.forEach(
+                (path, v) ->
+                        nodes.add(new DocumentNode(path, versions.get(path), new TreeMap<>(v))));
         return nodes;
     }
 
-    private static DocumentNode node(String path, Body body) {
-        if (body == null || body.values() == null) {
-            return new DocumentNode(path, body == null ? null : body.version(), new TreeMap<>());
+    private static Map<String, Long> versions(Path file) {
+        Map<String, Long> versions = new HashMap<>();
+        VERSION.matcher(text(file))
+                .results()
+                .forEach((MatchResult r) -> versions.put(r.group(1), Long.valueOf(r.group(2))));
+        return versions;
+    }
+
+    private static String text(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new LaurelweirException(
+                    ResultCode.BAD_SETTINGS_FILE,
+                    String.format(Texts.FILE_UNREADABLE, file, e),
+                    e);
         }
-        return new DocumentNode(path, body.version(), body.values());
     }
 
     /** Returns the text of a file that holds the nodes. */
     public static String write(List<DocumentNode> nodes) {
-        Map<String, Body> bodies = new LinkedHashMap<>();
-        nodes.forEach(n -> bodies.put(n.path(), new Body(n.version(), new TreeMap<>(n.values()))));
-        try {
-            return MAPPER.writeValueAsString(bodies);
-        } catch (JsonProcessingException e) {
-            throw new LaurelweirException(ResultCode.INTERNAL, e.getMessage(), e);
+        StringBuilder s = new StringBuilder();
+        for (DocumentNode n : nodes) {
+            s.append(n.path()).append(n.values().isEmpty() ? ": {}" : ":");
+            s.append(" # version ").append(n.version()).append('\n');
+            n.values().forEach((k, v) -> s.append("  " + k + ": " + scalar(v) + "\n"));
         }
+        return s.toString();
     }
 
-    private static LaurelweirException fault(String message, Exception cause) {
-        return new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, message, cause);
+    private static String scalar(String text) {
+        boolean plain =
+                PLAIN.matcher(text).matches()
+                        && !text.endsWith(" ")
+                        && !WORD_WITH_MEANING.matcher(text).matches();
+        if (plain) {
+            return text;
+        }
+        return '"' + new String(JsonStringEncoder.getInstance().quoteAsString(text)) + '"';
     }
 }
