--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/EffectiveView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/EffectiveView.java
@@ -46,8 +46,7 @@
         NodePath p = parse(path.isEmpty() ? DEPLOYMENT : path);
         SettingsContext context =
                 new SettingsContext(p.region(), p.dataCentre(), p.service(), p.account(), null);
-        List<Value> values =
-                tree(reply).effective(context).all().stream().map(Value::of).toList();
+        List<Value> values = tree(reply).effective(context).all().stream().map(Value::of).toList();
         return new EffectiveView(p.toString(), reply.getPosition(), values);
     }
 
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/SettingsDocument.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/SettingsDocument.java
@@ -62,9 +62,7 @@
             return Files.readString(file);
         } catch (IOException e) {
             throw new LaurelweirException(
-                    ResultCode.BAD_SETTINGS_FILE,
-                    String.format(Texts.FILE_UNREADABLE, file, e),
-                    e);
+                    ResultCode.BAD_SETTINGS_FILE, String.format(Texts.FILE_UNREADABLE, file, e), e);
         }
     }
 
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -139,18 +140,50 @@
     @Test
     void refusesAFileMadeBeforeSomebodyElsesChange() throws IOException {
         // The second operator sees a conflict instead of undoing the first one's change. Order:
-        // both
-        // export the node at version 5; the first applies, which makes version 6; the second
-        // applies
-        // a file that still names version 5.
+        // both export the node at version 5; the first one's change makes version 6; the second
+        // applies a file that still names version 5.
         Path file = mFolder.resolve("tree.yaml");
-        Files.writeString(file, NODE + ":\n  version: 5\n  values:\n    bound.factor: 3\n");
+        Files.writeString(file, NODE + ": # version 5\n  bound.factor: 3\n");
         run("settings", "set", NODE, "bound.factor=2");
         assertThat(run("settings", "apply", file.toString()))
                 .isEqualTo(Program.exitCode(ResultCode.SETTINGS_CONFLICT));
         assertThat(mFleet.node(NODE).getValuesMap()).containsEntry("bound.factor", "2");
     }
 
+    @Test
+    void showsWhereEachEffectiveValueComesFrom() throws IOException {
+        mFleet.put("/", 6, Map.of("bound.factor", "1.5", "queue.max-age", "1s"));
+        assertThat(run("settings", "get", "--effective", "--json", NODE + "/account=a")).isZero();
+        Map<String, String> from = new HashMap<>();
+        json().get("values")
+                .forEach(
+                        v ->
+                                from.put(
+                                        v.get("key").asText() + "=" + v.get("value").asText(),
+                                        v.get("from").asText()));
+        assertThat(from)
+                .containsEntry("bound.factor=1.25", NODE)
+                .containsEntry("queue.max-age=1s", "/")
+                .containsEntry("retry.max-attempts=3", "default");
+    }
+
+    @Test
+    void writesNodesThatReadBackAsTheyWere() throws IOException {
+        mFleet.put(
+                "/service=plain",
+                7,
+                Map.of(
+                        "service.kind", "plain",
+                        "service.path-prefix", "/havnebok",
+                        "service.non-idempotent-calls", "POST /havnebok/*, PUT /x",
+                        "service.idempotent-calls", ""));
+        mFleet.put("/account=a", 8, Map.of());
+        run("settings", "get");
+        Path file = mFolder.resolve("tree.yaml");
+        Files.writeString(file, mOut.toString());
+        assertThat(run("settings", "diff", file.toString())).isZero();
+    }
+
     @Test
     void namesFileAndLineOfAFault() throws IOException {
         Path file = mFolder.resolve("tree.yaml");
