--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
@@ -27,7 +27,7 @@
     /** What holds until settings arrive. */
     public static final SidecarSettings DEFAULT =
             new SidecarSettings(
-                    new BoundConfig(1.25, 1.1, 8192, 0.1, 2),
+                    new BoundConfig(1.25, 0.05, 1.1, 8192, 0.1, 2),
                     new QueueLimits(64, 16L << 20, Duration.ofSeconds(2)),
                     new OutputLimits(64L << 20, 1L << 20, Duration.ofSeconds(30)),
                     Duration.ofMinutes(10),
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/BoundConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/BoundConfig.java
@@ -20,12 +20,14 @@
         double capacityFloor,
         double prefillWeight,
         int maxRedirects) {
+    private static final double ROUNDING = 1e-9;
+
     /** Checks the factors. */
     public BoundConfig {
         if (factor < 1 || openFactor < 1 || openFactor > factor) {
             throw new IllegalArgumentException("factors: " + openFactor + ", " + factor);
         }
-        if (headroom < 0 || factor * (1 - headroom) < 1) {
+        if (headroom < 0 || factor * (1 - headroom) < 1 - ROUNDING) {
             throw new IllegalArgumentException("headroom: " + headroom);
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/Policies.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/Policies.java
@@ -44,11 +44,12 @@
                 SidecarSettings.DEFAULT.refusalStatuses());
     }
 
-    /** Returns the bound of a factor; the room kept for cached chats shrinks with a low factor. */
+    /** Returns the bound of a factor; a low factor leaves less headroom and less room for chats. */
     private static BoundConfig bound(double factor) {
         BoundConfig d = SidecarSettings.DEFAULT.bound();
         return new BoundConfig(
                 factor,
+                Math.min(d.headroom(), 1 - 1 / factor),
                 Math.min(d.openFactor(), factor),
                 d.capacityFloor(),
                 d.prefillWeight(),
