--- a/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
@@ -35,8 +35,7 @@
                     1_000,
                     1_000_000,
                     Duration.ofHours(1),
-                    Duration.ofMillis(200),
-                    OutlierConfig.DEFAULT);
+                    Duration.ofMillis(200));
 
     private static final int ROUTERS = 2;
     private static final int SIDECARS = 3;
@@ -44,9 +43,7 @@
     final List<FakeSidecar.Execution> mExecutions = new ArrayList<>();
     final List<Caller> mCallers = new ArrayList<>();
     final FakeNetwork mNetwork;
-    int mFirstAttempts;
     int mReachedAttempts;
-    int mRedirects;
 
     private final Random mRandom;
     private final List<RouterReducer> mRouters = new ArrayList<>();
@@ -99,6 +96,11 @@
         mSidecars.forEach(s -> s.setTroubled(troubled));
     }
 
+    /** Has some sidecars' engines fail everything. */
+    void breakEngines(int count) {
+        mSidecars.subList(0, count).forEach(FakeSidecar::breakEngine);
+    }
+
     /** Tells the routers of all sidecars. */
     void announce() {
         mVersion++;
@@ -133,7 +135,8 @@
                         Duration.ofSeconds(20),
                         5,
                         new AttemptRequest.Cost(1, 1),
-                        POLICY);
+                        POLICY,
+                        OutlierConfig.DEFAULT);
         Caller c = new Caller(router, request);
         mCallers.add(c);
         give(router, new RouterEvent.RequestArrived(mCallers.size(), request));
@@ -249,7 +252,6 @@
     }
 
     private void onBegin(int router, RouterEffect.BeginAttempt e) {
-        mFirstAttempts += e.request().id().attempt() == 1 ? 1 : 0;
         Stream s = open(router, e.stream(), e.request().id(), e.address());
         String other = mSidecars.get(mRandom.nextInt(SIDECARS)).ref().id();
         Consumer<Frame> reader = down(router, e.stream(), s);
@@ -282,23 +284,24 @@
 
     private Consumer<Frame> down(int router, long stream, Stream s) {
         return frame -> {
-            if (frame instanceof Frame.Refused f && !f.redirectTo().isEmpty()) {
-                mRedirects++;
-            }
             mNetwork.sendDamageable(
                     s.mAttempt,
                     () -> {
                         if (!s.mSilentDown && !s.mLost) {
                             long to = mNetwork.strikes() ? 1 + mRandom.nextInt(20) : stream;
-                            give(
-                                    router,
-                                    new RouterEvent.FrameArrived(
-                                            to, FakeSidecar.frame(s.mAttempt, frame)));
+                            give(router, arrival(s, to, frame));
                         }
                     });
         };
     }
 
+    private static RouterEvent arrival(Stream s, long to, Frame frame) {
+        if (frame == FakeSidecar.CLOSED) {
+            return new RouterEvent.StreamLost(to, true, "closed");
+        }
+        return new RouterEvent.FrameArrived(to, FakeSidecar.frame(s.mAttempt, frame));
+    }
+
     private void onRevoke(int router, RouterEffect.Revoke e) {
         FakeSidecar sidecar =
                 mSidecars.stream().filter(x -> x.ref().id().equals(e.address())).findAny().get();
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/FakeSidecar.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeSidecar.java
@@ -19,6 +19,9 @@
 
 /** A sidecar with its engine, reduced to what routers can tell apart. */
 final class FakeSidecar {
+    /** Stands for the end of a stream: one stream at a time follows an attempt. */
+    static final Frame CLOSED = null;
+
     private static final int CHUNK = 16;
 
     private final String mId;
@@ -27,6 +30,7 @@
     private final Map<AttemptId, Attempt> mAttempts = new HashMap<>();
     private long mIncarnation = 1;
     private boolean mTroubled;
+    private boolean mBroken;
 
     /** One run of a call on an engine: what really happened. */
     record Execution(AttemptRequest request, byte[] output) {}
@@ -55,6 +59,11 @@
         mTroubled = troubled;
     }
 
+    /** Has the engine fail everything that it begins. */
+    void breakEngine() {
+        mBroken = true;
+    }
+
     void restart() {
         mIncarnation++;
         mAttempts.clear();
@@ -99,6 +108,7 @@
             reader.accept(refused(ResultCode.OTHER_INCARNATION, ""));
             return;
         }
+        a.mReader.accept(CLOSED);
         a.mReader = reader;
         a.mSent = (int) offset;
         if (a.mExecution != null) {
@@ -146,12 +156,17 @@
     }
 
     private void advance(Attempt a) {
+        if (a.mExecution == null && mTroubled && mRandom.nextInt(8) == 0) {
+            a.mNeverStarts = true;
+            a.mReader.accept(refused(ResultCode.OVERLOADED, ""));
+            return;
+        }
         if (a.mExecution == null) {
             start(a);
             return;
         }
         byte[] output = a.mExecution.output();
-        if (mTroubled && a.mLast == null && mRandom.nextInt(40) == 0) {
+        if (mBroken || (mTroubled && a.mLast == null && mRandom.nextInt(40) == 0)) {
             a.mLast = new Frame.Failed(ResultCode.BACKEND_FAILED, "engine failed");
             a.mReader.accept(a.mLast);
             return;
