--- a/bin/internal/processes.sh
+++ b/bin/internal/processes.sh
@@ -51,27 +51,37 @@
     cat "$lw_data/ports/$1"
 }
 
-# Stops every program, the last started first, and waits for each a bounded time.
-lw_stop_all() {
-    local i late=0
-    for ((i = ${#lw_pids[@]} - 1; i >= 0; i--)); do
-        kill -TERM "${lw_pids[$i]}" 2>/dev/null || true
-    done
-    local end=$((SECONDS + 30))
+# lw_stop PATTERN...: stops the programs whose names match, all at once, and waits for each. Fails if
+# one did not stop by itself.
+lw_stop() {
+    local i pattern late=0 end=$((SECONDS + 30)) matching=()
     for i in "${!lw_pids[@]}"; do
-        while kill -0 "${lw_pids[$i]}" 2>/dev/null && [ "$SECONDS" -lt "$end" ]; do
-            sleep 0.1
+        for pattern in "$@"; do
+            # shellcheck disable=SC2254 # The pattern is meant as one.
+            case ${lw_names[$i]} in $pattern) matching+=("$i") ;; esac
         done
-        if kill -KILL "${lw_pids[$i]}" 2>/dev/null; then
-            echo "demo: ${lw_names[$i]} did not stop within 30 s and was killed" >&2
-            late=1
-        fi
     done
-    lw_pids=()
-    lw_names=()
+    for i in "${matching[@]}"; do
+        kill -TERM "${lw_pids[$i]}" 2>/dev/null || true
+    done
+    for i in "${matching[@]}"; do
+        lw_wait_stopped "$i" "$end" || late=1
+    done
     return $late
 }
 
+# lw_wait_stopped INDEX END: waits until a program has ended, and kills it at the end of the time.
+lw_wait_stopped() {
+    while kill -0 "${lw_pids[$1]}" 2>/dev/null; do
+        if [ "$SECONDS" -ge "$2" ]; then
+            echo "demo: ${lw_names[$1]} did not stop in time and is killed" >&2
+            kill -KILL "${lw_pids[$1]}"
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
 # lw_free_ports COUNT: prints ports on which nothing listens, below those that the operating system
 # gives to others. Another process may still take one first; who listens then fails at its start.
 lw_free_ports() {
