--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
@@ -8,26 +8,26 @@
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
-import org.laurelweir.settings.NodePath;
-import org.laurelweir.settings.SettingsDelta;
-import org.laurelweir.settings.SettingsNode;
 import org.laurelweir.wire.MembershipCodec;
-import org.laurelweir.wire.SettingsCodec;
 import org.laurelweir.wire.v1.ClaimReply;
 import org.laurelweir.wire.v1.ClaimRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ExchangeReply;
 import org.laurelweir.wire.v1.ExchangeRequest;
+import org.laurelweir.wire.v1.SettingsDelta;
+import org.laurelweir.wire.v1.SettingsNode;
 import org.laurelweir.wire.v1.SettleClaimReply;
 import org.laurelweir.wire.v1.SettleClaimRequest;
 
 /** A control instance that tells one membership and one settings tree, and grants every claim. */
 final class FakeControlServer extends ControlServiceGrpc.ControlServiceImplBase {
-    private final List<SettingsNode> mNodes = new ArrayList<>();
+    private final SettingsDelta.Builder mSettings =
+            SettingsDelta.newBuilder().setPosition(1).setFull(true);
     private final List<Backend> mBackends = new ArrayList<>();
 
     void set(String path, Map<String, String> values) {
-        mNodes.add(SettingsNode.of(NodePath.parse(path), 1, values));
+        mSettings.addNodes(
+                SettingsNode.newBuilder().setPath(path).setVersion(1).putAllValues(values));
     }
 
     void add(Backend backend) {
@@ -38,12 +38,11 @@
     public void exchange(ExchangeRequest request, StreamObserver<ExchangeReply> reply) {
         MembershipCursor cursor = new MembershipCursor("c1", 1, 1);
         MembershipDelta membership = new MembershipDelta(cursor, true, mBackends);
-        SettingsDelta settings = new SettingsDelta(1, true, mNodes);
         answer(
                 reply,
                 ExchangeReply.newBuilder()
                         .setMembership(MembershipCodec.toWire(membership))
-                        .setSettings(SettingsCodec.toWire(settings))
+                        .setSettings(mSettings.build())
                         .build());
     }
 
