--- a/org.laurelweir/src/main/java/org/laurelweir/admission/FairQueue.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/FairQueue.java
@@ -13,8 +13,8 @@
  * <p>A higher priority goes first. Within a priority, client accounts share the backend server by
  * their weights: start-time fair queueing, where each request gets a tag in virtual time at which
  * the account's share would have it begin, and the least tag goes first. An account that surges
- * only pushes its own tags into the future. Every eighth turn goes to whoever has waited longest,
- * whatever its priority, so that a steady flow of urgent requests starves nobody.
+ * only pushes its own tags into the future. Every eighth turn goes to the priority that has waited
+ * longest, so that a steady flow of urgent requests starves nobody.
  *
  * <p>When the queue is full, room is made within the least priority at the cost of the account that
  * has the most work waiting for its weight, its newest request first. So a surge is refused its own
@@ -131,8 +131,12 @@
         if (mEntries.isEmpty()) {
             return null;
         }
-        boolean oldest = mTurns % OLDEST_EVERY == OLDEST_EVERY - 1;
-        return oldest ? mEntries.get(0) : mEntries.stream().min(TURN).orElseThrow();
+        if (mTurns % OLDEST_EVERY != OLDEST_EVERY - 1) {
+            return mEntries.stream().min(TURN).orElseThrow();
+        }
+        // By the shares within that priority, or accounts with large requests would gain.
+        int oldest = mEntries.get(0).priority();
+        return mEntries.stream().filter(e -> e.priority() == oldest).min(TURN).orElseThrow();
     }
 
     private void remove(Entry entry) {
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
@@ -0,0 +1,197 @@
+package org.laurelweir.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.placement.BoundConfig;
+
+/** Surges, uneven requests and old means never take a backend server over its bound. */
+class AdmissionBoundTest {
+    private static final double FACTOR = 1.25;
+    private static final double FLOOR = 500;
+    private static final Duration QUEUE_AGE = Duration.ofSeconds(2);
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final SidecarSettings SETTINGS =
+            new SidecarSettings(
+                    new BoundConfig(FACTOR, 1.1, FLOOR, 0.1, 2),
+                    new SidecarSettings.QueueLimits(5, 2_000, QUEUE_AGE),
+                    SidecarSettings.DEFAULT.output(),
+                    Duration.ofMinutes(10),
+                    Duration.ofMillis(500),
+                    256,
+                    Set.of());
+
+    private enum Kind {
+        ARRIVE,
+        END,
+        MEAN,
+        PASS
+    }
+
+    private record Happening(Kind kind, int which, int how) {}
+
+    @Property(tries = 1000, seed = "42002")
+    void runningWorkStaysUnderTheBoundAndNobodyWaitsLong(
+            @ForAll("surges") List<Happening> happenings) {
+        World world = new World();
+        happenings.forEach(world::happen);
+    }
+
+    @Provide
+    Arbitrary<List<Happening>> surges() {
+        Arbitrary<Kind> kinds =
+                Arbitraries.frequency(
+                        Tuple.of(8, Kind.ARRIVE),
+                        Tuple.of(4, Kind.END),
+                        Tuple.of(1, Kind.MEAN),
+                        Tuple.of(6, Kind.PASS));
+        Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 1 << 16);
+        return Combinators.combine(kinds, numbers, numbers)
+                .as(Happening::new)
+                .list()
+                .ofMinSize(20)
+                .ofMaxSize(150);
+    }
+
+    /** One sidecar, what runs beside it by our own count, and who waits since when. */
+    private static final class World {
+        private static final BackendRef SELF = new BackendRef("engine-1", 1);
+
+        private final SidecarReducer mSidecar =
+                new SidecarReducer(
+                        new SidecarIdentity(
+                                SELF, Requests.SERVICE, "bergen", "vestkyst", "10.0.0.1:1", 1));
+        private final Map<AttemptId, Double> mRunning = new LinkedHashMap<>();
+        private final Map<AttemptId, Instant> mWaiting = new HashMap<>();
+        private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
+        private double mMean;
+        private Instant mMeanAt = Instant.MIN;
+        private long mCount;
+
+        World() {
+            step(new SidecarEvent.SettingsChanged(SETTINGS));
+            step(
+                    new SidecarEvent.ExchangeAnswered(
+                            new MembershipDelta(
+                                    MembershipCursor.NONE, true, SidecarDriver.members(3)),
+                            List.of(),
+                            false,
+                            0));
+        }
+
+        void happen(Happening h) {
+            switch (h.kind()) {
+                case ARRIVE -> arrive(h.which(), h.how());
+                case END -> end(h.which());
+                case MEAN -> mean(h.how() % 2000);
+                default -> pass(h.how() % 60);
+            }
+        }
+
+        private void arrive(int which, int how) {
+            AttemptId id = new AttemptId("router-1", 1, ++mCount, 1);
+            // A few requests cost many times what the others do.
+            int tokens = how % 8 == 0 ? 50 + how % 3000 : 1 + how % 200;
+            Requests r =
+                    Requests.request(id)
+                            .account("account-" + which % 4, 1 + which % 3)
+                            .priority(which % 2)
+                            .bodyBytes(how % 900)
+                            .redirects(which % 3)
+                            .timeLeft(Duration.ofMillis(100L + how % 10_000))
+                            .outputTokens(tokens);
+            mWaiting.put(id, mNow);
+            step(new SidecarEvent.AttemptBegun(mCount, r.build()));
+            checkQueue();
+        }
+
+        private void end(int which) {
+            List<AttemptId> running = new ArrayList<>(mRunning.keySet());
+            if (!running.isEmpty()) {
+                AttemptId id = running.get(which % running.size());
+                mRunning.remove(id);
+                step(new SidecarEvent.EngineAnswered(id, 200, List.of()));
+                step(new SidecarEvent.EngineFinished(id, Frame.Usage.NONE));
+            }
+        }
+
+        private void mean(double mean) {
+            mMean = mean;
+            mMeanAt = mNow;
+            step(
+                    new SidecarEvent.ExchangeAnswered(
+                            new MembershipDelta(MembershipCursor.NONE, false, List.of()),
+                            List.of(new ServiceLoad(Requests.SERVICE, mean, 3)),
+                            false,
+                            0));
+        }
+
+        private void pass(int ticks) {
+            for (int i = 0; i < ticks; i++) {
+                mNow = mNow.plus(TICK);
+                step(new SidecarEvent.Tick());
+                checkWaits();
+            }
+        }
+
+        private void step(SidecarEvent event) {
+            mSidecar.step(mNow, event, this::check);
+        }
+
+        private void check(SidecarEffect effect) {
+            if (effect instanceof SidecarEffect.StartEngineCall e) {
+                double work = Math.max(1, e.request().cost().outputTokens());
+                checkBound(work);
+                mRunning.put(e.request().id(), work);
+                mWaiting.remove(e.request().id());
+            } else if (effect instanceof SidecarEffect.SendFrame f) {
+                if (f.frame().frame() instanceof Frame.Refused) {
+                    mWaiting.remove(f.frame().attempt());
+                } else if (f.frame().frame() instanceof Frame.Failed) {
+                    mRunning.remove(f.frame().attempt());
+                }
+            }
+        }
+
+        private void checkBound(double work) {
+            double before = mRunning.values().stream().mapToDouble(w -> w).sum();
+            boolean known = mMeanAt != Instant.MIN && !mMeanAt.plusSeconds(10).isBefore(mNow);
+            double bound = Math.max(FACTOR * (known ? mMean : 0), FLOOR);
+            if (before > 0) {
+                assertThat(before + work).as("running work").isLessThanOrEqualTo(bound + 1e-6);
+            }
+        }
+
+        private void checkQueue() {
+            assertThat(mWaiting.size()).as("waiting").isLessThanOrEqualTo(5);
+        }
+
+        private void checkWaits() {
+            mWaiting.forEach(
+                    (id, since) ->
+                            assertThat(Duration.between(since, mNow))
+                                    .as("wait of %s", id)
+                                    .isLessThan(QUEUE_AGE.plus(TICK)));
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
@@ -0,0 +1,107 @@
+package org.laurelweir.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.ResultCode;
+
+/** How long output is kept, and what happens to attempts that nobody follows. */
+class AttemptOutputTest {
+    private static final AttemptId ID = Requests.request(1).build().id();
+    private static final Duration KEEP_TIME = SidecarSettings.DEFAULT.output().keepTime();
+
+    private final SidecarDriver mSidecar = new SidecarDriver();
+
+    // The router reads slower than the engine sends. Nothing may be dropped, and the sidecar's
+    // memory is bounded: it reads no further from the engine until the router has acknowledged
+    // enough.
+    @Test
+    void engineIsReadNoFurtherWhileOutputIsNotAcknowledged() {
+        mSidecar.begin(Requests.request(1));
+        mSidecar.step(new SidecarEvent.EngineAnswered(ID, 200, List.of()));
+        byte[] half = new byte[1 << 19];
+        mSidecar.step(new SidecarEvent.EngineSent(ID, half));
+        assertThat(mSidecar.take(SidecarEffect.ReadEngineCall.class)).isEmpty();
+        mSidecar.step(new SidecarEvent.EngineSent(ID, half));
+        assertThat(mSidecar.take(SidecarEffect.ReadEngineCall.class))
+                .containsExactly(new SidecarEffect.ReadEngineCall(ID, false));
+
+        mSidecar.step(new SidecarEvent.OutputAcknowledged(ID, 1 << 19));
+        assertThat(mSidecar.take(SidecarEffect.ReadEngineCall.class))
+                .containsExactly(new SidecarEffect.ReadEngineCall(ID, true));
+    }
+
+    // The router's connection went silent after it had acknowledged ten bytes, and these were
+    // dropped. Asked for what is gone, the sidecar says so instead of sending a shortened answer.
+    @Test
+    void droppedOutputIsNotResumed() {
+        mSidecar.begin(Requests.request(1));
+        mSidecar.step(new SidecarEvent.EngineAnswered(ID, 200, List.of()));
+        mSidecar.step(new SidecarEvent.EngineSent(ID, new byte[10]));
+        mSidecar.step(new SidecarEvent.OutputAcknowledged(ID, 10));
+
+        Frame.Failed gone = (Frame.Failed) mSidecar.takeLastFrame(mSidecar.resume(ID, 5));
+        assertThat(gone.code()).isEqualTo(ResultCode.OUTPUT_NOT_KEPT);
+        assertThat(mSidecar.takeFrames(mSidecar.resume(ID, 10))).isEmpty();
+    }
+
+    // The router has acknowledged half of a piece when its connection goes silent. The other half
+    // must still be there for the next one.
+    @Test
+    void outputIsKeptUntilItIsAcknowledged() {
+        mSidecar.begin(Requests.request(1));
+        mSidecar.step(new SidecarEvent.EngineAnswered(ID, 200, List.of()));
+        mSidecar.step(new SidecarEvent.EngineSent(ID, new byte[] {1, 2, 3, 4}));
+        mSidecar.step(new SidecarEvent.OutputAcknowledged(ID, 2));
+
+        Frame.Data rest = (Frame.Data) mSidecar.takeLastFrame(mSidecar.resume(ID, 2));
+        assertThat(rest.offset()).isEqualTo(2);
+        assertThat(rest.bytes()).containsExactly(3, 4);
+    }
+
+    // A caller resends an order with its key after the first router was lost. The whole first
+    // answer is still there, although its first reader had acknowledged all of it.
+    @Test
+    void keyedAnswerStaysForItsResend() {
+        mSidecar.begin(Requests.request(1).key("order-7", Duration.ofMinutes(5)));
+        mSidecar.step(new SidecarEvent.EngineAnswered(ID, 201, List.of()));
+        mSidecar.step(new SidecarEvent.EngineSent(ID, new byte[10]));
+        mSidecar.step(new SidecarEvent.OutputAcknowledged(ID, 10));
+        mSidecar.step(new SidecarEvent.EngineFinished(ID, Frame.Usage.NONE));
+        mSidecar.pass(Duration.ofMinutes(4));
+
+        List<Frame> frames = mSidecar.takeFrames(mSidecar.resume(ID, 0));
+        assertThat(frames).hasSize(3);
+        assertThat(((Frame.End) frames.get(2)).length()).isEqualTo(10);
+    }
+
+    // A router is lost and nobody resumes. The idempotent call is given up, as its answer would
+    // reach nobody; the order that may run only once runs on, since a resend will ask for it.
+    @Test
+    void unfollowedCallIsCancelledUnlessAResendWillAskForIt() {
+        AttemptId order = Requests.request(2).build().id();
+        long first = mSidecar.begin(Requests.request(1));
+        long second = mSidecar.begin(Requests.request(2).key("order-7", Duration.ofMinutes(5)));
+        mSidecar.step(new SidecarEvent.StreamClosed(first));
+        mSidecar.step(new SidecarEvent.StreamClosed(second));
+        mSidecar.take(SidecarEffect.CancelEngineCall.class);
+
+        mSidecar.pass(KEEP_TIME);
+        assertThat(mSidecar.take(SidecarEffect.CancelEngineCall.class))
+                .containsExactly(new SidecarEffect.CancelEngineCall(ID));
+        mSidecar.answer(order, new byte[3]);
+        assertThat(mSidecar.takeLastFrame(mSidecar.resume(order, 0))).isInstanceOf(Frame.End.class);
+    }
+
+    @Test
+    void silenceIsBrokenByProgress() {
+        long stream = mSidecar.begin(Requests.request(1));
+        mSidecar.takeFrames(stream);
+        mSidecar.pass(Duration.ofMillis(500));
+        assertThat(mSidecar.takeFrames(stream)).containsExactly(new Frame.Progress(0));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/ChatHomesTest.java
@@ -0,0 +1,122 @@
+package org.laurelweir.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatKey;
+import org.laurelweir.placement.Ranking;
+
+/** A chat is brought to where its history is cached, and its home learns where that is. */
+class ChatHomesTest {
+    private static final AttemptId ID = Requests.request(1).build().id();
+    private static final Duration LATER = Duration.ofHours(1);
+
+    private final SidecarDriver mSidecar = new SidecarDriver();
+
+    private static Ranking ranking() {
+        return Ranking.of(
+                List.of(candidate("engine-1"), candidate("engine-2"), candidate("engine-3")));
+    }
+
+    private static Candidate candidate(String id) {
+        return new Candidate(new BackendRef(id, 1), "bergen", 1);
+    }
+
+    /** Returns a chat whose home is a backend server. */
+    private static long chatAt(String home) {
+        long chat = 1;
+        while (!ranking().home(new ChatKey(chat)).id().equals(home)) {
+            chat++;
+        }
+        return chat;
+    }
+
+    private void start() {
+        mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
+        // Chats of a server that joined lately may sit elsewhere; later ones are at home.
+        mSidecar.pass(LATER);
+        mSidecar.take(SidecarEffect.class);
+    }
+
+    @Test
+    void homeSendsARequestOnToWhereItsChatSits() {
+        start();
+        long chat = chatAt("engine-1");
+        mSidecar.step(new SidecarEvent.ChatsHandedOver("engine-2", Map.of(chat, "engine-2")));
+        Frame.Refused refused =
+                (Frame.Refused)
+                        mSidecar.takeLastFrame(mSidecar.begin(Requests.request(1).chat(chat)));
+        assertThat(refused.code()).isEqualTo(ResultCode.CHAT_ELSEWHERE);
+        assertThat(refused.redirectTo()).isEqualTo("engine-2");
+    }
+
+    // The home sends a request on to where the chat sat, but that server has sent it back, being
+    // full. Sent on again, it would go round until its deadline.
+    @Test
+    void redirectedRequestIsNotSentBack() {
+        start();
+        long chat = chatAt("engine-1");
+        mSidecar.step(new SidecarEvent.ChatsHandedOver("engine-2", Map.of(chat, "engine-2")));
+        mSidecar.begin(Requests.request(1).chat(chat).redirects(1));
+        assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).hasSize(1);
+    }
+
+    @Test
+    void serverThatAnswersADisplacedChatTellsItsHome() {
+        start();
+        long chat = chatAt("engine-2");
+        mSidecar.begin(Requests.request(1).chat(chat).redirects(1));
+        mSidecar.answer(ID, new byte[3]);
+        mSidecar.pass(Duration.ofSeconds(1));
+        assertThat(mSidecar.take(SidecarEffect.HandOverChats.class))
+                .containsExactly(
+                        new SidecarEffect.HandOverChats("10.0.0.2:1", Map.of(chat, "engine-1")));
+    }
+
+    @Test
+    void newHomeAsksThePreviousOneOnceAndFollowsItsAnswer() {
+        mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
+        long chat = chatAt("engine-1");
+        Requests returning = Requests.request(1).chat(chat).returning();
+        long stream = mSidecar.begin(returning);
+        SidecarEffect.AskChats asked = mSidecar.take(SidecarEffect.AskChats.class).get(0);
+        assertThat(asked.chats()).containsExactly(chat);
+
+        mSidecar.step(new SidecarEvent.ChatsLocated(asked.question(), Map.of(chat, "engine-3")));
+        Frame.Refused refused = (Frame.Refused) mSidecar.takeLastFrame(stream);
+        assertThat(refused.redirectTo()).isEqualTo("engine-3");
+    }
+
+    // The previous home does not answer: it crashed, or the connection to it is silent. The caller
+    // waits a tenth of a second for it and no longer; the request then runs here.
+    @Test
+    void unansweredQuestionHoldsARequestOnlyShortly() {
+        mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
+        mSidecar.begin(Requests.request(1).chat(chatAt("engine-1")).returning());
+        assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).isEmpty();
+        mSidecar.pass(Duration.ofMillis(100));
+        assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).hasSize(1);
+    }
+
+    // A request is revoked while its chat is being asked for. The answer arrives after the router
+    // was told that the request never started: it must not start now.
+    @Test
+    void revokedWhileAskingNeverStarts() {
+        mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
+        long chat = chatAt("engine-1");
+        mSidecar.begin(Requests.request(1).chat(chat).returning());
+        long question = mSidecar.take(SidecarEffect.AskChats.class).get(0).question();
+        mSidecar.step(new SidecarEvent.AttemptRevoked(1, ID, new BackendRef("engine-1", 1)));
+        mSidecar.step(new SidecarEvent.ChatsLocated(question, Map.of()));
+        mSidecar.pass(Duration.ofSeconds(1));
+        assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).isEmpty();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/FairQueueTest.java
@@ -0,0 +1,102 @@
+package org.laurelweir.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Who goes first, and who has to go when the queue is full. */
+class FairQueueTest {
+    private static final Instant NOW = Instant.parse("2026-12-02T10:00:00Z");
+
+    private final FairQueue mQueue = new FairQueue();
+    private long mCount;
+
+    // A large account has sent a hundred requests before a small one sends its first. The small
+    // one's caller must not wait for all hundred: its first request goes next.
+    @Test
+    void surgeOfOneAccountDoesNotDelayAnother() {
+        for (int i = 0; i < 100; i++) {
+            mQueue.add(NOW, attempt("large", 1, 0, 100));
+        }
+        mQueue.take();
+        Attempt small = attempt("small", 1, 0, 100);
+        mQueue.add(NOW, small);
+
+        assertThat(mQueue.take()).isSameAs(small);
+    }
+
+    @Property(tries = 200, seed = "42003")
+    void backloggedAccountsGetWorkByTheirWeights(
+            @ForAll @IntRange(min = 1, max = 4) int weight,
+            @ForAll @IntRange(min = 50, max = 400) int small,
+            @ForAll @IntRange(min = 50, max = 400) int large) {
+        FairQueue queue = new FairQueue();
+        for (int i = 0; i < 120; i++) {
+            queue.add(NOW, attempt("a", weight, 0, small));
+            queue.add(NOW, attempt("b", 1, 0, large));
+        }
+        Map<String, Double> served = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            Attempt a = queue.take();
+            served.merge(a.request().account(), a.work(), Double::sum);
+        }
+        double a = served.getOrDefault("a", 0.0) / weight;
+        double b = served.getOrDefault("b", 0.0);
+        // Start-time fair queueing keeps two accounts within one request of each.
+        assertThat(Math.abs(a - b)).isLessThanOrEqualTo((double) small / weight + large);
+    }
+
+    @Test
+    void higherPriorityGoesFirst() {
+        mQueue.add(NOW, attempt("a", 1, 0, 1));
+        Attempt urgent = attempt("a", 1, 1, 1000);
+        mQueue.add(NOW, urgent);
+        assertThat(mQueue.take()).isSameAs(urgent);
+    }
+
+    // Urgent requests keep coming as fast as they are taken. One of low priority must still get
+    // its turn, or its caller would only ever be refused.
+    @Test
+    void steadyUrgentFlowStarvesNobody() {
+        Attempt low = attempt("a", 1, 0, 1);
+        mQueue.add(NOW, low);
+        int turns = 0;
+        Attempt taken = null;
+        while (taken != low) {
+            mQueue.add(NOW, attempt("b", 1, 9, 1));
+            taken = mQueue.take();
+            turns++;
+        }
+        assertThat(turns).isLessThanOrEqualTo(8);
+    }
+
+    // The queue is full of a large account's requests when a small account's one arrives. The
+    // newest of the large account is refused, not the one that just arrived.
+    @Test
+    void fullQueueMakesRoomAtTheCostOfTheHeaviestAccount() {
+        SidecarSettings.QueueLimits limits =
+                new SidecarSettings.QueueLimits(3, 1 << 20, Duration.ofSeconds(2));
+        mQueue.add(NOW, attempt("large", 1, 0, 10));
+        mQueue.add(NOW, attempt("large", 1, 0, 10));
+        Attempt newest = attempt("large", 1, 0, 10);
+        mQueue.add(NOW, newest);
+        assertThat(mQueue.overflow(limits)).isNull();
+
+        mQueue.add(NOW, attempt("small", 1, 0, 10));
+        assertThat(mQueue.overflow(limits)).isSameAs(newest);
+    }
+
+    private Attempt attempt(String account, double weight, int priority, int work) {
+        Requests request = Requests.request(++mCount).account(account, weight).priority(priority);
+        Attempt attempt = new Attempt(request.build(), NOW, new OutputTotal());
+        attempt.setWork(work);
+        return attempt;
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/Requests.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/Requests.java
@@ -14,6 +14,7 @@
     private BackendRef mTarget = new BackendRef("engine-1", 1);
     private String mAccount = "account";
     private long mChat;
+    private boolean mReturning;
     private byte[] mBody = new byte[0];
     private boolean mIdempotent = true;
     private String mKey = "";
@@ -62,8 +63,8 @@
         return this;
     }
 
-    Requests notIdempotent() {
-        mIdempotent = false;
+    Requests returning() {
+        mReturning = true;
         return this;
     }
 
@@ -96,7 +97,7 @@
                 mAccount,
                 SERVICE,
                 mChat,
-                false,
+                mReturning,
                 call,
                 mIdempotent,
                 mKey,
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/SidecarDriver.java
@@ -0,0 +1,111 @@
+package org.laurelweir.admission;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.ServiceLoad;
+
+/** Drives one sidecar's reducer step by step and keeps what it wanted done. */
+final class SidecarDriver {
+    private final SidecarReducer mSidecar =
+            new SidecarReducer(
+                    new SidecarIdentity(
+                            new BackendRef("engine-1", 1),
+                            Requests.SERVICE,
+                            "bergen",
+                            "vestkyst",
+                            "10.0.0.1:1",
+                            1));
+    private final List<SidecarEffect> mEffects = new ArrayList<>();
+    private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
+    private long mStreams;
+
+    /** Begins an attempt on a new stream and returns the stream. */
+    long begin(Requests request) {
+        step(new SidecarEvent.AttemptBegun(++mStreams, request.build()));
+        return mStreams;
+    }
+
+    /** Follows an attempt on a new stream and returns the stream. */
+    long resume(AttemptId id, long offset) {
+        step(
+                new SidecarEvent.AttemptResumed(
+                        ++mStreams, id, new BackendRef("engine-1", 1), offset));
+        return mStreams;
+    }
+
+    void step(SidecarEvent event) {
+        mSidecar.step(mNow, event, mEffects::add);
+    }
+
+    /** Lets time pass, with a tick at its end. */
+    void pass(Duration time) {
+        mNow = mNow.plus(time);
+        step(new SidecarEvent.Tick());
+    }
+
+    void exchange(List<Backend> members, double mean, boolean drain, long fence) {
+        step(
+                new SidecarEvent.ExchangeAnswered(
+                        new MembershipDelta(MembershipCursor.NONE, true, members),
+                        List.of(new ServiceLoad(Requests.SERVICE, mean, members.size())),
+                        drain,
+                        fence));
+    }
+
+    /** Has the backend server answer an attempt wholly. */
+    void answer(AttemptId id, byte[] body) {
+        step(new SidecarEvent.EngineAnswered(id, 200, List.of()));
+        step(new SidecarEvent.EngineSent(id, body));
+        step(new SidecarEvent.EngineFinished(id, Frame.Usage.NONE));
+    }
+
+    static Backend member(int number, Backend.State state) {
+        return new Backend(
+                new BackendRef("engine-" + number, 1),
+                Requests.SERVICE,
+                "bergen",
+                "vestkyst",
+                "10.0.0." + number + ":1",
+                state,
+                1,
+                1);
+    }
+
+    /** Returns the members engine-1 up to a number, serving. */
+    static List<Backend> members(int count) {
+        List<Backend> members = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            members.add(member(i, Backend.State.SERVING));
+        }
+        return members;
+    }
+
+    /** Takes all effects of a kind since the last call for any kind. */
+    <T extends SidecarEffect> List<T> take(Class<T> kind) {
+        List<T> found = mEffects.stream().filter(kind::isInstance).map(kind::cast).toList();
+        mEffects.clear();
+        return found;
+    }
+
+    /** Takes the frames on a stream since effects were last taken. */
+    List<Frame> takeFrames(long stream) {
+        return take(SidecarEffect.SendFrame.class).stream()
+                .filter(f -> f.stream() == stream)
+                .map(f -> f.frame().frame())
+                .toList();
+    }
+
+    /** Takes the last frame on a stream since effects were last taken. */
+    Frame takeLastFrame(long stream) {
+        List<Frame> frames = takeFrames(stream);
+        return frames.get(frames.size() - 1);
+    }
+}
