--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -15,8 +15,8 @@
  * concerns; the parts hold the state.
  */
 public final class SidecarReducer implements Reducer<SidecarEvent, SidecarEffect> {
-    /** Longer than any caller's deadline, which routers limit to less. */
-    private static final Duration MEMORY_KEEP = Duration.ofMinutes(30);
+    /** Longer than any caller's deadline: deadline.max can't be set above an hour. */
+    private static final Duration MEMORY_KEEP = Duration.ofMinutes(65);
 
     private static final int MAX_REMEMBERED = 50_000;
     private static final int MAX_ROUTER_RUNS = 10_000;
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
@@ -33,7 +33,7 @@
     private static final Duration TICK = Duration.ofMillis(50);
     private static final SidecarSettings SETTINGS =
             new SidecarSettings(
-                    new BoundConfig(FACTOR, 1.1, FLOOR, 0.1, 2),
+                    new BoundConfig(FACTOR, 0, 1.1, FLOOR, 0.1, 2),
                     new SidecarSettings.QueueLimits(5, 2_000, QUEUE_AGE),
                     SidecarSettings.DEFAULT.output(),
                     Duration.ofMinutes(10),
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
@@ -21,6 +21,7 @@
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
 import org.laurelweir.membership.ServiceLoad;
@@ -66,7 +67,7 @@
                         Tuple.of(2, Kind.CLOSE_STREAM),
                         Tuple.of(24, Kind.ENGINE),
                         Tuple.of(4, Kind.TICK),
-                        Tuple.of(1, Kind.WAIT_LONG),
+                        Tuple.of(2, Kind.WAIT_LONG),
                         Tuple.of(1, Kind.RESTART),
                         Tuple.of(1, Kind.DRAIN),
                         Tuple.of(1, Kind.MEAN));
@@ -80,14 +81,15 @@
 
     /** Routers, a sidecar that may restart, and its engine. */
     private static final class World {
-        private static final int REQUESTS = 2;
+        private static final int REQUESTS = 3;
         private static final int TRIES = 2;
         private static final Duration[] WAITS = {
-            Duration.ofSeconds(3), Duration.ofSeconds(40), Duration.ofMinutes(31)
+            Duration.ofSeconds(3), Duration.ofSeconds(40), Duration.ofMinutes(66)
         };
 
         private final FakeEngine mEngine = new FakeEngine();
         private final Set<AttemptId> mDenied = new HashSet<>();
+        private final Map<AttemptId, Frame> mEndings = new HashMap<>();
         private final Map<Long, StreamCheck> mStreams = new HashMap<>();
         private final Map<AttemptId, Long> mBegunAt = new HashMap<>();
         private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
@@ -139,7 +141,7 @@
             if (mBegunAt.computeIfAbsent(id, i -> mIncarnation) != mIncarnation) {
                 return;
             }
-            Requests request = Requests.request(id).target(target(id)).outputTokens(3000);
+            Requests request = Requests.request(id).target(target(id)).outputTokens(5000);
             if (how % 3 == 0) {
                 request.key("key", Duration.ofMinutes(5));
             }
@@ -235,6 +237,20 @@
             if (e.frame().frame() instanceof Frame.Refused r) {
                 assertThat(r.code().isNotRun()).isTrue();
                 deny(e.frame().attempt());
+            } else if (e.frame().frame() instanceof Frame.End
+                    || e.frame().frame() instanceof Frame.Failed) {
+                checkEnding(e.frame().attempt(), e.frame().frame());
+            }
+        }
+
+        /** An attempt has one ending, whichever stream it goes out on. */
+        private void checkEnding(AttemptId id, Frame ending) {
+            boolean aboutStream =
+                    ending instanceof Frame.Failed f
+                            && (f.code() == ResultCode.OUTPUT_NOT_KEPT
+                                    || f.code() == ResultCode.OUTCOME_UNKNOWN);
+            if (!aboutStream) {
+                assertThat(mEndings.putIfAbsent(id, ending)).isIn(null, ending);
             }
         }
 
