Keep the replicated log in files

A torn end is told from a damaged one by a mark of what was synced and by each record naming the start of its batch: a batch begins only after the sync of the one before, so a valid record of a later batch proves that what is damaged before it was acknowledged. Such a replica does not start. The mark itself is not synced, which would double the cost of a batch; the case this leaves open is in the design note.

--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
@@ -0,0 +1,229 @@
+package org.laurelweir.control.storage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.laurelweir.agreement.AgreementEffect.Persist;
+import org.laurelweir.agreement.AgreementEvent.Recovered;
+import org.laurelweir.agreement.HardState;
+import org.laurelweir.agreement.LogEntry;
+import org.laurelweir.agreement.Snapshot;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * Keeps the log in a data folder. Entries are only ever appended: one with an index already used
+ * replaces what came before it, so that no crash can leave a log cut and not yet continued.
+ */
+public final class FileLogStorage implements LogStorage {
+    /** A segment that has reached this size is followed by a new one. */
+    static final int SEGMENT_BYTES = 16 << 20;
+
+    private final LogFiles mFiles;
+    private final int mSegmentBytes;
+    private final DataFolder mFolder;
+    private final SyncMark mMark;
+    private final TreeMap<Long, Long> mLastIndexes;
+    private Recovered mRecovered;
+    private Segment mSegment;
+    private boolean mFailed;
+
+    private FileLogStorage(LogFiles files, int segmentBytes, DataFolder folder) throws IOException {
+        mFiles = files;
+        mSegmentBytes = segmentBytes;
+        mFolder = folder;
+        LogLoader loader = new LogLoader(files);
+        loader.load();
+        mRecovered = loader.recovered();
+        mLastIndexes = loader.lastIndexes();
+        if (!files.hardState().exists()) {
+            files.hardState().write(HardStateCodec.encode(HardState.INITIAL));
+        }
+        mMark = openMark();
+        openSegment(loader);
+    }
+
+    /** The mark is there before the first segment, so that a log without it was damaged. */
+    private SyncMark openMark() throws IOException {
+        boolean isNew = SyncMark.read(mFiles.syncMark()) == null;
+        SyncMark mark = new SyncMark(mFiles.syncMark());
+        if (isNew) {
+            mark.write(new SyncMark.Position(0, 0));
+            mFiles.syncer().sync(mark.channel());
+            WholeFile.syncFolder(mFiles.folder(), mFiles.syncer());
+        }
+        return mark;
+    }
+
+    /**
+     * Opens a data folder, or creates it.
+     *
+     * @param folder holds nothing else
+     * @param newStorageId draws the storage id of a new folder; must be random
+     * @throws LaurelweirException {@code LOG_CORRUPT} or {@code SNAPSHOT_CORRUPT} if something
+     *     acknowledged is damaged or missing, {@code BAD_SETTINGS_FILE} if another process has the
+     *     folder, {@code DISK_FAILED} if the disk reported an error
+     */
+    public static FileLogStorage open(Path folder, LongSupplier newStorageId) {
+        return open(folder, newStorageId, SEGMENT_BYTES, Syncer.DEFAULT);
+    }
+
+    static FileLogStorage open(
+            Path folder, LongSupplier newStorageId, int segmentBytes, Syncer syncer) {
+        LogFiles files = new LogFiles(folder, syncer);
+        try {
+            DataFolder taken = DataFolder.take(files, newStorageId);
+            try {
+                return new FileLogStorage(files, segmentBytes, taken);
+            } catch (IOException | RuntimeException e) {
+                taken.close();
+                throw e;
+            }
+        } catch (IOException e) {
+            throw diskFailed(folder, e);
+        }
+    }
+
+    private void openSegment(LogLoader loader) throws IOException {
+        if (mLastIndexes.isEmpty()) {
+            startSegment(loader.firstSegment());
+        } else if (loader.end() == 0) {
+            startSegment(mLastIndexes.lastKey());
+        } else {
+            long number = mLastIndexes.lastKey();
+            mSegment = Segment.open(mFiles.folder(), number, loader.end(), mFiles.syncer());
+        }
+        mMark.write(mSegment.end());
+        mFiles.syncer().sync(mMark.channel());
+    }
+
+    private void startSegment(long number) throws IOException {
+        if (mSegment != null) {
+            mSegment.close();
+        }
+        mSegment = Segment.create(mFiles.folder(), number, mFiles.syncer());
+        mLastIndexes.put(number, 0L);
+    }
+
+    @Override
+    public long storageId() {
+        return mFolder.storageId();
+    }
+
+    /** {@inheritDoc} May be called once; the entries are not kept. */
+    @Override
+    public Recovered recovered() {
+        Recovered recovered = mRecovered;
+        mRecovered = null;
+        return recovered;
+    }
+
+    @Override
+    public void persist(List<Persist> effects) {
+        if (mFailed) {
+            throw new LaurelweirException(
+                    ResultCode.DISK_FAILED, mFiles.folder() + " has failed before");
+        }
+        try {
+            writeAll(effects);
+        } catch (IOException e) {
+            // After a failed sync the system may have dropped the data and call the next sync good.
+            mFailed = true;
+            throw diskFailed(mFiles.folder(), e);
+        }
+    }
+
+    private void writeAll(List<Persist> effects) throws IOException {
+        writeHardState(effects);
+        List<LogEntry> batch = new ArrayList<>();
+        for (Persist p : effects) {
+            if (p.discardLog()) {
+                batch.clear();
+                discardLog(p.snapshot());
+            }
+            batch.addAll(p.entries());
+            if (p.snapshot() != null && !p.discardLog()) {
+                append(batch);
+                batch.clear();
+                compactLog(p.snapshot());
+            }
+        }
+        append(batch);
+    }
+
+    /** Only the last one counts: the batch is acknowledged as a whole. */
+    private void writeHardState(List<Persist> effects) throws IOException {
+        HardState last = null;
+        for (Persist p : effects) {
+            last = p.hardState() == null ? last : p.hardState();
+        }
+        if (last != null) {
+            mFiles.hardState().write(HardStateCodec.encode(last));
+        }
+    }
+
+    private void append(List<LogEntry> batch) throws IOException {
+        if (batch.isEmpty()) {
+            return;
+        }
+        if (mSegment.size() >= mSegmentBytes) {
+            startSegment(mSegment.number() + 1);
+        }
+        mSegment.append(batch);
+        mMark.write(mSegment.end());
+        for (LogEntry e : batch) {
+            mLastIndexes.merge(mSegment.number(), e.index(), Math::max);
+        }
+    }
+
+    /** Keeps a snapshot of a part of this log, and removes the segments it covers. */
+    private void compactLog(Snapshot snapshot) throws IOException {
+        long first = mLastIndexes.firstKey();
+        while (first < mSegment.number() && mLastIndexes.get(first) <= snapshot.index()) {
+            first++;
+        }
+        writeSnapshot(snapshot, first);
+        removeSegmentsBefore(first);
+    }
+
+    /** Keeps a snapshot that the log on disk does not lead to, and begins the log anew after it. */
+    private void discardLog(Snapshot snapshot) throws IOException {
+        long next = mSegment.number() + 1;
+        writeSnapshot(snapshot, next);
+        startSegment(next);
+        mMark.write(mSegment.end());
+        removeSegmentsBefore(next);
+    }
+
+    private void writeSnapshot(Snapshot snapshot, long firstSegment) throws IOException {
+        mFiles.snapshot()
+                .write(SnapshotCodec.encode(new SnapshotCodec.Stored(snapshot, firstSegment)));
+    }
+
+    private void removeSegmentsBefore(long first) throws IOException {
+        for (long number : List.copyOf(mLastIndexes.headMap(first).keySet())) {
+            Files.delete(Segment.path(mFiles.folder(), number));
+            mLastIndexes.remove(number);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            mSegment.close();
+            mFiles.syncer().sync(mMark.channel());
+            mMark.close();
+            mFolder.close();
+        } catch (IOException e) {
+            throw diskFailed(mFiles.folder(), e);
+        }
+    }
+
+    private static LaurelweirException diskFailed(Path folder, IOException e) {
+        return new LaurelweirException(ResultCode.DISK_FAILED, folder + ": " + e.getMessage(), e);
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogFiles.java
@@ -0,0 +1,27 @@
+package org.laurelweir.control.storage;
+
+import java.nio.file.Path;
+import org.laurelweir.lib.ResultCode;
+
+/** The names of the files in a data folder. */
+record LogFiles(Path folder, Syncer syncer) {
+    WholeFile identity() {
+        return new WholeFile(folder.resolve("identity"), ResultCode.LOG_CORRUPT, syncer);
+    }
+
+    WholeFile hardState() {
+        return new WholeFile(folder.resolve("hard-state"), ResultCode.LOG_CORRUPT, syncer);
+    }
+
+    WholeFile snapshot() {
+        return new WholeFile(folder.resolve("snapshot"), ResultCode.SNAPSHOT_CORRUPT, syncer);
+    }
+
+    Path syncMark() {
+        return folder.resolve("sync-mark");
+    }
+
+    Path lock() {
+        return folder.resolve("lock");
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
@@ -0,0 +1,100 @@
+package org.laurelweir.control.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.laurelweir.agreement.LogEntry;
+
+/** The segment that records are appended to. Its name holds its number, which rises by one. */
+final class Segment implements AutoCloseable {
+    /** What a segment begins with. */
+    static final byte[] HEADER = {'l', 'w', 'l', 'o', 'g', 0, 0, 1};
+
+    private static final String PREFIX = "log-";
+
+    private final long mNumber;
+    private final FileChannel mChannel;
+    private final Syncer mSyncer;
+    private long mSize;
+
+    private Segment(long number, FileChannel channel, Syncer syncer) throws IOException {
+        mNumber = number;
+        mChannel = channel;
+        mSyncer = syncer;
+        mSize = channel.size();
+    }
+
+    /** Creates an empty segment, in place of one whose creation was cut short. */
+    static Segment create(Path folder, long number, Syncer syncer) throws IOException {
+        FileChannel channel =
+                FileChannel.open(
+                        path(folder, number),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE);
+        WholeFile.writeFully(channel, ByteBuffer.wrap(HEADER));
+        syncer.sync(channel);
+        WholeFile.syncFolder(folder, syncer);
+        return new Segment(number, channel, syncer);
+    }
+
+    /** Opens a segment to append after an offset, and cuts off what follows. */
+    static Segment open(Path folder, long number, long end, Syncer syncer) throws IOException {
+        FileChannel channel = FileChannel.open(path(folder, number), StandardOpenOption.WRITE);
+        channel.truncate(end);
+        channel.position(end);
+        syncer.sync(channel);
+        return new Segment(number, channel, syncer);
+    }
+
+    static Path path(Path folder, long number) {
+        return folder.resolve(PREFIX + String.format("%016x", number));
+    }
+
+    /** Returns the numbers of all segments in a folder. */
+    static SortedSet<Long> numbersIn(Path folder) throws IOException {
+        SortedSet<Long> numbers = new TreeSet<>();
+        try (Stream<Path> files = Files.list(folder)) {
+            files.map(f -> f.getFileName().toString())
+                    .filter(name -> name.startsWith(PREFIX))
+                    .forEach(name -> numbers.add(Long.parseLong(name.substring(4), 16)));
+        }
+        return numbers;
+    }
+
+    /** Appends entries as one batch and syncs them. */
+    void append(List<LogEntry> entries) throws IOException {
+        int bytes = entries.stream().mapToInt(RecordCodec::sizeOf).sum();
+        ByteBuffer out = ByteBuffer.allocate(bytes);
+        for (LogEntry e : entries) {
+            RecordCodec.encode(e, (int) mSize, out);
+        }
+        WholeFile.writeFully(mChannel, out.flip());
+        mSyncer.sync(mChannel);
+        mSize += bytes;
+    }
+
+    long number() {
+        return mNumber;
+    }
+
+    long size() {
+        return mSize;
+    }
+
+    SyncMark.Position end() {
+        return new SyncMark.Position(mNumber, mSize);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mChannel.close();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
@@ -0,0 +1,99 @@
+package org.laurelweir.control.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.zip.CRC32C;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+
+/**
+ * A file that is replaced as a whole: written aside, synced, renamed, and the folder synced.
+ * Readers see the old content or the new, never a mixture.
+ */
+final class WholeFile {
+    /** The end of the name of a file written aside; one left by a crash is of no use. */
+    static final String ASIDE = ".tmp";
+
+    private static final int MAGIC = 0x4c575731;
+    private static final int HEADER_BYTES = 8;
+
+    private final Path mPath;
+    private final ResultCode mCorruptCode;
+    private final Syncer mSyncer;
+
+    /**
+     * Creates an accessor.
+     *
+     * @param corruptCode the code under which damage is reported
+     */
+    WholeFile(Path path, ResultCode corruptCode, Syncer syncer) {
+        mPath = path;
+        mCorruptCode = corruptCode;
+        mSyncer = syncer;
+    }
+
+    boolean exists() {
+        return Files.exists(mPath);
+    }
+
+    void write(byte[] content) throws IOException {
+        Path aside = mPath.resolveSibling(mPath.getFileName() + ASIDE);
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+        header.putInt(MAGIC).putInt(checksum(content)).flip();
+        try (FileChannel channel =
+                FileChannel.open(
+                        aside,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
+            writeFully(channel, header);
+            writeFully(channel, ByteBuffer.wrap(content));
+            mSyncer.sync(channel);
+        }
+        Files.move(aside, mPath, StandardCopyOption.ATOMIC_MOVE);
+        syncFolder(mPath.getParent(), mSyncer);
+    }
+
+    /**
+     * Reads the content.
+     *
+     * @throws LaurelweirException with the code given at construction, if the file is damaged
+     */
+    byte[] read() throws IOException {
+        ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(mPath));
+        if (file.remaining() < HEADER_BYTES || file.getInt() != MAGIC) {
+            throw new LaurelweirException(mCorruptCode, mPath + " has no valid header");
+        }
+        int checksum = file.getInt();
+        byte[] content = new byte[file.remaining()];
+        file.get(content);
+        if (checksum(content) != checksum) {
+            throw new LaurelweirException(mCorruptCode, mPath + " fails its checksum");
+        }
+        return content;
+    }
+
+    private static int checksum(byte[] content) {
+        CRC32C crc = new CRC32C();
+        crc.update(content);
+        return (int) crc.getValue();
+    }
+
+    static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    /** Makes the creation, renaming and removal of files in a folder last. */
+    static void syncFolder(Path folder, Syncer syncer) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            syncer.sync(channel);
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/MemoryLogStorage.java
@@ -0,0 +1,58 @@
+package org.laurelweir.control.storage;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.laurelweir.agreement.AgreementEffect.Persist;
+import org.laurelweir.agreement.AgreementEvent.Recovered;
+import org.laurelweir.agreement.HardState;
+import org.laurelweir.agreement.LogEntry;
+import org.laurelweir.agreement.Snapshot;
+
+/** Keeps the log in memory; what the file storage is compared with. */
+public final class MemoryLogStorage implements LogStorage {
+    private final long mStorageId;
+    private final List<LogEntry> mEntries = new ArrayList<>();
+    private HardState mHardState = HardState.INITIAL;
+    private Snapshot mSnapshot = Snapshot.NONE;
+
+    /** Creates an empty storage. */
+    public MemoryLogStorage(long storageId) {
+        mStorageId = storageId;
+    }
+
+    @Override
+    public long storageId() {
+        return mStorageId;
+    }
+
+    @Override
+    public Recovered recovered() {
+        return new Recovered(mHardState, mSnapshot, List.copyOf(mEntries));
+    }
+
+    @Override
+    public void persist(List<Persist> effects) {
+        effects.forEach(this::persist);
+    }
+
+    private void persist(Persist p) {
+        if (p.hardState() != null) {
+            mHardState = p.hardState();
+        }
+        if (p.discardLog()) {
+            mEntries.clear();
+        }
+        if (!p.entries().isEmpty()) {
+            long first = p.entries().get(0).index();
+            mEntries.removeIf(e -> e.index() >= first);
+            mEntries.addAll(p.entries());
+        }
+        if (p.snapshot() != null) {
+            mSnapshot = p.snapshot();
+            mEntries.removeIf(e -> e.index() <= mSnapshot.index());
+        }
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/PersistSequence.java
@@ -0,0 +1,91 @@
+package org.laurelweir.control.storage;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.laurelweir.agreement.AgreementEffect.Persist;
+import org.laurelweir.agreement.AgreementEvent.Recovered;
+import org.laurelweir.agreement.HardState;
+import org.laurelweir.agreement.LogEntry;
+import org.laurelweir.agreement.Membership;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.agreement.Snapshot;
+
+/** Makes effects such as a reducer may emit, from a seed. */
+final class PersistSequence {
+    private final SplittableRandom mRandom;
+    private long mSequence;
+    private long mTerm;
+    private long mLast;
+    private long mSnapshotIndex;
+
+    PersistSequence(long seed) {
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /** Returns a batch of one to three effects of any kind. */
+    List<Persist> nextBatch() {
+        List<Persist> batch = new ArrayList<>();
+        for (int i = mRandom.nextInt(3); i >= 0; i--) {
+            batch.add(next());
+        }
+        return batch;
+    }
+
+    private Persist next() {
+        return switch (mRandom.nextInt(10)) {
+            case 0 -> new Persist(++mSequence, newTerm(), null, false, replace());
+            case 1 -> new Persist(++mSequence, null, snapshot(mLast), false, append());
+            case 2 -> discard();
+            default -> new Persist(++mSequence, null, null, false, append());
+        };
+    }
+
+    private HardState newTerm() {
+        mTerm++;
+        boolean voted = mRandom.nextBoolean();
+        return new HardState(mTerm, voted ? new ReplicaId("b", mTerm) : null);
+    }
+
+    /** Replaces some entries after the snapshot, as a new leader may. */
+    private List<LogEntry> replace() {
+        mLast -= mRandom.nextLong(mLast - mSnapshotIndex + 1);
+        return append();
+    }
+
+    List<LogEntry> append() {
+        List<LogEntry> entries = new ArrayList<>();
+        for (int i = mRandom.nextInt(4); i >= 0; i--) {
+            byte[] payload = new byte[mRandom.nextInt(20)];
+            Arrays.fill(payload, (byte) mRandom.nextInt());
+            entries.add(new LogEntry(++mLast, mTerm, LogEntry.Kind.COMMAND, payload));
+        }
+        return entries;
+    }
+
+    Persist discard() {
+        mLast += mRandom.nextInt(5) + 1;
+        Snapshot snapshot = snapshot(mLast);
+        return new Persist(++mSequence, newTerm(), snapshot, true, append());
+    }
+
+    private Snapshot snapshot(long index) {
+        mSnapshotIndex = index;
+        Membership members = Membership.ofVoters(List.of(new ReplicaId("a", 1)));
+        byte[] state = ("state after " + index).getBytes();
+        return new Snapshot(index, mTerm, members, state);
+    }
+
+    /** Renders what a storage holds, payloads included, to compare by. */
+    static String render(Recovered r) {
+        StringBuilder out = new StringBuilder();
+        out.append(r.hardState()).append(' ').append(r.snapshot());
+        out.append(' ').append(r.snapshot().membership());
+        out.append(' ').append(new String(r.snapshot().state()));
+        for (LogEntry e : r.entries()) {
+            out.append('\n').append(e).append(' ').append(Arrays.toString(e.payload()));
+        }
+        return out.toString();
+    }
+}
