--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementHistory.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementHistory.java
@@ -16,6 +16,7 @@
 final class AgreementHistory {
     private final Map<Long, ReplicaId> mLeaders = new HashMap<>();
     private final TreeMap<Long, String> mCommitted = new TreeMap<>();
+    private final List<String> mSequence = new ArrayList<>();
     private final TreeMap<Long, Long> mCommittedTerms = new TreeMap<>();
     private final Map<Long, String> mProposed = new HashMap<>();
     private final Set<String> mAccepted = new HashSet<>();
@@ -49,20 +50,21 @@
     /** State machine safety: one command for each index, and the same sequence everywhere. */
     void applied(TestReplica replica, long index, long term, String command) {
         String other = mCommitted.putIfAbsent(index, command);
-        assertThat(other == null || other.equals(command))
-                .as("%s applies %s at %s, others %s", replica.mId, command, index, other)
-                .isTrue();
+        if (other == null) {
+            mSequence.add(index + ":" + command);
+        }
         mCommittedTerms.put(index, term);
         assertThat(mNeverRun).as("was said not to be run").doesNotContain(command);
-        assertIsPrefix(replica);
+        int last = replica.mApplied.size() - 1;
+        assertThat(replica.mApplied.get(last))
+                .as("applied by %s as number %s", replica.mId, last)
+                .isEqualTo(mSequence.get(last));
     }
 
     void assertIsPrefix(TestReplica replica) {
-        List<String> all = new ArrayList<>();
-        mCommitted
-                .headMap(replica.mAppliedIndex, true)
-                .forEach((index, command) -> all.add(index + ":" + command));
-        assertThat(replica.mApplied).as("state of %s", replica.mId).isEqualTo(all);
+        assertThat(replica.mApplied)
+                .as("state of %s", replica.mId)
+                .isEqualTo(mSequence.subList(0, replica.mApplied.size()));
     }
 
     void accepted(TestReplica replica, long proposalId, long index) {
@@ -80,7 +82,7 @@
         String command = mProposed.get(proposalId);
         if (command != null && code != ResultCode.OUTCOME_UNKNOWN) {
             mNeverRun.add(command);
-            assertThat(mCommitted.values()).doesNotContain(command);
+            assertThat(mCommitted.containsValue(command)).as(command).isFalse();
         }
     }
 
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -0,0 +1,179 @@
+package org.laurelweir.agreement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.agreement.AgreementEffect.Persist;
+import org.laurelweir.agreement.AgreementEffect.ProposalRejected;
+import org.laurelweir.agreement.AgreementEffect.Send;
+import org.laurelweir.agreement.AgreementEvent.MembershipChangeProposed;
+import org.laurelweir.agreement.AgreementEvent.MessageReceived;
+import org.laurelweir.agreement.MembershipChange.AddLearner;
+import org.laurelweir.agreement.MembershipChange.Promote;
+import org.laurelweir.agreement.MembershipChange.Remove;
+import org.laurelweir.agreement.ReplicaMessage.AppendRequest;
+import org.laurelweir.agreement.ReplicaMessage.VoteReply;
+import org.laurelweir.agreement.ReplicaMessage.VoteRequest;
+import org.laurelweir.lib.ResultCode;
+
+/** Single rules, in the one order of events that needs each. */
+class AgreementRulesTest {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private ReplicaNetwork mNetwork;
+    private TestReplica mLeader;
+    private TestReplica mFollower;
+
+    @BeforeEach
+    void elect() {
+        mNetwork = new ReplicaNetwork(1, 3);
+        mNetwork.calm(SECOND.multipliedBy(3));
+        mLeader = mNetwork.leader();
+        mFollower = mNetwork.up().stream().filter(r -> r != mLeader).findFirst().orElseThrow();
+    }
+
+    // Callers see: nothing lost. Order: a replica grants a vote, crashes before the sync, and
+    // grants
+    // another one in the same term. Why: the first grant was never sent.
+    @Test
+    void sendsAVoteOnlyOnceItIsSynced() {
+        TestReplica voter = new TestReplica(new ReplicaId("v", 1));
+        voter.start(Instant.EPOCH, 1);
+        VoteRequest request = new VoteRequest(5, 9, 4);
+        List<AgreementEffect> effects =
+                mNetwork.effectsOf(voter, new MessageReceived(mLeader.mId, request));
+        assertThat(effects).noneMatch(e -> e instanceof Send);
+        assertThat(effects).anyMatch(e -> e instanceof Persist);
+        assertThat(mNetwork.effectsOf(voter, new AgreementEvent.Persisted(1)))
+                .contains(new Send(mLeader.mId, new VoteReply(5, true)));
+    }
+
+    // Callers see: a read shows what was accepted before it. Order: the leader stands still,
+    // another
+    // is elected and accepts a command, a read reaches the old leader as it wakes up.
+    // Why: it first asks a quorum, which no longer follows it.
+    @Test
+    void aLeaderThatStoodStillAnswersNoReadFromItsOldState() {
+        mLeader.mIsPaused = true;
+        mNetwork.run(SECOND);
+        TestReplica next = mNetwork.leader();
+        assertThat(next).isNotSameAs(mLeader);
+        mNetwork.propose(next, "new");
+        mNetwork.run(SECOND);
+        assertThat(mNetwork.mHistory.acceptedCount()).isEqualTo(1);
+        mNetwork.read(mLeader);
+        mLeader.mIsPaused = false;
+        mNetwork.syncAndRunLocal(mLeader);
+        mNetwork.calm(SECOND);
+    }
+
+    // Operators see: MEMBERSHIP_CHANGE_PENDING. Order: a second change is asked for before the
+    // first
+    // is committed. Why: the quorums of the first and the last of three memberships may not
+    // overlap.
+    @Test
+    void changesTheMembershipOneStepAtATime() {
+        mNetwork.propose(mLeader, new Remove(mFollower.mId));
+        assertRefused(mLeader, new AddLearner(new ReplicaId("x", 1)));
+    }
+
+    // Operators see: MEMBERSHIP_CHANGE_PENDING. Order: a leader is elected and asked for a change
+    // before an entry of its term is committed. Why: its predecessor's change may still be open.
+    @Test
+    void aNewLeaderFirstCommitsAnEntryOfItsTerm() {
+        mLeader.crash(mNetwork.mRandom);
+        while (mNetwork.leader() == null) {
+            mNetwork.run(Duration.ofMillis(20));
+        }
+        assertRefused(mNetwork.leader(), new AddLearner(new ReplicaId("x", 1)));
+    }
+
+    // Operators see: MEMBERSHIP_CHANGE_PENDING until the learner holds the log, then success.
+    // Order: a replica returns on a new disk, cut off at first. Why: a voter without the log makes
+    // the quorum larger and can't help to reach it.
+    @Test
+    void promotesALearnerOnlyOnceItHasCaughtUp() {
+        mFollower.crash(mNetwork.mRandom);
+        mNetwork.replaceDisk(mFollower.mId.name());
+        ReplicaId learner = mNetwork.mReplicas.get(mFollower.mId.name()).mId;
+        mNetwork.cutOff(List.of(learner.name()));
+        mNetwork.propose(mLeader, new AddLearner(learner));
+        mNetwork.run(Duration.ofMillis(100));
+        assertRefused(mLeader, new Promote(learner));
+        mNetwork.calm(SECOND);
+        mNetwork.propose(mNetwork.leader(), new Promote(learner));
+        mNetwork.calm(SECOND);
+        assertThat(mNetwork.leader().mReducer.membership().isVoter(learner)).isTrue();
+    }
+
+    // Operators see: NO_QUORUM. Order: one of three voters is down, and the other follower is to be
+    // removed. Why: of the two voters left only one would be there, and nothing could be committed.
+    @Test
+    void refusesAChangeThatLeavesNoQuorumInContact() {
+        mFollower.crash(mNetwork.mRandom);
+        mNetwork.run(SECOND);
+        ReplicaId other =
+                mNetwork.up().stream().filter(r -> r != mLeader).findFirst().orElseThrow().mId;
+        List<AgreementEffect> effects =
+                mNetwork.effectsOf(mLeader, new MembershipChangeProposed(1, new Remove(other)));
+        assertThat(effects).contains(new ProposalRejected(1, ResultCode.NO_QUORUM, mLeader.mId));
+    }
+
+    private void assertRefused(TestReplica leader, MembershipChange change) {
+        List<AgreementEffect> effects =
+                mNetwork.effectsOf(leader, new MembershipChangeProposed(9, change));
+        ResultCode code = ResultCode.MEMBERSHIP_CHANGE_PENDING;
+        assertThat(effects).contains(new ProposalRejected(9, code, leader.mId));
+    }
+
+    // Callers see: no pause. Order: a follower is cut off for long and comes back.
+    // Why: it asked in vain whether it could win, and so did not raise its term.
+    @Test
+    void aReplicaThatWasCutOffDeposesNobody() {
+        long term = mLeader.mReducer.term();
+        mNetwork.cutOff(List.of(mFollower.mId.name()));
+        mNetwork.run(SECOND.multipliedBy(5));
+        mNetwork.calm(SECOND);
+        assertThat(mLeader.mReducer.role()).isEqualTo(Role.LEADER);
+        assertThat(mLeader.mReducer.term()).isEqualTo(term);
+    }
+
+    // Callers see: no pause. Order: a removed replica that does not know it asks for votes in a
+    // high
+    // term. Why: whoever hears the leader doesn't even look at the term.
+    @Test
+    void votesForNobodyWhileTheLeaderIsHeard() {
+        VoteRequest request = new VoteRequest(99, 99, 98);
+        for (TestReplica r : mNetwork.up()) {
+            mNetwork.step(r, new MessageReceived(new ReplicaId("removed", 1), request));
+        }
+        assertThat(mNetwork.up()).allMatch(r -> r.mReducer.term() < 99);
+    }
+
+    // Callers see: OUTCOME_UNKNOWN soon, instead of waiting for the cut to end. Order: the leader
+    // is
+    // cut off from both followers with a proposal under way. Why: it counts its contacts.
+    @Test
+    void aLeaderWithoutAQuorumStepsDown() {
+        mNetwork.cutOff(List.of(mLeader.mId.name()));
+        mNetwork.propose(mLeader, "c");
+        mNetwork.run(Duration.ofMillis(200));
+        assertThat(mLeader.mReducer.role()).isNotEqualTo(Role.LEADER);
+    }
+
+    // Callers see: nothing lost. Order: a follower's log ends in entries of an old term and the
+    // leader's previous entry is missing or of another term. Why: the follower refuses the append.
+    @Test
+    void refusesEntriesThatDoNotContinueTheLog() {
+        long last = mFollower.mReducer.log().lastIndex();
+        long term = mLeader.mReducer.term();
+        LogEntry entry = new LogEntry(last + 2, term, LogEntry.Kind.NO_OP, new byte[0]);
+        AppendRequest gap = new AppendRequest(term, last + 1, -1, List.of(entry), last + 2, 0);
+        mNetwork.step(mFollower, new MessageReceived(mLeader.mId, gap));
+        assertThat(mFollower.mReducer.log().lastIndex()).isEqualTo(last);
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/ReplicaNetwork.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/ReplicaNetwork.java
@@ -245,10 +245,15 @@
         AgreementHistory.assertLogsMatch(up().stream().map(r -> r.mReducer.log()).toList());
     }
 
-    /** Runs without failures for some time. */
+    /** Ends all failures but crashes, and runs for some time. */
     void calm(Duration time) {
         mCutOff.clear();
         up().forEach(r -> r.mIsPaused = false);
+        run(time);
+    }
+
+    /** Runs for some time without new failures. */
+    void run(Duration time) {
         Instant end = mNow.plus(time);
         while (mNow.isBefore(end)) {
             tick(20);
@@ -258,4 +263,11 @@
             }
         }
     }
+
+    /** Lets a replica take an event and returns the effects instead of following them. */
+    List<AgreementEffect> effectsOf(TestReplica replica, AgreementEvent event) {
+        List<AgreementEffect> effects = new ArrayList<>();
+        replica.mReducer.step(mNow, event, effects::add);
+        return effects;
+    }
 }
