--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/FaultList.java
@@ -0,0 +1,41 @@
+package org.laurelweir.runtime.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+
+/** Collects the faults of one file. */
+final class FaultList {
+    private final String mFile;
+    private final List<SettingsFault> mFaults = new ArrayList<>();
+
+    FaultList(String file) {
+        mFile = file;
+    }
+
+    void add(int line, String key, String problem, String allowed) {
+        mFaults.add(new SettingsFault(mFile, line, key, problem, allowed));
+    }
+
+    int size() {
+        return mFaults.size();
+    }
+
+    /** Throws BAD_SETTINGS_FILE with every fault, one a line, if there is any. */
+    void throwIfAny() {
+        if (mFaults.isEmpty()) {
+            return;
+        }
+        String lines =
+                inOrder().stream().map(SettingsFault::toString).collect(Collectors.joining("\n"));
+        throw new LaurelweirException(ResultCode.BAD_SETTINGS_FILE, lines);
+    }
+
+    /** Returns the faults in the order of the file. */
+    List<SettingsFault> inOrder() {
+        return mFaults.stream().sorted(Comparator.comparingInt(SettingsFault::line)).toList();
+    }
+}
--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
@@ -0,0 +1,70 @@
+package org.laurelweir.standin;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.function.Function;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.lib.Service;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.runtime.log.Logging;
+import org.laurelweir.runtime.process.Program;
+import org.laurelweir.runtime.rpc.PortFile;
+import org.laurelweir.standin.http.HttpServer;
+
+/** Starts a stand-in from its settings file, tells where it listens, and stops it on SIGTERM. */
+public final class StandinProgram {
+    private StandinProgram() {}
+
+    /** A stand-in that listens for HTTP calls. */
+    public interface Listening {
+        /** Returns the server, bound once the stand-in has started. */
+        HttpServer server();
+
+        /** Returns the settings of the address. */
+        ListenSettings listen();
+    }
+
+    /**
+     * Runs a stand-in until the process is told to end. If it can't start, the process ends with
+     * the exit code of the failure.
+     *
+     * @param name the program's name, for messages
+     * @param settings the path of the settings file; null if none was given
+     * @param type the settings record
+     * @param create makes the stand-in from its settings
+     */
+    public static <S, T extends Service & Listening> void run(
+            String name, String settings, Class<S> type, Function<S, T> create) {
+        Program.run(
+                name,
+                () -> {
+                    if (settings == null) {
+                        throw new LaurelweirException(
+                                ResultCode.USAGE, "--settings FILE is needed");
+                    }
+                    new Logging(LogSettings.defaults()).start();
+                    return new Announced<>(
+                            create.apply(SettingsFile.read(Path.of(settings), type)));
+                });
+    }
+
+    /** Tells where a stand-in listens once it does. */
+    private record Announced<T extends Service & Listening>(T standin) implements Service {
+        @Override
+        public void start() {
+            standin.start();
+            InetSocketAddress at = standin.server().address();
+            if (standin.listen().portFile() != null) {
+                PortFile.write(Path.of(standin.listen().portFile()), at.getPort());
+            }
+            System.out.println("listening on " + at.getHostString() + ":" + at.getPort());
+            System.out.flush();
+        }
+
+        @Override
+        public void stop() {
+            standin.stop();
+        }
+    }
+}
