Drive the sidecars' own reducers in bin/measure

The policy was measured by its decisions alone. The reducers of the sidecar now run beside the engines, with their queue, notices and questions between sidecars, and only the engine, the control instance's answers and the router's policy are played. Each tick of the reducer looks at every attempt it holds, so that attempts whose output is kept for 30 s made up most of the run's time; 1 s is played.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
@@ -155,7 +155,7 @@
     private void end(Request request, Engine engine) {
         if (engine.end(request)) {
             beginNext(engine);
-            mScheme.onEnd(engine);
+            mScheme.onEnd(engine, request);
         }
     }
 
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Request.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Request.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.laurelweir.benchmarks.measure.workload.Turn;
+import org.laurelweir.lib.AttemptId;
 import org.laurelweir.placement.PlacementRequest;
 import org.laurelweir.placement.WorkEstimate;
 
@@ -16,6 +17,7 @@
     private boolean mWaited;
     private long mFirstTokenAt;
     private double mUnits;
+    private AttemptId mAttempt;
 
     Request(Turn turn, int expectedOutput) {
         mTurn = turn;
@@ -75,6 +77,16 @@
         mWaited = true;
     }
 
+    /** Returns the attempt that runs it, where the scheme names one. */
+    public AttemptId attempt() {
+        return mAttempt;
+    }
+
+    /** Notes the attempt that runs it. */
+    public void setAttempt(AttemptId attempt) {
+        mAttempt = attempt;
+    }
+
     long firstTokenAt() {
         return mFirstTokenAt;
     }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Scheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Scheme.java
@@ -10,7 +10,7 @@
     void onArrival(Request request);
 
     /** Learns that an engine has ended a request. */
-    default void onEnd(Engine engine) {}
+    default void onEnd(Engine engine, Request request) {}
 
     /** Learns that an engine joined, with an empty cache, or came back after a flap. */
     default void onJoin(Engine engine) {}
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/DirectoryScheme.java
@@ -274,7 +274,7 @@
     }
 
     @Override
-    public void onEnd(Engine engine) {
+    public void onEnd(Engine engine, Request request) {
         Sidecar at = sidecar(engine);
         int tries = at.waiting().size();
         for (int i = 0; i < tries; i++) {
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Policy.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Policy.java
@@ -21,6 +21,8 @@
     BOUNDED_LOAD("bounded load", Policy::boundedLoad),
     /** Directory, bound and redirect. */
     DIRECTORY("directory (ours)", DirectoryScheme::new),
+    /** The same as the sidecars' reducers do it today. */
+    REDUCERS("sidecar reducers (ours)", ReducerScheme::new),
     /** Sees everything. */
     ALL_KNOWING("all-knowing", AllKnowing::new);
 
--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerNode.java
@@ -0,0 +1,135 @@
+package org.laurelweir.benchmarks.measure.policy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.laurelweir.admission.SidecarEffect;
+import org.laurelweir.admission.SidecarEvent;
+import org.laurelweir.admission.SidecarIdentity;
+import org.laurelweir.admission.SidecarReducer;
+import org.laurelweir.admission.SidecarSettings;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.benchmarks.measure.Deployment;
+import org.laurelweir.benchmarks.measure.fleet.Engine;
+import org.laurelweir.benchmarks.measure.fleet.Fleet;
+import org.laurelweir.benchmarks.measure.fleet.Request;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.placement.BoundConfig;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ServiceView;
+import org.laurelweir.placement.WorkEstimate;
+
+/** One sidecar's reducer with the engine beside it. */
+final class ReducerNode {
+    private static final long TICK_MICROS = 250_000;
+    private static final int QUEUE_REQUESTS = 64;
+    private static final long QUEUE_BYTES = 16L << 20;
+
+    /** Short, since each tick looks at every attempt whose output is kept. */
+    private static final Duration OUTPUT_KEPT = Duration.ofSeconds(1);
+
+    private static final Duration NEVER = Duration.ofDays(1);
+
+    private final Fleet mFleet;
+    private final Engine mEngine;
+    private final BiConsumer<ReducerNode, SidecarEffect> mPerform;
+    private final SidecarReducer mReducer;
+
+    ReducerNode(Fleet fleet, Engine engine, BiConsumer<ReducerNode, SidecarEffect> perform) {
+        mFleet = fleet;
+        mEngine = engine;
+        mPerform = perform;
+        Candidate c = engine.candidate();
+        mReducer =
+                new SidecarReducer(
+                        new SidecarIdentity(
+                                c.ref(), service(), c.dataCentre(), "region", c.id(), c.weight()));
+        step(new SidecarEvent.SettingsChanged(settings()));
+        tick();
+    }
+
+    Engine engine() {
+        return mEngine;
+    }
+
+    private String service() {
+        return "service-" + mEngine.service();
+    }
+
+    private SidecarSettings settings() {
+        Deployment.Bound b = mFleet.deployment().bound();
+        return new SidecarSettings(
+                new BoundConfig(
+                        b.factor(),
+                        b.headroom(),
+                        b.openFactor(),
+                        b.capacityFloor(),
+                        b.prefillWeight(),
+                        b.maxRedirects()),
+                new SidecarSettings.QueueLimits(
+                        QUEUE_REQUESTS, QUEUE_BYTES, Duration.ofMillis(b.waitMillis())),
+                new SidecarSettings.OutputLimits(Long.MAX_VALUE, Long.MAX_VALUE, OUTPUT_KEPT),
+                NEVER,
+                NEVER,
+                (int) mFleet.deployment().chats().output().mean(),
+                Set.of());
+    }
+
+    /** Gives the reducer an event; a crashed one takes none. */
+    void step(SidecarEvent event) {
+        if (mEngine.isAlive()) {
+            Instant now = Instant.EPOCH.plus(mFleet.now(), ChronoUnit.MICROS);
+            mReducer.step(now, event, effect -> mPerform.accept(this, effect));
+        }
+    }
+
+    private void tick() {
+        mFleet.later(
+                TICK_MICROS,
+                () -> {
+                    step(new SidecarEvent.Tick());
+                    if (mEngine.isAlive()) {
+                        tick();
+                    }
+                });
+    }
+
+    void answered(AttemptId attempt) {
+        step(new SidecarEvent.EngineAnswered(attempt, 200, List.of()));
+    }
+
+    void finished(Request request) {
+        WorkEstimate work = request.placement().work();
+        Frame.Usage usage = new Frame.Usage(work.promptTokens(), 0, request.turn().output());
+        step(new SidecarEvent.EngineFinished(request.attempt(), usage));
+    }
+
+    /** Answers the reducer's exchange as a control instance would. */
+    void exchange(MembershipCursor cursor) {
+        ServiceView view = mFleet.sidecarView(mEngine);
+        MembershipCursor now = new MembershipCursor("control", 1, view.version());
+        boolean same = now.equals(cursor);
+        List<Backend> backends =
+                same ? List.of() : view.candidates().stream().map(this::backend).toList();
+        double mean = mFleet.reportedMean(mEngine.service());
+        step(
+                new SidecarEvent.ExchangeAnswered(
+                        new MembershipDelta(now, !same, backends),
+                        List.of(new ServiceLoad(service(), mean, view.size())),
+                        mEngine.isDraining(),
+                        0));
+    }
+
+    private Backend backend(Candidate c) {
+        Backend.State state = c.draining() ? Backend.State.DRAINING : Backend.State.SERVING;
+        return new Backend(
+                c.ref(), service(), c.dataCentre(), "region", c.id(), state, c.weight(), 1);
+    }
+}
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/SvgPlot.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/SvgPlot.java
@@ -17,7 +17,7 @@
     private static final int LEGEND_STEP = 20;
     private static final int TICKS = 5;
     private static final List<String> COLOURS =
-            List.of("#999999", "#e69f00", "#56b4e9", "#009e73", "#d55e00", "#000000");
+            List.of("#999999", "#e69f00", "#56b4e9", "#009e73", "#d55e00", "#cc79a7", "#000000");
 
     private final StringBuilder mOut = new StringBuilder();
 
