--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/ChatParser.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/ChatParser.java
@@ -1,6 +1,7 @@
 package org.laurelweir.standin.engine;
 
 import java.time.Instant;
+import java.util.List;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.standin.Json;
@@ -11,7 +12,8 @@
 
 /** Turns the body and headers of a chat-completions call into a call for the engine. */
 final class ChatParser {
-    private static final String PRIORITY = "Priority";
+    /** The routers let the second name through as callers give it. */
+    private static final List<String> PRIORITY_HEADERS = List.of("Priority", "X-Priority");
 
     private final String mIdPrefix;
     private final int mAnswerTokens;
@@ -59,7 +61,11 @@
         if (body.priority() != null) {
             return body.priority();
         }
-        String header = exchange.header(PRIORITY).orElse("0");
+        String header =
+                PRIORITY_HEADERS.stream()
+                        .flatMap(name -> exchange.header(name).stream())
+                        .findFirst()
+                        .orElse("0");
         try {
             return Integer.parseInt(header);
         } catch (NumberFormatException e) {
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineServerTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineServerTest.java
@@ -131,6 +131,8 @@
     @Test
     void aWrongCallGetsAnErrorBody() {
         assertThat(mCalls.call("POST", CHAT, "{").statusCode()).isEqualTo(400);
+        assertThat(mCalls.call("POST", CHAT, body(false), "X-Priority", "high").statusCode())
+                .isEqualTo(400);
         HttpResponse<String> r = mCalls.call("POST", CHAT, body(false).replace("standin", "other"));
         assertThat(r.statusCode()).isEqualTo(404);
         assertThat(r.body()).contains("\"code\":\"unknown_model\"");
