Check any program's settings file; count the exchanges among control bytes

The load generator and operators read laurelweir_control_bytes_total, which lacked the exchanges: the greater part. Routers and sidecars show there what the exchange client counts on its own sockets. The router's separate gauge of the same bytes is gone.

--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Console.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Console.java
@@ -39,6 +39,11 @@
         return mEnvironment.getOrDefault(name, "");
     }
 
+    /** Returns who runs the command. */
+    public String user() {
+        return System.getProperty("user.name", "");
+    }
+
     /** Writes a line of the result. */
     public void print(String line) {
         mOut.println(line);
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/SettingsFiles.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/SettingsFiles.java
@@ -1,11 +1,15 @@
 package org.laurelweir.pgm;
 
 import java.util.List;
+import org.laurelweir.control.ControlFile;
+import org.laurelweir.router.RouterFile;
+import org.laurelweir.sidecar.SidecarFile;
 
 /** The records that specify the programs' settings files. */
 public final class SettingsFiles {
     /** One for each program that starts from a file. */
-    public static final List<Class<? extends Record>> SPECS = List.of();
+    public static final List<Class<? extends Record>> SPECS =
+            List.of(ControlFile.class, RouterFile.class, SidecarFile.class);
 
     private SettingsFiles() {}
 }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -26,7 +26,8 @@
             "Control instances, host:port parted by commas; $LAURELWEIR_CONTROL if absent.";
     public static final String OPTION_TIMEOUT = "Longest wait for one answer, in seconds.";
     public static final String OPTION_JSON = "Write the result as one JSON document.";
-    public static final String OPTION_AUTHOR = "Who changes; $USER if absent.";
+    public static final String OPTION_AUTHOR =
+            "Who changes; the user who runs the command if absent.";
     public static final String OPTION_CHANGE_ID =
             "Id of an earlier invocation that got no answer, to send it again safely.";
     public static final String OPTION_EXPECT =
@@ -64,6 +65,7 @@
     public static final String NO_SUCH_BACKEND = "no such backend server: %s";
     public static final String FILE_UNREADABLE = "%s: cannot be read: %s";
     public static final String CONFLICT = "%s stands at version %d by now: %s";
+    public static final String NOT_ACCEPTED = "nothing was changed";
     public static final String NO_CHANGE = "nothing to change";
     public static final String CHANGED = "in force at position %d (change %s)";
     public static final String NO_FAULT = "%s: no fault";
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/DrainRequests.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/DrainRequests.java
@@ -12,8 +12,6 @@
 
 /** Records an operator's wish that a backend server takes no new work, or takes it again. */
 final class DrainRequests {
-    private static final String USER_VARIABLE = "USER";
-
     @AirlineModule private FleetOptions mFleet = new FleetOptions();
 
     @Option(name = "--author", title = "NAME", description = Texts.OPTION_AUTHOR)
@@ -31,7 +29,7 @@
                 DrainRequest.newBuilder()
                         .setBackend(mBackend)
                         .setDrain(drain)
-                        .setAuthor(mAuthor.isEmpty() ? console.variable(USER_VARIABLE) : mAuthor)
+                        .setAuthor(mAuthor.isEmpty() ? console.user() : mAuthor)
                         .build();
         return mFleet.withFleet(
                 console,
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/SettingsChanger.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/SettingsChanger.java
@@ -16,8 +16,6 @@
 
 /** Sends changes of settings under one id for each invocation, and tells how they ended. */
 public final class SettingsChanger {
-    private static final String USER_VARIABLE = "USER";
-
     @Option(name = "--author", title = "NAME", description = Texts.OPTION_AUTHOR)
     private String mAuthor = "";
 
@@ -38,7 +36,7 @@
         ChangeSettingsRequest request =
                 ChangeSettingsRequest.newBuilder()
                         .setChangeId(changeId())
-                        .setAuthor(mAuthor.isEmpty() ? console.variable(USER_VARIABLE) : mAuthor)
+                        .setAuthor(mAuthor.isEmpty() ? console.user() : mAuthor)
                         .addAllChanges(changes)
                         .build();
         ChangeSettingsReply reply = send(control, request);
@@ -71,7 +69,7 @@
     }
 
     private static LaurelweirException refusal(ChangeSettingsReply reply) {
-        StringBuilder message = new StringBuilder(reply.getMessage());
+        StringBuilder message = new StringBuilder(Texts.NOT_ACCEPTED);
         reply.getFaultsList().forEach(f -> message.append('\n').append(f));
         if (ResultCode.of(reply.getCode()) == ResultCode.SETTINGS_CONFLICT) {
             reply.getNodesList()
@@ -85,6 +83,6 @@
                                                             n.getVersion(),
                                                             n.getValuesMap())));
         }
-        return new LaurelweirException(ResultCode.of(reply.getCode()), message.toString().strip());
+        return new LaurelweirException(ResultCode.of(reply.getCode()), message.toString());
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -33,12 +33,4 @@
         mRegistry.register("router.requests.in.flight", requests);
         mRegistry.register("router.answer.bytes.waiting", bytes);
     }
-
-    /** Shows the bytes exchanged with control. */
-    void showControlBytes(Supplier<Long> sent, Supplier<Long> received) {
-        Gauge<Long> out = sent::get;
-        Gauge<Long> in = received::get;
-        mRegistry.register(MetricNames.labelled("router.exchange.bytes", "direction", "out"), out);
-        mRegistry.register(MetricNames.labelled("router.exchange.bytes", "direction", "in"), in);
-    }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -83,6 +83,7 @@
         TrafficCounters traffic = new TrafficCounters(mRegistry);
         mChannels = Channels.builder(mLoops, traffic).build();
         mExchangeClient = new ExchangeClient(controls(), CONTROL_TIMEOUT);
+        traffic.show("ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
         mCallers =
                 new Callers(
                         new RequestResolver(mSettings),
@@ -180,7 +181,6 @@
 
     private void startMetrics() {
         mMetrics.showInFlight(mCallers::count, mCallers::waitingBytes);
-        mMetrics.showControlBytes(mExchangeClient::bytesSent, mExchangeClient::bytesReceived);
         mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mExchange);
         mMetricsServer.start();
         int port = mMetricsServer.endpoint().port();
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -71,8 +71,10 @@
                 new ExchangeClient(
                         file.controls().stream().map(Endpoint::toString).toList(), CONTROL_TIMEOUT);
         mExchange = new ControlExchange(mExchangeClient, this::offer);
+        TrafficCounters traffic = new TrafficCounters(mRegistry);
+        traffic.show("ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
         mServer =
-                RpcServer.builder(mLoops, new TrafficCounters(mRegistry))
+                RpcServer.builder(mLoops, traffic)
                         .listen(file.listen().host(), file.listen().port())
                         .service(mService)
                         .build();
