--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ClaimHistoryTest.java
@@ -0,0 +1,147 @@
+package org.laurelweir.control.history;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.laurelweir.control.history.RecordedCalls.Call;
+import org.laurelweir.coordination.Command;
+import org.laurelweir.coordination.CommandResult;
+import org.laurelweir.coordination.CommandResult.ClaimResult;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+
+/** An idempotency key has one holder at a time, whatever happens to the instances between. */
+class ClaimHistoryTest {
+    private static final int ROUTERS = 4;
+    private static final int CLAIMS = 20;
+    private static final Duration RETENTION = Duration.ofHours(1);
+
+    // Four routers get the same caller's request, resent, under a few keys. One that finds another
+    // attempt in its way may find it never to have started and replaces it by name. However often
+    // claims are resent and leaders change, each holder must have replaced exactly the one before,
+    // and nobody may be told that it holds a key after it was replaced.
+    @Property(tries = 40, seed = "1502")
+    void keyHasOneHolderAtATime(@ForAll long seed) {
+        SimulatedControls controls = new SimulatedControls(3, seed);
+        RecordedCalls calls = new RecordedCalls(controls);
+        for (int router = 0; router < ROUTERS; router++) {
+            claimNext(controls, calls, router, CLAIMS, null);
+        }
+        SettingsHistoryTest.disturb(controls, 12);
+        controls.run(12_000);
+        controls.heal();
+        controls.runUntil(() -> calls.mEnded.size() == ROUTERS * CLAIMS);
+        assertThat(calls.mEnded).hasSize(ROUTERS * CLAIMS);
+        for (List<Call> ofKey : byKey(calls.mEnded).values()) {
+            verify(ofKey);
+        }
+    }
+
+    private static void claimNext(
+            SimulatedControls controls,
+            RecordedCalls calls,
+            int router,
+            int left,
+            Command.Claim lost) {
+        if (left == 0) {
+            return;
+        }
+        String key = lost == null ? "key-" + controls.mRandom.nextInt(5) : lost.key();
+        AttemptId replaces = lost == null ? null : lost.replaces();
+        Command.Claim claim =
+                new Command.Claim(
+                        Instant.EPOCH,
+                        "account",
+                        key,
+                        "service",
+                        7,
+                        new AttemptId("r" + router, 1, left, 1),
+                        new BackendRef("w" + router, 1),
+                        replaces,
+                        RETENTION);
+        calls.carryOut(
+                claim,
+                (c, result) ->
+                        controls.after(
+                                controls.mRandom.nextInt(100),
+                                () ->
+                                        claimNext(
+                                                controls,
+                                                calls,
+                                                router,
+                                                left - 1,
+                                                replacing(controls, claim, result))));
+    }
+
+    /** Returns a claim that names the holder in its way, half of the times. */
+    private static Command.Claim replacing(
+            SimulatedControls controls, Command.Claim c, CommandResult result) {
+        AttemptId holder = ((ClaimResult) result).holder();
+        if (holder.equals(c.attempt()) || controls.mRandom.nextBoolean()) {
+            return null;
+        }
+        return new Command.Claim(
+                c.at(),
+                c.account(),
+                c.key(),
+                c.service(),
+                c.fingerprint(),
+                c.attempt(),
+                c.target(),
+                holder,
+                c.retention());
+    }
+
+    private static Map<String, List<Call>> byKey(List<Call> calls) {
+        Map<String, List<Call>> byKey = new HashMap<>();
+        for (Call c : calls) {
+            byKey.computeIfAbsent(((Command.Claim) c.command()).key(), k -> new ArrayList<>())
+                    .add(c);
+        }
+        return byKey;
+    }
+
+    /** The holders of a key form one chain, each link made by one claim that names the last. */
+    private static void verify(List<Call> calls) {
+        Map<AttemptId, AttemptId> replacedBy = new HashMap<>();
+        Set<AttemptId> founders = new HashSet<>();
+        for (Call c : calls) {
+            Command.Claim claim = (Command.Claim) c.command();
+            if (!claim.attempt().equals(((ClaimResult) c.result()).holder())) {
+                continue;
+            }
+            if (claim.replaces() == null) {
+                founders.add(claim.attempt());
+            } else {
+                AttemptId other = replacedBy.put(claim.replaces(), claim.attempt());
+                assertThat(other).as("two replaced %s", claim.replaces()).isNull();
+            }
+        }
+        // The first holder may have been replaced before its answer reached it.
+        assertThat(founders).hasSizeLessThanOrEqualTo(1);
+        verifyNeverHeldAfter(calls, replacedBy);
+    }
+
+    private static void verifyNeverHeldAfter(
+            List<Call> calls, Map<AttemptId, AttemptId> replacedBy) {
+        for (Call later : calls) {
+            AttemptId holder = ((ClaimResult) later.result()).holder();
+            AttemptId successor = replacedBy.get(holder);
+            for (Call c : calls) {
+                boolean succeeded = ((Command.Claim) c.command()).attempt().equals(successor);
+                assertThat(succeeded && c.ended() < later.began())
+                        .as("%s is told to hold after %s replaced it", holder, successor)
+                        .isFalse();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SimulatedControls.java
@@ -0,0 +1,252 @@
+package org.laurelweir.control.history;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import org.laurelweir.agreement.AgreementConfig;
+import org.laurelweir.agreement.AgreementEffect;
+import org.laurelweir.agreement.AgreementEvent;
+import org.laurelweir.agreement.HardState;
+import org.laurelweir.agreement.LogEntry;
+import org.laurelweir.agreement.Membership;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.agreement.Snapshot;
+import org.laurelweir.coordination.ControlConfig;
+import org.laurelweir.coordination.ControlEffect;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.coordination.ControlReducer;
+import org.laurelweir.wire.CommandCodec;
+
+/**
+ * Control reducers whose messages, disks and clocks are driven by one seed: messages are late, lost
+ * or doubled, instances crash and forget what was not synced, clocks differ.
+ */
+final class SimulatedControls {
+    private static final int TICK_MILLIS = 20;
+    private static final int SNAPSHOT_EVERY = 40;
+
+    final Random mRandom;
+    final List<Node> mNodes = new ArrayList<>();
+    private final PriorityQueue<Scheduled> mQueue = new PriorityQueue<>();
+    private final Map<String, String> mAddresses = new TreeMap<>();
+    private long mNow;
+    private long mScheduled;
+    private long mLastCall;
+    private boolean mLossy = true;
+
+    SimulatedControls(int nodes, long seed) {
+        mRandom = new Random(seed);
+        for (int i = 0; i < nodes; i++) {
+            mAddresses.put("c" + i, "c" + i);
+        }
+        List<ReplicaId> ids = new ArrayList<>();
+        for (String name : mAddresses.keySet()) {
+            Node n = new Node(new ReplicaId(name, mRandom.nextLong()));
+            mNodes.add(n);
+            ids.add(n.mId);
+        }
+        mNodes.forEach(Node::start);
+        Membership first = Membership.ofVoters(ids);
+        mNodes.get(0).offer(new ControlEvent.Replica(new AgreementEvent.Bootstrapped(first)));
+    }
+
+    long now() {
+        return mNow;
+    }
+
+    void after(long millis, Runnable action) {
+        mQueue.add(new Scheduled(mNow + millis, mScheduled++, action));
+    }
+
+    /** Lets time pass in milliseconds. */
+    void run(long millis) {
+        long end = mNow + millis;
+        while (!mQueue.isEmpty() && mQueue.peek().at() <= end) {
+            Scheduled s = mQueue.poll();
+            mNow = s.at();
+            s.action().run();
+        }
+        mNow = end;
+    }
+
+    /** Lets time pass until something holds, a minute at most. */
+    void runUntil(BooleanSupplier holds) {
+        for (int i = 0; i < 600 && !holds.getAsBoolean(); i++) {
+            run(100);
+        }
+    }
+
+    /** Starts all that are down and lets messages arrive from now on. */
+    void heal() {
+        mLossy = false;
+        mNodes.stream().filter(n -> n.mReducer == null).forEach(Node::start);
+        mNodes.forEach(n -> n.mCutOff = false);
+    }
+
+    Node node(String name) {
+        return mNodes.stream().filter(n -> n.mId.name().equals(name)).findFirst().orElse(null);
+    }
+
+    private boolean happens(double share) {
+        return mLossy && mRandom.nextDouble() < share;
+    }
+
+    private record Scheduled(long at, long order, Runnable action)
+            implements Comparable<Scheduled> {
+        @Override
+        public int compareTo(Scheduled other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** One instance with its disk. */
+    final class Node {
+        final ReplicaId mId;
+        final Duration mClockError = Duration.ofMillis(mRandom.nextInt(10_000));
+        final Map<Long, Consumer<ControlEffect.Answer>> mCalls = new HashMap<>();
+        ControlReducer mReducer;
+        boolean mCutOff;
+        private final TreeMap<Long, LogEntry> mLog = new TreeMap<>();
+        private HardState mHardState = HardState.INITIAL;
+        private Snapshot mSnapshot = Snapshot.NONE;
+        private int mRun;
+        private long mDiskBusyUntil;
+
+        Node(ReplicaId id) {
+            mId = id;
+        }
+
+        void start() {
+            mRun++;
+            AgreementConfig agreement =
+                    AgreementConfig.builder()
+                            .electionTimeout(Duration.ofMillis(500))
+                            .heartbeat(Duration.ofMillis(80))
+                            .snapshots(SNAPSHOT_EVERY, SNAPSHOT_EVERY / 4, 4096)
+                            .build();
+            ControlConfig config =
+                    ControlConfig.builder(mId, mRun, mAddresses).agreement(agreement).build();
+            mReducer = new ControlReducer(config, new CommandCodec(), mRandom.nextLong());
+            mCalls.clear();
+            List<LogEntry> entries =
+                    new ArrayList<>(mLog.tailMap(mSnapshot.index(), false).values());
+            offer(
+                    new ControlEvent.Replica(
+                            new AgreementEvent.Recovered(mHardState, mSnapshot, entries)));
+            tick(mRun);
+        }
+
+        void crash() {
+            mReducer = null;
+        }
+
+        private void tick(int run) {
+            if (mReducer != null && run == mRun) {
+                offer(new ControlEvent.Tick());
+                after(TICK_MILLIS, () -> tick(run));
+            }
+        }
+
+        void offer(ControlEvent event) {
+            if (mReducer != null) {
+                Instant local = Instant.ofEpochMilli(mNow).plus(mClockError);
+                mReducer.step(local, event, this::take);
+            }
+        }
+
+        /** Makes a call; its answer may never come. */
+        void call(LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
+            long call = ++mLastCall;
+            mCalls.put(call, answer);
+            offer(event.apply(call));
+        }
+
+        private void take(ControlEffect effect) {
+            if (effect instanceof ControlEffect.Answer a) {
+                Consumer<ControlEffect.Answer> taker = mCalls.remove(a.call());
+                if (taker != null && !happens(0.1)) {
+                    after(1, () -> taker.accept(a));
+                }
+            } else if (effect instanceof ControlEffect.SendToReplica s) {
+                send(s.send());
+            } else if (effect instanceof ControlEffect.Persist p) {
+                persist(p.persist(), mRun);
+            } else if (effect instanceof ControlEffect.EncodeSnapshot s) {
+                byte[] state = new CommandCodec().encode(s.snapshot());
+                offerLater(
+                        5,
+                        new ControlEvent.Replica(
+                                new AgreementEvent.SnapshotTaken(s.index(), state)));
+            }
+        }
+
+        private void offerLater(long millis, ControlEvent event) {
+            int run = mRun;
+            after(
+                    millis,
+                    () -> {
+                        if (run == mRun) {
+                            offer(event);
+                        }
+                    });
+        }
+
+        private void send(AgreementEffect.Send s) {
+            int copies = happens(0.05) ? 0 : happens(0.05) ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                after(1 + mRandom.nextInt(15), () -> deliver(s));
+            }
+        }
+
+        private void deliver(AgreementEffect.Send s) {
+            Node to = node(s.to().name());
+            if (!mCutOff && !to.mCutOff && to.mId.equals(s.to())) {
+                to.offer(
+                        new ControlEvent.Replica(
+                                new AgreementEvent.MessageReceived(mId, s.message())));
+            }
+        }
+
+        /** Writes come to the disk in order; a crash loses those that have not. */
+        private void persist(AgreementEffect.Persist p, int run) {
+            mDiskBusyUntil = Math.max(mNow, mDiskBusyUntil) + 1 + mRandom.nextInt(4);
+            after(
+                    mDiskBusyUntil - mNow,
+                    () -> {
+                        if (run == mRun && mReducer != null) {
+                            write(p);
+                            offer(
+                                    new ControlEvent.Replica(
+                                            new AgreementEvent.Persisted(p.sequence())));
+                        }
+                    });
+        }
+
+        private void write(AgreementEffect.Persist p) {
+            if (p.hardState() != null) {
+                mHardState = p.hardState();
+            }
+            if (p.discardLog()) {
+                mLog.clear();
+            }
+            if (p.snapshot() != null) {
+                mSnapshot = p.snapshot();
+                mLog.headMap(mSnapshot.index(), true).clear();
+            }
+            for (LogEntry e : p.entries()) {
+                mLog.tailMap(e.index(), true).clear();
+                mLog.put(e.index(), e);
+            }
+        }
+    }
+}
