--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -22,12 +22,12 @@
 import org.laurelweir.control.replica.DiskWriter;
 import org.laurelweir.control.replica.FirstMembership;
 import org.laurelweir.control.replica.FirstSettings;
-import org.laurelweir.control.replica.MemoryLogStorage;
 import org.laurelweir.control.rpc.ControlRpc;
 import org.laurelweir.control.rpc.PeerCalls;
 import org.laurelweir.control.rpc.PeerRpc;
 import org.laurelweir.control.rpc.PendingCalls;
 import org.laurelweir.control.rpc.ReplicaRpc;
+import org.laurelweir.control.storage.FileLogStorage;
 import org.laurelweir.control.storage.LogStorage;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
@@ -99,7 +99,7 @@
     public void start() {
         mLogging.start();
         mChannels.start();
-        mStorage = new MemoryLogStorage(new SecureRandom().nextLong());
+        mStorage = FileLogStorage.open(mFile.dataFolder(), new SecureRandom()::nextLong);
         Recovered recovered = mStorage.recovered();
         mRecoveredEmpty = isEmpty(recovered);
         ReplicaId self = new ReplicaId(mFile.name(), mStorage.storageId());
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
@@ -41,6 +41,17 @@
         }
     }
 
+    // Every instance is stopped and started again; what was answered stands on the disks.
+    @Test
+    void acceptedChangeSurvivesRestartOfAll() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).startAll()) {
+            ChangeSettingsReply first = change(fleet, "change-1", "/service=seilhjerne", 0);
+            fleet.names().forEach(fleet::stop);
+            fleet.startAll();
+            assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
+        }
+    }
+
     private static String leader(ControlFleet fleet) {
         return fleet.ask(
                         s -> s.status(StatusRequest.getDefaultInstance()),
--- /dev/null
+++ b/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
@@ -0,0 +1,85 @@
+package org.laurelweir.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.coordination.Command;
+import org.laurelweir.coordination.ControlState;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
+
+/** What stands in the log is read back as it was written. */
+class CommandCodecTest {
+    private static final Instant AT = Instant.ofEpochMilli(1_700_000_000_123L);
+    private static final AttemptId ATTEMPT = new AttemptId("r1", -5, 7, 2);
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new Command.ChangeSettings(
+                            AT,
+                            "id",
+                            "operator",
+                            List.of(
+                                    new Command.NodeChange(
+                                            "/service=s", 0, Map.of(), List.of(), false),
+                                    new Command.NodeChange(
+                                            "/service=t", 0, Map.of(), List.of(), false))),
+                    new Command.Claim(
+                            AT,
+                            "account",
+                            "key",
+                            "service",
+                            -3,
+                            ATTEMPT,
+                            new BackendRef("w1", -9),
+                            ATTEMPT.next(),
+                            Duration.ofHours(1)),
+                    new Command.Claim(
+                            AT,
+                            "account",
+                            "other",
+                            "service",
+                            0,
+                            ATTEMPT,
+                            new BackendRef("w1", 1),
+                            null,
+                            Duration.ofHours(1)),
+                    new Command.SettleClaim(
+                            AT, "account", "key", ATTEMPT, ResultCode.OUTCOME_UNKNOWN),
+                    new Command.Drain(AT, "w1", true, "operator"),
+                    new Command.IssueFence(AT, "w1"));
+
+    private final CommandCodec mCodec = new CommandCodec();
+
+    @Test
+    void commandsComeBackEqual() {
+        for (Command c : COMMANDS) {
+            assertThat(mCodec.decodeCommand(mCodec.encode(c))).isEqualTo(c);
+        }
+    }
+
+    @Test
+    void snapshotComesBackEqual() {
+        ControlState state = new ControlState(ControlState.Limits.DEFAULT);
+        for (int i = 0; i < COMMANDS.size(); i++) {
+            state.apply(i + 1, COMMANDS.get(i));
+        }
+        ControlState.Snapshot snapshot = state.snapshot();
+        assertThat(mCodec.decodeSnapshot(mCodec.encode(snapshot))).isEqualTo(snapshot);
+    }
+
+    // A replica that left out what it can't read would go on with a state unlike the others'.
+    @Test
+    void unknownCommandIsRefused() {
+        assertThatThrownBy(() -> mCodec.decodeCommand(new byte[0]))
+                .isInstanceOfSatisfying(
+                        LaurelweirException.class,
+                        e -> assertThat(e.getCode()).isEqualTo(ResultCode.LOG_CORRUPT));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlStateTest.java
@@ -0,0 +1,154 @@
+package org.laurelweir.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.coordination.CommandResult.ClaimResult;
+import org.laurelweir.coordination.CommandResult.FenceResult;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
+
+/** The state machine over the log: claims, fencing numbers, drain orders. */
+class ControlStateTest {
+    private static final Duration RETENTION = Duration.ofMinutes(10);
+    private static final BackendRef TARGET = new BackendRef("w1", 1);
+    private static final AttemptId FIRST = new AttemptId("r1", 1, 1, 1);
+    private static final AttemptId SECOND = new AttemptId("r2", 1, 1, 1);
+    private static final AttemptId THIRD = new AttemptId("r3", 1, 1, 1);
+
+    private final ControlState mState =
+            new ControlState(
+                    new ControlState.Limits(
+                            ControlState.Limits.DEFAULT.settings(), 2, Duration.ofHours(1)));
+    private long mIndex;
+
+    private ClaimResult claim(long second, String key, AttemptId attempt, AttemptId replaces) {
+        return claim(second, key, attempt, replaces, 7);
+    }
+
+    private ClaimResult claim(
+            long second, String key, AttemptId attempt, AttemptId replaces, long fingerprint) {
+        Command.Claim c =
+                new Command.Claim(
+                        Instant.ofEpochSecond(second),
+                        "account",
+                        key,
+                        "service",
+                        fingerprint,
+                        attempt,
+                        TARGET,
+                        replaces,
+                        RETENTION);
+        return (ClaimResult) mState.apply(++mIndex, c);
+    }
+
+    private void settle(long second, AttemptId attempt, ResultCode code) {
+        mState.apply(
+                ++mIndex,
+                new Command.SettleClaim(
+                        Instant.ofEpochSecond(second), "account", "key", attempt, code));
+    }
+
+    private long fence(String backend) {
+        Command c = new Command.IssueFence(Instant.EPOCH, backend);
+        return ((FenceResult) mState.apply(++mIndex, c)).fence();
+    }
+
+    @Test
+    void secondAttemptFindsFirst() {
+        claim(1, "key", FIRST, null);
+        assertThat(claim(2, "key", SECOND, null).holder()).isEqualTo(FIRST);
+        settle(3, FIRST, ResultCode.OK);
+        ClaimResult r = claim(4, "key", SECOND, null);
+        assertThat(r.settled()).isTrue();
+        assertThat(r.settledCode()).isEqualTo(ResultCode.OK);
+    }
+
+    @Test
+    void keyOfAnotherRequestIsRefused() {
+        claim(1, "key", FIRST, null);
+        assertThat(claim(2, "key", SECOND, null, 8).code())
+                .isEqualTo(ResultCode.IDEMPOTENCY_KEY_REUSED);
+    }
+
+    // Two routers both find that the first attempt never started, and both want its place. The
+    // second to come names a holder that holds no more, and learns of the one that does.
+    @Test
+    void onlyOneOfTwoReplacesTheSameHolder() {
+        claim(1, "key", FIRST, null);
+        assertThat(claim(2, "key", SECOND, FIRST).holder()).isEqualTo(SECOND);
+        assertThat(claim(3, "key", THIRD, FIRST).holder()).isEqualTo(SECOND);
+    }
+
+    // A router settles its attempt after another has taken its place. The late word changes nothing
+    // for the attempt that holds the key now.
+    @Test
+    void settlingByOneThatHoldsNoMoreChangesNothing() {
+        claim(1, "key", FIRST, null);
+        claim(2, "key", SECOND, FIRST);
+        settle(3, FIRST, ResultCode.REVOKED);
+        ClaimResult r = claim(4, "key", THIRD, null);
+        assertThat(r.holder()).isEqualTo(SECOND);
+        assertThat(r.settled()).isFalse();
+    }
+
+    @Test
+    void settledHolderIsNotReplaced() {
+        claim(1, "key", FIRST, null);
+        settle(2, FIRST, ResultCode.OUTCOME_UNKNOWN);
+        assertThat(claim(3, "key", SECOND, FIRST).holder()).isEqualTo(FIRST);
+    }
+
+    @Test
+    void holderThatWasNotRunGivesTheKeyFree() {
+        claim(1, "key", FIRST, null);
+        settle(2, FIRST, ResultCode.OVERLOADED);
+        assertThat(claim(3, "key", SECOND, null).holder()).isEqualTo(SECOND);
+    }
+
+    // A new leader's clock is far behind its predecessor's. The log's time stands still meanwhile,
+    // so that a claim ends neither early nor twice.
+    @Test
+    void logTimeNeverGoesBack() {
+        claim(10_000, "key", FIRST, null);
+        assertThat(claim(1, "key", SECOND, null).holder()).isEqualTo(FIRST);
+        assertThat(claim(10_000 + RETENTION.toSeconds(), "key", SECOND, null).holder())
+                .isEqualTo(SECOND);
+    }
+
+    @Test
+    void fullTableRefusesNewKeysOnly() {
+        claim(1, "key", FIRST, null);
+        claim(1, "other", FIRST, null);
+        assertThat(claim(2, "third", FIRST, null).code()).isEqualTo(ResultCode.CLAIM_UNAVAILABLE);
+        assertThat(claim(2, "key", SECOND, null).holder()).isEqualTo(FIRST);
+    }
+
+    @Test
+    void fencesRisePerBackendServer() {
+        assertThat(List.of(fence("w1"), fence("w1"), fence("w2"))).containsExactly(1L, 2L, 1L);
+    }
+
+    @Test
+    void snapshotCarriesEverything() {
+        claim(1, "key", FIRST, null);
+        fence("w1");
+        mState.apply(++mIndex, new Command.Drain(Instant.EPOCH, "w1", true, "operator"));
+        Command.NodeChange change =
+                new Command.NodeChange("/service=seilhjerne", 0, Map.of(), List.of(), false);
+        mState.apply(
+                ++mIndex,
+                new Command.ChangeSettings(Instant.EPOCH, "id", "operator", List.of(change)));
+        ControlState.Snapshot snapshot = mState.snapshot();
+        ControlState restored = new ControlState(ControlState.Limits.DEFAULT);
+        restored.restore(snapshot);
+        assertThat(restored.snapshot()).isEqualTo(snapshot);
+        assertThat(restored.isDrainOrdered("w1")).isTrue();
+        assertThat(restored.fence("w1")).isEqualTo(1);
+    }
+}
