Replace the replica of a lost disk and measure exchanges and claims

An instance with an empty disk counts for nothing until it has caught up as a learner. Without a quorum a change is answered as unknown or untaken, never as refused for good.

--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -21,6 +21,7 @@
 import org.laurelweir.runtime.log.LogSettings;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceBlockingStub;
+import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceFutureStub;
 
 /** Some control instances in this process, each with its own folder. */
 final class ControlFleet implements AutoCloseable {
@@ -105,6 +106,10 @@
                 .withDeadlineAfter(DEADLINE);
     }
 
+    ControlServiceFutureStub futureStub(String name) {
+        return ControlServiceGrpc.newFutureStub(mChannels.get(name));
+    }
+
     /** Asks one instance after the other until one gives an answer that is wanted. */
     <R> R ask(Function<ControlServiceBlockingStub, R> call, Predicate<R> wanted) {
         long end = System.nanoTime() + DEADLINE.toNanos();
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
@@ -8,11 +8,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.wire.v1.ChangeMembersReply;
+import org.laurelweir.wire.v1.ChangeMembersRequest;
+import org.laurelweir.wire.v1.ChangeMembersRequest.Step;
 import org.laurelweir.wire.v1.ChangeSettingsReply;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.NodeChange;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.ReplicaId;
 import org.laurelweir.wire.v1.StatusRequest;
 
 /** Whole instances over real connections and files. */
@@ -52,6 +56,58 @@
         }
     }
 
+    // An instance comes back with an empty disk, under its old name. It has forgotten its votes and
+    // entries, so it counts for nothing until it is made a learner, has caught up and is made a
+    // voter. Then another instance is lost for good, and what was accepted is still there.
+    @Test
+    void lostDiskIsReplacedBeforeAnotherIsLost() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).startAll()) {
+            ChangeSettingsReply first = change(fleet, "change-1", "/service=seilhjerne", 0);
+            ReplicaId lost = replica(fleet, "c3");
+            fleet.stop("c3");
+            fleet.start("c3", mFolder.resolve("c3-new"));
+            ReplicaId fresh = replica(fleet, "c3");
+            members(fleet, Step.REMOVE, lost);
+            members(fleet, Step.ADD_LEARNER, fresh);
+            assertThat(members(fleet, Step.PROMOTE, fresh).getVotersList())
+                    .contains(fresh)
+                    .doesNotContain(lost);
+            fleet.stop(leader(fleet));
+            assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
+        }
+    }
+
+    // Two of three instances are gone. The third can't know whether a change would be kept, and
+    // says so instead of taking it or calling it refused for good; it goes on serving what it has.
+    @Test
+    void withoutQuorumNothingIsAccepted() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).startAll()) {
+            change(fleet, "change-1", "/service=seilhjerne", 0);
+            String left = leader(fleet);
+            fleet.names().stream().filter(n -> !n.equals(left)).forEach(fleet::stop);
+            ChangeSettingsReply reply =
+                    fleet.stub(left).changeSettings(request("change-2", "/service=havnebok", 0));
+            assertThat(ResultCode.of(reply.getCode()))
+                    .isIn(ResultCode.OUTCOME_UNKNOWN, ResultCode.NO_QUORUM);
+            ReadSettingsReply stale =
+                    fleet.stub(left).readSettings(ReadSettingsRequest.getDefaultInstance());
+            assertThat(stale.getNodesCount()).isEqualTo(1);
+        }
+    }
+
+    private static ReplicaId replica(ControlFleet fleet, String name) {
+        return fleet.stub(name)
+                .status(StatusRequest.getDefaultInstance())
+                .getControls(0)
+                .getReplica();
+    }
+
+    private static ChangeMembersReply members(ControlFleet fleet, Step step, ReplicaId replica) {
+        ChangeMembersRequest request =
+                ChangeMembersRequest.newBuilder().setStep(step).setReplica(replica).build();
+        return fleet.ask(s -> s.changeMembers(request), r -> r.getCode() == 0);
+    }
+
     private static String leader(ControlFleet fleet) {
         return fleet.ask(
                         s -> s.status(StatusRequest.getDefaultInstance()),
@@ -62,17 +118,19 @@
 
     private static ChangeSettingsReply change(
             ControlFleet fleet, String id, String path, long version) {
-        ChangeSettingsRequest request =
-                ChangeSettingsRequest.newBuilder()
-                        .setChangeId(id)
-                        .setAuthor("test")
-                        .addChanges(
-                                NodeChange.newBuilder().setPath(path).setExpectedVersion(version))
-                        .build();
+        ChangeSettingsRequest request = request(id, path, version);
         return fleet.ask(
                 s -> s.changeSettings(request), r -> !ControlFleet.isElsewhere(r.getCode()));
     }
 
+    private static ChangeSettingsRequest request(String id, String path, long version) {
+        return ChangeSettingsRequest.newBuilder()
+                .setChangeId(id)
+                .setAuthor("test")
+                .addChanges(NodeChange.newBuilder().setPath(path).setExpectedVersion(version))
+                .build();
+    }
+
     private static ReadSettingsReply read(ControlFleet fleet) {
         ReadSettingsRequest request =
                 ReadSettingsRequest.newBuilder().setLinearizable(true).build();
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements for docs/CAPACITY.md, run by hand. */
+package org.laurelweir.control.measure;
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/ExchangeReplies.java
@@ -0,0 +1,40 @@
+package org.laurelweir.control.rpc;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.laurelweir.coordination.ControlEffect.AnswerExchange;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.v1.ExchangeReply;
+import org.laurelweir.wire.v1.ExchangeRequest;
+
+/** The way of an exchange between its bytes and the reducer, for measurements. */
+public final class ExchangeReplies {
+    private ExchangeReplies() {}
+
+    /** Returns the event of a request's bytes. */
+    public static ControlEvent event(long call, byte[] bytes) {
+        try {
+            ExchangeRequest r = ExchangeRequest.parseFrom(bytes);
+            return r.hasSidecar()
+                    ? new ControlEvent.SidecarExchanged(
+                            call,
+                            MembershipCodec.toCore(r.getSidecar()),
+                            MembershipCodec.toCore(r.getMembership()),
+                            r.getSettingsPosition())
+                    : new ControlEvent.RouterExchanged(
+                            call,
+                            MembershipCodec.toCore(r.getRouter()),
+                            MembershipCodec.toCore(r.getMembership()),
+                            r.getSettingsPosition());
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    /** Returns the reply as it is sent, but for the list of control instances. */
+    public static ExchangeReply reply(AnswerExchange answer) {
+        ExchangeReply reply = Replies.exchange(answer).setNextExchangeMillis(1000).build();
+        reply.toByteArray();
+        return reply;
+    }
+}
