--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -15,6 +15,7 @@
 import org.laurelweir.runtime.rpc.ExchangeClient;
 import org.laurelweir.settings.SettingsLookup;
 import org.laurelweir.settings.SettingsReader;
+import org.laurelweir.wire.SettingsCodec;
 
 /**
  * Exchanges with control: membership goes to the decision loop, settings into force. Tells whether
@@ -85,7 +86,7 @@
     }
 
     private synchronized void takeSettings(ExchangeAnswer answer) {
-        if (mReader.apply(SettingsMessages.toCore(answer.settings()))) {
+        if (mReader.apply(SettingsCodec.toCore(answer.settings()))) {
             mSettings.use(mReader.tree());
         }
         mMembershipSeen |= answer.membership().full();
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -166,6 +166,33 @@
         assertThat(last(BeginAttempt.class).request().id().request()).isEqualTo(5);
     }
 
+    @Test
+    void onlyTheMissingPartOfAnOverlappingPieceIsPassedOn() {
+        arrive(1, true, "", POLICY);
+        frame(new Frame.Head(200, List.of()));
+        frame(new Frame.Data(0, new byte[] {1, 2, 3}));
+        frame(new Frame.Data(1, new byte[] {2, 3, 4}));
+        assertThat(last(RouterEffect.AnswerData.class).bytes()).containsExactly(4);
+    }
+
+    @Test
+    void nextAttemptTakesTheClaimOfTheOneThatWasRefused() {
+        arrive(1, false, "key", POLICY);
+        RouterEffect.Claim first = last(RouterEffect.Claim.class);
+        grant(first);
+        refuse(ResultCode.OVERLOADED, untried());
+        RouterEffect.Claim second = last(RouterEffect.Claim.class);
+        assertThat(second.attempt()).isEqualTo(first.attempt().next());
+        assertThat(second.replaces()).isEqualTo(first.attempt());
+    }
+
+    private void grant(RouterEffect.Claim claim) {
+        AttemptId id = claim.attempt();
+        give(
+                new RouterEvent.ClaimAnswered(
+                        id, ResultCode.OK, id, claim.target(), false, ResultCode.OK));
+    }
+
     // The caller has half of its answer when the stream falls silent, as something between the
     // ends lost track of the connection. The router leaves it, follows the same attempt over a new
     // one from the first byte that is missing, and the caller gets the rest.
@@ -235,11 +262,7 @@
     @Test
     void keyedRequestOutlivesItsCaller() {
         arrive(1, false, "key", POLICY);
-        RouterEffect.Claim claim = last(RouterEffect.Claim.class);
-        AttemptId id = claim.attempt();
-        give(
-                new RouterEvent.ClaimAnswered(
-                        id, ResultCode.OK, id, claim.target(), false, ResultCode.OK));
+        grant(last(RouterEffect.Claim.class));
         frame(new Frame.Head(200, List.of()));
         give(new RouterEvent.CallerGone(1));
         frame(new Frame.Data(0, new byte[3]));
