Let chat completions be repeated unless the settings forbid it

As a POST each counted as not to be repeated, so a lost attempt at a chat ended in an unknown outcome instead of a retry, and a client's idempotency key cost a claim in the log for every turn.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
@@ -86,10 +86,18 @@
                         body.outputTokens(settings.get(SettingKeys.SERVICE_OUTPUT_TOKENS)));
         long chat = ChatRecognizer.keyOf(account, call, body, settings);
         boolean returning = ChatRecognizer.isReturning(body);
-        Origin origin = new Origin(account, service, chat, returning, body.isStreamed());
+        boolean idempotent = mayBeRepeated(call, settings);
+        Origin origin =
+                new Origin(account, service, chat, returning, body.isStreamed(), idempotent);
         return request(origin, call, cost, settings);
     }
 
+    /** Completing a chat changes nothing, so unlike other POSTs it may be repeated by default. */
+    private static boolean mayBeRepeated(HttpCall call, EffectiveSettings settings) {
+        return settings.get(SettingKeys.SERVICE_NON_IDEMPOTENT_CALLS).stream()
+                .noneMatch(p -> p.matches(call.method(), call.path()));
+    }
+
     private CallerRequest plain(String account, HttpCall call) {
         String service =
                 mSettings
@@ -99,7 +107,9 @@
         EffectiveSettings settings = settings(service, account, call, null);
         // A plain service spends no tokens; its calls count as one unit of work each.
         AttemptRequest.Cost cost = new AttemptRequest.Cost(0, 1);
-        return request(new Origin(account, service, 0, false, false), call, cost, settings);
+        boolean idempotent = settings.isIdempotent(call.method(), call.path());
+        Origin origin = new Origin(account, service, 0, false, false, idempotent);
+        return request(origin, call, cost, settings);
     }
 
     private static LaurelweirException unknownModel(String model) {
@@ -121,7 +131,12 @@
 
     /** Who asks what of whom. */
     private record Origin(
-            String account, String service, long chat, boolean returning, boolean streamed) {}
+            String account,
+            String service,
+            long chat,
+            boolean returning,
+            boolean streamed,
+            boolean idempotent) {}
 
     private static CallerRequest request(
             Origin o, HttpCall call, AttemptRequest.Cost cost, EffectiveSettings settings) {
@@ -138,7 +153,7 @@
                 o.chat(),
                 o.returning(),
                 passedOn,
-                settings.isIdempotent(call.method(), call.path()),
+                o.idempotent(),
                 idempotencyKey(call),
                 deadline(call, settings),
                 priority(call, settings),
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
@@ -23,6 +25,7 @@
 final class FakeControlServer extends ControlServiceGrpc.ControlServiceImplBase {
     private final SettingsDelta.Builder mSettings =
             SettingsDelta.newBuilder().setPosition(1).setFull(true);
+    final Queue<ClaimRequest> mClaims = new ConcurrentLinkedQueue<>();
     private final List<Backend> mBackends = new ArrayList<>();
 
     void set(String path, Map<String, String> values) {
@@ -48,6 +51,7 @@
 
     @Override
     public void claim(ClaimRequest request, StreamObserver<ClaimReply> reply) {
+        mClaims.add(request);
         answer(
                 reply,
                 ClaimReply.newBuilder()
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -44,13 +44,7 @@
         mRelay = new Relay(mSidecarServer.port());
         mControl.set("/", deploymentSettings);
         mControl.set("/account=broker", Map.of("account.key-digests", KeyDigest.of(KEY)));
-        mControl.set(
-                "/service=hjerne",
-                Map.of(
-                        "service.models",
-                        "hjerne-1",
-                        "service.idempotent-calls",
-                        "POST /v1/chat/completions"));
+        mControl.set("/service=hjerne", Map.of("service.models", "hjerne-1"));
         mControl.set(
                 "/service=bok",
                 Map.of("service.kind", "plain", "service.path-prefix", "/havnebok"));
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -94,6 +95,20 @@
         assertThat(session().mRequest.call().path()).isEqualTo("/havnebok/kai/7?dag=3");
     }
 
+    @Test
+    void orderWithAKeyIsSentOnceItsClaimIsGranted() throws Exception {
+        HttpRequest order =
+                HttpRequest.newBuilder(mFixture.uri("/havnebok/orders"))
+                        .header("Authorization", "Bearer " + RouterFixture.KEY)
+                        .header("Idempotency-Key", "order-7")
+                        .POST(HttpRequest.BodyPublishers.ofString("stores"))
+                        .build();
+
+        assertThat(mFixture.mHttp.send(order, RouterFixture.text()).body()).isEqualTo("ok");
+        assertThat(session().mRequest.idempotent()).isFalse();
+        assertThat(mFixture.mControl.mClaims.poll().getKey()).isEqualTo("order-7");
+    }
+
     @Test
     void modelsAreListed() throws Exception {
         HttpResponse<String> answer =
