--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
@@ -1,13 +1,18 @@
 package org.laurelweir.routing;
 
 import java.util.List;
+import org.laurelweir.admission.SidecarSettings;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.Decision;
+import org.laurelweir.placement.LoadBound;
 
 /** Tells every routing decision with what it was made from. */
 final class Decisions {
     private static final String PROGRAM = "router";
 
+    /** What sidecars take at least; they alone apply the bound, routers only show it. */
+    private static final double CAPACITY_FLOOR = SidecarSettings.DEFAULT.bound().capacityFloor();
+
     private final RouterConfig mConfig;
     private final Placements mPlacements;
 
@@ -20,7 +25,8 @@
     void chose(Step s, ActiveRequest r, Placements.Choice c) {
         String id = c.target().ref().id();
         double load = mPlacements.load(id).runningWork();
-        double bound = r.policy().boundFactor() * mPlacements.meanWork(r.mRequest.service());
+        double mean = mPlacements.meanWork(r.mRequest.service());
+        double bound = LoadBound.bound(mean, r.policy().boundFactor(), CAPACITY_FLOOR);
         String reason =
                 r.mAttempts > 1 && !c.reason().equals("redirect")
                         ? "retry_" + c.reason()
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -186,6 +186,46 @@
         assertThat(second.replaces()).isEqualTo(first.attempt());
     }
 
+    // The caller sends its order again, through another router than the first time, while the first
+    // attempt still runs for that one. Nothing is sent a second time. This router waits until the
+    // attempt has ended, for taking its only stream would have the two take it from each other;
+    // then it hands on the first outcome. The output is gone by then, so that is "already run".
+    // The claim is not settled by a router that knows the end only from hearsay.
+    @Test
+    void resendWaitsForTheFirstAttemptAndTellsItsOutcome() {
+        arrive(1, false, "key", POLICY);
+        RouterEffect.Claim claim = last(RouterEffect.Claim.class);
+        AttemptId first = new AttemptId("r9", 4, 77, 1);
+        BackendRef target = new BackendRef("s2", 1);
+        give(
+                new RouterEvent.ClaimAnswered(
+                        claim.attempt(), ResultCode.OK, first, target, false, ResultCode.OK));
+        assertThat(last(RouterEffect.Revoke.class).attempt()).isEqualTo(first);
+        give(new RouterEvent.RevokeAnswered(1, first, AttemptState.RUNNING));
+        assertThat(all(RouterEffect.ResumeAttempt.class)).isEmpty();
+        pass(POLICY.backoffMax());
+        give(new RouterEvent.RevokeAnswered(1, first, AttemptState.FINISHED));
+        RouterEffect.ResumeAttempt resume = last(RouterEffect.ResumeAttempt.class);
+        assertThat(resume.offset()).isZero();
+        Frame gone = new Frame.Failed(ResultCode.OUTPUT_NOT_KEPT, "gone");
+        give(
+                new RouterEvent.FrameArrived(
+                        resume.stream(), new AttemptFrame(first, LoadHint.UNKNOWN, gone)));
+        assertThat(last(AnswerError.class).code()).isEqualTo(ResultCode.ALREADY_RUN);
+        assertThat(all(BeginAttempt.class)).isEmpty();
+        assertThat(all(RouterEffect.SettleClaim.class)).isEmpty();
+    }
+
+    // The message that begins an attempt arrives twice, and the second is refused as a duplicate.
+    // The first may run: only asking for the attempt's state tells.
+    @Test
+    void duplicateIsNotTakenForNotRun() {
+        arrive(1, false, "", POLICY);
+        refuse(ResultCode.DUPLICATE_ATTEMPT, "");
+        assertThat(all(RouterEffect.Revoke.class)).hasSize(1);
+        assertThat(all(AnswerError.class)).isEmpty();
+    }
+
     private void grant(RouterEffect.Claim claim) {
         AttemptId id = claim.attempt();
         give(
@@ -290,6 +330,7 @@
     @Test
     void missingBackendServersStayForAWhile() {
         give(exchange(true, List.of(backend("s0", Backend.State.SERVING))));
+        pass(Duration.ofMillis(100));
         arrive(1, true, "", POLICY);
         refuse(ResultCode.DRAINING, "");
         pass(POLICY.backoffMax());
