Try a restarted sidecar last until it is announced again

Until control's word arrives each request to it cost a refusal and a retry out of the budget. Hints are pruned only when the membership changed, not at every exchange.

--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -43,6 +43,11 @@
         return mBackends.get(id);
     }
 
+    /** Returns whether a delta tells of anything, so that an idle exchange costs nothing more. */
+    static boolean tells(MembershipDelta delta) {
+        return delta.full() || !delta.backends().isEmpty();
+    }
+
     void apply(Instant now, MembershipDelta delta) {
         mCursor = delta.cursor();
         Map<String, List<ViewChange>> changes = new HashMap<>();
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
@@ -28,17 +28,18 @@
 /** Chooses the backend server of each attempt, and keeps the hints that earlier answers gave. */
 final class Placements {
     /**
-     * How long a sidecar's word that it drains is kept. It refuses new work anyway; the hint saves
-     * the way there until control's word arrives, and must not outlive an undrain.
+     * How long a sidecar is tried last that said it drains, or turned out to have been restarted.
+     * It refuses anyway; the hint saves the way there, and the retry, until control's word arrives,
+     * and must not outlive an undrain.
      */
-    private static final Duration DRAIN_HINT = Duration.ofSeconds(5);
+    private static final Duration AVOIDANCE = Duration.ofSeconds(5);
 
     private final Memberships mMemberships;
     private final PlacementPolicy mPolicy = new AffinityPolicy();
     private final Map<String, Ejections> mEjections = new HashMap<>();
     private final Map<String, LoadHint> mLoads = new HashMap<>();
     private final Map<String, Double> mMeans = new HashMap<>();
-    private final Map<String, Instant> mDrainingUntil = new HashMap<>();
+    private final Map<String, Instant> mAvoidedUntil = new HashMap<>();
     private final ChatDirectory mSeats;
 
     Placements(RouterConfig config, Memberships memberships) {
@@ -144,12 +145,17 @@
     void onLoad(Instant now, String id, LoadHint hint) {
         mLoads.put(id, hint);
         if (hint.draining()) {
-            mDrainingUntil.put(id, now.plus(DRAIN_HINT));
+            mAvoidedUntil.put(id, now.plus(AVOIDANCE));
         } else {
-            mDrainingUntil.remove(id);
+            mAvoidedUntil.remove(id);
         }
     }
 
+    /** Notes that a sidecar is another run than this router knows of. */
+    void onOtherIncarnation(Instant now, ActiveRequest r) {
+        mAvoidedUntil.put(r.mTarget.ref().id(), now.plus(AVOIDANCE));
+    }
+
     /** Notes that a backend server began to answer a request. */
     void onAnswer(ActiveRequest r) {
         String id = r.mTarget.ref().id();
@@ -166,10 +172,16 @@
         outliers(r.mRequest).onFailure(r.mTarget.ref().id(), servers, now);
     }
 
-    /** Forgets the hints about backend servers that are gone. */
+    /** Forgets the hints about backend servers that are gone; only when the membership changed. */
     void prune() {
         mLoads.keySet().removeIf(id -> mMemberships.backend(id) == null);
-        mDrainingUntil.keySet().removeIf(id -> mMemberships.backend(id) == null);
+        mAvoidedUntil.keySet().removeIf(id -> mMemberships.backend(id) == null);
+        mEjections.forEach(
+                (service, e) ->
+                        mMemberships
+                                .view(service)
+                                .departed()
+                                .forEach(c -> e.outliers().onLeave(c.id())));
     }
 
     private final class Hints implements PlacementHints {
@@ -188,8 +200,8 @@
 
         @Override
         public boolean isEjected(String id) {
-            Instant draining = mDrainingUntil.get(id);
-            return mOf.isEjected(id, mNow) || (draining != null && mNow.isBefore(draining));
+            Instant avoided = mAvoidedUntil.get(id);
+            return mOf.isEjected(id, mNow) || (avoided != null && mNow.isBefore(avoided));
         }
 
         @Override
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -68,7 +68,9 @@
     private void onExchange(Instant now, RouterEvent.ExchangeAnswered answer) {
         mExchanges.onEnded();
         mMemberships.apply(now, answer.membership());
-        mPlacements.prune();
+        if (Memberships.tells(answer.membership())) {
+            mPlacements.prune();
+        }
         mPlacements.onMeans(answer.loads());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Streams.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Streams.java
@@ -148,6 +148,9 @@
             mRecovery.refusedFollowing(s, r);
             return;
         }
+        if (f.code() == ResultCode.OTHER_INCARNATION) {
+            mPlacements.onOtherIncarnation(s.now(), r);
+        }
         mRetries.refused(s, r, f);
     }
 
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -324,6 +324,15 @@
         assertThat(last(BeginAttempt.class).address()).isNotEqualTo(home);
     }
 
+    @Test
+    void restartedSidecarIsTriedLastUntilItIsAnnounced() {
+        arrive(1, true, "", POLICY);
+        String home = last(BeginAttempt.class).address();
+        refuse(ResultCode.OTHER_INCARNATION, "");
+        arrive(2, true, "", POLICY);
+        assertThat(last(BeginAttempt.class).address()).isNotEqualTo(home);
+    }
+
     // The router turns to a control instance that has just started and has heard of one sidecar so
     // far. Taken at its word, the others' chats would all move there; they stay for a while, and
     // go only if nobody names them again.
