--- /dev/null
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -0,0 +1,298 @@
+package org.laurelweir.packaging.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.laurelweir.pgm.fleet.ControlClient;
+import org.laurelweir.pgm.fleet.FleetConnection;
+import org.laurelweir.settings.KeyDigest;
+import org.laurelweir.wire.v1.BackendState;
+import org.laurelweir.wire.v1.ControlStatus;
+
+/**
+ * A small deployment on this machine: control instances, routers, and backend servers with their
+ * sidecars, each a process. Settings, ports and logs stand in one folder below target.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+    private static final long PAUSE_NANOS = Duration.ofMillis(100).toNanos();
+
+    private final Path mFolder;
+    private final String mHost = host();
+    private final Map<String, Integer> mControlPorts = new LinkedHashMap<>();
+    private final Map<String, FleetProcess> mProcesses = new LinkedHashMap<>();
+    private final List<Relay> mRelays = new ArrayList<>();
+    private final List<StandIn> mStandIns = new ArrayList<>();
+    private FleetConnection mConnection;
+
+    private Fleet(String name) {
+        mFolder = Path.of("target", "fleets", name).toAbsolutePath();
+        clear(mFolder);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::destroyAll));
+    }
+
+    /**
+     * Starts control and routers.
+     *
+     * @param name of the folder with settings and logs
+     * @param controls how many control instances
+     * @param routers how many routers
+     * @param tree lines added to the settings tree
+     */
+    public static Fleet start(String name, int controls, int routers, String tree) {
+        Fleet fleet = new Fleet(name);
+        fleet.startControls(controls, tree);
+        for (int i = 1; i <= routers; i++) {
+            fleet.startRouter("router-" + i);
+        }
+        return fleet;
+    }
+
+    private void startControls(int count, String tree) {
+        Path file = mFolder.resolve("tree.yaml");
+        write(file, tree(tree));
+        for (int i = 1; i <= count; i++) {
+            mControlPorts.put("control-" + i, freePort());
+        }
+        String peers =
+                mControlPorts.entrySet().stream()
+                        .map(e -> "  " + e.getKey() + ": " + mHost + ":" + e.getValue())
+                        .collect(Collectors.joining("\n"));
+        mControlPorts.forEach(
+                (name, port) ->
+                        startProgram(
+                                "control",
+                                name,
+                                "listen: " + mHost + ":" + port,
+                                "data-folder: " + mFolder.resolve(name + "-data"),
+                                "bootstrap-settings: " + file,
+                                "peers:\n" + peers));
+        mConnection =
+                new FleetConnection(
+                        List.copyOf(controlAddresses()),
+                        CALL_TIMEOUT,
+                        () -> LockSupport.parkNanos(PAUSE_NANOS));
+        mConnection.start();
+    }
+
+    private static String tree(String more) {
+        return String.join(
+                "\n",
+                "/:",
+                "  bound.factor: 10",
+                "  retry.budget-share: 1",
+                "  membership.damping: 0s",
+                "/service=seilhjerne:",
+                "  service.models: seil",
+                "/service=havnebok:",
+                "  service.kind: plain",
+                "  service.path-prefix: /havnebok",
+                "/account=broker:",
+                "  account.key-digests: " + KeyDigest.of(Caller.KEY),
+                more);
+    }
+
+    /** Starts a router. */
+    public FleetProcess startRouter(String name) {
+        return startProgram("router", name, "listen: 127.0.0.1:0", controlList());
+    }
+
+    /** Starts a plain service with its sidecar; its calls take no time unless told otherwise. */
+    public StandIn startPlain(String name) {
+        return startStandIn(name, "plain", "havnebok", "workMillis: 0");
+    }
+
+    /** Starts an engine of two hundred tokens an answer, which come at fifty a second. */
+    public StandIn startEngine(String name) {
+        return startStandIn(
+                name,
+                "engine",
+                "seilhjerne",
+                "models: [seil]\nanswerTokens: 200\nbatch: {tokensPerSecond: 50, batchKnee: 100}");
+    }
+
+    private StandIn startStandIn(String name, String kind, String service, String settings) {
+        FleetProcess p = process(name + "-backend", "org.laurelweir.standin." + kind + ".Main");
+        p.writeSettings(
+                "name: " + name + "\nlisten: {portFile: " + p.portFile("") + "}\n" + settings);
+        p.start();
+        FleetProcess sidecar = process(name, "org.laurelweir.sidecar.Main");
+        Relay relay = new Relay(sidecar::port);
+        mRelays.add(relay);
+        startProgram(
+                "sidecar",
+                name,
+                "service: " + service,
+                "listen: 127.0.0.1:0",
+                "announce: 127.0.0.1:" + relay.port(),
+                "backend: 127.0.0.1:" + p.port(),
+                controlList());
+        StandIn s = new StandIn(p, sidecar, relay, "/" + kind);
+        mStandIns.add(s);
+        return s;
+    }
+
+    private FleetProcess process(String name, String main) {
+        return mProcesses.computeIfAbsent(name, n -> new FleetProcess(n, main, mFolder));
+    }
+
+    private FleetProcess startProgram(String program, String name, String... settings) {
+        FleetProcess p = process(name, "org.laurelweir." + program + ".Main");
+        List<String> lines = new ArrayList<>();
+        lines.add("program: " + program);
+        lines.add("name: " + name);
+        lines.add("region: vestkyst");
+        lines.add("data-centre: bergen");
+        lines.add("port-file: " + p.portFile(""));
+        lines.add("metrics-port-file: " + p.portFile("-metrics"));
+        lines.addAll(List.of(settings));
+        p.writeSettings(String.join("\n", lines) + "\n");
+        p.start();
+        return p;
+    }
+
+    private String controlList() {
+        return controlAddresses().stream()
+                .map(a -> "\n  - " + a)
+                .collect(Collectors.joining("", "controls:", ""));
+    }
+
+    private List<String> controlAddresses() {
+        return mControlPorts.values().stream().map(p -> mHost + ":" + p).toList();
+    }
+
+    /** Returns once control knows every backend server and every router has calls answered. */
+    public Fleet awaitReady() {
+        startedWith("control").forEach(this::awaitReady);
+        Await.until(
+                "every backend server is announced",
+                () -> backends(BackendState.SERVING) == mStandIns.size());
+        startedWith("router").forEach(this::awaitServing);
+        return this;
+    }
+
+    private List<FleetProcess> startedWith(String prefix) {
+        return mProcesses.values().stream().filter(p -> p.name().startsWith(prefix)).toList();
+    }
+
+    /** Returns once a program says that it is ready. */
+    public void awaitReady(FleetProcess p) {
+        int port = p.metricsPort();
+        Await.until(p.name() + " is ready", () -> isOk(port, "/readyz"));
+    }
+
+    /** Returns once a router is ready and finds backend servers of every service. */
+    public void awaitServing(FleetProcess router) {
+        awaitReady(router);
+        int port = router.port();
+        if (mStandIns.stream().anyMatch(StandIn::isPlain)) {
+            Await.until("plain calls by " + router.name(), () -> isOk(port, "/havnebok/ready"));
+        }
+        if (!mStandIns.stream().allMatch(StandIn::isPlain)) {
+            Await.until(
+                    "chats by " + router.name(),
+                    () -> Caller.chat(router, "ready").findFault().isEmpty());
+        }
+    }
+
+    /** Returns how many backend servers control knows in a state. */
+    public long backends(BackendState state) {
+        return control().status().getBackendsList().stream()
+                .filter(b -> b.getBackend().getState() == state)
+                .count();
+    }
+
+    private static boolean isOk(int port, String path) {
+        try {
+            return Caller.get(Caller.send(port, "GET", path, "", Map.of())).status() == 200;
+        } catch (RuntimeException e) {
+            return false;
+        }
+    }
+
+    /** Returns the operators' client to control. */
+    public ControlClient control() {
+        return mConnection.control();
+    }
+
+    /** Returns a program by its name. */
+    public FleetProcess process(String name) {
+        return mProcesses.get(name);
+    }
+
+    /** Returns the control instance that leads, once one does. */
+    public FleetProcess leader() {
+        List<FleetProcess> found = new ArrayList<>();
+        Await.until(
+                "a leader of control",
+                () -> {
+                    control().status().getControlsList().stream()
+                            .filter(ControlStatus::getLeader)
+                            .map(c -> mProcesses.get(c.getName()))
+                            .filter(FleetProcess::isRunning)
+                            .forEach(found::add);
+                    return !found.isEmpty();
+                });
+        return found.get(0);
+    }
+
+    @Override
+    public void close() {
+        if (mConnection != null) {
+            mConnection.stop();
+        }
+        destroyAll();
+        mRelays.forEach(Relay::close);
+    }
+
+    private void destroyAll() {
+        mProcesses.values().forEach(FleetProcess::destroy);
+    }
+
+    /** A loopback address of this run's own: no other program can take a port there meanwhile. */
+    private static String host() {
+        long pid = ProcessHandle.current().pid();
+        return "127." + (1 + (pid >> 16) % 254) + "." + ((pid >> 8) & 0xff) + "." + (pid & 0xff);
+    }
+
+    private int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 0, InetAddress.getByName(mHost))) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void clear(Path folder) {
+        try {
+            if (Files.exists(folder)) {
+                try (Stream<Path> all = Files.walk(folder)) {
+                    all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+                }
+            }
+            Files.createDirectories(folder);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void write(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarFile.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarFile.java
@@ -18,6 +18,7 @@
  * @param region where it stands
  * @param dataCentre where it stands
  * @param listen where routers reach it; with port 0 the operating system chooses
+ * @param announce where routers are told to reach it, if a forwarder stands in between
  * @param portFile where to write the port
  * @param metricsListen where metrics, health and readiness are served
  * @param metricsPortFile where to write their port
@@ -37,6 +38,7 @@
         @Required String region,
         @Required String dataCentre,
         @Required Endpoint listen,
+        Optional<Endpoint> announce,
         Optional<Path> portFile,
         @Default("127.0.0.1:0") Endpoint metricsListen,
         Optional<Path> metricsPortFile,
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -110,7 +110,7 @@
                 mFile.service(),
                 mFile.dataCentre(),
                 mFile.region(),
-                endpoint().toString(),
+                mFile.announce().orElseGet(this::endpoint).toString(),
                 mFile.weight());
     }
 
