Carry out chats between sidecars, orders, settings and explanations

Settings in force come from control's tree by way of Policies; a clock that went back since the last start makes an idle sidecar take a later incarnation than control knows. Calls that belong to no attempt share BackendCall through CallListener.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/Effects.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/Effects.java
@@ -4,28 +4,33 @@
 import java.util.function.Consumer;
 import org.laurelweir.admission.SidecarEffect;
 import org.laurelweir.runtime.log.DecisionLog;
+import org.laurelweir.runtime.log.DecisionRing;
 import org.laurelweir.sidecar.backend.BackendClient;
+import org.laurelweir.sidecar.backend.BackendOrders;
 import org.laurelweir.sidecar.rpc.AttemptStreams;
 import org.laurelweir.sidecar.rpc.ControlExchange;
+import org.laurelweir.sidecar.rpc.PeerSidecars;
 import org.laurelweir.sidecar.rpc.SidecarService;
 
 /** Carries the decisions out. Only the decision loop's thread calls it. */
 final class Effects implements Consumer<SidecarEffect> {
-    private final AttemptStreams mStreams;
-    private final SidecarService mService;
-    private final BackendClient mBackend;
-    private final ControlExchange mExchange;
+    private final Parts mParts;
     private final CountDownLatch mStopped = new CountDownLatch(1);
 
-    Effects(
+    /** What effects are carried out by. */
+    record Parts(
             AttemptStreams streams,
             SidecarService service,
             BackendClient backend,
-            ControlExchange exchange) {
-        mStreams = streams;
-        mService = service;
-        mBackend = backend;
-        mExchange = exchange;
+            BackendOrders orders,
+            PeerSidecars peers,
+            ControlExchange exchange,
+            DecisionRing ring,
+            SidecarMetrics metrics,
+            Consumer<SidecarEffect.Superseded> superseded) {}
+
+    Effects(Parts parts) {
+        mParts = parts;
     }
 
     /** Returns what opens once everything in flight has ended after a stop was requested. */
@@ -36,21 +41,51 @@
     @Override
     public void accept(SidecarEffect effect) {
         if (effect instanceof SidecarEffect.SendFrame e) {
-            mStreams.send(e.stream(), e.frame());
+            mParts.metrics().sent(e.frame().frame());
+            mParts.streams().send(e.stream(), e.frame());
         } else if (effect instanceof SidecarEffect.CloseStream e) {
-            mStreams.close(e.stream());
+            mParts.streams().close(e.stream());
         } else if (effect instanceof SidecarEffect.StartEngineCall e) {
-            mBackend.start(e.request());
+            mParts.metrics().did("start");
+            mParts.backend().start(e.request());
         } else if (effect instanceof SidecarEffect.CancelEngineCall e) {
-            mBackend.cancel(e.attempt());
+            mParts.metrics().did("cancel");
+            mParts.backend().cancel(e.attempt());
         } else if (effect instanceof SidecarEffect.ReadEngineCall e) {
-            mBackend.setReading(e.attempt(), e.reading());
-        } else if (effect instanceof SidecarEffect.AnswerRevoke e) {
-            mService.answer(e);
-        } else if (effect instanceof SidecarEffect.SendExchange e) {
-            mExchange.send(e);
+            mParts.backend().setReading(e.attempt(), e.reading());
         } else if (effect instanceof SidecarEffect.Decided e) {
+            mParts.metrics().decided(e.decision());
+            mParts.ring().add(e.decision());
             DecisionLog.write(e.decision());
+        } else {
+            acceptRarer(effect);
+        }
+    }
+
+    private void acceptRarer(SidecarEffect effect) {
+        if (effect instanceof SidecarEffect.AnswerRevoke e) {
+            mParts.metrics().did("revoke");
+            mParts.service().answer(e);
+        } else if (effect instanceof SidecarEffect.SendExchange e) {
+            mParts.metrics().reported(e.report());
+            mParts.exchange().send(e);
+        } else if (effect instanceof SidecarEffect.AskChats e) {
+            mParts.metrics().did("ask_chats");
+            mParts.peers().ask(e);
+        } else if (effect instanceof SidecarEffect.AnswerChats e) {
+            mParts.service().answer(e);
+        } else if (effect instanceof SidecarEffect.HandOverChats e) {
+            mParts.metrics().did("hand_over_chats");
+            mParts.peers().handOver(e);
+        } else if (effect instanceof SidecarEffect.PassOrder e) {
+            mParts.metrics().did("pass_order");
+            mParts.orders()
+                    .pass(e, (code, said) -> mParts.service().answerOrder(e.call(), code, said));
+        } else if (effect instanceof SidecarEffect.RefuseOrder e) {
+            mParts.metrics().did("refuse_order");
+            mParts.service().answerOrder(e.call(), e.code(), e.message());
+        } else if (effect instanceof SidecarEffect.Superseded e) {
+            mParts.superseded().accept(e);
         } else if (effect instanceof SidecarEffect.Stopped) {
             mStopped.countDown();
         }
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarFile.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarFile.java
@@ -24,6 +24,7 @@
  * @param backend where the backend server listens
  * @param refusalStatuses the backend server's HTTP statuses that are documented to mean that a call
  *     was refused before it was run
+ * @param ordersPath where the backend server takes orders
  * @param weight the backend server's capacity relative to the service's other ones
  * @param controls control instances, the nearest first
  * @param threads event loops for connections
@@ -42,6 +43,7 @@
         Optional<Path> metricsPortFile,
         @Required Endpoint backend,
         @Range(min = "400", max = "599") List<Integer> refusalStatuses,
+        @Default("/engine/orders") String ordersPath,
         @Default("1") @Range(min = "0.125", max = "1000") double weight,
         @Required List<Endpoint> controls,
         @Default("2") @Range(min = "1", max = "64") int threads,
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -1,55 +1,64 @@
 package org.laurelweir.sidecar;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.laurelweir.admission.SidecarEffect;
 import org.laurelweir.admission.SidecarEvent;
 import org.laurelweir.admission.SidecarIdentity;
 import org.laurelweir.admission.SidecarReducer;
-import org.laurelweir.admission.SidecarSettings;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.log.DecisionRing;
 import org.laurelweir.runtime.log.Logging;
 import org.laurelweir.runtime.loop.ReducerLoop;
 import org.laurelweir.runtime.metrics.MetricsServer;
 import org.laurelweir.runtime.process.Program;
+import org.laurelweir.runtime.rpc.Channels;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.ExchangeClient;
 import org.laurelweir.runtime.rpc.PortFile;
 import org.laurelweir.runtime.rpc.RpcServer;
 import org.laurelweir.runtime.rpc.TrafficCounters;
+import org.laurelweir.settings.SettingsContext;
 import org.laurelweir.sidecar.backend.BackendClient;
+import org.laurelweir.sidecar.backend.BackendOrders;
+import org.laurelweir.sidecar.backend.BackendProbe;
 import org.laurelweir.sidecar.rpc.AttemptStreams;
 import org.laurelweir.sidecar.rpc.ControlExchange;
+import org.laurelweir.sidecar.rpc.PeerSidecars;
 import org.laurelweir.sidecar.rpc.SidecarService;
 
 /** A sidecar with all of its parts. */
 public final class SidecarProgram implements Service {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(5);
     private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration LAST_EXCHANGE_TIMEOUT = Duration.ofSeconds(2);
-    private static final Duration STOP_MARGIN = Duration.ofSeconds(5);
+
+    /** The decision loop ends a stop by drain.timeout, which can't be set above a day. */
+    private static final Duration LONGEST_STOP = Duration.ofDays(1).plusMinutes(1);
 
     private final SidecarFile mFile;
-    private final BackendRef mSelf;
     private final Consumer<String> mOut;
     private final Logging mLogging;
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final EventLoops mLoops;
-    private final AttemptStreams mStreams = new AttemptStreams(this::offer);
-    private final SidecarService mService = new SidecarService(mStreams, this::offer);
-    private final BackendClient mBackend;
+    private final Channels mChannels;
     private final ExchangeClient mExchangeClient;
     private final ControlExchange mExchange;
+    private final BackendProbe mProbe;
     private final RpcServer mServer;
     private final Effects mEffects;
     private final ReducerLoop<SidecarEvent, SidecarEffect> mLoop;
+    private final long mIncarnation;
+    private volatile SidecarIdentity mSelf;
     private SidecarReducer mReducer;
     private MetricsServer mMetricsServer;
 
@@ -57,26 +66,44 @@
      * Creates a sidecar; it listens once started.
      *
      * @param file its settings file
-     * @param clock the time
+     * @param clock the time, which also gives the incarnation
      * @param out takes the line that tells where it listens
      */
     public SidecarProgram(SidecarFile file, InstantSource clock, Consumer<String> out) {
         mFile = file;
-        mSelf = new BackendRef(file.name(), clock.millis());
         mOut = out;
+        mIncarnation = clock.millis();
         mLogging = new Logging(file.log());
         mLoops = new EventLoops("sidecar-io", file.threads());
-        mBackend = new BackendClient(mLoops, file.backend(), this::offer);
+        TrafficCounters traffic = new TrafficCounters(mRegistry);
+        mChannels = Channels.builder(mLoops, traffic).build();
         mExchangeClient =
                 new ExchangeClient(
                         file.controls().stream().map(Endpoint::toString).toList(), CONTROL_TIMEOUT);
-        mExchange = new ControlExchange(mExchangeClient, this::offer);
+        mExchange = exchange(file);
+        BackendClient backend = new BackendClient(mLoops, file.backend(), this::offer);
+        mProbe = new BackendProbe(mLoops, backend, this::offer);
+        DecisionRing ring = new DecisionRing(file.decisions());
+        AttemptStreams streams = new AttemptStreams(this::offer);
+        SidecarService service = new SidecarService(streams, ring, this::offer);
         mServer =
-                RpcServer.builder(mLoops, new TrafficCounters(mRegistry))
+                RpcServer.builder(mLoops, traffic)
                         .listen(file.listen().host(), file.listen().port())
-                        .service(mService)
+                        .service(service)
                         .build();
-        mEffects = new Effects(mStreams, mService, mBackend, mExchange);
+        mEffects =
+                new Effects(
+                        new Effects.Parts(
+                                streams,
+                                service,
+                                backend,
+                                new BackendOrders(backend, file.ordersPath()),
+                                new PeerSidecars(
+                                        mChannels, file.name(), file.service(), this::offer),
+                                mExchange,
+                                ring,
+                                metrics(),
+                                this::superseded));
         mLoop =
                 new ReducerLoop<>(
                         "sidecar-decide",
@@ -88,6 +115,19 @@
                         f -> Program.halt(ResultCode.INTERNAL));
     }
 
+    private ControlExchange exchange(SidecarFile file) {
+        SettingsContext context =
+                SettingsContext.of(file.region(), file.dataCentre()).with(file.service(), null);
+        return new ControlExchange(
+                mExchangeClient, context, Set.copyOf(file.refusalStatuses()), this::offer);
+    }
+
+    private SidecarMetrics metrics() {
+        SidecarMetrics metrics = new SidecarMetrics(mRegistry);
+        metrics.showControlBytes(mExchangeClient::bytesSent, mExchangeClient::bytesReceived);
+        return metrics;
+    }
+
     private void offer(SidecarEvent event) {
         mLoop.offer(event);
     }
@@ -95,10 +135,14 @@
     @Override
     public void start() {
         mLogging.start();
+        mChannels.start();
         // What arrives before the loop starts waits in it: the reducer has to know the port first.
         mServer.start();
-        mReducer = new SidecarReducer(identity());
+        mSelf = identity();
+        mReducer = new SidecarReducer(mSelf);
+        mLoop.offer(new SidecarEvent.SettingsChanged(mExchange.settings()));
         mLoop.start();
+        mProbe.start();
         startMetrics();
         mFile.portFile().ifPresent(f -> PortFile.write(f, mServer.port()));
         mOut.accept("listening on " + endpoint());
@@ -106,7 +150,7 @@
 
     private SidecarIdentity identity() {
         return new SidecarIdentity(
-                mSelf,
+                new BackendRef(mFile.name(), mIncarnation),
                 mFile.service(),
                 mFile.dataCentre(),
                 mFile.region(),
@@ -114,16 +158,35 @@
                 mFile.weight());
     }
 
+    /**
+     * Goes on as a later incarnation. The clock went back between two starts, so that routers wait
+     * for the run before this one; as nothing was begun here, nobody can mistake one for the other.
+     */
+    private void superseded(SidecarEffect.Superseded effect) {
+        if (!effect.idle()) {
+            sLogger.atSevere().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "another sidecar runs as %s, with incarnation %d",
+                    mFile.name(), effect.incarnation());
+            return;
+        }
+        sLogger.atWarning().log(
+                "the clock went back: incarnation %d follows %d",
+                effect.incarnation() + 1, mSelf.ref().incarnation());
+        mSelf = mSelf.withIncarnation(effect.incarnation() + 1);
+        mReducer = new SidecarReducer(mSelf);
+        mLoop.offer(new SidecarEvent.SettingsChanged(mExchange.settings()));
+    }
+
     private void startMetrics() {
-        mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, Optional::empty);
+        mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mProbe);
         mMetricsServer.start();
         int port = mMetricsServer.endpoint().port();
         mFile.metricsPortFile().ifPresent(f -> PortFile.write(f, port));
     }
 
-    /** Returns the backend server's name and this run's incarnation. */
+    /** Returns the backend server's name and this run's incarnation. Once started. */
     public BackendRef self() {
-        return mSelf;
+        return mSelf.ref();
     }
 
     /** Returns where routers reach the sidecar. Once started. */
@@ -139,15 +202,16 @@
     public void stop() {
         mLoop.offer(new SidecarEvent.StopRequested());
         try {
-            Duration most = SidecarSettings.DEFAULT.drainTimeout().plus(STOP_MARGIN);
-            mEffects.stopped().await(most.toMillis(), TimeUnit.MILLISECONDS);
+            mEffects.stopped().await(LONGEST_STOP.toMillis(), TimeUnit.MILLISECONDS);
             mExchange.awaitIdle(LAST_EXCHANGE_TIMEOUT);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         mServer.stop();
+        mProbe.stop();
         mLoop.stop();
         mExchangeClient.stop();
+        mChannels.stop();
         mMetricsServer.stop();
         mLoops.stop();
         mLogging.stop();
--- /dev/null
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/AttemptListener.java
@@ -0,0 +1,43 @@
+package org.laurelweir.sidecar.backend;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.laurelweir.admission.SidecarEvent;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.attempt.Header;
+import org.laurelweir.lib.AttemptId;
+
+/** Turns what becomes of an attempt's call into events. */
+final class AttemptListener implements CallListener {
+    private final AttemptId mId;
+    private final Consumer<SidecarEvent> mEvents;
+    private final Runnable mOnEnd;
+
+    AttemptListener(AttemptId id, Consumer<SidecarEvent> events, Runnable onEnd) {
+        mId = id;
+        mEvents = events;
+        mOnEnd = onEnd;
+    }
+
+    @Override
+    public void answered(int status, List<Header> headers) {
+        mEvents.accept(new SidecarEvent.EngineAnswered(mId, status, headers));
+    }
+
+    @Override
+    public void received(byte[] bytes) {
+        mEvents.accept(new SidecarEvent.EngineSent(mId, bytes));
+    }
+
+    @Override
+    public void finished(Frame.Usage usage) {
+        mOnEnd.run();
+        mEvents.accept(new SidecarEvent.EngineFinished(mId, usage));
+    }
+
+    @Override
+    public void failed(boolean sent, String message) {
+        mOnEnd.run();
+        mEvents.accept(new SidecarEvent.EngineFailed(mId, sent, message));
+    }
+}
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -14,10 +15,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Locale;
-import java.util.function.Consumer;
-import org.laurelweir.admission.SidecarEvent;
-import org.laurelweir.attempt.AttemptRequest;
-import org.laurelweir.lib.AttemptId;
 
 /**
  * One call on the backend server over a connection of its own. Reports exactly one end: finished
@@ -26,35 +23,39 @@
 final class BackendCall extends ChannelInboundHandlerAdapter {
     private static final String EVENT_STREAM = "text/event-stream";
 
-    private final AttemptRequest mRequest;
-    private final Consumer<SidecarEvent> mEvents;
-    private final Runnable mOnEnd;
+    private final FullHttpRequest mRequest;
+    private final boolean mStreamed;
+    private final CallListener mListener;
     private final AnswerScan mScan = new AnswerScan();
     private boolean mSent;
     private boolean mAnswered;
     private boolean mIsEventStream;
     private boolean mEnded;
 
-    BackendCall(AttemptRequest request, Consumer<SidecarEvent> events, Runnable onEnd) {
+    /**
+     * Creates a call.
+     *
+     * @param request the message to send
+     * @param streamed whether the answer is wanted as a stream of events
+     * @param listener hears what becomes of it
+     */
+    BackendCall(FullHttpRequest request, boolean streamed, CallListener listener) {
         mRequest = request;
-        mEvents = events;
-        mOnEnd = onEnd;
-    }
-
-    AttemptId id() {
-        return mRequest.id();
+        mStreamed = streamed;
+        mListener = listener;
     }
 
     /** Sends the request once the connection is there. */
-    void connected(ChannelFuture connect, String host) {
+    void connected(ChannelFuture connect) {
         if (!connect.isSuccess()) {
+            mRequest.release();
             fail("can't connect: " + connect.cause().getMessage());
             return;
         }
         Channel channel = connect.channel();
         // From here on the backend server may get it, whatever becomes of the write.
         mSent = true;
-        channel.writeAndFlush(RequestMessage.of(mRequest, host))
+        channel.writeAndFlush(mRequest)
                 .addListener(
                         f -> {
                             if (!f.isSuccess()) {
@@ -101,9 +102,7 @@
         mAnswered = true;
         String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         mIsEventStream = type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-        mEvents.accept(
-                new SidecarEvent.EngineAnswered(
-                        id(), response.status().code(), HopHeaders.passedOn(response.headers())));
+        mListener.answered(response.status().code(), HopHeaders.passedOn(response.headers()));
     }
 
     private void content(ByteBuf content) {
@@ -112,16 +111,16 @@
         }
         byte[] bytes = ByteBufUtil.getBytes(content);
         mScan.add(bytes);
-        mEvents.accept(new SidecarEvent.EngineSent(id(), bytes));
+        mListener.received(bytes);
     }
 
     private void whole() {
-        if (mRequest.call().streamed() && mIsEventStream && !mScan.isStreamDone()) {
+        if (mStreamed && mIsEventStream && !mScan.isStreamDone()) {
             fail("the stream of events ended before its last one");
             return;
         }
         if (end()) {
-            mEvents.accept(new SidecarEvent.EngineFinished(id(), mScan.usage()));
+            mListener.finished(mScan.usage());
         }
     }
 
@@ -138,7 +137,7 @@
 
     private void fail(String message) {
         if (end()) {
-            mEvents.accept(new SidecarEvent.EngineFailed(id(), mSent, message));
+            mListener.failed(mSent, message);
         }
     }
 
@@ -147,7 +146,6 @@
             return false;
         }
         mEnded = true;
-        mOnEnd.run();
         return true;
     }
 }
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendClient.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendClient.java
@@ -3,8 +3,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -47,18 +50,45 @@
 
     /** Makes the call of an attempt. */
     public void start(AttemptRequest request) {
-        BackendCall call = new BackendCall(request, mEvents, () -> mChannels.remove(request.id()));
-        ChannelFuture connect =
-                new Bootstrap()
-                        .group(mLoops.group())
-                        .channel(mLoops.clientType())
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .handler(new Pipeline(call))
-                        .connect(mBackend.toSocketAddress());
+        FullHttpRequest message = RequestMessage.of(request, mBackend.toString());
+        AttemptListener listener =
+                new AttemptListener(request.id(), mEvents, () -> mChannels.remove(request.id()));
+        BackendCall call = new BackendCall(message, request.call().streamed(), listener);
+        ChannelFuture connect = connect(call);
         mChannels.put(request.id(), connect.channel());
         // Added after the entry is there, so that the call's end finds it.
-        connect.addListener(f -> call.connected(connect, mBackend.toString()));
+        connect.addListener(f -> call.connected(connect));
+    }
+
+    /** Makes a call that belongs to no attempt. */
+    void start(FullHttpRequest message, CallListener listener) {
+        BackendCall call = new BackendCall(message, false, listener);
+        ChannelFuture connect = connect(call);
+        connect.addListener(f -> call.connected(connect));
+    }
+
+    /** Tries whether the backend server can be reached at all. */
+    void tryConnecting(Consumer<Boolean> reachable) {
+        ChannelFuture connect = connect(new ChannelInboundHandlerAdapter());
+        connect.addListener(
+                f -> {
+                    reachable.accept(connect.isSuccess());
+                    connect.channel().close();
+                });
+    }
+
+    Endpoint backend() {
+        return mBackend;
+    }
+
+    private ChannelFuture connect(ChannelHandler handler) {
+        return new Bootstrap()
+                .group(mLoops.group())
+                .channel(mLoops.clientType())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new Pipeline(handler))
+                .connect(mBackend.toSocketAddress());
     }
 
     /** Closes a call's connection, which cancels its work; nothing happens where it has ended. */
@@ -78,16 +108,16 @@
     }
 
     private static final class Pipeline extends ChannelInitializer<Channel> {
-        private final BackendCall mCall;
+        private final ChannelHandler mHandler;
 
-        Pipeline(BackendCall call) {
-            mCall = call;
+        Pipeline(ChannelHandler handler) {
+            mHandler = handler;
         }
 
         @Override
         protected void initChannel(Channel channel) {
             channel.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADERS, MAX_PIECE));
-            channel.pipeline().addLast(mCall);
+            channel.pipeline().addLast(mHandler);
         }
     }
 }
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/rpc/SidecarService.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/rpc/SidecarService.java
@@ -1,31 +1,51 @@
 package org.laurelweir.sidecar.rpc;
 
 import io.grpc.stub.StreamObserver;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.laurelweir.admission.SidecarEffect;
 import org.laurelweir.admission.SidecarEvent;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.log.DecisionRing;
 import org.laurelweir.wire.AttemptCodec;
+import org.laurelweir.wire.DecisionCodec;
 import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.v1.AttemptFrame;
 import org.laurelweir.wire.v1.AttemptMessage;
+import org.laurelweir.wire.v1.ExplainReply;
+import org.laurelweir.wire.v1.ExplainRequest;
+import org.laurelweir.wire.v1.HandOverChatsReply;
+import org.laurelweir.wire.v1.HandOverChatsRequest;
+import org.laurelweir.wire.v1.LocateChatsReply;
+import org.laurelweir.wire.v1.LocateChatsRequest;
+import org.laurelweir.wire.v1.OrderReply;
+import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.RevokeReply;
 import org.laurelweir.wire.v1.RevokeRequest;
 import org.laurelweir.wire.v1.SidecarServiceGrpc;
 
 /** Turns calls into events and answers them when the decision is there. */
 public final class SidecarService extends SidecarServiceGrpc.SidecarServiceImplBase {
+    private static final int DEFAULT_LIMIT = 20;
+
     private final AttemptStreams mStreams;
     private final Consumer<SidecarEvent> mEvents;
+    private final DecisionRing mRing;
     private final PendingCalls<RevokeReply> mRevocations = new PendingCalls<>();
+    private final PendingCalls<LocateChatsReply> mQuestions = new PendingCalls<>();
+    private final PendingCalls<OrderReply> mOrders = new PendingCalls<>();
 
     /**
      * Creates the service.
      *
      * @param streams carries the attempts
+     * @param ring the decisions that can be explained
      * @param events takes what is asked
      */
-    public SidecarService(AttemptStreams streams, Consumer<SidecarEvent> events) {
+    public SidecarService(
+            AttemptStreams streams, DecisionRing ring, Consumer<SidecarEvent> events) {
         mStreams = streams;
+        mRing = ring;
         mEvents = events;
     }
 
@@ -52,4 +72,51 @@
                         .build();
         mRevocations.answer(effect.call(), reply);
     }
+
+    @Override
+    public void locateChats(LocateChatsRequest request, StreamObserver<LocateChatsReply> reply) {
+        mEvents.accept(new SidecarEvent.ChatsAsked(mQuestions.add(reply), request.getChatsList()));
+    }
+
+    /** Answers where chats sit. */
+    public void answer(SidecarEffect.AnswerChats effect) {
+        LocateChatsReply.Builder reply = LocateChatsReply.newBuilder();
+        effect.locations().forEach((c, b) -> reply.addLocations(PeerSidecars.toMessage(c, b)));
+        mQuestions.answer(effect.call(), reply.build());
+    }
+
+    @Override
+    public void handOverChats(
+            HandOverChatsRequest request, StreamObserver<HandOverChatsReply> reply) {
+        Map<Long, String> locations = PeerSidecars.toMap(request.getLocationsList());
+        mEvents.accept(new SidecarEvent.ChatsHandedOver(request.getFrom(), locations));
+        reply.onNext(HandOverChatsReply.getDefaultInstance());
+        reply.onCompleted();
+    }
+
+    @Override
+    public void order(OrderRequest request, StreamObserver<OrderReply> reply) {
+        mEvents.accept(
+                new SidecarEvent.OrderReceived(
+                        mOrders.add(reply),
+                        request.getKind(),
+                        request.getArgument(),
+                        request.getFence()));
+    }
+
+    /** Answers an order. */
+    public void answerOrder(long call, ResultCode code, String message) {
+        mOrders.answer(
+                call, OrderReply.newBuilder().setCode(code.number()).setMessage(message).build());
+    }
+
+    @Override
+    public void explain(ExplainRequest request, StreamObserver<ExplainReply> reply) {
+        int limit = request.getLimit() == 0 ? DEFAULT_LIMIT : request.getLimit();
+        ExplainReply.Builder found = ExplainReply.newBuilder();
+        mRing.find(request.getSubject(), limit)
+                .forEach(d -> found.addDecisions(DecisionCodec.toWire(d)));
+        reply.onNext(found.build());
+        reply.onCompleted();
+    }
 }
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarProgramTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarProgramTest.java
@@ -32,6 +32,9 @@
 import org.laurelweir.wire.v1.AttemptMessage;
 import org.laurelweir.wire.v1.AttemptState;
 import org.laurelweir.wire.v1.Cancel;
+import org.laurelweir.wire.v1.Decision;
+import org.laurelweir.wire.v1.ExplainRequest;
+import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.Resume;
 import org.laurelweir.wire.v1.RevokeRequest;
 import org.laurelweir.wire.v1.SidecarServiceGrpc;
@@ -179,6 +182,44 @@
         assertThat(reader.await(Frame.Refused.class).code()).isEqualTo(ResultCode.BACKEND_REFUSED);
     }
 
+    // SIGTERM comes in the middle of an answer. The sidecar takes nothing new, and exits only after
+    // the answer went out whole.
+    @Test
+    void stopCutsNoAnswer() throws InterruptedException {
+        AttemptReader running = new AttemptReader();
+        open(running).onNext(begin(1, true, 64));
+        running.await(Frame.Data.class);
+        Thread stop = new Thread(mSidecar::stop);
+        stop.start();
+
+        assertThat(running.await(Frame.End.class).length()).isEqualTo(running.body().length());
+        assertThat(running.body()).endsWith("data: [DONE]\n\n");
+        stop.join();
+    }
+
+    @Test
+    void decisionIsExplainedByItsRequestsName() throws InterruptedException {
+        AttemptReader reader = new AttemptReader();
+        open(reader).onNext(begin(1, false, 16));
+        reader.await(Frame.End.class);
+        ExplainRequest request =
+                ExplainRequest.newBuilder().setSubject(id(1).requestName()).build();
+        Decision decision =
+                SidecarServiceGrpc.newBlockingStub(mChannel).explain(request).getDecisions(0);
+        assertThat(decision.getChoice()).isEqualTo("engine-1");
+        assertThat(decision.getReason()).isEqualTo("within_bound");
+    }
+
+    // The sidecar was just started and control can't be reached, so that it can't know which orders
+    // went before: none passes.
+    @Test
+    void orderIsRefusedBeforeControlWasHeard() {
+        OrderRequest order =
+                OrderRequest.newBuilder().setKind("load_model").setArgument("big").build();
+        int code = SidecarServiceGrpc.newBlockingStub(mChannel).order(order).getCode();
+        assertThat(ResultCode.of(code)).isEqualTo(ResultCode.POSSIBLY_STALE);
+    }
+
     private StreamObserver<AttemptMessage> open(AttemptReader reader) {
         return SidecarServiceGrpc.newStub(mChannel).attempt(reader);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarIdentity.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarIdentity.java
@@ -21,6 +21,12 @@
         String address,
         double weight) {
 
+    /** Returns the same sidecar in another incarnation. */
+    public SidecarIdentity withIncarnation(long incarnation) {
+        BackendRef other = new BackendRef(ref.id(), incarnation);
+        return new SidecarIdentity(other, service, dataCentre, region, address, weight);
+    }
+
     /** Returns what the sidecar announces. */
     Backend announcement(Backend.State state, int session) {
         return new Backend(ref, service, dataCentre, region, address, state, weight, session);
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
@@ -35,6 +35,12 @@
                     256,
                     Set.of());
 
+    /** Returns these settings with other refusal statuses. */
+    public SidecarSettings withRefusalStatuses(Set<Integer> statuses) {
+        return new SidecarSettings(
+                bound, queue, output, drainTimeout, progressInterval, outputTokens, statuses);
+    }
+
     /**
      * What may wait for room.
      *
