Look at kept and paused attempts less often

Paused attempts have a set of their own now and a tick comes every 20 ms. EngineLoad was never used and goes.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -38,7 +38,10 @@
 /** A sidecar with all of its parts. */
 public final class SidecarProgram implements Service {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-    private static final Duration TICK = Duration.ofMillis(5);
+
+    /** What waits or is kept is looked at so often; finer than any time that settings allow for. */
+    private static final Duration TICK = Duration.ofMillis(20);
+
     private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration LAST_EXCHANGE_TIMEOUT = Duration.ofSeconds(2);
 
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Attempt.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Attempt.java
@@ -34,7 +34,6 @@
     private Frame.Head mHead;
     private Frame mEnding;
     private boolean mEndingSent;
-    private boolean mReadingPaused;
 
     Attempt(AttemptRequest request, Instant now, OutputTotal total) {
         mRequest = request;
@@ -159,12 +158,4 @@
     void setEndingSent() {
         mEndingSent = true;
     }
-
-    boolean isReadingPaused() {
-        return mReadingPaused;
-    }
-
-    void setReadingPaused(boolean paused) {
-        mReadingPaused = paused;
-    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/AttemptTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/AttemptTable.java
@@ -59,6 +59,11 @@
         return new ArrayList<>(mById.values());
     }
 
+    /** Returns the attempts that a stream follows, safe against changes meanwhile. */
+    List<Attempt> followed() {
+        return new ArrayList<>(mByStream.values());
+    }
+
     boolean isEmpty() {
         return mById.isEmpty();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Followers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Followers.java
@@ -86,8 +86,8 @@
 
     /** Breaks the silence on streams where nothing was sent for a while. */
     void sendProgress(Step step, Duration interval) {
-        for (Attempt a : mTable.all()) {
-            if (a.isFollowed() && !a.lastFrame().plus(interval).isAfter(step.now())) {
+        for (Attempt a : mTable.followed()) {
+            if (!a.lastFrame().plus(interval).isAfter(step.now())) {
                 mFrames.send(step, a, new Frame.Progress(a.output().end()));
             }
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/OutputControl.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/OutputControl.java
@@ -1,7 +1,8 @@
 package org.laurelweir.admission;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /**
  * Keeps output within its bounds. Nothing that a reader still needs is dropped to make room: first
@@ -12,6 +13,7 @@
     private final AttemptTable mTable;
     private final Endings mEndings;
     private final OutputTotal mTotal;
+    private final Set<Attempt> mPaused = new LinkedHashSet<>();
 
     OutputControl(AttemptTable table, Endings endings, OutputTotal total) {
         mTable = table;
@@ -29,27 +31,23 @@
 
     /** Reads on where there is room again. */
     void readOn(Step step, SidecarSettings.OutputLimits limits) {
-        List<Attempt> paused = new ArrayList<>();
-        for (Attempt a : mTable.all()) {
-            if (a.isReadingPaused() && a.phase() == Attempt.Phase.RUNNING) {
-                paused.add(a);
-            }
-        }
-        if (paused.isEmpty() || !hasRoom(step, limits)) {
+        mPaused.removeIf(a -> a.phase() != Attempt.Phase.RUNNING);
+        if (mPaused.isEmpty() || !hasRoom(step, limits)) {
             return;
         }
-        for (Attempt a : paused) {
+        Iterator<Attempt> paused = mPaused.iterator();
+        while (paused.hasNext()) {
+            Attempt a = paused.next();
             // Half of the bound, so that reading does not start and stop with every piece.
             if (a.output().unacknowledgedBytes() <= limits.attemptBytes() / 2) {
-                a.setReadingPaused(false);
+                paused.remove();
                 step.emit(new SidecarEffect.ReadEngineCall(a.id(), true));
             }
         }
     }
 
     private void pause(Step step, Attempt attempt) {
-        if (!attempt.isReadingPaused()) {
-            attempt.setReadingPaused(true);
+        if (mPaused.add(attempt)) {
             step.emit(new SidecarEffect.ReadEngineCall(attempt.id(), false));
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEvent.java
@@ -52,9 +52,6 @@
      */
     record EngineFailed(AttemptId attempt, boolean sent, String message) implements SidecarEvent {}
 
-    /** The backend server reported its load, late as it may be. */
-    record EngineLoad(int running, int waiting, double cacheUsed) implements SidecarEvent {}
-
     /** Whether the backend server can be reached at all. */
     record EngineReachable(boolean reachable) implements SidecarEvent {}
 
