--- /dev/null
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -0,0 +1,169 @@
+package org.laurelweir.sidecar;
+
+import io.grpc.ManagedChannel;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Header;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.runtime.config.SettingsFile;
+import org.laurelweir.standin.ListenSettings;
+import org.laurelweir.standin.engine.EngineServer;
+import org.laurelweir.standin.engine.EngineSettings;
+import org.laurelweir.wire.AttemptCodec;
+import org.laurelweir.wire.IdCodec;
+import org.laurelweir.wire.v1.AttemptMessage;
+import org.laurelweir.wire.v1.Resume;
+import org.laurelweir.wire.v1.SidecarServiceGrpc;
+
+/** A sidecar beside a stand-in engine, a router's connection to it, and no control instance. */
+final class SidecarFixture implements AutoCloseable {
+    private static final String CHAT =
+            """
+            {"model": "standin", "stream": %s, "max_tokens": %d,
+             "messages": [{"role": "user", "content": "Which berth is free? [[m-7]]"}]}
+            """;
+    private static final String SETTINGS =
+            """
+            program: sidecar
+            name: engine-1
+            service: seilhjerne
+            region: vestkyst
+            data-centre: bergen
+            listen: "127.0.0.1:0"
+            backend: "127.0.0.1:%d"
+            refusal-statuses: [503]
+            controls: ["127.0.0.1:1"]
+            """;
+
+    private final EngineServer mEngine;
+    private final SidecarProgram mSidecar;
+    private final ManagedChannel mChannel;
+
+    SidecarFixture(Path folder) throws IOException {
+        mEngine = new EngineServer(engineSettings(), InstantSource.system());
+        mEngine.start();
+        int port = mEngine.server().address().getPort();
+        Path file = Files.writeString(folder.resolve("sidecar.yaml"), SETTINGS.formatted(port));
+        SidecarFile settings = SettingsFile.read(SidecarFile.class, file);
+        mSidecar = new SidecarProgram(settings, InstantSource.system(), s -> {});
+        mSidecar.start();
+        mChannel =
+                NettyChannelBuilder.forAddress("127.0.0.1", mSidecar.endpoint().port())
+                        .usePlaintext()
+                        .build();
+    }
+
+    private static EngineSettings engineSettings() {
+        return new EngineSettings(
+                "e",
+                ListenSettings.LOOPBACK,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                0,
+                0,
+                0,
+                null,
+                0,
+                null);
+    }
+
+    SidecarProgram sidecar() {
+        return mSidecar;
+    }
+
+    SidecarServiceGrpc.SidecarServiceBlockingStub calls() {
+        return SidecarServiceGrpc.newBlockingStub(mChannel);
+    }
+
+    /** Opens a stream and sends its first message. */
+    StreamObserver<AttemptMessage> open(AttemptReader reader, AttemptMessage first) {
+        StreamObserver<AttemptMessage> stream =
+                SidecarServiceGrpc.newStub(mChannel).attempt(reader);
+        stream.onNext(first);
+        return stream;
+    }
+
+    static AttemptId id(long request) {
+        return new AttemptId("router-1", 1, request, 1);
+    }
+
+    AttemptMessage begin(long request, boolean streamed, int tokens) {
+        return begin(request, streamed, tokens, true);
+    }
+
+    AttemptMessage begin(long request, boolean streamed, int tokens, boolean idempotent) {
+        byte[] body = CHAT.formatted(streamed, tokens).getBytes(StandardCharsets.UTF_8);
+        AttemptRequest.Call call =
+                new AttemptRequest.Call(
+                        "POST",
+                        "/v1/chat/completions",
+                        List.of(new Header("Content-Type", "application/json")),
+                        body,
+                        streamed);
+        AttemptRequest r =
+                new AttemptRequest(
+                        id(request),
+                        mSidecar.self(),
+                        "account",
+                        "seilhjerne",
+                        11,
+                        false,
+                        call,
+                        idempotent,
+                        "",
+                        Duration.ofMinutes(1),
+                        0,
+                        new AttemptRequest.Cost(10, tokens),
+                        0,
+                        1,
+                        Duration.ZERO);
+        return AttemptMessage.newBuilder().setBegin(AttemptCodec.toWire(r)).build();
+    }
+
+    AttemptMessage resume(long request, long offset) {
+        Resume resume =
+                Resume.newBuilder()
+                        .setAttempt(IdCodec.toWire(id(request)))
+                        .setTarget(IdCodec.toWire(mSidecar.self()))
+                        .setOffset(offset)
+                        .build();
+        return AttemptMessage.newBuilder().setResume(resume).build();
+    }
+
+    /** Tells the engine to show a fault. */
+    void fault(String json) throws IOException, InterruptedException {
+        int port = mEngine.server().address().getPort();
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/engine/faults"))
+                        .POST(HttpRequest.BodyPublishers.ofString(json))
+                        .build();
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    void stopEngine() {
+        mEngine.stop();
+    }
+
+    @Override
+    public void close() {
+        mChannel.shutdownNow();
+        mSidecar.stop();
+        mEngine.stop();
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
@@ -63,6 +63,32 @@
         assertThat(rest.bytes()).containsExactly(3, 4);
     }
 
+    // An acknowledgement of more bytes than there are belongs to another attempt, or is broken. It
+    // must not cost this attempt's reader its output.
+    @Test
+    void acknowledgementBeyondTheEndIsIgnored() {
+        mSidecar.begin(Requests.request(1));
+        mSidecar.step(new SidecarEvent.EngineAnswered(ID, 200, List.of()));
+        mSidecar.step(new SidecarEvent.EngineSent(ID, new byte[10]));
+        mSidecar.step(new SidecarEvent.OutputAcknowledged(ID, 11));
+        assertThat(mSidecar.takeLastFrame(mSidecar.resume(ID, 0))).isInstanceOf(Frame.Data.class);
+    }
+
+    // The message that begins an attempt comes late, out of a connection that its router has given
+    // up; the router has resumed over a new one. The new one keeps the attempt.
+    @Test
+    void lateBeginDoesNotTakeOverFromAResumption() {
+        mSidecar.begin(Requests.request(1));
+        long resumed = mSidecar.resume(ID, 0);
+        long late = mSidecar.begin(Requests.request(1));
+        mSidecar.step(new SidecarEvent.EngineAnswered(ID, 200, List.of()));
+        List<SidecarEffect> effects = mSidecar.take(SidecarEffect.class);
+        assertThat(effects)
+                .contains(new SidecarEffect.CloseStream(late))
+                .doesNotContain(new SidecarEffect.CloseStream(resumed))
+                .anyMatch(e -> e instanceof SidecarEffect.SendFrame f && f.stream() == resumed);
+    }
+
     // A caller resends an order with its key after the first router was lost. The whole first
     // answer is still there, although its first reader had acknowledged all of it.
     @Test
