Keep messages waiting at a replica that stands still

The test of a read at a leader that stood still passed without the read's round: messages to it queued before the read, so that it learnt of its successor first. A direct pre-vote is refused by test, too: without the check of the leader's life all rules passed before.

--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -16,6 +16,8 @@
 import org.laurelweir.agreement.MembershipChange.Promote;
 import org.laurelweir.agreement.MembershipChange.Remove;
 import org.laurelweir.agreement.ReplicaMessage.AppendRequest;
+import org.laurelweir.agreement.ReplicaMessage.PreVoteReply;
+import org.laurelweir.agreement.ReplicaMessage.PreVoteRequest;
 import org.laurelweir.agreement.ReplicaMessage.VoteReply;
 import org.laurelweir.agreement.ReplicaMessage.VoteRequest;
 import org.laurelweir.lib.ResultCode;
@@ -148,7 +150,11 @@
     @Test
     void votesForNobodyWhileTheLeaderIsHeard() {
         VoteRequest request = new VoteRequest(99, 99, 98);
+        PreVoteRequest before = new PreVoteRequest(99, 99, 98);
         for (TestReplica r : mNetwork.up()) {
+            PreVoteReply refused = new PreVoteReply(r.mReducer.term(), false);
+            assertThat(mNetwork.effectsOf(r, new MessageReceived(mLeader.mId, before)))
+                    .contains(new Send(mLeader.mId, refused));
             mNetwork.step(r, new MessageReceived(new ReplicaId("removed", 1), request));
         }
         assertThat(mNetwork.up()).allMatch(r -> r.mReducer.term() < 99);
--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/ReplicaNetwork.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/ReplicaNetwork.java
@@ -119,11 +119,14 @@
         }
         int i = mRandom.nextInt(mMessages.size());
         Envelope e = mMessages.get(i);
+        TestReplica to = mReplicas.get(e.to().name());
+        if (to.mIsPaused) {
+            return;
+        }
         if (mRandom.nextDouble() >= repeat) {
             mMessages.set(i, mMessages.get(mMessages.size() - 1));
             mMessages.remove(mMessages.size() - 1);
         }
-        TestReplica to = mReplicas.get(e.to().name());
         boolean lost = mRandom.nextDouble() < loss || isCut(e.from().name(), e.to().name());
         if (!lost && to.mId.equals(e.to())) {
             step(to, new MessageReceived(e.from(), e.message()));
