--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Sidecar.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/Sidecar.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.laurelweir.benchmarks.measure.fleet.Engine;
 import org.laurelweir.benchmarks.measure.fleet.Request;
 import org.laurelweir.placement.ChatDirectory;
+import org.laurelweir.placement.HeldChats;
 import org.laurelweir.placement.HomeLookup;
 
 /** The state of the sidecar beside one engine. */
@@ -20,11 +22,14 @@
     private final Engine mEngine;
     private final ChatDirectory mDirectory = new ChatDirectory(DIRECTORY_CAPACITY);
     private final HomeLookup mLookup;
+    private final HeldChats mHeld;
     private final Deque<Request> mWaiting = new ArrayDeque<>();
+    private List<String> mOpen = List.of();
     private long mJoinedAt = -JOINED_LATELY;
 
     Sidecar(Engine engine) {
         mEngine = engine;
+        mHeld = new HeldChats(engine.id(), DIRECTORY_CAPACITY);
         mLookup = new HomeLookup(engine.id(), mDirectory, MAX_ASKED);
     }
 
@@ -40,10 +45,22 @@
         return mLookup;
     }
 
+    HeldChats held() {
+        return mHeld;
+    }
+
     Deque<Request> waiting() {
         return mWaiting;
     }
 
+    List<String> open() {
+        return mOpen;
+    }
+
+    void setOpen(List<String> open) {
+        mOpen = open;
+    }
+
     void onJoin(long now) {
         mJoinedAt = now;
         mLookup.onMembershipChange();
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -166,6 +166,73 @@
         assertThat(last(BeginAttempt.class).request().id().request()).isEqualTo(5);
     }
 
+    @Test
+    void onlyTheMissingPartOfAnOverlappingPieceIsPassedOn() {
+        arrive(1, true, "", POLICY);
+        frame(new Frame.Head(200, List.of()));
+        frame(new Frame.Data(0, new byte[] {1, 2, 3}));
+        frame(new Frame.Data(1, new byte[] {2, 3, 4}));
+        assertThat(last(RouterEffect.AnswerData.class).bytes()).containsExactly(4);
+    }
+
+    @Test
+    void nextAttemptTakesTheClaimOfTheOneThatWasRefused() {
+        arrive(1, false, "key", POLICY);
+        RouterEffect.Claim first = last(RouterEffect.Claim.class);
+        grant(first);
+        refuse(ResultCode.OVERLOADED, untried());
+        RouterEffect.Claim second = last(RouterEffect.Claim.class);
+        assertThat(second.attempt()).isEqualTo(first.attempt().next());
+        assertThat(second.replaces()).isEqualTo(first.attempt());
+    }
+
+    // The caller sends its order again, through another router than the first time, while the first
+    // attempt still runs for that one. Nothing is sent a second time. This router waits until the
+    // attempt has ended, for taking its only stream would have the two take it from each other;
+    // then it hands on the first outcome. The output is gone by then, so that is "already run".
+    // The claim is not settled by a router that knows the end only from hearsay.
+    @Test
+    void resendWaitsForTheFirstAttemptAndTellsItsOutcome() {
+        arrive(1, false, "key", POLICY);
+        RouterEffect.Claim claim = last(RouterEffect.Claim.class);
+        AttemptId first = new AttemptId("r9", 4, 77, 1);
+        BackendRef target = new BackendRef("s2", 1);
+        give(
+                new RouterEvent.ClaimAnswered(
+                        claim.attempt(), ResultCode.OK, first, target, false, ResultCode.OK));
+        assertThat(last(RouterEffect.Revoke.class).attempt()).isEqualTo(first);
+        give(new RouterEvent.RevokeAnswered(1, first, AttemptState.RUNNING));
+        assertThat(all(RouterEffect.ResumeAttempt.class)).isEmpty();
+        pass(POLICY.backoffMax());
+        give(new RouterEvent.RevokeAnswered(1, first, AttemptState.FINISHED));
+        RouterEffect.ResumeAttempt resume = last(RouterEffect.ResumeAttempt.class);
+        assertThat(resume.offset()).isZero();
+        Frame gone = new Frame.Failed(ResultCode.OUTPUT_NOT_KEPT, "gone");
+        give(
+                new RouterEvent.FrameArrived(
+                        resume.stream(), new AttemptFrame(first, LoadHint.UNKNOWN, gone)));
+        assertThat(last(AnswerError.class).code()).isEqualTo(ResultCode.ALREADY_RUN);
+        assertThat(all(BeginAttempt.class)).isEmpty();
+        assertThat(all(RouterEffect.SettleClaim.class)).isEmpty();
+    }
+
+    // The message that begins an attempt arrives twice, and the second is refused as a duplicate.
+    // The first may run: only asking for the attempt's state tells.
+    @Test
+    void duplicateIsNotTakenForNotRun() {
+        arrive(1, false, "", POLICY);
+        refuse(ResultCode.DUPLICATE_ATTEMPT, "");
+        assertThat(all(RouterEffect.Revoke.class)).hasSize(1);
+        assertThat(all(AnswerError.class)).isEmpty();
+    }
+
+    private void grant(RouterEffect.Claim claim) {
+        AttemptId id = claim.attempt();
+        give(
+                new RouterEvent.ClaimAnswered(
+                        id, ResultCode.OK, id, claim.target(), false, ResultCode.OK));
+    }
+
     // The caller has half of its answer when the stream falls silent, as something between the
     // ends lost track of the connection. The router leaves it, follows the same attempt over a new
     // one from the first byte that is missing, and the caller gets the rest.
@@ -235,11 +302,7 @@
     @Test
     void keyedRequestOutlivesItsCaller() {
         arrive(1, false, "key", POLICY);
-        RouterEffect.Claim claim = last(RouterEffect.Claim.class);
-        AttemptId id = claim.attempt();
-        give(
-                new RouterEvent.ClaimAnswered(
-                        id, ResultCode.OK, id, claim.target(), false, ResultCode.OK));
+        grant(last(RouterEffect.Claim.class));
         frame(new Frame.Head(200, List.of()));
         give(new RouterEvent.CallerGone(1));
         frame(new Frame.Data(0, new byte[3]));
@@ -261,12 +324,22 @@
         assertThat(last(BeginAttempt.class).address()).isNotEqualTo(home);
     }
 
+    @Test
+    void restartedSidecarIsTriedLastUntilItIsAnnounced() {
+        arrive(1, true, "", POLICY);
+        String home = last(BeginAttempt.class).address();
+        refuse(ResultCode.OTHER_INCARNATION, "");
+        arrive(2, true, "", POLICY);
+        assertThat(last(BeginAttempt.class).address()).isNotEqualTo(home);
+    }
+
     // The router turns to a control instance that has just started and has heard of one sidecar so
     // far. Taken at its word, the others' chats would all move there; they stay for a while, and
     // go only if nobody names them again.
     @Test
     void missingBackendServersStayForAWhile() {
         give(exchange(true, List.of(backend("s0", Backend.State.SERVING))));
+        pass(Duration.ofMillis(100));
         arrive(1, true, "", POLICY);
         refuse(ResultCode.DRAINING, "");
         pass(POLICY.backoffMax());
