Replace a control instance's lost disk by one command

The log takes single steps (add, promote, remove); an operator at night should not have to get their order right. replace adds the new replica, waits until it has caught up, and removes the lost one only after the new one votes.

--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
@@ -15,6 +15,10 @@
 import org.laurelweir.pgm.command.Drain;
 import org.laurelweir.pgm.command.Explain;
 import org.laurelweir.pgm.command.Order;
+import org.laurelweir.pgm.command.ReplicaAdd;
+import org.laurelweir.pgm.command.ReplicaPromote;
+import org.laurelweir.pgm.command.ReplicaRemove;
+import org.laurelweir.pgm.command.ReplicaReplace;
 import org.laurelweir.pgm.command.SettingsApply;
 import org.laurelweir.pgm.command.SettingsDiff;
 import org.laurelweir.pgm.command.SettingsEdit;
@@ -31,6 +35,7 @@
 public final class Main {
     private static final List<String> HELP_OPTIONS = List.of("-h", "--help");
     private static final String HELP = "help";
+    private static final List<String> GROUPS = List.of(Texts.SETTINGS, Texts.REPLICA);
 
     private final Console mConsole;
     private final Cli<PgmCommand> mCli = newCli();
@@ -92,7 +97,7 @@
 
     /** Returns the leading words that name a command, without options and arguments. */
     private static List<String> commandWords(List<String> words) {
-        boolean inGroup = !words.isEmpty() && words.get(0).equals(Texts.SETTINGS);
+        boolean inGroup = !words.isEmpty() && GROUPS.contains(words.get(0));
         return words.subList(0, Math.min(words.size(), inGroup ? 2 : 1));
     }
 
@@ -115,6 +120,12 @@
                 .withCommand(SettingsGet.class)
                 .withCommand(SettingsHistory.class)
                 .withCommand(SettingsSet.class);
+        cli.withGroup(Texts.REPLICA)
+                .withDescription(Texts.REPLICA_GROUP)
+                .withCommand(ReplicaAdd.class)
+                .withCommand(ReplicaPromote.class)
+                .withCommand(ReplicaRemove.class)
+                .withCommand(ReplicaReplace.class);
         return cli.build();
     }
 }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -22,6 +22,14 @@
     public static final String ORDER = "Orders a backend server to load something or change role.";
     public static final String COMPLETION = "Prints a completion script for bash.";
 
+    public static final String REPLICA = "replica";
+    public static final String REPLICA_GROUP = "Changes which control instances hold the log.";
+    public static final String REPLICA_ADD = "Lets a replica copy the log, without a vote yet.";
+    public static final String REPLICA_PROMOTE = "Gives a replica that has caught up a vote.";
+    public static final String REPLICA_REMOVE = "Takes a replica out of the log's membership.";
+    public static final String REPLICA_REPLACE =
+            "Puts a control instance's new disk in place of its lost one: add, promote, remove.";
+
     public static final String OPTION_CONTROL =
             "Control instances, host:port parted by commas; $LAURELWEIR_CONTROL if absent.";
     public static final String OPTION_TIMEOUT = "Longest wait for one answer, in seconds.";
@@ -51,6 +59,9 @@
     public static final String ARGUMENTS_ORDER =
             "The backend server's name, the order's kind and its argument.";
 
+    public static final String ARGUMENT_REPLICA = "NAME#ID as status shows it.";
+    public static final String ARGUMENT_CONTROL = "The control instance's name.";
+
     public static final String NO_CONTROL =
             "name a control instance: --control or $LAURELWEIR_CONTROL";
     public static final String NO_ANSWER = "no control instance answered: %s";
@@ -73,6 +84,10 @@
             "%s takes no new work; see status for what still runs";
     public static final String UNDRAIN_ORDERED = "%s takes work again";
     public static final String ORDER_TAKEN = "%s took the order under fence %d";
+    public static final String NOT_A_REPLICA = "not NAME#ID: %s";
+    public static final String NO_SUCH_CONTROL = "control instance %s is not heard of";
+    public static final String NO_LEADER = "no control instance leads now";
+    public static final String MEMBERS = "voters: %s; learners: %s";
     public static final String SILENT_PROGRAM = "no answer from %s at %s: %s";
     public static final String NO_DECISION = "no decision found";
     public static final String DEFAULT_ORIGIN = "default";
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/ControlClient.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/ControlClient.java
@@ -9,6 +9,8 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.pgm.Texts;
 import org.laurelweir.runtime.rpc.Channels;
+import org.laurelweir.wire.v1.ChangeMembersReply;
+import org.laurelweir.wire.v1.ChangeMembersRequest;
 import org.laurelweir.wire.v1.ChangeSettingsReply;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
@@ -94,6 +96,13 @@
                 s -> s.issueFence(request), r -> ControlReply.of(r.getCode(), "", r.getLeader()));
     }
 
+    /** Changes which replicas hold the log, by one step. */
+    public ChangeMembersReply changeMembers(ChangeMembersRequest request) {
+        return call(
+                s -> s.changeMembers(request),
+                r -> ControlReply.of(r.getCode(), r.getMessage(), r.getLeader()));
+    }
+
     /** Returns the fleet as one instance sees it. */
     public StatusReply status() {
         return call(
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetConnection.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetConnection.java
@@ -15,6 +15,7 @@
     private final Channels mChannels =
             Channels.builder(mLoops, new TrafficCounters(new MetricRegistry())).build();
     private final Duration mTimeout;
+    private final Runnable mPause;
     private final ControlClient mControl;
 
     /**
@@ -26,6 +27,7 @@
      */
     public FleetConnection(List<String> control, Duration timeout, Runnable pause) {
         mTimeout = timeout;
+        mPause = pause;
         mControl = new ControlClient(mChannels, control, timeout, pause);
     }
 
@@ -44,6 +46,11 @@
         return mChannels.get(address);
     }
 
+    /** Waits before something is asked again. */
+    public void pause() {
+        mPause.run();
+    }
+
     /** Returns the longest wait for one answer. */
     public Duration timeout() {
         return mTimeout;
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -26,11 +26,17 @@
         List<BackendServer> backends,
         List<Router> routers) {
 
-    /** A control instance. */
+    /**
+     * A control instance.
+     *
+     * @param replica its name and its disk's id
+     * @param role leader, follower, learner, or none where its disk is not in the membership
+     */
     record Control(
             String name,
             String address,
-            boolean leader,
+            String replica,
+            String role,
             long term,
             long applied,
             long committed,
@@ -39,12 +45,23 @@
             return new Control(
                     c.getName(),
                     c.getAddress(),
-                    c.getLeader(),
+                    Replicas.text(c.getReplica()),
+                    roleOf(c),
                     c.getTerm(),
                     c.getApplied(),
                     c.getCommitted(),
                     c.getPossiblyStale());
         }
+
+        private static String roleOf(ControlStatus c) {
+            if (c.getLeader()) {
+                return "leader";
+            }
+            if (c.getVotersList().contains(c.getReplica())) {
+                return "follower";
+            }
+            return c.getLearnersList().contains(c.getReplica()) ? "learner" : "none";
+        }
     }
 
     /** A service's mean load. */
@@ -122,11 +139,10 @@
     }
 
     private Table controlTable() {
-        Table t = new Table("CONTROL", "ADDRESS", "ROLE", "TERM", "APPLIED", "COMMITTED", "STATE");
+        Table t = new Table("REPLICA", "ADDRESS", "ROLE", "TERM", "APPLIED", "COMMITTED", "STATE");
         for (Control c : controls) {
-            String role = c.leader ? "leader" : "follower";
             String state = c.possiblyStale ? "possibly stale" : "current";
-            t.add(c.name, c.address, role, c.term, c.applied, c.committed, state);
+            t.add(c.replica, c.address, c.role, c.term, c.applied, c.committed, state);
         }
         return t;
     }
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
+import org.laurelweir.pgm.fleet.Replicas;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.RpcServer;
 import org.laurelweir.runtime.rpc.TrafficCounters;
@@ -18,9 +19,13 @@
 import org.laurelweir.wire.v1.BackendRef;
 import org.laurelweir.wire.v1.BackendState;
 import org.laurelweir.wire.v1.BackendStatus;
+import org.laurelweir.wire.v1.ChangeMembersReply;
+import org.laurelweir.wire.v1.ChangeMembersRequest;
+import org.laurelweir.wire.v1.ChangeMembersRequest.Step;
 import org.laurelweir.wire.v1.ChangeSettingsReply;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ControlStatus;
 import org.laurelweir.wire.v1.Decision;
 import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
@@ -36,6 +41,7 @@
 import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.ReplicaId;
 import org.laurelweir.wire.v1.RouterReport;
 import org.laurelweir.wire.v1.RouterServiceGrpc;
 import org.laurelweir.wire.v1.RouterStatus;
@@ -58,6 +64,8 @@
     private final RpcServer mFollower = server(new Follower());
     private final RpcServer mRouter = server(new Router());
     private final RpcServer mSidecar = server(new Sidecar());
+    private final List<String> mMemberSteps = new ArrayList<>();
+    private int mEarlyPromotions;
     private long mPosition;
     private int mChangeCalls;
     private int mLostAnswers;
@@ -99,6 +107,15 @@
         return mChangeCalls;
     }
 
+    /** Makes that many promotions come before the replica has caught up. */
+    synchronized void delayPromotion(int count) {
+        mEarlyPromotions = count;
+    }
+
+    synchronized List<String> memberSteps() {
+        return List.copyOf(mMemberSteps);
+    }
+
     synchronized List<OrderRequest> orders() {
         return List.copyOf(mOrders);
     }
@@ -161,6 +178,14 @@
         }
     }
 
+    private static ControlStatus.Builder control(String name, long storageId) {
+        return ControlStatus.newBuilder()
+                .setName(name)
+                .setReplica(ReplicaId.newBuilder().setName(name).setStorageId(storageId))
+                .addVoters(ReplicaId.newBuilder().setName("control-1").setStorageId(1))
+                .addVoters(ReplicaId.newBuilder().setName("control-2").setStorageId(0xa));
+    }
+
     private static <T> void answer(StreamObserver<T> observer, T reply) {
         observer.onNext(reply);
         observer.onCompleted();
@@ -220,6 +245,17 @@
             answer(observer, IssueFenceReply.newBuilder().setFence(7).build());
         }
 
+        @Override
+        public void changeMembers(
+                ChangeMembersRequest request, StreamObserver<ChangeMembersReply> observer) {
+            synchronized (FakeFleet.this) {
+                mMemberSteps.add(request.getStep() + " " + Replicas.text(request.getReplica()));
+                boolean early = request.getStep() == Step.PROMOTE && mEarlyPromotions-- > 0;
+                ResultCode code = early ? ResultCode.MEMBERSHIP_CHANGE_PENDING : ResultCode.OK;
+                answer(observer, ChangeMembersReply.newBuilder().setCode(code.number()).build());
+            }
+        }
+
         @Override
         public void status(StatusRequest request, StreamObserver<StatusReply> observer) {
             Backend.Builder backend =
@@ -235,6 +271,8 @@
             answer(
                     observer,
                     StatusReply.newBuilder()
+                            .addControls(control("control-1", 1).setLeader(true))
+                            .addControls(control("control-2", 0xb))
                             .addBackends(BackendStatus.newBuilder().setBackend(backend))
                             .addRouters(RouterStatus.newBuilder().setRouter(router))
                             .addRouters(RouterStatus.newBuilder().setRouter(gone))
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -52,6 +52,10 @@
                 "drain",
                 "explain",
                 "order",
+                "replica add",
+                "replica promote",
+                "replica remove",
+                "replica replace",
                 "status",
                 "undrain",
                 "settings apply",
@@ -67,7 +71,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"bogus", "drain", "settings set", "settings set /x", "order a b"})
+    @ValueSource(
+            strings = {
+                "bogus",
+                "drain",
+                "settings set",
+                "settings set /x",
+                "order a b",
+                "replica add c"
+            })
     void wrongUseHasItsOwnStatus(String command) {
         assertThat(run(command.split(" "))).isEqualTo(Program.exitCode(ResultCode.USAGE));
         assertThat(mErr.toString()).startsWith("laurelweir: ");
@@ -217,6 +229,22 @@
         assertThat(json().at("/silent/0/name").asText()).isEqualTo("r2");
     }
 
+    @Test
+    void replacesALostDiskOnceTheNewOneHasCaughtUp() {
+        // The operator sees the new disk vote in place of the lost one. Order: the new replica is
+        // added without a vote; its promotion is refused twice while it copies the log; only after
+        // it got its vote is the old replica removed, so that no quorum counts on an empty disk.
+        mFleet.delayPromotion(2);
+        assertThat(run("replica", "replace", "control-2")).isZero();
+        assertThat(mFleet.memberSteps())
+                .containsExactly(
+                        "ADD_LEARNER control-2#b",
+                        "PROMOTE control-2#b",
+                        "PROMOTE control-2#b",
+                        "PROMOTE control-2#b",
+                        "REMOVE control-2#a");
+    }
+
     @Test
     void showsTheFleet() throws IOException {
         assertThat(run("status", "--json")).isZero();
