--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -5,10 +5,8 @@
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.pgm.fleet.Replicas;
@@ -31,12 +29,10 @@
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.ExplainReply;
 import org.laurelweir.wire.v1.ExplainRequest;
-import org.laurelweir.wire.v1.HistoryEntry;
 import org.laurelweir.wire.v1.HistoryReply;
 import org.laurelweir.wire.v1.HistoryRequest;
 import org.laurelweir.wire.v1.IssueFenceReply;
 import org.laurelweir.wire.v1.IssueFenceRequest;
-import org.laurelweir.wire.v1.NodeChange;
 import org.laurelweir.wire.v1.OrderReply;
 import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
@@ -55,9 +51,7 @@
     static final String BACKEND = "sh-1";
 
     private final EventLoops mLoops = new EventLoops("fake", 1);
-    private final Map<String, SettingsNode> mNodes = new TreeMap<>();
-    private final Map<String, ChangeSettingsReply> mAnswers = new HashMap<>();
-    private final List<HistoryEntry> mHistory = new ArrayList<>();
+    private final FakeTree mTree = new FakeTree();
     private final List<OrderRequest> mOrders = new ArrayList<>();
     private final List<DrainRequest> mDrains = new ArrayList<>();
     private final RpcServer mLeader = server(new Leader());
@@ -66,7 +60,6 @@
     private final RpcServer mSidecar = server(new Sidecar());
     private final List<String> mMemberSteps = new ArrayList<>();
     private int mEarlyPromotions;
-    private long mPosition;
     private int mChangeCalls;
     private int mLostAnswers;
 
@@ -95,12 +88,11 @@
     }
 
     synchronized void put(String path, long version, Map<String, String> values) {
-        mPosition = version;
-        mNodes.put(path, node(path, values));
+        mTree.put(path, version, values);
     }
 
     synchronized SettingsNode node(String path) {
-        return mNodes.get(path);
+        return mTree.node(path);
     }
 
     synchronized int changeCalls() {
@@ -134,50 +126,6 @@
         return "127.0.0.1:" + server.port();
     }
 
-    private SettingsNode node(String path, Map<String, String> values) {
-        return SettingsNode.newBuilder()
-                .setPath(path)
-                .setVersion(mPosition)
-                .putAllValues(values)
-                .build();
-    }
-
-    private ChangeSettingsReply accept(ChangeSettingsRequest request) {
-        ChangeSettingsReply.Builder reply = ChangeSettingsReply.newBuilder();
-        for (NodeChange c : request.getChangesList()) {
-            SettingsNode present = mNodes.get(c.getPath());
-            if ((present == null ? 0 : present.getVersion()) != c.getExpectedVersion()) {
-                return reply.setCode(ResultCode.SETTINGS_CONFLICT.number())
-                        .addNodes(present)
-                        .build();
-            }
-        }
-        mPosition++;
-        request.getChangesList().forEach(this::change);
-        mHistory.add(
-                HistoryEntry.newBuilder()
-                        .setPosition(mPosition)
-                        .setChangeId(request.getChangeId())
-                        .setAuthor(request.getAuthor())
-                        .addAllChanges(request.getChangesList())
-                        .build());
-        return reply.setPosition(mPosition).build();
-    }
-
-    private void change(NodeChange c) {
-        Map<String, String> values = new TreeMap<>();
-        if (mNodes.containsKey(c.getPath())) {
-            values.putAll(mNodes.get(c.getPath()).getValuesMap());
-        }
-        values.putAll(c.getSetMap());
-        values.keySet().removeAll(c.getRemoveList());
-        if (c.getDelete()) {
-            mNodes.remove(c.getPath());
-        } else {
-            mNodes.put(c.getPath(), node(c.getPath(), values));
-        }
-    }
-
     private static ControlStatus.Builder control(String name, long storageId) {
         return ControlStatus.newBuilder()
                 .setName(name)
@@ -196,15 +144,7 @@
         public void readSettings(
                 ReadSettingsRequest request, StreamObserver<ReadSettingsReply> observer) {
             synchronized (FakeFleet.this) {
-                ReadSettingsReply.Builder reply =
-                        ReadSettingsReply.newBuilder().setPosition(mPosition);
-                mNodes.values().stream()
-                        .filter(
-                                n ->
-                                        request.getPath().isEmpty()
-                                                || n.getPath().equals(request.getPath()))
-                        .forEach(reply::addNodes);
-                answer(observer, reply.build());
+                answer(observer, mTree.read(request));
             }
         }
 
@@ -213,8 +153,7 @@
                 ChangeSettingsRequest request, StreamObserver<ChangeSettingsReply> observer) {
             synchronized (FakeFleet.this) {
                 mChangeCalls++;
-                ChangeSettingsReply reply =
-                        mAnswers.computeIfAbsent(request.getChangeId(), id -> accept(request));
+                ChangeSettingsReply reply = mTree.change(request);
                 if (mLostAnswers > 0) {
                     mLostAnswers--;
                     observer.onError(Status.UNAVAILABLE.asRuntimeException());
@@ -227,7 +166,7 @@
         @Override
         public void history(HistoryRequest request, StreamObserver<HistoryReply> observer) {
             synchronized (FakeFleet.this) {
-                answer(observer, HistoryReply.newBuilder().addAllEntries(mHistory).build());
+                answer(observer, mTree.history());
             }
         }
 
