--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Table.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Table.java
@@ -9,9 +9,13 @@
 
     private final List<List<String>> mRows = new ArrayList<>();
 
-    /** Creates a table of a heading and no rows. */
-    public Table(String... heading) {
-        mRows.add(List.of(heading));
+    /**
+     * Creates a table without rows.
+     *
+     * @param heading the columns' names, parted by commas
+     */
+    public Table(String heading) {
+        mRows.add(List.of(heading.split(",")));
     }
 
     /** Adds a row of as many cells as the heading has. */
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -33,6 +33,7 @@
     public static final String OPTION_CONTROL =
             "Control instances, host:port parted by commas; $LAURELWEIR_CONTROL if absent.";
     public static final String OPTION_TIMEOUT = "Longest wait for one answer, in seconds.";
+    public static final String OPTION_HELP = "Shows this help.";
     public static final String OPTION_JSON = "Write the result as one JSON document.";
     public static final String OPTION_AUTHOR =
             "Who changes; the user who runs the command if absent.";
@@ -92,5 +93,25 @@
     public static final String NO_DECISION = "no decision found";
     public static final String DEFAULT_ORIGIN = "default";
 
+    public static final String SETTINGS_POSITION = "settings position %d";
+    public static final String CONTROL_COLUMNS =
+            "REPLICA,ADDRESS,ROLE,TERM,APPLIED,COMMITTED,STATE";
+    public static final String SERVICE_COLUMNS = "SERVICE,BACKEND SERVERS,MEAN WORK";
+    public static final String BACKEND_COLUMNS =
+            "BACKEND SERVER,SERVICE,DATA CENTRE,ADDRESS,STATE,RUNNING,WAITING,WORK";
+    public static final String ROUTER_COLUMNS = "ROUTER,DATA CENTRE,ADDRESS,SETTINGS,HEARD";
+    public static final String EFFECTIVE_COLUMNS = "KEY,VALUE,FROM";
+    public static final String LEADER = "leader";
+    public static final String FOLLOWER = "follower";
+    public static final String LEARNER = "learner";
+    public static final String NO_MEMBER = "none";
+    public static final String CURRENT = "current";
+    public static final String POSSIBLY_STALE = "possibly stale";
+    public static final String DRAIN_MARK = " (drain ordered)";
+    public static final String DECISION = "%s %s %s: %s, %s";
+    public static final String DECISION_INPUTS =
+            "  chat %s, account %s, service %s, load %.1f, bound %.1f";
+    public static final String DECISION_CANDIDATES = "  candidates %s";
+
     private Texts() {}
 }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
@@ -61,16 +61,16 @@
 
         List<String> lines() {
             return List.of(
-                    at + " " + program + " " + request + ": " + choice + ", " + reason,
+                    String.format(Texts.DECISION, at, program, request, choice, reason),
                     String.format(
                             Locale.ROOT,
-                            "  chat %s, account %s, service %s, load %.1f, bound %.1f",
+                            Texts.DECISION_INPUTS,
                             chat,
                             account,
                             service,
                             load,
                             bound),
-                    "  candidates " + String.join(", ", candidates));
+                    String.format(Texts.DECISION_CANDIDATES, String.join(", ", candidates)));
         }
     }
 
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/HelpFlag.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/HelpFlag.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.OptionType;
+import org.laurelweir.pgm.Texts;
 
 /**
  * Shows {@code --help} among each command's options. The entry class obeys it before the command
@@ -11,6 +12,6 @@
     @Option(
             type = OptionType.COMMAND,
             name = {"-h", "--help"},
-            description = "Shows this help.")
+            description = Texts.OPTION_HELP)
     private boolean mHelp;
 }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.laurelweir.pgm.Table;
+import org.laurelweir.pgm.Texts;
 import org.laurelweir.wire.v1.BackendStatus;
 import org.laurelweir.wire.v1.ControlStatus;
 import org.laurelweir.wire.v1.RouterStatus;
@@ -55,12 +56,12 @@
 
         private static String roleOf(ControlStatus c) {
             if (c.getLeader()) {
-                return "leader";
+                return Texts.LEADER;
             }
             if (c.getVotersList().contains(c.getReplica())) {
-                return "follower";
+                return Texts.FOLLOWER;
             }
-            return c.getLearnersList().contains(c.getReplica()) ? "learner" : "none";
+            return c.getLearnersList().contains(c.getReplica()) ? Texts.LEARNER : Texts.NO_MEMBER;
         }
     }
 
@@ -128,7 +129,7 @@
     /** Returns the view for people: a table for each kind of program. */
     public List<String> lines() {
         List<String> lines = new ArrayList<>();
-        lines.add("settings position " + settingsPosition);
+        lines.add(String.format(Texts.SETTINGS_POSITION, settingsPosition));
         List.of(controlTable(), serviceTable(), backendTable(), routerTable())
                 .forEach(
                         t -> {
@@ -139,40 +140,31 @@
     }
 
     private Table controlTable() {
-        Table t = new Table("REPLICA", "ADDRESS", "ROLE", "TERM", "APPLIED", "COMMITTED", "STATE");
+        Table t = new Table(Texts.CONTROL_COLUMNS);
         for (Control c : controls) {
-            String state = c.possiblyStale ? "possibly stale" : "current";
+            String state = c.possiblyStale ? Texts.POSSIBLY_STALE : Texts.CURRENT;
             t.add(c.replica, c.address, c.role, c.term, c.applied, c.committed, state);
         }
         return t;
     }
 
     private Table serviceTable() {
-        Table t = new Table("SERVICE", "BACKEND SERVERS", "MEAN WORK");
+        Table t = new Table(Texts.SERVICE_COLUMNS);
         services.forEach(s -> t.add(s.service, s.backends, s.meanWork));
         return t;
     }
 
     private Table backendTable() {
-        Table t =
-                new Table(
-                        "BACKEND SERVER",
-                        "SERVICE",
-                        "DATA CENTRE",
-                        "ADDRESS",
-                        "STATE",
-                        "RUNNING",
-                        "WAITING",
-                        "WORK");
+        Table t = new Table(Texts.BACKEND_COLUMNS);
         for (BackendServer b : backends) {
-            String state = b.state + (b.drainOrdered ? " (drain ordered)" : "");
+            String state = b.state + (b.drainOrdered ? Texts.DRAIN_MARK : "");
             t.add(b.id, b.service, b.dataCentre, b.address, state, b.running, b.waiting, b.work);
         }
         return t;
     }
 
     private Table routerTable() {
-        Table t = new Table("ROUTER", "DATA CENTRE", "ADDRESS", "SETTINGS", "HEARD");
+        Table t = new Table(Texts.ROUTER_COLUMNS);
         routers.forEach(r -> t.add(r.name, r.dataCentre, r.address, r.settingsPosition, r.heard));
         return t;
     }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/EffectiveView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/tree/EffectiveView.java
@@ -73,7 +73,7 @@
 
     /** Returns the view for people: a table of keys. */
     public List<String> lines() {
-        Table table = new Table("KEY", "VALUE", "FROM");
+        Table table = new Table(Texts.EFFECTIVE_COLUMNS);
         values.forEach(v -> table.add(v.key, v.value, v.from));
         return table.lines();
     }
