--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -207,10 +207,10 @@
 
     @Test
     void ordersUnderANewFence() {
-        assertThat(run("order", FakeFleet.BACKEND, "load-model", "seil-2")).isZero();
+        assertThat(run("order", FakeFleet.BACKEND, "load_model", "seil-2")).isZero();
         assertThat(mFleet.orders()).hasSize(1);
         assertThat(mFleet.orders().get(0).getFence()).isEqualTo(7);
-        assertThat(run("order", "nobody", "load-model", "seil-2"))
+        assertThat(run("order", "nobody", "load_model", "seil-2"))
                 .isEqualTo(Program.exitCode(ResultCode.UNKNOWN_BACKEND_SERVER));
     }
 
