--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
@@ -30,11 +30,12 @@
     private static final double FACTOR = 1.25;
     private static final double FLOOR = 500;
     private static final Duration QUEUE_AGE = Duration.ofSeconds(2);
+    private static final long QUEUE_BYTES = 2_000;
     private static final Duration TICK = Duration.ofMillis(50);
     private static final SidecarSettings SETTINGS =
             new SidecarSettings(
                     new BoundConfig(FACTOR, 0, 1.1, FLOOR, 0.1, 2),
-                    new SidecarSettings.QueueLimits(5, 2_000, QUEUE_AGE),
+                    new SidecarSettings.QueueLimits(5, QUEUE_BYTES, QUEUE_AGE),
                     SidecarSettings.DEFAULT.output(),
                     Duration.ofMinutes(10),
                     Duration.ofMillis(500),
@@ -83,6 +84,7 @@
                                 SELF, Requests.SERVICE, "bergen", "vestkyst", "10.0.0.1:1", 1));
         private final Map<AttemptId, Double> mRunning = new LinkedHashMap<>();
         private final Map<AttemptId, Instant> mWaiting = new HashMap<>();
+        private final Map<AttemptId, Integer> mBodyBytes = new HashMap<>();
         private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
         private double mMean;
         private Instant mMeanAt = Instant.MIN;
@@ -121,6 +123,7 @@
                             .timeLeft(Duration.ofMillis(100L + how % 10_000))
                             .outputTokens(tokens);
             mWaiting.put(id, mNow);
+            mBodyBytes.put(id, how % 900);
             step(new SidecarEvent.AttemptBegun(mCount, r.build()));
             checkQueue();
         }
@@ -184,6 +187,8 @@
 
         private void checkQueue() {
             assertThat(mWaiting.size()).as("waiting").isLessThanOrEqualTo(5);
+            long bytes = mWaiting.keySet().stream().mapToLong(mBodyBytes::get).sum();
+            assertThat(bytes).as("bytes waiting").isLessThanOrEqualTo(QUEUE_BYTES);
         }
 
         private void checkWaits() {
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
@@ -27,8 +27,8 @@
 import org.laurelweir.membership.ServiceLoad;
 
 /**
- * Any order of messages, also late, repeated and crossed ones, against the engine's own record of
- * what ran.
+ * Any order of messages, also late, repeated and crossed ones, drains, stops and restarts, against
+ * the engine's own record of what ran.
  */
 class AttemptHistoryTest {
     private enum Kind {
@@ -43,6 +43,7 @@
         WAIT_LONG,
         RESTART,
         DRAIN,
+        STOP,
         MEAN
     }
 
@@ -70,6 +71,7 @@
                         Tuple.of(2, Kind.WAIT_LONG),
                         Tuple.of(1, Kind.RESTART),
                         Tuple.of(1, Kind.DRAIN),
+                        Tuple.of(1, Kind.STOP),
                         Tuple.of(1, Kind.MEAN));
         Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 1 << 16);
         return Combinators.combine(kinds, numbers, numbers)
@@ -92,6 +94,9 @@
         private final Map<AttemptId, Frame> mEndings = new HashMap<>();
         private final Map<Long, StreamCheck> mStreams = new HashMap<>();
         private final Map<AttemptId, Long> mBegunAt = new HashMap<>();
+        private final Set<AttemptId> mRunning = new HashSet<>();
+        private boolean mDraining;
+        private boolean mStopping;
         private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
         private long mIncarnation = 1;
         private SidecarReducer mSidecar = sidecar();
@@ -131,6 +136,7 @@
                 case WAIT_LONG -> waitLong(h.how());
                 case RESTART -> restart();
                 case DRAIN -> exchange(h.how() % 3 == 0, 0);
+                case STOP -> stop();
                 default -> exchange(false, h.how());
             }
         }
@@ -180,6 +186,10 @@
         private void engine(AttemptId id, int how) {
             SidecarEvent event = mEngine.act(id, act(how));
             if (event != null) {
+                if (!(event instanceof SidecarEvent.EngineAnswered
+                        || event instanceof SidecarEvent.EngineSent)) {
+                    mRunning.remove(id);
+                }
                 step(event);
             }
         }
@@ -198,11 +208,20 @@
 
         private void restart() {
             mIncarnation++;
+            mStopping = false;
+            mDraining = false;
+            mRunning.clear();
             mStreams.clear();
             mSidecar = sidecar();
         }
 
+        private void stop() {
+            mStopping = true;
+            step(new SidecarEvent.StopRequested());
+        }
+
         private void exchange(boolean drain, double mean) {
+            mDraining = drain;
             step(
                     new SidecarEvent.ExchangeAnswered(
                             new MembershipDelta(MembershipCursor.NONE, false, List.of()),
@@ -220,7 +239,13 @@
                 AttemptId id = e.request().id();
                 assertThat(mDenied).as("run after denial").doesNotContain(id);
                 assertThat(mEngine.runCount(id)).as("runs of %s before", id).isZero();
+                assertThat(mDraining || mStopping).as("start while leaving").isFalse();
+                mRunning.add(id);
                 mEngine.called(id);
+            } else if (effect instanceof SidecarEffect.CancelEngineCall e) {
+                mRunning.remove(e.attempt());
+            } else if (effect instanceof SidecarEffect.Stopped) {
+                assertThat(mRunning).as("running at the end of a stop").isEmpty();
             } else if (effect instanceof SidecarEffect.AnswerRevoke e) {
                 checkRevoke(e);
             } else if (effect instanceof SidecarEffect.SendFrame e) {
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
@@ -89,6 +89,29 @@
                 .anyMatch(e -> e instanceof SidecarEffect.SendFrame f && f.stream() == resumed);
     }
 
+    // Kept answers fill the store while another answer is being sent. The oldest delivered one
+    // makes
+    // room; the one that nobody has read yet stays, although it is older.
+    @Test
+    void fullStoreDropsDeliveredAnswersFirst() {
+        long limit = SidecarSettings.DEFAULT.output().totalBytes();
+        AttemptId delivered = Requests.request(2).build().id();
+        AttemptId next = Requests.request(3).build().id();
+        long lost = mSidecar.begin(Requests.request(1).key("a", Duration.ofHours(1)));
+        mSidecar.step(new SidecarEvent.StreamClosed(lost));
+        mSidecar.answer(ID, new byte[3]);
+        mSidecar.begin(Requests.request(2).key("b", Duration.ofHours(1)));
+        mSidecar.answer(delivered, new byte[(int) limit - (1 << 19)]);
+        mSidecar.begin(Requests.request(3));
+        mSidecar.step(new SidecarEvent.EngineAnswered(next, 200, List.of()));
+        mSidecar.step(new SidecarEvent.EngineSent(next, new byte[1 << 19]));
+
+        assertThat(mSidecar.take(SidecarEffect.ReadEngineCall.class)).isEmpty();
+        Frame.Failed gone = (Frame.Failed) mSidecar.takeLastFrame(mSidecar.resume(delivered, 0));
+        assertThat(gone.code()).isEqualTo(ResultCode.OUTPUT_NOT_KEPT);
+        assertThat(mSidecar.takeLastFrame(mSidecar.resume(ID, 0))).isInstanceOf(Frame.End.class);
+    }
+
     // A caller resends an order with its key after the first router was lost. The whole first
     // answer is still there, although its first reader had acknowledged all of it.
     @Test
