--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -89,6 +89,7 @@
         DecisionRing ring = new DecisionRing(file.decisions());
         AttemptStreams streams = new AttemptStreams(this::offer);
         SidecarService service = new SidecarService(streams, ring, this::offer);
+        traffic.show("ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
         mServer =
                 RpcServer.builder(mLoops, traffic)
                         .listen(file.listen().host(), file.listen().port())
@@ -157,7 +158,7 @@
                 mFile.service(),
                 mFile.dataCentre(),
                 mFile.region(),
-                endpoint().toString(),
+                mFile.announce().orElseGet(this::endpoint).toString(),
                 mFile.weight());
     }
 
