Replace the replica of a lost disk without an operator

The leader sees from what its peers say of themselves that one has another disk, and takes it through learner and voter, one committed step at a time.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -34,6 +34,7 @@
     private final RouterTable mRouters = new RouterTable();
     private final Exchanges mExchanges;
     private final Queries mQueries;
+    private final ReplicaRepair mRepair;
     private final PeerSharing mSharing;
     private Instant mNextReport = Instant.MIN;
     private Instant mNow;
@@ -52,9 +53,11 @@
         List<String> peers = new ArrayList<>(config.addresses().keySet());
         peers.remove(config.name());
         mMembership = new SharedMembership(config.membership(), peers, this::backendChanged);
+        PeerPresences presences = new PeerPresences();
         mExchanges = new Exchanges(mMembership, mReplica, mRouters);
-        mQueries = new Queries(mMembership, mReplica, mRouters);
-        mSharing = new PeerSharing(config, mMembership, mReplica, mRouters, mQueries);
+        mQueries = new Queries(mMembership, mReplica, mRouters, presences);
+        mRepair = new ReplicaRepair(mReplica, presences);
+        mSharing = new PeerSharing(config, mMembership, mReplica, mRouters, presences);
     }
 
     @Override
@@ -100,6 +103,7 @@
         mMembership.tick(mNow);
         mRouters.forget(mNow);
         mSharing.tick(mNow, mEffects);
+        mRepair.tick(mNow, mEffects);
         if (!mNow.isBefore(mNextReport)) {
             mNextReport = mNow.plus(REPORT_INTERVAL);
             mEffects.accept(mQueries.report(mNow));
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -9,6 +9,7 @@
 import org.laurelweir.agreement.AgreementEffect;
 import org.laurelweir.agreement.AgreementEvent;
 import org.laurelweir.agreement.AgreementReducer;
+import org.laurelweir.agreement.Membership;
 import org.laurelweir.agreement.MembershipChange;
 import org.laurelweir.agreement.ReplicaId;
 import org.laurelweir.agreement.Role;
@@ -59,13 +60,21 @@
         return new ControlPresence(
                 mConfig.replica(),
                 mConfig.address(),
-                mAgreement.role() == Role.LEADER,
+                leads(),
                 mAgreement.term(),
                 mAgreement.commitIndex(),
                 isPossiblyStale(now),
                 mAgreement.membership());
     }
 
+    boolean leads() {
+        return mAgreement.role() == Role.LEADER;
+    }
+
+    Membership members() {
+        return mAgreement.membership();
+    }
+
     void step(Instant now, AgreementEvent event, Consumer<? super ControlEffect> effects) {
         mNow = now;
         mEffects = effects;
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
@@ -23,7 +23,7 @@
     private final SharedMembership mMembership;
     private final LogReplica mReplica;
     private final RouterTable mRouters;
-    private final Queries mQueries;
+    private final PeerPresences mPresences;
     private final List<String> mPeers = new ArrayList<>();
     private final List<Announcement> mUrgent = new ArrayList<>();
     private Instant mNextRound = Instant.MIN;
@@ -34,12 +34,12 @@
             SharedMembership membership,
             LogReplica replica,
             RouterTable routers,
-            Queries queries) {
+            PeerPresences presences) {
         mConfig = config;
         mMembership = membership;
         mReplica = replica;
         mRouters = routers;
-        mQueries = queries;
+        mPresences = presences;
         mPeers.addAll(new TreeSet<>(config.addresses().keySet()));
         mPeers.remove(config.name());
     }
@@ -83,6 +83,6 @@
     void take(Instant now, PeerAnswered e) {
         mMembership.merge(now, e.peer(), e.share());
         mRouters.told(e.routers());
-        mQueries.peerTold(e.status());
+        mPresences.put(now, e.status());
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
@@ -3,9 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.laurelweir.coordination.ControlEffect.AnswerHistory;
 import org.laurelweir.coordination.ControlEffect.AnswerSettings;
@@ -25,17 +23,17 @@
     private final SharedMembership mMembership;
     private final LogReplica mReplica;
     private final RouterTable mRouters;
-    private final Map<String, ControlPresence> mPeers = new TreeMap<>();
+    private final PeerPresences mPeers;
 
-    Queries(SharedMembership membership, LogReplica replica, RouterTable routers) {
+    Queries(
+            SharedMembership membership,
+            LogReplica replica,
+            RouterTable routers,
+            PeerPresences peers) {
         mMembership = membership;
         mReplica = replica;
         mRouters = routers;
-    }
-
-    /** Keeps what a peer said of itself. */
-    void peerTold(ControlPresence peer) {
-        mPeers.put(peer.replica().name(), peer);
+        mPeers = peers;
     }
 
     void answer(Instant now, SettingsRead e, Consumer<? super ControlEffect> effects) {
@@ -85,7 +83,7 @@
     void answer(Instant now, StatusRead e, Consumer<? super ControlEffect> effects) {
         List<ControlPresence> controls = new ArrayList<>();
         controls.add(mReplica.presence(now));
-        controls.addAll(mPeers.values());
+        controls.addAll(mPeers.all());
         List<BackendPresence> backends =
                 mMembership.backends().stream()
                         .map(
