--- /dev/null
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/NearestControlTest.java
@@ -0,0 +1,51 @@
+package org.laurelweir.runtime.rpc;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which control instance is asked after failures and possibly stale answers. */
+class NearestControlTest {
+    private final NearestControl mControl = new NearestControl(List.of("near", "far"));
+
+    private int exchangesUntilReturn() {
+        int exchanges = 1;
+        while (!mControl.returns()) {
+            exchanges++;
+        }
+        return exchanges;
+    }
+
+    @Test
+    void returnsToNearestLaterEachTimeThatItFails() {
+        mControl.leave();
+        assertThat(mControl.address()).isEqualTo("far");
+        int first = exchangesUntilReturn();
+        assertThat(mControl.address()).isEqualTo("near");
+        mControl.leave();
+        assertThat(exchangesUntilReturn()).isEqualTo(2 * first);
+    }
+
+    // The nearest instance sits behind a partition and answers promptly, with settings that it
+    // can't
+    // confirm. After a few such answers another one is asked, which can.
+    @Test
+    void leavesInstanceThatStaysStale() {
+        int answers = 1;
+        while (!mControl.leavesStale(true)) {
+            answers++;
+        }
+        assertThat(answers).isEqualTo(5);
+        assertThat(mControl.address()).isEqualTo("far");
+        assertThat(mControl.leavesStale(false)).isFalse();
+    }
+
+    @Test
+    void aloneItIsKeptHoweverStale() {
+        NearestControl alone = new NearestControl(List.of("only"));
+        for (int i = 0; i < 1000; i++) {
+            assertThat(alone.leavesStale(true)).isFalse();
+        }
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/SharedMembershipTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/SharedMembershipTest.java
@@ -132,6 +132,33 @@
         assertThat(fleet.view(1)).containsKey("w0");
     }
 
+    // A control instance is cut off from the others for over a minute and goes on hearing its
+    // sidecar, which the others give up. After that its own readers must not see the sidecar leave,
+    // and the others must have it back: it is asked for a new session, which wins everywhere.
+    @Test
+    void sidecarGivenUpBeyondPartitionComesBackUnderNewSession() {
+        SimulatedFleet fleet = new SimulatedFleet(3, 1, NEVER_HELD);
+        Sidecar sidecar = fleet.mSidecars.get(0);
+        sidecar.report();
+        fleet.shareAll();
+        for (int i = 0; i < 65; i++) {
+            fleet.pass(Duration.ofSeconds(1));
+            sidecar.report();
+            fleet.share(1, 2);
+            fleet.share(2, 1);
+        }
+        assertThat(fleet.view(1)).isEmpty();
+        fleet.shareAll();
+        assertThat(fleet.view(0)).containsKey("w0");
+        sidecar.report();
+        sidecar.report();
+        fleet.shareAll();
+        assertThat(sidecar.mSession).isEqualTo(2);
+        for (int c = 0; c < CONTROLS; c++) {
+            assertThat(fleet.view(c)).containsEntry("w0", sidecar.backend());
+        }
+    }
+
     // A backend server crashes in a loop. After three departures its return is held back, so that
     // chats do not move to it and off again; once it stays, it is announced.
     @Test
