--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeSidecarServer.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeSidecarServer.java
@@ -3,7 +3,9 @@
 import io.grpc.stub.StreamObserver;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.laurelweir.attempt.AttemptRequest;
@@ -24,6 +26,7 @@
 /** A sidecar that answers as each test says. */
 final class FakeSidecarServer extends SidecarServiceGrpc.SidecarServiceImplBase {
     final BlockingQueue<Session> mSessions = new LinkedBlockingQueue<>();
+    final Queue<Session> mBegun = new ConcurrentLinkedQueue<>();
     volatile Script mScript = s -> s.answer("text/plain", "ok");
 
     volatile OnResume mOnResume = FakeSidecarServer::refuseToResume;
@@ -97,6 +100,7 @@
             public void onNext(AttemptMessage message) {
                 if (message.hasBegin()) {
                     mSession = new Session(AttemptCodec.toCore(message.getBegin()), frames);
+                    mBegun.add(mSession);
                     mScript.run(mSession);
                     mSessions.add(mSession);
                 } else if (message.hasResume()) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/Relay.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/Relay.java
@@ -42,6 +42,13 @@
         mLinks.forEach(l -> l.mForgotten = true);
     }
 
+    /** Ends the connections that are open; new ones work. */
+    void cutOpenConnections() throws IOException {
+        for (Link l : mLinks) {
+            l.mNear.close();
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFailureTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFailureTest.java
@@ -72,6 +72,24 @@
         assertThat(first + rest).isEqualTo("half, whole");
     }
 
+    // An order has reached the sidecar, and the connection ends before anything came back. It may
+    // run, so it must not be sent again: the router asks for its state and follows it. The caller
+    // gets the one answer.
+    @Test
+    void lostConnectionIsNotTakenForUnsent() throws Exception {
+        mFixture.mSidecar.mScript = s -> {};
+        mFixture.mSidecar.mOnResume =
+                (resume, frames) ->
+                        mFixture.mSidecar.mBegun.peek().onStream(frames, 0).answer("a/b", "once");
+        CompletableFuture<HttpResponse<String>> answer =
+                mFixture.mHttp.sendAsync(mFixture.order(), RouterFixture.text());
+        mFixture.mSidecar.mSessions.poll(LONG_WAIT_SECONDS, TimeUnit.SECONDS);
+        mFixture.mRelay.cutOpenConnections();
+
+        assertThat(answer.get(LONG_WAIT_SECONDS, TimeUnit.SECONDS).body()).isEqualTo("once");
+        assertThat(mFixture.mSidecar.mBegun).hasSize(1);
+    }
+
     @Test
     void slowSenderIsToldSoAndLeft() throws Exception {
         try (Socket socket = mFixture.socket()) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -122,6 +122,14 @@
                 .build();
     }
 
+    HttpRequest order() {
+        return HttpRequest.newBuilder(uri("/havnebok/orders"))
+                .header("Authorization", "Bearer " + KEY)
+                .header("Idempotency-Key", "order-7")
+                .POST(HttpRequest.BodyPublishers.ofString("stores"))
+                .build();
+    }
+
     static String question(String text) {
         return "{\"model\":\"hjerne-1\",\"messages\":[{\"role\":\"user\",\"content\":\""
                 + text
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -97,14 +96,8 @@
 
     @Test
     void orderWithAKeyIsSentOnceItsClaimIsGranted() throws Exception {
-        HttpRequest order =
-                HttpRequest.newBuilder(mFixture.uri("/havnebok/orders"))
-                        .header("Authorization", "Bearer " + RouterFixture.KEY)
-                        .header("Idempotency-Key", "order-7")
-                        .POST(HttpRequest.BodyPublishers.ofString("stores"))
-                        .build();
-
-        assertThat(mFixture.mHttp.send(order, RouterFixture.text()).body()).isEqualTo("ok");
+        assertThat(mFixture.mHttp.send(mFixture.order(), RouterFixture.text()).body())
+                .isEqualTo("ok");
         assertThat(session().mRequest.idempotent()).isFalse();
         assertThat(mFixture.mControl.mClaims.poll().getKey()).isEqualTo("order-7");
     }
