--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
@@ -1,7 +1,10 @@
 package org.laurelweir.router.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Header;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.router.http.HopHeaders;
@@ -24,6 +27,7 @@
     private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
     private static final String DEADLINE_HEADER = "X-Timeout-Ms";
     private static final String PRIORITY_HEADER = "X-Priority";
+    private static final String ENGINE_PRIORITY = "Priority";
     private static final int MAX_KEY_LENGTH = 255;
     private static final int MAX_PRIORITY = 9;
 
@@ -140,11 +144,13 @@
 
     private static CallerRequest request(
             Origin o, HttpCall call, AttemptRequest.Cost cost, EffectiveSettings settings) {
+        int priority = priority(call, settings);
+        List<Header> headers = HopHeaders.passedOn(call);
         AttemptRequest.Call passedOn =
                 new AttemptRequest.Call(
                         call.method(),
                         call.uri(),
-                        HopHeaders.passedOn(call),
+                        o.chat() == 0 ? headers : forEngine(headers, priority),
                         call.body(),
                         o.streamed());
         return new CallerRequest(
@@ -156,12 +162,20 @@
                 o.idempotent(),
                 idempotencyKey(call),
                 deadline(call, settings),
-                priority(call, settings),
+                priority,
                 cost,
                 Policies.request(settings),
                 Policies.outliers(settings));
     }
 
+    /** An engine is told the priority in force; browsers put something else under that name. */
+    private static List<Header> forEngine(List<Header> headers, int priority) {
+        List<Header> all = new ArrayList<>(headers);
+        all.removeIf(h -> h.name().equalsIgnoreCase(ENGINE_PRIORITY));
+        all.add(new Header(ENGINE_PRIORITY, Integer.toString(priority)));
+        return all;
+    }
+
     private static String idempotencyKey(HttpCall call) {
         String key = call.header(IDEMPOTENCY_KEY).strip();
         if (key.length() > MAX_KEY_LENGTH) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Header;
 
 /** What callers see of a whole router. */
 class RouterProgramTest {
@@ -47,6 +48,7 @@
         FakeSidecarServer.Session s = session();
         assertThat(s.mRequest.account()).isEqualTo("broker");
         assertThat(s.mRequest.idempotent()).isTrue();
+        assertThat(s.mRequest.call().headers()).contains(new Header("Priority", "5"));
         assertThat(s.mRequest.call().headers()).noneMatch(h -> h.value().contains("Bearer"));
         assertThat(mFixture.mOutput.poll())
                 .isEqualTo("listening on " + mFixture.mRouter.endpoint());
