--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterSteps.java
@@ -0,0 +1,103 @@
+package org.laurelweir.benchmarks.steps;
+
+import java.time.Duration;
+import java.util.List;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.routing.RouterEffect;
+
+/** The router's steps and state. */
+final class RouterSteps {
+    private static final int[] BACKENDS = {100, 1_000, 4_000};
+    private static final int[] CHATS = {10_000, 100_000, 1_000_000};
+    private static final int[] REQUESTS = {100, 600, 2_400};
+    private static final int SEATS = 10_000;
+
+    /** The reducer looks at its timers this often. */
+    private static final Duration SCAN = Duration.ofMillis(10);
+
+    private static final byte[] TOKEN_BYTES = new byte[180];
+
+    private RouterSteps() {}
+
+    static void report(Report out) {
+        out.heading("router: steps");
+        out.steps("request: place, head, end", "backends", BACKENDS, RouterSteps::request);
+        out.steps("request: place, head, end", "chats", CHATS, RouterSteps::requestOfChats);
+        out.steps("output frame, taken by the caller", "requests", REQUESTS, RouterSteps::output);
+        out.steps("timers looked at (each 10 ms)", "requests", REQUESTS, RouterSteps::timers);
+        out.steps("exchange without news", "backends", BACKENDS, RouterSteps::exchange);
+        out.steps("exchange with one change", "backends", BACKENDS, RouterSteps::change);
+    }
+
+    static void reportHeap(Report out) {
+        out.heading("router: heap of the state");
+        out.heap("backend server", "backends", BACKENDS, n -> () -> new RouterDriver(n, 2));
+        out.heap("seat of a chat", "chats", CHATS, n -> () -> seated(10, n));
+        out.heap("request in flight", "requests", REQUESTS, n -> () -> running(10, n));
+    }
+
+    private static RouterDriver seated(int backends, int chats) {
+        RouterDriver router = new RouterDriver(backends, 2 * chats + 2);
+        for (int i = 0; i < chats; i++) {
+            router.request(i);
+        }
+        return router;
+    }
+
+    private static RouterDriver running(int backends, int requests) {
+        RouterDriver router = new RouterDriver(backends, SEATS);
+        for (int i = 0; i < requests; i++) {
+            router.frame(router.arrive(i), new Frame.Head(200, List.of()));
+        }
+        return router;
+    }
+
+    private static Runnable request(int backends) {
+        RouterDriver router = new RouterDriver(backends, 2 * SEATS);
+        long[] chat = {0};
+        return () -> router.request(chat[0]++ % SEATS);
+    }
+
+    private static Runnable requestOfChats(int chats) {
+        RouterDriver router = seated(1_000, chats);
+        long[] chat = {0};
+        return () -> router.request(chat[0]++ % chats);
+    }
+
+    private static Runnable output(int requests) {
+        RouterDriver router = running(1_000, requests);
+        RouterEffect.BeginAttempt attempt = router.arrive(0);
+        long caller = attempt.request().id().request();
+        router.frame(attempt, new Frame.Head(200, List.of()));
+        long[] offset = {0};
+        return () -> {
+            router.frame(attempt, new Frame.Data(offset[0], TOKEN_BYTES));
+            offset[0] += TOKEN_BYTES.length;
+            router.taken(caller, offset[0]);
+        };
+    }
+
+    private static Runnable timers(int requests) {
+        RouterDriver router = running(1_000, requests);
+        return () -> router.tick(SCAN);
+    }
+
+    private static Runnable exchange(int backends) {
+        RouterDriver router = new RouterDriver(backends, SEATS);
+        // Answers from all of them, so that there is a load hint for each.
+        for (int i = 0; i < 10 * backends; i++) {
+            router.request(i);
+        }
+        return () -> router.exchange(false, List.of());
+    }
+
+    private static Runnable change(int backends) {
+        RouterDriver router = new RouterDriver(backends, SEATS);
+        int[] session = {1};
+        return () -> {
+            int number = session[0]++ % backends;
+            router.exchange(
+                    false, List.of(Samples.restarted(number, Samples.service(0), session[0])));
+        };
+    }
+}
