--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/ResendTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/ResendTest.java
@@ -29,7 +29,7 @@
 
     @BeforeAll
     static void startFleet() {
-        sFleet = Fleet.start("resend", 3, 2, "");
+        sFleet = Fleet.builder("resend").controls(3).routers(2).start();
         sPlains = List.of(sFleet.startPlain("havnebok-1"), sFleet.startPlain("havnebok-2"));
         sFleet.awaitReady();
         sFirst = sFleet.process("router-1");
@@ -112,7 +112,7 @@
     }
 
     private static List<Execution> runs(String key) {
-        return sPlains.stream().flatMap(p -> p.runsOfKey(key).stream()).toList();
+        return StandIn.runsOfKey(sPlains, key);
     }
 
     private static Execution run(String key) {
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SilentConnectionTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SilentConnectionTest.java
@@ -26,7 +26,7 @@
 
     @BeforeAll
     static void startFleet() {
-        sFleet = Fleet.start("silent", 1, 1, "");
+        sFleet = Fleet.builder("silent").relayed().start();
         sEngine = sFleet.startEngine("seilhjerne-1");
         sPlain = sFleet.startPlain("havnebok-1");
         sFleet.awaitReady();
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -33,37 +34,74 @@
     private final String mHost = host();
     private final Map<String, Integer> mControlPorts = new LinkedHashMap<>();
     private final Map<String, FleetProcess> mProcesses = new LinkedHashMap<>();
-    private final List<Relay> mRelays = new ArrayList<>();
     private final List<StandIn> mStandIns = new ArrayList<>();
     private FleetConnection mConnection;
 
-    private Fleet(String name) {
-        mFolder = Path.of("target", "fleets", name).toAbsolutePath();
+    private final Builder mBuilder;
+
+    /** Says how large a fleet is. */
+    public static final class Builder {
+        private final String mName;
+        private int mControls = 1;
+        private int mRouters = 1;
+        private boolean mRelayed;
+        private String mTree = "";
+
+        private Builder(String name) {
+            mName = name;
+        }
+
+        /** Sets how many control instances there are. */
+        public Builder controls(int count) {
+            mControls = count;
+            return this;
+        }
+
+        /** Sets how many routers there are. */
+        public Builder routers(int count) {
+            mRouters = count;
+            return this;
+        }
+
+        /** Puts a relay in front of each sidecar. */
+        public Builder relayed() {
+            mRelayed = true;
+            return this;
+        }
+
+        /** Sets lines added to the settings tree. */
+        public Builder tree(String lines) {
+            mTree = lines;
+            return this;
+        }
+
+        /** Starts control and routers. */
+        public Fleet start() {
+            Fleet fleet = new Fleet(this);
+            fleet.startControls();
+            for (int i = 1; i <= mRouters; i++) {
+                fleet.startRouter("router-" + i);
+            }
+            return fleet;
+        }
+    }
+
+    private Fleet(Builder builder) {
+        mBuilder = builder;
+        mFolder = Path.of("target", "fleets", builder.mName).toAbsolutePath();
         clear(mFolder);
         Runtime.getRuntime().addShutdownHook(new Thread(this::destroyAll));
     }
 
-    /**
-     * Starts control and routers.
-     *
-     * @param name of the folder with settings and logs
-     * @param controls how many control instances
-     * @param routers how many routers
-     * @param tree lines added to the settings tree
-     */
-    public static Fleet start(String name, int controls, int routers, String tree) {
-        Fleet fleet = new Fleet(name);
-        fleet.startControls(controls, tree);
-        for (int i = 1; i <= routers; i++) {
-            fleet.startRouter("router-" + i);
-        }
-        return fleet;
+    /** Returns a builder of a fleet with one control instance and one router. */
+    public static Builder builder(String name) {
+        return new Builder(name);
     }
 
-    private void startControls(int count, String tree) {
+    private void startControls() {
         Path file = mFolder.resolve("tree.yaml");
-        write(file, tree(tree));
-        for (int i = 1; i <= count; i++) {
+        write(file, tree(mBuilder.mTree));
+        for (int i = 1; i <= mBuilder.mControls; i++) {
             mControlPorts.put("control-" + i, freePort());
         }
         String peers =
@@ -129,14 +167,13 @@
                 "name: " + name + "\nlisten: {portFile: " + p.portFile("") + "}\n" + settings);
         p.start();
         FleetProcess sidecar = process(name, "org.laurelweir.sidecar.Main");
-        Relay relay = new Relay(sidecar::port);
-        mRelays.add(relay);
+        Relay relay = mBuilder.mRelayed ? new Relay(sidecar::port) : null;
         startProgram(
                 "sidecar",
                 name,
                 "service: " + service,
                 "listen: 127.0.0.1:0",
-                "announce: 127.0.0.1:" + relay.port(),
+                relay == null ? "" : "announce: 127.0.0.1:" + relay.port(),
                 "backend: 127.0.0.1:" + p.port(),
                 controlList());
         StandIn s = new StandIn(p, sidecar, relay, "/" + kind);
@@ -254,7 +291,7 @@
             mConnection.stop();
         }
         destroyAll();
-        mRelays.forEach(Relay::close);
+        mStandIns.stream().map(StandIn::relay).filter(Objects::nonNull).forEach(Relay::close);
     }
 
     private void destroyAll() {
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/StandIn.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/StandIn.java
@@ -13,7 +13,7 @@
  *
  * @param process the stand-in
  * @param sidecar the sidecar beside it
- * @param relay what routers reach the sidecar through
+ * @param relay what routers reach the sidecar through, or null
  * @param admin the path below which record and faults are reached
  */
 public record StandIn(FleetProcess process, FleetProcess sidecar, Relay relay, String admin) {
@@ -42,6 +42,16 @@
         return executions().stream().filter(e -> digest.equals(e.digest())).toList();
     }
 
+    /** Returns the runs of calls by a path. */
+    public List<Execution> runsOfPath(String path) {
+        return executions().stream().filter(e -> path.equals(e.path())).toList();
+    }
+
+    /** Returns the runs of calls with an idempotency key at any of several backend servers. */
+    public static List<Execution> runsOfKey(List<StandIn> all, String key) {
+        return all.stream().flatMap(s -> s.runsOfKey(key).stream()).toList();
+    }
+
     /** Returns how many runs have not ended. */
     public long running() {
         return executions().stream().filter(e -> e.outcome() == Outcome.RUNNING).count();
