--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SidecarKilledTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SidecarKilledTest.java
@@ -86,18 +86,6 @@
         assertThat(StandIn.runsOfKey(sPlains, "during")).hasSize(1);
     }
 
-    /**
-     * As above, but the sidecar is back at once. It knows nothing of the attempt, yet must not say
-     * that it was never started: it says that it is another incarnation.
-     */
-    @Test
-    void orderOfRestartedSidecarIsUnknown() {
-        CompletableFuture<Caller.Reply> reply = sendUnanswered("restarted");
-        killSidecarThatRuns("restarted").start();
-        assertThat(Caller.get(reply).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN.number());
-        assertThat(StandIn.runsOfKey(sPlains, "restarted")).hasSize(1);
-    }
-
     /** A query that has not begun to be answered may run twice: the caller sees its answer. */
     @Test
     void queryOfKilledSidecarIsAnsweredElsewhere() {
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SilentConnectionTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SilentConnectionTest.java
@@ -18,6 +18,7 @@
 class SilentConnectionTest {
     private static final int CREATED = 201;
     private static final long LATE_MILLIS = 500;
+    private static final long NEVER_MILLIS = 600_000;
 
     private static Fleet sFleet;
     private static FleetProcess sRouter;
@@ -117,6 +118,23 @@
         assertOnlyRun("lost-answer", Caller.get(reply));
     }
 
+    /**
+     * The sidecar is killed while an order runs, and is back before the router gives up. It knows
+     * nothing of the attempt, yet must not say that it was never started: it says that it is
+     * another incarnation, and the caller learns that the outcome is unknown.
+     */
+    @Test
+    void orderOfRestartedSidecarIsUnknown() {
+        sPlain.answerLate(1, NEVER_MILLIS);
+        CompletableFuture<Caller.Reply> reply = Caller.order(sRouter, "restarted");
+        Await.until("a run", () -> !sPlain.runsOfKey("restarted").isEmpty());
+        sPlain.sidecar().kill();
+        sPlain.sidecar().start();
+        assertThat(Caller.get(reply).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN.number());
+        assertThat(sPlain.runsOfKey("restarted")).hasSize(1);
+        sFleet.awaitServing(sRouter);
+    }
+
     private static void assertOnlyRun(String key, Caller.Reply reply) {
         assertThat(sPlain.runsOfKey(key)).hasSize(1);
         assertThat(reply.status()).as(reply.body()).isEqualTo(CREATED);
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -167,12 +168,14 @@
                 "name: " + name + "\nlisten: {portFile: " + p.portFile("") + "}\n" + settings);
         p.start();
         FleetProcess sidecar = process(name, "org.laurelweir.sidecar.Main");
-        Relay relay = mBuilder.mRelayed ? new Relay(sidecar::port) : null;
+        // Chosen here, so that a restarted sidecar is where the killed one was.
+        InetSocketAddress address = new InetSocketAddress(mHost, freePort());
+        Relay relay = mBuilder.mRelayed ? new Relay(address) : null;
         startProgram(
                 "sidecar",
                 name,
                 "service: " + service,
-                "listen: 127.0.0.1:0",
+                "listen: " + mHost + ":" + address.getPort(),
                 relay == null ? "" : "announce: 127.0.0.1:" + relay.port(),
                 "backend: 127.0.0.1:" + p.port(),
                 controlList());
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Relay.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Relay.java
@@ -4,20 +4,20 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.IntSupplier;
 
 /**
  * Forwards TCP connections. It can lose track of those that are open, in one direction or both, and
- * hold back what is sent on them; new ones work.
+ * hold back what is sent on them; new ones work, and wait while the target does not listen.
  */
 public final class Relay implements AutoCloseable {
     private static final int BUFFER_BYTES = 1 << 16;
 
-    private final IntSupplier mTarget;
+    private final InetSocketAddress mTarget;
     private final ServerSocket mListener;
     private final List<Pipe> mTowards = new CopyOnWriteArrayList<>();
     private final List<Pipe> mBack = new CopyOnWriteArrayList<>();
@@ -95,9 +95,9 @@
     /**
      * Listens.
      *
-     * @param target the port to forward to, asked for each connection
+     * @param target where to forward to
      */
-    Relay(IntSupplier target) {
+    Relay(InetSocketAddress target) {
         mTarget = target;
         try {
             mListener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
@@ -140,23 +140,27 @@
     private void accept() {
         try {
             while (true) {
-                forward(mListener.accept());
+                Socket near = mListener.accept();
+                daemon(() -> forward(near));
             }
         } catch (IOException e) {
             // The relay was closed.
         }
     }
 
-    private void forward(Socket near) throws IOException {
-        Socket far;
+    private void forward(Socket near) {
+        Await.until("the target listens", () -> mListener.isClosed() || connect(near));
+    }
+
+    private boolean connect(Socket near) {
         try {
-            far = new Socket(InetAddress.getLoopbackAddress(), mTarget.getAsInt());
+            Socket far = new Socket(mTarget.getAddress(), mTarget.getPort());
+            mTowards.add(start(new Pipe(near, far)));
+            mBack.add(start(new Pipe(far, near)));
+            return true;
         } catch (IOException e) {
-            near.close();
-            return;
+            return false;
         }
-        mTowards.add(start(new Pipe(near, far)));
-        mBack.add(start(new Pipe(far, near)));
     }
 
     private static Pipe start(Pipe pipe) {
