--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -177,9 +177,28 @@
     void refusesEntriesThatDoNotContinueTheLog() {
         long last = mFollower.mReducer.log().lastIndex();
         long term = mLeader.mReducer.term();
-        LogEntry entry = new LogEntry(last + 2, term, LogEntry.Kind.NO_OP, new byte[0]);
-        AppendRequest gap = new AppendRequest(term, last + 1, -1, List.of(entry), last + 2, 0);
+        List<LogEntry> entries = List.of(entry(last + 2, term));
+        AppendRequest gap = new AppendRequest(term, last + 1, -1, entries, last + 2, 0);
         mNetwork.step(mFollower, new MessageReceived(mLeader.mId, gap));
         assertThat(mFollower.mReducer.log().lastIndex()).isEqualTo(last);
     }
+
+    // Callers see: nothing lost. Order: entries are being synced as a new leader replaces the last
+    // two; the first sync ends, the second has not. Why: what was replaced no longer counts.
+    @Test
+    void aSyncOfReplacedEntriesDoesNotCount() {
+        Durability durability = new Durability();
+        durability.write(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+        durability.flush(e -> {});
+        durability.write(List.of(entry(2, 2), entry(3, 2)));
+        durability.flush(e -> {});
+        durability.persisted(1);
+        assertThat(durability.durableIndex()).isEqualTo(1);
+        durability.persisted(2);
+        assertThat(durability.durableIndex()).isEqualTo(3);
+    }
+
+    private static LogEntry entry(long index, long term) {
+        return new LogEntry(index, term, LogEntry.Kind.NO_OP, new byte[0]);
+    }
 }
