--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -18,6 +18,7 @@
 import org.laurelweir.agreement.ReplicaMessage.AppendRequest;
 import org.laurelweir.agreement.ReplicaMessage.PreVoteReply;
 import org.laurelweir.agreement.ReplicaMessage.PreVoteRequest;
+import org.laurelweir.agreement.ReplicaMessage.SnapshotChunk;
 import org.laurelweir.agreement.ReplicaMessage.VoteReply;
 import org.laurelweir.agreement.ReplicaMessage.VoteRequest;
 import org.laurelweir.lib.ResultCode;
@@ -198,6 +199,44 @@
         assertThat(durability.durableIndex()).isEqualTo(3);
     }
 
+    // Callers see: nothing lost. Order: a follower's log ends in an old term at the index at which
+    // the
+    // leader's snapshot ends in a newer one. Why: what the disk holds after it belongs to no
+    // history.
+    @Test
+    void discardsALogThatTheSnapshotDoesNotContinue() {
+        long index = mFollower.mReducer.log().lastIndex() + 1;
+        long term = mLeader.mReducer.term();
+        mNetwork.step(mFollower, append(term, index - 1, entry(index, term)));
+        mNetwork.syncAndRunLocal(mFollower);
+        Membership members = mLeader.mReducer.membership();
+        SnapshotChunk chunk =
+                new SnapshotChunk(term + 1, index, term + 1, members, 0, 0, new byte[0], 0);
+        assertThat(mNetwork.effectsOf(mFollower, new MessageReceived(mLeader.mId, chunk)))
+                .anyMatch(e -> e instanceof Persist p && p.discardLog());
+    }
+
+    // Callers see: the follower catches up. Order: a follower whose log ends in a long term, of
+    // which
+    // the leader holds only the first entry, names the index before that term (found by a
+    // property).
+    // Why: the leader goes on after the match, and does not take the refusal for a late one.
+    @Test
+    void probesAfterTheMatchWhenTheHintLiesBeforeIt() {
+        FollowerProgress progress = new FollowerProgress(88, Instant.EPOCH);
+        progress.matched(80);
+        progress.sent(88);
+        progress.mismatched(79);
+        assertThat(progress.mode()).isEqualTo(FollowerProgress.Mode.PROBE);
+        assertThat(progress.nextIndex()).isEqualTo(81);
+    }
+
+    private MessageReceived append(long term, long prevIndex, LogEntry entry) {
+        long prevTerm = mFollower.mReducer.log().termAt(prevIndex);
+        AppendRequest append = new AppendRequest(term, prevIndex, prevTerm, List.of(entry), 0, 0);
+        return new MessageReceived(mLeader.mId, append);
+    }
+
     private static LogEntry entry(long index, long term) {
         return new LogEntry(index, term, LogEntry.Kind.NO_OP, new byte[0]);
     }
