--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -104,6 +104,16 @@
 
     @Override
     public void claim(ClaimRequest r, StreamObserver<ClaimReply> out) {
+        // Kept for no time, a claim would let the resend run a second time.
+        if (r.getKey().isEmpty() || r.getRetentionMillis() <= 0) {
+            PendingCalls.send(
+                    out,
+                    ClaimReply.newBuilder()
+                            .setCode(ResultCode.BAD_REQUEST.number())
+                            .setMessage("a claim needs a key and a time to be kept")
+                            .build());
+            return;
+        }
         propose(mCalls.open(out, Replies::claim), RequestCodec.toCore(r, Instant.EPOCH));
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ClaimTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ClaimTable.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,8 +21,8 @@
 final class ClaimTable {
     private final int mMaxClaims;
     private final Duration mMaxRetention;
-    private final Map<Key, Claim> mClaims = new HashMap<>();
-    private final TreeMap<Instant, List<Key>> mExpiries = new TreeMap<>();
+    private final Map<Key, Entry> mClaims = new HashMap<>();
+    private final TreeMap<Instant, List<Entry>> mExpiries = new TreeMap<>();
 
     /**
      * Creates an empty table.
@@ -37,15 +38,16 @@
     ClaimResult apply(Command.Claim c) {
         expire(c.at());
         Key key = new Key(c.account(), c.key());
-        Claim held = mClaims.get(key);
-        if (held == null) {
+        Entry entry = mClaims.get(key);
+        if (entry == null) {
             return grant(key, c);
         }
+        Claim held = entry.mClaim;
         if (held.fingerprint() != c.fingerprint()) {
             return held.result(ResultCode.IDEMPOTENCY_KEY_REUSED);
         }
         if (held.holder().equals(c.replaces()) && !held.settled()) {
-            forget(key, held);
+            forget(key, entry);
             return grant(key, c);
         }
         return held.result(ResultCode.OK);
@@ -55,7 +57,6 @@
         if (mClaims.size() >= mMaxClaims) {
             return ClaimResult.refused(ResultCode.CLAIM_UNAVAILABLE);
         }
-        Duration keep = c.retention().compareTo(mMaxRetention) < 0 ? c.retention() : mMaxRetention;
         Claim claim =
                 new Claim(
                         c.account(),
@@ -63,12 +64,19 @@
                         c.fingerprint(),
                         c.attempt(),
                         c.target(),
-                        c.at().plus(keep),
+                        expiry(c),
                         null);
         put(key, claim);
         return claim.result(ResultCode.OK);
     }
 
+    /** Whole seconds, so that many claims share the place that they have in the order of ends. */
+    private Instant expiry(Command.Claim c) {
+        boolean tooLong = c.retention().compareTo(mMaxRetention) > 0;
+        Instant end = c.at().plus(tooLong ? mMaxRetention : c.retention());
+        return end.truncatedTo(ChronoUnit.SECONDS).plusSeconds(1);
+    }
+
     /**
      * Records how a holder ended. A holder that was not run and will not be gives the key free;
      * whoever does not hold it changes nothing.
@@ -76,14 +84,14 @@
     ResultCode apply(Command.SettleClaim c) {
         expire(c.at());
         Key key = new Key(c.account(), c.key());
-        Claim held = mClaims.get(key);
-        if (held == null || !held.holder().equals(c.attempt()) || held.settled()) {
+        Entry entry = mClaims.get(key);
+        if (entry == null || !entry.mClaim.holder().equals(c.attempt()) || entry.mClaim.settled()) {
             return ResultCode.OK;
         }
         if (c.code().isNotRun()) {
-            forget(key, held);
+            forget(key, entry);
         } else {
-            mClaims.put(key, held.withSettled(c.code()));
+            entry.mClaim = entry.mClaim.withSettled(c.code());
         }
         return ResultCode.OK;
     }
@@ -93,29 +101,33 @@
     }
 
     private void put(Key key, Claim claim) {
-        mClaims.put(key, claim);
-        mExpiries.computeIfAbsent(claim.expires(), e -> new ArrayList<>(1)).add(key);
+        Entry entry = new Entry(claim);
+        mClaims.put(key, entry);
+        mExpiries.computeIfAbsent(claim.expires(), e -> new ArrayList<>()).add(entry);
     }
 
-    private void forget(Key key, Claim claim) {
+    private void forget(Key key, Entry entry) {
         mClaims.remove(key);
-        List<Key> sameTime = mExpiries.get(claim.expires());
-        sameTime.remove(key);
+        Instant expires = entry.mClaim.expires();
+        List<Entry> sameTime = mExpiries.get(expires);
+        sameTime.remove(entry);
         if (sameTime.isEmpty()) {
-            mExpiries.remove(claim.expires());
+            mExpiries.remove(expires);
         }
     }
 
     private void expire(Instant now) {
         while (!mExpiries.isEmpty() && !mExpiries.firstKey().isAfter(now)) {
-            mExpiries.pollFirstEntry().getValue().forEach(mClaims::remove);
+            for (Entry e : mExpiries.pollFirstEntry().getValue()) {
+                mClaims.remove(new Key(e.mClaim.account(), e.mClaim.key()));
+            }
         }
     }
 
     /** Returns every claim, the first to expire first, in the same order on every replica. */
     List<Claim> all() {
         List<Claim> all = new ArrayList<>(mClaims.size());
-        mExpiries.values().forEach(keys -> keys.forEach(k -> all.add(mClaims.get(k))));
+        mExpiries.values().forEach(entries -> entries.forEach(e -> all.add(e.mClaim)));
         return all;
     }
 
@@ -126,4 +138,13 @@
     }
 
     private record Key(String account, String key) {}
+
+    /** The place of a claim in both indexes; settling changes the claim and not the place. */
+    private static final class Entry {
+        private Claim mClaim;
+
+        private Entry(Claim claim) {
+            mClaim = claim;
+        }
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Freshness.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Freshness.java
@@ -18,6 +18,8 @@
     private final AgreementReducer mAgreement;
     private final Duration mFreshFor;
     private Instant mConfirmed = Instant.MIN;
+    private Instant mHeard;
+    private long mHeardCommit;
     private long mLeadingSince = Long.MAX_VALUE;
 
     Freshness(AgreementReducer agreement, Duration freshFor) {
@@ -29,14 +31,29 @@
     void received(Instant now, MessageReceived e) {
         boolean fromLeader = e.from().equals(mAgreement.leader());
         if (fromLeader
+                && mHeard == null
                 && e.message() instanceof AppendRequest a
-                && a.term() == mAgreement.term()
-                && a.commitIndex() <= mAgreement.commitIndex()) {
-            mConfirmed = now;
+                && a.term() == mAgreement.term()) {
+            mHeard = now;
+            mHeardCommit = a.commitIndex();
+        }
+        confirm();
+    }
+
+    /**
+     * What the leader had committed when it was heard is applied here. Waiting for that same
+     * message, rather than looking at the newest one only, keeps a follower that is always a little
+     * behind under load from being called stale.
+     */
+    private void confirm() {
+        if (mHeard != null && mHeardCommit <= mAgreement.commitIndex()) {
+            mConfirmed = mHeard;
+            mHeard = null;
         }
     }
 
     void roleChanged(Role role) {
+        mHeard = null;
         mLeadingSince = role == Role.LEADER ? mAgreement.commitIndex() : Long.MAX_VALUE;
     }
 
@@ -45,6 +62,7 @@
             // Until an entry of its own term is committed, a leader may not know of all others.
             return mAgreement.commitIndex() <= mLeadingSince;
         }
+        confirm();
         return mConfirmed.equals(Instant.MIN) || mConfirmed.plus(mFreshFor).isBefore(now);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -162,7 +162,17 @@
     private void refuse(long call, ResultCode code, ReplicaId leader) {
         boolean leaderless = code == ResultCode.NOT_LEADER && leader == null;
         ResultCode told = leaderless ? ResultCode.NO_QUORUM : code;
-        String message = mConfig.name() + " does not lead";
-        mEffects.accept(new Refuse(call, told, message, mConfig.addressOf(leader)));
+        mEffects.accept(new Refuse(call, told, message(told), mConfig.addressOf(leader)));
+    }
+
+    private String message(ResultCode code) {
+        return switch (code) {
+            case NOT_LEADER -> mConfig.name() + " does not lead";
+            case NO_QUORUM -> mConfig.name() + " knows of no leader with a quorum";
+            case OUTCOME_UNKNOWN -> "it may have been accepted; send the same again";
+            case MEMBERSHIP_CHANGE_PENDING ->
+                    "another change of replicas is under way, or the replica has not caught up";
+            default -> code.name();
+        };
     }
 }
