Let the own ranking take the place of a redirect to a lost server

A stopped sidecar left the membership while others still sent its chats there. Each such request spent a retry, and two callers of a burst of 60 were refused with 2012 although five engines had room.

--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Retries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Retries.java
@@ -61,12 +61,8 @@
         r.mFailure = new Failure(f.code(), f.message(), f.retryAfter());
         replaceClaim(r);
         if (!f.redirectTo().isEmpty() && r.mRedirects < MAX_REDIRECTS) {
-            r.mRedirects++;
-            Placements.Choice named = mPlacements.named(r, f.redirectTo());
-            if (named != null) {
-                send(s, r, named);
-                return;
-            }
+            redirect(s, r, f.redirectTo());
+            return;
         }
         if (f.redirectTo().isEmpty() && isFinal(f.code())) {
             mOutcomes.fail(s, r, r.mFailure);
@@ -75,6 +71,21 @@
         again(s, r, true);
     }
 
+    /**
+     * Follows a redirect. Where it leads to a backend server that this router does not know, or has
+     * tried, the router's own ranking takes its place: the sidecar may know of others, or be the
+     * one that does not know yet that the named one is gone.
+     */
+    private void redirect(Step s, ActiveRequest r, String named) {
+        r.mRedirects++;
+        Placements.Choice choice = mPlacements.named(r, named);
+        if (choice == null) {
+            next(s, r);
+        } else {
+            send(s, r, choice);
+        }
+    }
+
     /** Where no sidecar has room or time, asking more of them only adds to the load. */
     private static boolean isFinal(ResultCode code) {
         return code == ResultCode.OVERLOADED || code == ResultCode.DEADLINE_UNREACHABLE;
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -127,6 +127,17 @@
         assertThat(all(BeginAttempt.class)).hasSize(4);
     }
 
+    // A sidecar sends the request on to a backend server that is gone, which this router knows
+    // already. Counted as a retry, the caller would be refused once the budget is spent, although
+    // others have room; the router's own ranking takes the redirect's place.
+    @Test
+    void redirectToAnUnknownServerGivesWayToTheOwnRanking() {
+        arrive(1, true, "", POLICY);
+        refuse(ResultCode.CHAT_ELSEWHERE, "gone");
+        assertThat(all(BeginAttempt.class)).hasSize(2);
+        assertThat(last(BeginAttempt.class).request().redirects()).isEqualTo(1);
+    }
+
     @Test
     void overloadIsToldAtOnceWithTheTimeToComeBack() {
         arrive(1, true, "", POLICY);
