--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/ChatStream.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/ChatStream.java
@@ -56,6 +56,11 @@
         return Caller.get(mStatus);
     }
 
+    /** Returns the result code's number of an answer that is an error. */
+    public int code() {
+        return new Caller.Reply(status(), text(), "").code();
+    }
+
     /** Returns the lines so far. */
     public String text() {
         return String.join("\n", mLines);
