Measure heap by medians after compacting collections

Of the figures before, some were below zero: the serial collector leaves garbage in place in three of four collections, so the state before showed up in the next reading.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/ControlDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/ControlDriver.java
@@ -95,8 +95,7 @@
     /** Lets a sidecar exchange under a new session: one change for everyone. */
     void changeSidecar(int number, int session) {
         int index = number % mHeard.size();
-        Backend again =
-                Samples.backend(index * INSTANCES, mHeard.get(index).service(), session);
+        Backend again = Samples.backend(index * INSTANCES, mHeard.get(index).service(), session);
         mHeard.set(index, again);
         hear(again);
     }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/Heap.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/Heap.java
@@ -3,21 +3,37 @@
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryMXBean;
 import java.lang.ref.Reference;
+import java.util.Arrays;
 import java.util.function.Supplier;
 
-/** Measures what a state keeps on the heap, garbage left out. */
+/**
+ * Measures what a state keeps on the heap, garbage left out. Needs
+ * -XX:MarkSweepAlwaysCompactCount=1: else three of four collections leave some garbage where it is,
+ * and it counts as used.
+ */
 final class Heap {
     private static final MemoryMXBean sMemory = ManagementFactory.getMemoryMXBean();
 
-    /** The second collection takes what the first one only made ready to go. */
-    private static final int COLLECTIONS = 3;
+    private static final int ROUNDS = 3;
 
     private Heap() {}
 
-    /** Returns the bytes that a state keeps, all that it alone leads to included. */
+    /**
+     * Returns the bytes that a state keeps, all that it alone leads to included: the median of
+     * several, since the virtual machine's own objects come and go meanwhile. The first one also
+     * loads classes and fills caches, and is left out.
+     */
     static long bytesOf(Supplier<?> state) {
-        // The first one also loads classes and fills caches, which are not part of the state.
         state.get();
+        long[] bytes = new long[ROUNDS];
+        for (int i = 0; i < ROUNDS; i++) {
+            bytes[i] = measure(state);
+        }
+        Arrays.sort(bytes);
+        return bytes[ROUNDS / 2];
+    }
+
+    private static long measure(Supplier<?> state) {
         long before = used();
         Object kept = state.get();
         long after = used();
@@ -26,9 +42,7 @@
     }
 
     private static long used() {
-        for (int i = 0; i < COLLECTIONS; i++) {
-            System.gc();
-        }
+        System.gc();
         return sMemory.getHeapMemoryUsage().getUsed();
     }
 }
