--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/SidecarDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/SidecarDriver.java
@@ -51,6 +51,7 @@
                 new SidecarEvent.ExchangeAnswered(
                         Samples.delta(mVersion++, full, backends),
                         Samples.loads().subList(0, 1),
+                        true,
                         false,
                         0));
     }
