--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
@@ -24,7 +24,7 @@
     @TempDir Path mFolder;
 
     @ParameterizedTest
-    @ValueSource(ints = {1, 3, 5})
+    @ValueSource(ints = {1, 3, 5, 7})
     void changeIsAcceptedAndReadBack(int instances) throws Exception {
         try (ControlFleet fleet = new ControlFleet(mFolder, instances).startAll()) {
             ChangeSettingsReply changed = change(fleet, "change-1", "/service=seilhjerne", 0);
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -27,11 +27,9 @@
     private final String mSelf;
     private final MembershipLog mLog;
     private final SessionTable mSessions;
-    private final HeldBackends mHeld;
-    private final FlapDamper mDamper;
+    private final FlapGuard mFlaps;
     private final PeerTable mPeers;
     private final Orphans mOrphans;
-    private final ServiceCounts mCounts = new ServiceCounts();
     // Departures that a peer announced of sessions that are heard here all the same.
     private final Set<String> mDisputed = new HashSet<>();
 
@@ -48,8 +46,7 @@
         mSelf = config.control();
         mLog = new MembershipLog(config.control(), config.incarnation(), config.keepLeft());
         mSessions = new SessionTable(mTime, config.vanishAfter());
-        mHeld = new HeldBackends(mTime, config.vanishAfter());
-        mDamper = new FlapDamper(config);
+        mFlaps = new FlapGuard(mTime, config);
         mPeers = new PeerTable(mTime, config, peers);
         mOrphans = new Orphans(mTime, config.orphanAfter());
     }
@@ -64,7 +61,7 @@
      */
     public int hear(Instant now, SidecarReport report) {
         Backend b = report.backend();
-        if (mHeld.refresh(report)) {
+        if (mFlaps.refresh(report)) {
             return b.session();
         }
         Announcement known = mLog.get(b.ref().id());
@@ -111,7 +108,7 @@
         Backend b = report.backend();
         String id = b.ref().id();
         if (known != null && isCrashed(known, b)) {
-            mDamper.vanished(now, id);
+            mFlaps.vanished(now, id);
         }
         if (b.state() == Backend.State.LEFT) {
             mSessions.remove(id);
@@ -137,14 +134,11 @@
     }
 
     private boolean hold(Instant now, SidecarReport report) {
-        Backend b = report.backend();
-        Duration time = mDamper.holdTime(now, b.ref().id());
-        int limit = mDamper.holdLimit(mCounts.present(b.service()));
-        if (time.isZero() || mHeld.count(b.service()) >= limit) {
+        Duration time = mFlaps.hold(now, report);
+        if (time.isZero()) {
             return false;
         }
-        mHeld.hold(report, time);
-        mListener.changed(b, "held back for " + time.toSeconds() + " s", true);
+        mListener.changed(report.backend(), "held back for " + time.toSeconds() + " s", true);
         return true;
     }
 
@@ -167,7 +161,7 @@
         if (!mLog.merge(now, a)) {
             return false;
         }
-        mCounts.changed(before == null ? null : before.backend(), a.backend());
+        mFlaps.changed(before == null ? null : before.backend(), a.backend());
         return true;
     }
 
@@ -179,15 +173,15 @@
     public void tick(Instant now) {
         mTime.pass(now);
         for (Backend b : mSessions.removeSilent()) {
-            mDamper.vanished(now, b.ref().id());
+            mFlaps.vanished(now, b.ref().id());
             announce(now, b.withState(Backend.State.LEFT), "missed exchanges");
         }
-        for (SidecarReport r : mHeld.release()) {
+        for (SidecarReport r : mFlaps.release()) {
             admit(now, r, "held back long enough");
         }
         giveUpOrphans(now);
         mLog.forget(now);
-        mDamper.forget(now);
+        mFlaps.forget(now);
     }
 
     private void giveUpOrphans(Instant now) {
@@ -252,10 +246,10 @@
         mListener.changed(b, "heard by " + a.control(), false);
         boolean served = known != null && known.backend().state() == Backend.State.SERVING;
         if (served && b.state() == Backend.State.LEFT) {
-            mDamper.vanished(now, id);
+            mFlaps.vanished(now, id);
         }
         mSessions.remove(id);
-        mHeld.remove(id);
+        mFlaps.remove(id);
         mDisputed.remove(id);
         if (a.control().equals(mSelf)) {
             // From before this instance was started anew. Nobody else would miss it.
