--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -21,6 +21,7 @@
 import org.laurelweir.runtime.log.LogSettings;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceBlockingStub;
+import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceFutureStub;
 
 /** Some control instances in this process, each with its own folder. */
 final class ControlFleet implements AutoCloseable {
@@ -28,6 +29,7 @@
     private static final long RETRY_MILLIS = 20;
 
     private final Path mFolder;
+    private Duration mVanishAfter = Duration.ofSeconds(3);
     private final Map<String, Endpoint> mPeers = new TreeMap<>();
     private final Map<String, ControlProgram> mRunning = new TreeMap<>();
     private final Map<String, ManagedChannel> mChannels = new TreeMap<>();
@@ -59,6 +61,12 @@
         return ports;
     }
 
+    /** Sets after which silence a sidecar counts as gone, for instances started from now on. */
+    ControlFleet vanishAfter(Duration silence) {
+        mVanishAfter = silence;
+        return this;
+    }
+
     ControlFleet startAll() {
         mPeers.keySet().forEach(this::start);
         return this;
@@ -83,7 +91,7 @@
                         Optional.empty(),
                         Duration.ofMillis(500),
                         Duration.ofSeconds(1),
-                        Duration.ofSeconds(3),
+                        mVanishAfter,
                         1,
                         LogSettings.defaults());
         ControlProgram program = new ControlProgram(file, InstantSource.system(), line -> {});
@@ -95,6 +103,10 @@
         mRunning.remove(name).stop();
     }
 
+    String address(String name) {
+        return mPeers.get(name).toString();
+    }
+
     List<String> names() {
         return List.copyOf(mPeers.keySet());
     }
@@ -105,6 +117,10 @@
                 .withDeadlineAfter(DEADLINE);
     }
 
+    ControlServiceFutureStub futureStub(String name) {
+        return ControlServiceGrpc.newFutureStub(mChannels.get(name));
+    }
+
     /** Asks one instance after the other until one gives an answer that is wanted. */
     <R> R ask(Function<ControlServiceBlockingStub, R> call, Predicate<R> wanted) {
         long end = System.nanoTime() + DEADLINE.toNanos();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RequestResolver.java
@@ -1,7 +1,10 @@
 package org.laurelweir.router.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Header;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.router.http.HopHeaders;
@@ -24,6 +27,7 @@
     private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
     private static final String DEADLINE_HEADER = "X-Timeout-Ms";
     private static final String PRIORITY_HEADER = "X-Priority";
+    private static final String ENGINE_PRIORITY = "Priority";
     private static final int MAX_KEY_LENGTH = 255;
     private static final int MAX_PRIORITY = 9;
 
@@ -86,10 +90,18 @@
                         body.outputTokens(settings.get(SettingKeys.SERVICE_OUTPUT_TOKENS)));
         long chat = ChatRecognizer.keyOf(account, call, body, settings);
         boolean returning = ChatRecognizer.isReturning(body);
-        Origin origin = new Origin(account, service, chat, returning, body.isStreamed());
+        boolean idempotent = mayBeRepeated(call, settings);
+        Origin origin =
+                new Origin(account, service, chat, returning, body.isStreamed(), idempotent);
         return request(origin, call, cost, settings);
     }
 
+    /** Completing a chat changes nothing, so unlike other POSTs it may be repeated by default. */
+    private static boolean mayBeRepeated(HttpCall call, EffectiveSettings settings) {
+        return settings.get(SettingKeys.SERVICE_NON_IDEMPOTENT_CALLS).stream()
+                .noneMatch(p -> p.matches(call.method(), call.path()));
+    }
+
     private CallerRequest plain(String account, HttpCall call) {
         String service =
                 mSettings
@@ -99,7 +111,9 @@
         EffectiveSettings settings = settings(service, account, call, null);
         // A plain service spends no tokens; its calls count as one unit of work each.
         AttemptRequest.Cost cost = new AttemptRequest.Cost(0, 1);
-        return request(new Origin(account, service, 0, false, false), call, cost, settings);
+        boolean idempotent = settings.isIdempotent(call.method(), call.path());
+        Origin origin = new Origin(account, service, 0, false, false, idempotent);
+        return request(origin, call, cost, settings);
     }
 
     private static LaurelweirException unknownModel(String model) {
@@ -121,15 +135,22 @@
 
     /** Who asks what of whom. */
     private record Origin(
-            String account, String service, long chat, boolean returning, boolean streamed) {}
+            String account,
+            String service,
+            long chat,
+            boolean returning,
+            boolean streamed,
+            boolean idempotent) {}
 
     private static CallerRequest request(
             Origin o, HttpCall call, AttemptRequest.Cost cost, EffectiveSettings settings) {
+        int priority = priority(call, settings);
+        List<Header> headers = HopHeaders.passedOn(call);
         AttemptRequest.Call passedOn =
                 new AttemptRequest.Call(
                         call.method(),
                         call.uri(),
-                        HopHeaders.passedOn(call),
+                        o.chat() == 0 ? headers : forEngine(headers, priority),
                         call.body(),
                         o.streamed());
         return new CallerRequest(
@@ -138,15 +159,23 @@
                 o.chat(),
                 o.returning(),
                 passedOn,
-                settings.isIdempotent(call.method(), call.path()),
+                o.idempotent(),
                 idempotencyKey(call),
                 deadline(call, settings),
-                priority(call, settings),
+                priority,
                 cost,
                 Policies.request(settings),
                 Policies.outliers(settings));
     }
 
+    /** An engine is told the priority in force; browsers put something else under that name. */
+    private static List<Header> forEngine(List<Header> headers, int priority) {
+        List<Header> all = new ArrayList<>(headers);
+        all.removeIf(h -> h.name().equalsIgnoreCase(ENGINE_PRIORITY));
+        all.add(new Header(ENGINE_PRIORITY, Integer.toString(priority)));
+        return all;
+    }
+
     private static String idempotencyKey(HttpCall call) {
         String key = call.header(IDEMPOTENCY_KEY).strip();
         if (key.length() > MAX_KEY_LENGTH) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -44,13 +44,7 @@
         mRelay = new Relay(mSidecarServer.port());
         mControl.set("/", deploymentSettings);
         mControl.set("/account=broker", Map.of("account.key-digests", KeyDigest.of(KEY)));
-        mControl.set(
-                "/service=hjerne",
-                Map.of(
-                        "service.models",
-                        "hjerne-1",
-                        "service.idempotent-calls",
-                        "POST /v1/chat/completions"));
+        mControl.set("/service=hjerne", Map.of("service.models", "hjerne-1"));
         mControl.set(
                 "/service=bok",
                 Map.of("service.kind", "plain", "service.path-prefix", "/havnebok"));
@@ -128,6 +122,14 @@
                 .build();
     }
 
+    HttpRequest order() {
+        return HttpRequest.newBuilder(uri("/havnebok/orders"))
+                .header("Authorization", "Bearer " + KEY)
+                .header("Idempotency-Key", "order-7")
+                .POST(HttpRequest.BodyPublishers.ofString("stores"))
+                .build();
+    }
+
     static String question(String text) {
         return "{\"model\":\"hjerne-1\",\"messages\":[{\"role\":\"user\",\"content\":\""
                 + text
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Header;
 
 /** What callers see of a whole router. */
 class RouterProgramTest {
@@ -47,6 +48,7 @@
         FakeSidecarServer.Session s = session();
         assertThat(s.mRequest.account()).isEqualTo("broker");
         assertThat(s.mRequest.idempotent()).isTrue();
+        assertThat(s.mRequest.call().headers()).contains(new Header("Priority", "5"));
         assertThat(s.mRequest.call().headers()).noneMatch(h -> h.value().contains("Bearer"));
         assertThat(mFixture.mOutput.poll())
                 .isEqualTo("listening on " + mFixture.mRouter.endpoint());
@@ -94,6 +96,14 @@
         assertThat(session().mRequest.call().path()).isEqualTo("/havnebok/kai/7?dag=3");
     }
 
+    @Test
+    void orderWithAKeyIsSentOnceItsClaimIsGranted() throws Exception {
+        assertThat(mFixture.mHttp.send(mFixture.order(), RouterFixture.text()).body())
+                .isEqualTo("ok");
+        assertThat(session().mRequest.idempotent()).isFalse();
+        assertThat(mFixture.mControl.mClaims.poll().getKey()).isEqualTo("order-7");
+    }
+
     @Test
     void modelsAreListed() throws Exception {
         HttpResponse<String> answer =
