--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -16,6 +16,9 @@
 import org.laurelweir.agreement.MembershipChange.Promote;
 import org.laurelweir.agreement.MembershipChange.Remove;
 import org.laurelweir.agreement.ReplicaMessage.AppendRequest;
+import org.laurelweir.agreement.ReplicaMessage.PreVoteReply;
+import org.laurelweir.agreement.ReplicaMessage.PreVoteRequest;
+import org.laurelweir.agreement.ReplicaMessage.SnapshotChunk;
 import org.laurelweir.agreement.ReplicaMessage.VoteReply;
 import org.laurelweir.agreement.ReplicaMessage.VoteRequest;
 import org.laurelweir.lib.ResultCode;
@@ -148,7 +151,11 @@
     @Test
     void votesForNobodyWhileTheLeaderIsHeard() {
         VoteRequest request = new VoteRequest(99, 99, 98);
+        PreVoteRequest before = new PreVoteRequest(99, 99, 98);
         for (TestReplica r : mNetwork.up()) {
+            PreVoteReply refused = new PreVoteReply(r.mReducer.term(), false);
+            assertThat(mNetwork.effectsOf(r, new MessageReceived(mLeader.mId, before)))
+                    .contains(new Send(mLeader.mId, refused));
             mNetwork.step(r, new MessageReceived(new ReplicaId("removed", 1), request));
         }
         assertThat(mNetwork.up()).allMatch(r -> r.mReducer.term() < 99);
@@ -171,9 +178,66 @@
     void refusesEntriesThatDoNotContinueTheLog() {
         long last = mFollower.mReducer.log().lastIndex();
         long term = mLeader.mReducer.term();
-        LogEntry entry = new LogEntry(last + 2, term, LogEntry.Kind.NO_OP, new byte[0]);
-        AppendRequest gap = new AppendRequest(term, last + 1, -1, List.of(entry), last + 2, 0);
+        List<LogEntry> entries = List.of(entry(last + 2, term));
+        AppendRequest gap = new AppendRequest(term, last + 1, -1, entries, last + 2, 0);
         mNetwork.step(mFollower, new MessageReceived(mLeader.mId, gap));
         assertThat(mFollower.mReducer.log().lastIndex()).isEqualTo(last);
     }
+
+    // Callers see: nothing lost. Order: entries are being synced as a new leader replaces the last
+    // two; the first sync ends, the second has not. Why: what was replaced no longer counts.
+    @Test
+    void aSyncOfReplacedEntriesDoesNotCount() {
+        Durability durability = new Durability();
+        durability.write(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+        durability.flush(e -> {});
+        durability.write(List.of(entry(2, 2), entry(3, 2)));
+        durability.flush(e -> {});
+        durability.persisted(1);
+        assertThat(durability.durableIndex()).isEqualTo(1);
+        durability.persisted(2);
+        assertThat(durability.durableIndex()).isEqualTo(3);
+    }
+
+    // Callers see: nothing lost. Order: a follower's log ends in an old term at the index at which
+    // the
+    // leader's snapshot ends in a newer one. Why: what the disk holds after it belongs to no
+    // history.
+    @Test
+    void discardsALogThatTheSnapshotDoesNotContinue() {
+        long index = mFollower.mReducer.log().lastIndex() + 1;
+        long term = mLeader.mReducer.term();
+        mNetwork.step(mFollower, append(term, index - 1, entry(index, term)));
+        mNetwork.syncAndRunLocal(mFollower);
+        Membership members = mLeader.mReducer.membership();
+        SnapshotChunk chunk =
+                new SnapshotChunk(term + 1, index, term + 1, members, 0, 0, new byte[0], 0);
+        assertThat(mNetwork.effectsOf(mFollower, new MessageReceived(mLeader.mId, chunk)))
+                .anyMatch(e -> e instanceof Persist p && p.discardLog());
+    }
+
+    // Callers see: the follower catches up. Order: a follower whose log ends in a long term, of
+    // which
+    // the leader holds only the first entry, names the index before that term (found by a
+    // property).
+    // Why: the leader goes on after the match, and does not take the refusal for a late one.
+    @Test
+    void probesAfterTheMatchWhenTheHintLiesBeforeIt() {
+        FollowerProgress progress = new FollowerProgress(88, Instant.EPOCH);
+        progress.matched(80);
+        progress.sent(88);
+        progress.mismatched(79);
+        assertThat(progress.mode()).isEqualTo(FollowerProgress.Mode.PROBE);
+        assertThat(progress.nextIndex()).isEqualTo(81);
+    }
+
+    private MessageReceived append(long term, long prevIndex, LogEntry entry) {
+        long prevTerm = mFollower.mReducer.log().termAt(prevIndex);
+        AppendRequest append = new AppendRequest(term, prevIndex, prevTerm, List.of(entry), 0, 0);
+        return new MessageReceived(mLeader.mId, append);
+    }
+
+    private static LogEntry entry(long index, long term) {
+        return new LogEntry(index, term, LogEntry.Kind.NO_OP, new byte[0]);
+    }
 }
