--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Seating.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Seating.java
@@ -59,7 +59,7 @@
     private void sendOrPlace(Step step, Attempt attempt, String server) {
         Candidate there = mMembers.view().candidate(server);
         boolean takesWork = there != null && !there.draining() && !mAdmission.isSelf(server);
-        if (takesWork && attempt.request().redirects() == 0) {
+        if (takesWork) {
             mAdmission.sendElsewhere(step, attempt, server);
             return;
         }
