--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerNode.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerNode.java
@@ -123,6 +123,7 @@
                 new SidecarEvent.ExchangeAnswered(
                         new MembershipDelta(now, !same, backends),
                         List.of(new ServiceLoad(service(), mean, view.size())),
+                        true,
                         mEngine.isDraining(),
                         0));
     }
