Write the log with one class instead of two

DiskWriter, which the control program used, repeated LogWriter, which only its test used. LogWriter stays, and the program turns its callbacks into events.

DiskWriter ended by a Persist with the greatest sequence, which could go to the storage and be reported as synced; LogWriter compared with a Persist of sequence 0. Stopping is now a flag beside the waiting effects, so nothing that is not an effect passes through the storage. At a stop, what waits is still written, as LogWriter's test asks; DiskWriter dropped it, and nobody had been told of it either way. A failure that is not the disk's own keeps the code INTERNAL at the exit, as before.

The program closes the storage, which it opened.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.laurelweir.agreement.AgreementEvent.SnapshotTaken;
-import org.laurelweir.control.replica.DiskWriter;
 import org.laurelweir.control.rpc.PeerCalls;
 import org.laurelweir.control.rpc.PendingCalls;
+import org.laurelweir.control.storage.LogWriter;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.coordination.LogCodec;
@@ -15,7 +15,7 @@
 final class ControlEffects implements Consumer<ControlEffect> {
     private final PendingCalls mCalls;
     private final PeerCalls mPeers;
-    private final DiskWriter mDisk;
+    private final LogWriter mLog;
     private final LogCodec mCodec;
     private final Executor mBackground;
     private final Consumer<ControlEvent> mEvents;
@@ -25,14 +25,14 @@
     ControlEffects(
             PendingCalls calls,
             PeerCalls peers,
-            DiskWriter disk,
+            LogWriter log,
             LogCodec codec,
             Executor background,
             Consumer<ControlEvent> events,
             ControlMetrics metrics) {
         mCalls = calls;
         mPeers = peers;
-        mDisk = disk;
+        mLog = log;
         mCodec = codec;
         mBackground = background;
         mEvents = events;
@@ -51,7 +51,7 @@
             mCalls.answer(a);
         } else if (e instanceof ControlEffect.Persist p) {
             mWritten = true;
-            mDisk.write(p.persist());
+            mLog.persist(p.persist());
         } else if (e instanceof ControlEffect.SendToReplica s) {
             mPeers.send(s.send());
         } else if (e instanceof ControlEffect.AskPeer a) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -16,10 +16,10 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laurelweir.agreement.AgreementConfig;
+import org.laurelweir.agreement.AgreementEvent.Persisted;
 import org.laurelweir.agreement.AgreementEvent.Recovered;
 import org.laurelweir.agreement.HardState;
 import org.laurelweir.agreement.ReplicaId;
-import org.laurelweir.control.replica.DiskWriter;
 import org.laurelweir.control.replica.FirstMembership;
 import org.laurelweir.control.replica.FirstSettings;
 import org.laurelweir.control.rpc.ControlRpc;
@@ -29,6 +29,7 @@
 import org.laurelweir.control.rpc.ReplicaRpc;
 import org.laurelweir.control.storage.FileLogStorage;
 import org.laurelweir.control.storage.LogStorage;
+import org.laurelweir.control.storage.LogWriter;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
@@ -73,7 +74,7 @@
     private final CompletableFuture<ReducerLoop<ControlEvent, ControlEffect>> mLoop =
             new CompletableFuture<>();
     private LogStorage mStorage;
-    private DiskWriter mDisk;
+    private LogWriter mLog;
     private RpcServer mServer;
     private ControlEffects mEffects;
     private MetricsServer mMetricsServer;
@@ -143,10 +144,9 @@
 
     private void startReducer(
             ReplicaId self, Map<String, String> others, PeerCalls peers, Recovered recovered) {
-        mDisk = new DiskWriter(mStorage, this::offer, ControlProgram::fail);
+        mLog = new LogWriter(mStorage, this::persisted, ControlProgram::fail);
         mEffects =
-                new ControlEffects(
-                        mCalls, peers, mDisk, mCodec, mBackground, this::offer, mMetrics);
+                new ControlEffects(mCalls, peers, mLog, mCodec, mBackground, this::offer, mMetrics);
         Map<String, String> addresses = new TreeMap<>(others);
         addresses.put(mFile.name(), address().toString());
         long incarnation = mClock.instant().toEpochMilli();
@@ -164,7 +164,7 @@
                         ControlProgram::fail);
         // First of all events: before it the replica knows neither its vote nor its log.
         loop.offer(new ControlEvent.Replica(recovered));
-        mDisk.start();
+        mLog.start();
         loop.start();
         mLoop.complete(loop);
     }
@@ -216,6 +216,10 @@
         mLoop.join().offer(event);
     }
 
+    private void persisted(long sequence) {
+        offer(new ControlEvent.Replica(new Persisted(sequence)));
+    }
+
     private static void fail(Throwable failure) {
         ResultCode code =
                 failure instanceof LaurelweirException e ? e.getCode() : ResultCode.INTERNAL;
@@ -230,7 +234,8 @@
         mBackground.shutdownNow();
         if (mLoop.isDone()) {
             mLoop.join().stop();
-            mDisk.stop();
+            mLog.stop();
+            mStorage.close();
         }
         mChannels.stop();
         if (mMetricsServer != null) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/replica/package-info.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/replica/package-info.java
@@ -1,4 +1,2 @@
-/**
- * The shell around the replicated log: the disk's thread, the first membership, the first settings.
- */
+/** What a replica does at its very first start: the first membership, the first settings. */
 package org.laurelweir.control.replica;
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogWriter.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogWriter.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.laurelweir.agreement.AgreementEffect.Persist;
@@ -17,24 +15,20 @@
  * shell turns them into events.
  */
 public final class LogWriter implements Service {
-    /**
-     * Ends the thread. Not an interrupt, which would close the channel in the middle of a write.
-     */
-    private static final Persist STOP = new Persist(0, null, null, false, List.of());
-
-    private final BlockingQueue<Persist> mQueue = new LinkedBlockingQueue<>();
     private final LogStorage mStorage;
     private final LongConsumer mPersisted;
     private final Consumer<LaurelweirException> mFailed;
     private final Thread mThread = new Thread(this::run, "log-writer");
+    private List<Persist> mWaiting = new ArrayList<>();
+    private boolean mStopping;
 
     /**
      * Creates a writer.
      *
      * @param storage closed by its owner, after this has stopped
      * @param persisted told of each sequence up to which all has been synced
-     * @param failed told once that the disk failed; nothing is persisted any more, and the replica
-     *     must stop
+     * @param failed told once that the disk or the writer failed; nothing is persisted any more,
+     *     and the replica must stop
      */
     public LogWriter(
             LogStorage storage, LongConsumer persisted, Consumer<LaurelweirException> failed) {
@@ -49,14 +43,18 @@
     }
 
     /** Hands over one effect. Called by one thread, in the order of the sequences. */
-    public void persist(Persist effect) {
-        mQueue.add(effect);
+    public synchronized void persist(Persist effect) {
+        mWaiting.add(effect);
+        notifyAll();
     }
 
-    /** Persists what has been handed over, then ends. */
+    /**
+     * Persists what has been handed over, then ends. The thread is not interrupted: that would
+     * close the file channel in the middle of a write.
+     */
     @Override
     public void stop() {
-        mQueue.add(STOP);
+        requestStop();
         try {
             mThread.join();
         } catch (InterruptedException e) {
@@ -64,40 +62,36 @@
         }
     }
 
-    private void run() {
-        List<Persist> batch = new ArrayList<>();
-        boolean stopped = false;
-        while (!stopped) {
-            batch.clear();
-            take(batch);
-            stopped = batch.remove(STOP);
-            if (!batch.isEmpty() && !write(batch)) {
-                return;
-            }
-        }
+    private synchronized void requestStop() {
+        mStopping = true;
+        notifyAll();
     }
 
-    private void take(List<Persist> batch) {
+    private void run() {
         try {
-            batch.add(mQueue.take());
-            mQueue.drainTo(batch);
+            List<Persist> batch = take();
+            while (!batch.isEmpty()) {
+                mStorage.persist(batch);
+                mPersisted.accept(batch.get(batch.size() - 1).sequence());
+                batch = take();
+            }
         } catch (InterruptedException e) {
-            batch.add(STOP);
-        }
-    }
-
-    private boolean write(List<Persist> batch) {
-        try {
-            mStorage.persist(batch);
+            Thread.currentThread().interrupt();
         } catch (LaurelweirException e) {
             mFailed.accept(e);
-            return false;
         } catch (RuntimeException e) {
             mFailed.accept(
-                    new LaurelweirException(ResultCode.DISK_FAILED, "the log writer failed", e));
-            return false;
+                    new LaurelweirException(ResultCode.INTERNAL, "the log writer failed", e));
+        }
+    }
+
+    /** Waits for effects and takes all of them; none once stopped. */
+    private synchronized List<Persist> take() throws InterruptedException {
+        while (mWaiting.isEmpty() && !mStopping) {
+            wait();
         }
-        mPersisted.accept(batch.get(batch.size() - 1).sequence());
-        return true;
+        List<Persist> batch = mWaiting;
+        mWaiting = new ArrayList<>();
+        return batch;
     }
 }
