--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/whole/package-info.java
@@ -0,0 +1,2 @@
+/** What bin/measure-path needs beside the programs that it measures. */
+package org.laurelweir.benchmarks.whole;
