--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -9,6 +9,7 @@
 import org.laurelweir.agreement.AgreementEffect;
 import org.laurelweir.agreement.AgreementEvent;
 import org.laurelweir.agreement.AgreementReducer;
+import org.laurelweir.agreement.Membership;
 import org.laurelweir.agreement.MembershipChange;
 import org.laurelweir.agreement.ReplicaId;
 import org.laurelweir.agreement.Role;
@@ -59,13 +60,21 @@
         return new ControlPresence(
                 mConfig.replica(),
                 mConfig.address(),
-                mAgreement.role() == Role.LEADER,
+                leads(),
                 mAgreement.term(),
                 mAgreement.commitIndex(),
                 isPossiblyStale(now),
                 mAgreement.membership());
     }
 
+    boolean leads() {
+        return mAgreement.role() == Role.LEADER;
+    }
+
+    Membership members() {
+        return mAgreement.membership();
+    }
+
     void step(Instant now, AgreementEvent event, Consumer<? super ControlEffect> effects) {
         mNow = now;
         mEffects = effects;
@@ -153,7 +162,17 @@
     private void refuse(long call, ResultCode code, ReplicaId leader) {
         boolean leaderless = code == ResultCode.NOT_LEADER && leader == null;
         ResultCode told = leaderless ? ResultCode.NO_QUORUM : code;
-        String message = mConfig.name() + " does not lead";
-        mEffects.accept(new Refuse(call, told, message, mConfig.addressOf(leader)));
+        mEffects.accept(new Refuse(call, told, message(told), mConfig.addressOf(leader)));
+    }
+
+    private String message(ResultCode code) {
+        return switch (code) {
+            case NOT_LEADER -> mConfig.name() + " does not lead";
+            case NO_QUORUM -> mConfig.name() + " knows of no leader with a quorum";
+            case OUTCOME_UNKNOWN -> "it may have been accepted; send the same again";
+            case MEMBERSHIP_CHANGE_PENDING ->
+                    "another change of replicas is under way, or the replica has not caught up";
+            default -> code.name();
+        };
     }
 }
