--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
@@ -5,7 +5,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.SortedSet;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -80,10 +82,10 @@
 
     /** Returns every node, sorted by path. */
     public List<SettingsNode> nodes() {
-        List<SettingsNode> all = new ArrayList<>(mNodes.size());
-        mNodes.forEach((path, node) -> all.add(node));
-        all.sort(Comparator.comparing(SettingsNode::path));
-        return all;
+        // By the map's keys: a path makes its text anew for each comparison.
+        SortedMap<String, SettingsNode> byPath = new TreeMap<>();
+        mNodes.forEach(byPath::put);
+        return new ArrayList<>(byPath.values());
     }
 
     /**
