--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterDriver.java
@@ -66,6 +66,7 @@
     RouterEffect.BeginAttempt arrive(long chat) {
         mNow = mNow.plusMillis(1);
         mCaller++;
+        mBegun = null;
         CallerRequest request =
                 new CallerRequest(
                         Samples.account((int) (mCaller % ACCOUNTS)),
@@ -81,6 +82,9 @@
                         POLICY,
                         OutlierConfig.DEFAULT);
         step(new RouterEvent.RequestArrived(mCaller, request));
+        if (mBegun == null) {
+            throw new IllegalStateException("not sent, so nothing would be measured: " + mCaller);
+        }
         return mBegun;
     }
 
