Check that no order of steps loses an inbox's wake-up

No test could fail reliably where Inbox loses a wake-up. Lincheck's test of put and poll never parks, and the one that parks meets the gap only by luck. Modelling the whole inbox with Lincheck did not help by itself: it lets parkNanos and park return without cause, as the platform may, so that a consumer which sleeps on goes unseen.

Parking now stands behind Parker, and the test's parker sleeps until woken. The test's queue is the JDK's: Lincheck fails to transform org.agrona.UnsafeApi (VerifyError).

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/loop/Inbox.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/loop/Inbox.java
@@ -1,6 +1,7 @@
 package org.laurelweir.runtime.loop;
 
 import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.locks.LockSupport;
 import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
 
@@ -16,7 +17,8 @@
 public final class Inbox<E> {
     private static final long FULL_PARK_NANOS = 100_000;
 
-    private final ManyToOneConcurrentArrayQueue<E> mQueue;
+    private final Queue<E> mQueue;
+    private final Parker mParker;
     private final ArrayDeque<E> mOwn = new ArrayDeque<>();
     private volatile Thread mConsumer;
     private volatile boolean mParked;
@@ -27,7 +29,13 @@
      * @param capacity most elements that wait before producers do
      */
     public Inbox(int capacity) {
-        mQueue = new ManyToOneConcurrentArrayQueue<>(capacity);
+        this(new ManyToOneConcurrentArrayQueue<>(capacity), Parker.DEFAULT);
+    }
+
+    /** For tests that model the threads' steps. */
+    Inbox(Queue<E> queue, Parker parker) {
+        mQueue = queue;
+        mParker = parker;
     }
 
     /** Makes the calling thread the consumer. */
@@ -71,14 +79,14 @@
         // Looked at again after the flag is up: a producer that saw the flag down has added its
         // element before, so it is seen here; one that saw it up unparks.
         if (mOwn.isEmpty() && mQueue.isEmpty()) {
-            LockSupport.parkNanos(this, nanos);
+            mParker.park(this, nanos);
         }
         mParked = false;
     }
 
     private void wake() {
         if (mParked) {
-            LockSupport.unpark(mConsumer);
+            mParker.unpark(mConsumer);
         }
     }
 }
