--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SidecarKilledTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/SidecarKilledTest.java
@@ -48,6 +48,9 @@
             s.clearFaults();
         }
         sFleet.awaitServing(sRouter);
+        // A restarted sidecar refuses what is meant for its earlier run until the router hears of
+        // it.
+        sFleet.awaitReached(sRouter, sPlains);
     }
 
     @AfterAll
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -40,6 +40,7 @@
     private final List<StandIn> mStandIns = new ArrayList<>();
     private final List<FleetConnection> mConnections = new ArrayList<>();
     private ControlClient mControl;
+    private int mProbes;
 
     private final Builder mBuilder;
 
@@ -245,6 +246,16 @@
         }
     }
 
+    /** Returns once a router's calls reach each of some plain services as it runs now. */
+    public void awaitReached(FleetProcess router, List<StandIn> plains) {
+        for (StandIn p : plains) {
+            String path = "/havnebok/reach-" + mProbes++;
+            Await.until(
+                    "calls at " + p.sidecar().name(),
+                    () -> isOk(router.port(), path) && !p.runsOfPath(path).isEmpty());
+        }
+    }
+
     /** Returns how many backend servers control knows in a state. */
     public long backends(BackendState state) {
         return control().status().getBackendsList().stream()
