Don't start requests on a wait that rounds to nothing

AccountLimits answers how long to wait, and zero for "may start". The wait is now rounded up. The new test fails without that.

--- a/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
@@ -29,7 +29,8 @@
         }
         if (u.mTokens < 1) {
             double seconds = (1 - u.mTokens) / policy.accountRate();
-            return Duration.ofNanos((long) (Math.min(MAX_WAIT_SECONDS, seconds) * NANOS));
+            // Rounded up: a wait below a nanosecond would else read as "may start", uncounted.
+            return Duration.ofNanos((long) Math.ceil(Math.min(MAX_WAIT_SECONDS, seconds) * NANOS));
         }
         u.mTokens--;
         u.mRunning++;
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -147,21 +147,41 @@
         assertThat(error.retryAfter()).isEqualTo(Duration.ofSeconds(3));
     }
 
+    private static RequestPolicy limited(int maxRunning, double rate) {
+        RequestPolicy p = POLICY;
+        return new RequestPolicy(
+                p.boundFactor(),
+                p.maxAttempts(),
+                p.retryBudgetShare(),
+                p.backoffMin(),
+                p.backoffMax(),
+                p.accountWeight(),
+                maxRunning,
+                rate,
+                p.claimRetention(),
+                p.silence());
+    }
+
+    // An account asks so often that its refills of a tenth each add up to a hair less than one
+    // start. What is missing takes less than a nanosecond, and must not count as nothing missing:
+    // all that came at that moment would start.
+    @Test
+    void hairMissingFromOneStartIsStillMissing() {
+        RequestPolicy slow = limited(100, 1);
+        arrive(1, true, "", slow);
+        for (long caller = 2; caller <= 11; caller++) {
+            pass(Duration.ofMillis(100));
+            arrive(caller, true, "", slow);
+        }
+        arrive(12, true, "", slow);
+        arrive(13, true, "", slow);
+        assertThat(all(BeginAttempt.class)).hasSizeLessThanOrEqualTo(2);
+        assertThat(last(AnswerError.class).caller()).isEqualTo(13);
+    }
+
     @Test
     void accountsAreHeldToTheirLimits() {
-        RequestPolicy p = POLICY;
-        RequestPolicy narrow =
-                new RequestPolicy(
-                        p.boundFactor(),
-                        p.maxAttempts(),
-                        p.retryBudgetShare(),
-                        p.backoffMin(),
-                        p.backoffMax(),
-                        p.accountWeight(),
-                        1,
-                        2,
-                        p.claimRetention(),
-                        p.silence());
+        RequestPolicy narrow = limited(1, 2);
         arrive(1, true, "", narrow);
         arrive(2, true, "", narrow);
         assertThat(last(AnswerError.class).code()).isEqualTo(ResultCode.ACCOUNT_LIMIT);
