Hold account limits across routers by equal shares

account.max-running and account.rate bounded each router on its own, so with 360 routers an account could reach 360 times its limit. They are now the deployment's values: control tells each router how many serve (a new field of the exchange's reply), and a router holds limit x 1.25 / count, at least one running request. A lower count counts only after 30 s without a higher one, since a control instance that has just started has heard few routers.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterDriver.java
@@ -112,6 +112,6 @@
     void exchange(boolean full, List<Backend> backends) {
         step(
                 new RouterEvent.ExchangeAnswered(
-                        Samples.delta(mVersion++, full, backends), Samples.loads()));
+                        Samples.delta(mVersion++, full, backends), Samples.loads(), 1));
     }
 }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
@@ -39,7 +39,8 @@
                 ExchangeReply.newBuilder()
                         .setMembership(MembershipCodec.toWire(a.membership()))
                         .setSettings(SettingsCodec.toWire(a.settings()))
-                        .setPossiblyStale(a.possiblyStale());
+                        .setPossiblyStale(a.possiblyStale())
+                        .setRouters(a.routers());
         a.loads().forEach(l -> reply.addLoads(MembershipCodec.toWire(l)));
         if (a.orders() != null) {
             reply.setDrain(a.orders().drain())
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ExchangeTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ExchangeTest.java
@@ -11,6 +11,7 @@
 import org.laurelweir.control.history.SimulatedControls.Node;
 import org.laurelweir.coordination.Command;
 import org.laurelweir.coordination.ControlEffect.AnswerExchange;
+import org.laurelweir.coordination.ControlEffect.AnswerPeer;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
@@ -21,8 +22,6 @@
 /** What sidecars and routers are told by instances in contact with a quorum, and by others. */
 class ExchangeTest {
     private static final long SEED = 1601;
-    private static final RouterReport ROUTER =
-            new RouterReport("r1", 1, "bergen", "vestkyst", "", "");
 
     private final SimulatedControls mControls = new SimulatedControls(3, SEED);
 
@@ -43,11 +42,16 @@
     }
 
     private AnswerExchange router(Node node, long position) {
+        return router(node, "r1", position);
+    }
+
+    private AnswerExchange router(Node node, String name, long position) {
+        RouterReport report = new RouterReport(name, 1, "bergen", "vestkyst", "", "");
         return exchange(
                 node,
                 call ->
                         new ControlEvent.RouterExchanged(
-                                call, ROUTER, MembershipCursor.NONE, position));
+                                call, report, MembershipCursor.NONE, position));
     }
 
     private AnswerExchange sidecar(Node node, Backend.State state) {
@@ -93,6 +97,33 @@
         assertThat(router(cutOff, 0).possiblyStale()).isFalse();
     }
 
+    // Account limits are shared out by the count, so an instance must also count the routers that
+    // exchange with others. It hears of them from its peers, and forgets the silent after a minute.
+    @Test
+    void routersOfAllInstancesAreCounted() {
+        mControls.heal();
+        Node asked = mControls.mNodes.get(0);
+        for (Node n : mControls.mNodes) {
+            router(n, "router-of-" + n.mId.name(), 0);
+            share(n, asked);
+        }
+        assertThat(router(asked, "router-of-c0", 0).routers()).isEqualTo(3);
+        mControls.run(75_000);
+        assertThat(router(asked, "router-of-c0", 0).routers()).isEqualTo(1);
+    }
+
+    private void share(Node from, Node to) {
+        List<AnswerPeer> answers = new ArrayList<>();
+        from.call(
+                call -> new ControlEvent.PeerAsked(call, MembershipCursor.NONE, true),
+                a -> answers.add((AnswerPeer) a));
+        mControls.run(10);
+        AnswerPeer told = answers.get(0);
+        to.offer(
+                new ControlEvent.PeerAnswered(
+                        from.mId.name(), told.share(), told.routers(), told.status()));
+    }
+
     // A router has newer settings than the instance that it asks. It must not be given the older
     // ones as if they were a change.
     @Test
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -82,7 +82,9 @@
         }
         takeSettings(answer);
         mControls.accept(answer.controls());
-        mEvents.accept(new RouterEvent.ExchangeAnswered(answer.membership(), answer.loads()));
+        mEvents.accept(
+                new RouterEvent.ExchangeAnswered(
+                        answer.membership(), answer.loads(), answer.routers()));
     }
 
     private synchronized void takeSettings(ExchangeAnswer answer) {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
@@ -19,6 +19,7 @@
  * @param drain whether an operator wants this backend server drained; for sidecars
  * @param fence the highest fencing number of this backend server; for sidecars
  * @param controls every control instance, host:port
+ * @param routers routers that serve, 0 if not told; for routers
  */
 public record ExchangeAnswer(
         MembershipDelta membership,
@@ -28,7 +29,8 @@
         Duration nextExchange,
         boolean drain,
         long fence,
-        List<String> controls) {
+        List<String> controls,
+        int routers) {
 
     static ExchangeAnswer of(ExchangeReply reply) {
         return new ExchangeAnswer(
@@ -39,6 +41,7 @@
                 Duration.ofMillis(reply.getNextExchangeMillis()),
                 reply.getDrain(),
                 reply.getFence(),
-                List.copyOf(reply.getControlsList()));
+                List.copyOf(reply.getControlsList()),
+                reply.getRouters());
     }
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReply.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReply.java
@@ -260,6 +260,21 @@
     return leastSession_;
   }
 
+  public static final int ROUTERS_FIELD_NUMBER = 10;
+  private int routers_ = 0;
+  /**
+   * <pre>
+   * Routers that serve, by which account limits are shared out (routers only).
+   * </pre>
+   *
+   * <code>uint32 routers = 10;</code>
+   * @return The routers.
+   */
+  @java.lang.Override
+  public int getRouters() {
+    return routers_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -301,6 +316,9 @@
     if (leastSession_ != 0) {
       output.writeUInt32(9, leastSession_);
     }
+    if (routers_ != 0) {
+      output.writeUInt32(10, routers_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -350,6 +368,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(9, leastSession_);
     }
+    if (routers_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, routers_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -389,6 +411,8 @@
         .equals(other.getControlsList())) return false;
     if (getLeastSession()
         != other.getLeastSession()) return false;
+    if (getRouters()
+        != other.getRouters()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -429,6 +453,8 @@
     }
     hash = (37 * hash) + LEAST_SESSION_FIELD_NUMBER;
     hash = (53 * hash) + getLeastSession();
+    hash = (37 * hash) + ROUTERS_FIELD_NUMBER;
+    hash = (53 * hash) + getRouters();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -592,6 +618,7 @@
       controls_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       leastSession_ = 0;
+      routers_ = 0;
       return this;
     }
 
@@ -670,6 +697,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.leastSession_ = leastSession_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.routers_ = routers_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -774,6 +804,9 @@
       if (other.getLeastSession() != 0) {
         setLeastSession(other.getLeastSession());
       }
+      if (other.getRouters() != 0) {
+        setRouters(other.getRouters());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -858,6 +891,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              routers_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1711,6 +1749,50 @@
       onChanged();
       return this;
     }
+
+    private int routers_ ;
+    /**
+     * <pre>
+     * Routers that serve, by which account limits are shared out (routers only).
+     * </pre>
+     *
+     * <code>uint32 routers = 10;</code>
+     * @return The routers.
+     */
+    @java.lang.Override
+    public int getRouters() {
+      return routers_;
+    }
+    /**
+     * <pre>
+     * Routers that serve, by which account limits are shared out (routers only).
+     * </pre>
+     *
+     * <code>uint32 routers = 10;</code>
+     * @param value The routers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRouters(int value) {
+
+      routers_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that serve, by which account limits are shared out (routers only).
+     * </pre>
+     *
+     * <code>uint32 routers = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRouters() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      routers_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReplyOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReplyOrBuilder.java
@@ -148,4 +148,14 @@
    * @return The leastSession.
    */
   int getLeastSession();
+
+  /**
+   * <pre>
+   * Routers that serve, by which account limits are shared out (routers only).
+   * </pre>
+   *
+   * <code>uint32 routers = 10;</code>
+   * @return The routers.
+   */
+  int getRouters();
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -35,6 +35,7 @@
      * Answer an exchange.
      *
      * @param orders what only a sidecar is told, or null
+     * @param routers routers that serve; 0 to a sidecar
      */
     record AnswerExchange(
             long call,
@@ -42,7 +43,8 @@
             SettingsDelta settings,
             List<ServiceLoad> loads,
             boolean possiblyStale,
-            SidecarOrders orders)
+            SidecarOrders orders,
+            int routers)
             implements Answer {}
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Exchanges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Exchanges.java
@@ -43,7 +43,8 @@
                         withoutAccounts(settings(e.settingsPosition())),
                         List.of(mMembership.load(b.service())),
                         isPossiblyStale(now, e.settingsPosition()),
-                        orders));
+                        orders,
+                        0));
     }
 
     void answer(Instant now, RouterExchanged e, Consumer<? super ControlEffect> effects) {
@@ -55,7 +56,8 @@
                         settings(e.settingsPosition()),
                         mMembership.loads(),
                         isPossiblyStale(now, e.settingsPosition()),
-                        null));
+                        null,
+                        mRouters.count()));
     }
 
     private SettingsDelta settings(long position) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/RouterTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/RouterTable.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Routers by name, as heard here or told by peers, for operators. */
+/** Routers by name, as heard here or told by peers, for operators and account limits. */
 final class RouterTable {
     private static final Duration KEPT = Duration.ofMinutes(1);
 
@@ -33,6 +33,11 @@
         return new ArrayList<>(mOwn.values());
     }
 
+    /** Returns how many routers serve. One that left without a word counts for a minute more. */
+    int count() {
+        return mAll.size();
+    }
+
     List<RouterPresence> all() {
         return new ArrayList<>(mAll.values());
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/AccountLimits.java
@@ -5,7 +5,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Bounds each client account's requests on this router: how many run and how many start. */
+/**
+ * Bounds each client account's requests: how many run and how many start. The limits are the
+ * deployment's; this router holds its share of them.
+ */
 final class AccountLimits {
     private static final Duration WHILE_FULL = Duration.ofSeconds(1);
 
@@ -15,6 +18,12 @@
     private static final double NANOS = 1e9;
 
     private final Map<String, Usage> mUsages = new HashMap<>();
+    private final RouterCount mRouters = new RouterCount();
+
+    /** Takes note of how many routers serve. */
+    void onRouters(Instant now, int routers) {
+        mRouters.told(now, routers);
+    }
 
     /**
      * Counts a request in, if its account may start it.
@@ -22,13 +31,15 @@
      * @return zero if it may, else when to come back
      */
     Duration admit(Instant now, String account, RequestPolicy policy) {
-        Usage u = mUsages.computeIfAbsent(account, a -> new Usage(now, policy.accountRate()));
-        u.refill(now, policy.accountRate());
-        if (u.mRunning >= policy.accountMaxRunning()) {
+        double rate = mRouters.share(policy.accountRate());
+        Usage u = mUsages.computeIfAbsent(account, a -> new Usage(now, rate));
+        u.refill(now, rate);
+        // At least one each: an account with a low limit would else be shut out everywhere.
+        if (u.mRunning >= Math.ceil(mRouters.share(policy.accountMaxRunning()))) {
             return WHILE_FULL;
         }
         if (u.mTokens < 1) {
-            double seconds = (1 - u.mTokens) / policy.accountRate();
+            double seconds = (1 - u.mTokens) / rate;
             // Rounded up: a wait below a nanosecond would else read as "may start", uncounted.
             return Duration.ofNanos((long) Math.ceil(Math.min(MAX_WAIT_SECONDS, seconds) * NANOS));
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RequestPolicy.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RequestPolicy.java
@@ -11,8 +11,8 @@
  * @param backoffMin shortest wait before a retry
  * @param backoffMax longest wait before a retry
  * @param accountWeight the client account's share when accounts compete
- * @param accountMaxRunning most requests of the account in flight on this router
- * @param accountRate requests a second that the account may start on this router
+ * @param accountMaxRunning most requests of the account in flight in the deployment
+ * @param accountRate requests a second that the account may start in the deployment
  * @param claimRetention how long past its deadline a claim on an idempotency key holds
  * @param silence longest time without a frame before the connection is taken as lost
  */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
@@ -58,8 +58,12 @@
             ResultCode settledCode)
             implements RouterEvent {}
 
-    /** A control instance answered an exchange. */
-    record ExchangeAnswered(MembershipDelta membership, List<ServiceLoad> loads)
+    /**
+     * A control instance answered an exchange.
+     *
+     * @param routers routers that serve, this one included, or 0 if not told
+     */
+    record ExchangeAnswered(MembershipDelta membership, List<ServiceLoad> loads, int routers)
             implements RouterEvent {}
 
     /** No control instance answered. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -72,6 +72,7 @@
             mPlacements.prune();
         }
         mPlacements.onMeans(answer.loads());
+        mLimits.onRouters(now, answer.routers());
     }
 
     private void onTick(Step s) {
@@ -106,7 +107,7 @@
     private void onArrived(Step s, long caller, CallerRequest request) {
         Duration wait = mLimits.admit(s.now(), request.account(), request.policy());
         if (!wait.isZero()) {
-            String message = "the client account has reached its limit on this router";
+            String message = "the client account has reached this router's share of its limit";
             s.emit(new RouterEffect.AnswerError(caller, ResultCode.ACCOUNT_LIMIT, message, wait));
             return;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -78,7 +78,9 @@
                     SettingKey.builder("account.max-running", SettingType.COUNT)
                             .by("1000000")
                             .range("0", "1000000")
-                            .doc("Most requests of a client account in flight on one router."));
+                            .doc(
+                                    "Most requests of a client account in flight in the"
+                                            + " deployment."));
 
     public static final SettingKey<Double> ACCOUNT_RATE =
             add(
@@ -86,8 +88,8 @@
                             .by("1000000")
                             .range("0", "1000000")
                             .doc(
-                                    "Requests a second that a client account may start on one"
-                                            + " router."));
+                                    "Requests a second that a client account may start in the"
+                                            + " deployment."));
 
     public static final SettingKey<List<String>> ACCOUNT_KEY_DIGESTS =
             add(
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/AccountShareTest.java
@@ -0,0 +1,211 @@
+package org.laurelweir.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.placement.OutlierConfig;
+
+/** One client account's limits, held by several routers that don't talk to each other. */
+class AccountShareTest {
+    private static final MembershipDelta ONE_BACKEND =
+            new MembershipDelta(
+                    new MembershipCursor("c", 1, 1),
+                    true,
+                    List.of(
+                            new Backend(
+                                    new BackendRef("s", 1),
+                                    "svc",
+                                    "dc",
+                                    "rg",
+                                    "s",
+                                    Backend.State.SERVING,
+                                    1,
+                                    1)));
+
+    private final List<Router> mRouters = new ArrayList<>();
+    private Instant mNow = Instant.EPOCH;
+    private long mCallers;
+
+    @BeforeTry
+    void reset() {
+        mRouters.clear();
+        mNow = Instant.EPOCH;
+    }
+
+    // The account's callers see: together at most 1.25 times the limit runs, and one for each
+    // router. Order: routers join one by one and hear of it late; requests come to any of them and
+    // end at any time. Why: each holds its share of the count that it heard last.
+    @Property(seed = "11", tries = 300, shrinking = ShrinkingMode.OFF)
+    void runningStaysUnderTheLimitOnceAllHaveHeard(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 12) int routers,
+            @ForAll @IntRange(max = 200) int limit) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RequestPolicy policy = policy(limit, 1_000_000);
+        for (int i = 1; i <= routers; i++) {
+            Router joined = new Router(i);
+            mRouters.add(joined);
+            joined.told(i);
+            load(random, policy, 50);
+        }
+        // What began under an older, larger share ends; it is never cut.
+        mRouters.forEach(r -> r.told(routers));
+        mRouters.forEach(Router::endAll);
+        for (int i = 0; i < 20; i++) {
+            load(random, policy, 50);
+            assertThat(running()).isLessThanOrEqualTo((int) (limit * 1.25) + routers);
+        }
+        mRouters.forEach(r -> r.begin(policy, 3 * limit));
+        assertThat(running()).isGreaterThanOrEqualTo(limit);
+    }
+
+    // The same for the rate: over any time from an idle start, 1.25 times the rate and what each
+    // router may start at once.
+    @Property(seed = "12", tries = 300, shrinking = ShrinkingMode.OFF)
+    void startsStayUnderTheRateOnceAllHaveHeard(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 12) int routers,
+            @ForAll @IntRange(min = 1, max = 100) int rate) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RequestPolicy policy = policy(1_000_000, rate);
+        for (int i = 0; i < routers; i++) {
+            mRouters.add(new Router(i));
+            mRouters.get(i).told(routers);
+        }
+        double burst = Math.max(routers, 1.25 * rate);
+        for (int i = 0; i < 200; i++) {
+            mNow = mNow.plusMillis(random.nextInt(100));
+            mRouters.get(random.nextInt(routers)).begin(policy, random.nextInt(10));
+            double seconds = mNow.toEpochMilli() / 1e3;
+            assertThat((double) running()).isLessThanOrEqualTo(burst + 1.25 * rate * seconds + 0.1);
+        }
+    }
+
+    // Callers see: no surge. Order: a control instance restarts and tells of the one router that it
+    // has heard yet, then of all. Why: a lower count counts once no higher came for half a minute.
+    @Example
+    void aControlInstanceThatJustStartedRaisesNoShare() {
+        Router r = new Router(1);
+        mRouters.add(r);
+        r.told(10);
+        r.told(1);
+        r.begin(policy(80, 1_000_000), 80);
+        assertThat(running()).isEqualTo(10);
+        mNow = mNow.plus(RouterCount.HOLD);
+        r.told(1);
+        r.begin(policy(80, 1_000_000), 80);
+        assertThat(running()).isEqualTo(80);
+    }
+
+    private void load(SplittableRandom random, RequestPolicy policy, int steps) {
+        for (int i = 0; i < steps; i++) {
+            Router r = mRouters.get(random.nextInt(mRouters.size()));
+            if (random.nextInt(3) > 0) {
+                r.begin(policy, random.nextInt(20));
+            } else {
+                r.endOne();
+            }
+        }
+    }
+
+    private int running() {
+        return mRouters.stream().mapToInt(r -> r.mRunning.size()).sum();
+    }
+
+    private static RequestPolicy policy(int maxRunning, double rate) {
+        RequestPolicy p = RequestPolicy.DEFAULT;
+        return new RequestPolicy(
+                p.boundFactor(),
+                p.maxAttempts(),
+                p.retryBudgetShare(),
+                p.backoffMin(),
+                p.backoffMax(),
+                p.accountWeight(),
+                maxRunning,
+                rate,
+                p.claimRetention(),
+                p.silence());
+    }
+
+    private final class Router {
+        private final RouterReducer mReducer;
+        private final ArrayDeque<Long> mRunning = new ArrayDeque<>();
+        private final Set<Long> mRefused = new HashSet<>();
+
+        Router(int number) {
+            mReducer =
+                    new RouterReducer(
+                            new RouterConfig("r" + number, 1, number, Duration.ofSeconds(1), 16));
+        }
+
+        void told(int routers) {
+            give(new RouterEvent.ExchangeAnswered(ONE_BACKEND, List.of(), routers));
+        }
+
+        void begin(RequestPolicy policy, int requests) {
+            for (int i = 0; i < requests; i++) {
+                long caller = ++mCallers;
+                give(new RouterEvent.RequestArrived(caller, request(policy)));
+                if (!mRefused.contains(caller)) {
+                    mRunning.add(caller);
+                }
+            }
+        }
+
+        void endOne() {
+            if (!mRunning.isEmpty()) {
+                give(new RouterEvent.CallerGone(mRunning.poll()));
+            }
+        }
+
+        void endAll() {
+            while (!mRunning.isEmpty()) {
+                endOne();
+            }
+        }
+
+        private void give(RouterEvent event) {
+            mReducer.step(mNow, event, this::take);
+        }
+
+        private void take(RouterEffect effect) {
+            if (effect instanceof RouterEffect.AnswerError e) {
+                mRefused.add(e.caller());
+            }
+        }
+    }
+
+    private static CallerRequest request(RequestPolicy policy) {
+        return new CallerRequest(
+                "account",
+                "svc",
+                1,
+                false,
+                new AttemptRequest.Call("POST", "/x", List.of(), new byte[0], false),
+                true,
+                "",
+                Duration.ofHours(1),
+                5,
+                new AttemptRequest.Cost(1, 1),
+                policy,
+                OutlierConfig.DEFAULT);
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
@@ -112,7 +112,7 @@
         MembershipCursor cursor = new MembershipCursor("c", 1, mVersion);
         MembershipDelta delta = new MembershipDelta(cursor, true, backends);
         for (int i = 0; i < ROUTERS; i++) {
-            give(i, new RouterEvent.ExchangeAnswered(delta, List.of()));
+            give(i, new RouterEvent.ExchangeAnswered(delta, List.of(), ROUTERS));
         }
     }
 
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -48,7 +48,7 @@
     private static RouterEvent exchange(boolean full, List<Backend> backends) {
         MembershipCursor cursor = new MembershipCursor("c", 1, 1);
         return new RouterEvent.ExchangeAnswered(
-                new MembershipDelta(cursor, full, backends), List.of());
+                new MembershipDelta(cursor, full, backends), List.of(), 1);
     }
 
     private void give(RouterEvent event) {
