Keep and explain decisions by one class in both programs

The router's ring and its message of a decision were copies of the runtime's DecisionRing and the wire's DecisionCodec. The two had already drifted apart: the sidecar's ring finds all attempts by the request's name, the router's only exact names. The router decides under the request's name, for which both find the same; it now has the wider one. The answer itself, with its usual limit, moves to Explanations in the runtime, which both services call.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
@@ -4,10 +4,10 @@
 import java.util.function.Consumer;
 import org.laurelweir.router.rpc.ClaimCalls;
 import org.laurelweir.router.rpc.ControlExchange;
-import org.laurelweir.router.rpc.DecisionRing;
 import org.laurelweir.router.rpc.SidecarCalls;
 import org.laurelweir.routing.RouterEffect;
 import org.laurelweir.runtime.log.DecisionLog;
+import org.laurelweir.runtime.log.DecisionRing;
 
 /** Carries the decisions out. Only the decision loop's thread calls it. */
 final class Effects implements Consumer<RouterEffect> {
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/rpc/SidecarService.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/rpc/SidecarService.java
@@ -7,8 +7,8 @@
 import org.laurelweir.admission.SidecarEvent;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.runtime.log.DecisionRing;
+import org.laurelweir.runtime.rpc.Explanations;
 import org.laurelweir.wire.AttemptCodec;
-import org.laurelweir.wire.DecisionCodec;
 import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.v1.AttemptFrame;
 import org.laurelweir.wire.v1.AttemptMessage;
@@ -26,8 +26,6 @@
 
 /** Turns calls into events and answers them when the decision is there. */
 public final class SidecarService extends SidecarServiceGrpc.SidecarServiceImplBase {
-    private static final int DEFAULT_LIMIT = 20;
-
     private final AttemptStreams mStreams;
     private final Consumer<SidecarEvent> mEvents;
     private final DecisionRing mRing;
@@ -112,11 +110,7 @@
 
     @Override
     public void explain(ExplainRequest request, StreamObserver<ExplainReply> reply) {
-        int limit = request.getLimit() == 0 ? DEFAULT_LIMIT : request.getLimit();
-        ExplainReply.Builder found = ExplainReply.newBuilder();
-        mRing.find(request.getSubject(), limit)
-                .forEach(d -> found.addDecisions(DecisionCodec.toWire(d)));
-        reply.onNext(found.build());
+        reply.onNext(Explanations.answer(mRing, request));
         reply.onCompleted();
     }
 }
