Build attempt requests by name instead of by position

AttemptRequest has 15 components, of which several share a type: a swapped pair (priority and redirects, the two durations) compiled. Its builder is used by the router, the codec, the benchmark's samples and the fixtures; the admission fixture was a builder of its own and is now a few named starts. The tests keep their requests and their assertions; only how a request is written changed. The codec's round trip covers every setter.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/Samples.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/Samples.java
@@ -116,22 +116,15 @@
 
     /** Returns a request that another sidecar sent on, so that it is placed where it arrives. */
     static AttemptRequest request(AttemptId id, BackendRef target, String account, long chat) {
-        return new AttemptRequest(
-                id,
-                target,
-                account,
-                service(0),
-                chat,
-                false,
-                call(),
-                true,
-                "",
-                Duration.ofHours(1),
-                5,
-                COST,
-                1,
-                1,
-                Duration.ZERO);
+        return AttemptRequest.builder(id, target)
+                .account(account, 1)
+                .service(service(0))
+                .chat(chat, false)
+                .call(call())
+                .priority(5)
+                .cost(COST)
+                .redirects(1)
+                .build();
     }
 
     static Command.Claim claim(Instant at, int number) {
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -117,22 +117,15 @@
                         body,
                         streamed);
         AttemptRequest r =
-                new AttemptRequest(
-                        id(request),
-                        mSidecar.self(),
-                        "account",
-                        "seilhjerne",
-                        11,
-                        false,
-                        call,
-                        idempotent,
-                        "",
-                        Duration.ofMinutes(1),
-                        0,
-                        new AttemptRequest.Cost(10, tokens),
-                        0,
-                        1,
-                        Duration.ZERO);
+                AttemptRequest.builder(id(request), mSidecar.self())
+                        .account("account", 1)
+                        .service("seilhjerne")
+                        .chat(11, false)
+                        .call(call)
+                        .idempotent(idempotent)
+                        .timeLeft(Duration.ofMinutes(1))
+                        .cost(new AttemptRequest.Cost(10, tokens))
+                        .build();
         return AttemptMessage.newBuilder().setBegin(AttemptCodec.toWire(r)).build();
     }
 
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/AttemptCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/AttemptCodec.java
@@ -52,22 +52,19 @@
                         toCore(b.getHeadersList()),
                         b.getBody().toByteArray(),
                         b.getStreamed());
-        return new AttemptRequest(
-                IdCodec.toCore(b.getAttempt()),
-                IdCodec.toCore(b.getTarget()),
-                b.getAccount(),
-                b.getService(),
-                b.getChat(),
-                b.getReturning(),
-                call,
-                b.getIdempotent(),
-                b.getIdempotencyKey(),
-                Duration.ofMillis(b.getDeadlineMillis()),
-                b.getPriority(),
-                new AttemptRequest.Cost(b.getPromptTokens(), b.getOutputTokens()),
-                b.getRedirects(),
-                b.getAccountWeight(),
-                Duration.ofMillis(b.getKeepOutputMillis()));
+        return AttemptRequest.builder(IdCodec.toCore(b.getAttempt()), IdCodec.toCore(b.getTarget()))
+                .account(b.getAccount(), b.getAccountWeight())
+                .service(b.getService())
+                .chat(b.getChat(), b.getReturning())
+                .call(call)
+                .idempotent(b.getIdempotent())
+                .idempotencyKey(b.getIdempotencyKey())
+                .timeLeft(Duration.ofMillis(b.getDeadlineMillis()))
+                .priority(b.getPriority())
+                .cost(new AttemptRequest.Cost(b.getPromptTokens(), b.getOutputTokens()))
+                .redirects(b.getRedirects())
+                .keepOutput(Duration.ofMillis(b.getKeepOutputMillis()))
+                .build();
     }
 
     /** Returns the message of a frame. */
--- a/org.laurelweir.wire/src/test/java/org/laurelweir/wire/AttemptCodecTest.java
+++ b/org.laurelweir.wire/src/test/java/org/laurelweir/wire/AttemptCodecTest.java
@@ -83,22 +83,19 @@
             Duration time,
             int number,
             boolean flag) {
-        return new AttemptRequest(
-                id,
-                target,
-                text + "-account",
-                text + "-service",
-                id.routerIncarnation(),
-                flag,
-                call,
-                !flag,
-                text,
-                time,
-                -number,
-                new AttemptRequest.Cost(number, number / 2),
-                number % 3,
-                number / 8.0,
-                time.plusMillis(7));
+        return AttemptRequest.builder(id, target)
+                .account(text + "-account", number / 8.0)
+                .service(text + "-service")
+                .chat(id.routerIncarnation(), flag)
+                .call(call)
+                .idempotent(!flag)
+                .idempotencyKey(text)
+                .timeLeft(time)
+                .priority(-number)
+                .cost(new AttemptRequest.Cost(number, number / 2))
+                .redirects(number % 3)
+                .keepOutput(time.plusMillis(7))
+                .build();
     }
 
     @Provide
--- a/org.laurelweir/src/main/java/org/laurelweir/attempt/AttemptRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/attempt/AttemptRequest.java
@@ -41,26 +41,36 @@
         double accountWeight,
         Duration keepOutput) {
 
+    /**
+     * Returns a builder of a request that is idempotent, of no chat, and not urgent.
+     *
+     * @param id names the attempt
+     * @param target the run of the sidecar that the router means
+     */
+    public static Builder builder(AttemptId id, BackendRef target) {
+        return new Builder(id, target);
+    }
+
     /** Returns this request without its body, for a process that has passed the body on. */
     public AttemptRequest withoutBody() {
         Call bare =
                 new Call(call.method(), call.path(), call.headers(), new byte[0], call.streamed());
-        return new AttemptRequest(
-                id,
-                target,
-                account,
-                service,
-                chat,
-                returning,
-                bare,
-                idempotent,
-                idempotencyKey,
-                timeLeft,
-                priority,
-                cost,
-                redirects,
-                accountWeight,
-                keepOutput);
+        return toBuilder().call(bare).build();
+    }
+
+    private Builder toBuilder() {
+        return builder(id, target)
+                .account(account, accountWeight)
+                .service(service)
+                .chat(chat, returning)
+                .call(call)
+                .idempotent(idempotent)
+                .idempotencyKey(idempotencyKey)
+                .timeLeft(timeLeft)
+                .priority(priority)
+                .cost(cost)
+                .redirects(redirects)
+                .keepOutput(keepOutput);
     }
 
     /**
@@ -82,4 +92,119 @@
      * @param outputTokens tokens that will be generated
      */
     public record Cost(int promptTokens, int outputTokens) {}
+
+    /** Builds an {@link AttemptRequest}. */
+    public static final class Builder {
+        /** The longest that a caller can set. */
+        private static final Duration LONGEST = Duration.ofHours(1);
+
+        private final AttemptId mId;
+        private final BackendRef mTarget;
+        private String mAccount = "";
+        private double mAccountWeight = 1;
+        private String mService = "";
+        private long mChat;
+        private boolean mReturning;
+        private Call mCall = new Call("GET", "/", List.of(), new byte[0], false);
+        private boolean mIdempotent = true;
+        private String mIdempotencyKey = "";
+        private Duration mTimeLeft = LONGEST;
+        private int mPriority;
+        private Cost mCost = new Cost(0, 0);
+        private int mRedirects;
+        private Duration mKeepOutput = Duration.ZERO;
+
+        private Builder(AttemptId id, BackendRef target) {
+            mId = id;
+            mTarget = target;
+        }
+
+        /** Sets the client account and its share when accounts compete. */
+        public Builder account(String account, double weight) {
+            mAccount = account;
+            mAccountWeight = weight;
+            return this;
+        }
+
+        /** Sets the service of the backend server. */
+        public Builder service(String service) {
+            mService = service;
+            return this;
+        }
+
+        /** Sets the chat's key, or 0 for none, and whether the chat has earlier turns. */
+        public Builder chat(long chat, boolean returning) {
+            mChat = chat;
+            mReturning = returning;
+            return this;
+        }
+
+        /** Sets the HTTP call to make. */
+        public Builder call(Call call) {
+            mCall = call;
+            return this;
+        }
+
+        /** Sets whether running the call twice is harmless. */
+        public Builder idempotent(boolean idempotent) {
+            mIdempotent = idempotent;
+            return this;
+        }
+
+        /** Sets the caller's key, or empty for none. */
+        public Builder idempotencyKey(String key) {
+            mIdempotencyKey = key;
+            return this;
+        }
+
+        /** Sets the time until the caller's deadline, as of sending. */
+        public Builder timeLeft(Duration left) {
+            mTimeLeft = left;
+            return this;
+        }
+
+        /** Sets the priority; higher goes first. */
+        public Builder priority(int priority) {
+            mPriority = priority;
+            return this;
+        }
+
+        /** Sets what the call is expected to spend. */
+        public Builder cost(Cost cost) {
+            mCost = cost;
+            return this;
+        }
+
+        /** Sets how many sidecars have passed the request on before. */
+        public Builder redirects(int redirects) {
+            mRedirects = redirects;
+            return this;
+        }
+
+        /** Sets how long the finished output stays available to a resend. */
+        public Builder keepOutput(Duration keepOutput) {
+            mKeepOutput = keepOutput;
+            return this;
+        }
+
+        /** Returns the request. */
+        public AttemptRequest build() {
+            return new AttemptRequest(
+                    mId,
+                    mTarget,
+                    mAccount,
+                    mService,
+                    mChat,
+                    mReturning,
+                    mCall,
+                    mIdempotent,
+                    mIdempotencyKey,
+                    mTimeLeft,
+                    mPriority,
+                    mCost,
+                    mRedirects,
+                    mAccountWeight,
+                    mKeepOutput);
+        }
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Attempts.java
@@ -43,21 +43,18 @@
 
     private static AttemptRequest message(Step s, ActiveRequest r) {
         CallerRequest q = r.mRequest;
-        return new AttemptRequest(
-                r.mAttempt,
-                r.mTarget.ref(),
-                q.account(),
-                q.service(),
-                q.chat(),
-                q.returning(),
-                q.call(),
-                q.idempotent(),
-                q.idempotencyKey(),
-                r.timeLeft(s.now()),
-                q.priority(),
-                q.cost(),
-                r.mRedirects,
-                q.policy().accountWeight(),
-                r.needsClaim() ? q.policy().claimRetention() : Duration.ZERO);
+        return AttemptRequest.builder(r.mAttempt, r.mTarget.ref())
+                .account(q.account(), q.policy().accountWeight())
+                .service(q.service())
+                .chat(q.chat(), q.returning())
+                .call(q.call())
+                .idempotent(q.idempotent())
+                .idempotencyKey(q.idempotencyKey())
+                .timeLeft(r.timeLeft(s.now()))
+                .priority(q.priority())
+                .cost(q.cost())
+                .redirects(r.mRedirects)
+                .keepOutput(r.needsClaim() ? q.policy().claimRetention() : Duration.ZERO)
+                .build();
     }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
@@ -17,6 +17,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
@@ -112,17 +113,17 @@
         }
 
         private void arrive(int which, int how) {
-            AttemptId id = new AttemptId("router-1", 1, ++mCount, 1);
+            AttemptId id = Requests.id(++mCount);
             // A few requests cost many times what the others do.
             int tokens = how % 8 == 0 ? 50 + how % 3000 : 1 + how % 200;
-            Requests r =
-                    Requests.request(id)
+            AttemptRequest.Builder r =
+                    Requests.request(mCount)
                             .account("account-" + which % 4, 1 + which % 3)
                             .priority(which % 2)
-                            .bodyBytes(how % 900)
+                            .call(Requests.call(how % 900))
                             .redirects(which % 3)
                             .timeLeft(Duration.ofMillis(100L + how % 10_000))
-                            .outputTokens(tokens);
+                            .cost(Requests.output(tokens));
             mWaiting.put(id, mNow);
             mBodyBytes.put(id, how % 900);
             step(new SidecarEvent.AttemptBegun(mCount, r.build()));
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptHistoryTest.java
@@ -17,6 +17,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.AttemptState;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.AttemptId;
@@ -147,9 +148,10 @@
             if (mBegunAt.computeIfAbsent(id, i -> mIncarnation) != mIncarnation) {
                 return;
             }
-            Requests request = Requests.request(id).target(target(id)).outputTokens(5000);
+            AttemptRequest.Builder request =
+                    Requests.request(id, target(id)).cost(Requests.output(5000));
             if (how % 3 == 0) {
-                request.key("key", Duration.ofMinutes(5));
+                request.idempotent(false).idempotencyKey("key").keepOutput(Duration.ofMinutes(5));
             }
             mStreams.put(++mStreamCount, new StreamCheck(id, 0));
             step(new SidecarEvent.AttemptBegun(mStreamCount, request.build()));
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptMemoryTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptMemoryTest.java
@@ -15,7 +15,7 @@
 class AttemptMemoryTest {
     private static final BackendRef SELF = new BackendRef("engine-1", 1);
     private static final Duration LONG = Duration.ofMinutes(66);
-    private static final AttemptId ID = Requests.request(5).build().id();
+    private static final AttemptId ID = Requests.id(5);
 
     private final SidecarDriver mSidecar = new SidecarDriver();
 
@@ -61,13 +61,9 @@
     void fullMemoryForgetsSafely() {
         AttemptMemory memory = new AttemptMemory(LONG, 2, 10);
         for (long request = 1; request <= 3; request++) {
-            memory.put(
-                    Instant.EPOCH,
-                    Requests.request(request).build().id(),
-                    AttemptMemory.Past.NEVER_STARTED);
+            memory.put(Instant.EPOCH, Requests.id(request), AttemptMemory.Past.NEVER_STARTED);
         }
         assertThat(memory.size()).isEqualTo(2);
-        assertThat(memory.find(Requests.request(1).build().id()))
-                .isEqualTo(AttemptMemory.Past.FORGOTTEN);
+        assertThat(memory.find(Requests.id(1))).isEqualTo(AttemptMemory.Past.FORGOTTEN);
     }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
@@ -11,7 +11,7 @@
 
 /** How long output is kept, and what happens to attempts that nobody follows. */
 class AttemptOutputTest {
-    private static final AttemptId ID = Requests.request(1).build().id();
+    private static final AttemptId ID = Requests.id(1);
     private static final Duration KEEP_TIME = SidecarSettings.DEFAULT.output().keepTime();
 
     private final SidecarDriver mSidecar = new SidecarDriver();
@@ -95,12 +95,12 @@
     @Test
     void fullStoreDropsDeliveredAnswersFirst() {
         long limit = SidecarSettings.DEFAULT.output().totalBytes();
-        AttemptId delivered = Requests.request(2).build().id();
-        AttemptId next = Requests.request(3).build().id();
-        long lost = mSidecar.begin(Requests.request(1).key("a", Duration.ofHours(1)));
+        AttemptId delivered = Requests.id(2);
+        AttemptId next = Requests.id(3);
+        long lost = mSidecar.begin(Requests.order(1, "a", Duration.ofHours(1)));
         mSidecar.step(new SidecarEvent.StreamClosed(lost));
         mSidecar.answer(ID, new byte[3]);
-        mSidecar.begin(Requests.request(2).key("b", Duration.ofHours(1)));
+        mSidecar.begin(Requests.order(2, "b", Duration.ofHours(1)));
         mSidecar.answer(delivered, new byte[(int) limit - (1 << 19)]);
         mSidecar.begin(Requests.request(3));
         mSidecar.step(new SidecarEvent.EngineAnswered(next, 200, List.of()));
@@ -117,7 +117,7 @@
     // answer is still there, although its first reader had acknowledged all of it.
     @Test
     void keyedAnswerStaysForItsResend() {
-        mSidecar.begin(Requests.request(1).key("order-7", Duration.ofMinutes(5)));
+        mSidecar.begin(Requests.order(1, "order-7", Duration.ofMinutes(5)));
         mSidecar.step(new SidecarEvent.EngineAnswered(ID, 201, List.of()));
         mSidecar.step(new SidecarEvent.EngineSent(ID, new byte[10]));
         mSidecar.step(new SidecarEvent.OutputAcknowledged(ID, 10));
@@ -133,9 +133,9 @@
     // reach nobody; the order that may run only once runs on, since a resend will ask for it.
     @Test
     void unfollowedCallIsCancelledUnlessAResendWillAskForIt() {
-        AttemptId order = Requests.request(2).build().id();
+        AttemptId order = Requests.id(2);
         long first = mSidecar.begin(Requests.request(1));
-        long second = mSidecar.begin(Requests.request(2).key("order-7", Duration.ofMinutes(5)));
+        long second = mSidecar.begin(Requests.order(2, "order-7", Duration.ofMinutes(5)));
         mSidecar.step(new SidecarEvent.StreamClosed(first));
         mSidecar.step(new SidecarEvent.StreamClosed(second));
         mSidecar.take(SidecarEffect.CancelEngineCall.class);
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/ChatHomesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/ChatHomesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
@@ -16,7 +17,7 @@
 
 /** A chat is brought to where its history is cached, and its home learns where that is. */
 class ChatHomesTest {
-    private static final AttemptId ID = Requests.request(1).build().id();
+    private static final AttemptId ID = Requests.id(1);
     private static final Duration LATER = Duration.ofHours(1);
 
     private final SidecarDriver mSidecar = new SidecarDriver();
@@ -53,7 +54,8 @@
         mSidecar.step(new SidecarEvent.ChatsHandedOver("engine-2", Map.of(chat, "engine-2")));
         Frame.Refused refused =
                 (Frame.Refused)
-                        mSidecar.takeLastFrame(mSidecar.begin(Requests.request(1).chat(chat)));
+                        mSidecar.takeLastFrame(
+                                mSidecar.begin(Requests.request(1).chat(chat, false)));
         assertThat(refused.code()).isEqualTo(ResultCode.CHAT_ELSEWHERE);
         assertThat(refused.redirectTo()).isEqualTo("engine-2");
     }
@@ -65,7 +67,7 @@
         start();
         long chat = chatAt("engine-1");
         mSidecar.step(new SidecarEvent.ChatsHandedOver("engine-2", Map.of(chat, "engine-2")));
-        mSidecar.begin(Requests.request(1).chat(chat).redirects(1));
+        mSidecar.begin(Requests.request(1).chat(chat, false).redirects(1));
         assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).hasSize(1);
     }
 
@@ -73,7 +75,7 @@
     void serverThatAnswersADisplacedChatTellsItsHome() {
         start();
         long chat = chatAt("engine-2");
-        mSidecar.begin(Requests.request(1).chat(chat).redirects(1));
+        mSidecar.begin(Requests.request(1).chat(chat, false).redirects(1));
         mSidecar.answer(ID, new byte[3]);
         mSidecar.pass(Duration.ofSeconds(1));
         assertThat(mSidecar.take(SidecarEffect.HandOverChats.class))
@@ -85,7 +87,7 @@
     void newHomeAsksThePreviousOneOnceAndFollowsItsAnswer() {
         mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
         long chat = chatAt("engine-1");
-        Requests returning = Requests.request(1).chat(chat).returning();
+        AttemptRequest.Builder returning = Requests.request(1).chat(chat, true);
         long stream = mSidecar.begin(returning);
         SidecarEffect.AskChats asked = mSidecar.take(SidecarEffect.AskChats.class).get(0);
         assertThat(asked.chats()).containsExactly(chat);
@@ -100,7 +102,7 @@
     @Test
     void unansweredQuestionHoldsARequestOnlyShortly() {
         mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
-        mSidecar.begin(Requests.request(1).chat(chatAt("engine-1")).returning());
+        mSidecar.begin(Requests.request(1).chat(chatAt("engine-1"), true));
         assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).isEmpty();
         mSidecar.pass(Duration.ofMillis(100));
         assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).hasSize(1);
@@ -112,7 +114,7 @@
     void revokedWhileAskingNeverStarts() {
         mSidecar.exchange(SidecarDriver.members(3), 0, false, 0);
         long chat = chatAt("engine-1");
-        mSidecar.begin(Requests.request(1).chat(chat).returning());
+        mSidecar.begin(Requests.request(1).chat(chat, true));
         long question = mSidecar.take(SidecarEffect.AskChats.class).get(0).question();
         mSidecar.step(new SidecarEvent.AttemptRevoked(1, ID, new BackendRef("engine-1", 1)));
         mSidecar.step(new SidecarEvent.ChatsLocated(question, Map.of()));
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/DrainTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/DrainTest.java
@@ -13,7 +13,7 @@
 
 /** Leaving by an operator's wish and by a stop of the process. */
 class DrainTest {
-    private static final AttemptId ID = Requests.request(1).build().id();
+    private static final AttemptId ID = Requests.id(1);
 
     private final SidecarDriver mSidecar = new SidecarDriver();
 
@@ -63,8 +63,8 @@
     // next in rank can take them: holding them until there is room would only delay their callers.
     @Test
     void drainSendsWaitingRequestsOn() {
-        mSidecar.begin(Requests.request(1).outputTokens(9_000));
-        long waiting = mSidecar.begin(Requests.request(2).outputTokens(100));
+        mSidecar.begin(Requests.request(1).cost(Requests.output(9_000)));
+        long waiting = mSidecar.begin(Requests.request(2).cost(Requests.output(100)));
         assertThat(mSidecar.takeLastFrame(waiting)).isInstanceOf(Frame.Accepted.class);
         mSidecar.exchange(SidecarDriver.members(3), 0, true, 0);
         Frame.Refused refused = (Frame.Refused) mSidecar.takeLastFrame(waiting);
@@ -92,7 +92,7 @@
     // rest over a new connection, so the process stays for as long as output is kept.
     @Test
     void stopWaitsForARouterThatComesBack() {
-        long lost = mSidecar.begin(Requests.request(1).key("k", Duration.ofMinutes(5)));
+        long lost = mSidecar.begin(Requests.order(1, "k", Duration.ofMinutes(5)));
         mSidecar.step(new SidecarEvent.StreamClosed(lost));
         mSidecar.step(new SidecarEvent.StopRequested());
         mSidecar.answer(ID, new byte[3]);
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/FairQueueTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/FairQueueTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.AttemptRequest;
 
 /** Who goes first, and who has to go when the queue is full. */
 class FairQueueTest {
@@ -94,8 +95,9 @@
     }
 
     private Attempt attempt(String account, double weight, int priority, int work) {
-        Requests request = Requests.request(++mCount).account(account, weight).priority(priority);
-        Attempt attempt = new Attempt(request.build(), NOW, new OutputTotal());
+        AttemptRequest request =
+                Requests.request(++mCount).account(account, weight).priority(priority).build();
+        Attempt attempt = new Attempt(request, NOW, new OutputTotal());
         attempt.setWork(work);
         return attempt;
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/Requests.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/Requests.java
@@ -6,106 +6,42 @@
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 
-/** Builds requests for tests, each with something to vary. */
+/** Begins requests for tests, each with something to vary. */
 final class Requests {
     static final String SERVICE = "seilhjerne";
 
-    private AttemptId mId = new AttemptId("router-1", 1, 1, 1);
-    private BackendRef mTarget = new BackendRef("engine-1", 1);
-    private String mAccount = "account";
-    private long mChat;
-    private boolean mReturning;
-    private byte[] mBody = new byte[0];
-    private boolean mIdempotent = true;
-    private String mKey = "";
-    private Duration mTimeLeft = Duration.ofMinutes(1);
-    private int mPriority;
-    private int mOutputTokens = 100;
-    private int mRedirects;
-    private double mWeight = 1;
-    private Duration mKeepOutput = Duration.ZERO;
+    private static final BackendRef TARGET = new BackendRef("engine-1", 1);
 
-    static Requests request(AttemptId id) {
-        Requests r = new Requests();
-        r.mId = id;
-        return r;
-    }
-
-    static Requests request(long number) {
-        return request(new AttemptId("router-1", 1, number, 1));
-    }
-
-    Requests target(BackendRef target) {
-        mTarget = target;
-        return this;
-    }
-
-    Requests account(String account, double weight) {
-        mAccount = account;
-        mWeight = weight;
-        return this;
-    }
-
-    Requests chat(long chat) {
-        mChat = chat;
-        return this;
-    }
-
-    Requests bodyBytes(int bytes) {
-        mBody = new byte[bytes];
-        return this;
-    }
-
-    Requests key(String key, Duration keepOutput) {
-        mIdempotent = false;
-        mKey = key;
-        mKeepOutput = keepOutput;
-        return this;
-    }
+    private Requests() {}
 
-    Requests returning() {
-        mReturning = true;
-        return this;
+    static AttemptRequest.Builder request(long number) {
+        return request(id(number), TARGET);
     }
 
-    Requests timeLeft(Duration left) {
-        mTimeLeft = left;
-        return this;
+    static AttemptRequest.Builder request(AttemptId id, BackendRef target) {
+        return AttemptRequest.builder(id, target)
+                .account("account", 1)
+                .service(SERVICE)
+                .call(call(0))
+                .timeLeft(Duration.ofMinutes(1))
+                .cost(output(100));
     }
 
-    Requests priority(int priority) {
-        mPriority = priority;
-        return this;
+    /** Returns a call that must not run twice. */
+    static AttemptRequest.Builder order(long number, String key, Duration keepOutput) {
+        return request(number).idempotent(false).idempotencyKey(key).keepOutput(keepOutput);
     }
 
-    Requests outputTokens(int tokens) {
-        mOutputTokens = tokens;
-        return this;
+    static AttemptId id(long number) {
+        return new AttemptId("router-1", 1, number, 1);
     }
 
-    Requests redirects(int redirects) {
-        mRedirects = redirects;
-        return this;
+    static AttemptRequest.Call call(int bodyBytes) {
+        return new AttemptRequest.Call(
+                "POST", "/v1/chat/completions", List.of(), new byte[bodyBytes], true);
     }
 
-    AttemptRequest build() {
-        AttemptRequest.Call call =
-                new AttemptRequest.Call("POST", "/v1/chat/completions", List.of(), mBody, true);
-        return new AttemptRequest(
-                mId,
-                mTarget,
-                mAccount,
-                SERVICE,
-                mChat,
-                mReturning,
-                call,
-                mIdempotent,
-                mKey,
-                mTimeLeft,
-                mPriority,
-                new AttemptRequest.Cost(0, mOutputTokens),
-                mRedirects,
-                mWeight,
-                mKeepOutput);
+    static AttemptRequest.Cost output(int tokens) {
+        return new AttemptRequest.Cost(0, tokens);
     }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/SidecarDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/SidecarDriver.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
@@ -28,7 +29,7 @@
     private long mStreams;
 
     /** Begins an attempt on a new stream and returns the stream. */
-    long begin(Requests request) {
+    long begin(AttemptRequest.Builder request) {
         step(new SidecarEvent.AttemptBegun(++mStreams, request.build()));
         return mStreams;
     }
