Read stand-ins' settings like those of every program

Stand-ins had a Jackson reader of their own, with keys in camel case and only the first fault told, and `laurelweir check` didn't know their files. They now use SettingsFile: kebab case, `program: engine` or `plain` first, durations with units, all faults at once. The batch no longer takes zero for "default". Left aside: one settings record for both stand-ins, as they share only name, address, record and log.

--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -146,7 +146,7 @@
 
     /** Starts a plain service with its sidecar; its calls take no time unless told otherwise. */
     public StandIn startPlain(String name) {
-        return startStandIn(name, "plain", "havnebok", "workMillis: 0");
+        return startStandIn(name, "plain", "havnebok", "work-time: 0s");
     }
 
     /** Starts an engine of two hundred tokens an answer, which come at fifty a second. */
@@ -155,13 +155,19 @@
                 name,
                 "engine",
                 "seilhjerne",
-                "models: [seil]\nanswerTokens: 200\nbatch: {tokensPerSecond: 50, batchKnee: 100}");
+                "models: [seil]\nanswer-tokens: 200\n"
+                        + "batch: {tokens-per-second: 50, batch-knee: 100}");
     }
 
     private StandIn startStandIn(String name, String kind, String service, String settings) {
         FleetProcess p = process(name + "-backend", "org.laurelweir.standin." + kind + ".Main");
         p.writeSettings(
-                "name: " + name + "\nlisten: {portFile: " + p.portFile("") + "}\n" + settings);
+                String.join(
+                        "\n",
+                        "program: " + kind,
+                        "name: " + name,
+                        "port-file: " + p.portFile(""),
+                        settings));
         p.start();
         FleetProcess sidecar = process(name, "org.laurelweir.sidecar.Main");
         // Chosen here, so that a restarted sidecar is where the killed one was.
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/SettingsFiles.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/SettingsFiles.java
@@ -4,12 +4,19 @@
 import org.laurelweir.control.ControlFile;
 import org.laurelweir.router.RouterFile;
 import org.laurelweir.sidecar.SidecarFile;
+import org.laurelweir.standin.engine.EngineSettings;
+import org.laurelweir.standin.plain.PlainSettings;
 
 /** The records that specify the programs' settings files. */
 public final class SettingsFiles {
     /** One for each program that starts from a file. */
     public static final List<Class<? extends Record>> SPECS =
-            List.of(ControlFile.class, RouterFile.class, SidecarFile.class);
+            List.of(
+                    ControlFile.class,
+                    RouterFile.class,
+                    SidecarFile.class,
+                    EngineSettings.class,
+                    PlainSettings.class);
 
     private SettingsFiles() {}
 }
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -18,7 +18,6 @@
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.runtime.config.SettingsFile;
-import org.laurelweir.standin.ListenSettings;
 import org.laurelweir.standin.engine.EngineServer;
 import org.laurelweir.standin.engine.EngineSettings;
 import org.laurelweir.wire.AttemptCodec;
@@ -66,21 +65,7 @@
     }
 
     private static EngineSettings engineSettings() {
-        return new EngineSettings(
-                "e",
-                ListenSettings.LOOPBACK,
-                null,
-                null,
-                null,
-                null,
-                null,
-                null,
-                0,
-                0,
-                0,
-                null,
-                0,
-                null);
+        return EngineSettings.builder().name("e").build();
     }
 
     SidecarProgram sidecar() {
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/ExecutionLog.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/ExecutionLog.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.laurelweir.standin.Execution.Outcome;
 import org.laurelweir.standin.Execution.Work;
 import org.laurelweir.standin.http.HttpExchange;
@@ -22,17 +23,17 @@
     private static final String REQUEST_ID = "X-Request-Id";
     private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-    private final Path mFile;
+    private final Optional<Path> mFile;
     private final List<Execution> mExecutions = new ArrayList<>();
     private final Map<String, Integer> mRunning = new HashMap<>();
 
     /**
      * Creates an empty record.
      *
-     * @param file the path to append to, or null
+     * @param file the path to append to
      */
-    public ExecutionLog(String file) {
-        mFile = file == null ? null : Path.of(file);
+    public ExecutionLog(Optional<Path> file) {
+        mFile = file;
     }
 
     /** Records that a run began. */
@@ -71,15 +72,12 @@
     }
 
     private void append(Execution e) {
-        if (mFile == null) {
-            return;
-        }
+        mFile.ifPresent(f -> append(f, Json.write(e) + "\n"));
+    }
+
+    private static void append(Path file, String line) {
         try {
-            Files.writeString(
-                    mFile,
-                    Json.write(e) + "\n",
-                    StandardOpenOption.CREATE,
-                    StandardOpenOption.APPEND);
+            Files.writeString(file, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         } catch (IOException x) {
             throw new UncheckedIOException(x);
         }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/StandinProgram.java
@@ -2,11 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.function.Function;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
-import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.runtime.config.SettingsFile;
 import org.laurelweir.runtime.log.Logging;
 import org.laurelweir.runtime.process.Program;
 import org.laurelweir.runtime.rpc.PortFile;
@@ -20,9 +21,6 @@
     public interface Listening {
         /** Returns the server, bound once the stand-in has started. */
         HttpServer server();
-
-        /** Returns the settings of the address. */
-        ListenSettings listen();
     }
 
     /**
@@ -34,7 +32,7 @@
      * @param type the settings record
      * @param create makes the stand-in from its settings
      */
-    public static <S, T extends Service & Listening> void run(
+    public static <S extends Record & StandinSettings, T extends Service & Listening> void run(
             String name, String settings, Class<S> type, Function<S, T> create) {
         Program.run(
                 name,
@@ -43,21 +41,20 @@
                         throw new LaurelweirException(
                                 ResultCode.USAGE, "--settings FILE is needed");
                     }
-                    new Logging(LogSettings.defaults()).start();
-                    return new Announced<>(
-                            create.apply(SettingsFile.read(Path.of(settings), type)));
+                    S s = SettingsFile.read(type, Path.of(settings));
+                    new Logging(s.log()).start();
+                    return new Announced<>(create.apply(s), s.portFile());
                 });
     }
 
     /** Tells where a stand-in listens once it does. */
-    private record Announced<T extends Service & Listening>(T standin) implements Service {
+    private record Announced<T extends Service & Listening>(T standin, Optional<Path> portFile)
+            implements Service {
         @Override
         public void start() {
             standin.start();
             InetSocketAddress at = standin.server().address();
-            if (standin.listen().portFile() != null) {
-                PortFile.write(Path.of(standin.listen().portFile()), at.getPort());
-            }
+            portFile.ifPresent(f -> PortFile.write(f, at.getPort()));
             System.out.println("listening on " + at.getHostString() + ":" + at.getPort());
             System.out.flush();
         }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/BatchSettings.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/BatchSettings.java
@@ -1,7 +1,10 @@
 package org.laurelweir.standin.engine;
 
+import org.laurelweir.runtime.config.Default;
+import org.laurelweir.runtime.config.Range;
+
 /**
- * How fast the engine model works and how much it holds. Absent numbers take the defaults.
+ * How fast the engine model works and how much it holds.
  *
  * @param tokensPerSecond the output rate of a stream that is alone in the batch
  * @param batchKnee the number of further streams that halves the rate of each
@@ -12,48 +15,25 @@
  * @param maxKept the most ended requests that can still be resumed
  */
 public record BatchSettings(
-        double tokensPerSecond,
-        double batchKnee,
-        double prefillTokensPerSecond,
-        int maxRunning,
-        int maxWaiting,
-        int cacheBlocks,
-        int maxKept) {
-    private static final double TOKENS_PER_SECOND = 200;
-    private static final double BATCH_KNEE = 8;
-    private static final double PREFILL_TOKENS_PER_SECOND = 20_000;
-    private static final int MAX_RUNNING = 32;
-    private static final int MAX_WAITING = 256;
-    private static final int CACHE_BLOCKS = 4096;
-    private static final int MAX_KEPT = 256;
-
-    /** Defaults throughout. */
-    public static final BatchSettings DEFAULT = new BatchSettings(0, 0, 0, 0, 0, 0, 0);
+        @Default("200") @Range(min = "0.1") double tokensPerSecond,
+        @Default("8") @Range(min = "0.1") double batchKnee,
+        @Default("20000") @Range(min = "1") double prefillTokensPerSecond,
+        @Default("32") @Range(min = "1") int maxRunning,
+        @Default("256") @Range(min = "1") int maxWaiting,
+        @Default("4096") @Range(min = "1") int cacheBlocks,
+        @Default("256") @Range(min = "1") int maxKept) {
+    /** The defaults of the settings file. */
+    public static final BatchSettings DEFAULT =
+            new BatchSettings(200, 8, 20_000, 32, 256, 4096, 256);
 
-    /** Puts the default in place of each zero and refuses what is negative. */
-    public BatchSettings {
-        tokensPerSecond = positive("tokensPerSecond", tokensPerSecond, TOKENS_PER_SECOND);
-        batchKnee = positive("batchKnee", batchKnee, BATCH_KNEE);
-        prefillTokensPerSecond =
-                positive(
-                        "prefillTokensPerSecond",
-                        prefillTokensPerSecond,
-                        PREFILL_TOKENS_PER_SECOND);
-        maxRunning = (int) positive("maxRunning", maxRunning, MAX_RUNNING);
-        maxWaiting = (int) positive("maxWaiting", maxWaiting, MAX_WAITING);
-        cacheBlocks = (int) positive("cacheBlocks", cacheBlocks, CACHE_BLOCKS);
-        maxKept = (int) positive("maxKept", maxKept, MAX_KEPT);
+    /** Returns the same limits with other rates. */
+    public BatchSettings withRates(double tokens, double knee, double prefillTokens) {
+        return new BatchSettings(
+                tokens, knee, prefillTokens, maxRunning, maxWaiting, cacheBlocks, maxKept);
     }
 
     /** Returns the output rate of each stream, in tokens a second, when so many are decoding. */
     public double rate(int streams) {
         return tokensPerSecond / (1 + Math.max(0, streams - 1) / batchKnee);
     }
-
-    private static double positive(String key, double value, double absent) {
-        if (value < 0) {
-            throw new IllegalArgumentException(key + " must be above 0, not " + value);
-        }
-        return value == 0 ? absent : value;
-    }
 }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
@@ -16,7 +16,6 @@
 import org.laurelweir.standin.Fault;
 import org.laurelweir.standin.FaultPlan;
 import org.laurelweir.standin.Json;
-import org.laurelweir.standin.ListenSettings;
 import org.laurelweir.standin.StandinProgram;
 import org.laurelweir.standin.http.HttpExchange;
 import org.laurelweir.standin.http.HttpServer;
@@ -58,10 +57,10 @@
         mOrders = new OrderBook(settings, now);
         mCacheEvents =
                 new CacheEvents(
-                        Duration.ofMillis(settings.cacheEventLagMillis()),
-                        settings.cacheEventGapEvery());
+                        settings.reports().cacheEventLag(),
+                        settings.reports().cacheEventGapEvery());
         mModel = new EngineModel(settings.batch(), now, c -> mCacheEvents.add(clock.instant(), c));
-        mLoad = new LoadReports(Duration.ofMillis(settings.loadLagMillis()), mModel.load());
+        mLoad = new LoadReports(settings.reports().loadLag(), mModel.load());
         String run = settings.name() + "-" + Long.toHexString(now.toEpochMilli()) + "-";
         mParser = new ChatParser(run, settings.answerTokens());
         mCalls = new ChatCalls(clock, mModel, mLog);
@@ -70,7 +69,7 @@
     @Override
     public void start() {
         mServer.start();
-        long tick = mSettings.tickMillis();
+        long tick = mSettings.tick().toMillis();
         mServer.loop().scheduleAtFixedRate(this::tick, tick, tick, TimeUnit.MILLISECONDS);
     }
 
@@ -84,11 +83,6 @@
         return mServer;
     }
 
-    @Override
-    public ListenSettings listen() {
-        return mSettings.listen();
-    }
-
     private void tick() {
         mCalls.step(new EngineEvent.Tick());
         mLoad.add(mModel.load());
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineSettings.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineSettings.java
@@ -1,69 +1,75 @@
 package org.laurelweir.standin.engine;
 
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
-import org.laurelweir.standin.ListenSettings;
+import java.util.Optional;
+import org.laurelweir.runtime.config.Default;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.config.ProgramName;
+import org.laurelweir.runtime.config.Range;
+import org.laurelweir.runtime.config.Required;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.standin.StandinSettings;
 
 /**
- * The settings of an engine. Everything may be absent; times are in milliseconds.
+ * The settings file of an engine.
  *
  * @param name begins the ids of the requests
- * @param listen where to listen; any port on the loopback address if absent
+ * @param listen where callers reach it; with port 0 the operating system chooses
+ * @param portFile where to write the port
  * @param models the models loaded at the start
  * @param adapters the adapters loaded at the start
  * @param role the role at the start
- * @param batch how fast the engine is and how much it holds
  * @param answerTokens the tokens of an answer, unless the call allows fewer
- * @param tickMillis the time between two looks at the model
- * @param loadLagMillis how old a load report is
- * @param cacheEventLagMillis how late a cache event is published
- * @param cacheEventGapEvery each such cache event is lost; 0 for none
- * @param checkFence whether orders with an old fencing number are refused; yes if absent
- * @param loadMillis how long a model or adapter takes to load
- * @param executionsFile the file to which executions are appended, or null
+ * @param tick the time between two looks at the model
+ * @param batch how fast the engine is and how much it holds
+ * @param reports how late and how complete its reports are
+ * @param orders how it carries out orders
+ * @param executionsFile the file to which executions are appended
+ * @param log how to log
  */
+@ProgramName("engine")
 public record EngineSettings(
-        String name,
-        ListenSettings listen,
-        List<String> models,
+        @Default("engine") String name,
+        @Default("127.0.0.1:0") Endpoint listen,
+        Optional<Path> portFile,
+        @Required List<String> models,
         List<String> adapters,
-        String role,
+        @Default("mixed") String role,
+        @Default("64") @Range(min = "1") int answerTokens,
+        @Default("5ms") @Range(min = "1ms", max = "1s") Duration tick,
         BatchSettings batch,
-        Integer answerTokens,
-        Integer tickMillis,
-        int loadLagMillis,
-        int cacheEventLagMillis,
-        int cacheEventGapEvery,
-        Boolean checkFence,
-        int loadMillis,
-        String executionsFile) {
-    private static final int ANSWER_TOKENS = 64;
-    private static final int TICK_MILLIS = 5;
+        Reports reports,
+        Orders orders,
+        Optional<Path> executionsFile,
+        LogSettings log)
+        implements StandinSettings {
 
-    /** Fills in the defaults and refuses what is out of range. */
-    public EngineSettings {
-        name = name == null ? "engine" : name;
-        listen = listen == null ? ListenSettings.LOOPBACK : listen;
-        models = models == null ? List.of("standin") : List.copyOf(models);
-        adapters = adapters == null ? List.of() : List.copyOf(adapters);
-        role = role == null ? "mixed" : role;
-        batch = batch == null ? BatchSettings.DEFAULT : batch;
-        answerTokens = atLeast("answerTokens", 1, answerTokens, ANSWER_TOKENS);
-        tickMillis = atLeast("tickMillis", 1, tickMillis, TICK_MILLIS);
-        atLeast("loadLagMillis", 0, loadLagMillis, 0);
-        atLeast("cacheEventLagMillis", 0, cacheEventLagMillis, 0);
-        atLeast("cacheEventGapEvery", 0, cacheEventGapEvery, 0);
-        atLeast("loadMillis", 0, loadMillis, 0);
-        checkFence = checkFence == null || checkFence;
-    }
+    /**
+     * How late and how complete reports are.
+     *
+     * @param loadLag how old a load report is
+     * @param cacheEventLag how late a cache event is published
+     * @param cacheEventGapEvery each such cache event is lost; 0 for none
+     */
+    public record Reports(
+            @Default("0s") @Range(max = "1h") Duration loadLag,
+            @Default("0s") @Range(max = "1h") Duration cacheEventLag,
+            @Default("0") @Range(min = "0") int cacheEventGapEvery) {}
+
+    /**
+     * How orders are carried out.
+     *
+     * @param checkFence whether an order with an old fencing number is refused
+     * @param loadTime how long a model or adapter takes to load
+     */
+    public record Orders(
+            @Default("true") boolean checkFence,
+            @Default("0s") @Range(max = "1h") Duration loadTime) {}
 
-    private static int atLeast(String key, int least, Integer value, int absent) {
-        if (value == null) {
-            return absent;
-        }
-        if (value < least) {
-            throw new IllegalArgumentException(
-                    key + " must be at least " + least + ", not " + value);
-        }
-        return value;
+    /** Returns a builder of the settings that a file with one model would give. */
+    public static EngineSettingsBuilder builder() {
+        return new EngineSettingsBuilder();
     }
 }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/OrderBook.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/OrderBook.java
@@ -35,12 +35,12 @@
     /**
      * Creates the state at the start.
      *
-     * @param checkFence whether an order with an old fencing number is refused
-     * @param loadTime how long after its order a model or adapter is ready
+     * @param settings what is loaded at the start, and how orders are carried out
+     * @param now the time of the start
      */
     OrderBook(EngineSettings settings, Instant now) {
-        mCheckFence = settings.checkFence();
-        mLoadTime = Duration.ofMillis(settings.loadMillis());
+        mCheckFence = settings.orders().checkFence();
+        mLoadTime = settings.orders().loadTime();
         mRole = settings.role();
         settings.models().forEach(m -> mModels.put(m, now));
         settings.adapters().forEach(a -> mAdapters.put(a, now));
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/http/HttpServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/http/HttpServer.java
@@ -18,7 +18,7 @@
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
-import org.laurelweir.standin.ListenSettings;
+import org.laurelweir.runtime.config.Endpoint;
 
 /**
  * An HTTP/1.1 server with one thread: every call and every scheduled action runs on its event loop,
@@ -28,14 +28,14 @@
     private static final int MAX_BODY_BYTES = 64 << 20;
     private static final int STOP_SECONDS = 5;
 
-    private final ListenSettings mListen;
+    private final Endpoint mListen;
     private final HttpHandler mHandler;
     private final EventLoopGroup mGroup;
     private final EventLoop mLoop;
     private Channel mChannel;
 
     /** Creates a server that hands its calls to a handler. */
-    public HttpServer(ListenSettings listen, HttpHandler handler) {
+    public HttpServer(Endpoint listen, HttpHandler handler) {
         mListen = listen;
         mHandler = new SafeHandler(handler);
         mGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -54,9 +54,7 @@
                         .group(mGroup)
                         .channel(NioServerSocketChannel.class)
                         .childHandler(new Connections());
-        ChannelFuture f =
-                b.bind(new InetSocketAddress(mListen.host(), mListen.port()))
-                        .awaitUninterruptibly();
+        ChannelFuture f = b.bind(mListen.toSocketAddress()).awaitUninterruptibly();
         if (!f.isSuccess()) {
             throw new LaurelweirException(
                     ResultCode.CANNOT_LISTEN, mListen + ": " + f.cause(), f.cause());
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainServer.java
@@ -15,7 +15,6 @@
 import org.laurelweir.standin.Fault;
 import org.laurelweir.standin.FaultPlan;
 import org.laurelweir.standin.Json;
-import org.laurelweir.standin.ListenSettings;
 import org.laurelweir.standin.StandinProgram;
 import org.laurelweir.standin.chat.Prompt;
 import org.laurelweir.standin.http.HttpExchange;
@@ -65,11 +64,6 @@
         return mServer;
     }
 
-    @Override
-    public ListenSettings listen() {
-        return mSettings.listen();
-    }
-
     private void handle(HttpExchange call) {
         Instant now = mClock.instant();
         if (mAdmin.handle(now, call)) {
@@ -85,7 +79,7 @@
 
     private void take(Instant now, HttpExchange call) {
         Optional<Fault> fault = mFaults.take(now);
-        Duration work = Duration.ofMillis(mSettings.workMillis());
+        Duration work = mSettings.workTime();
         if (fault.isEmpty()) {
             PlainAnswer a = execute(now, call);
             later(work, () -> finish(call, a));
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainSettings.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainSettings.java
@@ -1,23 +1,45 @@
 package org.laurelweir.standin.plain;
 
-import org.laurelweir.standin.ListenSettings;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import org.laurelweir.runtime.config.Default;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.config.ProgramName;
+import org.laurelweir.runtime.config.Range;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.standin.StandinSettings;
 
 /**
- * The settings of a plain service. Everything may be absent.
+ * The settings file of a plain service.
  *
  * @param name the service's name, which each answer gives
- * @param listen where to listen; any port on the loopback address if absent
- * @param workMillis the time from a call to its answer
- * @param executionsFile the file to which executions are appended, or null
+ * @param listen where callers reach it; with port 0 the operating system chooses
+ * @param portFile where to write the port
+ * @param workTime the time from a call to its answer
+ * @param executionsFile the file to which executions are appended
+ * @param log how to log
  */
+@ProgramName("plain")
 public record PlainSettings(
-        String name, ListenSettings listen, int workMillis, String executionsFile) {
-    /** Fills in the defaults and refuses what is out of range. */
-    public PlainSettings {
-        name = name == null ? "plain" : name;
-        listen = listen == null ? ListenSettings.LOOPBACK : listen;
-        if (workMillis < 0) {
-            throw new IllegalArgumentException("workMillis must be at least 0, not " + workMillis);
-        }
+        @Default("plain") String name,
+        @Default("127.0.0.1:0") Endpoint listen,
+        Optional<Path> portFile,
+        @Default("0s") @Range(max = "1h") Duration workTime,
+        Optional<Path> executionsFile,
+        LogSettings log)
+        implements StandinSettings {
+
+    /**
+     * Returns the settings of a service on any port of the loopback address, otherwise defaults.
+     */
+    public static PlainSettings named(String name) {
+        return new PlainSettings(
+                name,
+                new Endpoint("127.0.0.1", 0),
+                Optional.empty(),
+                Duration.ZERO,
+                Optional.empty(),
+                LogSettings.defaults());
     }
 }
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineReportsTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineReportsTest.java
@@ -74,20 +74,10 @@
     }
 
     private static EngineSettings settings(boolean checkFence, int loadMillis) {
-        return new EngineSettings(
-                null,
-                null,
-                List.of(),
-                null,
-                null,
-                null,
-                null,
-                null,
-                0,
-                0,
-                0,
-                checkFence,
-                loadMillis,
-                null);
+        Duration loadTime = Duration.ofMillis(loadMillis);
+        return EngineSettings.builder()
+                .models(List.of())
+                .orders(new EngineSettings.Orders(checkFence, loadTime))
+                .build();
     }
 }
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineServerTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineServerTest.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -188,8 +189,11 @@
     }
 
     private static EngineSettings settings(int tokensPerSecond) {
-        BatchSettings batch = new BatchSettings(tokensPerSecond, 8, 50_000, 0, 0, 0, 0);
-        return new EngineSettings(
-                null, null, null, null, null, batch, 40, 2, 0, 0, 0, null, 0, null);
+        BatchSettings batch = BatchSettings.DEFAULT.withRates(tokensPerSecond, 8, 50_000);
+        return EngineSettings.builder()
+                .batch(batch)
+                .answerTokens(40)
+                .tick(Duration.ofMillis(2))
+                .build();
     }
 }
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/load/LoadRunTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/load/LoadRunTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.laurelweir.runtime.config.Endpoint;
 import org.laurelweir.standin.HttpCalls;
-import org.laurelweir.standin.ListenSettings;
 import org.laurelweir.standin.engine.BatchSettings;
 import org.laurelweir.standin.engine.EngineServer;
 import org.laurelweir.standin.engine.EngineSettings;
@@ -31,15 +31,16 @@
 
     @BeforeEach
     void start() {
-        BatchSettings fast = new BatchSettings(5000, 8, 1_000_000, 0, 0, 0, 0);
+        BatchSettings fast = BatchSettings.DEFAULT.withRates(5000, 8, 1_000_000);
         mEngine =
                 new EngineServer(
-                        new EngineSettings(
-                                null, null, null, null, null, fast, 20, 1, 0, 0, 0, null, 0, null),
+                        EngineSettings.builder()
+                                .batch(fast)
+                                .answerTokens(20)
+                                .tick(Duration.ofMillis(1))
+                                .build(),
                         InstantSource.system());
-        mPlain =
-                new PlainServer(
-                        new PlainSettings("bookings", null, 0, null), InstantSource.system());
+        mPlain = new PlainServer(PlainSettings.named("bookings"), InstantSource.system());
         mEngine.start();
         mPlain.start();
     }
@@ -97,7 +98,7 @@
         HttpCalls behind = new HttpCalls(mPlain.server().address());
         HttpServer twice =
                 new HttpServer(
-                        ListenSettings.LOOPBACK,
+                        new Endpoint("127.0.0.1", 0),
                         x -> {
                             String body = new String(x.body(), StandardCharsets.UTF_8);
                             String key = x.header("Idempotency-Key").orElse("none");
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/plain/PlainServerTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/plain/PlainServerTest.java
@@ -23,7 +23,7 @@
 
     @BeforeEach
     void start() {
-        PlainSettings settings = new PlainSettings("bookings", null, 0, null);
+        PlainSettings settings = PlainSettings.named("bookings");
         mPlain = new PlainServer(settings, InstantSource.system());
         mPlain.start();
         mCalls = new HttpCalls(mPlain.server().address());
