Bound the runs that a stand-in holds in memory

A run that ends after it was dropped still goes to the file. The load generator counts by what was started, not by the length of the list, and names a stand-in whose record was cut within the run among those whose figures are missing, so a cut never passes for fewer runs.

--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/AdminEndpoints.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/AdminEndpoints.java
@@ -15,8 +15,23 @@
     private final ExecutionLog mLog;
     private final FaultPlan mFaults;
 
-    /** The answer to a read of the executions. */
-    public record Executions(List<Execution> executions) {}
+    /**
+     * The answer to a read of the executions.
+     *
+     * @param executions the newest runs, in order of start
+     * @param dropped how many older runs are no longer held
+     */
+    public record Executions(List<Execution> executions, long dropped) {
+        /** Returns how many runs there were so far. */
+        public long started() {
+            return dropped + executions.size();
+        }
+
+        /** Returns whether a run that started after so many others is no longer held. */
+        public boolean isCutAfter(long before) {
+            return dropped > before;
+        }
+    }
 
     /** The faults that are still to be shown. */
     public record Faults(List<Fault.Shown> faults) {}
@@ -32,7 +47,7 @@
     /** Answers the call if it is one of these; returns whether it was. */
     public boolean handle(Instant now, HttpExchange call) {
         if (call.path().equals(mExecutionsPath)) {
-            call.respond(OK, new Executions(mLog.list()));
+            call.respond(OK, new Executions(mLog.list(), mLog.dropped()));
             return true;
         }
         if (call.path().equals(mFaultsPath)) {
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/ExecutionLog.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/ExecutionLog.java
@@ -6,8 +6,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,24 +16,34 @@
 import org.laurelweir.standin.http.HttpExchange;
 
 /**
- * The record of what really ran, in order of start. Used on one thread. With a file, each start and
- * each end is appended as one JSON line, so that the record outlives the process.
+ * The record of what really ran, in order of start. Used on one thread. Memory holds the newest
+ * runs only. With a file, each start and each end is appended as one JSON line, so that the whole
+ * record outlives the process.
  */
 public final class ExecutionLog {
     private static final String REQUEST_ID = "X-Request-Id";
     private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
     private final Optional<Path> mFile;
-    private final List<Execution> mExecutions = new ArrayList<>();
-    private final Map<String, Integer> mRunning = new HashMap<>();
+    private final int mKeep;
+
+    /** The newest runs by their number, in order of start. */
+    private final Map<Long, Execution> mExecutions = new LinkedHashMap<>();
+
+    private final Map<String, Running> mRunning = new HashMap<>();
+    private long mStarted;
+
+    /** A run that is on; its end is recorded even if it is no longer among the newest. */
+    private record Running(long number, Execution execution) {}
 
     /**
      * Creates an empty record.
      *
-     * @param file the path to append to
+     * @param settings how many runs it holds, and the file to append to
      */
-    public ExecutionLog(Optional<Path> file) {
-        mFile = file;
+    public ExecutionLog(ExecutionSettings settings) {
+        mFile = settings.file();
+        mKeep = settings.keep();
     }
 
     /** Records that a run began. */
@@ -50,25 +60,34 @@
                         null,
                         Outcome.RUNNING,
                         null);
-        mRunning.put(id, mExecutions.size());
-        mExecutions.add(e);
+        mStarted++;
+        mRunning.put(id, new Running(mStarted, e));
+        mExecutions.put(mStarted, e);
+        if (mExecutions.size() > mKeep) {
+            mExecutions.remove(mStarted - mKeep);
+        }
         append(e);
     }
 
     /** Records that a run ended; does nothing if no run of this id is on. */
     public void end(Instant now, String id, Outcome how, Work used) {
-        Integer at = mRunning.remove(id);
-        if (at == null) {
+        Running running = mRunning.remove(id);
+        if (running == null) {
             return;
         }
-        Execution e = mExecutions.get(at).end(now.toString(), how, used);
-        mExecutions.set(at, e);
+        Execution e = running.execution().end(now.toString(), how, used);
+        mExecutions.replace(running.number(), e);
         append(e);
     }
 
-    /** Returns all runs so far, in order of start. */
+    /** Returns the newest runs, in order of start. */
     public List<Execution> list() {
-        return List.copyOf(mExecutions);
+        return List.copyOf(mExecutions.values());
+    }
+
+    /** Returns how many older runs are no longer held. */
+    public long dropped() {
+        return mStarted - mExecutions.size();
     }
 
     private void append(Execution e) {
--- /dev/null
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/ExecutionSettings.java
@@ -0,0 +1,18 @@
+package org.laurelweir.standin;
+
+import java.nio.file.Path;
+import java.util.Optional;
+import org.laurelweir.runtime.config.Default;
+import org.laurelweir.runtime.config.Range;
+
+/**
+ * How a stand-in records what it ran.
+ *
+ * @param keep how many of the newest runs memory holds
+ * @param file the file to which each start and end is appended
+ */
+public record ExecutionSettings(
+        @Default("20000") @Range(min = "1", max = "1000000") int keep, Optional<Path> file) {
+    /** The defaults of the settings file. */
+    public static final ExecutionSettings DEFAULT = new ExecutionSettings(20_000, Optional.empty());
+}
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
@@ -52,7 +52,7 @@
         mSettings = settings;
         mClock = clock;
         mServer = new HttpServer(settings.listen(), this::handle);
-        mLog = new ExecutionLog(settings.executionsFile());
+        mLog = new ExecutionLog(settings.executions());
         mAdmin = new AdminEndpoints("/engine", mLog, mFaults);
         mOrders = new OrderBook(settings, now);
         mCacheEvents =
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineSettings.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineSettings.java
@@ -10,6 +10,7 @@
 import org.laurelweir.runtime.config.Range;
 import org.laurelweir.runtime.config.Required;
 import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.standin.ExecutionSettings;
 import org.laurelweir.standin.StandinSettings;
 
 /**
@@ -26,7 +27,7 @@
  * @param batch how fast the engine is and how much it holds
  * @param reports how late and how complete its reports are
  * @param orders how it carries out orders
- * @param executionsFile the file to which executions are appended
+ * @param executions how it records what it ran
  * @param log how to log
  */
 @ProgramName("engine")
@@ -42,7 +43,7 @@
         BatchSettings batch,
         Reports reports,
         Orders orders,
-        Optional<Path> executionsFile,
+        ExecutionSettings executions,
         LogSettings log)
         implements StandinSettings {
 
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineSettingsBuilder.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineSettingsBuilder.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.laurelweir.runtime.config.Endpoint;
 import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.standin.ExecutionSettings;
 import org.laurelweir.standin.engine.EngineSettings.Orders;
 import org.laurelweir.standin.engine.EngineSettings.Reports;
 
@@ -69,7 +70,7 @@
                 mBatch,
                 new Reports(Duration.ZERO, Duration.ZERO, 0),
                 mOrders,
-                Optional.empty(),
+                ExecutionSettings.DEFAULT,
                 LogSettings.defaults());
     }
 }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/load/Observed.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/load/Observed.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.standin.AdminEndpoints;
 import org.laurelweir.standin.Execution;
 
 /** Watches stand-ins and routers over one run: what they did before it does not count. */
@@ -19,8 +20,8 @@
     private final Scraper mScraper = new Scraper();
     private final Targets mTargets;
     private final Set<String> mUnreachable = new TreeSet<>();
-    private final List<Integer> mRunsBefore;
-    private final List<Integer> mPlainRunsBefore;
+    private final List<Long> mRunsBefore;
+    private final List<Long> mPlainRunsBefore;
     private final List<Long> mControlBefore;
 
     /**
@@ -90,23 +91,28 @@
     }
 
     /**
-     * Returns the addresses that could not be read after the run, so that its figures lack them.
+     * Returns the addresses that could not be read, or not in full, after the run, so that its
+     * figures lack them.
      */
     List<String> unreachable() {
         return List.copyOf(mUnreachable);
     }
 
-    private List<Integer> counts(List<URI> standins, String prefix) {
-        return standins.stream().map(s -> mScraper.executions(s, prefix).size()).toList();
+    private List<Long> counts(List<URI> standins, String prefix) {
+        return standins.stream().map(s -> mScraper.executions(s, prefix).started()).toList();
     }
 
     /**
      * Returns what a stand-in has run since; one that was restarted begins with an empty record.
      */
-    private List<Execution> since(URI standin, String prefix, int before) {
+    private List<Execution> since(URI standin, String prefix, long before) {
         try {
-            List<Execution> all = mScraper.executions(standin, prefix);
-            return all.size() < before ? all : all.subList(before, all.size());
+            AdminEndpoints.Executions e = mScraper.executions(standin, prefix);
+            long first = e.started() < before ? 0 : before;
+            if (e.isCutAfter(first)) {
+                mUnreachable.add(standin + " (it holds only its newest runs)");
+            }
+            return e.executions().stream().skip(Math.max(0, first - e.dropped())).toList();
         } catch (LaurelweirException e) {
             mUnreachable.add(standin.toString());
             return List.of();
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/load/Scraper.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/load/Scraper.java
@@ -8,11 +8,9 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.standin.AdminEndpoints;
-import org.laurelweir.standin.Execution;
 import org.laurelweir.standin.Json;
 
 /** Reads the records of stand-ins and the metrics pages of routers. */
@@ -26,14 +24,13 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     /**
-     * Returns what a stand-in has run.
+     * Returns what a stand-in has run and still holds.
      *
      * @param prefix {@code /engine} or {@code /plain}
      */
-    List<Execution> executions(URI standin, String prefix) {
+    AdminEndpoints.Executions executions(URI standin, String prefix) {
         String body = get(standin + prefix + "/executions");
-        return Json.read(body.getBytes(StandardCharsets.UTF_8), AdminEndpoints.Executions.class)
-                .executions();
+        return Json.read(body.getBytes(StandardCharsets.UTF_8), AdminEndpoints.Executions.class);
     }
 
     /** Returns the control bytes that a router has counted. */
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainServer.java
@@ -44,7 +44,7 @@
         mSettings = settings;
         mClock = clock;
         mServer = new HttpServer(settings.listen(), this::handle);
-        mLog = new ExecutionLog(settings.executionsFile());
+        mLog = new ExecutionLog(settings.executions());
         mAdmin = new AdminEndpoints("/plain", mLog, mFaults);
         mIdPrefix = settings.name() + "-" + Long.toHexString(clock.millis()) + "-";
     }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainSettings.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainSettings.java
@@ -8,6 +8,7 @@
 import org.laurelweir.runtime.config.ProgramName;
 import org.laurelweir.runtime.config.Range;
 import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.standin.ExecutionSettings;
 import org.laurelweir.standin.StandinSettings;
 
 /**
@@ -17,7 +18,7 @@
  * @param listen where callers reach it; with port 0 the operating system chooses
  * @param portFile where to write the port
  * @param workTime the time from a call to its answer
- * @param executionsFile the file to which executions are appended
+ * @param executions how it records what it ran
  * @param log how to log
  */
 @ProgramName("plain")
@@ -26,7 +27,7 @@
         @Default("127.0.0.1:0") Endpoint listen,
         Optional<Path> portFile,
         @Default("0s") @Range(max = "1h") Duration workTime,
-        Optional<Path> executionsFile,
+        ExecutionSettings executions,
         LogSettings log)
         implements StandinSettings {
 
@@ -39,7 +40,7 @@
                 new Endpoint("127.0.0.1", 0),
                 Optional.empty(),
                 Duration.ZERO,
-                Optional.empty(),
+                ExecutionSettings.DEFAULT,
                 LogSettings.defaults());
     }
 }
--- /dev/null
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/ExecutionLogTest.java
@@ -0,0 +1,69 @@
+package org.laurelweir.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.standin.plain.PlainServer;
+import org.laurelweir.standin.plain.PlainSettings;
+
+/** A record that holds fewer runs than there were. */
+@Timeout(120)
+class ExecutionLogTest {
+    private static final int KEEP = 3;
+
+    @TempDir private Path mFolder;
+
+    /**
+     * The first call is told to be late, so it still runs when three newer ones have taken its
+     * place in memory. Its caller sees the whole answer; the answer to a read says that a run is
+     * missing, and the file has its start and its end.
+     */
+    @Test
+    void theNewestRunsAreHeldAndTheFileHasAll() throws IOException {
+        Path file = mFolder.resolve("executions");
+        PlainServer plain = new PlainServer(settings(file), InstantSource.system());
+        plain.start();
+        try (plain) {
+            HttpCalls calls = new HttpCalls(plain.server().address());
+            calls.call("POST", "/plain/faults", "{\"kind\":\"late\",\"delayMillis\":1500}");
+            CompletableFuture<HttpResponse<String>> late = calls.send("POST", "/first", "{}");
+            while (calls.executions("/plain").started() == 0) {
+                Thread.onSpinWait();
+            }
+            for (int i = 0; i < KEEP; i++) {
+                calls.call("POST", "/next", "{}");
+            }
+            assertThat(HttpCalls.await(late).statusCode()).isEqualTo(201);
+
+            AdminEndpoints.Executions held = calls.executions("/plain");
+            assertThat(held.executions()).extracting(Execution::path).containsOnly("/next");
+            assertThat(held.executions()).hasSize(KEEP);
+            assertThat(held.dropped()).isEqualTo(1);
+            assertThat(held.isCutAfter(0)).isTrue();
+            assertThat(held.isCutAfter(1)).isFalse();
+        }
+        assertThat(Files.readAllLines(file)).filteredOn(l -> l.contains("/first")).hasSize(2);
+    }
+
+    private static PlainSettings settings(Path file) {
+        return new PlainSettings(
+                "bookings",
+                new Endpoint("127.0.0.1", 0),
+                Optional.empty(),
+                Duration.ZERO,
+                new ExecutionSettings(KEEP, Optional.of(file)),
+                LogSettings.defaults());
+    }
+}
