Say what an inbox does not promise

A trial told Lincheck to take each method of org.agrona.UnsafeApi as one step at which threads may switch. InboxTest's linearizability check then fails on Agrona's own queue: thread 2 takes a place by its compare-and-set and has not filled it, thread 1 puts and then polls null. Without that setting, Lincheck fails to transform the class and does not switch there, so the check passes.

The check stays as it is; the two comments say what it covers.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/loop/Inbox.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/loop/Inbox.java
@@ -12,6 +12,10 @@
  * unbounded memory. The consumer itself never waits for room: what it puts goes to a list of its
  * own, since nobody else could empty the queue for it.
  *
+ * <p>While one thread is still inside a put, an element that another thread has put after it may
+ * stay out of sight of {@link #poll}: the queue gives out its places in the order of arrival. The
+ * queue does not count as empty then, so the consumer does not park and takes both soon after.
+ *
  * @param <E> the elements
  */
 public final class Inbox<E> {
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/loop/InboxTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/loop/InboxTest.java
@@ -31,6 +31,8 @@
         return mInbox.poll();
     }
 
+    // Lincheck can't transform org.agrona.UnsafeApi and says so (VerifyError). So it does not stop
+    // a put between taking a place in Agrona's queue and filling it; see Inbox.
     @Test
     void isLinearizable() {
         new ModelCheckingOptions()
