Take a later incarnation also where the run before has left

A sidecar whose clock went back between two starts announces an incarnation that control takes for an old one. It looked for the earlier run among the members present only, and only when its view changed. After a clean stop, or once control had missed its exchanges, the earlier run is listed as departed: the look found nothing, every announcement was ignored, and the sidecar got no request until control forgot the departure. One that had work when it heard of the earlier run was never told again either.

LaterRun notes departed runs too and tells at each exchange until the sidecar can take over. Three things beside it: the run that takes over ignores an answer that continues the view of the run before (its cursor would have left out the other servers), hears from the probe whether the engine can be reached, and none takes over while a stop or drain is under way, which it would not know of.

Weighed: a least incarnation in the exchange's answer. The answer carries the earlier run already, in the view that a new reader always gets whole.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -179,6 +179,8 @@
         mSelf = mSelf.withIncarnation(effect.incarnation() + 1);
         mReducer = new SidecarReducer(mSelf);
         mLoop.offer(new SidecarEvent.SettingsChanged(mExchange.settings()));
+        // The probe tells changes only, which the run before may have heard.
+        mLoop.offer(new SidecarEvent.EngineReachable(mProbe.notReadyReason().isEmpty()));
     }
 
     private void startMetrics() {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Members.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Members.java
@@ -31,6 +31,11 @@
      * @return whether anything changed
      */
     boolean apply(MembershipDelta delta) {
+        // An answer to the run that this one took over from. Its changes continue a view that is
+        // not here, and taking its cursor would leave the rest of the view out for good.
+        if (!delta.full() && mCursor.equals(MembershipCursor.NONE)) {
+            return false;
+        }
         List<ViewChange> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (Backend b : delta.backends()) {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -8,7 +8,6 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.ServiceLoad;
-import org.laurelweir.placement.Candidate;
 
 /**
  * Decides everything that a sidecar does. This class only hands events to the part that each
@@ -25,6 +24,7 @@
     private final RunningLoad mLoad;
     private final Members mMembers;
     private final Announcer mAnnouncer;
+    private final LaterRun mLaterRun;
     private final Orders mOrders = new Orders();
     private final AttemptTable mTable = new AttemptTable();
     private final AttemptMemory mMemory =
@@ -55,6 +55,7 @@
         mLoad = new RunningLoad(self.weight());
         mMembers = new Members(self.service());
         mAnnouncer = new Announcer(self);
+        mLaterRun = new LaterRun(self.ref());
         mHomes = new ChatHomes(name, mMembers);
         mQuestions = new ChatQuestions(mMembers);
         RunTimes times = new RunTimes();
@@ -213,7 +214,6 @@
     private void exchanged(Step step, SidecarEvent.ExchangeAnswered event) {
         if (mMembers.apply(event.membership())) {
             mHomes.membersChanged();
-            checkIncarnation(step);
         }
         for (ServiceLoad l : event.loads()) {
             if (l.service().equals(mSelf.service())) {
@@ -226,17 +226,10 @@
             mOrders.heard(event.fence());
             mDrain.order(step, event.drain());
         }
-    }
-
-    /**
-     * Looks for a later incarnation of this sidecar. The clock that gave ours may have gone back
-     * since the run before: routers then go on asking for that run, and everything they send here
-     * is refused.
-     */
-    private void checkIncarnation(Step step) {
-        Candidate self = mMembers.view().candidate(mSelf.ref().id());
-        if (self != null && self.ref().incarnation() > mSelf.ref().incarnation()) {
-            step.emit(new SidecarEffect.Superseded(self.ref().incarnation(), mTable.isEmpty()));
+        mLaterRun.heard(event.membership());
+        // The run that takes over would know nothing of a stop.
+        if (!mDrain.isDraining()) {
+            mLaterRun.tell(step, mTable.isEmpty());
         }
     }
 
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/LaterRunTest.java
@@ -0,0 +1,132 @@
+package org.laurelweir.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipConfig;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.MembershipListener;
+import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.membership.SidecarReport;
+
+/** A sidecar that starts with a lower incarnation than the run before it, at a real membership. */
+class LaterRunTest {
+    private static final long BEFORE = 9;
+    private static final long AFTER_CLOCK_WENT_BACK = 5;
+
+    private final MembershipListener mIgnore = (b, reason, own) -> {};
+    private final SharedMembership mControl =
+            new SharedMembership(MembershipConfig.builder("c1", 1).build(), List.of(), mIgnore);
+    private Instant mNow = Instant.parse("2026-12-02T10:00:00Z");
+    private SidecarReducer mSidecar;
+
+    private static SidecarIdentity identity(long incarnation) {
+        BackendRef ref = new BackendRef("engine-1", incarnation);
+        return new SidecarIdentity(ref, Requests.SERVICE, "bergen", "vestkyst", "10.0.0.1:1", 1);
+    }
+
+    private void hear(Backend.State state) {
+        mControl.hear(mNow, new SidecarReport(identity(BEFORE).announcement(state, 1), 0, 0, 0));
+    }
+
+    private List<SidecarEffect> step(SidecarEvent event) {
+        List<SidecarEffect> effects = new ArrayList<>();
+        mSidecar.step(mNow, event, effects::add);
+        return effects;
+    }
+
+    /** Lets the sidecar exchange some times, and take over where it is told that it may. */
+    private void run(long incarnation) {
+        mSidecar = new SidecarReducer(identity(incarnation));
+        for (int i = 0; i < 4; i++) {
+            mNow = mNow.plus(Announcer.INTERVAL);
+            mControl.tick(mNow);
+            step(new SidecarEvent.Tick()).forEach(this::exchange);
+        }
+    }
+
+    private void exchange(SidecarEffect effect) {
+        if (!(effect instanceof SidecarEffect.SendExchange e)) {
+            return;
+        }
+        mControl.hear(mNow, e.report());
+        step(answer(mControl.deltaSince(e.cursor(), Requests.SERVICE))).forEach(this::takeOver);
+    }
+
+    private void takeOver(SidecarEffect effect) {
+        if (effect instanceof SidecarEffect.Superseded s && s.idle()) {
+            mSidecar = new SidecarReducer(identity(s.incarnation() + 1));
+        }
+    }
+
+    private static SidecarEvent answer(MembershipDelta delta) {
+        return new SidecarEvent.ExchangeAnswered(delta, List.of(), true, false, 0);
+    }
+
+    private Backend known() {
+        return mControl.backends().iterator().next();
+    }
+
+    // The sidecar stops, says that it left, and the machine's clock is set back before it starts
+    // anew. Its announcements are older than the departure: without taking a later incarnation it
+    // would be listed as gone, and get no request, for as long as control remembers departures.
+    @Test
+    void restartAfterADepartureServesAgain() {
+        hear(Backend.State.SERVING);
+        hear(Backend.State.LEFT);
+        run(AFTER_CLOCK_WENT_BACK);
+        assertThat(known().state()).isEqualTo(Backend.State.SERVING);
+        assertThat(known().ref().incarnation()).isEqualTo(BEFORE + 1);
+    }
+
+    // The same after a crash that control has not noticed: routers would go on asking for the run
+    // that crashed, and this one would refuse all that they send.
+    @Test
+    void restartAfterACrashServesAgain() {
+        hear(Backend.State.SERVING);
+        run(AFTER_CLOCK_WENT_BACK);
+        assertThat(known().state()).isEqualTo(Backend.State.SERVING);
+        assertThat(known().ref().incarnation()).isEqualTo(BEFORE + 1);
+    }
+
+    // Control tells of the earlier run only when an attempt runs here, as an instance does that was
+    // cut off. Taking over would forget the attempt; the sidecar waits until its output is no
+    // longer kept, and must then not need to be told again.
+    @Test
+    void takesOverOnceIdle() {
+        mSidecar = new SidecarReducer(identity(AFTER_CLOCK_WENT_BACK));
+        step(
+                new SidecarEvent.AttemptBegun(
+                        1, Requests.request(Requests.id(1), identity(5).ref()).build()));
+        Backend earlier = identity(BEFORE).announcement(Backend.State.LEFT, 1);
+        MembershipCursor cursor = new MembershipCursor("c1", 1, 1);
+        SidecarEvent told = answer(new MembershipDelta(cursor, true, List.of(earlier)));
+        assertThat(step(told)).contains(new SidecarEffect.Superseded(BEFORE, false));
+
+        step(new SidecarEvent.EngineFailed(Requests.id(1), true, "gone"));
+        mNow = mNow.plus(SidecarSettings.DEFAULT.output().keepTime().multipliedBy(2));
+        step(new SidecarEvent.Tick());
+        SidecarEvent nothingNew = answer(new MembershipDelta(cursor, false, List.of()));
+        assertThat(step(nothingNew)).contains(new SidecarEffect.Superseded(BEFORE, true));
+    }
+
+    // A run takes over while an answer to the run before is under way. It holds only what that one
+    // lacked. Taken, its cursor would have control leave out the other backend servers for good.
+    @Test
+    void answerToTheRunBeforeIsNotContinued() {
+        mSidecar = new SidecarReducer(identity(BEFORE));
+        MembershipCursor other = new MembershipCursor("c1", 1, 7);
+        step(answer(new MembershipDelta(other, false, List.of())));
+        mNow = mNow.plus(Announcer.INTERVAL);
+        assertThat(step(new SidecarEvent.Tick()))
+                .filteredOn(SidecarEffect.SendExchange.class::isInstance)
+                .extracting(e -> ((SidecarEffect.SendExchange) e).cursor())
+                .containsExactly(MembershipCursor.NONE);
+    }
+}
