--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -5,12 +5,11 @@
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
+import org.laurelweir.pgm.fleet.Replicas;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.RpcServer;
 import org.laurelweir.runtime.rpc.TrafficCounters;
@@ -18,24 +17,27 @@
 import org.laurelweir.wire.v1.BackendRef;
 import org.laurelweir.wire.v1.BackendState;
 import org.laurelweir.wire.v1.BackendStatus;
+import org.laurelweir.wire.v1.ChangeMembersReply;
+import org.laurelweir.wire.v1.ChangeMembersRequest;
+import org.laurelweir.wire.v1.ChangeMembersRequest.Step;
 import org.laurelweir.wire.v1.ChangeSettingsReply;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ControlStatus;
 import org.laurelweir.wire.v1.Decision;
 import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.ExplainReply;
 import org.laurelweir.wire.v1.ExplainRequest;
-import org.laurelweir.wire.v1.HistoryEntry;
 import org.laurelweir.wire.v1.HistoryReply;
 import org.laurelweir.wire.v1.HistoryRequest;
 import org.laurelweir.wire.v1.IssueFenceReply;
 import org.laurelweir.wire.v1.IssueFenceRequest;
-import org.laurelweir.wire.v1.NodeChange;
 import org.laurelweir.wire.v1.OrderReply;
 import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.ReplicaId;
 import org.laurelweir.wire.v1.RouterReport;
 import org.laurelweir.wire.v1.RouterServiceGrpc;
 import org.laurelweir.wire.v1.RouterStatus;
@@ -49,16 +51,15 @@
     static final String BACKEND = "sh-1";
 
     private final EventLoops mLoops = new EventLoops("fake", 1);
-    private final Map<String, SettingsNode> mNodes = new TreeMap<>();
-    private final Map<String, ChangeSettingsReply> mAnswers = new HashMap<>();
-    private final List<HistoryEntry> mHistory = new ArrayList<>();
+    private final FakeTree mTree = new FakeTree();
     private final List<OrderRequest> mOrders = new ArrayList<>();
     private final List<DrainRequest> mDrains = new ArrayList<>();
     private final RpcServer mLeader = server(new Leader());
     private final RpcServer mFollower = server(new Follower());
     private final RpcServer mRouter = server(new Router());
     private final RpcServer mSidecar = server(new Sidecar());
-    private long mPosition;
+    private final List<String> mMemberSteps = new ArrayList<>();
+    private int mEarlyPromotions;
     private int mChangeCalls;
     private int mLostAnswers;
 
@@ -87,18 +88,26 @@
     }
 
     synchronized void put(String path, long version, Map<String, String> values) {
-        mPosition = version;
-        mNodes.put(path, node(path, values));
+        mTree.put(path, version, values);
     }
 
     synchronized SettingsNode node(String path) {
-        return mNodes.get(path);
+        return mTree.node(path);
     }
 
     synchronized int changeCalls() {
         return mChangeCalls;
     }
 
+    /** Makes that many promotions come before the replica has caught up. */
+    synchronized void delayPromotion(int count) {
+        mEarlyPromotions = count;
+    }
+
+    synchronized List<String> memberSteps() {
+        return List.copyOf(mMemberSteps);
+    }
+
     synchronized List<OrderRequest> orders() {
         return List.copyOf(mOrders);
     }
@@ -117,48 +126,12 @@
         return "127.0.0.1:" + server.port();
     }
 
-    private SettingsNode node(String path, Map<String, String> values) {
-        return SettingsNode.newBuilder()
-                .setPath(path)
-                .setVersion(mPosition)
-                .putAllValues(values)
-                .build();
-    }
-
-    private ChangeSettingsReply accept(ChangeSettingsRequest request) {
-        ChangeSettingsReply.Builder reply = ChangeSettingsReply.newBuilder();
-        for (NodeChange c : request.getChangesList()) {
-            SettingsNode present = mNodes.get(c.getPath());
-            if ((present == null ? 0 : present.getVersion()) != c.getExpectedVersion()) {
-                return reply.setCode(ResultCode.SETTINGS_CONFLICT.number())
-                        .addNodes(present)
-                        .build();
-            }
-        }
-        mPosition++;
-        request.getChangesList().forEach(this::change);
-        mHistory.add(
-                HistoryEntry.newBuilder()
-                        .setPosition(mPosition)
-                        .setChangeId(request.getChangeId())
-                        .setAuthor(request.getAuthor())
-                        .addAllChanges(request.getChangesList())
-                        .build());
-        return reply.setPosition(mPosition).build();
-    }
-
-    private void change(NodeChange c) {
-        Map<String, String> values = new TreeMap<>();
-        if (mNodes.containsKey(c.getPath())) {
-            values.putAll(mNodes.get(c.getPath()).getValuesMap());
-        }
-        values.putAll(c.getSetMap());
-        values.keySet().removeAll(c.getRemoveList());
-        if (c.getDelete()) {
-            mNodes.remove(c.getPath());
-        } else {
-            mNodes.put(c.getPath(), node(c.getPath(), values));
-        }
+    private static ControlStatus.Builder control(String name, long storageId) {
+        return ControlStatus.newBuilder()
+                .setName(name)
+                .setReplica(ReplicaId.newBuilder().setName(name).setStorageId(storageId))
+                .addVoters(ReplicaId.newBuilder().setName("control-1").setStorageId(1))
+                .addVoters(ReplicaId.newBuilder().setName("control-2").setStorageId(0xa));
     }
 
     private static <T> void answer(StreamObserver<T> observer, T reply) {
@@ -171,15 +144,7 @@
         public void readSettings(
                 ReadSettingsRequest request, StreamObserver<ReadSettingsReply> observer) {
             synchronized (FakeFleet.this) {
-                ReadSettingsReply.Builder reply =
-                        ReadSettingsReply.newBuilder().setPosition(mPosition);
-                mNodes.values().stream()
-                        .filter(
-                                n ->
-                                        request.getPath().isEmpty()
-                                                || n.getPath().equals(request.getPath()))
-                        .forEach(reply::addNodes);
-                answer(observer, reply.build());
+                answer(observer, mTree.read(request));
             }
         }
 
@@ -188,8 +153,7 @@
                 ChangeSettingsRequest request, StreamObserver<ChangeSettingsReply> observer) {
             synchronized (FakeFleet.this) {
                 mChangeCalls++;
-                ChangeSettingsReply reply =
-                        mAnswers.computeIfAbsent(request.getChangeId(), id -> accept(request));
+                ChangeSettingsReply reply = mTree.change(request);
                 if (mLostAnswers > 0) {
                     mLostAnswers--;
                     observer.onError(Status.UNAVAILABLE.asRuntimeException());
@@ -202,7 +166,7 @@
         @Override
         public void history(HistoryRequest request, StreamObserver<HistoryReply> observer) {
             synchronized (FakeFleet.this) {
-                answer(observer, HistoryReply.newBuilder().addAllEntries(mHistory).build());
+                answer(observer, mTree.history());
             }
         }
 
@@ -220,6 +184,17 @@
             answer(observer, IssueFenceReply.newBuilder().setFence(7).build());
         }
 
+        @Override
+        public void changeMembers(
+                ChangeMembersRequest request, StreamObserver<ChangeMembersReply> observer) {
+            synchronized (FakeFleet.this) {
+                mMemberSteps.add(request.getStep() + " " + Replicas.text(request.getReplica()));
+                boolean early = request.getStep() == Step.PROMOTE && mEarlyPromotions-- > 0;
+                ResultCode code = early ? ResultCode.MEMBERSHIP_CHANGE_PENDING : ResultCode.OK;
+                answer(observer, ChangeMembersReply.newBuilder().setCode(code.number()).build());
+            }
+        }
+
         @Override
         public void status(StatusRequest request, StreamObserver<StatusReply> observer) {
             Backend.Builder backend =
@@ -235,6 +210,8 @@
             answer(
                     observer,
                     StatusReply.newBuilder()
+                            .addControls(control("control-1", 1).setLeader(true))
+                            .addControls(control("control-2", 0xb))
                             .addBackends(BackendStatus.newBuilder().setBackend(backend))
                             .addRouters(RouterStatus.newBuilder().setRouter(router))
                             .addRouters(RouterStatus.newBuilder().setRouter(gone))
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterProgramTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -14,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Header;
 
 /** What callers see of a whole router. */
 class RouterProgramTest {
@@ -48,6 +48,7 @@
         FakeSidecarServer.Session s = session();
         assertThat(s.mRequest.account()).isEqualTo("broker");
         assertThat(s.mRequest.idempotent()).isTrue();
+        assertThat(s.mRequest.call().headers()).contains(new Header("Priority", "5"));
         assertThat(s.mRequest.call().headers()).noneMatch(h -> h.value().contains("Bearer"));
         assertThat(mFixture.mOutput.poll())
                 .isEqualTo("listening on " + mFixture.mRouter.endpoint());
@@ -97,14 +98,8 @@
 
     @Test
     void orderWithAKeyIsSentOnceItsClaimIsGranted() throws Exception {
-        HttpRequest order =
-                HttpRequest.newBuilder(mFixture.uri("/havnebok/orders"))
-                        .header("Authorization", "Bearer " + RouterFixture.KEY)
-                        .header("Idempotency-Key", "order-7")
-                        .POST(HttpRequest.BodyPublishers.ofString("stores"))
-                        .build();
-
-        assertThat(mFixture.mHttp.send(order, RouterFixture.text()).body()).isEqualTo("ok");
+        assertThat(mFixture.mHttp.send(mFixture.order(), RouterFixture.text()).body())
+                .isEqualTo("ok");
         assertThat(session().mRequest.idempotent()).isFalse();
         assertThat(mFixture.mControl.mClaims.poll().getKey()).isEqualTo("order-7");
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ClaimTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ClaimTable.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.laurelweir.coordination.CommandResult.ClaimResult;
+import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
 
 /**
@@ -20,8 +23,11 @@
 final class ClaimTable {
     private final int mMaxClaims;
     private final Duration mMaxRetention;
-    private final Map<Key, Claim> mClaims = new HashMap<>();
-    private final TreeMap<Instant, List<Key>> mExpiries = new TreeMap<>();
+    private final Map<Key, Entry> mClaims = new HashMap<>();
+    private final TreeMap<Instant, List<Entry>> mExpiries = new TreeMap<>();
+    private final Interner<String> mNames = new Interner<>();
+    private final Interner<BackendRef> mTargets = new Interner<>();
+    private final Interner<Instant> mTimes = new Interner<>();
 
     /**
      * Creates an empty table.
@@ -37,25 +43,25 @@
     ClaimResult apply(Command.Claim c) {
         expire(c.at());
         Key key = new Key(c.account(), c.key());
-        Claim held = mClaims.get(key);
-        if (held == null) {
-            return grant(key, c);
+        Entry entry = mClaims.get(key);
+        if (entry == null) {
+            return grant(c);
         }
+        Claim held = entry.mClaim;
         if (held.fingerprint() != c.fingerprint()) {
             return held.result(ResultCode.IDEMPOTENCY_KEY_REUSED);
         }
         if (held.holder().equals(c.replaces()) && !held.settled()) {
-            forget(key, held);
-            return grant(key, c);
+            forget(key, entry);
+            return grant(c);
         }
         return held.result(ResultCode.OK);
     }
 
-    private ClaimResult grant(Key key, Command.Claim c) {
+    private ClaimResult grant(Command.Claim c) {
         if (mClaims.size() >= mMaxClaims) {
             return ClaimResult.refused(ResultCode.CLAIM_UNAVAILABLE);
         }
-        Duration keep = c.retention().compareTo(mMaxRetention) < 0 ? c.retention() : mMaxRetention;
         Claim claim =
                 new Claim(
                         c.account(),
@@ -63,12 +69,19 @@
                         c.fingerprint(),
                         c.attempt(),
                         c.target(),
-                        c.at().plus(keep),
+                        expiry(c),
                         null);
-        put(key, claim);
+        put(claim);
         return claim.result(ResultCode.OK);
     }
 
+    /** Whole seconds, so that many claims share the place that they have in the order of ends. */
+    private Instant expiry(Command.Claim c) {
+        boolean tooLong = c.retention().compareTo(mMaxRetention) > 0;
+        Instant end = c.at().plus(tooLong ? mMaxRetention : c.retention());
+        return end.truncatedTo(ChronoUnit.SECONDS).plusSeconds(1);
+    }
+
     /**
      * Records how a holder ended. A holder that was not run and will not be gives the key free;
      * whoever does not hold it changes nothing.
@@ -76,14 +89,14 @@
     ResultCode apply(Command.SettleClaim c) {
         expire(c.at());
         Key key = new Key(c.account(), c.key());
-        Claim held = mClaims.get(key);
-        if (held == null || !held.holder().equals(c.attempt()) || held.settled()) {
+        Entry entry = mClaims.get(key);
+        if (entry == null || !entry.mClaim.holder().equals(c.attempt()) || entry.mClaim.settled()) {
             return ResultCode.OK;
         }
         if (c.code().isNotRun()) {
-            forget(key, held);
+            forget(key, entry);
         } else {
-            mClaims.put(key, held.withSettled(c.code()));
+            entry.mClaim = entry.mClaim.withSettled(c.code());
         }
         return ResultCode.OK;
     }
@@ -92,38 +105,66 @@
         return mClaims.size();
     }
 
-    private void put(Key key, Claim claim) {
-        mClaims.put(key, claim);
-        mExpiries.computeIfAbsent(claim.expires(), e -> new ArrayList<>(1)).add(key);
+    private void put(Claim c) {
+        Claim claim = compact(c);
+        Entry entry = new Entry(claim);
+        mClaims.put(new Key(claim.account(), claim.key()), entry);
+        mExpiries.computeIfAbsent(claim.expires(), e -> new ArrayList<>()).add(entry);
+    }
+
+    /** Shares what many claims have in common. */
+    private Claim compact(Claim c) {
+        AttemptId h = c.holder();
+        String router = mNames.intern(h.router());
+        return new Claim(
+                mNames.intern(c.account()),
+                c.key(),
+                c.fingerprint(),
+                new AttemptId(router, h.routerIncarnation(), h.request(), h.attempt()),
+                mTargets.intern(c.target()),
+                mTimes.intern(c.expires()),
+                c.settledCode());
     }
 
-    private void forget(Key key, Claim claim) {
+    private void forget(Key key, Entry entry) {
         mClaims.remove(key);
-        List<Key> sameTime = mExpiries.get(claim.expires());
-        sameTime.remove(key);
+        Instant expires = entry.mClaim.expires();
+        List<Entry> sameTime = mExpiries.get(expires);
+        sameTime.remove(entry);
         if (sameTime.isEmpty()) {
-            mExpiries.remove(claim.expires());
+            mExpiries.remove(expires);
         }
     }
 
     private void expire(Instant now) {
         while (!mExpiries.isEmpty() && !mExpiries.firstKey().isAfter(now)) {
-            mExpiries.pollFirstEntry().getValue().forEach(mClaims::remove);
+            for (Entry e : mExpiries.pollFirstEntry().getValue()) {
+                mClaims.remove(new Key(e.mClaim.account(), e.mClaim.key()));
+            }
         }
     }
 
     /** Returns every claim, the first to expire first, in the same order on every replica. */
     List<Claim> all() {
         List<Claim> all = new ArrayList<>(mClaims.size());
-        mExpiries.values().forEach(keys -> keys.forEach(k -> all.add(mClaims.get(k))));
+        mExpiries.values().forEach(entries -> entries.forEach(e -> all.add(e.mClaim)));
         return all;
     }
 
     void restore(List<Claim> claims) {
         mClaims.clear();
         mExpiries.clear();
-        claims.forEach(c -> put(new Key(c.account(), c.key()), c));
+        claims.forEach(this::put);
     }
 
     private record Key(String account, String key) {}
+
+    /** The place of a claim in both indexes; settling changes the claim and not the place. */
+    private static final class Entry {
+        private Claim mClaim;
+
+        private Entry(Claim claim) {
+            mClaim = claim;
+        }
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/DrainTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/DrainTest.java
@@ -13,7 +13,7 @@
 
 /** Leaving by an operator's wish and by a stop of the process. */
 class DrainTest {
-    private static final AttemptId ID = Requests.request(1).build().id();
+    private static final AttemptId ID = Requests.id(1);
 
     private final SidecarDriver mSidecar = new SidecarDriver();
 
@@ -45,6 +45,16 @@
         assertThat(serving.supersedes(draining)).isTrue();
     }
 
+    // An operator drains the server. The next exchange reaches a control instance that is cut off
+    // from the others and has not heard of it: the drain must hold all the same.
+    @Test
+    void drainIsNotTakenBackByAControlInstanceThatMayBeStale() {
+        mSidecar.exchange(SidecarDriver.members(3), 0, true, 0);
+        mSidecar.exchange(SidecarDriver.members(3), 0, false, false, 0);
+        mSidecar.begin(Requests.request(2));
+        assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).isEmpty();
+    }
+
     private Backend announced() {
         return mSidecar.take(SidecarEffect.SendExchange.class).get(0).report().backend();
     }
@@ -53,8 +63,8 @@
     // next in rank can take them: holding them until there is room would only delay their callers.
     @Test
     void drainSendsWaitingRequestsOn() {
-        mSidecar.begin(Requests.request(1).outputTokens(9_000));
-        long waiting = mSidecar.begin(Requests.request(2).outputTokens(100));
+        mSidecar.begin(Requests.request(1).cost(Requests.output(9_000)));
+        long waiting = mSidecar.begin(Requests.request(2).cost(Requests.output(100)));
         assertThat(mSidecar.takeLastFrame(waiting)).isInstanceOf(Frame.Accepted.class);
         mSidecar.exchange(SidecarDriver.members(3), 0, true, 0);
         Frame.Refused refused = (Frame.Refused) mSidecar.takeLastFrame(waiting);
@@ -82,7 +92,7 @@
     // rest over a new connection, so the process stays for as long as output is kept.
     @Test
     void stopWaitsForARouterThatComesBack() {
-        long lost = mSidecar.begin(Requests.request(1).key("k", Duration.ofMinutes(5)));
+        long lost = mSidecar.begin(Requests.order(1, "k", Duration.ofMinutes(5)));
         mSidecar.step(new SidecarEvent.StreamClosed(lost));
         mSidecar.step(new SidecarEvent.StopRequested());
         mSidecar.answer(ID, new byte[3]);
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/FairQueueTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/FairQueueTest.java
@@ -4,12 +4,15 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.AttemptRequest;
 
 /** Who goes first, and who has to go when the queue is full. */
 class FairQueueTest {
@@ -67,14 +70,12 @@
     void steadyUrgentFlowStarvesNobody() {
         Attempt low = attempt("a", 1, 0, 1);
         mQueue.add(NOW, low);
-        int turns = 0;
-        Attempt taken = null;
-        while (taken != low) {
+        List<Attempt> taken = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
             mQueue.add(NOW, attempt("b", 1, 9, 1));
-            taken = mQueue.take();
-            turns++;
+            taken.add(mQueue.take());
         }
-        assertThat(turns).isLessThanOrEqualTo(8);
+        assertThat(taken).contains(low);
     }
 
     // The queue is full of a large account's requests when a small account's one arrives. The
@@ -94,8 +95,9 @@
     }
 
     private Attempt attempt(String account, double weight, int priority, int work) {
-        Requests request = Requests.request(++mCount).account(account, weight).priority(priority);
-        Attempt attempt = new Attempt(request.build(), NOW, new OutputTotal());
+        AttemptRequest request =
+                Requests.request(++mCount).account(account, weight).priority(priority).build();
+        Attempt attempt = new Attempt(request, NOW, new OutputTotal());
         attempt.setWork(work);
         return attempt;
     }
