Let exchanges carry a whole settings tree larger than 4 MiB

Cause: the exchange's channel had gRPC's own limit of 4,194,304 bytes, while all others have 32 MiB. The new test fails without the change with RESOURCE_EXHAUSTED.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
@@ -37,6 +37,13 @@
 public final class ExchangeClient implements Service {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
+    /**
+     * A starting router's first answer holds the whole settings tree and membership, some megabytes
+     * for tens of thousands of client accounts. Above gRPC's usual limit every such answer would
+     * fail, and the router would never become ready.
+     */
+    private static final int MAX_MESSAGE_BYTES = 32 << 20;
+
     private final Duration mTimeout;
     private final ByteCounter mBytes = new ByteCounter();
     private final EventLoopGroup mGroup =
@@ -211,6 +218,7 @@
                 .eventLoopGroup(mGroup)
                 .channelFactory(this::newCountedChannel)
                 .directExecutor()
+                .maxInboundMessageSize(MAX_MESSAGE_BYTES)
                 .build();
     }
 
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
@@ -21,10 +21,12 @@
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ExchangeReply;
 import org.laurelweir.wire.v1.ExchangeRequest;
+import org.laurelweir.wire.v1.ServiceLoad;
 
 /** Exchanges with instances that answer and that do not. */
 class ExchangeClientTest {
     private static final Duration TIMEOUT = Duration.ofMillis(300);
+    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(30);
     private static final RouterReport REPORT = new RouterReport("r", 1, "dc", "region", "", "");
 
     private final List<Server> mServers = new ArrayList<>();
@@ -59,14 +61,31 @@
         }
     }
 
+    // A router starts in a deployment of many client accounts. Its first answer holds the whole
+    // tree
+    // and is larger than what gRPC takes by itself; refused, the router would never become ready.
+    @Test
+    void takesAnswerLargerThanUsualLimit() throws Exception {
+        String service = "s".repeat(5 << 20);
+        ServiceLoad load = ServiceLoad.newBuilder().setService(service).build();
+        String control = serve(ExchangeReply.newBuilder().addLoads(load).build());
+        try (ExchangeClient client = new ExchangeClient(List.of(control), LONG_TIMEOUT)) {
+            assertThat(exchange(client).loads()).hasSize(1);
+        }
+    }
+
     private static ExchangeAnswer exchange(ExchangeClient client) throws Exception {
         return client.exchange(REPORT, MembershipCursor.NONE, 0).get(30, TimeUnit.SECONDS);
     }
 
     private String serve(boolean answers, long fence) throws IOException {
+        return serve(answers ? ExchangeReply.newBuilder().setFence(fence).build() : null);
+    }
+
+    private String serve(ExchangeReply reply) throws IOException {
         Server server =
                 NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
-                        .addService(new FakeControl(answers, fence))
+                        .addService(new FakeControl(reply))
                         .build()
                         .start();
         mServers.add(server);
@@ -74,18 +93,17 @@
     }
 
     private static final class FakeControl extends ControlServiceGrpc.ControlServiceImplBase {
-        private final boolean mAnswers;
-        private final long mFence;
+        private final ExchangeReply mReply;
 
-        FakeControl(boolean answers, long fence) {
-            mAnswers = answers;
-            mFence = fence;
+        /** Creates a control instance that gives a reply, or none where it is null. */
+        FakeControl(ExchangeReply reply) {
+            mReply = reply;
         }
 
         @Override
         public void exchange(ExchangeRequest request, StreamObserver<ExchangeReply> reply) {
-            if (mAnswers) {
-                reply.onNext(ExchangeReply.newBuilder().setFence(mFence).build());
+            if (mReply != null) {
+                reply.onNext(mReply);
                 reply.onCompleted();
             }
         }
