--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -31,6 +31,8 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
     private static final long PAUSE_NANOS = Duration.ofMillis(500).toNanos();
 
+    private static final Map<String, Object> SHORT = Map.of("max_tokens", 3);
+
     private final Path mFolder;
     private final String mHost = host();
     private final Map<String, Integer> mControlPorts = new LinkedHashMap<>();
@@ -38,6 +40,7 @@
     private final List<StandIn> mStandIns = new ArrayList<>();
     private final List<FleetConnection> mConnections = new ArrayList<>();
     private ControlClient mControl;
+    private int mProbes;
 
     private final Builder mBuilder;
 
@@ -146,7 +149,7 @@
 
     /** Starts a plain service with its sidecar; its calls take no time unless told otherwise. */
     public StandIn startPlain(String name) {
-        return startStandIn(name, "plain", "havnebok", "workMillis: 0");
+        return startStandIn(name, "plain", "havnebok", "work-time: 0s");
     }
 
     /** Starts an engine of two hundred tokens an answer, which come at fifty a second. */
@@ -155,13 +158,19 @@
                 name,
                 "engine",
                 "seilhjerne",
-                "models: [seil]\nanswerTokens: 200\nbatch: {tokensPerSecond: 50, batchKnee: 100}");
+                "models: [seil]\nanswer-tokens: 200\n"
+                        + "batch: {tokens-per-second: 50, batch-knee: 100}");
     }
 
     private StandIn startStandIn(String name, String kind, String service, String settings) {
         FleetProcess p = process(name + "-backend", "org.laurelweir.standin." + kind + ".Main");
         p.writeSettings(
-                "name: " + name + "\nlisten: {portFile: " + p.portFile("") + "}\n" + settings);
+                String.join(
+                        "\n",
+                        "program: " + kind,
+                        "name: " + name,
+                        "port-file: " + p.portFile(""),
+                        settings));
         p.start();
         FleetProcess sidecar = process(name, "org.laurelweir.sidecar.Main");
         // Chosen here, so that a restarted sidecar is where the killed one was.
@@ -239,7 +248,17 @@
         if (!mStandIns.stream().allMatch(StandIn::isPlain)) {
             Await.until(
                     "chats by " + router.name(),
-                    () -> Caller.chat(router, "ready").findFault().isEmpty());
+                    () -> Caller.chat(router, "ready", SHORT, Map.of()).findFault().isEmpty());
+        }
+    }
+
+    /** Returns once a router's calls reach each of some plain services as it runs now. */
+    public void awaitReached(FleetProcess router, List<StandIn> plains) {
+        for (StandIn p : plains) {
+            String path = "/havnebok/reach-" + mProbes++;
+            Await.until(
+                    "calls at " + p.sidecar().name(),
+                    () -> isOk(router.port(), path) && !p.runsOfPath(path).isEmpty());
         }
     }
 
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -18,7 +18,6 @@
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.runtime.config.SettingsFile;
-import org.laurelweir.standin.ListenSettings;
 import org.laurelweir.standin.engine.EngineServer;
 import org.laurelweir.standin.engine.EngineSettings;
 import org.laurelweir.wire.AttemptCodec;
@@ -66,21 +65,7 @@
     }
 
     private static EngineSettings engineSettings() {
-        return new EngineSettings(
-                "e",
-                ListenSettings.LOOPBACK,
-                null,
-                null,
-                null,
-                null,
-                null,
-                null,
-                0,
-                0,
-                0,
-                null,
-                0,
-                null);
+        return EngineSettings.builder().name("e").build();
     }
 
     SidecarProgram sidecar() {
@@ -117,22 +102,15 @@
                         body,
                         streamed);
         AttemptRequest r =
-                new AttemptRequest(
-                        id(request),
-                        mSidecar.self(),
-                        "account",
-                        "seilhjerne",
-                        11,
-                        false,
-                        call,
-                        idempotent,
-                        "",
-                        Duration.ofMinutes(1),
-                        0,
-                        new AttemptRequest.Cost(10, tokens),
-                        0,
-                        1,
-                        Duration.ZERO);
+                AttemptRequest.builder(id(request), mSidecar.self())
+                        .account("account", 1)
+                        .service("seilhjerne")
+                        .chat(11, false)
+                        .call(call)
+                        .idempotent(idempotent)
+                        .timeLeft(Duration.ofMinutes(1))
+                        .cost(new AttemptRequest.Cost(10, tokens))
+                        .build();
         return AttemptMessage.newBuilder().setBegin(AttemptCodec.toWire(r)).build();
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -78,7 +78,9 @@
                     SettingKey.builder("account.max-running", SettingType.COUNT)
                             .by("1000000")
                             .range("0", "1000000")
-                            .doc("Most requests of a client account in flight on one router."));
+                            .doc(
+                                    "Most requests of a client account in flight in the"
+                                            + " deployment."));
 
     public static final SettingKey<Double> ACCOUNT_RATE =
             add(
@@ -86,8 +88,8 @@
                             .by("1000000")
                             .range("0", "1000000")
                             .doc(
-                                    "Requests a second that a client account may start on one"
-                                            + " router."));
+                                    "Requests a second that a client account may start in the"
+                                            + " deployment."));
 
     public static final SettingKey<List<String>> ACCOUNT_KEY_DIGESTS =
             add(
@@ -311,9 +313,11 @@
     public static final SettingKey<Duration> CLAIM_RETENTION =
             add(
                     SettingKey.builder("claim.retention", SettingType.DURATION)
-                            .by("1d")
+                            .by("15m")
                             .range("1m", "7d")
-                            .doc("How long a claim on an idempotency key holds."));
+                            .doc(
+                                    "How long past its deadline a claim on an idempotency key"
+                                            + " holds."));
 
     public static final SettingKey<Integer> PRIORITY_DEFAULT =
             add(
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -48,7 +48,7 @@
     private static RouterEvent exchange(boolean full, List<Backend> backends) {
         MembershipCursor cursor = new MembershipCursor("c", 1, 1);
         return new RouterEvent.ExchangeAnswered(
-                new MembershipDelta(cursor, full, backends), List.of());
+                new MembershipDelta(cursor, full, backends), List.of(), 1);
     }
 
     private void give(RouterEvent event) {
@@ -147,21 +147,41 @@
         assertThat(error.retryAfter()).isEqualTo(Duration.ofSeconds(3));
     }
 
+    private static RequestPolicy limited(int maxRunning, double rate) {
+        RequestPolicy p = POLICY;
+        return new RequestPolicy(
+                p.boundFactor(),
+                p.maxAttempts(),
+                p.retryBudgetShare(),
+                p.backoffMin(),
+                p.backoffMax(),
+                p.accountWeight(),
+                maxRunning,
+                rate,
+                p.claimRetention(),
+                p.silence());
+    }
+
+    // An account asks so often that its refills of a tenth each add up to a hair less than one
+    // start. What is missing takes less than a nanosecond, and must not count as nothing missing:
+    // all that came at that moment would start.
+    @Test
+    void hairMissingFromOneStartIsStillMissing() {
+        RequestPolicy slow = limited(100, 1);
+        arrive(1, true, "", slow);
+        for (long caller = 2; caller <= 11; caller++) {
+            pass(Duration.ofMillis(100));
+            arrive(caller, true, "", slow);
+        }
+        arrive(12, true, "", slow);
+        arrive(13, true, "", slow);
+        assertThat(all(BeginAttempt.class)).hasSizeLessThanOrEqualTo(2);
+        assertThat(last(AnswerError.class).caller()).isEqualTo(13);
+    }
+
     @Test
     void accountsAreHeldToTheirLimits() {
-        RequestPolicy p = POLICY;
-        RequestPolicy narrow =
-                new RequestPolicy(
-                        p.boundFactor(),
-                        p.maxAttempts(),
-                        p.retryBudgetShare(),
-                        p.backoffMin(),
-                        p.backoffMax(),
-                        p.accountWeight(),
-                        1,
-                        2,
-                        p.claimRetention(),
-                        p.silence());
+        RequestPolicy narrow = limited(1, 2);
         arrive(1, true, "", narrow);
         arrive(2, true, "", narrow);
         assertThat(last(AnswerError.class).code()).isEqualTo(ResultCode.ACCOUNT_LIMIT);
@@ -197,6 +217,15 @@
         assertThat(second.replaces()).isEqualTo(first.attempt());
     }
 
+    // The caller resends just before its time to do so is over, counted from its deadline. The
+    // claim must still stand then: it is asked for as long, and longer than the attempt may run.
+    @Test
+    void claimOutlastsTheAttemptByTheRetention() {
+        arrive(1, false, "key", POLICY);
+        Duration asked = last(RouterEffect.Claim.class).retention();
+        assertThat(asked).isEqualTo(Duration.ofMinutes(1).plus(POLICY.claimRetention()));
+    }
+
     // The caller sends its order again, through another router than the first time, while the first
     // attempt still runs for that one. Nothing is sent a second time. This router waits until the
     // attempt has ended, for taking its only stream would have the two take it from each other;
