Hand leadership over before a control leader stops

A leader that was stopped (SIGTERM) just went, and nothing was committed until the others had missed it for an election timeout. It now turns new proposals away as not run, commits what is pending, and asks the voter in contact with the longest log to campaign at once (TimeoutNow). Votes asked for on that ground are not held back because a leader was heard; once a term and only for a log as new still hold. The process waits for it 2 s at most.

Stepping down and letting anyone campaign was ruled out: it may lack the last entries, and pending proposals would end in OUTCOME_UNKNOWN.

Rule tests for the hand-over and for one that reaches nobody; the properties now hand over at random, too, and hold.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -1,5 +1,6 @@
 package org.laurelweir.control;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.laurelweir.agreement.AgreementEvent.SnapshotTaken;
@@ -20,6 +21,7 @@
     private final Executor mBackground;
     private final Consumer<ControlEvent> mEvents;
     private final ControlMetrics mMetrics;
+    private final CompletableFuture<Void> mHandedOver = new CompletableFuture<>();
     private volatile boolean mWritten;
 
     ControlEffects(
@@ -44,6 +46,11 @@
         return mWritten;
     }
 
+    /** Ends once this instance need not be waited for as a leader; only after it was asked to. */
+    CompletableFuture<Void> handedOver() {
+        return mHandedOver;
+    }
+
     @Override
     public void accept(ControlEffect e) {
         if (e instanceof ControlEffect.Answer a) {
@@ -62,6 +69,8 @@
             mBackground.execute(() -> encode(s));
         } else if (e instanceof ControlEffect.Reported r) {
             mMetrics.reported(r);
+        } else if (e instanceof ControlEffect.HandedOver) {
+            mHandedOver.complete(null);
         } else if (e instanceof ControlEffect.Decided d) {
             DecisionLog.write(d.decision());
         }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -13,9 +13,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laurelweir.agreement.AgreementConfig;
+import org.laurelweir.agreement.AgreementEvent;
 import org.laurelweir.agreement.AgreementEvent.Recovered;
 import org.laurelweir.agreement.HardState;
 import org.laurelweir.agreement.ReplicaId;
@@ -54,6 +56,7 @@
 public final class ControlProgram implements Service {
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration GRACE = Duration.ofMillis(500);
+    private static final Duration HAND_OVER = Duration.ofSeconds(2);
     private static final int HEARTBEATS_PER_ELECTION = 6;
 
     private final ControlFile mFile;
@@ -222,8 +225,21 @@
         Program.halt(code);
     }
 
+    /** While the server still runs: the successor's votes and the last answers pass through it. */
+    private void handOver() {
+        if (!mLoop.isDone()) {
+            return;
+        }
+        offer(new ControlEvent.Replica(new AgreementEvent.HandOverRequested()));
+        // Whatever happens, the instance stops; the others then elect after their timeout.
+        mEffects.handedOver()
+                .completeOnTimeout(null, HAND_OVER.toMillis(), TimeUnit.MILLISECONDS)
+                .join();
+    }
+
     @Override
     public void stop() {
+        handOver();
         if (mServer != null) {
             mServer.stop();
         }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/ReplicaCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/ReplicaCodec.java
@@ -11,6 +11,7 @@
 import org.laurelweir.wire.v1.ReplicaEnvelope;
 import org.laurelweir.wire.v1.SnapshotAnswered;
 import org.laurelweir.wire.v1.SnapshotPiece;
+import org.laurelweir.wire.v1.TimeoutNow;
 import org.laurelweir.wire.v1.VoteAnswered;
 import org.laurelweir.wire.v1.VoteAsked;
 
@@ -48,7 +49,10 @@
         } else if (message instanceof ReplicaMessage.PreVoteReply m) {
             envelope.setPreVoteReply(answered(m.term(), m.granted()));
         } else if (message instanceof ReplicaMessage.VoteRequest m) {
-            envelope.setVoteRequest(asked(m.term(), m.lastIndex(), m.lastTerm()));
+            VoteAsked asked = asked(m.term(), m.lastIndex(), m.lastTerm());
+            envelope.setVoteRequest(asked.toBuilder().setHandedOver(m.handedOver()));
+        } else if (message instanceof ReplicaMessage.TimeoutNow m) {
+            envelope.setTimeoutNow(TimeoutNow.newBuilder().setTerm(m.term()));
         } else if (message instanceof ReplicaMessage.VoteReply m) {
             envelope.setVoteReply(answered(m.term(), m.granted()));
         }
@@ -74,7 +78,7 @@
             case VOTE_REQUEST -> {
                 VoteAsked m = e.getVoteRequest();
                 yield new ReplicaMessage.VoteRequest(
-                        m.getTerm(), m.getLastIndex(), m.getLastTerm());
+                        m.getTerm(), m.getLastIndex(), m.getLastTerm(), m.getHandedOver());
             }
             case VOTE_REPLY -> {
                 VoteAnswered m = e.getVoteReply();
@@ -84,6 +88,7 @@
             case APPEND_REPLY -> toCore(e.getAppendReply());
             case SNAPSHOT_CHUNK -> toCore(e.getSnapshotChunk());
             case SNAPSHOT_REPLY -> toCore(e.getSnapshotReply());
+            case TIMEOUT_NOW -> new ReplicaMessage.TimeoutNow(e.getTimeoutNow().getTerm());
             case MESSAGE_NOT_SET -> throw new IllegalArgumentException("no replica message");
         };
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Replica.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Replica.java
@@ -40,6 +40,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_laurelweir_v1_VoteAsked_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laurelweir_v1_TimeoutNow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_laurelweir_v1_TimeoutNow_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laurelweir_v1_VoteAnswered_descriptor;
   static final 
@@ -83,7 +88,7 @@
       "r.v1\032\033laurelweir/v1/control.proto\"\021\n\017Ide" +
       "ntifyRequest\"I\n\rIdentifyReply\022)\n\007replica" +
       "\030\001 \001(\0132\030.laurelweir.v1.ReplicaId\022\r\n\005empt" +
-      "y\030\002 \001(\010\"\016\n\014DeliverReply\"\235\004\n\017ReplicaEnvel" +
+      "y\030\002 \001(\010\"\016\n\014DeliverReply\"\317\004\n\017ReplicaEnvel" +
       "ope\022&\n\004from\030\001 \001(\0132\030.laurelweir.v1.Replic" +
       "aId\022$\n\002to\030\002 \001(\0132\030.laurelweir.v1.ReplicaI" +
       "d\0224\n\020pre_vote_request\030\003 \001(\0132\030.laurelweir" +
@@ -96,30 +101,32 @@
       "y\030\010 \001(\0132\036.laurelweir.v1.EntriesAnsweredH" +
       "\000\0226\n\016snapshot_chunk\030\t \001(\0132\034.laurelweir.v" +
       "1.SnapshotPieceH\000\0229\n\016snapshot_reply\030\n \001(" +
-      "\0132\037.laurelweir.v1.SnapshotAnsweredH\000B\t\n\007" +
-      "message\"@\n\tVoteAsked\022\014\n\004term\030\001 \001(\004\022\022\n\nla" +
-      "st_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004\"-\n\014Vot" +
-      "eAnswered\022\014\n\004term\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010" +
-      "\"J\n\014ReplicaEntry\022\r\n\005index\030\001 \001(\004\022\014\n\004term\030" +
-      "\002 \001(\004\022\014\n\004kind\030\003 \001(\r\022\017\n\007payload\030\004 \001(\014\"\225\001\n" +
-      "\013EntriesSent\022\014\n\004term\030\001 \001(\004\022\022\n\nprev_index" +
-      "\030\002 \001(\004\022\021\n\tprev_term\030\003 \001(\004\022,\n\007entries\030\004 \003" +
-      "(\0132\033.laurelweir.v1.ReplicaEntry\022\024\n\014commi" +
-      "t_index\030\005 \001(\004\022\r\n\005round\030\006 \001(\004\"T\n\017EntriesA" +
-      "nswered\022\014\n\004term\030\001 \001(\004\022\017\n\007success\030\002 \001(\010\022\023" +
-      "\n\013match_index\030\003 \001(\004\022\r\n\005round\030\004 \001(\004\"\231\001\n\rS" +
-      "napshotPiece\022\014\n\004term\030\001 \001(\004\022\r\n\005index\030\002 \001(" +
-      "\004\022\025\n\rsnapshot_term\030\003 \001(\004\022\022\n\nmembership\030\004" +
-      " \001(\014\022\016\n\006offset\030\005 \001(\r\022\023\n\013total_bytes\030\006 \001(" +
-      "\r\022\014\n\004data\030\007 \001(\014\022\r\n\005round\030\010 \001(\004\"f\n\020Snapsh" +
-      "otAnswered\022\014\n\004term\030\001 \001(\004\022\r\n\005index\030\002 \001(\004\022" +
-      "\023\n\013next_offset\030\003 \001(\r\022\021\n\tinstalled\030\004 \001(\010\022" +
-      "\r\n\005round\030\005 \001(\0042\242\001\n\016ReplicaService\022F\n\007Del" +
-      "iver\022\036.laurelweir.v1.ReplicaEnvelope\032\033.l" +
-      "aurelweir.v1.DeliverReply\022H\n\010Identify\022\036." +
-      "laurelweir.v1.IdentifyRequest\032\034.laurelwe" +
-      "ir.v1.IdentifyReplyB\032\n\026org.laurelweir.wi" +
-      "re.v1P\001b\006proto3"
+      "\0132\037.laurelweir.v1.SnapshotAnsweredH\000\0220\n\013" +
+      "timeout_now\030\013 \001(\0132\031.laurelweir.v1.Timeou" +
+      "tNowH\000B\t\n\007message\"U\n\tVoteAsked\022\014\n\004term\030\001" +
+      " \001(\004\022\022\n\nlast_index\030\002 \001(\004\022\021\n\tlast_term\030\003 " +
+      "\001(\004\022\023\n\013handed_over\030\004 \001(\010\"\032\n\nTimeoutNow\022\014" +
+      "\n\004term\030\001 \001(\004\"-\n\014VoteAnswered\022\014\n\004term\030\001 \001" +
+      "(\004\022\017\n\007granted\030\002 \001(\010\"J\n\014ReplicaEntry\022\r\n\005i" +
+      "ndex\030\001 \001(\004\022\014\n\004term\030\002 \001(\004\022\014\n\004kind\030\003 \001(\r\022\017" +
+      "\n\007payload\030\004 \001(\014\"\225\001\n\013EntriesSent\022\014\n\004term\030" +
+      "\001 \001(\004\022\022\n\nprev_index\030\002 \001(\004\022\021\n\tprev_term\030\003" +
+      " \001(\004\022,\n\007entries\030\004 \003(\0132\033.laurelweir.v1.Re" +
+      "plicaEntry\022\024\n\014commit_index\030\005 \001(\004\022\r\n\005roun" +
+      "d\030\006 \001(\004\"T\n\017EntriesAnswered\022\014\n\004term\030\001 \001(\004" +
+      "\022\017\n\007success\030\002 \001(\010\022\023\n\013match_index\030\003 \001(\004\022\r" +
+      "\n\005round\030\004 \001(\004\"\231\001\n\rSnapshotPiece\022\014\n\004term\030" +
+      "\001 \001(\004\022\r\n\005index\030\002 \001(\004\022\025\n\rsnapshot_term\030\003 " +
+      "\001(\004\022\022\n\nmembership\030\004 \001(\014\022\016\n\006offset\030\005 \001(\r\022" +
+      "\023\n\013total_bytes\030\006 \001(\r\022\014\n\004data\030\007 \001(\014\022\r\n\005ro" +
+      "und\030\010 \001(\004\"f\n\020SnapshotAnswered\022\014\n\004term\030\001 " +
+      "\001(\004\022\r\n\005index\030\002 \001(\004\022\023\n\013next_offset\030\003 \001(\r\022" +
+      "\021\n\tinstalled\030\004 \001(\010\022\r\n\005round\030\005 \001(\0042\242\001\n\016Re" +
+      "plicaService\022F\n\007Deliver\022\036.laurelweir.v1." +
+      "ReplicaEnvelope\032\033.laurelweir.v1.DeliverR" +
+      "eply\022H\n\010Identify\022\036.laurelweir.v1.Identif" +
+      "yRequest\032\034.laurelweir.v1.IdentifyReplyB\032" +
+      "\n\026org.laurelweir.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -149,45 +156,51 @@
     internal_static_laurelweir_v1_ReplicaEnvelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ReplicaEnvelope_descriptor,
-        new java.lang.String[] { "From", "To", "PreVoteRequest", "PreVoteReply", "VoteRequest", "VoteReply", "AppendRequest", "AppendReply", "SnapshotChunk", "SnapshotReply", "Message", });
+        new java.lang.String[] { "From", "To", "PreVoteRequest", "PreVoteReply", "VoteRequest", "VoteReply", "AppendRequest", "AppendReply", "SnapshotChunk", "SnapshotReply", "TimeoutNow", "Message", });
     internal_static_laurelweir_v1_VoteAsked_descriptor =
       getDescriptor().getMessageTypes().get(4);
     internal_static_laurelweir_v1_VoteAsked_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_VoteAsked_descriptor,
-        new java.lang.String[] { "Term", "LastIndex", "LastTerm", });
-    internal_static_laurelweir_v1_VoteAnswered_descriptor =
+        new java.lang.String[] { "Term", "LastIndex", "LastTerm", "HandedOver", });
+    internal_static_laurelweir_v1_TimeoutNow_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_laurelweir_v1_TimeoutNow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_laurelweir_v1_TimeoutNow_descriptor,
+        new java.lang.String[] { "Term", });
+    internal_static_laurelweir_v1_VoteAnswered_descriptor =
+      getDescriptor().getMessageTypes().get(6);
     internal_static_laurelweir_v1_VoteAnswered_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_VoteAnswered_descriptor,
         new java.lang.String[] { "Term", "Granted", });
     internal_static_laurelweir_v1_ReplicaEntry_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_laurelweir_v1_ReplicaEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ReplicaEntry_descriptor,
         new java.lang.String[] { "Index", "Term", "Kind", "Payload", });
     internal_static_laurelweir_v1_EntriesSent_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_laurelweir_v1_EntriesSent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_EntriesSent_descriptor,
         new java.lang.String[] { "Term", "PrevIndex", "PrevTerm", "Entries", "CommitIndex", "Round", });
     internal_static_laurelweir_v1_EntriesAnswered_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_laurelweir_v1_EntriesAnswered_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_EntriesAnswered_descriptor,
         new java.lang.String[] { "Term", "Success", "MatchIndex", "Round", });
     internal_static_laurelweir_v1_SnapshotPiece_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_laurelweir_v1_SnapshotPiece_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_SnapshotPiece_descriptor,
         new java.lang.String[] { "Term", "Index", "SnapshotTerm", "Membership", "Offset", "TotalBytes", "Data", "Round", });
     internal_static_laurelweir_v1_SnapshotAnswered_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_laurelweir_v1_SnapshotAnswered_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_SnapshotAnswered_descriptor,
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplicaEnvelope.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplicaEnvelope.java
@@ -54,6 +54,7 @@
     APPEND_REPLY(8),
     SNAPSHOT_CHUNK(9),
     SNAPSHOT_REPLY(10),
+    TIMEOUT_NOW(11),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -79,6 +80,7 @@
         case 8: return APPEND_REPLY;
         case 9: return SNAPSHOT_CHUNK;
         case 10: return SNAPSHOT_REPLY;
+        case 11: return TIMEOUT_NOW;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -394,6 +396,37 @@
     return org.laurelweir.wire.v1.SnapshotAnswered.getDefaultInstance();
   }
 
+  public static final int TIMEOUT_NOW_FIELD_NUMBER = 11;
+  /**
+   * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+   * @return Whether the timeoutNow field is set.
+   */
+  @java.lang.Override
+  public boolean hasTimeoutNow() {
+    return messageCase_ == 11;
+  }
+  /**
+   * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+   * @return The timeoutNow.
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.TimeoutNow getTimeoutNow() {
+    if (messageCase_ == 11) {
+       return (org.laurelweir.wire.v1.TimeoutNow) message_;
+    }
+    return org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance();
+  }
+  /**
+   * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.TimeoutNowOrBuilder getTimeoutNowOrBuilder() {
+    if (messageCase_ == 11) {
+       return (org.laurelweir.wire.v1.TimeoutNow) message_;
+    }
+    return org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -438,6 +471,9 @@
     if (messageCase_ == 10) {
       output.writeMessage(10, (org.laurelweir.wire.v1.SnapshotAnswered) message_);
     }
+    if (messageCase_ == 11) {
+      output.writeMessage(11, (org.laurelweir.wire.v1.TimeoutNow) message_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -487,6 +523,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, (org.laurelweir.wire.v1.SnapshotAnswered) message_);
     }
+    if (messageCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (org.laurelweir.wire.v1.TimeoutNow) message_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -546,6 +586,10 @@
         if (!getSnapshotReply()
             .equals(other.getSnapshotReply())) return false;
         break;
+      case 11:
+        if (!getTimeoutNow()
+            .equals(other.getTimeoutNow())) return false;
+        break;
       case 0:
       default:
     }
@@ -601,6 +645,10 @@
         hash = (37 * hash) + SNAPSHOT_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getSnapshotReply().hashCode();
         break;
+      case 11:
+        hash = (37 * hash) + TIMEOUT_NOW_FIELD_NUMBER;
+        hash = (53 * hash) + getTimeoutNow().hashCode();
+        break;
       case 0:
       default:
     }
@@ -776,6 +824,9 @@
       if (snapshotReplyBuilder_ != null) {
         snapshotReplyBuilder_.clear();
       }
+      if (timeoutNowBuilder_ != null) {
+        timeoutNowBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -863,6 +914,10 @@
           snapshotReplyBuilder_ != null) {
         result.message_ = snapshotReplyBuilder_.build();
       }
+      if (messageCase_ == 11 &&
+          timeoutNowBuilder_ != null) {
+        result.message_ = timeoutNowBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -948,6 +1003,10 @@
           mergeSnapshotReply(other.getSnapshotReply());
           break;
         }
+        case TIMEOUT_NOW: {
+          mergeTimeoutNow(other.getTimeoutNow());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -1048,6 +1107,13 @@
               messageCase_ = 10;
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  getTimeoutNowFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 11;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2457,6 +2523,148 @@
       onChanged();
       return snapshotReplyBuilder_;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.TimeoutNow, org.laurelweir.wire.v1.TimeoutNow.Builder, org.laurelweir.wire.v1.TimeoutNowOrBuilder> timeoutNowBuilder_;
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     * @return Whether the timeoutNow field is set.
+     */
+    @java.lang.Override
+    public boolean hasTimeoutNow() {
+      return messageCase_ == 11;
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     * @return The timeoutNow.
+     */
+    @java.lang.Override
+    public org.laurelweir.wire.v1.TimeoutNow getTimeoutNow() {
+      if (timeoutNowBuilder_ == null) {
+        if (messageCase_ == 11) {
+          return (org.laurelweir.wire.v1.TimeoutNow) message_;
+        }
+        return org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance();
+      } else {
+        if (messageCase_ == 11) {
+          return timeoutNowBuilder_.getMessage();
+        }
+        return org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    public Builder setTimeoutNow(org.laurelweir.wire.v1.TimeoutNow value) {
+      if (timeoutNowBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        message_ = value;
+        onChanged();
+      } else {
+        timeoutNowBuilder_.setMessage(value);
+      }
+      messageCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    public Builder setTimeoutNow(
+        org.laurelweir.wire.v1.TimeoutNow.Builder builderForValue) {
+      if (timeoutNowBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        timeoutNowBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    public Builder mergeTimeoutNow(org.laurelweir.wire.v1.TimeoutNow value) {
+      if (timeoutNowBuilder_ == null) {
+        if (messageCase_ == 11 &&
+            message_ != org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance()) {
+          message_ = org.laurelweir.wire.v1.TimeoutNow.newBuilder((org.laurelweir.wire.v1.TimeoutNow) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 11) {
+          timeoutNowBuilder_.mergeFrom(value);
+        } else {
+          timeoutNowBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    public Builder clearTimeoutNow() {
+      if (timeoutNowBuilder_ == null) {
+        if (messageCase_ == 11) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 11) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        timeoutNowBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    public org.laurelweir.wire.v1.TimeoutNow.Builder getTimeoutNowBuilder() {
+      return getTimeoutNowFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    @java.lang.Override
+    public org.laurelweir.wire.v1.TimeoutNowOrBuilder getTimeoutNowOrBuilder() {
+      if ((messageCase_ == 11) && (timeoutNowBuilder_ != null)) {
+        return timeoutNowBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 11) {
+          return (org.laurelweir.wire.v1.TimeoutNow) message_;
+        }
+        return org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.TimeoutNow, org.laurelweir.wire.v1.TimeoutNow.Builder, org.laurelweir.wire.v1.TimeoutNowOrBuilder> 
+        getTimeoutNowFieldBuilder() {
+      if (timeoutNowBuilder_ == null) {
+        if (!(messageCase_ == 11)) {
+          message_ = org.laurelweir.wire.v1.TimeoutNow.getDefaultInstance();
+        }
+        timeoutNowBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.laurelweir.wire.v1.TimeoutNow, org.laurelweir.wire.v1.TimeoutNow.Builder, org.laurelweir.wire.v1.TimeoutNowOrBuilder>(
+                (org.laurelweir.wire.v1.TimeoutNow) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 11;
+      onChanged();
+      return timeoutNowBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplicaEnvelopeOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplicaEnvelopeOrBuilder.java
@@ -158,5 +158,20 @@
    */
   org.laurelweir.wire.v1.SnapshotAnsweredOrBuilder getSnapshotReplyOrBuilder();
 
+  /**
+   * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+   * @return Whether the timeoutNow field is set.
+   */
+  boolean hasTimeoutNow();
+  /**
+   * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+   * @return The timeoutNow.
+   */
+  org.laurelweir.wire.v1.TimeoutNow getTimeoutNow();
+  /**
+   * <code>.laurelweir.v1.TimeoutNow timeout_now = 11;</code>
+   */
+  org.laurelweir.wire.v1.TimeoutNowOrBuilder getTimeoutNowOrBuilder();
+
   org.laurelweir.wire.v1.ReplicaEnvelope.MessageCase getMessageCase();
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/VoteAsked.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/VoteAsked.java
@@ -72,6 +72,21 @@
     return lastTerm_;
   }
 
+  public static final int HANDED_OVER_FIELD_NUMBER = 4;
+  private boolean handedOver_ = false;
+  /**
+   * <pre>
+   * The leader asked the sender to take over (votes only).
+   * </pre>
+   *
+   * <code>bool handed_over = 4;</code>
+   * @return The handedOver.
+   */
+  @java.lang.Override
+  public boolean getHandedOver() {
+    return handedOver_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -95,6 +110,9 @@
     if (lastTerm_ != 0L) {
       output.writeUInt64(3, lastTerm_);
     }
+    if (handedOver_ != false) {
+      output.writeBool(4, handedOver_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -116,6 +134,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, lastTerm_);
     }
+    if (handedOver_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, handedOver_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -137,6 +159,8 @@
         != other.getLastIndex()) return false;
     if (getLastTerm()
         != other.getLastTerm()) return false;
+    if (getHandedOver()
+        != other.getHandedOver()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -157,6 +181,9 @@
     hash = (37 * hash) + LAST_TERM_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLastTerm());
+    hash = (37 * hash) + HANDED_OVER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHandedOver());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -291,6 +318,7 @@
       term_ = 0L;
       lastIndex_ = 0L;
       lastTerm_ = 0L;
+      handedOver_ = false;
       return this;
     }
 
@@ -333,6 +361,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.lastTerm_ = lastTerm_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.handedOver_ = handedOver_;
+      }
     }
 
     @java.lang.Override
@@ -388,6 +419,9 @@
       if (other.getLastTerm() != 0L) {
         setLastTerm(other.getLastTerm());
       }
+      if (other.getHandedOver() != false) {
+        setHandedOver(other.getHandedOver());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -429,6 +463,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              handedOver_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -541,6 +580,50 @@
       onChanged();
       return this;
     }
+
+    private boolean handedOver_ ;
+    /**
+     * <pre>
+     * The leader asked the sender to take over (votes only).
+     * </pre>
+     *
+     * <code>bool handed_over = 4;</code>
+     * @return The handedOver.
+     */
+    @java.lang.Override
+    public boolean getHandedOver() {
+      return handedOver_;
+    }
+    /**
+     * <pre>
+     * The leader asked the sender to take over (votes only).
+     * </pre>
+     *
+     * <code>bool handed_over = 4;</code>
+     * @param value The handedOver to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHandedOver(boolean value) {
+
+      handedOver_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The leader asked the sender to take over (votes only).
+     * </pre>
+     *
+     * <code>bool handed_over = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHandedOver() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      handedOver_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/VoteAskedOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/VoteAskedOrBuilder.java
@@ -25,4 +25,14 @@
    * @return The lastTerm.
    */
   long getLastTerm();
+
+  /**
+   * <pre>
+   * The leader asked the sender to take over (votes only).
+   * </pre>
+   *
+   * <code>bool handed_over = 4;</code>
+   * @return The handedOver.
+   */
+  boolean getHandedOver();
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementEffect.java
@@ -66,6 +66,9 @@
      */
     record RoleChanged(Role role, long term, ReplicaId leader) implements AgreementEffect {}
 
+    /** The replica does not lead any more, or there is nobody to hand over to. */
+    record HandedOver() implements AgreementEffect {}
+
     /** The newest membership in this replica's log changed; connect accordingly. */
     record MembershipChanged(Membership membership) implements AgreementEffect {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementEvent.java
@@ -34,6 +34,12 @@
     /** Someone wants to read the latest state; ends in ready or rejected under the same id. */
     record ReadRequested(long readId) implements AgreementEvent {}
 
+    /**
+     * The replica is about to stop and, if it leads, should see another lead first. Answered by
+     * {@link AgreementEffect.HandedOver}.
+     */
+    record HandOverRequested() implements AgreementEvent {}
+
     /** Every {@link AgreementEffect.Persist} up to this sequence has been synced to disk. */
     record Persisted(long sequence) implements AgreementEvent {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementReducer.java
@@ -120,6 +120,8 @@
             mApplier.onSnapshotTaken(e);
         } else if (event instanceof Recovered e) {
             onRecovered(e);
+        } else if (event instanceof AgreementEvent.HandOverRequested) {
+            onHandOverRequested();
         } else if (event instanceof Bootstrapped e) {
             onBootstrapped(e);
         }
@@ -139,6 +141,14 @@
         mState.append(List.of(new LogEntry(1, 0, LogEntry.Kind.MEMBERSHIP, members)));
     }
 
+    private void onHandOverRequested() {
+        if (mLeadership == null) {
+            mState.emit(new AgreementEffect.HandedOver());
+        } else {
+            mLeadership.onHandOverRequested();
+        }
+    }
+
     private void onTick() {
         if (mLeadership != null) {
             mLeadership.onTick();
@@ -206,6 +216,8 @@
             refuseOldTerm(from, message);
         } else if (message instanceof VoteReply m) {
             mElections.onVoteReply(from, m);
+        } else if (message instanceof ReplicaMessage.TimeoutNow) {
+            mElections.takeOver();
         } else if (message instanceof AppendRequest m) {
             followLeader(from);
             mAppends.onAppend(from, m);
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/Elections.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/Elections.java
@@ -62,7 +62,14 @@
         countVote(mState.self());
     }
 
-    private void campaign() {
+    /** Campaigns without waiting, since the leader has asked for it. */
+    void takeOver() {
+        if (mState.isVoter()) {
+            campaign(true);
+        }
+    }
+
+    private void campaign(boolean handedOver) {
         mState.setHardState(new HardState(mState.term() + 1, mState.self()));
         mState.become(Role.CANDIDATE, null);
         mVotes.clear();
@@ -70,15 +77,15 @@
         long term = mState.term();
         // A candidate that forgot its own vote in a crash could give it to another of the same
         // term.
-        mState.durability().afterSync(() -> askVotes(term));
+        mState.durability().afterSync(() -> askVotes(term, handedOver));
     }
 
-    private void askVotes(long term) {
+    private void askVotes(long term, boolean handedOver) {
         if (mState.term() != term || mState.role() != Role.CANDIDATE) {
             return;
         }
         ReplicatedLog log = mState.log();
-        sendToVoters(new VoteRequest(term, log.lastIndex(), log.lastTerm()));
+        sendToVoters(new VoteRequest(term, log.lastIndex(), log.lastTerm(), handedOver));
         countVote(mState.self());
     }
 
@@ -100,7 +107,7 @@
             return;
         }
         if (mState.role() == Role.PRE_CANDIDATE) {
-            campaign();
+            campaign(false);
         } else {
             mState.become(Role.LEADER, mState.self());
         }
@@ -128,7 +135,7 @@
 
     void onVoteRequest(ReplicaId from, VoteRequest m) {
         // A removed replica that never heard of its removal would else depose leader after leader.
-        if (isLeaderAlive()) {
+        if (isLeaderAlive() && !m.handedOver()) {
             return;
         }
         if (m.term() > mState.term()) {
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/Leadership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/Leadership.java
@@ -16,6 +16,7 @@
     private final Proposals mProposals;
     private final Reads mReads;
     private final MembershipRules mRules;
+    private final HandOver mHandOver;
     private Instant mNextHeartbeat;
 
     Leadership(ReplicaState state, Applier applier) {
@@ -25,6 +26,7 @@
         mProposals = new Proposals(state);
         mReads = new Reads(state, applier, mReplication);
         mRules = new MembershipRules(state, mReplication, this::isHeard);
+        mHandOver = new HandOver(state, mReplication, this::isHeard);
         mNextHeartbeat = state.now();
     }
 
@@ -37,6 +39,7 @@
     void end() {
         mProposals.end();
         mReads.end();
+        mHandOver.end();
     }
 
     private LogEntry append(LogEntry.Kind kind, byte[] payload) {
@@ -45,7 +48,14 @@
         return entry;
     }
 
+    void onHandOverRequested() {
+        mHandOver.begin();
+    }
+
     void onProposed(long proposalId, byte[] command) {
+        if (isLeaving(proposalId)) {
+            return;
+        }
         if (!mProposals.hasRoom(command.length)) {
             reject(proposalId, ResultCode.OVERLOADED);
             return;
@@ -53,7 +63,18 @@
         mProposals.add(proposalId, append(LogEntry.Kind.COMMAND, command));
     }
 
+    /** Turns a proposal away while another is to lead; it is in no log. */
+    private boolean isLeaving(long proposalId) {
+        if (mHandOver.isUnderWay()) {
+            mState.emit(new ProposalRejected(proposalId, ResultCode.NOT_LEADER, null));
+        }
+        return mHandOver.isUnderWay();
+    }
+
     void onMembershipChange(long proposalId, MembershipChange change) {
+        if (isLeaving(proposalId)) {
+            return;
+        }
         Membership next = mRules.after(change);
         ResultCode code = mRules.judge(change, next, isSettled());
         if (code != ResultCode.OK) {
@@ -93,6 +114,7 @@
         if (!mState.now().isBefore(mNextHeartbeat)) {
             mNextHeartbeat = mState.now().plus(mState.config().heartbeat());
             mReplication.sendHeartbeats();
+            mHandOver.onHeartbeat();
         }
     }
 
@@ -123,6 +145,7 @@
         commit();
         mReads.advance(isTermCommitted());
         mReplication.sendEntries();
+        mHandOver.advance(mApplier.commitIndex());
         stepDownOnceRemoved();
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicaMessage.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicaMessage.java
@@ -33,8 +33,14 @@
      * @param term the sender's new term
      * @param lastIndex the sender's last entry
      * @param lastTerm that entry's term
+     * @param handedOver whether the leader asked the sender to take over, so that voters need not
+     *     wait until they have heard no leader for long
      */
-    record VoteRequest(long term, long lastIndex, long lastTerm) implements ReplicaMessage {}
+    record VoteRequest(long term, long lastIndex, long lastTerm, boolean handedOver)
+            implements ReplicaMessage {}
+
+    /** The leader leaves and asks the receiver to campaign at once. */
+    record TimeoutNow(long term) implements ReplicaMessage {}
 
     /** Answers a vote request; a granted vote has been synced. */
     record VoteReply(long term, boolean granted) implements ReplicaMessage {}
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -104,6 +104,9 @@
             ControlPresence self, int sessions, int backends, int claims, long settingsPosition)
             implements ControlEffect {}
 
+    /** This instance does not lead, or can't hand over: it may stop. */
+    record HandedOver() implements ControlEffect {}
+
     /** Log a decision. */
     record Decided(Decision decision) implements ControlEffect {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -135,6 +135,8 @@
         } else if (e instanceof AgreementEffect.RoleChanged r) {
             mFreshness.roleChanged(r.role());
             mNotes.roleChanged(mNow, r, mEffects);
+        } else if (e instanceof AgreementEffect.HandedOver) {
+            mEffects.accept(new ControlEffect.HandedOver());
         } else if (e instanceof AgreementEffect.MembershipChanged m) {
             mNotes.replicasChanged(mNow, m.membership(), mEffects);
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementPropertyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementPropertyTest.java
@@ -58,6 +58,9 @@
         } else {
             network.read(network.anyLeader());
         }
+        if (network.mRandom.nextDouble() < 0.005) {
+            network.step(network.anyLeader(), new AgreementEvent.HandOverRequested());
+        }
         if (step % 100 == 0) {
             network.assertLogsMatch();
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -46,7 +46,7 @@
     void sendsAVoteOnlyOnceItIsSynced() {
         TestReplica voter = new TestReplica(new ReplicaId("v", 1));
         voter.start(Instant.EPOCH, 1);
-        VoteRequest request = new VoteRequest(5, 9, 4);
+        VoteRequest request = new VoteRequest(5, 9, 4, false);
         List<AgreementEffect> effects =
                 mNetwork.effectsOf(voter, new MessageReceived(mLeader.mId, request));
         assertThat(effects).noneMatch(e -> e instanceof Send);
@@ -150,7 +150,7 @@
     // term. Why: whoever hears the leader doesn't even look at the term.
     @Test
     void votesForNobodyWhileTheLeaderIsHeard() {
-        VoteRequest request = new VoteRequest(99, 99, 98);
+        VoteRequest request = new VoteRequest(99, 99, 98, false);
         PreVoteRequest before = new PreVoteRequest(99, 99, 98);
         for (TestReplica r : mNetwork.up()) {
             PreVoteReply refused = new PreVoteReply(r.mReducer.term(), false);
@@ -161,6 +161,34 @@
         assertThat(mNetwork.up()).allMatch(r -> r.mReducer.term() < 99);
     }
 
+    // Callers see: what is under way is accepted, what comes now is turned away as not run, and the
+    // next leader is there without an election timeout. Order: a leader with a proposal under way
+    // is asked to hand over, and gets another one. Why: it commits the first before it asks the
+    // successor to campaign, and voters need not have lost the leader to vote then.
+    @Test
+    void aLeaderThatLeavesHandsOverOnceAllIsCommitted() {
+        mNetwork.propose(mLeader, "under way");
+        mNetwork.step(mLeader, new AgreementEvent.HandOverRequested());
+        assertThat(mNetwork.effectsOf(mLeader, new AgreementEvent.Proposed(9, new byte[1])))
+                .contains(new ProposalRejected(9, ResultCode.NOT_LEADER, null));
+        mNetwork.run(Duration.ofMillis(80));
+        assertThat(mNetwork.mHistory.acceptedCount()).isEqualTo(1);
+        assertThat(mLeader.mReducer.role()).isEqualTo(Role.FOLLOWER);
+        assertThat(mNetwork.leader()).isNotNull();
+    }
+
+    // Callers see: the leader takes proposals again. Order: it is asked to hand over while all
+    // others are cut off, and they come back. Why: a hand-over ends after an election timeout.
+    @Test
+    void aHandOverThatReachesNobodyEnds() {
+        mNetwork.cutOff(List.of(mLeader.mId.name()));
+        mNetwork.step(mLeader, new AgreementEvent.HandOverRequested());
+        mNetwork.calm(SECOND);
+        mNetwork.propose(mNetwork.leader(), "c");
+        mNetwork.run(SECOND);
+        assertThat(mNetwork.mHistory.acceptedCount()).isEqualTo(1);
+    }
+
     // Callers see: OUTCOME_UNKNOWN soon, instead of waiting for the cut to end. Order: the leader
     // is
     // cut off from both followers with a proposal under way. Why: it counts its contacts.
