Test that a hand-over waits for what is not committed

Without that wait all tests passed: with three replicas a successor that holds all makes a quorum with the leader. With five it does not, and a pending proposal ended as OUTCOME_UNKNOWN. The new test fails without the wait. mvn verify -pl org.laurelweir -am: passed.

--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -177,6 +177,26 @@
         assertThat(mNetwork.leader()).isNotNull();
     }
 
+    // Callers see: accepted, not OUTCOME_UNKNOWN. Order: of five replicas only the leader and one
+    // follower hold a proposal as the leader is asked to hand over; then a third gets it.
+    // Why: a successor that holds all is not enough, the proposal has to be committed first.
+    @Test
+    void aLeaderThatLeavesWaitsForWhatIsNotCommitted() {
+        mNetwork = new ReplicaNetwork(1, 5);
+        mNetwork.calm(SECOND.multipliedBy(3));
+        mLeader = mNetwork.leader();
+        List<TestReplica> others = mNetwork.up().stream().filter(r -> r != mLeader).toList();
+        others.subList(1, 4).forEach(r -> r.mIsPaused = true);
+        mNetwork.propose(mLeader, "under way");
+        mNetwork.step(mLeader, new AgreementEvent.HandOverRequested());
+        mNetwork.run(Duration.ofMillis(60));
+        assertThat(mLeader.mReducer.role()).isEqualTo(Role.LEADER);
+        others.get(1).mIsPaused = false;
+        mNetwork.run(Duration.ofMillis(80));
+        assertThat(mNetwork.mHistory.acceptedCount()).isEqualTo(1);
+        assertThat(mLeader.mReducer.role()).isEqualTo(Role.FOLLOWER);
+    }
+
     // Callers see: the leader takes proposals again. Order: it is asked to hand over while all
     // others are cut off, and they come back. Why: a hand-over ends after an election timeout.
     @Test
