--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -27,8 +27,10 @@
 import org.laurelweir.wire.v1.Resume;
 import org.laurelweir.wire.v1.SidecarServiceGrpc;
 
-/** A sidecar beside a stand-in engine, a router's connection to it, and no control instance. */
+/** A sidecar beside a stand-in engine, and a router's connection to it. */
 final class SidecarFixture implements AutoCloseable {
+    private static final String NO_CONTROL = "127.0.0.1:1";
+    private static final long CHAT_KEY = 11;
     private static final String CHAT =
             """
             {"model": "standin", "stream": %s, "max_tokens": %d,
@@ -37,25 +39,32 @@
     private static final String SETTINGS =
             """
             program: sidecar
-            name: engine-1
+            name: %s
             service: seilhjerne
             region: vestkyst
             data-centre: bergen
             listen: "127.0.0.1:0"
             backend: "127.0.0.1:%d"
             refusal-statuses: [503]
-            controls: ["127.0.0.1:1"]
+            controls: ["%s"]
             """;
 
     private final EngineServer mEngine;
     private final SidecarProgram mSidecar;
     private final ManagedChannel mChannel;
 
+    /** Starts a sidecar that can't reach control. */
     SidecarFixture(Path folder) throws IOException {
+        this(folder, "engine-1", NO_CONTROL);
+    }
+
+    SidecarFixture(Path folder, String name, String control) throws IOException {
         mEngine = new EngineServer(engineSettings(), InstantSource.system());
         mEngine.start();
         int port = mEngine.server().address().getPort();
-        Path file = Files.writeString(folder.resolve("sidecar.yaml"), SETTINGS.formatted(port));
+        Path file =
+                Files.writeString(
+                        folder.resolve(name + ".yaml"), SETTINGS.formatted(name, port, control));
         SidecarFile settings = SettingsFile.read(SidecarFile.class, file);
         mSidecar = new SidecarProgram(settings, InstantSource.system(), s -> {});
         mSidecar.start();
@@ -65,6 +74,7 @@
                         .build();
     }
 
+    /** An engine that leaves it to the sidecar to check fencing numbers. */
     private static EngineSettings engineSettings() {
         return new EngineSettings(
                 "e",
@@ -78,7 +88,7 @@
                 0,
                 0,
                 0,
-                null,
+                false,
                 0,
                 null);
     }
@@ -108,6 +118,20 @@
     }
 
     AttemptMessage begin(long request, boolean streamed, int tokens, boolean idempotent) {
+        return message(begin(request, streamed, tokens, CHAT_KEY).idempotent(idempotent).build());
+    }
+
+    /** Begins a short turn of a chat. */
+    AttemptMessage beginChat(long request, long chat, boolean returning) {
+        return message(begin(request, false, 4, chat).chat(chat, returning).build());
+    }
+
+    /** Begins a request whose caller can't wait for the work that it is expected to take. */
+    AttemptMessage beginHopeless(long request) {
+        return message(begin(request, false, 1_000_000_000, CHAT_KEY).build());
+    }
+
+    private AttemptRequest.Builder begin(long request, boolean streamed, int tokens, long chat) {
         byte[] body = CHAT.formatted(streamed, tokens).getBytes(StandardCharsets.UTF_8);
         AttemptRequest.Call call =
                 new AttemptRequest.Call(
@@ -116,17 +140,17 @@
                         List.of(new Header("Content-Type", "application/json")),
                         body,
                         streamed);
-        AttemptRequest r =
-                AttemptRequest.builder(id(request), mSidecar.self())
-                        .account("account", 1)
-                        .service("seilhjerne")
-                        .chat(11, false)
-                        .call(call)
-                        .idempotent(idempotent)
-                        .timeLeft(Duration.ofMinutes(1))
-                        .cost(new AttemptRequest.Cost(10, tokens))
-                        .build();
-        return AttemptMessage.newBuilder().setBegin(AttemptCodec.toWire(r)).build();
+        return AttemptRequest.builder(id(request), mSidecar.self())
+                .account("account", 1)
+                .service("seilhjerne")
+                .chat(chat, false)
+                .call(call)
+                .timeLeft(Duration.ofMinutes(1))
+                .cost(new AttemptRequest.Cost(10, tokens));
+    }
+
+    private static AttemptMessage message(AttemptRequest request) {
+        return AttemptMessage.newBuilder().setBegin(AttemptCodec.toWire(request)).build();
     }
 
     AttemptMessage resume(long request, long offset) {
@@ -141,12 +165,23 @@
 
     /** Tells the engine to show a fault. */
     void fault(String json) throws IOException, InterruptedException {
+        send(engine("/engine/faults").POST(HttpRequest.BodyPublishers.ofString(json)));
+    }
+
+    /** Returns the engine's JSON of the orders that reached it. */
+    String engineOrders() throws IOException, InterruptedException {
+        return send(engine("/engine/orders"));
+    }
+
+    private HttpRequest.Builder engine(String path) {
         int port = mEngine.server().address().getPort();
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/engine/faults"))
-                        .POST(HttpRequest.BodyPublishers.ofString(json))
-                        .build();
-        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
+    }
+
+    private static String send(HttpRequest.Builder request)
+            throws IOException, InterruptedException {
+        HttpResponse.BodyHandler<String> text = HttpResponse.BodyHandlers.ofString();
+        return HttpClient.newHttpClient().send(request.build(), text).body();
     }
 
     void stopEngine() {
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarProgramTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarProgramTest.java
@@ -158,6 +158,18 @@
         stop.join();
     }
 
+    // A request needs more time than its caller has, by what the ones before took. Begun, it would
+    // keep the engine from others and be given up in the end: it is refused at once, as not run.
+    @Test
+    void hopelessRequestIsRefusedAtOnce() throws InterruptedException {
+        mFixture.open(mReader, mFixture.begin(1, false, 16));
+        mReader.await(Frame.End.class);
+        AttemptReader hopeless = new AttemptReader();
+        mFixture.open(hopeless, mFixture.beginHopeless(2));
+        assertThat(hopeless.await(Frame.Refused.class).code())
+                .isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
+    }
+
     @Test
     void decisionIsExplainedByItsRequestsName() throws InterruptedException {
         mFixture.open(mReader, mFixture.begin(1, false, 16));
