--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -18,7 +18,6 @@
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.runtime.config.SettingsFile;
-import org.laurelweir.standin.ListenSettings;
 import org.laurelweir.standin.engine.EngineServer;
 import org.laurelweir.standin.engine.EngineSettings;
 import org.laurelweir.wire.AttemptCodec;
@@ -76,21 +75,8 @@
 
     /** An engine that leaves it to the sidecar to check fencing numbers. */
     private static EngineSettings engineSettings() {
-        return new EngineSettings(
-                "e",
-                ListenSettings.LOOPBACK,
-                null,
-                null,
-                null,
-                null,
-                null,
-                null,
-                0,
-                0,
-                0,
-                false,
-                0,
-                null);
+        EngineSettings.Orders unchecked = new EngineSettings.Orders(false, Duration.ZERO);
+        return EngineSettings.builder().name("e").orders(unchecked).build();
     }
 
     SidecarProgram sidecar() {
