Measure what one account's tenfold surge does to the others

The same arrivals are played with and without the surge, over the sidecars' reducers, over the same reducers told one account for all (their queue is then first in, first out), and over the engines' own queue. Figures now counts met deadlines by client account; ReducerScheme takes the account that it tells the sidecars as a function.

--- /dev/null
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/AccountMisses.java
@@ -0,0 +1,51 @@
+package org.laurelweir.benchmarks.measure;
+
+import java.util.stream.IntStream;
+import org.laurelweir.benchmarks.measure.fleet.Figures;
+
+/**
+ * Missed deadlines by client account. A rejected request counts as missed.
+ *
+ * @param figures of one run
+ * @param surging index of the account that surges, which the others' figures leave out
+ */
+record AccountMisses(Figures figures, int surging) {
+    private IntStream others() {
+        return IntStream.range(0, figures.arrivalsByAccount().length).filter(a -> a != surging);
+    }
+
+    long missed(int account) {
+        return figures.arrivalsByAccount()[account] - figures.metByAccount()[account];
+    }
+
+    long rejected(int account) {
+        return figures.rejections()[account];
+    }
+
+    /** Returns the share of an account's requests that missed their deadline. */
+    double share(int account) {
+        long arrived = figures.arrivalsByAccount()[account];
+        return arrived == 0 ? 0 : (double) missed(account) / arrived;
+    }
+
+    long othersArrived() {
+        return others().mapToLong(a -> figures.arrivalsByAccount()[a]).sum();
+    }
+
+    long othersMissed() {
+        return others().mapToLong(this::missed).sum();
+    }
+
+    long othersRejected() {
+        return others().mapToLong(this::rejected).sum();
+    }
+
+    double othersShare() {
+        return (double) othersMissed() / othersArrived();
+    }
+
+    /** Returns the largest share among the others. */
+    double worstShare() {
+        return others().mapToDouble(this::share).max().orElse(0);
+    }
+}
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
@@ -48,6 +48,9 @@
     @Option(name = "--out", description = "Folder for JSON and plots; target/measure if absent")
     private String mOut = "target/measure";
 
+    @Option(name = "--fair", description = "Instead: one account's surge and the others' deadlines")
+    private boolean mFair;
+
     @Option(name = "--threads", description = "Runs played at the same time; 4 if absent")
     private int mThreads = 4;
 
@@ -59,6 +62,10 @@
         if (mDeployments.isEmpty()) {
             mDeployments = List.of("fjordvik", "archive", "scaled");
         }
+        if (mFair) {
+            System.out.println(new FairShares(mDeployments, mSeed).table());
+            return;
+        }
         ExecutorService pool = Executors.newFixedThreadPool(mThreads);
         try {
             List<Supplier<Comparison>> started = new ArrayList<>();
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Figures.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Figures.java
@@ -18,9 +18,9 @@
     private final Histogram mFirstToken = new Histogram(LONGEST, 2);
     private final long[] mArrivals;
     private final long[] mRejections;
+    private final long[] mMet;
     private final double[] mSkew;
     private int mSamples;
-    private long mMet;
     private long mStarts;
     private long mStartsOver;
     private long mCut;
@@ -32,6 +32,7 @@
         mReuse = new Reuse(deployment);
         mArrivals = new long[deployment.accounts().count()];
         mRejections = new long[deployment.accounts().count()];
+        mMet = new long[deployment.accounts().count()];
         mSkew = new double[(int) (deployment.minutes() * MINUTE) + 1];
     }
 
@@ -71,7 +72,7 @@
         }
         mFirstToken.recordValue(Math.min(LONGEST, at - request.turn().at()));
         if (isMet(request)) {
-            mMet++;
+            mMet[request.turn().chat().account()]++;
         }
     }
 
@@ -82,7 +83,7 @@
     /** Takes back a first token that a crash came before. */
     void onRetry(Request request) {
         if (isCounted(request) && isMet(request)) {
-            mMet--;
+            mMet[request.turn().chat().account()]--;
         }
     }
 
@@ -176,7 +177,7 @@
 
     /** Returns the share of all arrivals whose first token came by its deadline. */
     public double deadlinesMet() {
-        return (double) mMet / arrivals();
+        return (double) Arrays.stream(mMet).sum() / arrivals();
     }
 
     /** Returns the requests that arrived. */
@@ -194,6 +195,11 @@
         return mArrivals.clone();
     }
 
+    /** Returns the requests whose first token came by its deadline, by client account. */
+    public long[] metByAccount() {
+        return mMet.clone();
+    }
+
     /** Returns the answers that a crash cut after their first token. */
     public long cut() {
         return mCut;
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerScheme.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerScheme.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.admission.SidecarEffect;
 import org.laurelweir.admission.SidecarEvent;
@@ -33,6 +34,7 @@
     private static final Duration TIME_LEFT = Duration.ofMinutes(10);
 
     private final Fleet mFleet;
+    private final Function<Request, String> mAccount;
     private final PlacementPolicy mRouterPolicy = new AffinityPolicy();
     private final Map<Engine, ReducerNode> mNodes = new HashMap<>();
     private final Map<Integer, RouterMemory> mRouters = new HashMap<>();
@@ -44,7 +46,13 @@
     private record AnswerTo(ReducerNode asker, long question) {}
 
     ReducerScheme(Fleet fleet) {
+        this(fleet, request -> request.placement().account());
+    }
+
+    /** The same, with the client account that the sidecars are told of each request. */
+    ReducerScheme(Fleet fleet, Function<Request, String> account) {
         mFleet = fleet;
+        mAccount = account;
         for (int s = 0; s < fleet.deployment().services().size(); s++) {
             fleet.engines(s).forEach(this::node);
         }
@@ -87,13 +95,13 @@
         node(to).step(new SidecarEvent.AttemptBegun(stream, attempt));
     }
 
-    private static AttemptRequest attempt(Request request, long stream, BackendRef target) {
+    private AttemptRequest attempt(Request request, long stream, BackendRef target) {
         Turn turn = request.turn();
         String router = "router-" + turn.router();
         return new AttemptRequest(
                 new AttemptId(router, 1, stream, 1),
                 target,
-                request.placement().account(),
+                mAccount.apply(request),
                 "service-" + turn.chat().service(),
                 turn.chat().key().hash(),
                 turn.history() > 0,
