Forget a sidecar's load with the run of it that told it

Cause: a router kept the load that a backend server last told under the server's name, also after its sidecar had been killed and was back. Where another server looked idle, requests of no chat always went there, so that no answer ever corrected the old figure. SidecarKilledTest waited 90 s and 1743 calls for the restarted sidecar to be reached, all of which went to the other. Ruled out: ejection (ends by itself) and the wait after OTHER_INCARNATION (ends with the announcement). Load is now kept under name and incarnation.

--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Placements.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.laurelweir.attempt.LoadHint;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.placement.AffinityPolicy;
@@ -37,7 +38,7 @@
     private final Memberships mMemberships;
     private final PlacementPolicy mPolicy = new AffinityPolicy();
     private final Map<String, Ejections> mEjections = new HashMap<>();
-    private final Map<String, LoadHint> mLoads = new HashMap<>();
+    private final Map<BackendRef, LoadHint> mLoads = new HashMap<>();
     private final Map<String, Double> mMeans = new HashMap<>();
     private final Map<String, Instant> mAvoidedUntil = new HashMap<>();
     private final ChatDirectory mSeats;
@@ -128,9 +129,14 @@
         }
     }
 
-    /** Returns the load that a backend server last told this router. */
+    /**
+     * Returns the load that a backend server last told this router. What an earlier run of its
+     * sidecar told ended with that run: a restarted one would count as busy with what it no longer
+     * runs, and never be asked again where others are idle.
+     */
     LoadHint load(String id) {
-        return mLoads.getOrDefault(id, LoadHint.UNKNOWN);
+        Backend b = mMemberships.backend(id);
+        return b == null ? LoadHint.UNKNOWN : mLoads.getOrDefault(b.ref(), LoadHint.UNKNOWN);
     }
 
     /** Returns the mean load of a service as control last told it, or 0. */
@@ -142,8 +148,9 @@
         loads.forEach(l -> mMeans.put(l.service(), l.meanWork()));
     }
 
-    void onLoad(Instant now, String id, LoadHint hint) {
-        mLoads.put(id, hint);
+    void onLoad(Instant now, BackendRef ref, LoadHint hint) {
+        mLoads.put(ref, hint);
+        String id = ref.id();
         if (hint.draining()) {
             mAvoidedUntil.put(id, now.plus(AVOIDANCE));
         } else {
@@ -174,7 +181,7 @@
 
     /** Forgets the hints about backend servers that are gone; only when the membership changed. */
     void prune() {
-        mLoads.keySet().removeIf(id -> mMemberships.backend(id) == null);
+        mLoads.keySet().removeIf(ref -> !isPresent(ref));
         mAvoidedUntil.keySet().removeIf(id -> mMemberships.backend(id) == null);
         mEjections.forEach(
                 (service, e) ->
@@ -184,6 +191,11 @@
                                 .forEach(c -> e.outliers().onLeave(c.id())));
     }
 
+    private boolean isPresent(BackendRef ref) {
+        Backend b = mMemberships.backend(ref.id());
+        return b != null && b.ref().equals(ref);
+    }
+
     private final class Hints implements PlacementHints {
         private final Outliers mOf;
         private final Instant mNow;
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Streams.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Streams.java
@@ -36,7 +36,7 @@
             return;
         }
         r.mHeard = s.now();
-        mPlacements.onLoad(s.now(), r.mTarget.ref().id(), f.load());
+        mPlacements.onLoad(s.now(), r.mTarget.ref(), f.load());
         Frame frame = f.frame();
         if (frame instanceof Frame.Head h) {
             onHead(s, r, h);
