Bound the histories counted as cached by the engine's cache

Cause: CachedChats was bounded by 16,384 chats, not by tokens, and outlived the engine's cache. The next turn of an evicted history was admitted as a tenth of its work, so engines went over the bound. Now bounded by the new setting service.cache-tokens too, least recently used first as in the engine.

AdmissionBoundTest names the new setting in its fixture, nothing else of it changed.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerNode.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/policy/ReducerNode.java
@@ -79,6 +79,7 @@
                 NEVER,
                 NEVER,
                 (int) mFleet.deployment().chats().output().mean(),
+                mFleet.deployment().engine().cacheTokens(),
                 Set.of());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/CachedChats.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/CachedChats.java
@@ -1,5 +1,6 @@
 package org.laurelweir.admission;
 
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -7,27 +8,43 @@
  * How many tokens of each chat the backend server likely has cached, for the chats that it answered
  * last. A guess: the backend server's cache events come late and with gaps. One that is wrong costs
  * a misjudged load until the attempt ends, never an answer.
+ *
+ * <p>Bounded by tokens as the backend server's cache is: a history that is gone there but still
+ * counted here makes the work of its next turn look a tenth of what it is.
  */
 final class CachedChats {
-    private final Map<Long, Integer> mTokens;
+    private final int mMaxChats;
+    private final Map<Long, Integer> mTokens = new LinkedHashMap<>(16, 0.75f, true);
+    private long mMaxTokens = Long.MAX_VALUE;
+    private long mTotal;
 
     /**
      * Creates an empty table.
      *
-     * @param capacity most chats; the one unused for longest goes first
+     * @param maxChats most chats; the one unused for longest goes first
      */
-    CachedChats(int capacity) {
-        mTokens =
-                new LinkedHashMap<>(16, 0.75f, true) {
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<Long, Integer> eldest) {
-                        return size() > capacity;
-                    }
-                };
+    CachedChats(int maxChats) {
+        mMaxChats = maxChats;
+    }
+
+    /** Sets the most tokens over all chats; a chat that has more on its own is kept alone. */
+    void setMaxTokens(long maxTokens) {
+        mMaxTokens = maxTokens;
+        evict();
     }
 
     void put(long chat, int tokens) {
-        mTokens.put(chat, tokens);
+        Integer previous = mTokens.put(chat, tokens);
+        mTotal += tokens - (previous == null ? 0 : previous);
+        evict();
+    }
+
+    private void evict() {
+        Iterator<Integer> eldest = mTokens.values().iterator();
+        while (mTokens.size() > 1 && (mTokens.size() > mMaxChats || mTotal > mMaxTokens)) {
+            mTotal -= eldest.next();
+            eldest.remove();
+        }
     }
 
     boolean contains(long chat) {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/ChatHomes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/ChatHomes.java
@@ -45,6 +45,11 @@
         mLookup = new HomeLookup(self, mDirectory, MAX_ASKED);
     }
 
+    /** Sets how many tokens the server caches. */
+    void setCacheTokens(long tokens) {
+        mCached.setMaxTokens(tokens);
+    }
+
     /** Notes that this server begins to take work, for the first time or again. */
     void joined(Instant now) {
         mJoined = now;
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -56,6 +56,7 @@
         mMembers = new Members(self.service());
         mAnnouncer = new Announcer(self);
         mHomes = new ChatHomes(name, mMembers);
+        mHomes.setCacheTokens(mSettings.cacheTokens());
         mQuestions = new ChatQuestions(mMembers);
         RunTimes times = new RunTimes();
         OutputTotal total = new OutputTotal();
@@ -139,6 +140,7 @@
         } else if (event instanceof SidecarEvent.SettingsChanged e) {
             mSettings = e.settings();
             mAdmission.setSettings(mSettings);
+            mHomes.setCacheTokens(mSettings.cacheTokens());
         } else if (event instanceof SidecarEvent.ChatsLocated e) {
             mSeating.answered(step, e);
         } else if (event instanceof SidecarEvent.ChatsAsked e) {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarSettings.java
@@ -13,6 +13,7 @@
  * @param drainTimeout how long running requests may take once draining has begun
  * @param progressInterval longest silence on a stream
  * @param outputTokens tokens that an answer is expected to have where the router expects none
+ * @param cacheTokens tokens of histories that its backend server keeps cached
  * @param refusalStatuses the backend server's HTTP statuses that are documented to mean that a call
  *     was refused before it was run
  */
@@ -23,6 +24,7 @@
         Duration drainTimeout,
         Duration progressInterval,
         int outputTokens,
+        long cacheTokens,
         Set<Integer> refusalStatuses) {
     /** What holds until settings arrive. */
     public static final SidecarSettings DEFAULT =
@@ -33,12 +35,20 @@
                     Duration.ofMinutes(10),
                     Duration.ofMillis(500),
                     256,
+                    1_000_000,
                     Set.of());
 
     /** Returns these settings with other refusal statuses. */
     public SidecarSettings withRefusalStatuses(Set<Integer> statuses) {
         return new SidecarSettings(
-                bound, queue, output, drainTimeout, progressInterval, outputTokens, statuses);
+                bound,
+                queue,
+                output,
+                drainTimeout,
+                progressInterval,
+                outputTokens,
+                cacheTokens,
+                statuses);
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/Policies.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/Policies.java
@@ -41,6 +41,7 @@
                 s.get(SettingKeys.DRAIN_TIMEOUT),
                 s.get(SettingKeys.STREAM_PROGRESS_INTERVAL),
                 s.get(SettingKeys.SERVICE_OUTPUT_TOKENS),
+                s.get(SettingKeys.SERVICE_CACHE_TOKENS),
                 SidecarSettings.DEFAULT.refusalStatuses());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -148,6 +148,16 @@
                                     "Tokens that an answer is expected to have where the"
                                             + " caller sets no limit."));
 
+    public static final SettingKey<Integer> SERVICE_CACHE_TOKENS =
+            add(
+                    SettingKey.builder("service.cache-tokens", SettingType.COUNT)
+                            .by("1000000")
+                            .range("1", "1000000000")
+                            .downTo(Level.SERVICE)
+                            .doc(
+                                    "Tokens of histories that one backend server keeps cached;"
+                                            + " too many count evicted histories as cached."));
+
     public static final SettingKey<String> CHAT_HEADER =
             add(
                     SettingKey.builder("chat.header", SettingType.TOKEN_NAME)
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AdmissionBoundTest.java
@@ -40,6 +40,7 @@
                     Duration.ofMinutes(10),
                     Duration.ofMillis(500),
                     256,
+                    1_000_000,
                     Set.of());
 
     private enum Kind {
