Look only at attempts about which something is due

Cause: every tick, 50 a second, walked all held attempts for timeouts and all followed ones for progress. Now attempts stand in the order of their next due time; those that changed phase or follower are put in anew. Weighed: Agrona's timer wheel, which needs a tick resolution and timer ids; a heap with stale entries, which would keep ended attempts in memory up to their deadline. Progress comes after the refusals of a tick, as before.

--- a/org.laurelweir/src/main/java/org/laurelweir/admission/AttemptTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/AttemptTable.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.lib.AttemptId;
 
@@ -11,9 +13,30 @@
 final class AttemptTable {
     private final Map<AttemptId, Attempt> mById = new LinkedHashMap<>();
     private final Long2ObjectHashMap<Attempt> mByStream = new Long2ObjectHashMap<>();
+    private Set<Attempt> mChanged = new LinkedHashSet<>();
 
     void add(Attempt attempt) {
         mById.put(attempt.id(), attempt);
+        mChanged.add(attempt);
+    }
+
+    /** Notes that an attempt's phase changed. */
+    void changed(Attempt attempt) {
+        mChanged.add(attempt);
+    }
+
+    /**
+     * Returns the attempts that came, went, or changed their phase or follower since the last call.
+     */
+    Set<Attempt> takeChanged() {
+        Set<Attempt> changed = mChanged;
+        mChanged = new LinkedHashSet<>();
+        return changed;
+    }
+
+    /** Returns whether an attempt is still held. */
+    boolean holds(Attempt attempt) {
+        return mById.get(attempt.id()) == attempt;
     }
 
     /** Returns the attempt of an id, or null. */
@@ -38,17 +61,20 @@
         }
         attempt.follow(stream, resumed);
         mByStream.put(stream, attempt);
+        mChanged.add(attempt);
     }
 
     void unfollow(Step step, Attempt attempt) {
         mByStream.remove(attempt.stream());
         attempt.unfollow(step.now());
+        mChanged.add(attempt);
     }
 
     /** Forgets an attempt and drops its output. */
     void remove(Attempt attempt) {
         attempt.output().release();
         mById.remove(attempt.id());
+        mChanged.add(attempt);
         if (attempt.isFollowed()) {
             mByStream.remove(attempt.stream());
         }
@@ -59,11 +85,6 @@
         return new ArrayList<>(mById.values());
     }
 
-    /** Returns the attempts that a stream follows, safe against changes meanwhile. */
-    List<Attempt> followed() {
-        return new ArrayList<>(mByStream.values());
-    }
-
     boolean isEmpty() {
         return mById.isEmpty();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Endings.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Endings.java
@@ -49,6 +49,7 @@
             mTimes.add(attempt.work(), Duration.between(attempt.started(), step.now()));
         }
         attempt.end(step.now(), ending);
+        mTable.changed(attempt);
         if (attempt.isFollowed()) {
             sendEnding(step, attempt);
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Execution.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Execution.java
@@ -35,6 +35,7 @@
     void start(Step step, Attempt attempt) {
         step.emit(new SidecarEffect.StartEngineCall(attempt.request()));
         attempt.start(step.now());
+        mTable.changed(attempt);
         mLoad.add(attempt.work());
         mFrames.send(step, attempt, new Frame.Accepted(0));
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Followers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Followers.java
@@ -84,12 +84,10 @@
         }
     }
 
-    /** Breaks the silence on streams where nothing was sent for a while. */
-    void sendProgress(Step step, Duration interval) {
-        for (Attempt a : mTable.followed()) {
-            if (!a.lastFrame().plus(interval).isAfter(step.now())) {
-                mFrames.send(step, a, new Frame.Progress(a.output().end()));
-            }
+    /** Breaks the silence on a stream if nothing was sent for a while. */
+    void sendProgress(Step step, Attempt attempt, Duration interval) {
+        if (!attempt.lastFrame().plus(interval).isAfter(step.now())) {
+            mFrames.send(step, attempt, new Frame.Progress(attempt.output().end()));
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -65,7 +65,7 @@
         mFollowers = new Followers(mTable, mEndings, frames);
         mOutput = new OutputControl(mTable, mEndings, total);
         mExecution = new Execution(mTable, mEndings, mFollowers, frames, mLoad, mOutput);
-        mTimeouts = new Timeouts(mTable, mEndings, mExecution);
+        mTimeouts = new Timeouts(mTable, mEndings, mExecution, mFollowers);
         mArrivals = new Arrivals(self.ref(), mTable, mMemory, mFollowers, frames, total);
         NextInRank next = new NextInRank(name, mMembers);
         mAdmission = new Admission(name, mLoad, times, next, mEndings, mExecution, frames);
@@ -155,11 +155,10 @@
     }
 
     private void tick(Step step) {
-        mTimeouts.check(step, mSettings);
         mMemory.expire(step.now());
         mSeating.expire(step);
         mAdmission.expire(step);
-        mFollowers.sendProgress(step, mSettings.progressInterval());
+        mTimeouts.check(step, mSettings);
         mHomes.sendNotices(step);
     }
 
