--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -57,6 +57,7 @@
         mAnnouncer = new Announcer(self);
         mLaterRun = new LaterRun(self.ref());
         mHomes = new ChatHomes(name, mMembers);
+        mHomes.setCacheTokens(mSettings.cacheTokens());
         mQuestions = new ChatQuestions(mMembers);
         RunTimes times = new RunTimes();
         OutputTotal total = new OutputTotal();
@@ -65,7 +66,7 @@
         mFollowers = new Followers(mTable, mEndings, frames);
         mOutput = new OutputControl(mTable, mEndings, total);
         mExecution = new Execution(mTable, mEndings, mFollowers, frames, mLoad, mOutput);
-        mTimeouts = new Timeouts(mTable, mEndings, mExecution);
+        mTimeouts = new Timeouts(mTable, mEndings, mExecution, mFollowers);
         mArrivals = new Arrivals(self.ref(), mTable, mMemory, mFollowers, frames, total);
         NextInRank next = new NextInRank(name, mMembers);
         mAdmission = new Admission(name, mLoad, times, next, mEndings, mExecution, frames);
@@ -140,6 +141,7 @@
         } else if (event instanceof SidecarEvent.SettingsChanged e) {
             mSettings = e.settings();
             mAdmission.setSettings(mSettings);
+            mHomes.setCacheTokens(mSettings.cacheTokens());
         } else if (event instanceof SidecarEvent.ChatsLocated e) {
             mSeating.answered(step, e);
         } else if (event instanceof SidecarEvent.ChatsAsked e) {
@@ -154,11 +156,10 @@
     }
 
     private void tick(Step step) {
-        mTimeouts.check(step, mSettings);
         mMemory.expire(step.now());
         mSeating.expire(step);
         mAdmission.expire(step);
-        mFollowers.sendProgress(step, mSettings.progressInterval());
+        mTimeouts.check(step, mSettings);
         mHomes.sendNotices(step);
     }
 
