Ask a sidecar again that sent a chat on to a leaving home

Cause: a sidecar with room sent a new chat on to its home (CHAT_ELSEWHERE), the home was draining and refused, and the first one counted as tried, so that the caller was refused as not run (2005, 2006) although there was room. Seen in LeavingTest with two sidecars that left at once, and with one drained. Ruled out: the retry budget and the number of redirects (both were left). The new test in RouterReducerTest failed before and passes after.

--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/LeavingTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/LeavingTest.java
@@ -73,10 +73,13 @@
         StandIn leaving = sEngines.get(0);
         List<ChatStream> begun = startChatsEverywhere();
         order("seilhjerne-1", true);
-        Await.until("the drain", () -> sFleet.backends(BackendState.DRAINING) == 1);
-        assertNothingNewAt(leaving);
-        assertAllWhole(begun);
-        order("seilhjerne-1", false);
+        try {
+            Await.until("the drain", () -> sFleet.backends(BackendState.DRAINING) == 1);
+            assertNothingNewAt(leaving);
+            assertAllWhole(begun);
+        } finally {
+            order("seilhjerne-1", false);
+        }
         Await.until("the end of the drain", () -> sFleet.backends(BackendState.SERVING) == 3);
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Retries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Retries.java
@@ -60,6 +60,11 @@
     void refused(Step s, ActiveRequest r, Frame.Refused f) {
         r.mFailure = new Failure(f.code(), f.message(), f.retryAfter());
         replaceClaim(r);
+        if (f.code() == ResultCode.CHAT_ELSEWHERE) {
+            // It would have taken the request, and is the one to ask where the named one is
+            // leaving.
+            r.mTried.remove(r.mTarget.ref());
+        }
         if (!f.redirectTo().isEmpty() && r.mRedirects < MAX_REDIRECTS) {
             redirect(s, r, f.redirectTo());
             return;
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -364,6 +364,20 @@
         assertThat(last(BeginAttempt.class).address()).isNotEqualTo(home);
     }
 
+    // The caller is answered although the home of its chat leaves. A sidecar that has room sends
+    // the
+    // chat on to its home, which refuses, and names that sidecar as the next in rank. It is asked
+    // again: sending on is not refusing, and with two servers nobody else is left.
+    @Test
+    void sidecarThatSentAChatOnIsAskedAgain() {
+        arrive(1, true, "", POLICY);
+        String first = last(BeginAttempt.class).address();
+        refuse(ResultCode.CHAT_ELSEWHERE, untried());
+        refuse(ResultCode.DRAINING, first);
+        assertThat(all(BeginAttempt.class)).hasSize(3);
+        assertThat(last(BeginAttempt.class).address()).isEqualTo(first);
+    }
+
     @Test
     void restartedSidecarIsTriedLastUntilItIsAnnounced() {
         arrive(1, true, "", POLICY);
