--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/AttemptReader.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/AttemptReader.java
@@ -32,7 +32,10 @@
         // The last frame has said so.
     }
 
-    /** Returns the first frame of a kind, after adding the data before it to the body. */
+    /**
+     * Returns the first frame of a kind, after adding the data before it to the body. Another
+     * closing frame ends the wait: nothing comes after it.
+     */
     <T extends Frame> T await(Class<T> kind) throws InterruptedException {
         while (true) {
             Frame frame = mFrames.poll(LONG_WAIT_SECONDS, TimeUnit.SECONDS);
@@ -45,9 +48,18 @@
             if (kind.isInstance(frame)) {
                 return kind.cast(frame);
             }
+            if (isClosing(frame)) {
+                throw new AssertionError("no " + kind.getSimpleName() + " but " + frame);
+            }
         }
     }
 
+    private static boolean isClosing(Frame frame) {
+        return frame instanceof Frame.End
+                || frame instanceof Frame.Refused
+                || frame instanceof Frame.Failed;
+    }
+
     /** Returns the body so far. */
     String body() {
         return mBody.toString(StandardCharsets.UTF_8);
