--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ExchangeTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ExchangeTest.java
@@ -80,8 +80,7 @@
     }
 
     // An instance is cut off while settings change. It goes on answering, with what it has, and
-    // says
-    // that this may be old; in contact again it is up to date and says so.
+    // says that this may be old; in contact again it is up to date and says so.
     @Test
     void instanceThatIsCutOffSaysThatItMayBeStale() {
         accept(change("1", "/service=a"));
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/FileLogStorageTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/FileLogStorageTest.java
@@ -74,11 +74,10 @@
         }
     }
 
-    // A caller's accepted change stays; one not yet accepted may be gone.
-    // Order: a batch is synced and acknowledged; power fails while the next is written, so that
-    // only
-    // a part of it reaches the disk, with blocks missing at its end or in its middle.
-    // Why: the mark and the batches' starts tell the cut-off batch from those acknowledged.
+    // A caller's accepted change stays; one not yet accepted may be gone. Order: a batch is synced
+    // and acknowledged; power fails while the next is written, so that only a part of it reaches
+    // the disk, with blocks missing at its end or in its middle. Why: the mark and the batches'
+    // starts tell the cut-off batch from those acknowledged.
     @Property(seed = "2", tries = 100, shrinking = ShrinkingMode.OFF)
     void cutsBackAWriteThatWasCutOff(
             @ForAll long seed, @ForAll @IntRange(max = 999) int cut, @ForAll boolean hole)
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/AttemptOutputTest.java
@@ -90,8 +90,7 @@
     }
 
     // Kept answers fill the store while another answer is being sent. The oldest delivered one
-    // makes
-    // room; the one that nobody has read yet stays, although it is older.
+    // makes room; the one that nobody has read yet stays, although it is older.
     @Test
     void fullStoreDropsDeliveredAnswersFirst() {
         long limit = SidecarSettings.DEFAULT.output().totalBytes();
--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/AgreementRulesTest.java
@@ -40,8 +40,7 @@
     }
 
     // Callers see: nothing lost. Order: a replica grants a vote, crashes before the sync, and
-    // grants
-    // another one in the same term. Why: the first grant was never sent.
+    // grants another one in the same term. Why: the first grant was never sent.
     @Test
     void sendsAVoteOnlyOnceItIsSynced() {
         TestReplica voter = new TestReplica(new ReplicaId("v", 1));
@@ -56,9 +55,8 @@
     }
 
     // Callers see: a read shows what was accepted before it. Order: the leader stands still,
-    // another
-    // is elected and accepts a command, a read reaches the old leader as it wakes up.
-    // Why: it first asks a quorum, which no longer follows it.
+    // another is elected and accepts a command, a read reaches the old leader as it wakes up. Why:
+    // it first asks a quorum, which no longer follows it.
     @Test
     void aLeaderThatStoodStillAnswersNoReadFromItsOldState() {
         mLeader.mIsPaused = true;
@@ -75,8 +73,7 @@
     }
 
     // Operators see: MEMBERSHIP_CHANGE_PENDING. Order: a second change is asked for before the
-    // first
-    // is committed. Why: the quorums of the first and the last of three memberships may not
+    // first is committed. Why: the quorums of the first and the last of three memberships may not
     // overlap.
     @Test
     void changesTheMembershipOneStepAtATime() {
@@ -146,8 +143,7 @@
     }
 
     // Callers see: no pause. Order: a removed replica that does not know it asks for votes in a
-    // high
-    // term. Why: whoever hears the leader doesn't even look at the term.
+    // high term. Why: whoever hears the leader doesn't even look at the term.
     @Test
     void votesForNobodyWhileTheLeaderIsHeard() {
         VoteRequest request = new VoteRequest(99, 99, 98, false);
@@ -210,8 +206,7 @@
     }
 
     // Callers see: OUTCOME_UNKNOWN soon, instead of waiting for the cut to end. Order: the leader
-    // is
-    // cut off from both followers with a proposal under way. Why: it counts its contacts.
+    // is cut off from both followers with a proposal under way. Why: it counts its contacts.
     @Test
     void aLeaderWithoutAQuorumStepsDown() {
         mNetwork.cutOff(List.of(mLeader.mId.name()));
@@ -248,8 +243,7 @@
     }
 
     // Callers see: nothing lost. Order: a follower's log ends in an old term at the index at which
-    // the
-    // leader's snapshot ends in a newer one. Why: what the disk holds after it belongs to no
+    // the leader's snapshot ends in a newer one. Why: what the disk holds after it belongs to no
     // history.
     @Test
     void discardsALogThatTheSnapshotDoesNotContinue() {
@@ -265,10 +259,9 @@
     }
 
     // Callers see: the follower catches up. Order: a follower whose log ends in a long term, of
-    // which
-    // the leader holds only the first entry, names the index before that term (found by a
-    // property).
-    // Why: the leader goes on after the match, and does not take the refusal for a late one.
+    // which the leader holds only the first entry, names the index before that term (found by a
+    // property). Why: the leader goes on after the match, and does not take the refusal for a late
+    // one.
     @Test
     void probesAfterTheMatchWhenTheHintLiesBeforeIt() {
         FollowerProgress progress = new FollowerProgress(88, Instant.EPOCH);
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -365,9 +365,8 @@
     }
 
     // The caller is answered although the home of its chat leaves. A sidecar that has room sends
-    // the
-    // chat on to its home, which refuses, and names that sidecar as the next in rank. It is asked
-    // again: sending on is not refusing, and with two servers nobody else is left.
+    // the chat on to its home, which refuses, and names that sidecar as the next in rank. It is
+    // asked again: sending on is not refusing, and with two servers nobody else is left.
     @Test
     void sidecarThatSentAChatOnIsAskedAgain() {
         arrive(1, true, "", POLICY);
