--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/ControlDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/ControlDriver.java
@@ -139,7 +139,7 @@
     private void share() {
         mPeerVersion++;
         for (int i = 2; i <= INSTANCES; i++) {
-            step(new ControlEvent.PeerAsked(1, mCursor, false));
+            step(new ControlEvent.PeerAsked(1, "peer", mCursor, false));
             step(new ControlEvent.PeerAnswered(name(i), peerShare(name(i)), List.of(), peer(i)));
         }
     }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
 import org.laurelweir.coordination.ControlEffect.Answer;
@@ -43,6 +44,12 @@
                         });
     }
 
+    /** Returns where the other control instances are reached, as far as they are known. */
+    List<String> peers() {
+        Reported r = mLast;
+        return r == null ? List.of() : r.peers();
+    }
+
     void reported(Reported report) {
         mLast = report;
     }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -24,10 +24,12 @@
 import org.laurelweir.agreement.ReplicaId;
 import org.laurelweir.control.replica.FirstMembership;
 import org.laurelweir.control.replica.FirstSettings;
+import org.laurelweir.control.rpc.ControlGateway;
 import org.laurelweir.control.rpc.ControlRpc;
 import org.laurelweir.control.rpc.PeerCalls;
 import org.laurelweir.control.rpc.PeerRpc;
 import org.laurelweir.control.rpc.PendingCalls;
+import org.laurelweir.control.rpc.ReadConfirmer;
 import org.laurelweir.control.rpc.ReplicaRpc;
 import org.laurelweir.control.storage.FileLogStorage;
 import org.laurelweir.control.storage.LogStorage;
@@ -45,6 +47,7 @@
 import org.laurelweir.runtime.log.Logging;
 import org.laurelweir.runtime.loop.ReducerLoop;
 import org.laurelweir.runtime.metrics.MetricsServer;
+import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.runtime.process.Program;
 import org.laurelweir.runtime.rpc.Channels;
 import org.laurelweir.runtime.rpc.EventLoops;
@@ -81,6 +84,7 @@
     private RpcServer mServer;
     private ControlEffects mEffects;
     private MetricsServer mMetricsServer;
+    private final ReadConfirmer mConfirmer;
     private boolean mRecoveredEmpty;
 
     /**
@@ -97,6 +101,8 @@
         mLogging = new Logging(file.log());
         mLoops = new EventLoops("control-io", file.threads());
         mChannels = Channels.builder(mLoops, mTraffic).build();
+        mConfirmer =
+                new ReadConfirmer(mCalls, this::offer, mChannels, mBackground, new ElapsedClock());
     }
 
     @Override
@@ -107,13 +113,12 @@
         Recovered recovered = mStorage.recovered();
         mRecoveredEmpty = isEmpty(recovered);
         ReplicaId self = new ReplicaId(mFile.name(), mStorage.storageId());
-        Map<String, String> others = new TreeMap<>();
-        mFile.peers().forEach((name, e) -> others.put(name, e.toString()));
-        others.remove(mFile.name());
-        listen(self, List.copyOf(others.values()));
-        PeerCalls peers = new PeerCalls(self, others, mChannels, this::offer);
+        Map<String, String> others = mFile.others();
+        listen(self);
+        PeerCalls peers = new PeerCalls(self, others, mFile.isOpen(), mChannels, this::offer);
         startReducer(self, others, peers, recovered);
         found(self, others, peers);
+        mConfirmer.begin();
         startMetrics();
         mFile.portFile().ifPresent(f -> PortFile.write(f, mServer.port()));
         mConsole.accept("listening on " + address());
@@ -125,11 +130,11 @@
         return told != null ? told : mFile.listen().withPort(mServer.port());
     }
 
-    private void listen(ReplicaId self, List<String> others) {
+    private void listen(ReplicaId self) {
         Supplier<List<String>> controls =
                 () -> {
                     List<String> all = new ArrayList<>(List.of(address().toString()));
-                    all.addAll(others);
+                    all.addAll(mMetrics.peers());
                     return all;
                 };
         mServer =
@@ -138,7 +143,11 @@
                         .grace(GRACE)
                         .service(
                                 new ControlRpc(
-                                        mCalls, this::offer, mFile.exchangeInterval(), controls))
+                                        mCalls,
+                                        this::offer,
+                                        mFile.exchangeInterval(),
+                                        controls,
+                                        mConfirmer))
                         .service(new PeerRpc(mCalls, this::offer))
                         .service(new ReplicaRpc(self, this::isEmpty, this::offer))
                         .build();
@@ -176,6 +185,7 @@
         Duration election = mFile.electionTimeout();
         MembershipConfig defaults = MembershipConfig.builder(mFile.name(), incarnation).build();
         return ControlConfig.builder(self, incarnation, addresses)
+                .open(mFile.isOpen())
                 .agreement(
                         AgreementConfig.builder()
                                 .electionTimeout(election)
@@ -191,7 +201,10 @@
     private void found(ReplicaId self, Map<String, String> others, PeerCalls peers) {
         Set<String> names = new TreeSet<>(others.keySet());
         names.add(mFile.name());
-        new FirstMembership(self, names, peers, this::isEmpty, this::offer, mBackground).begin();
+        if (mFile.isFounder()) {
+            new FirstMembership(self, names, peers, this::isEmpty, this::offer, mBackground)
+                    .begin();
+        }
         if (mRecoveredEmpty && mFile.bootstrapSettings().isPresent()) {
             Map<String, Map<String, String>> nodes = TreeFile.read(mFile.bootstrapSettings().get());
             new FirstSettings(nodes, mFile.name(), mCalls, this::offer, mBackground).begin();
@@ -205,6 +218,11 @@
         mFile.metricsPortFile().ifPresent(f -> PortFile.write(f, port));
     }
 
+    /** Returns what a program that embeds this instance may ask of it. Once started. */
+    public ControlGateway gateway() {
+        return new ControlGateway(mCalls, this::offer);
+    }
+
     private static boolean isEmpty(Recovered r) {
         return r.hardState().equals(HardState.INITIAL)
                 && r.snapshot().index() == 0
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -12,6 +12,7 @@
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.settings.NodePath;
 import org.laurelweir.wire.MembershipCodec;
 import org.laurelweir.wire.ReplicaCodec;
@@ -46,6 +47,7 @@
     private final Consumer<ControlEvent> mEvents;
     private final Duration mExchangeInterval;
     private final Supplier<List<String>> mControls;
+    private final ReadConfirmer mConfirmer;
 
     /**
      * Creates the service.
@@ -54,16 +56,19 @@
      * @param events takes events, from any thread
      * @param exchangeInterval how long askers wait between exchanges
      * @param controls every control instance, host:port
+     * @param confirmer tells how old the settings may be
      */
     public ControlRpc(
             PendingCalls calls,
             Consumer<ControlEvent> events,
             Duration exchangeInterval,
-            Supplier<List<String>> controls) {
+            Supplier<List<String>> controls,
+            ReadConfirmer confirmer) {
         mCalls = calls;
         mEvents = events;
         mExchangeInterval = exchangeInterval;
         mControls = controls;
+        mConfirmer = confirmer;
     }
 
     @Override
@@ -93,13 +98,20 @@
     }
 
     private long openExchange(StreamObserver<ExchangeReply> out) {
+        // Taken before the settings are read: they hold at least what was confirmed by now.
+        ElapsedClock.Mark confirmed = mConfirmer.confirmed();
         return mCalls.open(
                 out,
-                answer ->
-                        Replies.exchange(answer)
-                                .setNextExchangeMillis((int) mExchangeInterval.toMillis())
-                                .addAllControls(mControls.get())
-                                .build());
+                answer -> {
+                    ExchangeReply.Builder reply =
+                            Replies.exchange(answer)
+                                    .setNextExchangeMillis((int) mExchangeInterval.toMillis())
+                                    .addAllControls(mControls.get());
+                    mConfirmer
+                            .ageMillis(confirmed)
+                            .ifPresent(age -> reply.setSettingsAgeMillis((int) age));
+                    return reply.build();
+                });
     }
 
     @Override
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerCalls.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerCalls.java
@@ -40,6 +40,7 @@
 
     private final ReplicaId mSelf;
     private final Map<String, String> mAddresses;
+    private final boolean mOpen;
     private final Channels mChannels;
     private final Consumer<ControlEvent> mEvents;
     private final Map<String, Integer> mInFlight = new ConcurrentHashMap<>();
@@ -50,24 +51,31 @@
      *
      * @param self this instance with its disk's id
      * @param addresses the other control instances by name, host:port
+     * @param open whether there may be others, whose names are their addresses
      * @param channels connections
      * @param events takes answers, from any thread
      */
     public PeerCalls(
             ReplicaId self,
             Map<String, String> addresses,
+            boolean open,
             Channels channels,
             Consumer<ControlEvent> events) {
         mSelf = self;
         mAddresses = new TreeMap<>(addresses);
+        mOpen = open;
         mChannels = channels;
         mEvents = events;
     }
 
+    private String addressOf(String name) {
+        return mAddresses.getOrDefault(name, mOpen ? name : null);
+    }
+
     /** Sends a replica's message. It is lost if the peer is slow or unknown. */
     public void send(AgreementEffect.Send send) {
         String name = send.to().name();
-        String address = mAddresses.get(name);
+        String address = addressOf(name);
         // A peer that takes nothing must not fill the memory with messages that are sent anew.
         if (address == null || mInFlight.getOrDefault(name, 0) >= MOST_IN_FLIGHT) {
             return;
@@ -86,7 +94,7 @@
 
     /** Asks a peer what it hears, unless it still owes an answer. */
     public void ask(AskPeer ask) {
-        String address = mAddresses.get(ask.peer());
+        String address = addressOf(ask.peer());
         if (address == null || !mAsked.add(ask.peer())) {
             return;
         }
@@ -112,7 +120,8 @@
     public void announce(AnnounceToPeers e) {
         AnnounceRequest.Builder request = AnnounceRequest.newBuilder();
         e.announcements().forEach(a -> request.addAnnouncements(MembershipCodec.toWire(a)));
-        for (String address : mAddresses.values()) {
+        for (String peer : e.peers()) {
+            String address = addressOf(peer);
             ManagedChannel channel = mChannels.get(address);
             watch(
                     address,
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerRpc.java
@@ -32,6 +32,7 @@
         mEvents.accept(
                 new ControlEvent.PeerAsked(
                         mCalls.open(out, StatusReplies::share),
+                        r.getControl(),
                         MembershipCodec.toCore(r.getCursor()),
                         r.getWithRouters()));
     }
--- /dev/null
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ReadConfirmer.java
@@ -0,0 +1,161 @@
+package org.laurelweir.control.rpc;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.MoreExecutors;
+import io.grpc.ManagedChannel;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.laurelweir.coordination.ControlEffect.Answer;
+import org.laurelweir.coordination.ControlEffect.AnswerSettings;
+import org.laurelweir.coordination.ControlEffect.Refuse;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.runtime.process.ElapsedClock;
+import org.laurelweir.runtime.rpc.Channels;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.wire.v1.ControlServiceGrpc;
+import org.laurelweir.wire.v1.ReadSettingsReply;
+import org.laurelweir.wire.v1.ReadSettingsRequest;
+
+/**
+ * Knows up to which moment this instance's settings hold all that was accepted. A few times a
+ * second it asks the leader, which answers once a quorum has confirmed that it still leads; the
+ * moment of asking counts, measured here.
+ *
+ * <p>A heartbeat would not do: held up in a partition, it arrives seconds later and looks fresh,
+ * and keys that were taken away meanwhile would go on working behind it.
+ */
+public final class ReadConfirmer {
+    private static final Duration INTERVAL = Duration.ofMillis(250);
+    private static final Duration TIMEOUT = Duration.ofMillis(1000);
+
+    /** How soon to look again whether what the leader told has been applied here. */
+    private static final Duration RECHECK = Duration.ofMillis(40);
+
+    private final PendingCalls mCalls;
+    private final Consumer<ControlEvent> mEvents;
+    private final Channels mChannels;
+    private final ScheduledExecutorService mTimer;
+    private final ElapsedClock mClock;
+    private volatile ElapsedClock.Mark mConfirmed;
+    private volatile ElapsedClock.Mark mAsked;
+
+    /**
+     * Creates the confirmer.
+     *
+     * @param calls where calls wait
+     * @param events takes reads, from any thread
+     * @param channels reach the leader
+     * @param timer runs the rounds
+     * @param clock measures ages, suspensions of the machine included
+     */
+    public ReadConfirmer(
+            PendingCalls calls,
+            Consumer<ControlEvent> events,
+            Channels channels,
+            ScheduledExecutorService timer,
+            ElapsedClock clock) {
+        mCalls = calls;
+        mEvents = events;
+        mChannels = channels;
+        mTimer = timer;
+        mClock = clock;
+    }
+
+    /** Begins to ask. */
+    public void begin() {
+        mTimer.scheduleWithFixedDelay(this::ask, 0, INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the moment up to which the settings are confirmed now, or null if none is. */
+    public ElapsedClock.Mark confirmed() {
+        return mConfirmed;
+    }
+
+    /** Returns how long ago a confirmed moment was, in ms, or nothing for null. */
+    public OptionalLong ageMillis(ElapsedClock.Mark confirmed) {
+        return confirmed == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(mClock.since(confirmed).toMillis());
+    }
+
+    private void ask() {
+        ElapsedClock.Mark asked = mAsked;
+        if (asked != null && mClock.since(asked).compareTo(TIMEOUT) < 0) {
+            return;
+        }
+        ElapsedClock.Mark now = mClock.mark();
+        mAsked = now;
+        mEvents.accept(
+                new ControlEvent.SettingsRead(
+                        mCalls.open(a -> onLocal(now, a)), NodePath.DEPLOYMENT, true, 0));
+    }
+
+    private void onLocal(ElapsedClock.Mark asked, Answer answer) {
+        if (answer instanceof AnswerSettings) {
+            confirm(asked);
+        } else if (answer instanceof Refuse r && !r.leader().isEmpty()) {
+            askLeader(asked, r.leader());
+        } else {
+            mAsked = null;
+        }
+    }
+
+    private void askLeader(ElapsedClock.Mark asked, String leader) {
+        ManagedChannel channel = mChannels.get(leader);
+        FutureCallback<ReadSettingsReply> callback =
+                new FutureCallback<>() {
+                    @Override
+                    public void onSuccess(ReadSettingsReply reply) {
+                        if (reply.getCode() == 0) {
+                            checkApplied(asked, reply.getPosition());
+                        } else {
+                            mAsked = null;
+                        }
+                    }
+
+                    @Override
+                    public void onFailure(Throwable failure) {
+                        mChannels.fresh(leader, channel);
+                        mAsked = null;
+                    }
+                };
+        Futures.addCallback(
+                ControlServiceGrpc.newFutureStub(channel)
+                        .withDeadlineAfter(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                        .readSettings(
+                                ReadSettingsRequest.newBuilder()
+                                        .setPath(NodePath.DEPLOYMENT.toString())
+                                        .setLinearizable(true)
+                                        .build()),
+                callback,
+                MoreExecutors.directExecutor());
+    }
+
+    /** What the leader has accepted counts here once it has been applied here. */
+    private void checkApplied(ElapsedClock.Mark asked, long position) {
+        mEvents.accept(
+                new ControlEvent.SettingsRead(
+                        mCalls.open(a -> onApplied(asked, position, a)),
+                        NodePath.DEPLOYMENT,
+                        false,
+                        0));
+    }
+
+    private void onApplied(ElapsedClock.Mark asked, long position, Answer answer) {
+        if (answer instanceof AnswerSettings s && s.position() >= position) {
+            confirm(asked);
+        } else if (mClock.since(asked).compareTo(TIMEOUT) < 0) {
+            mTimer.schedule(
+                    () -> checkApplied(asked, position), RECHECK.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void confirm(ElapsedClock.Mark asked) {
+        mConfirmed = asked;
+        mAsked = null;
+    }
+}
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ExchangeTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/ExchangeTest.java
@@ -114,7 +114,7 @@
     private void share(Node from, Node to) {
         List<AnswerPeer> answers = new ArrayList<>();
         from.call(
-                call -> new ControlEvent.PeerAsked(call, MembershipCursor.NONE, true),
+                call -> new ControlEvent.PeerAsked(call, "peer", MembershipCursor.NONE, true),
                 a -> answers.add((AnswerPeer) a));
         mControls.run(10);
         AnswerPeer told = answers.get(0);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -3,8 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import org.laurelweir.direct.DirectEffect;
+import org.laurelweir.direct.DirectEvent;
+import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.router.http.CallHandler;
@@ -12,6 +16,7 @@
 import org.laurelweir.router.http.HttpCall;
 import org.laurelweir.router.request.ModelList;
 import org.laurelweir.router.request.RequestResolver;
+import org.laurelweir.router.request.RouteResolver;
 import org.laurelweir.routing.RouterEffect;
 import org.laurelweir.routing.RouterEvent;
 
@@ -21,6 +26,10 @@
     private static final int OK = 200;
     private static final String JSON = "application/json";
 
+    /** A router that lacks settings gets them with one of its next exchanges. */
+    private static final Duration COME_BACK = Duration.ofMillis(300);
+
+    private final RouteResolver mRoutes;
     private final RequestResolver mResolver;
     private final ModelList mModels;
     private final Consumer<RouterEvent> mEvents;
@@ -28,10 +37,12 @@
     private final Map<Long, Caller> mCallers = new ConcurrentHashMap<>();
 
     Callers(
+            RouteResolver routes,
             RequestResolver resolver,
             ModelList models,
             Consumer<RouterEvent> events,
             RouterMetrics metrics) {
+        mRoutes = routes;
         mResolver = resolver;
         mModels = models;
         mEvents = events;
@@ -45,8 +56,12 @@
                 listModels(call, answer);
                 return;
             }
-            RouterEvent event = new RouterEvent.RequestArrived(caller, mResolver.resolve(call));
-            mCallers.put(caller, new Caller(answer));
+            Optional<RoutedRequest> routed = mRoutes.resolve(call);
+            RouterEvent event =
+                    routed.isPresent()
+                            ? direct(new DirectEvent.Arrived(caller, routed.get()))
+                            : new RouterEvent.RequestArrived(caller, mResolver.resolve(call));
+            mCallers.put(caller, new Caller(answer, routed.isPresent()));
             mEvents.accept(event);
         } catch (LaurelweirException e) {
             refuse(answer, e.getCode(), e.getMessage());
@@ -67,14 +82,18 @@
 
     private void refuse(CallerAnswer answer, ResultCode code, String message) {
         mMetrics.answered(code);
-        answer.error(code, message, Duration.ZERO);
+        answer.error(code, message, code.isNotRun() ? COME_BACK : Duration.ZERO);
     }
 
     @Override
     public void onGone(long caller) {
-        if (mCallers.remove(caller) != null) {
+        Caller c = mCallers.remove(caller);
+        if (c != null) {
             mMetrics.answered(ResultCode.CALLER_GONE);
-            mEvents.accept(new RouterEvent.CallerGone(caller));
+            mEvents.accept(
+                    c.mDirect
+                            ? direct(new DirectEvent.CallerGone(caller))
+                            : new RouterEvent.CallerGone(caller));
         }
     }
 
@@ -83,10 +102,25 @@
         Caller c = mCallers.get(caller);
         if (c != null) {
             c.mTaken = offset;
+            if (c.mDirect) {
+                return;
+            }
             mEvents.accept(new RouterEvent.CallerTook(caller, offset));
         }
     }
 
+    private static RouterEvent direct(DirectEvent event) {
+        return new RouterEvent.Direct(event);
+    }
+
+    void whole(DirectEffect.AnswerWhole e) {
+        Caller c = mCallers.remove(e.caller());
+        if (c != null) {
+            mMetrics.answered(ResultCode.OK);
+            c.mAnswer.whole(e.status(), e.headers(), e.body());
+        }
+    }
+
     void head(RouterEffect.AnswerHead e) {
         Caller c = mCallers.get(e.caller());
         if (c != null) {
@@ -130,11 +164,13 @@
     /** One caller's answer, and how far it has got. */
     private static final class Caller {
         private final CallerAnswer mAnswer;
+        private final boolean mDirect;
         private volatile long mSent;
         private volatile long mTaken;
 
-        Caller(CallerAnswer answer) {
+        Caller(CallerAnswer answer, boolean direct) {
             mAnswer = answer;
+            mDirect = direct;
         }
     }
 }
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
@@ -0,0 +1,51 @@
+package org.laurelweir.router;
+
+import java.util.function.Consumer;
+import org.laurelweir.direct.DirectEffect;
+import org.laurelweir.lib.Decision;
+import org.laurelweir.router.direct.BackendCalls;
+import org.laurelweir.routing.RouterEffect;
+
+/** Carries out the decisions about requests that are routed without sidecars. */
+final class DirectEffects implements Consumer<DirectEffect> {
+    private final Callers mCallers;
+    private final BackendCalls mCalls;
+    private final Consumer<Decision> mDecisions;
+    private final RouterMetrics mMetrics;
+
+    DirectEffects(
+            Callers callers,
+            BackendCalls calls,
+            Consumer<Decision> decisions,
+            RouterMetrics metrics) {
+        mCallers = callers;
+        mCalls = calls;
+        mDecisions = decisions;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void accept(DirectEffect effect) {
+        if (effect instanceof DirectEffect.BeginCall e) {
+            mMetrics.did("call");
+            mCalls.begin(e);
+        } else if (effect instanceof DirectEffect.CancelCall e) {
+            mMetrics.did("cancel_call");
+            mCalls.cancel(e);
+        } else if (effect instanceof DirectEffect.AnswerWhole e) {
+            mCallers.whole(e);
+        } else if (effect instanceof DirectEffect.AnswerHead e) {
+            mCallers.head(new RouterEffect.AnswerHead(e.caller(), e.status(), e.headers()));
+        } else if (effect instanceof DirectEffect.AnswerData e) {
+            mCallers.data(new RouterEffect.AnswerData(e.caller(), e.bytes()));
+        } else if (effect instanceof DirectEffect.AnswerEnd e) {
+            mCallers.end(new RouterEffect.AnswerEnd(e.caller()));
+        } else if (effect instanceof DirectEffect.AnswerError e) {
+            mCallers.error(
+                    new RouterEffect.AnswerError(
+                            e.caller(), e.code(), e.message(), e.retryAfter()));
+        } else if (effect instanceof DirectEffect.Decided e) {
+            mDecisions.accept(e.decision());
+        }
+    }
+}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import org.laurelweir.lib.Decision;
+import org.laurelweir.router.direct.BackendCalls;
 import org.laurelweir.router.rpc.ClaimCalls;
 import org.laurelweir.router.rpc.ControlExchange;
 import org.laurelweir.router.rpc.SidecarCalls;
@@ -16,6 +18,7 @@
     private final ClaimCalls mClaims;
     private final ControlExchange mExchange;
     private final DecisionRing mRing;
+    private final DirectEffects mDirect;
     private final RouterMetrics mMetrics;
     private final CountDownLatch mStopped = new CountDownLatch(1);
 
@@ -24,6 +27,7 @@
             SidecarCalls sidecars,
             ClaimCalls claims,
             ControlExchange exchange,
+            BackendCalls calls,
             DecisionRing ring,
             RouterMetrics metrics) {
         mCallers = callers;
@@ -32,6 +36,7 @@
         mExchange = exchange;
         mRing = ring;
         mMetrics = metrics;
+        mDirect = new DirectEffects(callers, calls, this::decided, metrics);
     }
 
     /** Returns what opens once everything in flight has ended after a stop was requested. */
@@ -52,8 +57,9 @@
         } else if (effect instanceof RouterEffect.SendExchange e) {
             mExchange.send(e.cursor());
         } else if (effect instanceof RouterEffect.Decided e) {
-            DecisionLog.write(e.decision());
-            mRing.add(e.decision());
+            decided(e.decision());
+        } else if (effect instanceof RouterEffect.Direct e) {
+            mDirect.accept(e.effect());
         } else if (effect instanceof RouterEffect.Stopped) {
             mStopped.countDown();
         } else {
@@ -61,6 +67,11 @@
         }
     }
 
+    private void decided(Decision decision) {
+        DecisionLog.write(decision);
+        mRing.add(decision);
+    }
+
     private void onAttemptEffect(RouterEffect effect) {
         if (effect instanceof RouterEffect.BeginAttempt e) {
             mMetrics.did(e.request().id().attempt() == 1 ? "first_attempt" : "further_attempt");
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -23,12 +23,21 @@
  * @param metricsListen where metrics, health and readiness are served
  * @param metricsPortFile where to write their port
  * @param controls control instances, the nearest first
+ * @param controlPort the port on which they are reached, 0 for that of each one's own address
  * @param exchangeInterval how often control is asked
  * @param threads event loops for connections
  * @param chatSeats how many chats it remembers the last backend server of
  * @param decisions how many decisions it keeps for {@code explain}
  * @param seed of the jitter of retries; 0 takes one from the start's time
- * @param stopTimeout how long requests in flight may take once it is told to stop
+ * @param leaveDelay how long it goes on serving, called not ready, once it is told to stop: the
+ *     time in which a balancer notices
+ * @param stopTimeout how long requests in flight may take after that
+ * @param keyLease how long after settings were last confirmed requests with keys are served by
+ *     routes; zero for ever
+ * @param retryShare what all routers together may repeat at a service reached by routes, as a share
+ *     of its requests
+ * @param retryReserve what they may repeat beyond that in a window
+ * @param retryWindow the window of both
  * @param log how to log
  */
 @ProgramName("router")
@@ -42,10 +51,16 @@
         @Default("127.0.0.1:0") Endpoint metricsListen,
         Optional<Path> metricsPortFile,
         @Required List<Endpoint> controls,
+        @Default("0") @Range(min = "0", max = "65535") int controlPort,
         @Default("1s") @Range(min = "100ms", max = "10s") Duration exchangeInterval,
         @Default("2") @Range(min = "1", max = "64") int threads,
         @Default("65536") @Range(min = "2", max = "16777216") int chatSeats,
         @Default("2048") @Range(min = "1", max = "1000000") int decisions,
         @Default("0") long seed,
+        @Default("0s") @Range(min = "0s", max = "10m") Duration leaveDelay,
         @Default("10m") @Range(min = "0s", max = "1d") Duration stopTimeout,
+        @Default("0s") @Range(min = "0s", max = "1d") Duration keyLease,
+        @Default("0.1") @Range(min = "0", max = "10") double retryShare,
+        @Default("32") @Range(min = "0", max = "1000000") double retryReserve,
+        @Default("10s") @Range(min = "100ms", max = "10m") Duration retryWindow,
         LogSettings log) {}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -7,17 +7,22 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.laurelweir.direct.RetryLimits;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.membership.RouterReport;
+import org.laurelweir.router.direct.BackendCalls;
 import org.laurelweir.router.http.CallerServer;
+import org.laurelweir.router.http.HttpDialect;
 import org.laurelweir.router.http.Limits;
 import org.laurelweir.router.request.ModelList;
 import org.laurelweir.router.request.RequestResolver;
+import org.laurelweir.router.request.RouteResolver;
 import org.laurelweir.router.rpc.ClaimCalls;
 import org.laurelweir.router.rpc.ControlExchange;
 import org.laurelweir.router.rpc.ExplainService;
+import org.laurelweir.router.rpc.SettingsTrust;
 import org.laurelweir.router.rpc.SidecarCalls;
 import org.laurelweir.routing.RouterConfig;
 import org.laurelweir.routing.RouterEffect;
@@ -28,6 +33,7 @@
 import org.laurelweir.runtime.log.Logging;
 import org.laurelweir.runtime.loop.ReducerLoop;
 import org.laurelweir.runtime.metrics.MetricsServer;
+import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.runtime.process.Program;
 import org.laurelweir.runtime.rpc.Channels;
 import org.laurelweir.runtime.rpc.EventLoops;
@@ -48,6 +54,8 @@
     private final RouterFile mFile;
     private final InstantSource mClock;
     private final Consumer<String> mOut;
+    private final HttpDialect mDialect;
+    private final SettingsTrust mTrust;
     private final Logging mLogging;
     private final MetricRegistry mRegistry = new MetricRegistry();
     private final RouterMetrics mMetrics = new RouterMetrics(mRegistry);
@@ -73,7 +81,22 @@
      * @param out takes the line that tells where it listens
      */
     public RouterProgram(RouterFile file, InstantSource clock, Consumer<String> out) {
+        this(file, clock, out, HttpDialect.DEFAULT);
+    }
+
+    /**
+     * Creates a router for a deployment with header names of its own.
+     *
+     * @param file its settings file
+     * @param clock the time
+     * @param out takes the line that tells where it listens
+     * @param dialect the names of headers
+     */
+    public RouterProgram(
+            RouterFile file, InstantSource clock, Consumer<String> out, HttpDialect dialect) {
         mFile = file;
+        mDialect = dialect;
+        mTrust = new SettingsTrust(new ElapsedClock(), file.keyLease());
         mClock = clock;
         mOut = out;
         mLogging = new Logging(file.log());
@@ -86,12 +109,14 @@
         traffic.show("ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
         mCallers =
                 new Callers(
+                        new RouteResolver(mSettings, dialect, mTrust::isGiven),
                         new RequestResolver(mSettings),
                         new ModelList(mSettings),
                         this::offer,
                         mMetrics);
         mCallerServer =
-                new CallerServer(mLoops, file.listen(), mCallers, this::limits, this::requestName);
+                new CallerServer(
+                        mLoops, file.listen(), mCallers, this::limits, this::requestName, dialect);
         mRing = new DecisionRing(file.decisions());
         mExplainServer =
                 RpcServer.builder(mLoops, traffic)
@@ -106,9 +131,15 @@
                         this::report,
                         mSettings,
                         this::offer,
-                        claims::useControls,
-                        clock);
-        mEffects = new Effects(mCallers, sidecars, claims, mExchange, mRing, mMetrics);
+                        controls -> {
+                            claims.useControls(controls);
+                            mExchangeClient.learn(controls);
+                        },
+                        clock,
+                        mTrust);
+        BackendCalls calls =
+                new BackendCalls(mLoops, mDialect, e -> offer(new RouterEvent.Direct(e)));
+        mEffects = new Effects(mCallers, sidecars, claims, mExchange, calls, mRing, mMetrics);
         mLoop = newLoop(sidecars);
     }
 
@@ -131,11 +162,30 @@
         long incarnation = started.toEpochMilli();
         long seed = file.seed() == 0 ? incarnation : file.seed();
         return new RouterConfig(
-                file.name(), incarnation, seed, file.exchangeInterval(), file.chatSeats());
+                file.name(),
+                incarnation,
+                seed,
+                file.exchangeInterval(),
+                file.chatSeats(),
+                retryLimits(file));
+    }
+
+    private static RetryLimits retryLimits(RouterFile file) {
+        RetryLimits d = RetryLimits.DEFAULT;
+        return new RetryLimits(
+                file.retryShare(),
+                file.retryReserve(),
+                file.retryWindow(),
+                d.fewestRouters(),
+                d.usedPart());
     }
 
     private List<String> controls() {
-        return mFile.controls().stream().map(Endpoint::toString).toList();
+        int port = mFile.controlPort();
+        return mFile.controls().stream()
+                .map(c -> port == 0 ? c : c.withPort(port))
+                .map(Endpoint::toString)
+                .toList();
     }
 
     private void offer(RouterEvent event) {
@@ -152,7 +202,8 @@
                 s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(),
                 (int) s.get(SettingKeys.LIMIT_HEADER_BYTES).bytes(),
                 s.get(SettingKeys.LIMIT_CONNECTIONS),
-                s.get(SettingKeys.LIMIT_REQUEST_TIME));
+                s.get(SettingKeys.LIMIT_REQUEST_TIME),
+                s.get(SettingKeys.LIMIT_IDLE_TIME));
     }
 
     @Override
@@ -204,6 +255,8 @@
     @Override
     public void stop() {
         mExchange.stopping();
+        mCallerServer.closeAfterAnswers();
+        awaitBalancer();
         mCallerServer.drain();
         mCallerServer.awaitClosed(mFile.stopTimeout());
         mLoop.offer(new RouterEvent.StopRequested());
@@ -218,6 +271,14 @@
         mLogging.stop();
     }
 
+    private void awaitBalancer() {
+        try {
+            Thread.sleep(mFile.leaveDelay().toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void awaitStopped() {
         try {
             mEffects.stopped().await(mFile.stopTimeout().toMillis(), TimeUnit.MILLISECONDS);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerAnswer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerAnswer.java
@@ -24,6 +24,13 @@
      */
     void error(ResultCode code, String message, Duration retryAfter);
 
+    /**
+     * Answers with a backend server's whole answer at once.
+     *
+     * @param headers as the backend server sent them
+     */
+    void whole(int status, List<Header> headers, byte[] body);
+
     /** Answers with a whole body at once. */
     void whole(int status, String contentType, byte[] body);
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -51,9 +51,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
-        mTimer =
-                new RequestTimer(
-                        mChannel.eventLoop(), mLimits.requestTime(), this::onRequestTooSlow);
+        mTimer = new RequestTimer(mChannel.eventLoop(), this::onRequestTooSlow);
     }
 
     @Override
@@ -63,7 +61,7 @@
             refuse(ResultCode.TOO_MANY_CONNECTIONS, message, Duration.ofSeconds(1));
             return;
         }
-        mTimer.start();
+        mTimer.start(mLimits.idleTime());
         // Accepted just before the listener was closed, and so perhaps not told yet.
         if (mConnections.isStopping()) {
             onStopping();
@@ -74,7 +72,7 @@
     void onBytes() {
         if (!mBytesSeen && mAnswer == null && !mClosing) {
             mBytesSeen = true;
-            mTimer.start();
+            mTimer.start(mLimits.requestTime());
         }
     }
 
@@ -139,7 +137,7 @@
         }
         mAnswer = null;
         mBytesSeen = !mWaiting.isEmpty();
-        mTimer.start();
+        mTimer.start(mBytesSeen ? mLimits.requestTime() : mLimits.idleTime());
         while (mAnswer == null && !mClosing && !mWaiting.isEmpty()) {
             take(mWaiting.remove());
         }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -13,12 +13,16 @@
     private final CallHandler mHandler;
     private final Supplier<Limits> mLimits;
     private final RequestNames mNames;
+    private final HttpDialect mDialect;
     private final ChannelGroup mOpen = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger mCount = new AtomicInteger();
     private final AtomicLong mLastCaller = new AtomicLong();
+    private volatile boolean mLeaving;
     private volatile boolean mStopping;
 
-    CallerConnections(CallHandler handler, Supplier<Limits> limits, RequestNames names) {
+    CallerConnections(
+            CallHandler handler, Supplier<Limits> limits, RequestNames names, HttpDialect dialect) {
+        mDialect = dialect;
         mHandler = handler;
         mLimits = limits;
         mNames = names;
@@ -32,6 +36,10 @@
         return mLimits.get();
     }
 
+    HttpDialect dialect() {
+        return mDialect;
+    }
+
     long newCaller() {
         return mLastCaller.incrementAndGet();
     }
@@ -48,6 +56,15 @@
     }
 
     /** Returns whether connections are to be closed after the answer that is under way. */
+    boolean isLeaving() {
+        return mLeaving || mStopping;
+    }
+
+    void leaving() {
+        mLeaving = true;
+    }
+
+    /** Returns whether connections without a request are to be closed. */
     boolean isStopping() {
         return mStopping;
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -36,16 +36,18 @@
      * @param handler takes the requests
      * @param limits asked for each new connection
      * @param names of the requests
+     * @param dialect the names of headers
      */
     public CallerServer(
             EventLoops loops,
             Endpoint listen,
             CallHandler handler,
             Supplier<Limits> limits,
-            RequestNames names) {
+            RequestNames names,
+            HttpDialect dialect) {
         mLoops = loops;
         mListen = listen;
-        mConnections = new CallerConnections(handler, limits, names);
+        mConnections = new CallerConnections(handler, limits, names, dialect);
     }
 
     /**
@@ -78,6 +80,11 @@
         return mListen.withPort(((InetSocketAddress) mListener.localAddress()).getPort());
     }
 
+    /** Goes on serving, and tells each caller with its answer that the connection will close. */
+    public void closeAfterAnswers() {
+        mConnections.leaving();
+    }
+
     /** Takes no new connection, closes the idle ones, and the others after their answers. */
     public void drain() {
         mListener.close().awaitUninterruptibly();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.ResultCode;
 
@@ -92,6 +93,25 @@
         mChannel.eventLoop().execute(() -> writeLast(full(status, contentType, body)));
     }
 
+    @Override
+    public void whole(int status, List<Header> headers, byte[] body) {
+        mChannel.eventLoop().execute(() -> writeLast(passedOn(status, headers, body)));
+    }
+
+    private FullHttpResponse passedOn(int status, List<Header> headers, byte[] body) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        Unpooled.wrappedBuffer(body));
+        headers.stream()
+                .filter(HopHeaders::isPassedOn)
+                .forEach(h -> response.headers().add(h.name(), h.value()));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        putCommon(response);
+        return response;
+    }
+
     private void writeHead(int status, List<Header> headers) {
         HttpResponse head =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
@@ -127,15 +147,22 @@
         }
         FullHttpResponse response = full(code.httpStatus(), JSON, ErrorBody.of(code, message));
         if (!retryAfter.isZero()) {
-            long seconds = Math.max(1, (retryAfter.toMillis() + MILLIS - 1) / MILLIS);
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter));
         }
         if (code == ResultCode.UNAUTHENTICATED) {
-            response.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+            response.headers()
+                    .set(HttpHeaderNames.WWW_AUTHENTICATE, mConnections.dialect().keyScheme());
         }
         writeLast(response);
     }
 
+    private String seconds(Duration wait) {
+        if (mConnections.dialect().exactRetryAfter()) {
+            return String.format(Locale.ROOT, "%.3f", wait.toMillis() / (double) MILLIS);
+        }
+        return Long.toString(Math.max(1, (wait.toMillis() + MILLIS - 1) / MILLIS));
+    }
+
     private void writeLast(Object last) {
         mDone = true;
         mChannel.writeAndFlush(last).addListener(f -> mOnWritten.run());
@@ -154,7 +181,7 @@
     }
 
     private void putCommon(HttpResponse response) {
-        mClose |= mConnections.isStopping();
+        mClose |= mConnections.isLeaving();
         response.headers().set(REQUEST_ID, mConnections.requestName(mCaller));
         if (mClose) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Limits.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Limits.java
@@ -10,5 +10,11 @@
  * @param connections most connections of callers
  * @param requestTime longest time that a caller may take to send a request, or to take a piece of
  *     its answer
+ * @param idleTime how long a connection may stay without a request
  */
-public record Limits(long bodyBytes, int headerBytes, int connections, Duration requestTime) {}
+public record Limits(
+        long bodyBytes,
+        int headerBytes,
+        int connections,
+        Duration requestTime,
+        Duration idleTime) {}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestTimer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestTimer.java
@@ -5,22 +5,20 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
-/** Bounds the time that one caller takes to send a request. Only on the event loop. */
+/** Bounds the time that one caller takes for the next step. Only on the event loop. */
 final class RequestTimer {
     private final EventLoop mLoop;
-    private final Duration mLimit;
     private final Runnable mOnExpired;
     private ScheduledFuture<?> mExpiry;
 
-    RequestTimer(EventLoop loop, Duration limit, Runnable onExpired) {
+    RequestTimer(EventLoop loop, Runnable onExpired) {
         mLoop = loop;
-        mLimit = limit;
         mOnExpired = onExpired;
     }
 
-    void start() {
+    void start(Duration limit) {
         stop();
-        mExpiry = mLoop.schedule(mOnExpired, mLimit.toMillis(), TimeUnit.MILLISECONDS);
+        mExpiry = mLoop.schedule(mOnExpired, limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     void stop() {
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -0,0 +1,184 @@
+package org.laurelweir.router.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Header;
+import org.laurelweir.direct.Prompt;
+import org.laurelweir.direct.Route;
+import org.laurelweir.direct.RouteTable;
+import org.laurelweir.direct.RoutedRequest;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.router.http.HopHeaders;
+import org.laurelweir.router.http.HttpCall;
+import org.laurelweir.router.http.HttpDialect;
+import org.laurelweir.settings.KeyDigest;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.settings.SettingKeys;
+import org.laurelweir.settings.SettingsLookup;
+import org.laurelweir.settings.SettingsTree;
+
+/** Resolves callers' requests to routes by the settings in force. Thread-safe. */
+public final class RouteResolver {
+    private static final int MAX_PARTS = 256;
+    private static final int HEXADECIMAL = 16;
+
+    private final SettingsLookup mSettings;
+    private final HttpDialect mDialect;
+    private final BooleanSupplier mKeysConfirmed;
+    private volatile Tables mTables = new Tables(SettingsTree.EMPTY, RouteTable.EMPTY);
+
+    private record Tables(SettingsTree tree, RouteTable routes) {}
+
+    /**
+     * Creates a resolver.
+     *
+     * @param settings those in force
+     * @param dialect the names of headers
+     * @param keysConfirmed whether it is certain that no key of the settings has been taken away
+     *     for longer than that may go unnoticed
+     */
+    public RouteResolver(
+            SettingsLookup settings, HttpDialect dialect, BooleanSupplier keysConfirmed) {
+        mSettings = settings;
+        mDialect = dialect;
+        mKeysConfirmed = keysConfirmed;
+    }
+
+    /**
+     * Resolves a call.
+     *
+     * @param call read whole
+     * @return the request to route, or nothing where services are reached in other ways too and no
+     *     route takes the call
+     * @throws LaurelweirException with a code of the 1000s where the caller has to change it, of
+     *     the 2000s where this router can't tell yet
+     */
+    public Optional<RoutedRequest> resolve(HttpCall call) {
+        Tables tables = tables();
+        if (tables.tree().position() == 0) {
+            throw new LaurelweirException(
+                    ResultCode.SETTINGS_UNKNOWN, "this router has no settings yet");
+        }
+        Optional<Route> route = tables.routes().find(call.header("Host"), call.path());
+        if (route.isEmpty() && tables.routes().isOnlyRoutes()) {
+            throw new LaurelweirException(ResultCode.UNKNOWN_SERVICE, "no route takes this path");
+        }
+        return route.map(r -> request(tables.tree(), r, call));
+    }
+
+    private Tables tables() {
+        Tables tables = mTables;
+        SettingsTree tree = mSettings.tree();
+        if (tables.tree() != tree) {
+            tables = new Tables(tree, RouteTable.of(tree));
+            mTables = tables;
+        }
+        return tables;
+    }
+
+    private RoutedRequest request(SettingsTree tree, Route route, HttpCall call) {
+        String account = route.open() ? "" : accountOf(tree, call);
+        return new RoutedRequest(
+                call.header(mDialect.requestId()),
+                route,
+                account,
+                priority(tree, route, account),
+                timeLeft(route, call),
+                new AttemptRequest.Call(
+                        call.method(), call.uri(), passedOn(call), call.body(), route.streamed()),
+                prompt(call));
+    }
+
+    /**
+     * Finds the client account of a call's key. A router that is out of touch with control may not
+     * know that a key was taken away, and would let its holder in for as long as that lasts; it
+     * refuses keys altogether once that could have gone on for too long.
+     */
+    private String accountOf(SettingsTree tree, HttpCall call) {
+        if (!mKeysConfirmed.getAsBoolean()) {
+            throw new LaurelweirException(
+                    ResultCode.KEYS_UNCONFIRMED, "this router can't confirm that keys are valid");
+        }
+        String value = call.header("Authorization");
+        String scheme = mDialect.keyScheme() + " ";
+        if (!value.regionMatches(true, 0, scheme, 0, scheme.length())) {
+            throw new LaurelweirException(ResultCode.UNAUTHENTICATED, "a key is needed");
+        }
+        String digest = KeyDigest.of(value.substring(scheme.length()).strip());
+        return tree.accountOfKey(digest)
+                .orElseThrow(
+                        () ->
+                                new LaurelweirException(
+                                        ResultCode.UNAUTHENTICATED, "the key is unknown"));
+    }
+
+    private static int priority(SettingsTree tree, Route route, String account) {
+        if (account.isEmpty()) {
+            return route.priority();
+        }
+        return tree.node(NodePath.ofAccount(account))
+                .map(n -> n.value(SettingKeys.ACCOUNT_PRIORITY))
+                .filter(p -> p >= 0)
+                .orElse(route.priority());
+    }
+
+    private Duration timeLeft(Route route, HttpCall call) {
+        String told = call.header(mDialect.timeLeft()).strip();
+        if (told.isEmpty()) {
+            return route.timeout();
+        }
+        try {
+            long millis = Long.parseLong(told);
+            return millis < route.timeout().toMillis()
+                    ? Duration.ofMillis(millis)
+                    : route.timeout();
+        } catch (NumberFormatException e) {
+            throw new LaurelweirException(
+                    ResultCode.BAD_REQUEST, mDialect.timeLeft() + " is not a whole number", e);
+        }
+    }
+
+    private List<Header> passedOn(HttpCall call) {
+        List<Header> kept = new ArrayList<>();
+        String host = call.header("Host");
+        kept.add(new Header("Host", host));
+        for (Header h : HopHeaders.passedOn(call)) {
+            if (!mDialect.reserved().contains(h.name().toLowerCase(Locale.ROOT))) {
+                kept.add(h);
+            }
+        }
+        return kept;
+    }
+
+    /** A prompt that can't be read is still served, only without regard to what is cached. */
+    private Prompt prompt(HttpCall call) {
+        String told = call.header(mDialect.promptParts()).strip();
+        if (told.isEmpty()) {
+            return Prompt.NONE;
+        }
+        try {
+            List<Prompt.Part> parts = new ArrayList<>();
+            for (String part : told.split(",", MAX_PARTS)) {
+                int colon = part.lastIndexOf(':');
+                parts.add(
+                        new Prompt.Part(
+                                Long.parseUnsignedLong(
+                                        part.substring(0, colon).strip(), HEXADECIMAL),
+                                Integer.parseInt(part.substring(colon + 1).strip())));
+            }
+            String[] tokens = call.header(mDialect.promptTokens()).split(",");
+            return new Prompt(
+                    parts,
+                    Integer.parseInt(tokens[0].strip()),
+                    Integer.parseInt(tokens[1].strip()));
+        } catch (RuntimeException e) {
+            return Prompt.NONE;
+        }
+    }
+}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -11,6 +11,7 @@
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.routing.RouterEvent;
 import org.laurelweir.runtime.metrics.Readiness;
+import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.runtime.rpc.ExchangeAnswer;
 import org.laurelweir.runtime.rpc.ExchangeClient;
 import org.laurelweir.settings.SettingsLookup;
@@ -34,6 +35,7 @@
     private final Consumer<RouterEvent> mEvents;
     private final Consumer<List<String>> mControls;
     private final InstantSource mClock;
+    private final SettingsTrust mTrust;
     private final Instant mStarted;
     private final SettingsReader mReader = new SettingsReader();
     private boolean mMembershipSeen;
@@ -49,6 +51,7 @@
      * @param events takes membership, from any thread
      * @param controls takes the instances that control names
      * @param clock tells how long the router has been waiting
+     * @param trust told when settings were confirmed
      */
     public ControlExchange(
             ExchangeClient client,
@@ -56,31 +59,36 @@
             SettingsLookup settings,
             Consumer<RouterEvent> events,
             Consumer<List<String>> controls,
-            InstantSource clock) {
+            InstantSource clock,
+            SettingsTrust trust) {
         mClient = client;
         mReport = report;
         mSettings = settings;
         mEvents = events;
         mControls = controls;
         mClock = clock;
+        mTrust = trust;
         mStarted = clock.instant();
     }
 
     /** Sends one exchange; its answer becomes an event. */
     public void send(MembershipCursor cursor) {
-        mClient.exchange(mReport.get(), cursor, position()).whenComplete(this::onAnswer);
+        ElapsedClock.Mark asked = mTrust.asking();
+        mClient.exchange(mReport.get(), cursor, position())
+                .whenComplete((answer, failure) -> onAnswer(asked, answer, failure));
     }
 
     private synchronized long position() {
         return mReader.position();
     }
 
-    private void onAnswer(ExchangeAnswer answer, Throwable failure) {
+    private void onAnswer(ElapsedClock.Mark asked, ExchangeAnswer answer, Throwable failure) {
         if (failure != null) {
             mEvents.accept(new RouterEvent.ExchangeFailed(failure.getMessage()));
             return;
         }
         takeSettings(answer);
+        answer.settingsAge().ifPresent(age -> mTrust.confirmed(asked, age));
         mControls.accept(answer.controls());
         mEvents.accept(
                 new RouterEvent.ExchangeAnswered(
@@ -108,6 +116,9 @@
         if (!mMembershipSeen) {
             return Optional.of("no membership has arrived");
         }
+        if (!mTrust.isGiven()) {
+            return Optional.of("settings are not confirmed");
+        }
         if (mReader.position() == 0) {
             return Optional.of("no settings have arrived");
         }
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SettingsTrust.java
@@ -0,0 +1,58 @@
+package org.laurelweir.router.rpc;
+
+import java.time.Duration;
+import org.laurelweir.runtime.process.ElapsedClock;
+
+/**
+ * Knows for how long this router may still serve requests with keys.
+ *
+ * <p>A router that is cut off from control does not learn that a key was taken away. Each answer of
+ * control says up to which moment its settings hold everything; for a fixed time after that moment,
+ * measured here from before the question was asked, keys are served, and then no more until control
+ * is heard again. Whoever takes a key away need wait only as long.
+ */
+public final class SettingsTrust {
+    private final ElapsedClock mClock;
+    private final Duration mLease;
+    private ElapsedClock.Mark mAsked;
+    private Duration mAge = Duration.ZERO;
+
+    /**
+     * Creates a trust that begins with the first answer.
+     *
+     * @param clock measures, suspensions of the machine included
+     * @param lease how long settings are trusted; zero for ever
+     */
+    public SettingsTrust(ElapsedClock clock, Duration lease) {
+        mClock = clock;
+        mLease = lease;
+    }
+
+    /** Returns the moment at which a question is asked. */
+    ElapsedClock.Mark asking() {
+        return mClock.mark();
+    }
+
+    /**
+     * Notes that settings were confirmed.
+     *
+     * @param asked when the question was asked
+     * @param age how old the confirmation was as the answer was made
+     */
+    synchronized void confirmed(ElapsedClock.Mark asked, Duration age) {
+        Duration left = mAsked == null ? null : mClock.since(mAsked).plus(mAge);
+        Duration fresh = mClock.since(asked).plus(age);
+        if (left == null || fresh.compareTo(left) < 0) {
+            mAsked = asked;
+            mAge = age;
+        }
+    }
+
+    /** Returns whether requests with keys may be served now. */
+    public synchronized boolean isGiven() {
+        if (mLease.isZero()) {
+            return true;
+        }
+        return mAsked != null && mClock.since(mAsked).plus(mAge).compareTo(mLease) < 0;
+    }
+}
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -80,12 +80,18 @@
                 any,
                 Optional.empty(),
                 List.of(new Endpoint("127.0.0.1", mControlServer.port())),
+                0,
                 Duration.ofMillis(100),
                 2,
                 1024,
                 128,
                 1,
+                Duration.ZERO,
                 Duration.ofSeconds(30),
+                Duration.ZERO,
+                0.1,
+                32,
+                Duration.ofSeconds(10),
                 LogSettings.defaults());
     }
 
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.laurelweir.membership.MembershipDelta;
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.wire.MembershipCodec;
@@ -20,6 +21,8 @@
  * @param fence the highest fencing number of this backend server; for sidecars
  * @param controls every control instance, host:port
  * @param routers routers that serve, 0 if not told; for routers
+ * @param settingsAge how long ago, at most, the settings were confirmed to be the newest as the
+ *     answer was made; nothing if they were not
  */
 public record ExchangeAnswer(
         MembershipDelta membership,
@@ -30,7 +33,8 @@
         boolean drain,
         long fence,
         List<String> controls,
-        int routers) {
+        int routers,
+        Optional<Duration> settingsAge) {
 
     static ExchangeAnswer of(ExchangeReply reply) {
         return new ExchangeAnswer(
@@ -42,6 +46,9 @@
                 reply.getDrain(),
                 reply.getFence(),
                 List.copyOf(reply.getControlsList()),
-                reply.getRouters());
+                reply.getRouters(),
+                reply.hasSettingsAgeMillis()
+                        ? Optional.of(Duration.ofMillis(reply.getSettingsAgeMillis()))
+                        : Optional.empty());
     }
 }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +50,7 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final SessionCounter mSessions = new SessionCounter();
+    private final List<String> mFirst;
     private final NearestControl mControl;
     private boolean mStopped;
     private ManagedChannel mChannel;
@@ -60,10 +62,22 @@
      * @param timeout longest wait for one instance's answer
      */
     public ExchangeClient(List<String> addresses, Duration timeout) {
+        mFirst = List.copyOf(addresses);
         mControl = new NearestControl(addresses);
         mTimeout = timeout;
     }
 
+    /**
+     * Adds control instances that were not known at the start, behind those that were.
+     *
+     * @param addresses host:port, as a control instance tells them
+     */
+    public synchronized void learn(List<String> addresses) {
+        List<String> all = new ArrayList<>(mFirst);
+        addresses.stream().filter(a -> !all.contains(a)).sorted().forEach(all::add);
+        mControl.use(all);
+    }
+
     @Override
     public void start() {
         // Connections are opened when there is something to send.
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
@@ -12,7 +12,7 @@
     private static final int STALE_BEFORE_LEAVING = 5;
     private static final int MOST_STALE_BEFORE_LEAVING = 300;
 
-    private final List<String> mAddresses;
+    private List<String> mAddresses;
     private int mCurrent;
     private int mUntilReturn;
     private int mReturnAfter = EXCHANGES_BEFORE_RETURN;
@@ -23,6 +23,19 @@
         mAddresses = List.copyOf(addresses);
     }
 
+    /**
+     * Takes the instances that there are now. The present one stays in use where it is still among
+     * them; the first ones remain the nearest.
+     */
+    void use(List<String> addresses) {
+        if (addresses.isEmpty() || addresses.equals(mAddresses)) {
+            return;
+        }
+        int kept = addresses.indexOf(address());
+        mAddresses = List.copyOf(addresses);
+        mCurrent = Math.max(0, kept);
+    }
+
     int size() {
         return mAddresses.size();
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
@@ -22,6 +22,8 @@
         LogCommand.Builder message = LogCommand.newBuilder().setAtMillis(c.at().toEpochMilli());
         if (c instanceof Command.ChangeSettings s) {
             message.setChangeSettings(SettingsCodec.toWire(s));
+        } else if (c instanceof Command.ReplaceSettings s) {
+            message.setReplaceSettings(SettingsCodec.toWire(s));
         } else if (c instanceof Command.Claim s) {
             message.setClaim(RequestCodec.toWire(s));
         } else if (c instanceof Command.SettleClaim s) {
@@ -47,6 +49,7 @@
         Instant at = Instant.ofEpochMilli(m.getAtMillis());
         return switch (m.getBodyCase()) {
             case CHANGE_SETTINGS -> RequestCodec.toCore(m.getChangeSettings(), at);
+            case REPLACE_SETTINGS -> SettingsCodec.toCore(m.getReplaceSettings(), at);
             case CLAIM -> RequestCodec.toCore(m.getClaim(), at);
             case SETTLE_CLAIM -> RequestCodec.toCore(m.getSettleClaim(), at);
             case DRAIN -> RequestCodec.toCore(m.getDrain(), at);
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
@@ -1,6 +1,9 @@
 package org.laurelweir.wire;
 
+import com.google.protobuf.ByteString;
+import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import org.laurelweir.coordination.Command;
 import org.laurelweir.settings.HistoryEntry;
@@ -8,6 +11,8 @@
 import org.laurelweir.settings.SettingsDelta;
 import org.laurelweir.settings.SettingsNode;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
+import org.laurelweir.wire.v1.NodeValues;
+import org.laurelweir.wire.v1.ReplaceSettings;
 
 /** Converts settings nodes, changes and deltas. */
 public final class SettingsCodec {
@@ -102,6 +107,31 @@
                 .build();
     }
 
+    /** Returns the message of a whole tree; its time is the leader's to give. */
+    static ReplaceSettings toWire(Command.ReplaceSettings c) {
+        ReplaceSettings.Builder message =
+                ReplaceSettings.newBuilder()
+                        .setRevision(c.revision())
+                        .setAuthor(c.author())
+                        .setSource(ByteString.copyFrom(c.source()));
+        new TreeMap<>(c.nodes())
+                .forEach(
+                        (path, values) ->
+                                message.addNodes(
+                                        NodeValues.newBuilder()
+                                                .setPath(path)
+                                                .putAllValues(values)));
+        return message.build();
+    }
+
+    /** Returns the whole tree that a message holds. */
+    static Command.ReplaceSettings toCore(ReplaceSettings m, Instant at) {
+        Map<String, Map<String, String>> nodes = new TreeMap<>();
+        m.getNodesList().forEach(n -> nodes.put(n.getPath(), new TreeMap<>(n.getValuesMap())));
+        return new Command.ReplaceSettings(
+                at, m.getRevision(), m.getAuthor(), nodes, m.getSource().toByteArray());
+    }
+
     /** Returns the message of an accepted change. */
     public static org.laurelweir.wire.v1.HistoryEntry toWire(HistoryEntry e) {
         return org.laurelweir.wire.v1.HistoryEntry.newBuilder()
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
@@ -1,5 +1,6 @@
 package org.laurelweir.wire;
 
+import com.google.protobuf.ByteString;
 import java.time.Instant;
 import java.util.Map;
 import org.laurelweir.coordination.Claim;
@@ -85,7 +86,9 @@
                 SettingsSnapshot.newBuilder()
                         .setPosition(s.position())
                         .addAllNodes(SettingsCodec.nodesToWire(s.nodes()))
-                        .setForgotten(s.forgotten());
+                        .setForgotten(s.forgotten())
+                        .setRevision(s.revision())
+                        .setSource(ByteString.copyFrom(s.source()));
         s.history().forEach(e -> message.addHistory(toWire(e)));
         s.answers().forEach(a -> message.addAnswers(toWire(a)));
         return message.build();
@@ -97,7 +100,9 @@
                 SettingsCodec.nodesToCore(m.getNodesList()),
                 m.getForgotten(),
                 m.getHistoryList().stream().map(SnapshotCodec::toCore).toList(),
-                m.getAnswersList().stream().map(SnapshotCodec::toCore).toList());
+                m.getAnswersList().stream().map(SnapshotCodec::toCore).toList(),
+                m.getRevision(),
+                m.getSource().toByteArray());
     }
 
     private static SettingsHistoryRecord toWire(HistoryEntry e) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Control.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Control.java
@@ -235,7 +235,7 @@
       "\n\010position\030\001 \001(\004\022\014\n\004full\030\002 \001(\010\022*\n\005nodes\030" +
       "\003 \003(\0132\033.laurelweir.v1.SettingsNode\"C\n\013Se" +
       "rviceLoad\022\017\n\007service\030\001 \001(\t\022\021\n\tmean_work\030" +
-      "\002 \001(\001\022\020\n\010backends\030\003 \001(\r\"\254\002\n\rExchangeRepl" +
+      "\002 \001(\001\022\020\n\010backends\030\003 \001(\r\"\346\002\n\rExchangeRepl" +
       "y\0222\n\nmembership\030\001 \001(\0132\036.laurelweir.v1.Me" +
       "mbershipDelta\022.\n\010settings\030\002 \001(\0132\034.laurel" +
       "weir.v1.SettingsDelta\022)\n\005loads\030\003 \003(\0132\032.l" +
@@ -243,102 +243,103 @@
       "le\030\004 \001(\010\022\034\n\024next_exchange_millis\030\005 \001(\r\022\r" +
       "\n\005drain\030\006 \001(\010\022\r\n\005fence\030\007 \001(\004\022\020\n\010controls" +
       "\030\010 \003(\t\022\025\n\rleast_session\030\t \001(\r\022\017\n\007routers" +
-      "\030\n \001(\r\"\356\001\n\014ClaimRequest\022\017\n\007account\030\001 \001(\t" +
-      "\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\006\022)\n\007at" +
-      "tempt\030\004 \001(\0132\030.laurelweir.v1.AttemptId\022)\n" +
-      "\006target\030\005 \001(\0132\031.laurelweir.v1.BackendRef" +
-      "\022*\n\010replaces\030\006 \001(\0132\030.laurelweir.v1.Attem" +
-      "ptId\022\030\n\020retention_millis\030\007 \001(\004\022\017\n\007servic" +
-      "e\030\010 \001(\t\"\276\001\n\nClaimReply\022\014\n\004code\030\001 \001(\r\022\017\n\007" +
-      "message\030\002 \001(\t\022(\n\006holder\030\003 \001(\0132\030.laurelwe" +
-      "ir.v1.AttemptId\0220\n\rholder_target\030\004 \001(\0132\031" +
-      ".laurelweir.v1.BackendRef\022\017\n\007settled\030\005 \001" +
-      "(\010\022\024\n\014settled_code\030\006 \001(\r\022\016\n\006leader\030\007 \001(\t" +
-      "\"k\n\022SettleClaimRequest\022\017\n\007account\030\001 \001(\t\022" +
-      "\013\n\003key\030\002 \001(\t\022)\n\007attempt\030\003 \001(\0132\030.laurelwe" +
-      "ir.v1.AttemptId\022\014\n\004code\030\004 \001(\r\"0\n\020SettleC" +
-      "laimReply\022\014\n\004code\030\001 \001(\r\022\016\n\006leader\030\002 \001(\t\"" +
-      "K\n\023ReadSettingsRequest\022\014\n\004path\030\001 \001(\t\022\024\n\014" +
-      "linearizable\030\002 \001(\010\022\020\n\010position\030\003 \001(\004\"\200\001\n" +
-      "\021ReadSettingsReply\022\014\n\004code\030\001 \001(\r\022\017\n\007mess" +
-      "age\030\002 \001(\t\022\020\n\010position\030\003 \001(\004\022*\n\005nodes\030\004 \003" +
-      "(\0132\033.laurelweir.v1.SettingsNode\022\016\n\006leade" +
-      "r\030\005 \001(\t\"\261\001\n\nNodeChange\022\014\n\004path\030\001 \001(\t\022\030\n\020" +
-      "expected_version\030\002 \001(\004\022/\n\003set\030\003 \003(\0132\".la" +
-      "urelweir.v1.NodeChange.SetEntry\022\016\n\006remov" +
-      "e\030\004 \003(\t\022\016\n\006delete\030\005 \001(\010\032*\n\010SetEntry\022\013\n\003k" +
-      "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"f\n\025ChangeSet" +
-      "tingsRequest\022\021\n\tchange_id\030\001 \001(\t\022\016\n\006autho" +
-      "r\030\002 \001(\t\022*\n\007changes\030\003 \003(\0132\031.laurelweir.v1" +
-      ".NodeChange\"\222\001\n\023ChangeSettingsReply\022\014\n\004c" +
-      "ode\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\022\020\n\010position\030\003" +
-      " \001(\004\022*\n\005nodes\030\004 \003(\0132\033.laurelweir.v1.Sett" +
-      "ingsNode\022\016\n\006faults\030\005 \003(\t\022\016\n\006leader\030\006 \001(\t" +
-      "\"-\n\016HistoryRequest\022\014\n\004path\030\001 \001(\t\022\r\n\005limi" +
-      "t\030\002 \001(\r\"\202\001\n\014HistoryEntry\022\020\n\010position\030\001 \001" +
-      "(\004\022\021\n\tchange_id\030\002 \001(\t\022\016\n\006author\030\003 \001(\t\022\021\n" +
-      "\tat_millis\030\004 \001(\006\022*\n\007changes\030\005 \003(\0132\031.laur" +
-      "elweir.v1.NodeChange\"Z\n\014HistoryReply\022\014\n\004" +
-      "code\030\001 \001(\r\022,\n\007entries\030\002 \003(\0132\033.laurelweir" +
-      ".v1.HistoryEntry\022\016\n\006leader\030\003 \001(\t\">\n\014Drai" +
-      "nRequest\022\017\n\007backend\030\001 \001(\t\022\r\n\005drain\030\002 \001(\010" +
-      "\022\016\n\006author\030\003 \001(\t\";\n\nDrainReply\022\014\n\004code\030\001" +
-      " \001(\r\022\017\n\007message\030\002 \001(\t\022\016\n\006leader\030\003 \001(\t\"$\n" +
-      "\021IssueFenceRequest\022\017\n\007backend\030\001 \001(\t\">\n\017I" +
-      "ssueFenceReply\022\014\n\004code\030\001 \001(\r\022\r\n\005fence\030\002 " +
-      "\001(\004\022\016\n\006leader\030\003 \001(\t\"\017\n\rStatusRequest\"\211\002\n" +
-      "\rControlStatus\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030" +
-      "\002 \001(\t\022\016\n\006leader\030\003 \001(\010\022\014\n\004term\030\004 \001(\004\022\017\n\007a" +
-      "pplied\030\005 \001(\004\022\021\n\tcommitted\030\006 \001(\004\022\026\n\016possi" +
-      "bly_stale\030\007 \001(\010\022(\n\006voters\030\010 \003(\0132\030.laurel" +
-      "weir.v1.ReplicaId\022*\n\010learners\030\t \003(\0132\030.la" +
-      "urelweir.v1.ReplicaId\022)\n\007replica\030\n \001(\0132\030" +
-      ".laurelweir.v1.ReplicaId\"\207\001\n\rBackendStat" +
-      "us\022\'\n\007backend\030\001 \001(\0132\026.laurelweir.v1.Back" +
-      "end\022\024\n\014running_work\030\002 \001(\001\022\017\n\007running\030\003 \001" +
-      "(\r\022\017\n\007waiting\030\004 \001(\r\022\025\n\rdrain_ordered\030\005 \001" +
-      "(\010\"l\n\014RouterStatus\022+\n\006router\030\001 \001(\0132\033.lau" +
-      "relweir.v1.RouterReport\022\031\n\021settings_posi" +
-      "tion\030\002 \001(\004\022\024\n\014heard_millis\030\003 \001(\006\"\341\001\n\013Sta" +
-      "tusReply\022.\n\010controls\030\001 \003(\0132\034.laurelweir." +
-      "v1.ControlStatus\022.\n\010backends\030\002 \003(\0132\034.lau" +
-      "relweir.v1.BackendStatus\022,\n\007routers\030\003 \003(" +
-      "\0132\033.laurelweir.v1.RouterStatus\022)\n\005loads\030" +
-      "\004 \003(\0132\032.laurelweir.v1.ServiceLoad\022\031\n\021set" +
-      "tings_position\030\005 \001(\004\"-\n\tReplicaId\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\022\n\nstorage_id\030\002 \001(\006\"\301\001\n\024ChangeMe" +
-      "mbersRequest\0226\n\004step\030\001 \001(\0162(.laurelweir." +
-      "v1.ChangeMembersRequest.Step\022)\n\007replica\030" +
-      "\002 \001(\0132\030.laurelweir.v1.ReplicaId\"F\n\004Step\022" +
-      "\024\n\020STEP_UNSPECIFIED\020\000\022\017\n\013ADD_LEARNER\020\001\022\013" +
-      "\n\007PROMOTE\020\002\022\n\n\006REMOVE\020\003\"\231\001\n\022ChangeMember" +
-      "sReply\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\022(\n" +
-      "\006voters\030\003 \003(\0132\030.laurelweir.v1.ReplicaId\022" +
-      "*\n\010learners\030\004 \003(\0132\030.laurelweir.v1.Replic" +
-      "aId\022\016\n\006leader\030\005 \001(\t*R\n\014BackendState\022\035\n\031B" +
-      "ACKEND_STATE_UNSPECIFIED\020\000\022\013\n\007SERVING\020\001\022" +
-      "\014\n\010DRAINING\020\002\022\010\n\004LEFT\020\0032\225\006\n\016ControlServi" +
-      "ce\022H\n\010Exchange\022\036.laurelweir.v1.ExchangeR" +
-      "equest\032\034.laurelweir.v1.ExchangeReply\022?\n\005" +
-      "Claim\022\033.laurelweir.v1.ClaimRequest\032\031.lau" +
-      "relweir.v1.ClaimReply\022Q\n\013SettleClaim\022!.l" +
-      "aurelweir.v1.SettleClaimRequest\032\037.laurel" +
-      "weir.v1.SettleClaimReply\022T\n\014ReadSettings" +
-      "\022\".laurelweir.v1.ReadSettingsRequest\032 .l" +
-      "aurelweir.v1.ReadSettingsReply\022Z\n\016Change" +
-      "Settings\022$.laurelweir.v1.ChangeSettingsR" +
-      "equest\032\".laurelweir.v1.ChangeSettingsRep" +
-      "ly\022E\n\007History\022\035.laurelweir.v1.HistoryReq" +
-      "uest\032\033.laurelweir.v1.HistoryReply\022?\n\005Dra" +
-      "in\022\033.laurelweir.v1.DrainRequest\032\031.laurel" +
-      "weir.v1.DrainReply\022N\n\nIssueFence\022 .laure" +
-      "lweir.v1.IssueFenceRequest\032\036.laurelweir." +
-      "v1.IssueFenceReply\022B\n\006Status\022\034.laurelwei" +
-      "r.v1.StatusRequest\032\032.laurelweir.v1.Statu" +
-      "sReply\022W\n\rChangeMembers\022#.laurelweir.v1." +
-      "ChangeMembersRequest\032!.laurelweir.v1.Cha" +
-      "ngeMembersReplyB\032\n\026org.laurelweir.wire.v" +
-      "1P\001b\006proto3"
+      "\030\n \001(\r\022 \n\023settings_age_millis\030\013 \001(\rH\000\210\001\001" +
+      "B\026\n\024_settings_age_millis\"\356\001\n\014ClaimReques" +
+      "t\022\017\n\007account\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013finge" +
+      "rprint\030\003 \001(\006\022)\n\007attempt\030\004 \001(\0132\030.laurelwe" +
+      "ir.v1.AttemptId\022)\n\006target\030\005 \001(\0132\031.laurel" +
+      "weir.v1.BackendRef\022*\n\010replaces\030\006 \001(\0132\030.l" +
+      "aurelweir.v1.AttemptId\022\030\n\020retention_mill" +
+      "is\030\007 \001(\004\022\017\n\007service\030\010 \001(\t\"\276\001\n\nClaimReply" +
+      "\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\022(\n\006holde" +
+      "r\030\003 \001(\0132\030.laurelweir.v1.AttemptId\0220\n\rhol" +
+      "der_target\030\004 \001(\0132\031.laurelweir.v1.Backend" +
+      "Ref\022\017\n\007settled\030\005 \001(\010\022\024\n\014settled_code\030\006 \001" +
+      "(\r\022\016\n\006leader\030\007 \001(\t\"k\n\022SettleClaimRequest" +
+      "\022\017\n\007account\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022)\n\007attemp" +
+      "t\030\003 \001(\0132\030.laurelweir.v1.AttemptId\022\014\n\004cod" +
+      "e\030\004 \001(\r\"0\n\020SettleClaimReply\022\014\n\004code\030\001 \001(" +
+      "\r\022\016\n\006leader\030\002 \001(\t\"K\n\023ReadSettingsRequest" +
+      "\022\014\n\004path\030\001 \001(\t\022\024\n\014linearizable\030\002 \001(\010\022\020\n\010" +
+      "position\030\003 \001(\004\"\200\001\n\021ReadSettingsReply\022\014\n\004" +
+      "code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\022\020\n\010position\030" +
+      "\003 \001(\004\022*\n\005nodes\030\004 \003(\0132\033.laurelweir.v1.Set" +
+      "tingsNode\022\016\n\006leader\030\005 \001(\t\"\261\001\n\nNodeChange" +
+      "\022\014\n\004path\030\001 \001(\t\022\030\n\020expected_version\030\002 \001(\004" +
+      "\022/\n\003set\030\003 \003(\0132\".laurelweir.v1.NodeChange" +
+      ".SetEntry\022\016\n\006remove\030\004 \003(\t\022\016\n\006delete\030\005 \001(" +
+      "\010\032*\n\010SetEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(" +
+      "\t:\0028\001\"f\n\025ChangeSettingsRequest\022\021\n\tchange" +
+      "_id\030\001 \001(\t\022\016\n\006author\030\002 \001(\t\022*\n\007changes\030\003 \003" +
+      "(\0132\031.laurelweir.v1.NodeChange\"\222\001\n\023Change" +
+      "SettingsReply\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002" +
+      " \001(\t\022\020\n\010position\030\003 \001(\004\022*\n\005nodes\030\004 \003(\0132\033." +
+      "laurelweir.v1.SettingsNode\022\016\n\006faults\030\005 \003" +
+      "(\t\022\016\n\006leader\030\006 \001(\t\"-\n\016HistoryRequest\022\014\n\004" +
+      "path\030\001 \001(\t\022\r\n\005limit\030\002 \001(\r\"\202\001\n\014HistoryEnt" +
+      "ry\022\020\n\010position\030\001 \001(\004\022\021\n\tchange_id\030\002 \001(\t\022" +
+      "\016\n\006author\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\006\022*\n\007ch" +
+      "anges\030\005 \003(\0132\031.laurelweir.v1.NodeChange\"Z" +
+      "\n\014HistoryReply\022\014\n\004code\030\001 \001(\r\022,\n\007entries\030" +
+      "\002 \003(\0132\033.laurelweir.v1.HistoryEntry\022\016\n\006le" +
+      "ader\030\003 \001(\t\">\n\014DrainRequest\022\017\n\007backend\030\001 " +
+      "\001(\t\022\r\n\005drain\030\002 \001(\010\022\016\n\006author\030\003 \001(\t\";\n\nDr" +
+      "ainReply\022\014\n\004code\030\001 \001(\r\022\017\n\007message\030\002 \001(\t\022" +
+      "\016\n\006leader\030\003 \001(\t\"$\n\021IssueFenceRequest\022\017\n\007" +
+      "backend\030\001 \001(\t\">\n\017IssueFenceReply\022\014\n\004code" +
+      "\030\001 \001(\r\022\r\n\005fence\030\002 \001(\004\022\016\n\006leader\030\003 \001(\t\"\017\n" +
+      "\rStatusRequest\"\211\002\n\rControlStatus\022\014\n\004name" +
+      "\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\016\n\006leader\030\003 \001(\010\022" +
+      "\014\n\004term\030\004 \001(\004\022\017\n\007applied\030\005 \001(\004\022\021\n\tcommit" +
+      "ted\030\006 \001(\004\022\026\n\016possibly_stale\030\007 \001(\010\022(\n\006vot" +
+      "ers\030\010 \003(\0132\030.laurelweir.v1.ReplicaId\022*\n\010l" +
+      "earners\030\t \003(\0132\030.laurelweir.v1.ReplicaId\022" +
+      ")\n\007replica\030\n \001(\0132\030.laurelweir.v1.Replica" +
+      "Id\"\207\001\n\rBackendStatus\022\'\n\007backend\030\001 \001(\0132\026." +
+      "laurelweir.v1.Backend\022\024\n\014running_work\030\002 " +
+      "\001(\001\022\017\n\007running\030\003 \001(\r\022\017\n\007waiting\030\004 \001(\r\022\025\n" +
+      "\rdrain_ordered\030\005 \001(\010\"l\n\014RouterStatus\022+\n\006" +
+      "router\030\001 \001(\0132\033.laurelweir.v1.RouterRepor" +
+      "t\022\031\n\021settings_position\030\002 \001(\004\022\024\n\014heard_mi" +
+      "llis\030\003 \001(\006\"\341\001\n\013StatusReply\022.\n\010controls\030\001" +
+      " \003(\0132\034.laurelweir.v1.ControlStatus\022.\n\010ba" +
+      "ckends\030\002 \003(\0132\034.laurelweir.v1.BackendStat" +
+      "us\022,\n\007routers\030\003 \003(\0132\033.laurelweir.v1.Rout" +
+      "erStatus\022)\n\005loads\030\004 \003(\0132\032.laurelweir.v1." +
+      "ServiceLoad\022\031\n\021settings_position\030\005 \001(\004\"-" +
+      "\n\tReplicaId\022\014\n\004name\030\001 \001(\t\022\022\n\nstorage_id\030" +
+      "\002 \001(\006\"\301\001\n\024ChangeMembersRequest\0226\n\004step\030\001" +
+      " \001(\0162(.laurelweir.v1.ChangeMembersReques" +
+      "t.Step\022)\n\007replica\030\002 \001(\0132\030.laurelweir.v1." +
+      "ReplicaId\"F\n\004Step\022\024\n\020STEP_UNSPECIFIED\020\000\022" +
+      "\017\n\013ADD_LEARNER\020\001\022\013\n\007PROMOTE\020\002\022\n\n\006REMOVE\020" +
+      "\003\"\231\001\n\022ChangeMembersReply\022\014\n\004code\030\001 \001(\r\022\017" +
+      "\n\007message\030\002 \001(\t\022(\n\006voters\030\003 \003(\0132\030.laurel" +
+      "weir.v1.ReplicaId\022*\n\010learners\030\004 \003(\0132\030.la" +
+      "urelweir.v1.ReplicaId\022\016\n\006leader\030\005 \001(\t*R\n" +
+      "\014BackendState\022\035\n\031BACKEND_STATE_UNSPECIFI" +
+      "ED\020\000\022\013\n\007SERVING\020\001\022\014\n\010DRAINING\020\002\022\010\n\004LEFT\020" +
+      "\0032\225\006\n\016ControlService\022H\n\010Exchange\022\036.laure" +
+      "lweir.v1.ExchangeRequest\032\034.laurelweir.v1" +
+      ".ExchangeReply\022?\n\005Claim\022\033.laurelweir.v1." +
+      "ClaimRequest\032\031.laurelweir.v1.ClaimReply\022" +
+      "Q\n\013SettleClaim\022!.laurelweir.v1.SettleCla" +
+      "imRequest\032\037.laurelweir.v1.SettleClaimRep" +
+      "ly\022T\n\014ReadSettings\022\".laurelweir.v1.ReadS" +
+      "ettingsRequest\032 .laurelweir.v1.ReadSetti" +
+      "ngsReply\022Z\n\016ChangeSettings\022$.laurelweir." +
+      "v1.ChangeSettingsRequest\032\".laurelweir.v1" +
+      ".ChangeSettingsReply\022E\n\007History\022\035.laurel" +
+      "weir.v1.HistoryRequest\032\033.laurelweir.v1.H" +
+      "istoryReply\022?\n\005Drain\022\033.laurelweir.v1.Dra" +
+      "inRequest\032\031.laurelweir.v1.DrainReply\022N\n\n" +
+      "IssueFence\022 .laurelweir.v1.IssueFenceReq" +
+      "uest\032\036.laurelweir.v1.IssueFenceReply\022B\n\006" +
+      "Status\022\034.laurelweir.v1.StatusRequest\032\032.l" +
+      "aurelweir.v1.StatusReply\022W\n\rChangeMember" +
+      "s\022#.laurelweir.v1.ChangeMembersRequest\032!" +
+      ".laurelweir.v1.ChangeMembersReplyB\032\n\026org" +
+      ".laurelweir.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -410,7 +411,7 @@
     internal_static_laurelweir_v1_ExchangeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ExchangeReply_descriptor,
-        new java.lang.String[] { "Membership", "Settings", "Loads", "PossiblyStale", "NextExchangeMillis", "Drain", "Fence", "Controls", "LeastSession", "Routers", });
+        new java.lang.String[] { "Membership", "Settings", "Loads", "PossiblyStale", "NextExchangeMillis", "Drain", "Fence", "Controls", "LeastSession", "Routers", "SettingsAgeMillis", });
     internal_static_laurelweir_v1_ClaimRequest_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_laurelweir_v1_ClaimRequest_fieldAccessorTable = new
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReply.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReply.java
@@ -275,6 +275,35 @@
     return routers_;
   }
 
+  public static final int SETTINGS_AGE_MILLIS_FIELD_NUMBER = 11;
+  private int settingsAgeMillis_ = 0;
+  /**
+   * <pre>
+   * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+   * nothing confirms it.
+   * </pre>
+   *
+   * <code>optional uint32 settings_age_millis = 11;</code>
+   * @return Whether the settingsAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasSettingsAgeMillis() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+   * nothing confirms it.
+   * </pre>
+   *
+   * <code>optional uint32 settings_age_millis = 11;</code>
+   * @return The settingsAgeMillis.
+   */
+  @java.lang.Override
+  public int getSettingsAgeMillis() {
+    return settingsAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -319,6 +348,9 @@
     if (routers_ != 0) {
       output.writeUInt32(10, routers_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeUInt32(11, settingsAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -372,6 +404,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(10, routers_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(11, settingsAgeMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -413,6 +449,11 @@
         != other.getLeastSession()) return false;
     if (getRouters()
         != other.getRouters()) return false;
+    if (hasSettingsAgeMillis() != other.hasSettingsAgeMillis()) return false;
+    if (hasSettingsAgeMillis()) {
+      if (getSettingsAgeMillis()
+          != other.getSettingsAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -455,6 +496,10 @@
     hash = (53 * hash) + getLeastSession();
     hash = (37 * hash) + ROUTERS_FIELD_NUMBER;
     hash = (53 * hash) + getRouters();
+    if (hasSettingsAgeMillis()) {
+      hash = (37 * hash) + SETTINGS_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getSettingsAgeMillis();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -619,6 +664,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       leastSession_ = 0;
       routers_ = 0;
+      settingsAgeMillis_ = 0;
       return this;
     }
 
@@ -700,6 +746,10 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.routers_ = routers_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.settingsAgeMillis_ = settingsAgeMillis_;
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -807,6 +857,9 @@
       if (other.getRouters() != 0) {
         setRouters(other.getRouters());
       }
+      if (other.hasSettingsAgeMillis()) {
+        setSettingsAgeMillis(other.getSettingsAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -896,6 +949,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              settingsAgeMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1793,6 +1851,66 @@
       onChanged();
       return this;
     }
+
+    private int settingsAgeMillis_ ;
+    /**
+     * <pre>
+     * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+     * nothing confirms it.
+     * </pre>
+     *
+     * <code>optional uint32 settings_age_millis = 11;</code>
+     * @return Whether the settingsAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasSettingsAgeMillis() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <pre>
+     * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+     * nothing confirms it.
+     * </pre>
+     *
+     * <code>optional uint32 settings_age_millis = 11;</code>
+     * @return The settingsAgeMillis.
+     */
+    @java.lang.Override
+    public int getSettingsAgeMillis() {
+      return settingsAgeMillis_;
+    }
+    /**
+     * <pre>
+     * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+     * nothing confirms it.
+     * </pre>
+     *
+     * <code>optional uint32 settings_age_millis = 11;</code>
+     * @param value The settingsAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSettingsAgeMillis(int value) {
+
+      settingsAgeMillis_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+     * nothing confirms it.
+     * </pre>
+     *
+     * <code>optional uint32 settings_age_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSettingsAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      settingsAgeMillis_ = 0;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReplyOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ExchangeReplyOrBuilder.java
@@ -158,4 +158,25 @@
    * @return The routers.
    */
   int getRouters();
+
+  /**
+   * <pre>
+   * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+   * nothing confirms it.
+   * </pre>
+   *
+   * <code>optional uint32 settings_age_millis = 11;</code>
+   * @return Whether the settingsAgeMillis field is set.
+   */
+  boolean hasSettingsAgeMillis();
+  /**
+   * <pre>
+   * How long ago, at most, the settings were confirmed to hold all that was accepted; absent where
+   * nothing confirms it.
+   * </pre>
+   *
+   * <code>optional uint32 settings_age_millis = 11;</code>
+   * @return The settingsAgeMillis.
+   */
+  int getSettingsAgeMillis();
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Log.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Log.java
@@ -20,6 +20,21 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_laurelweir_v1_LogCommand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laurelweir_v1_ReplaceSettings_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_laurelweir_v1_ReplaceSettings_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laurelweir_v1_NodeValues_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_laurelweir_v1_NodeValues_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laurelweir_v1_NodeValues_ValuesEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_laurelweir_v1_NodeValues_ValuesEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laurelweir_v1_StateSnapshot_descriptor;
   static final 
@@ -71,7 +86,7 @@
     java.lang.String[] descriptorData = {
       "\n\027laurelweir/v1/log.proto\022\rlaurelweir.v1" +
       "\032\032laurelweir/v1/common.proto\032\033laurelweir" +
-      "/v1/control.proto\"\270\002\n\nLogCommand\022\021\n\tat_m" +
+      "/v1/control.proto\"\364\002\n\nLogCommand\022\021\n\tat_m" +
       "illis\030\001 \001(\006\022?\n\017change_settings\030\002 \001(\0132$.l" +
       "aurelweir.v1.ChangeSettingsRequestH\000\022,\n\005" +
       "claim\030\003 \001(\0132\033.laurelweir.v1.ClaimRequest" +
@@ -79,39 +94,47 @@
       ".SettleClaimRequestH\000\022,\n\005drain\030\005 \001(\0132\033.l" +
       "aurelweir.v1.DrainRequestH\000\0227\n\013issue_fen" +
       "ce\030\006 \001(\0132 .laurelweir.v1.IssueFenceReque" +
-      "stH\000B\006\n\004body\"\226\002\n\rStateSnapshot\022\021\n\tat_mil" +
-      "lis\030\001 \001(\006\0221\n\010settings\030\002 \001(\0132\037.laurelweir" +
-      ".v1.SettingsSnapshot\022*\n\006claims\030\003 \003(\0132\032.l" +
-      "aurelweir.v1.ClaimRecord\0228\n\006fences\030\004 \003(\013" +
-      "2(.laurelweir.v1.StateSnapshot.FencesEnt" +
-      "ry\022*\n\006drains\030\005 \003(\0132\032.laurelweir.v1.Drain" +
-      "Record\032-\n\013FencesEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005va" +
-      "lue\030\002 \001(\004:\0028\001\"\320\001\n\020SettingsSnapshot\022\020\n\010po" +
-      "sition\030\001 \001(\004\022*\n\005nodes\030\002 \003(\0132\033.laurelweir" +
-      ".v1.SettingsNode\022\021\n\tforgotten\030\003 \001(\004\0225\n\007h" +
-      "istory\030\004 \003(\0132$.laurelweir.v1.SettingsHis" +
-      "toryRecord\0224\n\007answers\030\005 \003(\0132#.laurelweir" +
-      ".v1.SettingsAnswerRecord\"\270\001\n\025SettingsHis" +
-      "toryRecord\022\020\n\010position\030\001 \001(\004\022\021\n\tat_milli" +
-      "s\030\002 \001(\006\022\021\n\tchange_id\030\003 \001(\t\022\016\n\006author\030\004 \001" +
-      "(\t\022*\n\007changes\030\005 \003(\0132\031.laurelweir.v1.Node" +
-      "Change\022+\n\006before\030\006 \003(\0132\033.laurelweir.v1.S" +
-      "ettingsNode\"\306\001\n\024SettingsAnswerRecord\022\021\n\t" +
-      "change_id\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(\006\022\016\n\006di" +
-      "gest\030\003 \001(\t\022\014\n\004code\030\004 \001(\r\022\020\n\010position\030\005 \001" +
-      "(\004\022*\n\005nodes\030\006 \003(\0132\033.laurelweir.v1.Settin" +
-      "gsNode\022,\n\006faults\030\007 \003(\0132\034.laurelweir.v1.S" +
-      "ettingsFault\"L\n\rSettingsFault\022\014\n\004path\030\001 " +
-      "\001(\t\022\013\n\003key\030\002 \001(\t\022\017\n\007problem\030\003 \001(\t\022\017\n\007all" +
-      "owed\030\004 \001(\t\"\324\001\n\013ClaimRecord\022\017\n\007account\030\001 " +
-      "\001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fingerprint\030\003 \001(\006\022(\n" +
-      "\006holder\030\004 \001(\0132\030.laurelweir.v1.AttemptId\022" +
-      ")\n\006target\030\005 \001(\0132\031.laurelweir.v1.BackendR" +
-      "ef\022\026\n\016expires_millis\030\006 \001(\006\022\017\n\007settled\030\007 " +
-      "\001(\010\022\024\n\014settled_code\030\010 \001(\r\"A\n\013DrainRecord" +
-      "\022\017\n\007backend\030\001 \001(\t\022\016\n\006author\030\002 \001(\t\022\021\n\tat_" +
-      "millis\030\003 \001(\006B\032\n\026org.laurelweir.wire.v1P\001" +
-      "b\006proto3"
+      "stH\000\022:\n\020replace_settings\030\007 \001(\0132\036.laurelw" +
+      "eir.v1.ReplaceSettingsH\000B\006\n\004body\"m\n\017Repl" +
+      "aceSettings\022\020\n\010revision\030\001 \001(\004\022\016\n\006author\030" +
+      "\002 \001(\t\022(\n\005nodes\030\003 \003(\0132\031.laurelweir.v1.Nod" +
+      "eValues\022\016\n\006source\030\004 \001(\014\"\200\001\n\nNodeValues\022\014" +
+      "\n\004path\030\001 \001(\t\0225\n\006values\030\002 \003(\0132%.laurelwei" +
+      "r.v1.NodeValues.ValuesEntry\032-\n\013ValuesEnt" +
+      "ry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"\226\002\n\rS" +
+      "tateSnapshot\022\021\n\tat_millis\030\001 \001(\006\0221\n\010setti" +
+      "ngs\030\002 \001(\0132\037.laurelweir.v1.SettingsSnapsh" +
+      "ot\022*\n\006claims\030\003 \003(\0132\032.laurelweir.v1.Claim" +
+      "Record\0228\n\006fences\030\004 \003(\0132(.laurelweir.v1.S" +
+      "tateSnapshot.FencesEntry\022*\n\006drains\030\005 \003(\013" +
+      "2\032.laurelweir.v1.DrainRecord\032-\n\013FencesEn" +
+      "try\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"\362\001\n\020" +
+      "SettingsSnapshot\022\020\n\010position\030\001 \001(\004\022*\n\005no" +
+      "des\030\002 \003(\0132\033.laurelweir.v1.SettingsNode\022\021" +
+      "\n\tforgotten\030\003 \001(\004\0225\n\007history\030\004 \003(\0132$.lau" +
+      "relweir.v1.SettingsHistoryRecord\0224\n\007answ" +
+      "ers\030\005 \003(\0132#.laurelweir.v1.SettingsAnswer" +
+      "Record\022\020\n\010revision\030\006 \001(\004\022\016\n\006source\030\007 \001(\014" +
+      "\"\270\001\n\025SettingsHistoryRecord\022\020\n\010position\030\001" +
+      " \001(\004\022\021\n\tat_millis\030\002 \001(\006\022\021\n\tchange_id\030\003 \001" +
+      "(\t\022\016\n\006author\030\004 \001(\t\022*\n\007changes\030\005 \003(\0132\031.la" +
+      "urelweir.v1.NodeChange\022+\n\006before\030\006 \003(\0132\033" +
+      ".laurelweir.v1.SettingsNode\"\306\001\n\024Settings" +
+      "AnswerRecord\022\021\n\tchange_id\030\001 \001(\t\022\021\n\tat_mi" +
+      "llis\030\002 \001(\006\022\016\n\006digest\030\003 \001(\t\022\014\n\004code\030\004 \001(\r" +
+      "\022\020\n\010position\030\005 \001(\004\022*\n\005nodes\030\006 \003(\0132\033.laur" +
+      "elweir.v1.SettingsNode\022,\n\006faults\030\007 \003(\0132\034" +
+      ".laurelweir.v1.SettingsFault\"L\n\rSettings" +
+      "Fault\022\014\n\004path\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\017\n\007prob" +
+      "lem\030\003 \001(\t\022\017\n\007allowed\030\004 \001(\t\"\324\001\n\013ClaimReco" +
+      "rd\022\017\n\007account\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\023\n\013fing" +
+      "erprint\030\003 \001(\006\022(\n\006holder\030\004 \001(\0132\030.laurelwe" +
+      "ir.v1.AttemptId\022)\n\006target\030\005 \001(\0132\031.laurel" +
+      "weir.v1.BackendRef\022\026\n\016expires_millis\030\006 \001" +
+      "(\006\022\017\n\007settled\030\007 \001(\010\022\024\n\014settled_code\030\010 \001(" +
+      "\r\"A\n\013DrainRecord\022\017\n\007backend\030\001 \001(\t\022\016\n\006aut" +
+      "hor\030\002 \001(\t\022\021\n\tat_millis\030\003 \001(\006B\032\n\026org.laur" +
+      "elweir.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -124,9 +147,27 @@
     internal_static_laurelweir_v1_LogCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_LogCommand_descriptor,
-        new java.lang.String[] { "AtMillis", "ChangeSettings", "Claim", "SettleClaim", "Drain", "IssueFence", "Body", });
-    internal_static_laurelweir_v1_StateSnapshot_descriptor =
+        new java.lang.String[] { "AtMillis", "ChangeSettings", "Claim", "SettleClaim", "Drain", "IssueFence", "ReplaceSettings", "Body", });
+    internal_static_laurelweir_v1_ReplaceSettings_descriptor =
       getDescriptor().getMessageTypes().get(1);
+    internal_static_laurelweir_v1_ReplaceSettings_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_laurelweir_v1_ReplaceSettings_descriptor,
+        new java.lang.String[] { "Revision", "Author", "Nodes", "Source", });
+    internal_static_laurelweir_v1_NodeValues_descriptor =
+      getDescriptor().getMessageTypes().get(2);
+    internal_static_laurelweir_v1_NodeValues_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_laurelweir_v1_NodeValues_descriptor,
+        new java.lang.String[] { "Path", "Values", });
+    internal_static_laurelweir_v1_NodeValues_ValuesEntry_descriptor =
+      internal_static_laurelweir_v1_NodeValues_descriptor.getNestedTypes().get(0);
+    internal_static_laurelweir_v1_NodeValues_ValuesEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_laurelweir_v1_NodeValues_ValuesEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_laurelweir_v1_StateSnapshot_descriptor =
+      getDescriptor().getMessageTypes().get(3);
     internal_static_laurelweir_v1_StateSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_StateSnapshot_descriptor,
@@ -138,37 +179,37 @@
         internal_static_laurelweir_v1_StateSnapshot_FencesEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_laurelweir_v1_SettingsSnapshot_descriptor =
-      getDescriptor().getMessageTypes().get(2);
+      getDescriptor().getMessageTypes().get(4);
     internal_static_laurelweir_v1_SettingsSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_SettingsSnapshot_descriptor,
-        new java.lang.String[] { "Position", "Nodes", "Forgotten", "History", "Answers", });
+        new java.lang.String[] { "Position", "Nodes", "Forgotten", "History", "Answers", "Revision", "Source", });
     internal_static_laurelweir_v1_SettingsHistoryRecord_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_laurelweir_v1_SettingsHistoryRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_SettingsHistoryRecord_descriptor,
         new java.lang.String[] { "Position", "AtMillis", "ChangeId", "Author", "Changes", "Before", });
     internal_static_laurelweir_v1_SettingsAnswerRecord_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_laurelweir_v1_SettingsAnswerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_SettingsAnswerRecord_descriptor,
         new java.lang.String[] { "ChangeId", "AtMillis", "Digest", "Code", "Position", "Nodes", "Faults", });
     internal_static_laurelweir_v1_SettingsFault_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_laurelweir_v1_SettingsFault_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_SettingsFault_descriptor,
         new java.lang.String[] { "Path", "Key", "Problem", "Allowed", });
     internal_static_laurelweir_v1_ClaimRecord_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_laurelweir_v1_ClaimRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_ClaimRecord_descriptor,
         new java.lang.String[] { "Account", "Key", "Fingerprint", "Holder", "Target", "ExpiresMillis", "Settled", "SettledCode", });
     internal_static_laurelweir_v1_DrainRecord_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_laurelweir_v1_DrainRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_laurelweir_v1_DrainRecord_descriptor,
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/LogCommand.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/LogCommand.java
@@ -54,6 +54,7 @@
     SETTLE_CLAIM(4),
     DRAIN(5),
     ISSUE_FENCE(6),
+    REPLACE_SETTINGS(7),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -76,6 +77,7 @@
         case 4: return SETTLE_CLAIM;
         case 5: return DRAIN;
         case 6: return ISSUE_FENCE;
+        case 7: return REPLACE_SETTINGS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -261,6 +263,37 @@
     return org.laurelweir.wire.v1.IssueFenceRequest.getDefaultInstance();
   }
 
+  public static final int REPLACE_SETTINGS_FIELD_NUMBER = 7;
+  /**
+   * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+   * @return Whether the replaceSettings field is set.
+   */
+  @java.lang.Override
+  public boolean hasReplaceSettings() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+   * @return The replaceSettings.
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplaceSettings getReplaceSettings() {
+    if (bodyCase_ == 7) {
+       return (org.laurelweir.wire.v1.ReplaceSettings) body_;
+    }
+    return org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance();
+  }
+  /**
+   * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+   */
+  @java.lang.Override
+  public org.laurelweir.wire.v1.ReplaceSettingsOrBuilder getReplaceSettingsOrBuilder() {
+    if (bodyCase_ == 7) {
+       return (org.laurelweir.wire.v1.ReplaceSettings) body_;
+    }
+    return org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -293,6 +326,9 @@
     if (bodyCase_ == 6) {
       output.writeMessage(6, (org.laurelweir.wire.v1.IssueFenceRequest) body_);
     }
+    if (bodyCase_ == 7) {
+      output.writeMessage(7, (org.laurelweir.wire.v1.ReplaceSettings) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -326,6 +362,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, (org.laurelweir.wire.v1.IssueFenceRequest) body_);
     }
+    if (bodyCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (org.laurelweir.wire.v1.ReplaceSettings) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -365,6 +405,10 @@
         if (!getIssueFence()
             .equals(other.getIssueFence())) return false;
         break;
+      case 7:
+        if (!getReplaceSettings()
+            .equals(other.getReplaceSettings())) return false;
+        break;
       case 0:
       default:
     }
@@ -403,6 +447,10 @@
         hash = (37 * hash) + ISSUE_FENCE_FIELD_NUMBER;
         hash = (53 * hash) + getIssueFence().hashCode();
         break;
+      case 7:
+        hash = (37 * hash) + REPLACE_SETTINGS_FIELD_NUMBER;
+        hash = (53 * hash) + getReplaceSettings().hashCode();
+        break;
       case 0:
       default:
     }
@@ -557,6 +605,9 @@
       if (issueFenceBuilder_ != null) {
         issueFenceBuilder_.clear();
       }
+      if (replaceSettingsBuilder_ != null) {
+        replaceSettingsBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -621,6 +672,10 @@
           issueFenceBuilder_ != null) {
         result.body_ = issueFenceBuilder_.build();
       }
+      if (bodyCase_ == 7 &&
+          replaceSettingsBuilder_ != null) {
+        result.body_ = replaceSettingsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -691,6 +746,10 @@
           mergeIssueFence(other.getIssueFence());
           break;
         }
+        case REPLACE_SETTINGS: {
+          mergeReplaceSettings(other.getReplaceSettings());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -761,6 +820,13 @@
               bodyCase_ = 6;
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  getReplaceSettingsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 7;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1546,6 +1612,148 @@
       onChanged();
       return issueFenceBuilder_;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplaceSettings, org.laurelweir.wire.v1.ReplaceSettings.Builder, org.laurelweir.wire.v1.ReplaceSettingsOrBuilder> replaceSettingsBuilder_;
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     * @return Whether the replaceSettings field is set.
+     */
+    @java.lang.Override
+    public boolean hasReplaceSettings() {
+      return bodyCase_ == 7;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     * @return The replaceSettings.
+     */
+    @java.lang.Override
+    public org.laurelweir.wire.v1.ReplaceSettings getReplaceSettings() {
+      if (replaceSettingsBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          return (org.laurelweir.wire.v1.ReplaceSettings) body_;
+        }
+        return org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 7) {
+          return replaceSettingsBuilder_.getMessage();
+        }
+        return org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    public Builder setReplaceSettings(org.laurelweir.wire.v1.ReplaceSettings value) {
+      if (replaceSettingsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        replaceSettingsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    public Builder setReplaceSettings(
+        org.laurelweir.wire.v1.ReplaceSettings.Builder builderForValue) {
+      if (replaceSettingsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        replaceSettingsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    public Builder mergeReplaceSettings(org.laurelweir.wire.v1.ReplaceSettings value) {
+      if (replaceSettingsBuilder_ == null) {
+        if (bodyCase_ == 7 &&
+            body_ != org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance()) {
+          body_ = org.laurelweir.wire.v1.ReplaceSettings.newBuilder((org.laurelweir.wire.v1.ReplaceSettings) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 7) {
+          replaceSettingsBuilder_.mergeFrom(value);
+        } else {
+          replaceSettingsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    public Builder clearReplaceSettings() {
+      if (replaceSettingsBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        replaceSettingsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    public org.laurelweir.wire.v1.ReplaceSettings.Builder getReplaceSettingsBuilder() {
+      return getReplaceSettingsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    @java.lang.Override
+    public org.laurelweir.wire.v1.ReplaceSettingsOrBuilder getReplaceSettingsOrBuilder() {
+      if ((bodyCase_ == 7) && (replaceSettingsBuilder_ != null)) {
+        return replaceSettingsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 7) {
+          return (org.laurelweir.wire.v1.ReplaceSettings) body_;
+        }
+        return org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.laurelweir.wire.v1.ReplaceSettings, org.laurelweir.wire.v1.ReplaceSettings.Builder, org.laurelweir.wire.v1.ReplaceSettingsOrBuilder> 
+        getReplaceSettingsFieldBuilder() {
+      if (replaceSettingsBuilder_ == null) {
+        if (!(bodyCase_ == 7)) {
+          body_ = org.laurelweir.wire.v1.ReplaceSettings.getDefaultInstance();
+        }
+        replaceSettingsBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.laurelweir.wire.v1.ReplaceSettings, org.laurelweir.wire.v1.ReplaceSettings.Builder, org.laurelweir.wire.v1.ReplaceSettingsOrBuilder>(
+                (org.laurelweir.wire.v1.ReplaceSettings) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 7;
+      onChanged();
+      return replaceSettingsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/LogCommandOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/LogCommandOrBuilder.java
@@ -93,5 +93,20 @@
    */
   org.laurelweir.wire.v1.IssueFenceRequestOrBuilder getIssueFenceOrBuilder();
 
+  /**
+   * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+   * @return Whether the replaceSettings field is set.
+   */
+  boolean hasReplaceSettings();
+  /**
+   * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+   * @return The replaceSettings.
+   */
+  org.laurelweir.wire.v1.ReplaceSettings getReplaceSettings();
+  /**
+   * <code>.laurelweir.v1.ReplaceSettings replace_settings = 7;</code>
+   */
+  org.laurelweir.wire.v1.ReplaceSettingsOrBuilder getReplaceSettingsOrBuilder();
+
   org.laurelweir.wire.v1.LogCommand.BodyCase getBodyCase();
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshot.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshot.java
@@ -20,6 +20,7 @@
     nodes_ = java.util.Collections.emptyList();
     history_ = java.util.Collections.emptyList();
     answers_ = java.util.Collections.emptyList();
+    source_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   @java.lang.Override
@@ -187,6 +188,28 @@
     return answers_.get(index);
   }
 
+  public static final int REVISION_FIELD_NUMBER = 6;
+  private long revision_ = 0L;
+  /**
+   * <code>uint64 revision = 6;</code>
+   * @return The revision.
+   */
+  @java.lang.Override
+  public long getRevision() {
+    return revision_;
+  }
+
+  public static final int SOURCE_FIELD_NUMBER = 7;
+  private com.google.protobuf.ByteString source_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes source = 7;</code>
+   * @return The source.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getSource() {
+    return source_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -216,6 +239,12 @@
     for (int i = 0; i < answers_.size(); i++) {
       output.writeMessage(5, answers_.get(i));
     }
+    if (revision_ != 0L) {
+      output.writeUInt64(6, revision_);
+    }
+    if (!source_.isEmpty()) {
+      output.writeBytes(7, source_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -245,6 +274,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, answers_.get(i));
     }
+    if (revision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, revision_);
+    }
+    if (!source_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(7, source_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -270,6 +307,10 @@
         .equals(other.getHistoryList())) return false;
     if (!getAnswersList()
         .equals(other.getAnswersList())) return false;
+    if (getRevision()
+        != other.getRevision()) return false;
+    if (!getSource()
+        .equals(other.getSource())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -299,6 +340,11 @@
       hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
       hash = (53 * hash) + getAnswersList().hashCode();
     }
+    hash = (37 * hash) + REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRevision());
+    hash = (37 * hash) + SOURCE_FIELD_NUMBER;
+    hash = (53 * hash) + getSource().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -453,6 +499,8 @@
         answersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      revision_ = 0L;
+      source_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -523,6 +571,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.forgotten_ = forgotten_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.revision_ = revision_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.source_ = source_;
+      }
     }
 
     @java.lang.Override
@@ -653,6 +707,12 @@
           }
         }
       }
+      if (other.getRevision() != 0L) {
+        setRevision(other.getRevision());
+      }
+      if (other.getSource() != com.google.protobuf.ByteString.EMPTY) {
+        setSource(other.getSource());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -728,6 +788,16 @@
               }
               break;
             } // case 42
+            case 48: {
+              revision_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 58: {
+              source_ = input.readBytes();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1528,6 +1598,70 @@
       }
       return answersBuilder_;
     }
+
+    private long revision_ ;
+    /**
+     * <code>uint64 revision = 6;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+    /**
+     * <code>uint64 revision = 6;</code>
+     * @param value The revision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRevision(long value) {
+
+      revision_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 revision = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRevision() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      revision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString source_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes source = 7;</code>
+     * @return The source.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getSource() {
+      return source_;
+    }
+    /**
+     * <code>bytes source = 7;</code>
+     * @param value The source to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSource(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      source_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes source = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSource() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      source_ = getDefaultInstance().getSource();
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshotOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshotOrBuilder.java
@@ -91,4 +91,16 @@
    */
   org.laurelweir.wire.v1.SettingsAnswerRecordOrBuilder getAnswersOrBuilder(
       int index);
+
+  /**
+   * <code>uint64 revision = 6;</code>
+   * @return The revision.
+   */
+  long getRevision();
+
+  /**
+   * <code>bytes source = 7;</code>
+   * @return The source.
+   */
+  com.google.protobuf.ByteString getSource();
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -44,6 +44,28 @@
             List<String> remove,
             boolean delete) {}
 
+    /**
+     * The whole tree, under a revision number that its operator gives. The highest revision wins;
+     * one that is not higher changes nothing.
+     *
+     * @param revision the operator's number of the tree
+     * @param author whom the history names
+     * @param nodes the values of every node by its path; nodes that are not among them go
+     * @param source the operator's own text, kept for reading back; may be empty
+     */
+    record ReplaceSettings(
+            Instant at,
+            long revision,
+            String author,
+            Map<String, Map<String, String>> nodes,
+            byte[] source)
+            implements Command {
+        @Override
+        public ReplaceSettings stamped(Instant time) {
+            return new ReplaceSettings(time, revision, author, nodes, source);
+        }
+    }
+
     /**
      * A claim on an idempotency key, before the attempt is sent.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlConfig.java
@@ -18,6 +18,8 @@
  * @param agreement times and bounds of the replicated log
  * @param membership times and bounds of the membership
  * @param limits how much the state machine keeps
+ * @param open whether control instances that no settings name join by themselves; the name of each
+ *     is its address then
  */
 public record ControlConfig(
         ReplicaId replica,
@@ -28,7 +30,8 @@
         Duration freshFor,
         AgreementConfig agreement,
         MembershipConfig membership,
-        ControlState.Limits limits) {
+        ControlState.Limits limits,
+        boolean open) {
 
     /**
      * Returns a builder with the defaults.
@@ -54,7 +57,10 @@
 
     /** Returns where a replica is reached, or empty for none or one that no settings name. */
     String addressOf(ReplicaId id) {
-        return id == null ? "" : addresses.getOrDefault(id.name(), "");
+        if (id == null) {
+            return "";
+        }
+        return addresses.getOrDefault(id.name(), open ? id.name() : "");
     }
 
     /** Builds a {@link ControlConfig}. */
@@ -67,6 +73,7 @@
         private AgreementConfig mAgreement = AgreementConfig.builder().build();
         private MembershipConfig mMembership;
         private ControlState.Limits mLimits = ControlState.Limits.DEFAULT;
+        private boolean mOpen;
 
         private Builder(ReplicaId replica, long incarnation, Map<String, String> addresses) {
             mReplica = replica;
@@ -82,6 +89,12 @@
             return this;
         }
 
+        /** Lets control instances join by themselves; the name of each is its address. */
+        public Builder open(boolean open) {
+            mOpen = open;
+            return this;
+        }
+
         /** Sets times and bounds of the replicated log. */
         public Builder agreement(AgreementConfig agreement) {
             mAgreement = agreement;
@@ -111,7 +124,8 @@
                     mAgreement.electionTimeout().multipliedBy(2),
                     mAgreement,
                     mMembership,
-                    mLimits);
+                    mLimits,
+                    mOpen);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -71,6 +71,16 @@
     /** Answer a read of settings. */
     record AnswerSettings(long call, long position, List<SettingsNode> nodes) implements Answer {}
 
+    /**
+     * Answer a read of the operator's own text.
+     *
+     * @param revision the operator's number of it, 0 if there is none
+     */
+    record AnswerSource(long call, long revision, byte[] source) implements Answer {}
+
+    /** Acknowledge an announcement of a backend server. */
+    record AnswerAnnounced(long call) implements Answer {}
+
     /** Answer a read of accepted changes. */
     record AnswerHistory(long call, List<HistoryEntry> entries) implements Answer {}
 
@@ -89,8 +99,9 @@
     record AskPeer(String peer, MembershipCursor cursor, boolean withRouters)
             implements ControlEffect {}
 
-    /** Tell every peer at once what changed here; it may be lost. */
-    record AnnounceToPeers(List<Announcement> announcements) implements ControlEffect {}
+    /** Tell peers at once what changed here; it may be lost. */
+    record AnnounceToPeers(List<String> peers, List<Announcement> announcements)
+            implements ControlEffect {}
 
     /**
      * How this instance does, for metrics and readiness; sent about once a second.
@@ -99,9 +110,15 @@
      * @param backends backend servers known, those that left lately included
      * @param claims idempotency keys in use
      * @param settingsPosition the log position of the settings in force
+     * @param peers where the other control instances are reached, host:port
      */
     record Reported(
-            ControlPresence self, int sessions, int backends, int claims, long settingsPosition)
+            ControlPresence self,
+            int sessions,
+            int backends,
+            int claims,
+            long settingsPosition,
+            List<String> peers)
             implements ControlEffect {}
 
     /** This instance does not lead, or can't hand over: it may stop. */
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -4,6 +4,7 @@
 import org.laurelweir.agreement.AgreementEvent;
 import org.laurelweir.agreement.MembershipChange;
 import org.laurelweir.membership.Announcement;
+import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.PeerShare;
 import org.laurelweir.membership.RouterReport;
@@ -31,6 +32,19 @@
             long call, RouterReport report, MembershipCursor cursor, long settingsPosition)
             implements ControlEvent {}
 
+    /**
+     * A backend server without a sidecar announced itself.
+     *
+     * @param backend its session is the announcement's own number, which rises from one to the next
+     */
+    record BackendAnnounced(long call, Backend backend) implements ControlEvent {}
+
+    /** A backend server without a sidecar said that it leaves. */
+    record BackendWithdrawn(long call, String backend) implements ControlEvent {}
+
+    /** Someone reads the operator's own text of the settings, the newest that was accepted. */
+    record SourceRead(long call) implements ControlEvent {}
+
     /** Someone wants a command carried out; the time in it is replaced by the leader's. */
     record CommandReceived(long call, Command command) implements ControlEvent {}
 
@@ -58,7 +72,7 @@
     record MembersChanged(long call, MembershipChange change) implements ControlEvent {}
 
     /** A peer asks for what is heard here. */
-    record PeerAsked(long call, MembershipCursor cursor, boolean withRouters)
+    record PeerAsked(long call, String peer, MembershipCursor cursor, boolean withRouters)
             implements ControlEvent {}
 
     /** A peer answered what it hears. */
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.laurelweir.agreement.AgreementEvent;
+import org.laurelweir.coordination.ControlEvent.BackendAnnounced;
+import org.laurelweir.coordination.ControlEvent.BackendWithdrawn;
 import org.laurelweir.coordination.ControlEvent.CommandReceived;
 import org.laurelweir.coordination.ControlEvent.HistoryRead;
 import org.laurelweir.coordination.ControlEvent.MembersChanged;
@@ -15,10 +17,12 @@
 import org.laurelweir.coordination.ControlEvent.RouterExchanged;
 import org.laurelweir.coordination.ControlEvent.SettingsRead;
 import org.laurelweir.coordination.ControlEvent.SidecarExchanged;
+import org.laurelweir.coordination.ControlEvent.SourceRead;
 import org.laurelweir.coordination.ControlEvent.StatusRead;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.DirectSessions;
 import org.laurelweir.membership.SharedMembership;
 
 /**
@@ -31,11 +35,13 @@
     private final DecisionNotes mNotes;
     private final SharedMembership mMembership;
     private final LogReplica mReplica;
+    private final ControlPeers mPeers;
     private final RouterTable mRouters = new RouterTable();
     private final Exchanges mExchanges;
     private final Queries mQueries;
     private final ReplicaRepair mRepair;
     private final PeerSharing mSharing;
+    private final DirectSessions mDirect;
     private Instant mNextReport = Instant.MIN;
     private Instant mNow;
     private Consumer<? super ControlEffect> mEffects;
@@ -53,11 +59,13 @@
         List<String> peers = new ArrayList<>(config.addresses().keySet());
         peers.remove(config.name());
         mMembership = new SharedMembership(config.membership(), peers, this::backendChanged);
+        mPeers = new ControlPeers(config, mMembership::forgetPeer);
         PeerPresences presences = new PeerPresences();
         mExchanges = new Exchanges(mMembership, mReplica, mRouters);
         mQueries = new Queries(mMembership, mReplica, mRouters, presences);
-        mRepair = new ReplicaRepair(mReplica, presences);
-        mSharing = new PeerSharing(config, mMembership, mReplica, mRouters, presences);
+        mRepair = new ReplicaRepair(mReplica, presences, config.open());
+        mDirect = new DirectSessions(mMembership);
+        mSharing = new PeerSharing(config, mMembership, mReplica, mRouters, presences, mPeers);
     }
 
     @Override
@@ -72,6 +80,12 @@
             mExchanges.answer(now, e, effects);
         } else if (event instanceof RouterExchanged e) {
             mExchanges.answer(now, e, effects);
+        } else if (event instanceof BackendAnnounced e) {
+            mDirect.hear(now, e.backend());
+            effects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+        } else if (event instanceof BackendWithdrawn e) {
+            mDirect.withdraw(now, e.backend());
+            effects.accept(new ControlEffect.AnswerAnnounced(e.call()));
         } else if (event instanceof CommandReceived e) {
             onCommand(e);
         } else {
@@ -89,6 +103,8 @@
             mMembership.mergeEarly(mNow, e.announcements());
         } else if (event instanceof SettingsRead e) {
             mQueries.answer(mNow, e, mEffects);
+        } else if (event instanceof SourceRead e) {
+            mQueries.answer(mNow, e, mEffects);
         } else if (event instanceof HistoryRead e) {
             mQueries.answer(e, mEffects);
         } else if (event instanceof StatusRead e) {
@@ -106,7 +122,8 @@
         mRepair.tick(mNow, mEffects);
         if (!mNow.isBefore(mNextReport)) {
             mNextReport = mNow.plus(REPORT_INTERVAL);
-            mEffects.accept(mQueries.report(mNow));
+            mDirect.prune();
+            mEffects.accept(mQueries.report(mNow, mPeers.addresses()));
         }
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
@@ -64,6 +64,9 @@
         if (c instanceof Command.ChangeSettings s) {
             return new SettingsResult(mSettings.apply(index, s));
         }
+        if (c instanceof Command.ReplaceSettings s) {
+            return new SettingsResult(mSettings.replace(index, s));
+        }
         if (c instanceof Command.Claim s) {
             return mClaims.apply(s);
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -50,6 +50,10 @@
             List<String> paths = s.changes().stream().map(Command.NodeChange::path).toList();
             String reason = "settings changed by " + s.author();
             note(now, new Subject(s.changeId(), "", ""), paths, r.code().name(), reason, out);
+        } else if (c instanceof Command.ReplaceSettings s) {
+            List<String> revision = List.of("revision " + s.revision());
+            String reason = "tree replaced by " + s.author();
+            note(now, new Subject("", "", ""), revision, r.code().name(), reason, out);
         } else if (c instanceof Command.Drain d) {
             String order = d.drain() ? "drain" : "undrain";
             List<String> backend = List.of(d.backend());
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.laurelweir.coordination.ControlEffect.AnnounceToPeers;
 import org.laurelweir.coordination.ControlEffect.AnswerPeer;
@@ -24,7 +23,7 @@
     private final LogReplica mReplica;
     private final RouterTable mRouters;
     private final PeerPresences mPresences;
-    private final List<String> mPeers = new ArrayList<>();
+    private final ControlPeers mPeers;
     private final List<Announcement> mUrgent = new ArrayList<>();
     private Instant mNextRound = Instant.MIN;
     private int mRound;
@@ -34,14 +33,14 @@
             SharedMembership membership,
             LogReplica replica,
             RouterTable routers,
-            PeerPresences presences) {
+            PeerPresences presences,
+            ControlPeers peers) {
         mConfig = config;
         mMembership = membership;
         mReplica = replica;
         mRouters = routers;
         mPresences = presences;
-        mPeers.addAll(new TreeSet<>(config.addresses().keySet()));
-        mPeers.remove(config.name());
+        mPeers = peers;
     }
 
     /** Notes a change that peers should learn of before they next ask. */
@@ -52,8 +51,9 @@
     /** Sends what is urgent. */
     void flush(Consumer<? super ControlEffect> effects) {
         if (!mUrgent.isEmpty()) {
-            if (!mPeers.isEmpty()) {
-                effects.accept(new AnnounceToPeers(List.copyOf(mUrgent)));
+            List<String> peers = mPeers.all();
+            if (!peers.isEmpty()) {
+                effects.accept(new AnnounceToPeers(peers, List.copyOf(mUrgent)));
             }
             mUrgent.clear();
         }
@@ -66,12 +66,15 @@
         Duration interval = mConfig.shareInterval();
         mNextRound = now.plus(interval);
         boolean withRouters = mRound++ % ROUTERS_EVERY == 0;
-        for (String peer : mPeers) {
+        mReplica.members().all().forEach(r -> mPeers.learn(now, r.name()));
+        mPeers.forget(now);
+        for (String peer : mPeers.all()) {
             effects.accept(new AskPeer(peer, mMembership.cursorOf(peer), withRouters));
         }
     }
 
     void answer(Instant now, PeerAsked e, Consumer<? super ControlEffect> effects) {
+        mPeers.learn(now, e.peer());
         effects.accept(
                 new AnswerPeer(
                         e.call(),
@@ -84,5 +87,6 @@
         mMembership.merge(now, e.peer(), e.share());
         mRouters.told(e.routers());
         mPresences.put(now, e.status());
+        e.status().members().all().forEach(r -> mPeers.learn(now, r.name()));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
@@ -7,15 +7,18 @@
 import java.util.function.Consumer;
 import org.laurelweir.coordination.ControlEffect.AnswerHistory;
 import org.laurelweir.coordination.ControlEffect.AnswerSettings;
+import org.laurelweir.coordination.ControlEffect.AnswerSource;
 import org.laurelweir.coordination.ControlEffect.AnswerStatus;
 import org.laurelweir.coordination.ControlEffect.Refuse;
 import org.laurelweir.coordination.ControlEvent.HistoryRead;
 import org.laurelweir.coordination.ControlEvent.SettingsRead;
+import org.laurelweir.coordination.ControlEvent.SourceRead;
 import org.laurelweir.coordination.ControlEvent.StatusRead;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.SharedMembership;
 import org.laurelweir.settings.NodePath;
 import org.laurelweir.settings.SettingsNode;
+import org.laurelweir.settings.SettingsStore;
 import org.laurelweir.settings.SettingsTree;
 
 /** Answers operators' questions. */
@@ -62,6 +65,16 @@
         return path == null ? tree.nodes() : tree.node(path).map(List::of).orElse(List.of());
     }
 
+    void answer(Instant now, SourceRead e, Consumer<? super ControlEffect> effects) {
+        Runnable answer =
+                () -> {
+                    SettingsStore settings = mReplica.state().settings();
+                    effects.accept(
+                            new AnswerSource(e.call(), settings.revision(), settings.source()));
+                };
+        mReplica.read(now, e.call(), answer, effects);
+    }
+
     void answer(HistoryRead e, Consumer<? super ControlEffect> effects) {
         effects.accept(
                 new AnswerHistory(
@@ -71,13 +84,14 @@
                                 .history(Optional.ofNullable(e.path()), e.limit())));
     }
 
-    ControlEffect.Reported report(Instant now) {
+    ControlEffect.Reported report(Instant now, List<String> peers) {
         return new ControlEffect.Reported(
                 mReplica.presence(now),
                 mMembership.heardCount(),
                 mMembership.knownCount(),
                 mReplica.state().claimCount(),
-                mReplica.state().settings().tree().position());
+                mReplica.state().settings().tree().position(),
+                peers);
     }
 
     void answer(Instant now, StatusRead e, Consumer<? super ControlEffect> effects) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.laurelweir.agreement.Membership;
@@ -11,12 +13,18 @@
 import org.laurelweir.agreement.ReplicaId;
 
 /**
- * Replaces the replica of an instance that has come back with another disk, one step at a time: the
- * new one learns, becomes a voter once it has caught up, and then the old one is removed; of seven
- * voters the old one goes first, as there may not be eight.
+ * Keeps the replicas of the log in step with the control instances that there are, one step at a
+ * time.
  *
- * <p>The old replica is gone for good, as the instance of its name says who it is now; as long as
- * it is counted, the log survives one loss fewer. An instance that an operator removed is left out.
+ * <p>An instance that has come back with another disk is replaced: the new replica learns, becomes
+ * a voter once it has caught up, and then the old one is removed; of seven voters the old one goes
+ * first, as there may not be eight. The old replica is gone for good, as the instance of its name
+ * says who it is now; as long as it is counted, the log survives one loss fewer. An instance that
+ * an operator removed is left out.
+ *
+ * <p>In an open deployment a new instance joins the same way, and a voter that has been silent for
+ * long is removed: one that was replaced at another address never comes back, and each such voter
+ * would take away one loss that the log survives. One that does come back joins again.
  */
 final class ReplicaRepair {
     /** The number under which the replica answers; no caller waits for it. */
@@ -25,47 +33,89 @@
     private static final int MOST_VOTERS = 7;
     private static final Duration INTERVAL = Duration.ofMillis(500);
 
+    /** Longer than a restart with recovery takes, so that an ordinary restart changes nothing. */
+    private static final Duration REMOVE_AFTER = Duration.ofSeconds(10);
+
+    /** Fewer voters would not survive a single loss. */
+    private static final int FEWEST_VOTERS = 3;
+
     private final LogReplica mReplica;
     private final PeerPresences mPeers;
+    private final boolean mOpen;
+    private final Map<ReplicaId, Instant> mSilentSince = new HashMap<>();
     private Instant mNext = Instant.MIN;
 
-    ReplicaRepair(LogReplica replica, PeerPresences peers) {
+    ReplicaRepair(LogReplica replica, PeerPresences peers, boolean open) {
         mReplica = replica;
         mPeers = peers;
+        mOpen = open;
     }
 
     void tick(Instant now, Consumer<? super ControlEffect> effects) {
-        if (now.isBefore(mNext) || !mReplica.leads()) {
+        if (now.isBefore(mNext)) {
             return;
         }
         mNext = now.plus(INTERVAL);
-        List<ControlPresence> present = new ArrayList<>(mPeers.fresh(now));
-        present.add(mReplica.presence(now));
+        if (!mReplica.leads()) {
+            mSilentSince.clear();
+            return;
+        }
+        List<ReplicaId> present = new ArrayList<>();
+        mPeers.fresh(now).forEach(p -> present.add(p.replica()));
+        present.add(mReplica.presence(now).replica());
         nextStep(mReplica.members(), present)
+                .or(() -> removal(now, mReplica.members(), present))
                 .ifPresent(step -> mReplica.change(now, CALL, step, effects));
     }
 
-    private static Optional<MembershipChange> nextStep(
-            Membership members, List<ControlPresence> present) {
+    private Optional<MembershipChange> nextStep(Membership members, List<ReplicaId> present) {
         return present.stream()
-                .map(p -> nextStep(members, p.replica()))
+                .map(p -> nextStep(members, p))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
-    private static Optional<MembershipChange> nextStep(Membership members, ReplicaId now) {
+    private Optional<MembershipChange> nextStep(Membership members, ReplicaId now) {
         Optional<ReplicaId> before =
                 members.all().stream()
                         .filter(r -> r.name().equals(now.name()) && !r.equals(now))
                         .findFirst();
         if (members.learners().contains(now)) {
-            boolean full = members.voters().size() >= MOST_VOTERS;
-            return before.isPresent() && full
-                    ? before.map(MembershipChange.Remove::new)
-                    : Optional.of(new MembershipChange.Promote(now));
+            return stepOfLearner(members, now, before);
+        }
+        if (members.isVoter(now)) {
+            return before.map(MembershipChange.Remove::new);
+        }
+        return mOpen || before.isPresent()
+                ? Optional.of(new MembershipChange.AddLearner(now))
+                : Optional.empty();
+    }
+
+    private static Optional<MembershipChange> stepOfLearner(
+            Membership members, ReplicaId now, Optional<ReplicaId> before) {
+        boolean full = members.voters().size() >= MOST_VOTERS;
+        if (!full) {
+            return Optional.of(new MembershipChange.Promote(now));
+        }
+        return before.map(MembershipChange.Remove::new);
+    }
+
+    private Optional<MembershipChange> removal(
+            Instant now, Membership members, List<ReplicaId> present) {
+        mSilentSince.keySet().removeIf(r -> present.contains(r) || !members.contains(r));
+        if (!mOpen) {
+            return Optional.empty();
+        }
+        for (ReplicaId r : members.all()) {
+            if (!present.contains(r)) {
+                mSilentSince.putIfAbsent(r, now);
+            }
         }
-        return members.isVoter(now)
-                ? before.map(MembershipChange.Remove::new)
-                : before.map(r -> new MembershipChange.AddLearner(now));
+        return mSilentSince.entrySet().stream()
+                .filter(e -> !e.getValue().plus(REMOVE_AFTER).isAfter(now))
+                .map(Map.Entry::getKey)
+                .filter(r -> !members.isVoter(r) || members.voters().size() > FEWEST_VOTERS)
+                .min(ReplicaId::compareTo)
+                .map(MembershipChange.Remove::new);
     }
 }
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveCall.java
@@ -0,0 +1,81 @@
+package org.laurelweir.direct;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.laurelweir.attempt.Header;
+
+/** One caller's request from its arrival to its final answer, with the call under way. */
+final class ActiveCall {
+    final long mCaller;
+    final RoutedRequest mRequest;
+    final String mService;
+    final Instant mArrived;
+    final Instant mDeadline;
+    final EventFramer mFramer = new EventFramer();
+
+    /** Backend servers that were tried, the present one included. */
+    final Set<String> mTried = new HashSet<>();
+
+    /** The call under way, or 0. */
+    long mCall;
+
+    String mBackend = "";
+    Instant mSentAt = Instant.MIN;
+    Instant mHeard = Instant.MIN;
+
+    /** Backend servers that may have received the request. */
+    int mArrivals;
+
+    /** Whether some backend server may have run the request. */
+    boolean mMayHaveRun;
+
+    /** Whether the present call's answer has begun. */
+    boolean mAnswered;
+
+    /** Whether the caller has been sent the head of a stream. */
+    boolean mHeadSent;
+
+    /** Whether nobody waits for the answer any more. */
+    boolean mDetached;
+
+    int mStatus;
+    List<Header> mHeaders = List.of();
+    ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+
+    ActiveCall(long caller, RoutedRequest request, String service, Instant now) {
+        mCaller = caller;
+        mRequest = request;
+        mService = service;
+        mArrived = now;
+        mDeadline = now.plus(request.timeLeft());
+    }
+
+    Route route() {
+        return mRequest.route();
+    }
+
+    Duration timeLeft(Instant now) {
+        return Duration.between(now, mDeadline);
+    }
+
+    /** Returns whether the present answer is passed on event by event. */
+    boolean isStreaming() {
+        return route().streamed() && mStatus / 100 == 2;
+    }
+
+    void begin(long call, String backend, Instant now) {
+        mCall = call;
+        mBackend = backend;
+        mTried.add(backend);
+        mSentAt = now;
+        mHeard = now;
+        mAnswered = false;
+        mStatus = 0;
+        mBody.reset();
+        mFramer.takeRest();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -0,0 +1,34 @@
+package org.laurelweir.direct;
+
+import java.util.List;
+import org.laurelweir.attempt.Header;
+
+/** What happens to requests that are routed without sidecars. Calls are numbered by the reducer. */
+public sealed interface DirectEvent {
+    /** A caller's request has been read whole. */
+    record Arrived(long caller, RoutedRequest request) implements DirectEvent {}
+
+    /** The caller hung up. */
+    record CallerGone(long caller) implements DirectEvent {}
+
+    /** The head of a backend server's answer arrived. */
+    record Answered(long call, int status, List<Header> headers, AnswerFacts facts)
+            implements DirectEvent {}
+
+    /** A piece of the answer's body arrived. */
+    record Received(long call, byte[] bytes) implements DirectEvent {}
+
+    /** The answer is whole, by the rules of HTTP. */
+    record Finished(long call) implements DirectEvent {}
+
+    /**
+     * The call ended without a whole answer.
+     *
+     * @param sent whether any byte of it may have reached the backend server
+     * @param message why, for the log
+     */
+    record Failed(long call, boolean sent, String message) implements DirectEvent {}
+
+    /** Time has passed. */
+    record Tick() implements DirectEvent {}
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -0,0 +1,394 @@
+package org.laurelweir.direct;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import org.agrona.collections.Long2ObjectHashMap;
+import org.laurelweir.lib.Reducer;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Backend;
+
+/**
+ * Decides for requests that are routed without sidecars: the router itself chooses the backend
+ * server, follows its answer and repeats what may be repeated.
+ */
+public final class DirectRouting implements Reducer<DirectEvent, DirectEffect> {
+    /** Below this a further attempt can't bring an answer any more: a round trip and some work. */
+    private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(40);
+
+    /** How often requests in flight are looked at; what they are held to is ten times as long. */
+    private static final Duration SCAN_INTERVAL = Duration.ofMillis(10);
+
+    private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(30);
+
+    private final BackendSource mSource;
+    private final ServerTable mServers = new ServerTable();
+    private final ServerChoice mChoice;
+    private final FleetBudget mBudget;
+    private final Reports mReports;
+    private final Refusals mRefusals;
+    private final Stalls mStalls = new Stalls();
+    private final SplittableRandom mRandom;
+    private final Long2ObjectHashMap<ActiveCall> mByCaller = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<ActiveCall> mByCall = new Long2ObjectHashMap<>();
+    private long mLastCall;
+    private Instant mNextScan = Instant.MIN;
+    private Instant mNextPrune = Instant.MIN;
+    private Instant mNow;
+    private Consumer<? super DirectEffect> mEffects;
+
+    /**
+     * Creates the routing of a router that has just started.
+     *
+     * @param source the backend servers as the router knows them
+     * @param routers how many routers serve, 0 if not known
+     * @param limits what the fleet may repeat
+     * @param seed of random choices
+     */
+    public DirectRouting(BackendSource source, IntSupplier routers, RetryLimits limits, long seed) {
+        mSource = source;
+        mChoice = new ServerChoice(source, mServers, seed);
+        mBudget = new FleetBudget(limits, routers);
+        mRandom = new SplittableRandom(seed + 1);
+        mReports = new Reports();
+        mRefusals = new Refusals(seed + 2);
+    }
+
+    /** Returns whether no request is under way. */
+    public boolean isIdle() {
+        return mByCaller.isEmpty();
+    }
+
+    @Override
+    public void step(Instant now, DirectEvent event, Consumer<? super DirectEffect> effects) {
+        mNow = now;
+        mEffects = effects;
+        if (event instanceof DirectEvent.Tick) {
+            onTick();
+        } else if (event instanceof DirectEvent.Arrived e) {
+            onArrived(e);
+        } else if (event instanceof DirectEvent.CallerGone e) {
+            withRequest(mByCaller.get(e.caller()), this::onCallerGone);
+        } else if (event instanceof DirectEvent.Answered e) {
+            withRequest(mByCall.get(e.call()), r -> onAnswered(r, e));
+        } else if (event instanceof DirectEvent.Received e) {
+            withRequest(mByCall.get(e.call()), r -> onReceived(r, e.bytes()));
+        } else if (event instanceof DirectEvent.Finished e) {
+            withRequest(mByCall.get(e.call()), this::onFinished);
+        } else if (event instanceof DirectEvent.Failed e) {
+            withRequest(mByCall.get(e.call()), r -> onFailed(r, e));
+        }
+    }
+
+    private static void withRequest(ActiveCall r, Consumer<ActiveCall> action) {
+        if (r != null) {
+            action.accept(r);
+        }
+    }
+
+    private void emit(DirectEffect effect) {
+        mEffects.accept(effect);
+    }
+
+    private void onArrived(DirectEvent.Arrived e) {
+        String service = chooseService(e.request().route());
+        ActiveCall r = new ActiveCall(e.caller(), e.request(), service, mNow);
+        mByCaller.put(e.caller(), r);
+        mBudget.onRequest(service, mNow);
+        if (!tryNext(r)) {
+            refuse(r, "no backend server has room");
+        }
+    }
+
+    private String chooseService(Route route) {
+        double sum = route.shares().stream().mapToDouble(s -> s.weight()).sum();
+        double at = mRandom.nextDouble() * sum;
+        for (var share : route.shares()) {
+            at -= share.weight();
+            if (at < 0) {
+                return share.service();
+            }
+        }
+        return route.shares().get(route.shares().size() - 1).service();
+    }
+
+    /** Sends the request to a server that has not had it, if there is one and a repeat is due. */
+    private boolean tryNext(ActiveCall r) {
+        boolean inTime = r.timeLeft(mNow).compareTo(LEAST_TIME_LEFT) >= 0;
+        if (!inTime || r.mArrivals >= r.route().maxAttempts()) {
+            return false;
+        }
+        Optional<ServerChoice.Chosen> chosen = mChoice.choose(r, mNow);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        Backend backend = mSource.backend(chosen.get().server().id());
+        if (backend == null || (r.mArrivals > 0 && !mBudget.spend(r.mService, mNow))) {
+            return false;
+        }
+        begin(r, backend, chosen.get());
+        return true;
+    }
+
+    private void begin(ActiveCall r, Backend backend, ServerChoice.Chosen chosen) {
+        String id = backend.ref().id();
+        r.begin(++mLastCall, id, mNow);
+        r.mArrivals++;
+        mByCall.put(r.mCall, r);
+        mServers.began(id);
+        emit(mReports.chose(r, chosen, mNow));
+        emit(
+                new DirectEffect.BeginCall(
+                        r.mCall,
+                        id,
+                        backend.address(),
+                        r.mRequest,
+                        r.timeLeft(mNow),
+                        r.mHeadSent ? r.mFramer.lastId() : ""));
+    }
+
+    /** The present call is over; events that still come from it belong to no request. */
+    private void leaveCall(ActiveCall r) {
+        if (r.mCall != 0) {
+            mByCall.remove(r.mCall);
+            mServers.ended(r.mBackend);
+            r.mCall = 0;
+        }
+    }
+
+    private void cancelCall(ActiveCall r) {
+        if (r.mCall != 0) {
+            emit(new DirectEffect.CancelCall(r.mCall));
+            leaveCall(r);
+        }
+    }
+
+    private void onAnswered(ActiveCall r, DirectEvent.Answered e) {
+        r.mHeard = mNow;
+        e.facts().load().ifPresent(l -> mServers.reported(r.mBackend, l, mNow));
+        if (e.facts().notRun()) {
+            onNotRun(r, e);
+            return;
+        }
+        if (!e.facts().genuine()) {
+            cancelCall(r);
+            mServers.failed(r.mService, r.mBackend, mChoice.size(r.mService), mNow);
+            afterUnknown(r, "the answer belongs to another request, or to none");
+            return;
+        }
+        r.mAnswered = true;
+        r.mStatus = e.status();
+        r.mHeaders = e.headers();
+        if (isFailure(e.status())) {
+            onFailureStatus(r);
+        } else {
+            mServers.succeeded(r.mService, r.mBackend);
+            beginStream(r);
+        }
+    }
+
+    private void beginStream(ActiveCall r) {
+        if (!r.isStreaming() || r.mHeadSent) {
+            return;
+        }
+        r.mHeadSent = true;
+        if (!r.mDetached) {
+            emit(new DirectEffect.AnswerHead(r.mCaller, r.mStatus, r.mHeaders));
+        }
+    }
+
+    private static boolean isFailure(int status) {
+        return status >= 500;
+    }
+
+    /** The server ran the request and failed: another may do better where that is harmless. */
+    private void onFailureStatus(ActiveCall r) {
+        mServers.failed(r.mService, r.mBackend, mChoice.size(r.mService), mNow);
+        r.mMayHaveRun = true;
+        long call = r.mCall;
+        if (!r.route().isRepeatable()) {
+            return;
+        }
+        leaveCall(r);
+        if (tryNext(r)) {
+            emit(new DirectEffect.CancelCall(call));
+            return;
+        }
+        // Nobody else takes it: the server's own answer is passed on after all.
+        r.mCall = call;
+        mByCall.put(call, r);
+        mServers.began(r.mBackend);
+    }
+
+    /** The server says that it did not run the request and will not. */
+    private void onNotRun(ActiveCall r, DirectEvent.Answered e) {
+        if (e.facts().otherServer()) {
+            mServers.replaced(r.mBackend, mNow);
+        } else {
+            mServers.full(r.mBackend, mNow);
+        }
+        emit(mReports.said(r, "not_run_" + e.status(), mNow));
+        cancelCall(r);
+        if (!tryNext(r)) {
+            giveUp(r, "the backend servers did not take the request");
+        }
+    }
+
+    private void onReceived(ActiveCall r, byte[] bytes) {
+        r.mHeard = mNow;
+        if (!r.isStreaming()) {
+            r.mBody.writeBytes(bytes);
+            return;
+        }
+        byte[] events = r.mFramer.add(bytes);
+        if (events.length > 0 && !r.mDetached) {
+            emit(new DirectEffect.AnswerData(r.mCaller, events));
+        }
+    }
+
+    private void onFinished(ActiveCall r) {
+        leaveCall(r);
+        if (r.isStreaming()) {
+            byte[] rest = r.mFramer.takeRest();
+            if (rest.length > 0) {
+                emitIfWanted(r, new DirectEffect.AnswerData(r.mCaller, rest));
+            }
+            emitIfWanted(r, new DirectEffect.AnswerEnd(r.mCaller));
+        } else if (r.mHeadSent) {
+            fail(r, ResultCode.ANSWER_CUT, "the stream could not be resumed");
+            return;
+        } else {
+            emitIfWanted(
+                    r,
+                    new DirectEffect.AnswerWhole(
+                            r.mCaller, r.mStatus, r.mHeaders, r.mBody.toByteArray()));
+        }
+        emit(mReports.answered(r, mNow));
+        mByCaller.remove(r.mCaller);
+    }
+
+    private void emitIfWanted(ActiveCall r, DirectEffect effect) {
+        if (!r.mDetached) {
+            emit(effect);
+        }
+    }
+
+    private void onFailed(ActiveCall r, DirectEvent.Failed e) {
+        String service = r.mService;
+        int servers = mChoice.size(service);
+        leaveCall(r);
+        if (e.sent()) {
+            mServers.failed(service, r.mBackend, servers, mNow);
+            afterUnknown(r, e.message());
+            return;
+        }
+        mServers.unreachable(service, r.mBackend, servers, mNow);
+        // It never arrived, so that it does not count as sent.
+        r.mArrivals--;
+        emit(mReports.said(r, "not_sent", mNow));
+        if (!tryNext(r)) {
+            giveUp(r, e.message());
+        }
+    }
+
+    /** The server may have run the request: it is repeated only where that is harmless. */
+    private void afterUnknown(ActiveCall r, String message) {
+        r.mMayHaveRun = true;
+        emit(mReports.said(r, "outcome_unknown", mNow));
+        if (r.route().isRepeatable() && tryNext(r)) {
+            return;
+        }
+        fail(r, r.mHeadSent ? ResultCode.ANSWER_CUT : ResultCode.BACKEND_FAILED, message);
+    }
+
+    /** Ends a request that no further server takes, with "not run" only where that is proved. */
+    private void giveUp(ActiveCall r, String message) {
+        if (r.mMayHaveRun || r.mHeadSent) {
+            ResultCode code = r.mHeadSent ? ResultCode.ANSWER_CUT : ResultCode.BACKEND_FAILED;
+            fail(r, code, message);
+        } else {
+            refuse(r, message);
+        }
+    }
+
+    private void refuse(ActiveCall r, String message) {
+        boolean none = mChoice.size(r.mService) == 0;
+        ResultCode code = none ? ResultCode.NO_BACKEND_SERVER : ResultCode.OVERLOADED;
+        Duration back = mRefusals.comeBack(r.timeLeft(mNow));
+        end(r, new DirectEffect.AnswerError(r.mCaller, code, message, back));
+    }
+
+    private void fail(ActiveCall r, ResultCode code, String message) {
+        cancelCall(r);
+        end(r, new DirectEffect.AnswerError(r.mCaller, code, message, Duration.ZERO));
+    }
+
+    private void end(ActiveCall r, DirectEffect.AnswerError error) {
+        emit(mReports.gaveUp(r, error, mNow));
+        emitIfWanted(r, error);
+        mByCaller.remove(r.mCaller);
+    }
+
+    /**
+     * Ends what nobody waits for. A plain call that may not be repeated is left to finish: stopped
+     * half way, nobody would ever learn its outcome.
+     */
+    private void onCallerGone(ActiveCall r) {
+        emit(mReports.said(r, "caller_gone", mNow));
+        if (r.mCall != 0 && !r.route().streamed() && !r.route().idempotent()) {
+            r.mDetached = true;
+            return;
+        }
+        cancelCall(r);
+        mByCaller.remove(r.mCaller);
+    }
+
+    private void onTick() {
+        if (mNow.isBefore(mNextScan)) {
+            return;
+        }
+        mNextScan = mNow.plus(SCAN_INTERVAL);
+        List<ActiveCall> all = new ArrayList<>(mByCaller.values());
+        all.forEach(this::check);
+        if (!mNow.isBefore(mNextPrune)) {
+            mNextPrune = mNow.plus(PRUNE_INTERVAL);
+            mServers.prune(mSource);
+        }
+    }
+
+    private void check(ActiveCall r) {
+        if (!mNow.isBefore(r.mDeadline)) {
+            expire(r);
+        } else if (mStalls.isStalled(r, mNow) && !r.mDetached) {
+            onStalled(r);
+        }
+    }
+
+    private void expire(ActiveCall r) {
+        if (!r.mAnswered && r.mCall != 0) {
+            mServers.failed(r.mService, r.mBackend, mChoice.size(r.mService), mNow);
+        }
+        fail(r, ResultCode.DEADLINE_EXCEEDED, "the time for the answer was over");
+    }
+
+    private void onStalled(ActiveCall r) {
+        mServers.failed(r.mService, r.mBackend, mChoice.size(r.mService), mNow);
+        long call = r.mCall;
+        leaveCall(r);
+        r.mMayHaveRun = true;
+        if (tryNext(r)) {
+            emit(new DirectEffect.CancelCall(call));
+            return;
+        }
+        // Nobody else takes it; a late answer is better than none.
+        r.mCall = call;
+        r.mHeard = mNow;
+        mByCall.put(call, r);
+        mServers.began(r.mBackend);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
@@ -0,0 +1,52 @@
+package org.laurelweir.direct;
+
+import java.time.Instant;
+import java.util.List;
+import org.laurelweir.lib.Decision;
+
+/** Makes the log's records of decisions about requests, each under the caller's own name of it. */
+final class Reports {
+    private static final String PROGRAM = "router";
+
+    DirectEffect.Decided chose(ActiveCall r, ServerChoice.Chosen c, Instant now) {
+        String reason = r.mArrivals > 1 ? "retry_" + c.reason() : c.reason();
+        return decided(r, now, c.candidates(), c.server().id(), reason, c.load());
+    }
+
+    DirectEffect.Decided said(ActiveCall r, String reason, Instant now) {
+        return decided(r, now, List.of(), r.mBackend, reason, Double.NaN);
+    }
+
+    DirectEffect.Decided answered(ActiveCall r, Instant now) {
+        return decided(r, now, List.of(), r.mBackend, "answered_" + r.mStatus, Double.NaN);
+    }
+
+    DirectEffect.Decided gaveUp(ActiveCall r, DirectEffect.AnswerError e, Instant now) {
+        String reason = "given_up: " + e.message();
+        return decided(r, now, List.copyOf(r.mTried), e.code().name(), reason, Double.NaN);
+    }
+
+    private static DirectEffect.Decided decided(
+            ActiveCall r,
+            Instant now,
+            List<String> candidates,
+            String choice,
+            String reason,
+            double load) {
+        RoutedRequest q = r.mRequest;
+        long part = q.prompt().isPresent() ? q.prompt().sharedPart().id() : 0;
+        return new DirectEffect.Decided(
+                new Decision(
+                        now,
+                        PROGRAM,
+                        q.id(),
+                        part,
+                        q.account(),
+                        r.mService,
+                        candidates,
+                        choice,
+                        reason,
+                        load,
+                        Double.NaN));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -0,0 +1,159 @@
+package org.laurelweir.direct;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatKey;
+import org.laurelweir.placement.ServiceView;
+
+/**
+ * Chooses a backend server. Looks at a few candidates only, whatever the size of the service: those
+ * that rank first for the prompt's shared part, which all routers agree on without a message, and
+ * two at random, so that a hot part spills over and load evens out.
+ */
+final class ServerChoice {
+    /** Candidates by rank; the second takes over what the first can't carry. */
+    private static final int RANKED = 3;
+
+    /** Random candidates: two choices bring the fullest server close to the mean. */
+    private static final int RANDOM = 2;
+
+    /** The load of a server may reach this multiple of the candidates' mean, and a few more. */
+    private static final double BOUND_FACTOR = 1.5;
+
+    private static final int BOUND_EXTRA = 2;
+
+    private final BackendSource mSource;
+    private final ServerTable mServers;
+    private final SplittableRandom mRandom;
+    private final Map<String, Roster> mRosters = new HashMap<>();
+
+    ServerChoice(BackendSource source, ServerTable servers, long seed) {
+        mSource = source;
+        mServers = servers;
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /**
+     * What was chosen.
+     *
+     * @param server the backend server
+     * @param reason why, one of a few fixed words
+     * @param candidates those that were weighed, best first
+     * @param load its load as known
+     */
+    record Chosen(Candidate server, String reason, List<String> candidates, int load) {}
+
+    /** Returns how many backend servers of a service take new work. */
+    int size(String service) {
+        return roster(service).mServing.size();
+    }
+
+    /** Chooses a server that was not tried yet, or none. */
+    Optional<Chosen> choose(ActiveCall r, Instant now) {
+        Map<String, Candidate> found = candidates(r, now);
+        if (found.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Candidate> all = new ArrayList<>(found.values());
+        double mean = all.stream().mapToInt(c -> mServers.load(c.id(), now)).average().orElse(0);
+        double bound = BOUND_FACTOR * mean + BOUND_EXTRA;
+        if (r.mRequest.prompt().isPresent()) {
+            for (Candidate c : all) {
+                if (mServers.load(c.id(), now) <= bound && hasRoom(c, now)) {
+                    return Optional.of(chosen(c, c == all.get(0) ? "home" : "next", all, now));
+                }
+            }
+        }
+        return all.stream()
+                .filter(c -> hasRoom(c, now))
+                .min(Comparator.comparingInt(c -> mServers.load(c.id(), now)))
+                .map(c -> chosen(c, "least_loaded", all, now));
+    }
+
+    private Chosen chosen(Candidate c, String reason, List<Candidate> all, Instant now) {
+        List<String> ids = all.stream().map(Candidate::id).toList();
+        return new Chosen(c, reason, ids, mServers.load(c.id(), now));
+    }
+
+    /** A server with as many requests as slots would only queue one more. */
+    private boolean hasRoom(Candidate c, Instant now) {
+        int slots = slots(c);
+        return slots <= 0 || mServers.load(c.id(), now) < slots;
+    }
+
+    private int slots(Candidate c) {
+        int told = mServers.slots(c.id());
+        return told > 0 ? told : (int) c.weight();
+    }
+
+    private Map<String, Candidate> candidates(ActiveCall r, Instant now) {
+        Map<String, Candidate> found = new LinkedHashMap<>();
+        ServiceView view = mSource.view(r.mService);
+        if (r.mRequest.prompt().isPresent()) {
+            ChatKey key = new ChatKey(mix(r.mRequest.prompt().sharedPart().id()));
+            view.ranking().top(key, RANKED + r.mTried.size()).stream()
+                    .filter(c -> isOpen(r, c, now))
+                    .limit(RANKED)
+                    .forEach(c -> found.put(c.id(), c));
+        }
+        addRandom(r, now, found);
+        return found;
+    }
+
+    private void addRandom(ActiveCall r, Instant now, Map<String, Candidate> found) {
+        List<Candidate> serving = roster(r.mService).mServing;
+        int wanted = found.size() + RANDOM;
+        int start = serving.isEmpty() ? 0 : mRandom.nextInt(serving.size());
+        for (int i = 0; i < serving.size() && found.size() < wanted; i++) {
+            Candidate c = serving.get((start + i * step(serving.size())) % serving.size());
+            if (isOpen(r, c, now)) {
+                found.putIfAbsent(c.id(), c);
+            }
+        }
+    }
+
+    /** A stride without a common divisor with the size visits every server once. */
+    private static int step(int size) {
+        return size % 7 == 0 ? 1 : 7;
+    }
+
+    private boolean isOpen(ActiveCall r, Candidate c, Instant now) {
+        return !r.mTried.contains(c.id()) && !mServers.isPassedOver(r.mService, c.id(), now);
+    }
+
+    private Roster roster(String service) {
+        ServiceView view = mSource.view(service);
+        Roster roster = mRosters.get(service);
+        if (roster == null || roster.mVersion != view.version()) {
+            roster = new Roster(view);
+            mRosters.put(service, roster);
+        }
+        return roster;
+    }
+
+    /** Part ids may be small or close to each other; ranks need them spread. */
+    private static long mix(long id) {
+        long x = id * 0x9E3779B97F4A7C15L;
+        x ^= x >>> 32;
+        return x * 0xD6E8FEB86659FD93L;
+    }
+
+    /** The servers of one version of a view that take new work. */
+    private static final class Roster {
+        private final long mVersion;
+        private final List<Candidate> mServing;
+
+        Roster(ServiceView view) {
+            mVersion = view.version();
+            mServing = view.candidates().stream().filter(c -> !c.draining()).toList();
+        }
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
@@ -36,6 +36,11 @@
         return new Backend(ref, service, dataCentre, region, address, newState, weight, session);
     }
 
+    /** Returns this backend server under another session. */
+    public Backend withSession(int newSession) {
+        return new Backend(ref, service, dataCentre, region, address, state, weight, newSession);
+    }
+
     /** Returns whether both announcements are of the same run and session of the same sidecar. */
     public boolean isSameSession(Backend other) {
         return ref.equals(other.ref) && session == other.session;
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/PeerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/PeerTable.java
@@ -34,6 +34,10 @@
         share.sums().forEach(s -> p.mSums.put(s.service(), s));
     }
 
+    void forget(String peer) {
+        mPeers.remove(peer);
+    }
+
     /** Adds what the peers that answer hear of a service to a sum. */
     ServiceSum addTo(ServiceSum own) {
         ServiceSum sum = own;
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -304,6 +304,22 @@
         return mLog.get(id) != null;
     }
 
+    /** Returns a backend server as last announced, or null if it is not known. */
+    public Backend backend(String id) {
+        Announcement known = mLog.get(id);
+        return known == null ? null : known.backend();
+    }
+
+    /** Returns whether this very session of a backend server is heard here. */
+    public boolean hears(Backend b) {
+        return mSessions.hears(b);
+    }
+
+    /** Forgets a control instance that is gone for good. */
+    public void forgetPeer(String peer) {
+        mPeers.forget(peer);
+    }
+
     /** Returns every backend server known, those that left lately included. */
     public Collection<Backend> backends() {
         return mLog.all().stream().map(Announcement::backend).toList();
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.laurelweir.direct.BackendSource;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
@@ -16,7 +17,7 @@
 import org.laurelweir.placement.ViewChange;
 
 /** The backend servers that this router knows, as control's deltas tell it. */
-final class Memberships {
+final class Memberships implements BackendSource {
     /**
      * How long a backend server stays that a whole view no longer names. A control instance that
      * has just started answers with the few that have announced themselves yet; dropping the rest
@@ -34,12 +35,13 @@
         return mCursor;
     }
 
-    ServiceView view(String service) {
+    @Override
+    public ServiceView view(String service) {
         return mViews.computeIfAbsent(service, ServiceView::empty);
     }
 
-    /** Returns a backend server as last announced, or null if it is not known. */
-    Backend backend(String id) {
+    @Override
+    public Backend backend(String id) {
         return mBackends.get(id);
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
@@ -1,6 +1,7 @@
 package org.laurelweir.routing;
 
 import java.time.Duration;
+import org.laurelweir.direct.RetryLimits;
 
 /**
  * What a router's decisions depend on from its start on.
@@ -10,6 +11,18 @@
  * @param seed of the jitter
  * @param exchangeInterval how often control is asked
  * @param chatSeats how many chats the router remembers the last backend server of
+ * @param retryLimits what all routers together may repeat at services without sidecars
  */
 public record RouterConfig(
-        String name, long incarnation, long seed, Duration exchangeInterval, int chatSeats) {}
+        String name,
+        long incarnation,
+        long seed,
+        Duration exchangeInterval,
+        int chatSeats,
+        RetryLimits retryLimits) {
+    /** Creates a configuration with the usual limits of retries. */
+    public RouterConfig(
+            String name, long incarnation, long seed, Duration exchangeInterval, int chatSeats) {
+        this(name, incarnation, seed, exchangeInterval, chatSeats, RetryLimits.DEFAULT);
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEffect.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Decision;
@@ -81,6 +82,9 @@
     record AnswerError(long caller, ResultCode code, String message, Duration retryAfter)
             implements RouterEffect {}
 
+    /** Do something for a request that is routed without sidecars. */
+    record Direct(DirectEffect effect) implements RouterEffect {}
+
     /** Exchange with a control instance. */
     record SendExchange(MembershipCursor cursor) implements RouterEffect {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.laurelweir.attempt.AttemptFrame;
 import org.laurelweir.attempt.AttemptState;
+import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
@@ -66,6 +67,9 @@
     record ExchangeAnswered(MembershipDelta membership, List<ServiceLoad> loads, int routers)
             implements RouterEvent {}
 
+    /** Something happened to a request that is routed without sidecars. */
+    record Direct(DirectEvent event) implements RouterEvent {}
+
     /** No control instance answered. */
     record ExchangeFailed(String message) implements RouterEvent {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Consumer;
+import org.laurelweir.direct.DirectEvent;
+import org.laurelweir.direct.DirectRouting;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.placement.ChatKey;
@@ -20,6 +22,8 @@
     private final ClaimAnswers mClaimAnswers;
     private final Streams mStreams;
     private final Timers mTimers;
+    private final DirectRouting mDirect;
+    private int mRouters;
     private boolean mStopping;
 
     /**
@@ -30,6 +34,9 @@
     public RouterReducer(RouterConfig config) {
         mExchanges = new Exchanges(config.exchangeInterval());
         mPlacements = new Placements(config, mMemberships);
+        mDirect =
+                new DirectRouting(
+                        mMemberships, () -> mRouters, config.retryLimits(), config.seed());
         Decisions decisions = new Decisions(config, mPlacements);
         Claims claims = new Claims();
         Attempts attempts = new Attempts(mRequests);
@@ -54,17 +61,23 @@
             onExchange(now, e);
         } else if (event instanceof RouterEvent.ExchangeFailed) {
             mExchanges.onEnded();
+        } else if (event instanceof RouterEvent.Direct e) {
+            stepDirect(s, e.event());
         } else if (event instanceof RouterEvent.StopRequested) {
             mStopping = true;
         } else {
             onRequestEvent(s, event);
         }
-        if (mStopping && mRequests.isEmpty()) {
+        if (mStopping && mRequests.isEmpty() && mDirect.isIdle()) {
             mStopping = false;
             s.emit(new RouterEffect.Stopped());
         }
     }
 
+    private void stepDirect(Step s, DirectEvent event) {
+        mDirect.step(s.now(), event, e -> s.emit(new RouterEffect.Direct(e)));
+    }
+
     private void onExchange(Instant now, RouterEvent.ExchangeAnswered answer) {
         mExchanges.onEnded();
         mMemberships.apply(now, answer.membership());
@@ -73,11 +86,13 @@
         }
         mPlacements.onMeans(answer.loads());
         mLimits.onRouters(now, answer.routers());
+        mRouters = answer.routers();
     }
 
     private void onTick(Step s) {
         mMemberships.onTick(s.now());
         mTimers.onTick(s);
+        stepDirect(s, new DirectEvent.Tick());
         mExchanges.onTick(s, mMemberships.cursor());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/ChangePlan.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/ChangePlan.java
@@ -13,6 +13,10 @@
 /** What a change would do to a tree, node by node: new nodes, lost races and faults. */
 final class ChangePlan {
     private static final int MAX_NODES = 1000;
+
+    /** A whole tree of the aimed size: 19,000 client accounts, their rules and the routes. */
+    private static final int MAX_NODES_OF_WHOLE = 100_000;
+
     private static final int MAX_VALUE_LENGTH = 16_384;
 
     private final SettingsTree mTree;
@@ -28,10 +32,20 @@
     }
 
     static ChangePlan of(SettingsTree tree, long position, List<NodeChange> changes) {
+        return of(tree, position, changes, MAX_NODES);
+    }
+
+    /** Plans a tree that replaces all there was. */
+    static ChangePlan ofWhole(long position, List<NodeChange> changes) {
+        return of(SettingsTree.EMPTY, position, changes, MAX_NODES_OF_WHOLE);
+    }
+
+    private static ChangePlan of(
+            SettingsTree tree, long position, List<NodeChange> changes, int most) {
         ChangePlan plan = new ChangePlan(tree, position);
-        if (changes.isEmpty() || changes.size() > MAX_NODES) {
+        if (changes.isEmpty() || changes.size() > most) {
             String problem = "names " + changes.size() + " nodes";
-            plan.mFaults.add(new NodeFault("change", "", problem, "1 to " + MAX_NODES + " nodes"));
+            plan.mFaults.add(new NodeFault("change", "", problem, "1 to " + most + " nodes"));
         }
         Set<NodePath> seen = new HashSet<>();
         for (NodeChange c : changes) {
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/Level.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/Level.java
@@ -9,7 +9,8 @@
     DATA_CENTRE,
     SERVICE,
     ACCOUNT,
-    RULE;
+    RULE,
+    ROUTE;
 
     /** Returns the word that a node's path uses, such as {@code data-centre}. */
     public String word() {
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/NodeNames.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/NodeNames.java
@@ -18,6 +18,10 @@
         return "path-prefix " + prefix;
     }
 
+    static String place(String host, String prefix) {
+        return "route " + host + prefix;
+    }
+
     static String keyDigest(String digest) {
         return "key-digest " + digest;
     }
@@ -37,11 +41,16 @@
         if (digests != null) {
             digests.forEach(d -> claims.add(keyDigest(d)));
         }
+        if (node.path().route() != null) {
+            String host = node.value(SettingKeys.ROUTE_HOST);
+            claims.add(place(host, node.value(SettingKeys.ROUTE_PATH_PREFIX)));
+        }
         return claims;
     }
 
-    /** Returns the other nodes that define the service and the client account in a path. */
-    static List<NodePath> definitionsOf(NodePath path) {
+    /** Returns the other nodes that define the services and the client account that one names. */
+    static List<NodePath> definitionsOf(SettingsNode node) {
+        NodePath path = node.path();
         List<NodePath> definitions = new ArrayList<>();
         if (path.service() != null && !path.isOnly(Level.SERVICE)) {
             definitions.add(NodePath.ofService(path.service()));
@@ -49,6 +58,10 @@
         if (path.account() != null && !path.isOnly(Level.ACCOUNT)) {
             definitions.add(NodePath.ofAccount(path.account()));
         }
+        List<RouteShare> shares = node.value(SettingKeys.ROUTE_SHARES);
+        if (shares != null) {
+            shares.forEach(s -> definitions.add(NodePath.ofService(s.service())));
+        }
         return definitions;
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
@@ -5,24 +5,26 @@
 /**
  * Names a node of the settings tree by any subset of the levels, the most general first, such as
  * {@code /region=vestkyst/service=seilhjerne}; {@code /} is the deployment. A level that the path
- * does not name is null.
+ * does not name is null. A route stands alone: no other node inherits from it.
  *
  * @param region the region's name
  * @param dataCentre the data centre's name
  * @param service the service's name
  * @param account the client account's name
  * @param rule the rule's name
+ * @param route the route's name
  */
 public record NodePath(
-        String region, String dataCentre, String service, String account, String rule)
+        String region, String dataCentre, String service, String account, String rule, String route)
         implements Comparable<NodePath> {
     /** The deployment, which every other node inherits from. */
-    public static final NodePath DEPLOYMENT = new NodePath(null, null, null, null, null);
+    public static final NodePath DEPLOYMENT = new NodePath(null, null, null, null, null, null);
 
     /** What a path looks like, for the reader of a fault. */
     static final String FORM =
             "/ or LEVEL=NAME parts in the order region, data-centre, service, account,"
-                    + " rule, each after a slash, such as /region=vestkyst/service=seilhjerne;"
+                    + "rule, route, each after a slash, such as"
+                    + " /region=vestkyst/service=seilhjerne;"
                     + " a name has up to 128 letters, digits and . _ : @ -";
 
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}");
@@ -34,6 +36,12 @@
         check(service);
         check(account);
         check(rule);
+        check(route);
+    }
+
+    /** Names a node of the levels from the region down to the rule. */
+    public NodePath(String region, String dataCentre, String service, String account, String rule) {
+        this(region, dataCentre, service, account, rule, null);
     }
 
     private static void check(String name) {
@@ -52,6 +60,11 @@
         return new NodePath(null, null, null, account, null);
     }
 
+    /** Returns the node that defines a route. */
+    public static NodePath ofRoute(String route) {
+        return new NodePath(null, null, null, null, null, route);
+    }
+
     /**
      * Reads a path.
      *
@@ -77,7 +90,7 @@
             names[level] = part.substring(equals + 1);
             last = level;
         }
-        return new NodePath(names[1], names[2], names[3], names[4], names[5]);
+        return new NodePath(names[1], names[2], names[3], names[4], names[5], names[6]);
     }
 
     private static int ordinalOf(String word) {
@@ -103,6 +116,7 @@
             case SERVICE -> service;
             case ACCOUNT -> account;
             case RULE -> rule;
+            case ROUTE -> route;
         };
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/ReferenceCheck.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/ReferenceCheck.java
@@ -14,6 +14,11 @@
  */
 final class ReferenceCheck {
     private static final String MODEL_API = "/v1";
+    private static final List<SettingKey<?>> REQUIRED_OF_ROUTE =
+            List.of(
+                    SettingKeys.ROUTE_HOST,
+                    SettingKeys.ROUTE_PATH_PREFIX,
+                    SettingKeys.ROUTE_SHARES);
 
     private final SettingsTree mBefore;
     private final SettingsTree mAfter;
@@ -41,10 +46,11 @@
             if (n.deleted()) {
                 check.checkUnused(n.path());
             } else {
-                check.checkDefinitions(n.path());
+                check.checkDefinitions(n);
                 check.checkClaims(n);
                 check.checkService(n);
                 check.checkRule(n);
+                check.checkRoute(n);
             }
         }
         return check.mFaults;
@@ -58,10 +64,14 @@
         }
     }
 
-    private void checkDefinitions(NodePath path) {
-        for (NodePath definition : NodeNames.definitionsOf(path)) {
+    private void checkDefinitions(SettingsNode node) {
+        for (NodePath definition : NodeNames.definitionsOf(node)) {
             if (mAfter.node(definition).isEmpty()) {
-                fault(path, "", "needs " + definition, "names that have a node of their own");
+                fault(
+                        node.path(),
+                        "",
+                        "needs " + definition,
+                        "names that have a node of their own");
             }
         }
     }
@@ -113,6 +123,20 @@
         }
     }
 
+    private void checkRoute(SettingsNode node) {
+        if (node.path().route() == null) {
+            return;
+        }
+        if (!node.path().isOnly(Level.ROUTE)) {
+            fault(node.path(), "", "is a route below another level", "/route=NAME");
+        }
+        for (SettingKey<?> key : REQUIRED_OF_ROUTE) {
+            if (!node.values().containsKey(key.name())) {
+                fault(node.path(), key.name(), "is missing", key.allowed());
+            }
+        }
+    }
+
     private void fault(NodePath path, String key, String problem, String allowed) {
         mFaults.add(new NodeFault(path.toString(), key, problem, allowed));
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKey.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKey.java
@@ -135,7 +135,7 @@
         private String mDefaultText = "";
         private String mMin;
         private String mMax;
-        private Set<Level> mLevels = EnumSet.allOf(Level.class);
+        private Set<Level> mLevels = EnumSet.range(Level.DEPLOYMENT, Level.RULE);
         private boolean mDefinition;
         private String mDoc = "";
 
