--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -99,14 +99,26 @@
                                     "SHA-256 digests of the bearer keys that name the client"
                                             + " account."));
 
+    public static final SettingKey<Integer> ACCOUNT_PRIORITY =
+            add(
+                    SettingKey.builder("account.priority", SettingType.COUNT)
+                            .by("-1")
+                            .range("-1", "9")
+                            .defines(Level.ACCOUNT)
+                            .doc(
+                                    "Priority of the client account's routed requests,"
+                                            + " before that of the route; -1 for none."));
+
     public static final SettingKey<String> SERVICE_KIND =
             add(
-                    SettingKey.builder("service.kind", SettingType.oneOf("model", "plain"))
+                    SettingKey.builder(
+                                    "service.kind", SettingType.oneOf("model", "plain", "routed"))
                             .by("model")
                             .defines(Level.SERVICE)
                             .doc(
                                     "model: reached by the name of a model; plain: reached"
-                                            + " under service.path-prefix."));
+                                            + " under service.path-prefix; routed: reached by"
+                                            + " routes, and called without sidecars."));
 
     public static final SettingKey<List<String>> SERVICE_MODELS =
             add(
@@ -160,6 +172,26 @@
                                     "Tokens of histories that one backend server keeps cached;"
                                             + " too many count evicted histories as cached."));
 
+    public static final SettingKey<Integer> SERVICE_CONNECTIONS =
+            add(
+                    SettingKey.builder("service.connections", SettingType.COUNT)
+                            .by("1000")
+                            .range("1", "1000000")
+                            .defines(Level.SERVICE)
+                            .doc(
+                                    "Most connections that one backend server takes from"
+                                            + " all callers together."));
+
+    public static final SettingKey<Integer> SERVICE_SLOTS =
+            add(
+                    SettingKey.builder("service.slots", SettingType.COUNT)
+                            .by("0")
+                            .range("0", "100000")
+                            .defines(Level.SERVICE)
+                            .doc(
+                                    "Requests that one engine of a routed service runs at"
+                                            + " once; 0 for a service without engines."));
+
     public static final SettingKey<String> CHAT_HEADER =
             add(
                     SettingKey.builder("chat.header", SettingType.TOKEN_NAME)
@@ -281,6 +313,14 @@
                             .downTo(Level.DATA_CENTRE)
                             .doc("Longest time that a caller may take to send a request."));
 
+    public static final SettingKey<Duration> LIMIT_IDLE_TIME =
+            add(
+                    SettingKey.builder("limit.idle-time", SettingType.DURATION)
+                            .by("30s")
+                            .range("100ms", "1h")
+                            .downTo(Level.DATA_CENTRE)
+                            .doc("How long a connection of a caller may stay without a request."));
+
     public static final SettingKey<Duration> STREAM_SILENCE =
             add(
                     SettingKey.builder("stream.silence", SettingType.DURATION)
@@ -376,6 +416,98 @@
                             .only(Level.RULE)
                             .doc("Models to which the rule applies; every one if absent."));
 
+    public static final SettingKey<String> ROUTE_HOST =
+            add(
+                    SettingKey.builder("route.host", SettingType.HOST)
+                            .defines(Level.ROUTE)
+                            .doc("Host whose requests the route takes."));
+
+    public static final SettingKey<String> ROUTE_PATH_PREFIX =
+            add(
+                    SettingKey.builder("route.path-prefix", SettingType.FOLDER)
+                            .defines(Level.ROUTE)
+                            .doc(
+                                    "Beginning of the paths that the route takes; the"
+                                            + " longest one that fits wins."));
+
+    public static final SettingKey<List<RouteShare>> ROUTE_SHARES =
+            add(
+                    SettingKey.builder("route.shares", SettingType.SHARES)
+                            .defines(Level.ROUTE)
+                            .doc("Services that get the requests, each with its weight."));
+
+    public static final SettingKey<Boolean> ROUTE_IDEMPOTENT =
+            add(
+                    SettingKey.builder("route.idempotent", SettingType.FLAG)
+                            .by("no")
+                            .defines(Level.ROUTE)
+                            .doc("Whether a request may run more than once."));
+
+    public static final SettingKey<Boolean> ROUTE_STREAMED =
+            add(
+                    SettingKey.builder("route.streamed", SettingType.FLAG)
+                            .by("no")
+                            .defines(Level.ROUTE)
+                            .doc("Whether answers are streams of events."));
+
+    public static final SettingKey<Boolean> ROUTE_RESUMABLE =
+            add(
+                    SettingKey.builder("route.resumable", SettingType.FLAG)
+                            .by("no")
+                            .defines(Level.ROUTE)
+                            .doc(
+                                    "Whether a stream may go on at another backend server"
+                                            + " after its last whole event."));
+
+    public static final SettingKey<Boolean> ROUTE_PUBLIC =
+            add(
+                    SettingKey.builder("route.public", SettingType.FLAG)
+                            .by("no")
+                            .defines(Level.ROUTE)
+                            .doc("Whether requests need no key."));
+
+    public static final SettingKey<Integer> ROUTE_MAX_ATTEMPTS =
+            add(
+                    SettingKey.builder("route.max-attempts", SettingType.COUNT)
+                            .by("1")
+                            .range("1", "10")
+                            .defines(Level.ROUTE)
+                            .doc("Most backend servers that one request is sent to."));
+
+    public static final SettingKey<Duration> ROUTE_TIMEOUT =
+            add(
+                    SettingKey.builder("route.timeout", SettingType.DURATION)
+                            .by("1m")
+                            .range("1ms", "1h")
+                            .defines(Level.ROUTE)
+                            .doc("Longest time for the whole answer."));
+
+    public static final SettingKey<Duration> ROUTE_OBJECTIVE =
+            add(
+                    SettingKey.builder("route.objective", SettingType.DURATION)
+                            .by("1s")
+                            .range("0s", "1h")
+                            .defines(Level.ROUTE)
+                            .doc(
+                                    "Time to the first piece of an answer, or to a whole"
+                                            + " plain one, that counts as prompt."));
+
+    public static final SettingKey<Duration> ROUTE_MAX_PAUSE =
+            add(
+                    SettingKey.builder("route.max-pause", SettingType.DURATION)
+                            .by("1s")
+                            .range("0s", "1h")
+                            .defines(Level.ROUTE)
+                            .doc("Longest pause between events of a prompt stream."));
+
+    public static final SettingKey<Integer> ROUTE_PRIORITY =
+            add(
+                    SettingKey.builder("route.priority", SettingType.COUNT)
+                            .by("5")
+                            .range("0", "9")
+                            .defines(Level.ROUTE)
+                            .doc("Priority of the requests; 9 goes first."));
+
     private SettingKeys() {}
 
     private static <T> SettingKey<T> add(SettingKey.Builder<T> builder) {
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingType.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingType.java
@@ -19,6 +19,8 @@
     private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
     private static final Pattern WORD = Pattern.compile("[\\x21-\\x2b\\x2d-\\x7e]+");
     private static final Pattern PREFIX_FORM = Pattern.compile("(/[^/*\\s]+)+");
+    private static final Pattern HOST_FORM = Pattern.compile("[a-z0-9._-]{1,253}");
+    private static final Pattern FOLDER_FORM = Pattern.compile("/([^\\s?#]*/)?");
     private static final Pattern TOKEN = Pattern.compile("[A-Za-z0-9_-]+");
 
     /** A finite number. */
@@ -66,6 +68,31 @@
                     "SHA-256 digests of 64 lower-case hexadecimal digits, parted by commas",
                     t -> parseList(t, e -> require(DIGEST, e)));
 
+    /** The name of a host, without a port. */
+    public static final SettingType<String> HOST =
+            new SettingType<>(
+                    "host",
+                    "a host's name in lower case, without a port",
+                    t -> t.isEmpty() ? t : require(HOST_FORM, t));
+
+    /** The beginning of paths, up to and with a slash. */
+    public static final SettingType<String> FOLDER =
+            new SettingType<>(
+                    "path prefix",
+                    "a path that begins and ends with a slash, such as /orders/",
+                    t -> t.isEmpty() ? t : require(FOLDER_FORM, t));
+
+    /** Shares of requests. */
+    public static final SettingType<List<RouteShare>> SHARES =
+            new SettingType<>(
+                    "list of shares",
+                    "services with their weights, such as a:90,b:10; not all weights 0",
+                    SettingType::parseShares);
+
+    /** Yes or no. */
+    public static final SettingType<Boolean> FLAG =
+            new SettingType<>("flag", "yes, no", SettingType::parseFlag);
+
     /** Patterns of calls. */
     public static final SettingType<List<CallPattern>> CALLS =
             new SettingType<>(
@@ -92,6 +119,22 @@
                 });
     }
 
+    private static Boolean parseFlag(String text) {
+        return switch (text) {
+            case "yes" -> true;
+            case "no" -> false;
+            default -> throw new IllegalArgumentException(text);
+        };
+    }
+
+    private static List<RouteShare> parseShares(String text) {
+        List<RouteShare> shares = parseList(text, RouteShare::parse);
+        if (!shares.isEmpty() && shares.stream().allMatch(s -> s.weight() == 0)) {
+            throw new IllegalArgumentException(text);
+        }
+        return shares;
+    }
+
     private static Double parseNumber(String text) {
         double d = Double.parseDouble(text);
         if (!Double.isFinite(d)) {
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsNode.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsNode.java
@@ -44,7 +44,7 @@
      * Returns the parsed value of a key, or null if the node does not set it. A text that does not
      * parse counts as not set: a newer control may know forms that this program does not.
      */
-    <T> T value(SettingKey<T> key) {
+    public <T> T value(SettingKey<T> key) {
         String text = values.get(key.name());
         if (text == null) {
             return null;
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsState.java
@@ -10,16 +10,20 @@
  * @param forgotten the position of the newest accepted change that the history no longer has
  * @param history accepted changes that are kept, the oldest first
  * @param answers answers that are kept, the oldest first
+ * @param revision the operator's number of the tree that was replaced last, 0 if none was
+ * @param source the operator's own text of that tree
  */
 public record SettingsState(
         long position,
         List<SettingsNode> nodes,
         long forgotten,
         List<HistoryEntry> history,
-        List<KeptAnswer> answers) {
+        List<KeptAnswer> answers,
+        long revision,
+        byte[] source) {
     /** The state before any change. */
     public static final SettingsState EMPTY =
-            new SettingsState(0, List.of(), 0, List.of(), List.of());
+            new SettingsState(0, List.of(), 0, List.of(), List.of(), 0, new byte[0]);
 
     /** Copies the lists. */
     public SettingsState {
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
@@ -23,6 +23,8 @@
     private final SettingsHistory mHistory;
     private final AnswerLog mAnswers;
     private SettingsTree mTree;
+    private long mRevision;
+    private byte[] mSource;
 
     /**
      * How much is kept; the same on every replica.
@@ -47,6 +49,8 @@
         mTree = SettingsTree.of(state.position(), state.nodes());
         mHistory = new SettingsHistory(state.history(), state.forgotten(), limits.historyEntries());
         mAnswers = new AnswerLog(state.answers(), limits.answers(), limits.answerRetention());
+        mRevision = state.revision();
+        mSource = state.source();
     }
 
     /** Returns all that the store remembers. */
@@ -56,7 +60,9 @@
                 mTree.nodes(),
                 mHistory.forgotten(),
                 mHistory.all(),
-                mAnswers.all());
+                mAnswers.all(),
+                mRevision,
+                mSource);
     }
 
     /** Returns the tree in force. */
@@ -116,6 +122,49 @@
         return new SettingsAnswer(ResultCode.OK, position, plan.after(), List.of());
     }
 
+    /**
+     * Replaces the tree.
+     *
+     * @param position where the command stands in the log; rises from call to call
+     * @param whole the tree with its revision
+     * @return OK, also where the revision is not above the one in force and nothing changed; or
+     *     SETTINGS_INVALID with every fault, whatever the revision
+     */
+    public SettingsAnswer replace(long position, Command.ReplaceSettings whole) {
+        if (position <= mTree.position()) {
+            throw new IllegalArgumentException("position " + position + " has passed");
+        }
+        TreeReplacement replacement = TreeReplacement.of(mTree, position, whole.nodes());
+        if (!replacement.faults().isEmpty()) {
+            return refusal(ResultCode.SETTINGS_INVALID, List.of(), replacement.faults());
+        }
+        if (whole.revision() <= mRevision) {
+            return refusal(ResultCode.OK, List.of(), List.of());
+        }
+        mTree = mTree.with(position, replacement.after());
+        mRevision = whole.revision();
+        mSource = whole.source();
+        mHistory.add(
+                new HistoryEntry(
+                        position,
+                        whole.at(),
+                        "revision-" + whole.revision(),
+                        whole.author(),
+                        replacement.changes(),
+                        replacement.before()));
+        return new SettingsAnswer(ResultCode.OK, position, replacement.after(), List.of());
+    }
+
+    /** Returns the operator's number of the tree that was replaced last, 0 if none was. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /** Returns the operator's own text of the tree that was replaced last. */
+    public byte[] source() {
+        return mSource;
+    }
+
     private SettingsAnswer refusal(
             ResultCode code, List<SettingsNode> nodes, List<NodeFault> faults) {
         return new SettingsAnswer(code, mTree.position(), nodes, faults);
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
@@ -125,6 +125,18 @@
         return Optional.empty();
     }
 
+    /** Returns every route's node, in no order; costs a walk over the tree. */
+    public List<SettingsNode> routes() {
+        List<SettingsNode> routes = new ArrayList<>();
+        mNodes.forEach(
+                (path, node) -> {
+                    if (node.path().route() != null) {
+                        routes.add(node);
+                    }
+                });
+        return routes;
+    }
+
     /** Returns every service's name, sorted. */
     public List<String> services() {
         return mServices;
@@ -173,7 +185,7 @@
             }
             mNewNodes = mNewNodes.with(path.toString(), null);
             NodeNames.claimsOf(old).forEach(c -> mNewClaims = mNewClaims.with(c, null));
-            count(path, -1);
+            count(old, -1);
             if (path.isOnly(Level.SERVICE)) {
                 mNewServices.remove(path.service());
             }
@@ -188,7 +200,7 @@
             NodePath path = node.path();
             mNewNodes = mNewNodes.with(path.toString(), node);
             NodeNames.claimsOf(node).forEach(c -> mNewClaims = mNewClaims.with(c, path));
-            count(path, 1);
+            count(node, 1);
             if (path.isOnly(Level.SERVICE)) {
                 mNewServices.add(path.service());
             }
@@ -200,8 +212,8 @@
             }
         }
 
-        private void count(NodePath path, int change) {
-            for (NodePath definition : NodeNames.definitionsOf(path)) {
+        private void count(SettingsNode node, int change) {
+            for (NodePath definition : NodeNames.definitionsOf(node)) {
                 String key = definition.toString();
                 Integer before = mNewUses.get(key);
                 int after = (before == null ? 0 : before) + change;
