--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/Samples.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/Samples.java
@@ -163,8 +163,7 @@
     /** Returns a control instance's state that holds client accounts alone. */
     static ControlState.Snapshot snapshot(int accounts) {
         SettingsState settings =
-                new SettingsState(
-                        1, accountNodes(accounts), 1, List.of(), List.of(), 0, new byte[0]);
+                new SettingsState(1, accountNodes(accounts), 1, List.of(), List.of(), 0, "");
         return new ControlState.Snapshot(Instant.EPOCH, settings, List.of(), Map.of(), List.of());
     }
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
@@ -58,7 +58,7 @@
             long revision,
             String author,
             Map<String, Map<String, String>> nodes,
-            byte[] source,
+            String source,
             Consumer<Answer> answer) {
         Command command =
                 new Command.ReplaceSettings(Instant.EPOCH, revision, author, nodes, source);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -10,6 +10,7 @@
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.Decision;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.router.http.CallHandler;
 import org.laurelweir.router.http.CallerAnswer;
@@ -34,6 +35,7 @@
     private final ModelList mModels;
     private final Consumer<RouterEvent> mEvents;
     private final RouterMetrics mMetrics;
+    private final Consumer<Decision> mDecisions;
     private final Map<Long, Caller> mCallers = new ConcurrentHashMap<>();
 
     Callers(
@@ -41,7 +43,9 @@
             RequestResolver resolver,
             ModelList models,
             Consumer<RouterEvent> events,
-            RouterMetrics metrics) {
+            RouterMetrics metrics,
+            Consumer<Decision> decisions) {
+        mDecisions = decisions;
         mRoutes = routes;
         mResolver = resolver;
         mModels = models;
@@ -64,6 +68,7 @@
             mCallers.put(caller, new Caller(answer, routed.isPresent()));
             mEvents.accept(event);
         } catch (LaurelweirException e) {
+            noteRefusal(call, e);
             refuse(answer, e.getCode(), e.getMessage());
         } catch (RuntimeException e) {
             sLogger.atSevere().withCause(e).log("a request could not be read");
@@ -80,6 +85,11 @@
         answer.whole(OK, JSON, mModels.toJson());
     }
 
+    /** A request that is turned away before any decision leaves its line here. */
+    private void noteRefusal(HttpCall call, LaurelweirException e) {
+        mDecisions.accept(mRoutes.refusal(call, e));
+    }
+
     private void refuse(CallerAnswer answer, ResultCode code, String message) {
         mMetrics.answered(code);
         answer.error(code, message, code.isNotRun() ? COME_BACK : Duration.ZERO);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
@@ -8,8 +8,6 @@
 import org.laurelweir.router.rpc.ControlExchange;
 import org.laurelweir.router.rpc.SidecarCalls;
 import org.laurelweir.routing.RouterEffect;
-import org.laurelweir.runtime.log.DecisionLog;
-import org.laurelweir.runtime.log.DecisionRing;
 
 /** Carries the decisions out. Only the decision loop's thread calls it. */
 final class Effects implements Consumer<RouterEffect> {
@@ -17,7 +15,7 @@
     private final SidecarCalls mSidecars;
     private final ClaimCalls mClaims;
     private final ControlExchange mExchange;
-    private final DecisionRing mRing;
+    private final Consumer<Decision> mDecisions;
     private final DirectEffects mDirect;
     private final RouterMetrics mMetrics;
     private final CountDownLatch mStopped = new CountDownLatch(1);
@@ -28,15 +26,15 @@
             ClaimCalls claims,
             ControlExchange exchange,
             BackendCalls calls,
-            DecisionRing ring,
+            Consumer<Decision> decisions,
             RouterMetrics metrics) {
         mCallers = callers;
         mSidecars = sidecars;
         mClaims = claims;
         mExchange = exchange;
-        mRing = ring;
+        mDecisions = decisions;
         mMetrics = metrics;
-        mDirect = new DirectEffects(callers, calls, this::decided, metrics);
+        mDirect = new DirectEffects(callers, calls, decisions, metrics);
     }
 
     /** Returns what opens once everything in flight has ended after a stop was requested. */
@@ -57,7 +55,7 @@
         } else if (effect instanceof RouterEffect.SendExchange e) {
             mExchange.send(e.cursor());
         } else if (effect instanceof RouterEffect.Decided e) {
-            decided(e.decision());
+            mDecisions.accept(e.decision());
         } else if (effect instanceof RouterEffect.Direct e) {
             mDirect.accept(e.effect());
         } else if (effect instanceof RouterEffect.Stopped) {
@@ -67,11 +65,6 @@
         }
     }
 
-    private void decided(Decision decision) {
-        DecisionLog.write(decision);
-        mRing.add(decision);
-    }
-
     private void onAttemptEffect(RouterEffect effect) {
         if (effect instanceof RouterEffect.BeginAttempt e) {
             mMetrics.did(e.request().id().attempt() == 1 ? "first_attempt" : "further_attempt");
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -29,11 +29,15 @@
  * @param chatSeats how many chats it remembers the last backend server of
  * @param decisions how many decisions it keeps for {@code explain}
  * @param seed of the jitter of retries; 0 takes one from the start's time
+ * @param controlTimeout longest wait for one control instance's answer before the next is asked
  * @param leaveDelay how long it goes on serving, called not ready, once it is told to stop: the
  *     time in which a balancer notices
  * @param stopTimeout how long requests in flight may take after that
  * @param keyLease how long after settings were last confirmed requests with keys are served by
  *     routes; zero for ever
+ * @param denialLease how long after settings were last confirmed a caller may be told that a key or
+ *     route does not exist; later it is asked to come back, as the settings may be about to name
+ *     it; zero for ever
  * @param retryShare what all routers together may repeat at a service reached by routes, as a share
  *     of its requests
  * @param retryReserve what they may repeat beyond that in a window
@@ -57,9 +61,11 @@
         @Default("65536") @Range(min = "2", max = "16777216") int chatSeats,
         @Default("2048") @Range(min = "1", max = "1000000") int decisions,
         @Default("0") long seed,
+        @Default("1s") @Range(min = "50ms", max = "10s") Duration controlTimeout,
         @Default("0s") @Range(min = "0s", max = "10m") Duration leaveDelay,
         @Default("10m") @Range(min = "0s", max = "1d") Duration stopTimeout,
         @Default("0s") @Range(min = "0s", max = "1d") Duration keyLease,
+        @Default("0s") @Range(min = "0s", max = "1d") Duration denialLease,
         @Default("0.1") @Range(min = "0", max = "10") double retryShare,
         @Default("32") @Range(min = "0", max = "1000000") double retryReserve,
         @Default("10s") @Range(min = "100ms", max = "10m") Duration retryWindow,
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.laurelweir.direct.RetryLimits;
 import org.laurelweir.lib.AttemptId;
+import org.laurelweir.lib.Decision;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.membership.RouterReport;
@@ -29,6 +30,7 @@
 import org.laurelweir.routing.RouterEvent;
 import org.laurelweir.routing.RouterReducer;
 import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.log.DecisionLog;
 import org.laurelweir.runtime.log.DecisionRing;
 import org.laurelweir.runtime.log.Logging;
 import org.laurelweir.runtime.loop.ReducerLoop;
@@ -96,7 +98,7 @@
             RouterFile file, InstantSource clock, Consumer<String> out, HttpDialect dialect) {
         mFile = file;
         mDialect = dialect;
-        mTrust = new SettingsTrust(new ElapsedClock(), file.keyLease());
+        mTrust = new SettingsTrust(new ElapsedClock(), file.keyLease(), file.denialLease());
         mClock = clock;
         mOut = out;
         mLogging = new Logging(file.log());
@@ -105,15 +107,16 @@
         mLoops = new EventLoops("router-io", file.threads());
         TrafficCounters traffic = new TrafficCounters(mRegistry);
         mChannels = Channels.builder(mLoops, traffic).build();
-        mExchangeClient = new ExchangeClient(controls(), CONTROL_TIMEOUT);
+        mExchangeClient = new ExchangeClient(controls(), file.controlTimeout());
         traffic.show("ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
         mCallers =
                 new Callers(
-                        new RouteResolver(mSettings, dialect, mTrust::isGiven),
+                        new RouteResolver(mSettings, dialect, mTrust, clock),
                         new RequestResolver(mSettings),
                         new ModelList(mSettings),
                         this::offer,
-                        mMetrics);
+                        mMetrics,
+                        this::decided);
         mCallerServer =
                 new CallerServer(
                         mLoops, file.listen(), mCallers, this::limits, this::requestName, dialect);
@@ -139,7 +142,8 @@
                         mTrust);
         BackendCalls calls =
                 new BackendCalls(mLoops, mDialect, e -> offer(new RouterEvent.Direct(e)));
-        mEffects = new Effects(mCallers, sidecars, claims, mExchange, calls, mRing, mMetrics);
+        mEffects =
+                new Effects(mCallers, sidecars, claims, mExchange, calls, this::decided, mMetrics);
         mLoop = newLoop(sidecars);
     }
 
@@ -188,6 +192,11 @@
                 .toList();
     }
 
+    private void decided(Decision decision) {
+        DecisionLog.write(decision);
+        mRing.add(decision);
+    }
+
     private void offer(RouterEvent event) {
         mLoop.offer(event);
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -1,11 +1,11 @@
 package org.laurelweir.router.request;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.Prompt;
@@ -13,10 +13,12 @@
 import org.laurelweir.direct.RouteTable;
 import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.Decision;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.router.http.HopHeaders;
 import org.laurelweir.router.http.HttpCall;
 import org.laurelweir.router.http.HttpDialect;
+import org.laurelweir.router.rpc.SettingsTrust;
 import org.laurelweir.settings.KeyDigest;
 import org.laurelweir.settings.NodePath;
 import org.laurelweir.settings.SettingKeys;
@@ -25,12 +27,14 @@
 
 /** Resolves callers' requests to routes by the settings in force. Thread-safe. */
 public final class RouteResolver {
+    private static final String PROGRAM = "router";
     private static final int MAX_PARTS = 256;
     private static final int HEXADECIMAL = 16;
 
     private final SettingsLookup mSettings;
     private final HttpDialect mDialect;
-    private final BooleanSupplier mKeysConfirmed;
+    private final SettingsTrust mTrust;
+    private final InstantSource mClock;
     private volatile Tables mTables = new Tables(SettingsTree.EMPTY, RouteTable.EMPTY);
 
     private record Tables(SettingsTree tree, RouteTable routes) {}
@@ -40,14 +44,18 @@
      *
      * @param settings those in force
      * @param dialect the names of headers
-     * @param keysConfirmed whether it is certain that no key of the settings has been taken away
-     *     for longer than that may go unnoticed
+     * @param trust how far the settings can be relied on
+     * @param clock stamps the log's records
      */
     public RouteResolver(
-            SettingsLookup settings, HttpDialect dialect, BooleanSupplier keysConfirmed) {
+            SettingsLookup settings,
+            HttpDialect dialect,
+            SettingsTrust trust,
+            InstantSource clock) {
+        mClock = clock;
         mSettings = settings;
         mDialect = dialect;
-        mKeysConfirmed = keysConfirmed;
+        mTrust = trust;
     }
 
     /**
@@ -67,11 +75,33 @@
         }
         Optional<Route> route = tables.routes().find(call.header("Host"), call.path());
         if (route.isEmpty() && tables.routes().isOnlyRoutes()) {
-            throw new LaurelweirException(ResultCode.UNKNOWN_SERVICE, "no route takes this path");
+            throw denial(ResultCode.UNKNOWN_SERVICE, "no route takes this path");
         }
         return route.map(r -> request(tables.tree(), r, call));
     }
 
+    /**
+     * Returns the log's record of a call that is turned away.
+     *
+     * @param call the call
+     * @param e why
+     */
+    public Decision refusal(HttpCall call, LaurelweirException e) {
+        String position = "settings at " + mSettings.tree().position();
+        return new Decision(
+                mClock.instant(),
+                PROGRAM,
+                call.header(mDialect.requestId()),
+                0,
+                "",
+                "",
+                List.of(position),
+                e.getCode().name(),
+                "turned away: " + e.getMessage(),
+                Double.NaN,
+                Double.NaN);
+    }
+
     private Tables tables() {
         Tables tables = mTables;
         SettingsTree tree = mSettings.tree();
@@ -101,21 +131,29 @@
      * refuses keys altogether once that could have gone on for too long.
      */
     private String accountOf(SettingsTree tree, HttpCall call) {
-        if (!mKeysConfirmed.getAsBoolean()) {
+        if (!mTrust.isGiven()) {
             throw new LaurelweirException(
                     ResultCode.KEYS_UNCONFIRMED, "this router can't confirm that keys are valid");
         }
         String value = call.header("Authorization");
         String scheme = mDialect.keyScheme() + " ";
         if (!value.regionMatches(true, 0, scheme, 0, scheme.length())) {
-            throw new LaurelweirException(ResultCode.UNAUTHENTICATED, "a key is needed");
+            throw denial(ResultCode.UNAUTHENTICATED, "a key is needed");
         }
         String digest = KeyDigest.of(value.substring(scheme.length()).strip());
         return tree.accountOfKey(digest)
-                .orElseThrow(
-                        () ->
-                                new LaurelweirException(
-                                        ResultCode.UNAUTHENTICATED, "the key is unknown"));
+                .orElseThrow(() -> denial(ResultCode.UNAUTHENTICATED, "the key is unknown"));
+    }
+
+    /**
+     * Says that something does not exist, or, where newer settings may name it, to come back. Told
+     * "unknown" by a router that lags, a caller would give up what every other router serves.
+     */
+    private LaurelweirException denial(ResultCode code, String message) {
+        return mTrust.mayDeny()
+                ? new LaurelweirException(code, message)
+                : new LaurelweirException(
+                        ResultCode.SETTINGS_UNKNOWN, message + " as far as is known here");
     }
 
     private static int priority(SettingsTree tree, Route route, String account) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SettingsTrust.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SettingsTrust.java
@@ -13,7 +13,8 @@
  */
 public final class SettingsTrust {
     private final ElapsedClock mClock;
-    private final Duration mLease;
+    private final Duration mKeyLease;
+    private final Duration mDenialLease;
     private ElapsedClock.Mark mAsked;
     private Duration mAge = Duration.ZERO;
 
@@ -21,11 +22,13 @@
      * Creates a trust that begins with the first answer.
      *
      * @param clock measures, suspensions of the machine included
-     * @param lease how long settings are trusted; zero for ever
+     * @param keyLease how long keys are served after a confirmation; zero for ever
+     * @param denialLease how long a caller may be told that something does not exist; zero for ever
      */
-    public SettingsTrust(ElapsedClock clock, Duration lease) {
+    public SettingsTrust(ElapsedClock clock, Duration keyLease, Duration denialLease) {
         mClock = clock;
-        mLease = lease;
+        mKeyLease = keyLease;
+        mDenialLease = denialLease;
     }
 
     /** Returns the moment at which a question is asked. */
@@ -49,10 +52,21 @@
     }
 
     /** Returns whether requests with keys may be served now. */
-    public synchronized boolean isGiven() {
-        if (mLease.isZero()) {
+    public boolean isGiven() {
+        return isConfirmedWithin(mKeyLease);
+    }
+
+    /**
+     * Returns whether it is certain enough that a route or key which is not known does not exist.
+     */
+    public boolean mayDeny() {
+        return isConfirmedWithin(mDenialLease);
+    }
+
+    private synchronized boolean isConfirmedWithin(Duration lease) {
+        if (lease.isZero()) {
             return true;
         }
-        return mAsked != null && mClock.since(mAsked).plus(mAge).compareTo(mLease) < 0;
+        return mAsked != null && mClock.since(mAsked).plus(mAge).compareTo(lease) < 0;
     }
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
@@ -1,6 +1,5 @@
 package org.laurelweir.wire;
 
-import com.google.protobuf.ByteString;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -113,7 +112,7 @@
                 ReplaceSettings.newBuilder()
                         .setRevision(c.revision())
                         .setAuthor(c.author())
-                        .setSource(ByteString.copyFrom(c.source()));
+                        .setSource(c.source());
         new TreeMap<>(c.nodes())
                 .forEach(
                         (path, values) ->
@@ -129,7 +128,7 @@
         Map<String, Map<String, String>> nodes = new TreeMap<>();
         m.getNodesList().forEach(n -> nodes.put(n.getPath(), new TreeMap<>(n.getValuesMap())));
         return new Command.ReplaceSettings(
-                at, m.getRevision(), m.getAuthor(), nodes, m.getSource().toByteArray());
+                at, m.getRevision(), m.getAuthor(), nodes, m.getSource());
     }
 
     /** Returns the message of an accepted change. */
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
@@ -1,6 +1,5 @@
 package org.laurelweir.wire;
 
-import com.google.protobuf.ByteString;
 import java.time.Instant;
 import java.util.Map;
 import org.laurelweir.coordination.Claim;
@@ -88,7 +87,7 @@
                         .addAllNodes(SettingsCodec.nodesToWire(s.nodes()))
                         .setForgotten(s.forgotten())
                         .setRevision(s.revision())
-                        .setSource(ByteString.copyFrom(s.source()));
+                        .setSource(s.source());
         s.history().forEach(e -> message.addHistory(toWire(e)));
         s.answers().forEach(a -> message.addAnswers(toWire(a)));
         return message.build();
@@ -102,7 +101,7 @@
                 m.getHistoryList().stream().map(SnapshotCodec::toCore).toList(),
                 m.getAnswersList().stream().map(SnapshotCodec::toCore).toList(),
                 m.getRevision(),
-                m.getSource().toByteArray());
+                m.getSource());
     }
 
     private static SettingsHistoryRecord toWire(HistoryEntry e) {
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Log.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/Log.java
@@ -98,7 +98,7 @@
       "eir.v1.ReplaceSettingsH\000B\006\n\004body\"m\n\017Repl" +
       "aceSettings\022\020\n\010revision\030\001 \001(\004\022\016\n\006author\030" +
       "\002 \001(\t\022(\n\005nodes\030\003 \003(\0132\031.laurelweir.v1.Nod" +
-      "eValues\022\016\n\006source\030\004 \001(\014\"\200\001\n\nNodeValues\022\014" +
+      "eValues\022\016\n\006source\030\004 \001(\t\"\200\001\n\nNodeValues\022\014" +
       "\n\004path\030\001 \001(\t\0225\n\006values\030\002 \003(\0132%.laurelwei" +
       "r.v1.NodeValues.ValuesEntry\032-\n\013ValuesEnt" +
       "ry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"\226\002\n\rS" +
@@ -114,7 +114,7 @@
       "\n\tforgotten\030\003 \001(\004\0225\n\007history\030\004 \003(\0132$.lau" +
       "relweir.v1.SettingsHistoryRecord\0224\n\007answ" +
       "ers\030\005 \003(\0132#.laurelweir.v1.SettingsAnswer" +
-      "Record\022\020\n\010revision\030\006 \001(\004\022\016\n\006source\030\007 \001(\014" +
+      "Record\022\020\n\010revision\030\006 \001(\004\022\016\n\006source\030\007 \001(\t" +
       "\"\270\001\n\025SettingsHistoryRecord\022\020\n\010position\030\001" +
       " \001(\004\022\021\n\tat_millis\030\002 \001(\006\022\021\n\tchange_id\030\003 \001" +
       "(\t\022\016\n\006author\030\004 \001(\t\022*\n\007changes\030\005 \003(\0132\031.la" +
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplaceSettings.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplaceSettings.java
@@ -23,7 +23,7 @@
   private ReplaceSettings() {
     author_ = "";
     nodes_ = java.util.Collections.emptyList();
-    source_ = com.google.protobuf.ByteString.EMPTY;
+    source_ = "";
   }
 
   @java.lang.Override
@@ -138,18 +138,50 @@
   }
 
   public static final int SOURCE_FIELD_NUMBER = 4;
-  private com.google.protobuf.ByteString source_ = com.google.protobuf.ByteString.EMPTY;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object source_ = "";
   /**
    * <pre>
    * The operator's own text, for reading back.
    * </pre>
    *
-   * <code>bytes source = 4;</code>
+   * <code>string source = 4;</code>
    * @return The source.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getSource() {
-    return source_;
+  public java.lang.String getSource() {
+    java.lang.Object ref = source_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      source_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The operator's own text, for reading back.
+   * </pre>
+   *
+   * <code>string source = 4;</code>
+   * @return The bytes for source.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSourceBytes() {
+    java.lang.Object ref = source_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      source_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
   }
 
   private byte memoizedIsInitialized = -1;
@@ -175,8 +207,8 @@
     for (int i = 0; i < nodes_.size(); i++) {
       output.writeMessage(3, nodes_.get(i));
     }
-    if (!source_.isEmpty()) {
-      output.writeBytes(4, source_);
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(source_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, source_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -198,9 +230,8 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, nodes_.get(i));
     }
-    if (!source_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(4, source_);
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(source_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(4, source_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -391,7 +422,7 @@
         nodesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
-      source_ = com.google.protobuf.ByteString.EMPTY;
+      source_ = "";
       return this;
     }
 
@@ -527,8 +558,10 @@
           }
         }
       }
-      if (other.getSource() != com.google.protobuf.ByteString.EMPTY) {
-        setSource(other.getSource());
+      if (!other.getSource().isEmpty()) {
+        source_ = other.source_;
+        bitField0_ |= 0x00000008;
+        onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -580,7 +613,7 @@
               break;
             } // case 26
             case 34: {
-              source_ = input.readBytes();
+              source_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000008;
               break;
             } // case 34
@@ -945,29 +978,59 @@
       return nodesBuilder_;
     }
 
-    private com.google.protobuf.ByteString source_ = com.google.protobuf.ByteString.EMPTY;
+    private java.lang.Object source_ = "";
     /**
      * <pre>
      * The operator's own text, for reading back.
      * </pre>
      *
-     * <code>bytes source = 4;</code>
+     * <code>string source = 4;</code>
      * @return The source.
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getSource() {
-      return source_;
+    public java.lang.String getSource() {
+      java.lang.Object ref = source_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        source_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The operator's own text, for reading back.
+     * </pre>
+     *
+     * <code>string source = 4;</code>
+     * @return The bytes for source.
+     */
+    public com.google.protobuf.ByteString
+        getSourceBytes() {
+      java.lang.Object ref = source_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        source_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
     /**
      * <pre>
      * The operator's own text, for reading back.
      * </pre>
      *
-     * <code>bytes source = 4;</code>
+     * <code>string source = 4;</code>
      * @param value The source to set.
      * @return This builder for chaining.
      */
-    public Builder setSource(com.google.protobuf.ByteString value) {
+    public Builder setSource(
+        java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       source_ = value;
       bitField0_ |= 0x00000008;
@@ -979,12 +1042,30 @@
      * The operator's own text, for reading back.
      * </pre>
      *
-     * <code>bytes source = 4;</code>
+     * <code>string source = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearSource() {
-      bitField0_ = (bitField0_ & ~0x00000008);
       source_ = getDefaultInstance().getSource();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The operator's own text, for reading back.
+     * </pre>
+     *
+     * <code>string source = 4;</code>
+     * @param value The bytes for source to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSourceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      source_ = value;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplaceSettingsOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/ReplaceSettingsOrBuilder.java
@@ -55,8 +55,18 @@
    * The operator's own text, for reading back.
    * </pre>
    *
-   * <code>bytes source = 4;</code>
+   * <code>string source = 4;</code>
    * @return The source.
    */
-  com.google.protobuf.ByteString getSource();
+  java.lang.String getSource();
+  /**
+   * <pre>
+   * The operator's own text, for reading back.
+   * </pre>
+   *
+   * <code>string source = 4;</code>
+   * @return The bytes for source.
+   */
+  com.google.protobuf.ByteString
+      getSourceBytes();
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshot.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshot.java
@@ -20,7 +20,7 @@
     nodes_ = java.util.Collections.emptyList();
     history_ = java.util.Collections.emptyList();
     answers_ = java.util.Collections.emptyList();
-    source_ = com.google.protobuf.ByteString.EMPTY;
+    source_ = "";
   }
 
   @java.lang.Override
@@ -200,14 +200,42 @@
   }
 
   public static final int SOURCE_FIELD_NUMBER = 7;
-  private com.google.protobuf.ByteString source_ = com.google.protobuf.ByteString.EMPTY;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object source_ = "";
   /**
-   * <code>bytes source = 7;</code>
+   * <code>string source = 7;</code>
    * @return The source.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getSource() {
-    return source_;
+  public java.lang.String getSource() {
+    java.lang.Object ref = source_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      source_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string source = 7;</code>
+   * @return The bytes for source.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSourceBytes() {
+    java.lang.Object ref = source_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      source_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
   }
 
   private byte memoizedIsInitialized = -1;
@@ -242,8 +270,8 @@
     if (revision_ != 0L) {
       output.writeUInt64(6, revision_);
     }
-    if (!source_.isEmpty()) {
-      output.writeBytes(7, source_);
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(source_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 7, source_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -278,9 +306,8 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, revision_);
     }
-    if (!source_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(7, source_);
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(source_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(7, source_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -500,7 +527,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       revision_ = 0L;
-      source_ = com.google.protobuf.ByteString.EMPTY;
+      source_ = "";
       return this;
     }
 
@@ -710,8 +737,10 @@
       if (other.getRevision() != 0L) {
         setRevision(other.getRevision());
       }
-      if (other.getSource() != com.google.protobuf.ByteString.EMPTY) {
-        setSource(other.getSource());
+      if (!other.getSource().isEmpty()) {
+        source_ = other.source_;
+        bitField0_ |= 0x00000040;
+        onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -794,7 +823,7 @@
               break;
             } // case 48
             case 58: {
-              source_ = input.readBytes();
+              source_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000040;
               break;
             } // case 58
@@ -1631,21 +1660,47 @@
       return this;
     }
 
-    private com.google.protobuf.ByteString source_ = com.google.protobuf.ByteString.EMPTY;
+    private java.lang.Object source_ = "";
     /**
-     * <code>bytes source = 7;</code>
+     * <code>string source = 7;</code>
      * @return The source.
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getSource() {
-      return source_;
+    public java.lang.String getSource() {
+      java.lang.Object ref = source_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        source_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string source = 7;</code>
+     * @return The bytes for source.
+     */
+    public com.google.protobuf.ByteString
+        getSourceBytes() {
+      java.lang.Object ref = source_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        source_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
     /**
-     * <code>bytes source = 7;</code>
+     * <code>string source = 7;</code>
      * @param value The source to set.
      * @return This builder for chaining.
      */
-    public Builder setSource(com.google.protobuf.ByteString value) {
+    public Builder setSource(
+        java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       source_ = value;
       bitField0_ |= 0x00000040;
@@ -1653,12 +1708,26 @@
       return this;
     }
     /**
-     * <code>bytes source = 7;</code>
+     * <code>string source = 7;</code>
      * @return This builder for chaining.
      */
     public Builder clearSource() {
-      bitField0_ = (bitField0_ & ~0x00000040);
       source_ = getDefaultInstance().getSource();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string source = 7;</code>
+     * @param value The bytes for source to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSourceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      source_ = value;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshotOrBuilder.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/v1/SettingsSnapshotOrBuilder.java
@@ -99,8 +99,14 @@
   long getRevision();
 
   /**
-   * <code>bytes source = 7;</code>
+   * <code>string source = 7;</code>
    * @return The source.
    */
-  com.google.protobuf.ByteString getSource();
+  java.lang.String getSource();
+  /**
+   * <code>string source = 7;</code>
+   * @return The bytes for source.
+   */
+  com.google.protobuf.ByteString
+      getSourceBytes();
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -58,7 +58,7 @@
             long revision,
             String author,
             Map<String, Map<String, String>> nodes,
-            byte[] source)
+            String source)
             implements Command {
         @Override
         public ReplaceSettings stamped(Instant time) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -76,7 +76,7 @@
      *
      * @param revision the operator's number of it, 0 if there is none
      */
-    record AnswerSource(long call, long revision, byte[] source) implements Answer {}
+    record AnswerSource(long call, long revision, String source) implements Answer {}
 
     /** Acknowledge an announcement of a backend server. */
     record AnswerAnnounced(long call) implements Answer {}
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsState.java
@@ -20,10 +20,10 @@
         List<HistoryEntry> history,
         List<KeptAnswer> answers,
         long revision,
-        byte[] source) {
+        String source) {
     /** The state before any change. */
     public static final SettingsState EMPTY =
-            new SettingsState(0, List.of(), 0, List.of(), List.of(), 0, new byte[0]);
+            new SettingsState(0, List.of(), 0, List.of(), List.of(), 0, "");
 
     /** Copies the lists. */
     public SettingsState {
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
@@ -24,7 +24,7 @@
     private final AnswerLog mAnswers;
     private SettingsTree mTree;
     private long mRevision;
-    private byte[] mSource;
+    private String mSource;
 
     /**
      * How much is kept; the same on every replica.
@@ -161,7 +161,7 @@
     }
 
     /** Returns the operator's own text of the tree that was replaced last. */
-    public byte[] source() {
+    public String source() {
         return mSource;
     }
 
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
@@ -0,0 +1,146 @@
+package org.laurelweir.direct;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.attempt.Header;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ServiceView;
+import org.laurelweir.placement.ViewChange;
+import org.laurelweir.settings.RouteShare;
+
+/** Drives the routing without sidecars event by event, with one service of a few servers. */
+final class DirectDriver implements BackendSource {
+    static final String SERVICE = "svc";
+    static final AnswerFacts GENUINE = new AnswerFacts(false, false, true, Optional.empty());
+    static final AnswerFacts NOT_RUN = new AnswerFacts(true, false, true, Optional.empty());
+    static final AnswerFacts OTHER_SERVER = new AnswerFacts(true, true, true, Optional.empty());
+    static final AnswerFacts CROSSED = new AnswerFacts(false, false, false, Optional.empty());
+    static final RetryLimits LIMITS = new RetryLimits(0.2, 64, Duration.ofSeconds(10), 1, 1);
+
+    final List<DirectEffect> mEffects = new ArrayList<>();
+    private final Map<String, Backend> mBackends = new HashMap<>();
+    private final DirectRouting mRouting;
+    private ServiceView mView = ServiceView.empty(SERVICE);
+    private Instant mNow = Instant.EPOCH;
+    private long mVersion;
+
+    DirectDriver(int servers) {
+        this(servers, LIMITS, 1);
+    }
+
+    DirectDriver(int servers, RetryLimits limits, long seed) {
+        for (int i = 0; i < servers; i++) {
+            join("s" + i);
+        }
+        mRouting = new DirectRouting(this, () -> 1, limits, seed);
+    }
+
+    void join(String id) {
+        BackendRef ref = new BackendRef(id, 0);
+        mBackends.put(
+                id, new Backend(ref, SERVICE, "dc", "rg", id + ":80", Backend.State.SERVING, 6, 1));
+        apply(new ViewChange.Join(new Candidate(ref, "dc", 6)));
+    }
+
+    void leave(String id) {
+        mBackends.remove(id);
+        apply(new ViewChange.Leave(id));
+    }
+
+    private void apply(ViewChange change) {
+        mView = mView.apply(++mVersion, List.of(change));
+    }
+
+    @Override
+    public ServiceView view(String service) {
+        return service.equals(SERVICE) ? mView : ServiceView.empty(service);
+    }
+
+    @Override
+    public Backend backend(String id) {
+        return mBackends.get(id);
+    }
+
+    /** A route of the given kind with three attempts, a second in all and 100 ms to be prompt. */
+    static Route route(boolean idempotent, boolean streamed, boolean resumable) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                List.of(new RouteShare(SERVICE, 1)),
+                idempotent,
+                streamed,
+                resumable,
+                false,
+                3,
+                Duration.ofSeconds(1),
+                Duration.ofMillis(100),
+                Duration.ofMillis(100),
+                5);
+    }
+
+    void arrive(long caller, Route route) {
+        arrive(caller, route, Prompt.NONE);
+    }
+
+    void arrive(long caller, Route route, Prompt prompt) {
+        AttemptRequest.Call call =
+                new AttemptRequest.Call("POST", "/x", List.of(), new byte[0], route.streamed());
+        give(
+                new DirectEvent.Arrived(
+                        caller,
+                        new RoutedRequest(
+                                "id" + caller,
+                                route,
+                                "acc",
+                                5,
+                                Duration.ofSeconds(1),
+                                call,
+                                prompt)));
+    }
+
+    void give(DirectEvent event) {
+        mRouting.step(mNow, event, mEffects::add);
+    }
+
+    void pass(Duration time) {
+        mNow = mNow.plus(time);
+        give(new DirectEvent.Tick());
+    }
+
+    void answer(long call, int status, AnswerFacts facts) {
+        give(new DirectEvent.Answered(call, status, List.of(new Header("x", "y")), facts));
+    }
+
+    boolean isIdle() {
+        return mRouting.isIdle();
+    }
+
+    <E extends DirectEffect> List<E> all(Class<E> type) {
+        return mEffects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <E extends DirectEffect> E last(Class<E> type) {
+        List<E> all = all(type);
+        if (all.isEmpty()) {
+            throw new AssertionError("no " + type.getSimpleName() + " in " + mEffects);
+        }
+        return all.get(all.size() - 1);
+    }
+
+    DirectEffect.BeginCall call() {
+        return last(DirectEffect.BeginCall.class);
+    }
+
+    int calls() {
+        return all(DirectEffect.BeginCall.class).size();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingPropertyTest.java
@@ -0,0 +1,131 @@
+package org.laurelweir.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.laurelweir.direct.DirectEffect.AnswerEnd;
+import org.laurelweir.direct.DirectEffect.AnswerError;
+import org.laurelweir.direct.DirectEffect.AnswerWhole;
+import org.laurelweir.direct.DirectEffect.BeginCall;
+
+/**
+ * What must hold whatever backend servers and callers do, in any order: at most one run of what may
+ * run once, "not run" only where nothing ran, one final answer each, no more attempts than allowed.
+ */
+class DirectRoutingPropertyTest {
+    private static final int STEPS = 250;
+    private static final int MOST_ATTEMPTS = 3;
+
+    private final Map<Long, Route> mRoutes = new HashMap<>();
+    private final Set<Long> mGone = new HashSet<>();
+
+    /** Calls whose server may have run the request, by the caller. */
+    private final Map<Long, Set<Long>> mMayHaveRun = new HashMap<>();
+
+    @Property(tries = 400, seed = "81")
+    void promisesHoldInAnyOrder(@ForAll long seed) {
+        mRoutes.clear();
+        mGone.clear();
+        mMayHaveRun.clear();
+        SplittableRandom random = new SplittableRandom(seed);
+        DirectDriver driver = new DirectDriver(1 + random.nextInt(5), DirectDriver.LIMITS, seed);
+        List<BeginCall> open = new ArrayList<>();
+        int seen = 0;
+        for (int i = 0; i < STEPS; i++) {
+            step(driver, random, open);
+            for (DirectEffect e : driver.mEffects.subList(seen, driver.mEffects.size())) {
+                if (e instanceof BeginCall b) {
+                    open.add(b);
+                }
+            }
+            seen = driver.mEffects.size();
+        }
+        driver.pass(Duration.ofSeconds(2));
+        check(driver);
+    }
+
+    private void step(DirectDriver driver, SplittableRandom random, List<BeginCall> open) {
+        int what = random.nextInt(10);
+        if (what < 3 || open.isEmpty()) {
+            long caller = mRoutes.size() + 1;
+            Route route = DirectDriver.route(random.nextBoolean(), what == 1, what == 1);
+            mRoutes.put(caller, route);
+            driver.arrive(caller, route);
+        } else if (what == 3) {
+            driver.pass(Duration.ofMillis(random.nextInt(200)));
+        } else if (what == 4) {
+            long caller = 1 + random.nextInt(mRoutes.size());
+            mGone.add(caller);
+            driver.give(new DirectEvent.CallerGone(caller));
+        } else {
+            end(driver, open.remove(random.nextInt(open.size())), random);
+        }
+    }
+
+    /** One call ends in one of the ways in which calls end. */
+    private void end(DirectDriver driver, BeginCall b, SplittableRandom random) {
+        long caller = Long.parseLong(b.request().id().substring("id".length()));
+        switch (random.nextInt(6)) {
+            case 0 -> driver.give(new DirectEvent.Failed(b.call(), false, "can't connect"));
+            case 1 -> driver.answer(b.call(), 503, DirectDriver.NOT_RUN);
+            case 2 -> {
+                ran(caller, b.call());
+                driver.give(new DirectEvent.Failed(b.call(), true, "reset"));
+            }
+            case 3 -> {
+                ran(caller, b.call());
+                driver.answer(b.call(), 500, DirectDriver.GENUINE);
+                driver.give(new DirectEvent.Finished(b.call()));
+            }
+            case 4 -> {
+                ran(caller, b.call());
+                driver.answer(b.call(), 200, DirectDriver.CROSSED);
+            }
+            default -> {
+                ran(caller, b.call());
+                driver.answer(b.call(), 200, DirectDriver.GENUINE);
+                byte[] event = "id: 1\n\n".getBytes(StandardCharsets.UTF_8);
+                driver.give(new DirectEvent.Received(b.call(), event));
+                driver.give(new DirectEvent.Finished(b.call()));
+            }
+        }
+    }
+
+    private void ran(long caller, long call) {
+        mMayHaveRun.computeIfAbsent(caller, c -> new HashSet<>()).add(call);
+    }
+
+    private void check(DirectDriver driver) {
+        Map<Long, Integer> finals = new HashMap<>();
+        for (DirectEffect e : driver.mEffects) {
+            if (e instanceof AnswerWhole a) {
+                finals.merge(a.caller(), 1, Integer::sum);
+            } else if (e instanceof AnswerEnd a) {
+                finals.merge(a.caller(), 1, Integer::sum);
+            } else if (e instanceof AnswerError a) {
+                finals.merge(a.caller(), 1, Integer::sum);
+                boolean ran = mMayHaveRun.containsKey(a.caller());
+                assertThat(a.code().isNotRun() && ran).as("%s after a run", a).isFalse();
+            }
+        }
+        mRoutes.forEach(
+                (caller, route) -> {
+                    int runs = mMayHaveRun.getOrDefault(caller, Set.of()).size();
+                    assertThat(runs).isLessThanOrEqualTo(route.isRepeatable() ? MOST_ATTEMPTS : 1);
+                    int answers = finals.getOrDefault(caller, 0);
+                    assertThat(answers).isLessThanOrEqualTo(1);
+                    assertThat(answers == 1 || mGone.contains(caller)).isTrue();
+                });
+        assertThat(driver.isIdle()).isTrue();
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
@@ -0,0 +1,296 @@
+package org.laurelweir.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.laurelweir.direct.DirectDriver.CROSSED;
+import static org.laurelweir.direct.DirectDriver.GENUINE;
+import static org.laurelweir.direct.DirectDriver.NOT_RUN;
+import static org.laurelweir.direct.DirectDriver.OTHER_SERVER;
+import static org.laurelweir.direct.DirectDriver.route;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.direct.DirectEffect.AnswerData;
+import org.laurelweir.direct.DirectEffect.AnswerEnd;
+import org.laurelweir.direct.DirectEffect.AnswerError;
+import org.laurelweir.direct.DirectEffect.AnswerHead;
+import org.laurelweir.direct.DirectEffect.AnswerWhole;
+import org.laurelweir.direct.DirectEffect.BeginCall;
+import org.laurelweir.direct.DirectEffect.CancelCall;
+import org.laurelweir.lib.ResultCode;
+
+/** Single decisions about requests that are routed without sidecars, event by event. */
+class DirectRoutingTest {
+    private static final Route UNSAFE = route(false, false, false);
+    private static final Route SAFE = route(true, false, false);
+    private static final Route STREAM = route(false, true, false);
+    private static final Route RESUMABLE = route(false, true, true);
+
+    private final DirectDriver mDriver = new DirectDriver(4);
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void passesOnAWholeAnswerUnchanged() {
+        mDriver.arrive(1, UNSAFE);
+        long call = mDriver.call().call();
+        mDriver.answer(call, 201, GENUINE);
+        mDriver.give(new DirectEvent.Received(call, bytes("ab")));
+        mDriver.give(new DirectEvent.Received(call, bytes("c")));
+        assertThat(mDriver.all(AnswerWhole.class)).isEmpty();
+        mDriver.give(new DirectEvent.Finished(call));
+        AnswerWhole whole = mDriver.last(AnswerWhole.class);
+        assertThat(whole.status()).isEqualTo(201);
+        assertThat(whole.body()).isEqualTo(bytes("abc"));
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsNotSentAgain() {
+        // The caller orders stores. The connection breaks after the request went out: the server
+        // may
+        // have taken the order, and a second server would take it again. The caller is told that
+        // the
+        // outcome is not known, not that the order was not taken.
+        mDriver.arrive(1, UNSAFE);
+        mDriver.give(new DirectEvent.Failed(mDriver.call().call(), true, "reset"));
+        assertThat(mDriver.calls()).isEqualTo(1);
+        AnswerError error = mDriver.last(AnswerError.class);
+        assertThat(error.code()).isEqualTo(ResultCode.BACKEND_FAILED);
+        assertThat(error.code().isNotRun()).isFalse();
+        assertThat(error.retryAfter()).isZero();
+    }
+
+    @Test
+    void aRequestThatWasNeverSentGoesElsewhere() {
+        mDriver.arrive(1, UNSAFE);
+        BeginCall first = mDriver.call();
+        mDriver.give(new DirectEvent.Failed(first.call(), false, "can't connect"));
+        assertThat(mDriver.calls()).isEqualTo(2);
+        assertThat(mDriver.call().backend()).isNotEqualTo(first.backend());
+    }
+
+    @Test
+    void aServersWordThatItDidNotRunTheRequestIsProof() {
+        mDriver.arrive(1, UNSAFE);
+        BeginCall first = mDriver.call();
+        mDriver.answer(first.call(), 503, NOT_RUN);
+        assertThat(mDriver.call().backend()).isNotEqualTo(first.backend());
+    }
+
+    @Test
+    void isRefusedWithATimeToComeBackOnceAttemptsAreSpent() {
+        mDriver.arrive(1, UNSAFE);
+        for (int i = 0; i < 3; i++) {
+            assertThat(mDriver.all(AnswerError.class)).isEmpty();
+            mDriver.answer(mDriver.call().call(), 503, NOT_RUN);
+        }
+        assertThat(mDriver.calls()).isEqualTo(3);
+        AnswerError error = mDriver.last(AnswerError.class);
+        assertThat(error.code()).isEqualTo(ResultCode.OVERLOADED);
+        assertThat(error.retryAfter()).isPositive().isLessThan(Duration.ofMillis(334));
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
+    @Test
+    void notRunIsNotSaidAfterAnAttemptOfUnknownOutcome() {
+        // The first server breaks off and may have run the request; the others say they did not.
+        // That they did not run it says nothing of the first.
+        mDriver.arrive(1, SAFE);
+        mDriver.give(new DirectEvent.Failed(mDriver.call().call(), true, "reset"));
+        mDriver.answer(mDriver.call().call(), 503, NOT_RUN);
+        mDriver.answer(mDriver.call().call(), 503, NOT_RUN);
+        assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.BACKEND_FAILED);
+    }
+
+    @Test
+    void isRefusedAtOnceWhereNobodyServes() {
+        DirectDriver none = new DirectDriver(0);
+        none.arrive(1, UNSAFE);
+        assertThat(none.last(AnswerError.class).code()).isEqualTo(ResultCode.NO_BACKEND_SERVER);
+        assertThat(none.last(AnswerError.class).retryAfter()).isPositive();
+    }
+
+    @Test
+    void anIdempotentRequestIsSentAgainAfterAFailure() {
+        mDriver.arrive(1, SAFE);
+        BeginCall first = mDriver.call();
+        mDriver.answer(first.call(), 500, GENUINE);
+        assertThat(mDriver.calls()).isEqualTo(2);
+        assertThat(mDriver.last(CancelCall.class).call()).isEqualTo(first.call());
+    }
+
+    @Test
+    void theLastServersFailureIsPassedOn() {
+        DirectDriver one = new DirectDriver(1);
+        one.arrive(1, SAFE);
+        long call = one.call().call();
+        one.answer(call, 500, GENUINE);
+        one.give(new DirectEvent.Received(call, bytes("why")));
+        one.give(new DirectEvent.Finished(call));
+        assertThat(one.last(AnswerWhole.class).status()).isEqualTo(500);
+        assertThat(one.last(AnswerWhole.class).body()).isEqualTo(bytes("why"));
+    }
+
+    @Test
+    void anAnswerToAnotherRequestReachesNobody() {
+        // A late second answer of an earlier request arrives where this one's is expected. Passed
+        // on, one caller would read another's booking.
+        mDriver.arrive(1, UNSAFE);
+        long call = mDriver.call().call();
+        mDriver.answer(call, 200, CROSSED);
+        mDriver.give(new DirectEvent.Received(call, bytes("not yours")));
+        mDriver.give(new DirectEvent.Finished(call));
+        assertThat(mDriver.all(AnswerWhole.class)).isEmpty();
+        assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.BACKEND_FAILED);
+        assertThat(mDriver.last(CancelCall.class).call()).isEqualTo(call);
+    }
+
+    @Test
+    void anAddressWithAnotherServerIsPassedOver() {
+        mDriver.arrive(1, UNSAFE);
+        String replaced = mDriver.call().backend();
+        mDriver.answer(mDriver.call().call(), 421, OTHER_SERVER);
+        for (int i = 2; i < 60; i++) {
+            mDriver.arrive(i, UNSAFE);
+            assertThat(mDriver.call().backend()).isNotEqualTo(replaced);
+        }
+    }
+
+    @Test
+    void streamsArePassedOnInWholeEvents() {
+        mDriver.arrive(1, STREAM);
+        long call = mDriver.call().call();
+        mDriver.answer(call, 200, GENUINE);
+        assertThat(mDriver.last(AnswerHead.class).status()).isEqualTo(200);
+        mDriver.give(new DirectEvent.Received(call, bytes("id: 1\ndata: a\n\nid: 2\nda")));
+        assertThat(mDriver.last(AnswerData.class).bytes()).isEqualTo(bytes("id: 1\ndata: a\n\n"));
+        mDriver.give(new DirectEvent.Received(call, bytes("ta: b\n\n")));
+        assertThat(mDriver.last(AnswerData.class).bytes()).isEqualTo(bytes("id: 2\ndata: b\n\n"));
+        mDriver.give(new DirectEvent.Finished(call));
+        assertThat(mDriver.all(AnswerEnd.class)).hasSize(1);
+    }
+
+    @Test
+    void aResumableStreamGoesOnAfterTheLastWholeEvent() {
+        // The server breaks off in the middle of event 2. The caller has event 1 whole; the next
+        // server goes on after it, and nothing of the torn event is passed on.
+        mDriver.arrive(1, RESUMABLE);
+        long call = mDriver.call().call();
+        mDriver.answer(call, 200, GENUINE);
+        mDriver.give(new DirectEvent.Received(call, bytes("id: 1\ndata: a\n\nid: 2\nda")));
+        mDriver.give(new DirectEvent.Failed(call, true, "reset"));
+        BeginCall next = mDriver.call();
+        assertThat(next.resumeAfter()).isEqualTo("1");
+        mDriver.answer(next.call(), 200, GENUINE);
+        mDriver.give(new DirectEvent.Received(next.call(), bytes("id: 2\ndata: b\n\n")));
+        mDriver.give(new DirectEvent.Finished(next.call()));
+        assertThat(mDriver.all(AnswerHead.class)).hasSize(1);
+        assertThat(mDriver.all(AnswerData.class).stream().map(d -> new String(d.bytes())).toList())
+                .containsExactly("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n");
+        assertThat(mDriver.all(AnswerEnd.class)).hasSize(1);
+    }
+
+    @Test
+    void aStreamThatMayNotBeResumedIsCut() {
+        mDriver.arrive(1, STREAM);
+        long call = mDriver.call().call();
+        mDriver.answer(call, 200, GENUINE);
+        mDriver.give(new DirectEvent.Received(call, bytes("id: 1\n\n")));
+        mDriver.give(new DirectEvent.Failed(call, true, "reset"));
+        assertThat(mDriver.calls()).isEqualTo(1);
+        assertThat(mDriver.all(AnswerEnd.class)).isEmpty();
+        assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.ANSWER_CUT);
+    }
+
+    @Test
+    void isAnsweredWhenItsTimeIsOver() {
+        mDriver.arrive(1, UNSAFE);
+        mDriver.pass(Duration.ofMillis(990));
+        assertThat(mDriver.all(AnswerError.class)).isEmpty();
+        mDriver.pass(Duration.ofMillis(10));
+        assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.DEADLINE_EXCEEDED);
+        assertThat(mDriver.all(CancelCall.class)).hasSize(1);
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
+    @Test
+    void aSilentServerIsLeftWhereThatIsHarmless() {
+        mDriver.arrive(1, SAFE);
+        mDriver.arrive(2, UNSAFE);
+        mDriver.pass(Duration.ofMillis(310));
+        assertThat(mDriver.calls()).isEqualTo(3);
+        assertThat(mDriver.call().request().id()).isEqualTo("id1");
+        assertThat(mDriver.call().timeLeft()).isEqualTo(Duration.ofMillis(690));
+    }
+
+    @Test
+    void aCallerThatLeftStopsWhatMayBeStopped() {
+        mDriver.arrive(1, SAFE);
+        mDriver.give(new DirectEvent.CallerGone(1));
+        assertThat(mDriver.all(CancelCall.class)).hasSize(1);
+        assertThat(mDriver.isIdle()).isTrue();
+        mDriver.arrive(2, UNSAFE);
+        long call = mDriver.call().call();
+        mDriver.give(new DirectEvent.CallerGone(2));
+        assertThat(mDriver.all(CancelCall.class)).hasSize(1);
+        mDriver.answer(call, 200, GENUINE);
+        mDriver.give(new DirectEvent.Finished(call));
+        assertThat(mDriver.all(AnswerWhole.class)).isEmpty();
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
+    @Test
+    void repetitionsStopWhereTheFleetsBudgetEnds() {
+        // Every server fails every request. Ten routers may add three repetitions between them in a
+        // window, so that this one may add none or one, however many requests fail.
+        RetryLimits tight = new RetryLimits(0, 12, Duration.ofSeconds(10), 10, 1);
+        DirectDriver driver = new DirectDriver(4, tight, 3);
+        for (int i = 1; i <= 20; i++) {
+            driver.arrive(i, SAFE);
+            driver.give(new DirectEvent.Failed(driver.call().call(), true, "reset"));
+        }
+        assertThat(driver.calls()).isEqualTo(21);
+    }
+
+    @Test
+    void promptsThatShareAPartMeetAtOneServer() {
+        Prompt prompt =
+                new Prompt(
+                        List.of(new Prompt.Part(7, 800), new Prompt.Part(8, 400), part(99)),
+                        1210,
+                        5);
+        mDriver.arrive(1, STREAM, prompt);
+        String home = mDriver.call().backend();
+        for (int i = 2; i < 6; i++) {
+            long call = mDriver.call().call();
+            mDriver.answer(call, 200, GENUINE);
+            mDriver.give(new DirectEvent.Finished(call));
+            Prompt other =
+                    new Prompt(
+                            List.of(new Prompt.Part(7, 800), new Prompt.Part(8, 400), part(i)),
+                            1210,
+                            5);
+            mDriver.arrive(i, STREAM, other);
+            assertThat(mDriver.call().backend()).isEqualTo(home);
+        }
+    }
+
+    private static Prompt.Part part(long id) {
+        return new Prompt.Part(id, 10);
+    }
+
+    @Test
+    void aHotPartSpillsOver() {
+        Prompt prompt = new Prompt(List.of(new Prompt.Part(7, 800), part(1)), 810, 5);
+        for (int i = 1; i <= 16; i++) {
+            mDriver.arrive(i, STREAM, prompt);
+        }
+        long servers =
+                mDriver.all(BeginCall.class).stream().map(BeginCall::backend).distinct().count();
+        assertThat(servers).isGreaterThanOrEqualTo(3);
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/EventFramerTest.java
@@ -0,0 +1,44 @@
+package org.laurelweir.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Where a stream of events may be cut. */
+class EventFramerTest {
+    private static final String STREAM =
+            "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\ndata: c\n\n: comment\n\nid:3\ndata: \n\n";
+
+    @Property(tries = 300, seed = "82")
+    void theCutsOfThePiecesMakeNoDifference(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        byte[] all = STREAM.getBytes(StandardCharsets.UTF_8);
+        EventFramer framer = new EventFramer();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        int at = 0;
+        while (at < all.length) {
+            int next = Math.min(all.length, at + 1 + random.nextInt(12));
+            out.writeBytes(framer.add(Arrays.copyOfRange(all, at, next)));
+            at = next;
+        }
+        assertThat(out.toString(StandardCharsets.UTF_8)).isEqualTo(STREAM);
+        assertThat(framer.lastId()).isEqualTo("3");
+        assertThat(framer.events()).isEqualTo(4);
+        assertThat(framer.takeRest()).isEmpty();
+    }
+
+    @Test
+    void whatFollowsTheLastWholeEventIsHeldBack() {
+        EventFramer framer = new EventFramer();
+        byte[] whole = framer.add("id: 1\n\nid: 2\ndata".getBytes(StandardCharsets.UTF_8));
+        assertThat(whole).isEqualTo("id: 1\n\n".getBytes(StandardCharsets.UTF_8));
+        assertThat(framer.lastId()).isEqualTo("1");
+        assertThat(framer.takeRest()).isEqualTo("id: 2\ndata".getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/RouteTableTest.java
@@ -0,0 +1,61 @@
+package org.laurelweir.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.settings.SettingsNode;
+import org.laurelweir.settings.SettingsTree;
+
+/** Which route takes a request. */
+class RouteTableTest {
+    private static SettingsNode route(String name, String host, String prefix) {
+        return SettingsNode.of(
+                NodePath.ofRoute(name),
+                1,
+                Map.of("route.host", host, "route.path-prefix", prefix, "route.shares", "s:1"));
+    }
+
+    private static SettingsNode service(String kind) {
+        return SettingsNode.of(NodePath.ofService("s"), 1, Map.of("service.kind", kind));
+    }
+
+    private final RouteTable mTable =
+            RouteTable.of(
+                    SettingsTree.of(
+                            1,
+                            List.of(
+                                    service("routed"),
+                                    route("a", "h", "/a/"),
+                                    route("ab", "h", "/a/b/"),
+                                    route("other", "i", "/a/"))));
+
+    private String find(String host, String path) {
+        return mTable.find(host, path).map(Route::name).orElse("");
+    }
+
+    @Test
+    void theLongestPrefixOfTheHostWins() {
+        assertThat(find("h", "/a/x")).isEqualTo("a");
+        assertThat(find("h", "/a/b/x")).isEqualTo("ab");
+        assertThat(find("h", "/a/b")).isEqualTo("a");
+        assertThat(find("I:8080", "/a/b/x")).isEqualTo("other");
+    }
+
+    @Test
+    void aPrefixIsWholePartsOfThePath() {
+        assertThat(find("h", "/ab/x")).isEmpty();
+        assertThat(find("h", "/a")).isEmpty();
+        assertThat(find("j", "/a/x")).isEmpty();
+        assertThat(find("h", "*")).isEmpty();
+    }
+
+    @Test
+    void tellsWhetherThereIsAnyOtherWay() {
+        assertThat(mTable.isOnlyRoutes()).isTrue();
+        SettingsTree mixed = SettingsTree.of(1, List.of(service("model")));
+        assertThat(RouteTable.of(mixed).isOnlyRoutes()).isFalse();
+    }
+}
