--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -30,6 +30,8 @@
 
     private final Path mFolder;
     private Duration mVanishAfter = Duration.ofSeconds(3);
+    private int mSeeds;
+    private boolean mFounding = true;
     private final Map<String, Endpoint> mPeers = new TreeMap<>();
     private final Map<String, ControlProgram> mRunning = new TreeMap<>();
     private final Map<String, ManagedChannel> mChannels = new TreeMap<>();
@@ -46,6 +48,18 @@
         }
     }
 
+    /** Has instances find each other through the first few of them, as an open deployment does. */
+    ControlFleet seeds(int seeds) {
+        mSeeds = seeds;
+        return this;
+    }
+
+    /** Sets whether instances that are started from now on may make a core of empty disks. */
+    ControlFleet founding(boolean founding) {
+        mFounding = founding;
+        return this;
+    }
+
     /** All are open at once, so that no port is given twice. */
     private static List<Integer> freePorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
@@ -79,17 +93,17 @@
     void start(String name, Path dataFolder) {
         ControlFile file =
                 new ControlFile(
-                        name,
+                        mSeeds == 0 ? name : address(name),
                         "vestkyst",
                         "bergen",
                         mPeers.get(name),
                         Optional.empty(),
                         new Endpoint("127.0.0.1", 0),
                         Optional.empty(),
-                        mPeers,
-                        List.of(),
+                        mSeeds == 0 ? mPeers : Map.of(),
+                        mPeers.values().stream().limit(mSeeds).toList(),
                         0,
-                        true,
+                        mFounding,
                         dataFolder,
                         Optional.empty(),
                         Duration.ofMillis(500),
--- /dev/null
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
@@ -0,0 +1,121 @@
+package org.laurelweir.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.laurelweir.coordination.Command;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.wire.ReplicaCodec;
+import org.laurelweir.wire.SettingsCodec;
+import org.laurelweir.wire.v1.ChangeSettingsReply;
+import org.laurelweir.wire.v1.ControlStatus;
+import org.laurelweir.wire.v1.ReadSettingsReply;
+import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.StatusRequest;
+
+/** A core whose instances know a few seeds and find, replace and count each other by themselves. */
+class OpenCoreTest {
+    @TempDir Path mFolder;
+
+    private static ControlStatus await(ControlFleet fleet, Predicate<ControlStatus> wanted) {
+        return fleet.ask(s -> s.status(StatusRequest.getDefaultInstance()).getControls(0), wanted);
+    }
+
+    private static List<String> voters(ControlStatus status) {
+        return status.getVotersList().stream().map(v -> ReplicaCodec.toCore(v).name()).toList();
+    }
+
+    private static ChangeSettingsReply change(ControlFleet fleet) {
+        Command.NodeChange node =
+                new Command.NodeChange("/service=s", 0, Map.of(), List.of(), false);
+        Command.ChangeSettings change =
+                new Command.ChangeSettings(Instant.EPOCH, "change-1", "test", List.of(node));
+        return fleet.ask(
+                s -> s.changeSettings(SettingsCodec.toWire(change)),
+                r -> !ControlFleet.isElsewhere(r.getCode()));
+    }
+
+    private static ReadSettingsReply read(ControlFleet fleet) {
+        ReadSettingsRequest request =
+                ReadSettingsRequest.newBuilder().setLinearizable(true).build();
+        return fleet.ask(s -> s.readSettings(request), r -> r.getCode() == 0);
+    }
+
+    @Test
+    void instancesThatNoSeedNamesJoin() throws Exception {
+        // Four instances start with empty disks and know three of them. One core comes of it, in
+        // which all four vote.
+        try (ControlFleet fleet = new ControlFleet(mFolder, 4).seeds(3).startAll()) {
+            assertThat(change(fleet).getCode()).isEqualTo(ResultCode.OK.number());
+            ControlStatus status = await(fleet, s -> s.getVotersCount() == 4);
+            assertThat(voters(status))
+                    .containsExactlyInAnyOrderElementsOf(
+                            fleet.names().stream().map(fleet::address).toList());
+        }
+    }
+
+    @Test
+    void anEmptyDiskNeverFoundsASecondCore() throws Exception {
+        // All but one instance of a deployment are away as one comes back with an empty disk.
+        // Making
+        // a core of its own, it would acknowledge changes that the others never learn of.
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).seeds(3).startAll()) {
+            change(fleet);
+            fleet.names().forEach(fleet::stop);
+            fleet.founding(false).start("c1", mFolder.resolve("c1-new"));
+            ControlStatus alone =
+                    fleet.stub("c1").status(StatusRequest.getDefaultInstance()).getControls(0);
+            assertThat(alone.getVotersCount()).isZero();
+            fleet.start("c2");
+            fleet.start("c3");
+            assertThat(read(fleet).getNodesCount()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aLostDiskIsReplacedAndNothingAcceptedIsLost() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).seeds(3).startAll()) {
+            ChangeSettingsReply first = change(fleet);
+            ControlStatus before = await(fleet, s -> s.getVotersCount() == 3);
+            fleet.stop("c1");
+            fleet.founding(false).start("c1", mFolder.resolve("c1-new"));
+            await(
+                    fleet,
+                    s ->
+                            s.getVotersCount() == 3
+                                    && !s.getVotersList().equals(before.getVotersList())
+                                    && voters(s).contains(fleet.address("c1")));
+            fleet.stop("c2");
+            assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
+        }
+    }
+
+    @Test
+    void anInstanceAtAnotherAddressTakesAPlaceThatIsLeftForGood() throws Exception {
+        // One of three is gone for good and a new one starts elsewhere, knowing the old seeds. Were
+        // the old one counted on, the next loss would stop all changes.
+        try (ControlFleet fleet = new ControlFleet(mFolder, 4).seeds(3)) {
+            fleet.start("c1");
+            fleet.start("c2");
+            fleet.start("c3");
+            ChangeSettingsReply first = change(fleet);
+            fleet.stop("c2");
+            fleet.founding(false).start("c4");
+            ControlStatus after =
+                    await(
+                            fleet,
+                            s ->
+                                    s.getVotersCount() == 3
+                                            && voters(s).contains(fleet.address("c4")));
+            assertThat(voters(after)).doesNotContain(fleet.address("c2"));
+            fleet.stop("c1");
+            assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/rpc/SettingsTrustTest.java
@@ -0,0 +1,69 @@
+package org.laurelweir.router.rpc;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.runtime.process.ElapsedClock;
+
+/** For how long a router may rely on its settings. */
+class SettingsTrustTest {
+    private static final Duration HOUR = Duration.ofHours(1);
+
+    private final ElapsedClock mClock = new ElapsedClock();
+    private final SettingsTrust mTrust = new SettingsTrust(mClock, HOUR, HOUR.dividedBy(2));
+
+    @Test
+    void nothingIsTrustedBeforeAConfirmation() {
+        assertThat(mTrust.isGiven()).isFalse();
+        assertThat(mTrust.mayDeny()).isFalse();
+    }
+
+    @Test
+    void theAgeOfTheConfirmationCounts() {
+        // A control instance that was cut off answers promptly, with a confirmation that is old. A
+        // key that was taken away meanwhile must not be let in for as long again.
+        mTrust.confirmed(mTrust.asking(), HOUR.minusMinutes(20));
+        assertThat(mTrust.isGiven()).isTrue();
+        assertThat(mTrust.mayDeny()).isFalse();
+        SettingsTrust late = new SettingsTrust(mClock, HOUR, HOUR);
+        late.confirmed(late.asking(), HOUR);
+        assertThat(late.isGiven()).isFalse();
+    }
+
+    @Test
+    void aLateAnswerDoesNotTakeTrustBack() {
+        ElapsedClock.Mark asked = mTrust.asking();
+        mTrust.confirmed(asked, Duration.ZERO);
+        mTrust.confirmed(asked, HOUR.multipliedBy(2));
+        assertThat(mTrust.isGiven()).isTrue();
+    }
+
+    @Test
+    void aSuspensionCounts() {
+        // The steady clock stood still for two hours while the machine was suspended; the time of
+        // day did not.
+        ElapsedClock.Mark now = mTrust.asking();
+        ElapsedClock.Mark asked =
+                new ElapsedClock.Mark(now.steadyNanos(), now.wallMillis() - 2 * HOUR.toMillis());
+        mTrust.confirmed(asked, Duration.ZERO);
+        assertThat(mTrust.isGiven()).isFalse();
+    }
+
+    @Test
+    void aClockThatIsSetBackDoesNotLengthenIt() {
+        ElapsedClock.Mark now = mTrust.asking();
+        ElapsedClock.Mark asked =
+                new ElapsedClock.Mark(
+                        now.steadyNanos() - 2 * HOUR.toNanos(), now.wallMillis() + HOUR.toMillis());
+        mTrust.confirmed(asked, Duration.ZERO);
+        assertThat(mTrust.isGiven()).isFalse();
+    }
+
+    @Test
+    void withoutALeaseSettingsAreTrustedForEver() {
+        SettingsTrust forEver = new SettingsTrust(mClock, Duration.ZERO, Duration.ZERO);
+        assertThat(forEver.isGiven()).isTrue();
+        assertThat(forEver.mayDeny()).isTrue();
+    }
+}
