--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -3,7 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
-import java.util.List;
+import java.util.Collection;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
 import org.laurelweir.coordination.ControlEffect.Answer;
@@ -44,10 +44,9 @@
                         });
     }
 
-    /** Returns where the other control instances are reached, as far as they are known. */
-    List<String> peers() {
-        Reported r = mLast;
-        return r == null ? List.of() : r.peers();
+    /** Returns where the other control instances are reached; nothing before the first report. */
+    Optional<Collection<String>> peers() {
+        return Optional.ofNullable(mLast).map(Reported::peers);
     }
 
     void reported(Reported report) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -133,7 +133,7 @@
         Supplier<List<String>> controls =
                 () -> {
                     List<String> all = new ArrayList<>(List.of(address().toString()));
-                    all.addAll(mMetrics.peers());
+                    all.addAll(mMetrics.peers().orElse(mFile.others().values()));
                     return all;
                 };
         mServer =
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ReadConfirmer.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ReadConfirmer.java
@@ -1,5 +1,6 @@
 package org.laurelweir.control.rpc;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.FutureCallback;
 import com.google.common.util.concurrent.Futures;
 import com.google.common.util.concurrent.MoreExecutors;
@@ -31,6 +32,8 @@
  * and keys that were taken away meanwhile would go on working behind it.
  */
 public final class ReadConfirmer {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     /** How often it asks, so that an answer is about a quarter of a second old at most. */
     private static final Duration INTERVAL = Duration.ofMillis(250);
 
@@ -59,6 +62,7 @@
     private final List<Runnable> mHeld = new ArrayList<>();
     private volatile ElapsedClock.Mark mConfirmed;
     private volatile ElapsedClock.Mark mAsked;
+    private volatile boolean mIsConfirmed;
 
     /**
      * Creates the confirmer.
@@ -88,9 +92,12 @@
     }
 
     private void look() {
-        askIfDue();
-        Duration next = mConfirmed == null ? FIRST_LOOK : LOOK;
-        mTimer.schedule(this::look, next.toMillis(), TimeUnit.MILLISECONDS);
+        try {
+            askIfDue();
+        } finally {
+            Duration next = mConfirmed == null ? FIRST_LOOK : LOOK;
+            mTimer.schedule(this::look, next.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     /**
@@ -165,7 +172,7 @@
         } else if (answer instanceof Refuse r && !r.leader().isEmpty()) {
             askLeader(asked, r.leader());
         } else {
-            mAsked = null;
+            notConfirmed("no leader is known");
         }
     }
 
@@ -178,14 +185,14 @@
                         if (reply.getCode() == 0) {
                             checkApplied(asked, reply.getPosition());
                         } else {
-                            mAsked = null;
+                            notConfirmed(leader + " answers " + reply.getCode());
                         }
                     }
 
                     @Override
                     public void onFailure(Throwable failure) {
                         mChannels.fresh(leader, channel);
-                        mAsked = null;
+                        notConfirmed(leader + " does not answer: " + failure.getMessage());
                     }
                 };
         Futures.addCallback(
@@ -219,7 +226,21 @@
         }
     }
 
+    private void notConfirmed(String reason) {
+        mAsked = null;
+        // Once for each loss: it asks several times a second.
+        if (mIsConfirmed) {
+            mIsConfirmed = false;
+            sLogger.atInfo().log("settings can't be confirmed: %s", reason);
+        }
+    }
+
     private void confirm(ElapsedClock.Mark asked) {
+        if (!mIsConfirmed) {
+            mIsConfirmed = true;
+            sLogger.atInfo().log(
+                    "settings are confirmed as of %d ms ago", mClock.since(asked).toMillis());
+        }
         mConfirmed = asked;
         mAsked = null;
         releaseAll();
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Await.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/Await.java
@@ -1,10 +1,10 @@
-package org.laurelweir.packaging.fleet;
+package org.laurelweir.junit;
 
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
-/** Waits for conditions, with a limit that only a fleet that hangs reaches. */
+/** Waits for conditions, with a limit that only programs that hang reach. */
 public final class Await {
     private static final Duration LIMIT = Duration.ofSeconds(90);
     private static final Duration PAUSE = Duration.ofMillis(20);
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/LeavingTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/LeavingTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.laurelweir.packaging.fleet.Await;
+import org.laurelweir.junit.Await;
 import org.laurelweir.packaging.fleet.Caller;
 import org.laurelweir.packaging.fleet.ChatStream;
 import org.laurelweir.packaging.fleet.Fleet;
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/ChatStream.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/ChatStream.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
+import org.laurelweir.junit.Await;
 import org.laurelweir.standin.Json;
 import org.laurelweir.standin.chat.Answer;
 import org.laurelweir.standin.chat.ChatAnswer;
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Fleet.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.laurelweir.junit.Await;
 import org.laurelweir.pgm.fleet.ControlClient;
 import org.laurelweir.pgm.fleet.FleetConnection;
 import org.laurelweir.settings.KeyDigest;
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/FleetProcess.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/FleetProcess.java
@@ -4,33 +4,22 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import org.laurelweir.junit.JavaProcess;
 
 /** One program as a process: its settings file, its ports, its log and the signals it gets. */
 public final class FleetProcess {
-    private static final List<String> JAVA =
-            List.of(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:-UsePerfData",
-                    "-XX:+UseSerialGC",
-                    "-XX:TieredStopAtLevel=1",
-                    "-Xss512k",
-                    "-Xmx96m",
-                    "--add-opens",
-                    "java.base/jdk.internal.misc=ALL-UNNAMED");
-    private static final long EXIT_SECONDS = 90;
-
     private final String mName;
-    private final String mMain;
     private final Path mFolder;
-    private Process mProcess;
+    private final JavaProcess mProcess;
 
     FleetProcess(String name, String main, Path folder) {
         mName = name;
-        mMain = main;
         mFolder = folder;
+        String settings = folder.resolve(name + ".yaml").toString();
+        mProcess =
+                new JavaProcess(
+                        name, folder.resolve(name + ".log"), main, List.of("--settings", settings));
     }
 
     /** Returns the program's name. */
@@ -43,7 +32,11 @@
     }
 
     void writeSettings(String yaml) {
-        write(mFolder.resolve(mName + ".yaml"), yaml);
+        try {
+            Files.writeString(mFolder.resolve(mName + ".yaml"), yaml);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     /** Starts the process, the first time or again with the same settings. */
@@ -51,112 +44,53 @@
         try {
             Files.deleteIfExists(portFile(""));
             Files.deleteIfExists(portFile("-metrics"));
-            ProcessBuilder builder = new ProcessBuilder(new ArrayList<>(JAVA));
-            builder.command().addAll(List.of("-cp", classPath(), mMain, "--settings"));
-            builder.command().add(mFolder.resolve(mName + ".yaml").toString());
-            builder.redirectErrorStream(true);
-            builder.redirectOutput(
-                    ProcessBuilder.Redirect.appendTo(mFolder.resolve(mName + ".log").toFile()));
-            mProcess = builder.start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-    }
-
-    private static String classPath() {
-        // Surefire's own class path is a jar that names the entries; the property lists them.
-        return System.getProperty(
-                "surefire.test.class.path", System.getProperty("java.class.path"));
+        mProcess.start();
     }
 
     /** Returns the port that the program listens on, once it does. */
     public int port() {
-        return readPort("");
+        return mProcess.awaitPort(portFile(""));
     }
 
     /** Returns the port of metrics and readiness, once the program listens there. */
     public int metricsPort() {
-        return readPort("-metrics");
-    }
-
-    private int readPort(String suffix) {
-        Path file = portFile(suffix);
-        Await.until("a port in " + file, () -> !isRunning() || !read(file).isEmpty());
-        if (!isRunning()) {
-            throw new AssertionError(mName + " has ended; its log is in " + mFolder);
-        }
-        return Integer.parseInt(read(file));
+        return mProcess.awaitPort(portFile("-metrics"));
     }
 
     /** Returns whether the process is there. */
     public boolean isRunning() {
-        return mProcess != null && mProcess.isAlive();
+        return mProcess.isRunning();
     }
 
     /** SIGKILL: the process ends at once, in the middle of whatever it does. */
     public void kill() {
-        mProcess.destroyForcibly();
-        awaitExit();
+        mProcess.kill();
     }
 
     /** SIGTERM: the process ends in its own time. */
     public void terminate() {
-        mProcess.destroy();
+        mProcess.terminate();
     }
 
     /** SIGSTOP: the process stands still with its connections open. */
     public void freeze() {
-        signal("-STOP");
+        mProcess.freeze();
     }
 
     /** SIGCONT: the process goes on. */
     public void resume() {
-        signal("-CONT");
+        mProcess.resume();
     }
 
     /** Waits for the end of the process and returns its exit status. */
     public int awaitExit() {
-        try {
-            if (!mProcess.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
-                throw new AssertionError(mName + " does not end");
-            }
-            return mProcess.exitValue();
-        } catch (InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
-    private void signal(String name) {
-        try {
-            String pid = Long.toString(mProcess.pid());
-            Process kill = new ProcessBuilder("kill", name, pid).start();
-            if (kill.waitFor() != 0) {
-                throw new AssertionError("kill " + name + " " + mName);
-            }
-        } catch (IOException | InterruptedException e) {
-            throw new AssertionError(e);
-        }
+        return mProcess.awaitExit();
     }
 
     void destroy() {
-        if (mProcess != null) {
-            mProcess.destroyForcibly();
-        }
-    }
-
-    private static String read(Path file) {
-        try {
-            return Files.exists(file) ? Files.readString(file).strip() : "";
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    private static void write(Path file, String text) {
-        try {
-            Files.writeString(file, text);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        mProcess.destroy();
     }
 }
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/GenerationWatch.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/GenerationWatch.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.laurelweir.junit.Await;
 
 /**
  * Asks routers all the time which settings are in force, and notes when one goes back. Each change
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Relay.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/fleet/Relay.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.laurelweir.junit.Await;
 
 /**
  * Forwards TCP connections. It can lose track of those that are open, in one direction or both, and
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -1,17 +1,20 @@
 package org.laurelweir.router.direct;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.AnswerFacts;
 import org.laurelweir.router.http.HttpDialect;
 
 /** Reads what the head of an answer says to the router. */
 final class AnswerReader {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final int MISDIRECTED = 421;
     private static final int LOAD_FIELDS = 3;
 
@@ -63,7 +66,9 @@
                             Integer.parseInt(numbers[1].strip()),
                             Integer.parseInt(numbers[2].strip())));
         } catch (NumberFormatException e) {
-            // A load that can't be read is as good as none: the router goes by its own counts.
+            // As good as none: the router goes by its own counts.
+            sLogger.atInfo().atMostEvery(1, TimeUnit.MINUTES).log(
+                    "load \"%s\" of a backend server can't be read, passed over", told);
             return Optional.empty();
         }
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -1,11 +1,13 @@
 package org.laurelweir.router.request;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.Prompt;
@@ -27,6 +29,7 @@
 
 /** Resolves callers' requests to routes by the settings in force. Thread-safe. */
 public final class RouteResolver {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final String PROGRAM = "router";
     private static final int MAX_PARTS = 256;
     private static final int HEXADECIMAL = 16;
@@ -226,6 +229,9 @@
                     Integer.parseInt(tokens[0].strip()),
                     Integer.parseInt(tokens[1].strip()));
         } catch (RuntimeException e) {
+            sLogger.atInfo().atMostEvery(1, TimeUnit.MINUTES).log(
+                    "prompt of request %s can't be read, no cache is looked for: %s",
+                    call.header(mDialect.requestId()), e);
             return Prompt.NONE;
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.placement.Outliers;
@@ -93,14 +94,19 @@
         return server(id).mSlots;
     }
 
-    void forget(String id) {
-        mServers.remove(id);
-        mOutliers.values().forEach(o -> o.onLeave(id));
+    /** Forgets servers that are not known any more and run nothing of this router. */
+    void prune(BackendSource source) {
+        List<String> gone =
+                mServers.keySet().stream()
+                        .filter(id -> source.backend(id) == null && server(id).mOwn == 0)
+                        .toList();
+        gone.forEach(this::forget);
     }
 
-    /** Forgets servers that have not been called for long and are not known any more. */
-    void prune(BackendSource source) {
-        mServers.keySet().removeIf(id -> source.backend(id) == null && server(id).mOwn == 0);
+    /** What failed at a server counts against nobody once it is gone, and must not be kept. */
+    private void forget(String id) {
+        mServers.remove(id);
+        mOutliers.values().forEach(o -> o.onLeave(id));
     }
 
     private Server server(String id) {
