--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/FakeControlServer.java
@@ -44,6 +44,7 @@
         answer(
                 reply,
                 ExchangeReply.newBuilder()
+                        .setSettingsAgeMillis(0)
                         .setMembership(MembershipCodec.toWire(membership))
                         .setSettings(mSettings.build())
                         .build());
