Tell apart the starts of a backend server that keeps its name

Cause: a server that starts again under its name has numbers that begin anew, which were passed over as late; once withdrawn it never came back; and the load, failures, pauses and kept connections of the run before were believed of the next one.

Change: the time of its start is a backend server's incarnation, from the announcement through what instances tell each other to what a router keeps of it. Of two names at one address the later start is there.

Ruled out: a table of earlier starts on each instance; the order of incarnations that the membership already has brings any order of messages to the same end.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
@@ -6,6 +6,7 @@
 import org.laurelweir.coordination.Command;
 import org.laurelweir.coordination.ControlEffect.Answer;
 import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 
 /**
@@ -30,7 +31,7 @@
     /**
      * Passes on the announcement of a backend server without a sidecar.
      *
-     * @param backend its session is the announcement's own number
+     * @param backend its session is the announcement's own number, its incarnation when it started
      * @param answer told once the announcement is taken
      */
     public void announce(Backend backend, Consumer<Answer> answer) {
@@ -40,10 +41,10 @@
     /**
      * Passes on that a backend server without a sidecar leaves for good.
      *
-     * @param id its name
+     * @param backend its incarnation is when it started, 0 where it does not tell
      */
-    public void withdraw(String id, Consumer<Answer> answer) {
-        mEvents.accept(new ControlEvent.BackendWithdrawn(mCalls.open(answer), id));
+    public void withdraw(BackendRef backend, Consumer<Answer> answer) {
+        mEvents.accept(new ControlEvent.BackendWithdrawn(mCalls.open(answer), backend));
     }
 
     /**
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import org.laurelweir.lib.BackendRef;
 
 /**
  * One connection to a backend server, which carries one request at a time. It is kept for another
@@ -21,7 +22,7 @@
  * and nothing followed it.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
-    private final String mBackend;
+    private final BackendRef mBackend;
     private final IdleConnections mIdle;
     private Channel mChannel;
     private Exchange mExchange;
@@ -31,7 +32,7 @@
     private boolean mSuspect;
     private Duration mIdleTime = Duration.ZERO;
 
-    BackendConnection(String backend, IdleConnections idle) {
+    BackendConnection(BackendRef backend, IdleConnections idle) {
         mBackend = backend;
         mIdle = idle;
     }
@@ -41,7 +42,7 @@
         mChannel = context.channel();
     }
 
-    String backend() {
+    BackendRef backend() {
         return mBackend;
     }
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/IdleConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/IdleConnections.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.laurelweir.lib.BackendRef;
 
 /** The connections that wait for another request, the one used last first. Only on one thread. */
 final class IdleConnections {
@@ -28,7 +29,10 @@
 
     private static final String TIMEOUT = "timeout=";
 
-    private final Map<String, Deque<Idle>> mByBackend = new HashMap<>();
+    private final Map<String, Pool> mByName = new HashMap<>();
+
+    /** The connections to one start of a backend server. */
+    private record Pool(BackendRef backend, Deque<Idle> idle) {}
 
     private record Idle(BackendConnection connection, long untilNanos) {}
 
@@ -57,8 +61,12 @@
     }
 
     void put(BackendConnection connection, Duration idleTime) {
-        Deque<Idle> idle =
-                mByBackend.computeIfAbsent(connection.backend(), b -> new ArrayDeque<>());
+        BackendRef backend = connection.backend();
+        if (isOver(backend)) {
+            connection.close();
+            return;
+        }
+        Deque<Idle> idle = pool(backend);
         idle.push(new Idle(connection, System.nanoTime() + idleTime.toNanos()));
         if (idle.size() > MOST_PER_BACKEND) {
             idle.removeLast().connection().close();
@@ -66,31 +74,59 @@
     }
 
     /** Takes a connection to a backend server, or returns null where none is fit for use. */
-    BackendConnection take(String backend) {
-        Deque<Idle> idle = mByBackend.get(backend);
-        while (idle != null && !idle.isEmpty()) {
+    BackendConnection take(BackendRef backend) {
+        if (isOver(backend)) {
+            return null;
+        }
+        Deque<Idle> idle = pool(backend);
+        while (!idle.isEmpty()) {
             Idle newest = idle.pop();
             if (newest.untilNanos() - System.nanoTime() > 0 && newest.connection().isOpen()) {
                 return newest.connection();
             }
             newest.connection().close();
         }
+        mByName.remove(backend.id());
         return null;
     }
 
+    /** Returns whether connections to a later start under the same name are kept. */
+    private boolean isOver(BackendRef backend) {
+        Pool known = mByName.get(backend.id());
+        return known != null && known.backend().incarnation() > backend.incarnation();
+    }
+
+    /**
+     * Returns the connections to a start of a backend server. Those to its run before are closed:
+     * it may have crashed without a word, and a request sent to it would wait for an answer in
+     * vain.
+     */
+    private Deque<Idle> pool(BackendRef backend) {
+        Pool known = mByName.get(backend.id());
+        if (known != null && known.backend().equals(backend)) {
+            return known.idle();
+        }
+        Pool made = new Pool(backend, new ArrayDeque<>());
+        mByName.put(backend.id(), made);
+        if (known != null) {
+            known.idle().forEach(i -> i.connection().close());
+        }
+        return made.idle();
+    }
+
     void remove(BackendConnection connection) {
-        Deque<Idle> idle = mByBackend.get(connection.backend());
-        if (idle == null) {
+        Pool pool = mByName.get(connection.backend().id());
+        if (pool == null || !pool.backend().equals(connection.backend())) {
             return;
         }
-        Iterator<Idle> each = idle.iterator();
+        Iterator<Idle> each = pool.idle().iterator();
         while (each.hasNext()) {
             if (each.next().connection() == connection) {
                 each.remove();
             }
         }
-        if (idle.isEmpty()) {
-            mByBackend.remove(connection.backend());
+        if (pool.idle().isEmpty()) {
+            mByName.remove(connection.backend().id());
         }
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/RequestWriter.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/RequestWriter.java
@@ -37,7 +37,7 @@
             headers.add(h.name(), h.value());
         }
         headers.set(mDialect.timeLeft(), Long.toString(call.timeLeft().toMillis()));
-        headers.set(mDialect.target(), call.backend());
+        headers.set(mDialect.target(), call.backend().id());
         headers.remove(mDialect.account());
         if (!request.account().isEmpty()) {
             headers.set(mDialect.account(), request.account());
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.laurelweir.agreement.AgreementEvent;
 import org.laurelweir.agreement.MembershipChange;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Announcement;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
@@ -36,11 +37,16 @@
      * A backend server without a sidecar announced itself.
      *
      * @param backend its session is the announcement's own number, which rises from one to the next
+     *     within one start; its incarnation is when it started, 0 where it does not tell
      */
     record BackendAnnounced(long call, Backend backend) implements ControlEvent {}
 
-    /** A backend server without a sidecar said that it leaves. */
-    record BackendWithdrawn(long call, String backend) implements ControlEvent {}
+    /**
+     * A backend server without a sidecar said that it leaves.
+     *
+     * @param backend the incarnation is when it started, 0 where it does not tell
+     */
+    record BackendWithdrawn(long call, BackendRef backend) implements ControlEvent {}
 
     /** Someone reads the operator's own text of the settings, the newest that was accepted. */
     record SourceRead(long call) implements ControlEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -24,6 +24,7 @@
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.DirectSessions;
 import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.settings.SettingsTree;
 
 /**
  * Decides what a control instance does. Durable is what goes through the replicated log; the
@@ -42,6 +43,7 @@
     private final ReplicaRepair mRepair;
     private final PeerSharing mSharing;
     private final DirectSessions mDirect;
+    private final PassedOverNotes mPassedOver;
     private Instant mNextReport = Instant.MIN;
     private Instant mNow;
     private Consumer<? super ControlEffect> mEffects;
@@ -55,6 +57,7 @@
      */
     public ControlReducer(ControlConfig config, LogCodec codec, long seed) {
         mNotes = new DecisionNotes(config.name());
+        mPassedOver = new PassedOverNotes(mNotes);
         mReplica = new LogReplica(config, codec, seed, mNotes);
         List<String> peers = new ArrayList<>(config.addresses().keySet());
         peers.remove(config.name());
@@ -64,7 +67,7 @@
         mExchanges = new Exchanges(mMembership, mReplica, mRouters, mNotes);
         mQueries = new Queries(mMembership, mReplica, mRouters, presences);
         mRepair = new ReplicaRepair(mReplica, presences, config.open());
-        mDirect = new DirectSessions(mMembership);
+        mDirect = new DirectSessions(mMembership, this::mayBeService);
         mSharing = new PeerSharing(config, mMembership, mReplica, mRouters, presences, mPeers);
     }
 
@@ -81,8 +84,7 @@
         } else if (event instanceof RouterExchanged e) {
             mExchanges.answer(now, e, effects);
         } else if (event instanceof BackendAnnounced e) {
-            mDirect.hear(now, e.backend());
-            effects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+            onAnnounced(e);
         } else if (event instanceof BackendWithdrawn e) {
             mDirect.withdraw(now, e.backend());
             effects.accept(new ControlEffect.AnswerAnnounced(e.call()));
@@ -127,6 +129,18 @@
         }
     }
 
+    private void onAnnounced(BackendAnnounced e) {
+        DirectSessions.Outcome outcome = mDirect.hear(mNow, e.backend());
+        mPassedOver.note(mNow, e.backend(), outcome, mEffects);
+        mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+    }
+
+    /** Before any settings are known, backend servers of every service are heard. */
+    private boolean mayBeService(String name) {
+        SettingsTree tree = mReplica.state().settings().tree();
+        return tree.size() == 0 || tree.services().contains(name);
+    }
+
     private void onCommand(CommandReceived e) {
         if (e.command() instanceof Command.Drain d
                 && d.drain()
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -44,6 +44,14 @@
         note(now, new Subject("", "", b.service()), List.of(id), choice, reason, effects);
     }
 
+    /** An announcement that changes nothing, since it is late or of another writer. */
+    void passedOver(
+            Instant now, Backend b, String reason, Consumer<? super ControlEffect> effects) {
+        List<String> candidates = List.of(b.ref().toString(), b.address());
+        Subject subject = new Subject("", "", b.service());
+        note(now, subject, candidates, "passed over", "announcement " + reason, effects);
+    }
+
     void applied(Instant now, Command c, CommandResult r, Consumer<? super ControlEffect> out) {
         if (c instanceof Command.Claim claim) {
             claimed(now, claim, (ClaimResult) r, out);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveCall.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveCall.java
@@ -7,9 +7,12 @@
 import java.util.List;
 import java.util.Set;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.lib.BackendRef;
 
 /** One caller's request from its arrival to its final answer, with the call under way. */
 final class ActiveCall {
+    private static final BackendRef NONE = new BackendRef("", 0);
+
     final long mCaller;
     final RoutedRequest mRequest;
     final String mService;
@@ -22,7 +25,9 @@
     /** The call under way, or 0. */
     long mCall;
 
-    String mBackend = "";
+    /** The backend server of the present or the last call. */
+    BackendRef mBackend = NONE;
+
     Instant mHeard = Instant.MIN;
 
     /** Backend servers that may have received the request. */
@@ -64,10 +69,10 @@
         return route().streamed() && mStatus / 100 == 2;
     }
 
-    void begin(long call, String backend, Instant now) {
+    void begin(long call, BackendRef backend, Instant now) {
         mCall = call;
         mBackend = backend;
-        mTried.add(backend);
+        mTried.add(backend.id());
         mHeard = now;
         mAnswered = false;
         mStatus = 0;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.lib.ResultCode;
 
@@ -12,14 +13,14 @@
      * Call a backend server.
      *
      * @param call names the call in events and effects
-     * @param backend the backend server's name; another one at the address must not run the request
+     * @param backend the backend server; another one at the address must not run the request
      * @param address where it listens
      * @param timeLeft how long the backend server may work
      * @param resumeAfter the id of the last event that the caller has, or empty to begin anew
      */
     record BeginCall(
             long call,
-            String backend,
+            BackendRef backend,
             String address,
             RoutedRequest request,
             Duration timeLeft,
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -136,16 +136,15 @@
     }
 
     private void begin(ActiveCall r, Backend backend, ServerChoice.Chosen chosen) {
-        String id = backend.ref().id();
-        r.begin(++mLastCall, id, mNow);
+        r.begin(++mLastCall, backend.ref(), mNow);
         r.mArrivals++;
         mByCall.put(r.mCall, r);
-        mServers.began(id);
+        mServers.began(backend.ref());
         emit(mReports.chose(r, chosen, mNow));
         emit(
                 new DirectEffect.BeginCall(
                         r.mCall,
-                        id,
+                        backend.ref(),
                         backend.address(),
                         r.mRequest,
                         r.timeLeft(mNow),
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
@@ -14,11 +14,11 @@
     }
 
     DirectEffect.Decided said(ActiveCall r, String reason, Instant now) {
-        return decided(r, now, List.of(), r.mBackend, reason, Double.NaN);
+        return decided(r, now, List.of(), r.mBackend.id(), reason, Double.NaN);
     }
 
     DirectEffect.Decided answered(ActiveCall r, Instant now) {
-        return decided(r, now, List.of(), r.mBackend, "answered_" + r.mStatus, Double.NaN);
+        return decided(r, now, List.of(), r.mBackend.id(), "answered_" + r.mStatus, Double.NaN);
     }
 
     DirectEffect.Decided gaveUp(ActiveCall r, DirectEffect.AnswerError e, Instant now) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -68,34 +68,34 @@
             return Optional.empty();
         }
         List<Candidate> all = new ArrayList<>(found.values());
-        double mean = all.stream().mapToInt(c -> mServers.load(c.id(), now)).average().orElse(0);
+        double mean = all.stream().mapToInt(c -> mServers.load(c.ref(), now)).average().orElse(0);
         double bound = BOUND_FACTOR * mean + BOUND_EXTRA;
         if (r.mRequest.prompt().isPresent()) {
             for (Candidate c : all) {
-                if (mServers.load(c.id(), now) <= bound && hasRoom(c, now)) {
+                if (mServers.load(c.ref(), now) <= bound && hasRoom(c, now)) {
                     return Optional.of(chosen(c, c == all.get(0) ? "home" : "next", all, now));
                 }
             }
         }
         return all.stream()
                 .filter(c -> hasRoom(c, now))
-                .min(Comparator.comparingInt(c -> mServers.load(c.id(), now)))
+                .min(Comparator.comparingInt(c -> mServers.load(c.ref(), now)))
                 .map(c -> chosen(c, "least_loaded", all, now));
     }
 
     private Chosen chosen(Candidate c, String reason, List<Candidate> all, Instant now) {
         List<String> ids = all.stream().map(Candidate::id).toList();
-        return new Chosen(c, reason, ids, mServers.load(c.id(), now));
+        return new Chosen(c, reason, ids, mServers.load(c.ref(), now));
     }
 
     /** A server with as many requests as slots would only queue one more. */
     private boolean hasRoom(Candidate c, Instant now) {
         int slots = slots(c);
-        return slots <= 0 || mServers.load(c.id(), now) < slots;
+        return slots <= 0 || mServers.load(c.ref(), now) < slots;
     }
 
     private int slots(Candidate c) {
-        int told = mServers.slots(c.id());
+        int told = mServers.slots(c.ref());
         return told > 0 ? told : (int) c.weight();
     }
 
@@ -131,7 +131,7 @@
     }
 
     private boolean isOpen(ActiveCall r, Candidate c, Instant now) {
-        return !r.mTried.contains(c.id()) && !mServers.isPassedOver(r.mService, c.id(), now);
+        return !r.mTried.contains(c.id()) && !mServers.isPassedOver(r.mService, c.ref(), now);
     }
 
     private Roster roster(String service) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -5,10 +5,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.placement.Outliers;
 
-/** What this router knows of single backend servers from calling them. */
+/**
+ * What this router knows of single backend servers from calling them. Kept of the latest start of
+ * each: a server that starts again under its name has none of the load and no share in the failures
+ * of its run before, and what an answer to that run says late is not its own.
+ */
 final class ServerTable {
     /** Failures in a row that eject; one alone may be the request's own. */
     private static final int FAILURES = 2;
@@ -34,55 +39,60 @@
     private final Map<String, Server> mServers = new HashMap<>();
     private final Map<String, Outliers> mOutliers = new HashMap<>();
 
-    void began(String id) {
-        server(id).mOwn++;
+    void began(BackendRef ref) {
+        server(ref).mOwn++;
     }
 
-    void ended(String id) {
-        Server s = server(id);
+    void ended(BackendRef ref) {
+        Server s = server(ref);
         s.mOwn = Math.max(0, s.mOwn - 1);
     }
 
-    void reported(String id, AnswerFacts.ReportedLoad load, Instant now) {
-        Server s = server(id);
+    void reported(BackendRef ref, AnswerFacts.ReportedLoad load, Instant now) {
+        Server s = server(ref);
         s.mReported = load.running() + load.waiting();
         s.mOwnAtReport = s.mOwn;
         s.mReportedAt = now;
         s.mSlots = load.slots();
     }
 
-    void full(String id, Instant now) {
-        server(id).mPausedUntil = now.plus(FULL_PAUSE);
+    void full(BackendRef ref, Instant now) {
+        server(ref).mPausedUntil = now.plus(FULL_PAUSE);
     }
 
-    void replaced(String id, Instant now) {
-        server(id).mPausedUntil = now.plus(REPLACED_PAUSE);
+    void replaced(BackendRef ref, Instant now) {
+        server(ref).mPausedUntil = now.plus(REPLACED_PAUSE);
     }
 
-    void succeeded(String service, String id) {
-        outliers(service).onSuccess(id);
+    void succeeded(String service, BackendRef ref) {
+        if (isLatest(ref)) {
+            outliers(service).onSuccess(ref.id());
+        }
     }
 
-    void failed(String service, String id, int servers, Instant now) {
-        outliers(service).onFailure(id, servers, now);
+    void failed(String service, BackendRef ref, int servers, Instant now) {
+        if (isLatest(ref)) {
+            outliers(service).onFailure(ref.id(), servers, now);
+        }
     }
 
     /** A server that takes no connection at all is ejected at once. */
-    void unreachable(String service, String id, int servers, Instant now) {
+    void unreachable(String service, BackendRef ref, int servers, Instant now) {
         for (int i = 0; i < FAILURES; i++) {
-            failed(service, id, servers, now);
+            failed(service, ref, servers, now);
         }
     }
 
-    boolean isPassedOver(String service, String id, Instant now) {
-        return now.isBefore(server(id).mPausedUntil) || outliers(service).isEjected(id, now);
+    boolean isPassedOver(String service, BackendRef ref, Instant now) {
+        Server s = server(ref);
+        return now.isBefore(s.mPausedUntil) || outliers(service).isEjected(ref.id(), now);
     }
 
     /**
      * Returns the requests that the server is believed to have, those of other routers included.
      */
-    int load(String id, Instant now) {
-        Server s = server(id);
+    int load(BackendRef ref, Instant now) {
+        Server s = server(ref);
         if (s.mReportedAt.plus(REPORT_AGE).isBefore(now)) {
             return s.mOwn;
         }
@@ -90,15 +100,15 @@
     }
 
     /** Returns the slots that the server told, or 0. */
-    int slots(String id) {
-        return server(id).mSlots;
+    int slots(BackendRef ref) {
+        return server(ref).mSlots;
     }
 
     /** Forgets servers that are not known any more and run nothing of this router. */
     void prune(BackendSource source) {
         List<String> gone =
                 mServers.keySet().stream()
-                        .filter(id -> source.backend(id) == null && server(id).mOwn == 0)
+                        .filter(id -> source.backend(id) == null && mServers.get(id).mOwn == 0)
                         .toList();
         gone.forEach(this::forget);
     }
@@ -109,8 +119,22 @@
         mOutliers.values().forEach(o -> o.onLeave(id));
     }
 
-    private Server server(String id) {
-        return mServers.computeIfAbsent(id, i -> new Server());
+    /** Returns the record of a start; that of an earlier one than the latest is kept nowhere. */
+    private Server server(BackendRef ref) {
+        Server known = mServers.get(ref.id());
+        if (known != null && known.mIncarnation > ref.incarnation()) {
+            return new Server(ref.incarnation());
+        }
+        if (known == null || known.mIncarnation < ref.incarnation()) {
+            forget(ref.id());
+            known = new Server(ref.incarnation());
+            mServers.put(ref.id(), known);
+        }
+        return known;
+    }
+
+    private boolean isLatest(BackendRef ref) {
+        return server(ref) == mServers.get(ref.id());
     }
 
     private Outliers outliers(String service) {
@@ -122,11 +146,16 @@
     }
 
     private static final class Server {
+        private final long mIncarnation;
         private int mOwn;
         private int mReported;
         private int mOwnAtReport;
         private int mSlots;
         private Instant mReportedAt = Instant.EPOCH;
         private Instant mPausedUntil = Instant.EPOCH;
+
+        Server(long incarnation) {
+            mIncarnation = incarnation;
+        }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -3,10 +3,14 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
+import org.laurelweir.lib.BackendRef;
 
 /**
  * Takes the announcements of backend servers that have no sidecar. These go to any control
- * instance, may be late, and may overtake each other; each carries a number that rises.
+ * instance, may be late, and may overtake each other; each carries a number that rises within one
+ * start of its backend server, and when that start was. The start is the incarnation: one that
+ * starts again under its name is another run, of which nothing known of the run before holds.
  *
  * <p>The number becomes the session whenever something changes: the state, or the instance that
  * hears. A late announcement then has a lower session than what it would take back, on every
@@ -14,66 +18,134 @@
  * stays, and an announcement costs its instance nothing that others have to be told of.
  */
 public final class DirectSessions {
-    /** The session of one that has left for good; no later announcement can be newer. */
+    /** The session of a run that has left; only a later start under the name comes after it. */
     private static final int LAST = Integer.MAX_VALUE;
 
+    /** The incarnation of an announcement that tells no start. */
+    private static final long START_UNTOLD = 0;
+
     private final SharedMembership mMembership;
-    private final Map<String, Integer> mNewest = new HashMap<>();
+    private final Predicate<String> mIsService;
+    private final Map<String, Mark> mNewest = new HashMap<>();
 
     /** The name under which each address was announced for the first time last. */
     private final Map<String, String> mHolders = new HashMap<>();
 
-    /** Creates an empty record beside a membership. */
-    public DirectSessions(SharedMembership membership) {
+    private boolean mStartsAreTold;
+
+    /** What became of an announcement. */
+    public enum Outcome {
+        /** It is the newest of its backend server, and believed. */
+        TAKEN,
+        /** A later one of the same backend server, or of a later start of it, is known. */
+        OVERTAKEN,
+        /** It names a service that the settings do not have. */
+        UNKNOWN_SERVICE,
+        /** It tells no start where others do, so that something else wrote it. */
+        START_MISSING,
+        /** A backend server that started later is at its address. */
+        ADDRESS_TAKEN
+    }
+
+    /**
+     * Creates an empty record beside a membership.
+     *
+     * @param membership takes what is believed
+     * @param isService whether the settings in force, if there are any, have a service of that name
+     */
+    public DirectSessions(SharedMembership membership, Predicate<String> isService) {
         mMembership = membership;
+        mIsService = isService;
     }
 
     /**
      * Takes an announcement.
      *
      * @param now when
-     * @param b what it says; its session is the announcement's number
+     * @param b what it says; its session is the announcement's number, its incarnation when the
+     *     backend server started, 0 where it does not tell
+     * @return what became of it; all but {@code TAKEN} change nothing
      */
-    public void hear(Instant now, Backend b) {
-        String id = b.ref().id();
-        Backend known = mMembership.backend(id);
-        if (known != null && b.session() <= known.session()) {
-            return;
+    public Outcome hear(Instant now, Backend b) {
+        Outcome outcome = judge(b);
+        if (outcome == Outcome.TAKEN) {
+            take(now, b);
         }
-        if (b.session() <= mNewest.getOrDefault(id, Integer.MIN_VALUE)) {
-            return;
+        return outcome;
+    }
+
+    private Outcome judge(Backend b) {
+        if (!mIsService.test(b.service())) {
+            return Outcome.UNKNOWN_SERVICE;
         }
-        if (!mayHold(now, b)) {
-            return;
+        if (mStartsAreTold && b.ref().incarnation() == START_UNTOLD) {
+            return Outcome.START_MISSING;
+        }
+        Backend known = mMembership.backend(b.ref().id());
+        Mark told = Mark.of(b);
+        boolean overtaken = known != null && !told.isAfter(Mark.of(known));
+        if (overtaken || !told.isAfter(mNewest.get(b.ref().id()))) {
+            return Outcome.OVERTAKEN;
         }
-        mNewest.put(id, b.session());
-        boolean goesOn = known != null && mMembership.hears(known) && known.state() == b.state();
+        return mayHoldAddress(b) ? Outcome.TAKEN : Outcome.ADDRESS_TAKEN;
+    }
+
+    private void take(Instant now, Backend b) {
+        String id = b.ref().id();
+        mStartsAreTold |= b.ref().incarnation() != START_UNTOLD;
+        mNewest.put(id, Mark.of(b));
+        String before = mHolders.put(b.address(), id);
+        if (before != null && !before.equals(id)) {
+            withdraw(now, before);
+        }
+        Backend known = mMembership.backend(id);
+        boolean goesOn = known != null && isUnchanged(known, b) && mMembership.hears(known);
         Backend told = goesOn ? b.withSession(known.session()) : b;
         mMembership.hear(now, new SidecarReport(told, 0, 0, 0));
     }
 
+    private static boolean isUnchanged(Backend known, Backend b) {
+        return known.ref().equals(b.ref()) && known.state() == b.state();
+    }
+
     /**
-     * Decides who is at an address that two names announce. Each start of a backend server has a
-     * new name, so the one that is heard for the first time is there, and the other has crashed.
-     * Left in place until it is missed, it would draw requests that its successor refuses; and a
-     * late announcement of it must not push the successor out.
+     * Decides who is at an address that two names announce. The one that started later is there,
+     * and the other has crashed. Left in place until it is missed, it would draw requests that its
+     * successor refuses; and a late announcement of it must not push the successor out. Where
+     * starts are not told, the one that is heard for the first time is the later one.
      */
-    private boolean mayHold(Instant now, Backend b) {
+    private boolean mayHoldAddress(Backend b) {
         String id = b.ref().id();
-        String holder = mHolders.getOrDefault(b.address(), id);
-        boolean isNew = mMembership.backend(id) == null && !mNewest.containsKey(id);
-        if (!holder.equals(id)) {
-            if (!isNew) {
-                return false;
-            }
-            withdraw(now, holder);
+        String holderId = mHolders.getOrDefault(b.address(), id);
+        if (holderId.equals(id)) {
+            return true;
+        }
+        Backend holder = mMembership.backend(holderId);
+        boolean present = holder != null && holder.state() != Backend.State.LEFT;
+        if (present && holder.ref().incarnation() != START_UNTOLD) {
+            return b.ref().incarnation() > holder.ref().incarnation();
+        }
+        return mMembership.backend(id) == null && !mNewest.containsKey(id);
+    }
+
+    /**
+     * Takes the word of a backend server that it leaves.
+     *
+     * @param now when
+     * @param ref the start that leaves; one that tells no start means the run that is known
+     */
+    public void withdraw(Instant now, BackendRef ref) {
+        Backend known = mMembership.backend(ref.id());
+        if (known == null) {
+            return;
+        }
+        long start = ref.incarnation();
+        if (start == START_UNTOLD || start == known.ref().incarnation()) {
+            withdraw(now, ref.id());
         }
-        mHolders.put(b.address(), id);
-        return true;
     }
 
-    /** Takes the word of a backend server that it leaves; it never comes back under its name. */
-    public void withdraw(Instant now, String id) {
+    private void withdraw(Instant now, String id) {
         Backend known = mMembership.backend(id);
         if (known == null) {
             return;
@@ -87,4 +159,20 @@
         mNewest.keySet().removeIf(id -> !mMembership.knows(id));
         mHolders.values().removeIf(id -> !mMembership.knows(id));
     }
+
+    /** Where an announcement stands among those of its backend server. */
+    private record Mark(long incarnation, int number) {
+        static Mark of(Backend b) {
+            return new Mark(b.ref().incarnation(), b.session());
+        }
+
+        boolean isAfter(Mark other) {
+            if (other == null) {
+                return true;
+            }
+            return incarnation == other.incarnation
+                    ? number > other.number
+                    : incarnation > other.incarnation;
+        }
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
@@ -18,6 +18,7 @@
 import org.laurelweir.direct.DirectEffect.AnswerWhole;
 import org.laurelweir.direct.DirectEffect.BeginCall;
 import org.laurelweir.direct.DirectEffect.CancelCall;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
 
 /** Single decisions about requests that are routed without sidecars, event by event. */
@@ -152,7 +153,7 @@
     @Test
     void anAddressWithAnotherServerIsPassedOver() {
         mDriver.arrive(1, UNSAFE);
-        String replaced = mDriver.call().backend();
+        BackendRef replaced = mDriver.call().backend();
         mDriver.answer(mDriver.call().call(), 421, OTHER_SERVER);
         for (int i = 2; i < 60; i++) {
             mDriver.arrive(i, UNSAFE);
@@ -264,7 +265,7 @@
                         1210,
                         5);
         mDriver.arrive(1, STREAM, prompt);
-        String home = mDriver.call().backend();
+        BackendRef home = mDriver.call().backend();
         for (int i = 2; i < 6; i++) {
             long call = mDriver.call().call();
             mDriver.answer(call, 200, GENUINE);
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -13,8 +13,8 @@
 
     private final SharedMembership mA = membership("a", "b");
     private final SharedMembership mB = membership("b", "a");
-    private final DirectSessions mAtA = new DirectSessions(mA);
-    private final DirectSessions mAtB = new DirectSessions(mB);
+    private final DirectSessions mAtA = new DirectSessions(mA, "s"::equals);
+    private final DirectSessions mAtB = new DirectSessions(mB, "s"::equals);
 
     private static SharedMembership membership(String self, String peer) {
         MembershipConfig config = MembershipConfig.builder(self, 1).build();
@@ -71,7 +71,7 @@
     void oneThatLeftNeverComesBack() {
         mAtA.hear(NOW, announced(Backend.State.SERVING, 4));
         share();
-        mAtA.withdraw(NOW, "w");
+        mAtA.withdraw(NOW, new BackendRef("w", 0));
         share();
         mAtB.hear(NOW, announced(Backend.State.SERVING, 9));
         share();
@@ -107,4 +107,85 @@
         assertThat(mA.backend("old").state()).isEqualTo(Backend.State.LEFT);
         assertThat(mA.backend("new").state()).isEqualTo(Backend.State.SERVING);
     }
+
+    private static Backend started(long start, Backend.State state, int number) {
+        return new Backend(
+                new BackendRef("w", start), "s", "dc", "", "1.2.3.4:80", state, 6, number);
+    }
+
+    private void assertEverywhere(long start, Backend.State state) {
+        share();
+        share();
+        for (SharedMembership m : List.of(mA, mB)) {
+            assertThat(m.backend("w").ref().incarnation()).isEqualTo(start);
+            assertThat(m.backend("w").state()).isEqualTo(state);
+        }
+    }
+
+    @Test
+    void oneThatStartsAgainUnderItsNameIsAnotherRun() {
+        // A server crashes and starts again under its name, so that its numbers begin anew. Passed
+        // over as late, it would be missed, taken for gone and get no request for ever.
+        mAtA.hear(NOW, started(1000, Backend.State.SERVING, 40));
+        mAtA.hear(NOW, started(9000, Backend.State.SERVING, 1));
+        assertEverywhere(9000, Backend.State.SERVING);
+        mAtB.hear(NOW, started(9000, Backend.State.DRAINING, 2));
+        assertEverywhere(9000, Backend.State.DRAINING);
+    }
+
+    @Test
+    void aRunBeforeTakesNothingBackHoweverLateItsWordComes() {
+        // The server announces its new start on one side of a cut. Words of the run before wait on
+        // the other side: that it serves, that it drains, that it leaves. Once the cut heals, none
+        // of them may stand before the new start.
+        mAtA.hear(NOW, started(1000, Backend.State.SERVING, 40));
+        share();
+        mAtA.hear(NOW, started(9000, Backend.State.SERVING, 1));
+        mAtB.hear(NOW, started(1000, Backend.State.DRAINING, 41));
+        mAtB.withdraw(NOW, new BackendRef("w", 1000));
+        assertEverywhere(9000, Backend.State.SERVING);
+        mAtB.withdraw(NOW, new BackendRef("w", 1000));
+        mAtB.hear(NOW, started(1000, Backend.State.SERVING, 42));
+        assertEverywhere(9000, Backend.State.SERVING);
+    }
+
+    @Test
+    void oneThatLeftComesBackWithALaterStart() {
+        mAtA.hear(NOW, started(1000, Backend.State.SERVING, 4));
+        mAtA.withdraw(NOW, new BackendRef("w", 1000));
+        assertEverywhere(1000, Backend.State.LEFT);
+        assertThat(mAtB.hear(NOW, started(1000, Backend.State.SERVING, 9)))
+                .isEqualTo(DirectSessions.Outcome.OVERTAKEN);
+        mAtB.hear(NOW, started(2000, Backend.State.SERVING, 1));
+        assertEverywhere(2000, Backend.State.SERVING);
+    }
+
+    private static Backend startedAt(String id, long start, String service, String address) {
+        return new Backend(
+                new BackendRef(id, start), service, "dc", "", address, Backend.State.SERVING, 6, 1);
+    }
+
+    @Test
+    void theLaterStartIsAtAnAddress() {
+        mAtA.hear(NOW, startedAt("old", 1000, "s", "1.2.3.4:80"));
+        mAtA.hear(NOW, startedAt("new", 5000, "s", "1.2.3.4:80"));
+        assertThat(mA.backend("old").state()).isEqualTo(Backend.State.LEFT);
+        assertThat(mAtA.hear(NOW, startedAt("older", 900, "s", "1.2.3.4:80")))
+                .isEqualTo(DirectSessions.Outcome.ADDRESS_TAKEN);
+        assertThat(mA.backend("new").state()).isEqualTo(Backend.State.SERVING);
+    }
+
+    @Test
+    void anotherWritersAnnouncementPushesNobodyOut() {
+        // Something announces a service that the settings don't have, or tells no start, at the
+        // address of a server that serves. Believed, it would push that server out, and callers
+        // would be refused for want of it.
+        mAtA.hear(NOW, startedAt("w", 1000, "s", "1.2.3.4:80"));
+        assertThat(mAtA.hear(NOW, startedAt("x", 9000, "unheard-of", "1.2.3.4:80")))
+                .isEqualTo(DirectSessions.Outcome.UNKNOWN_SERVICE);
+        assertThat(mAtA.hear(NOW, startedAt("x", 0, "s", "1.2.3.4:80")))
+                .isEqualTo(DirectSessions.Outcome.START_MISSING);
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.SERVING);
+        assertThat(mA.knows("x")).isFalse();
+    }
 }
