Keep callers for a moment at a router that has just started

Cause: a router that was killed listens some tenths of a second before it has its first settings. It turned every caller away with 1.5 s to wait; each has one retry, which may meet another such router.

Change: calls wait for the first settings, at most 0.8 s and a quarter of the caller's time, 256 at most, and are served in their order. Memberships are put in force before settings are vouched for, so that the first requests find the backend servers.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -33,8 +33,11 @@
      */
     private static final Duration COME_BACK = Duration.ofMillis(1500);
 
-    /** A caller that comes back later than after this part of its time is not served in it. */
-    private static final int PART_OF_TIME_LEFT = 3;
+    /**
+     * A caller comes back within a third of the time that it has left. One that waited here first
+     * has three quarters of its time, of which this part of the whole is a third.
+     */
+    private static final int PART_OF_TIME = 4;
 
     private final RouteResolver mRoutes;
     private final RequestResolver mResolver;
@@ -98,7 +101,7 @@
     }
 
     private Duration comeBack(HttpCall call) {
-        Duration most = mRoutes.callersTime(call).dividedBy(PART_OF_TIME_LEFT);
+        Duration most = mRoutes.callersTime(call).dividedBy(PART_OF_TIME);
         return most.compareTo(COME_BACK) < 0 ? most : COME_BACK;
     }
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -110,9 +110,10 @@
         mChannels = Channels.builder(mLoops, traffic).build();
         mExchangeClient = new ExchangeClient(controls(), file.controlTimeout(), order());
         traffic.show("ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
+        RouteResolver routes = new RouteResolver(mSettings, dialect, mTrust, clock);
         mCallers =
                 new Callers(
-                        new RouteResolver(mSettings, dialect, mTrust, clock),
+                        routes,
                         new RequestResolver(mSettings),
                         new ModelList(mSettings),
                         this::offer,
@@ -120,7 +121,17 @@
                         this::decided);
         mCallerServer =
                 new CallerServer(
-                        mLoops, file.listen(), mCallers, this::limits, this::requestName, dialect);
+                        mLoops,
+                        file.listen(),
+                        new EarlyCallHandler(
+                                mCallers,
+                                routes::isReady,
+                                routes::callersTime,
+                                mLoops.group(),
+                                clock),
+                        this::limits,
+                        this::requestName,
+                        dialect);
         mRing = new DecisionRing(file.decisions());
         mExplainServer =
                 RpcServer.builder(mLoops, traffic)
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -73,7 +73,7 @@
      */
     public Optional<RoutedRequest> resolve(HttpCall call) {
         Tables tables = tables();
-        if (tables.tree().position() == 0 || !mTrust.isUsable()) {
+        if (!isReady(tables)) {
             throw new LaurelweirException(
                     ResultCode.SETTINGS_UNKNOWN, "this router has no confirmed settings yet");
         }
@@ -84,6 +84,15 @@
         return route.map(r -> request(tables.tree(), r, call));
     }
 
+    /** Returns whether there are settings, and confirmed ones where they have to be. */
+    public boolean isReady() {
+        return isReady(tables());
+    }
+
+    private boolean isReady(Tables tables) {
+        return tables.tree().position() > 0 && mTrust.isUsable();
+    }
+
     /**
      * Returns the log's record of a call that is turned away.
      *
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -85,11 +85,12 @@
             return;
         }
         takeSettings(asked, answer);
-        answer.settingsAge().ifPresent(age -> mTrust.confirmed(asked, age));
         mControls.accept(answer.controls());
         mEvents.accept(
                 new RouterEvent.ExchangeAnswered(
                         answer.membership(), answer.loads(), answer.routers()));
+        // Last: a request that is let in by it finds the backend servers that came with it.
+        answer.settingsAge().ifPresent(age -> mTrust.confirmed(asked, age));
     }
 
     private synchronized void takeSettings(ElapsedClock.Mark asked, ExchangeAnswer answer) {
