Listen for callers before a router has loaded

Cause: from the start of the virtual machine until a router listens, 0.6 s and more pass on half a core, in which callers find nobody listening and use up their retry.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.laurelweir.direct.RetryLimits;
@@ -39,6 +40,7 @@
 import org.laurelweir.runtime.process.Program;
 import org.laurelweir.runtime.rpc.Channels;
 import org.laurelweir.runtime.rpc.ControlOrder;
+import org.laurelweir.runtime.rpc.EarlySocket;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.ExchangeClient;
 import org.laurelweir.runtime.rpc.PortFile;
@@ -84,7 +86,7 @@
      * @param out takes the line that tells where it listens
      */
     public RouterProgram(RouterFile file, InstantSource clock, Consumer<String> out) {
-        this(file, clock, out, HttpDialect.DEFAULT);
+        this(file, clock, out, HttpDialect.DEFAULT, Optional.empty());
     }
 
     /**
@@ -94,9 +96,14 @@
      * @param clock the time
      * @param out takes the line that tells where it listens
      * @param dialect the names of headers
+     * @param socket one that listens for callers already, if there is one
      */
     public RouterProgram(
-            RouterFile file, InstantSource clock, Consumer<String> out, HttpDialect dialect) {
+            RouterFile file,
+            InstantSource clock,
+            Consumer<String> out,
+            HttpDialect dialect,
+            Optional<EarlySocket> socket) {
         mFile = file;
         mDialect = dialect;
         mTrust = new SettingsTrust(new ElapsedClock(), file.keyLease(), file.denialLease());
@@ -123,6 +130,7 @@
                 new CallerServer(
                         mLoops,
                         file.listen(),
+                        socket,
                         new EarlyCallHandler(
                                 mCallers,
                                 routes::isReady,
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -8,11 +8,13 @@
 import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.Service;
 import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.rpc.EarlySocket;
 import org.laurelweir.runtime.rpc.EventLoops;
 
 /** Listens for callers. */
@@ -21,6 +23,7 @@
 
     private final EventLoops mLoops;
     private final Endpoint mListen;
+    private final Optional<EarlySocket> mSocket;
     private final CallerConnections mConnections;
     private Channel mListener;
 
@@ -29,6 +32,7 @@
      *
      * @param loops carry the connections
      * @param listen where; with port 0 the operating system chooses
+     * @param socket one that listens there already, if there is one
      * @param handler takes the requests
      * @param limits asked for each new connection
      * @param names of the requests
@@ -37,12 +41,14 @@
     public CallerServer(
             EventLoops loops,
             Endpoint listen,
+            Optional<EarlySocket> socket,
             CallHandler handler,
             Supplier<Limits> limits,
             RequestNames names,
             HttpDialect dialect) {
         mLoops = loops;
         mListen = listen;
+        mSocket = socket;
         mConnections = new CallerConnections(handler, limits, names, dialect);
     }
 
@@ -53,7 +59,9 @@
      */
     @Override
     public void start() {
-        mListener = mLoops.listen(mListen, BACKLOG, new Initializer());
+        mListener =
+                mSocket.map(s -> mLoops.listen(s, new Initializer()))
+                        .orElseGet(() -> mLoops.listen(mListen, BACKLOG, new Initializer()));
     }
 
     /** Returns where the server listens, with the port that was chosen. Once started. */
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/EventLoops.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/EventLoops.java
@@ -15,7 +15,6 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.TimeUnit;
 import org.laurelweir.errors.LaurelweirException;
-import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.runtime.config.Endpoint;
 
@@ -63,21 +62,43 @@
     public Channel listen(
             Endpoint listen, int backlog, ChannelInitializer<SocketChannel> connections) {
         ChannelFuture bind =
-                new ServerBootstrap()
-                        .group(mGroup)
+                bootstrap(connections)
                         .channel(serverType())
                         .option(ChannelOption.SO_BACKLOG, backlog)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(connections)
                         .bind(listen.toSocketAddress())
                         .awaitUninterruptibly();
-        if (!bind.isSuccess()) {
-            throw new LaurelweirException(
-                    ResultCode.CANNOT_LISTEN,
-                    "cannot listen on " + listen + ": " + bind.cause().getMessage(),
-                    bind.cause());
+        return listening(bind, listen);
+    }
+
+    /**
+     * Takes the connections of a socket that listens already.
+     *
+     * @param socket the socket
+     * @param connections sets up each one
+     * @return the listening socket
+     * @throws LaurelweirException CANNOT_LISTEN if the socket is of no use
+     */
+    public Channel listen(EarlySocket socket, ChannelInitializer<SocketChannel> connections) {
+        ChannelFuture register =
+                bootstrap(connections)
+                        .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+                        .register()
+                        .awaitUninterruptibly();
+        return listening(register, socket.endpoint());
+    }
+
+    private ServerBootstrap bootstrap(ChannelInitializer<SocketChannel> connections) {
+        return new ServerBootstrap()
+                .group(mGroup)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(connections);
+    }
+
+    private static Channel listening(ChannelFuture begun, Endpoint listen) {
+        if (!begun.isSuccess()) {
+            throw EarlySocket.cannotListen(listen, begun.cause());
         }
-        return bind.channel();
+        return begun.channel();
     }
 
     /** Returns the type of connections that fits the threads. */
