Fetch what a leaving server holds, also where this router never asked for it

A router sees a document about every 40 s, so that it seldom knows the holder of one whose home leaves; and the ranking of servers that take new work leaves out the very one that holds it.

Change: after the known holders, a fetch goes by the ranking of all servers, those that leave among them: the first there is where other routers have sent the document until now.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/EarlyCallHandler.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/EarlyCallHandler.java
@@ -22,6 +22,8 @@
      */
     private static final long CHECK_MILLIS = 10;
 
+    private static final int LOG_MILLIS = 200;
+
     private final CallHandler mServing;
     private final BooleanSupplier mCanServe;
     private final Function<HttpCall, Duration> mCallersTime;
@@ -68,7 +70,9 @@
         Duration time = mCallersTime.apply(early.call());
         boolean kept = mCalls.keep(mClock.instant(), early.caller(), time, early);
         if (kept) {
-            sLogger.atInfo().log("caller %d waits for the first settings", early.caller());
+            // Not a line each: this is a moment in which nothing may hold up the start.
+            sLogger.atInfo().atMostEvery(LOG_MILLIS, TimeUnit.MILLISECONDS).log(
+                    "caller %d waits for the first settings", early.caller());
         }
         if (kept && first) {
             mTimer.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -143,7 +143,7 @@
         r.mArrivals++;
         mByCall.put(r.mCall, r);
         mServers.began(backend.ref());
-        String fetchFrom = mFetches.addressFor(r, backend.ref(), chosen.ranked(), mNow);
+        String fetchFrom = mFetches.addressFor(r, backend.ref(), mNow);
         emit(mReports.chose(r, chosen, fetchFrom, mNow));
         emit(
                 new DirectEffect.BeginCall(
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
-import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatKey;
 
 /**
  * Tells from which other backend server the one that was chosen should fetch the shared parts of a
@@ -19,6 +19,9 @@
      */
     private static final int LEAST_TOKENS = 300;
 
+    /** Servers that are asked by rank: the former home, and another one where that has failed. */
+    private static final int RANKED = 3;
+
     private final BackendSource mSource;
     private final ServerTable mServers;
     private final PartHolders mHolders;
@@ -34,9 +37,8 @@
      *
      * @param r the request
      * @param chosen the server that will run it
-     * @param ranked those that rank first for the prompt's shared part, the first one first
      */
-    String addressFor(ActiveCall r, BackendRef chosen, List<Candidate> ranked, Instant now) {
+    String addressFor(ActiveCall r, BackendRef chosen, Instant now) {
         Prompt prompt = r.mRequest.prompt();
         if (!prompt.isPresent() || prompt.sharedTokens() < LEAST_TOKENS) {
             return "";
@@ -45,7 +47,7 @@
         if (holders.include(chosen)) {
             return "";
         }
-        for (BackendRef holder : inOrder(holders, ranked)) {
+        for (BackendRef holder : inOrder(r, holders)) {
             if (!holder.id().equals(chosen.id()) && mayAnswer(r, holder, now)) {
                 return mSource.backend(holder.id()).address();
             }
@@ -55,11 +57,13 @@
 
     /**
      * Known holders come first. Other routers send prompts with this part to the first in rank, so
-     * that it likely holds it even where this router has seen nobody read it.
+     * that it likely holds it even where this router has seen nobody read it. One that is leaving
+     * counts: where it ranks first, the part is still there and nowhere else.
      */
-    private static List<BackendRef> inOrder(PartHolders.Holders holders, List<Candidate> ranked) {
+    private List<BackendRef> inOrder(ActiveCall r, PartHolders.Holders holders) {
         List<BackendRef> order = new ArrayList<>(holders.known());
-        ranked.forEach(c -> order.add(c.ref()));
+        ChatKey key = r.mRequest.prompt().key();
+        mSource.view(r.mService).rankingOfAll().top(key, RANKED).forEach(c -> order.add(c.ref()));
         return order;
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Prompt.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Prompt.java
@@ -1,6 +1,7 @@
 package org.laurelweir.direct;
 
 import java.util.List;
+import org.laurelweir.placement.ChatKey;
 
 /**
  * What a caller tells of a prompt, so that its parts can be found where they are cached.
@@ -31,6 +32,18 @@
         return !parts.isEmpty();
     }
 
+    /** Returns the key by which all routers rank backend servers for the prompt. */
+    ChatKey key() {
+        return new ChatKey(mix(sharedPart().id()));
+    }
+
+    /** Part ids may be small or close to each other; ranks need them spread. */
+    private static long mix(long id) {
+        long x = id * 0x9E3779B97F4A7C15L;
+        x ^= x >>> 32;
+        return x * 0xD6E8FEB86659FD93L;
+    }
+
     /** Returns the tokens of all parts that other prompts may share. */
     public int sharedTokens() {
         return parts.stream().limit(Math.max(1, parts.size() - 1)).mapToInt(Part::tokens).sum();
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -53,14 +53,8 @@
      * @param reason why, one of a few fixed words
      * @param candidates those that were weighed, best first
      * @param load its load as known
-     * @param ranked those that rank first for the prompt's shared part; none without a prompt
      */
-    record Chosen(
-            Candidate server,
-            String reason,
-            List<String> candidates,
-            int load,
-            List<Candidate> ranked) {}
+    record Chosen(Candidate server, String reason, List<String> candidates, int load) {}
 
     /** Returns how many backend servers of a service take new work. */
     int size(String service) {
@@ -69,34 +63,29 @@
 
     /** Chooses a server that was not tried yet, or none. */
     Optional<Chosen> choose(ActiveCall r, Instant now) {
-        List<Candidate> ranked = ranked(r);
-        Map<String, Candidate> found = candidates(r, ranked, now);
+        Map<String, Candidate> found = candidates(r, now);
         if (found.isEmpty()) {
             return Optional.empty();
         }
         List<Candidate> all = new ArrayList<>(found.values());
         double mean = all.stream().mapToInt(c -> mServers.load(c.ref(), now)).average().orElse(0);
         double bound = BOUND_FACTOR * mean + BOUND_EXTRA;
-        Weighed weighed = new Weighed(all, ranked);
         if (r.mRequest.prompt().isPresent()) {
             for (Candidate c : all) {
                 if (mServers.load(c.ref(), now) <= bound && hasRoom(c, now)) {
-                    return Optional.of(chosen(c, c == all.get(0) ? "home" : "next", weighed, now));
+                    return Optional.of(chosen(c, c == all.get(0) ? "home" : "next", all, now));
                 }
             }
         }
         return all.stream()
                 .filter(c -> hasRoom(c, now))
                 .min(Comparator.comparingInt(c -> mServers.load(c.ref(), now)))
-                .map(c -> chosen(c, "least_loaded", weighed, now));
+                .map(c -> chosen(c, "least_loaded", all, now));
     }
 
-    /** What one choice was made from. */
-    private record Weighed(List<Candidate> all, List<Candidate> ranked) {}
-
-    private Chosen chosen(Candidate c, String reason, Weighed weighed, Instant now) {
-        List<String> ids = weighed.all().stream().map(Candidate::id).toList();
-        return new Chosen(c, reason, ids, mServers.load(c.ref(), now), weighed.ranked());
+    private Chosen chosen(Candidate c, String reason, List<Candidate> all, Instant now) {
+        List<String> ids = all.stream().map(Candidate::id).toList();
+        return new Chosen(c, reason, ids, mServers.load(c.ref(), now));
     }
 
     /** A server with as many requests as slots would only queue one more. */
@@ -110,21 +99,16 @@
         return told > 0 ? told : (int) c.weight();
     }
 
-    /** Returns those that rank first for the prompt's shared part, whether they are open or not. */
-    private List<Candidate> ranked(ActiveCall r) {
-        if (!r.mRequest.prompt().isPresent()) {
-            return List.of();
-        }
-        ChatKey key = new ChatKey(mix(r.mRequest.prompt().sharedPart().id()));
-        return mSource.view(r.mService).ranking().top(key, RANKED + r.mTried.size());
-    }
-
-    private Map<String, Candidate> candidates(ActiveCall r, List<Candidate> ranked, Instant now) {
+    private Map<String, Candidate> candidates(ActiveCall r, Instant now) {
         Map<String, Candidate> found = new LinkedHashMap<>();
-        ranked.stream()
-                .filter(c -> isOpen(r, c, now))
-                .limit(RANKED)
-                .forEach(c -> found.put(c.id(), c));
+        ServiceView view = mSource.view(r.mService);
+        if (r.mRequest.prompt().isPresent()) {
+            ChatKey key = r.mRequest.prompt().key();
+            view.ranking().top(key, RANKED + r.mTried.size()).stream()
+                    .filter(c -> isOpen(r, c, now))
+                    .limit(RANKED)
+                    .forEach(c -> found.put(c.id(), c));
+        }
         addRandom(r, now, found);
         return found;
     }
@@ -160,13 +144,6 @@
         return roster;
     }
 
-    /** Part ids may be small or close to each other; ranks need them spread. */
-    private static long mix(long id) {
-        long x = id * 0x9E3779B97F4A7C15L;
-        x ^= x >>> 32;
-        return x * 0xD6E8FEB86659FD93L;
-    }
-
     /** The servers of one version of a view that take new work. */
     private static final class Roster {
         private final long mVersion;
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/ServiceView.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/ServiceView.java
@@ -10,9 +10,10 @@
 import java.util.TreeMap;
 
 /**
- * What one process knows of one service's backend servers. Immutable: a delta gives a new view, at
- * a cost in proportion to the service's size, paid once per membership change and never per
- * request. Views with the same members rank alike, whatever the order in which they learnt of them.
+ * What one process knows of one service's backend servers, on one thread. Immutable: a delta gives
+ * a new view, at a cost in proportion to the service's size, paid once per membership change and
+ * never per request. Views with the same members rank alike, whatever the order in which they
+ * learnt of them.
  */
 public final class ServiceView {
     /** How many departed backend servers a view remembers, the latest first. */
@@ -23,6 +24,7 @@
     private final NavigableMap<String, Candidate> mMembers;
     private final List<Candidate> mDeparted;
     private final Ranking mRanking;
+    private Ranking mRankingOfAll;
 
     private ServiceView(
             String service,
@@ -115,6 +117,18 @@
         return mDeparted;
     }
 
+    /**
+     * Returns the ranking of all backend servers, those that are leaving among them: it tells where
+     * a chat was at home before the first of them began to leave. Made when it is first asked for.
+     */
+    public Ranking rankingOfAll() {
+        if (mRankingOfAll == null) {
+            boolean isLeaving = mMembers.values().stream().anyMatch(Candidate::draining);
+            mRankingOfAll = isLeaving ? Ranking.of(mMembers.values()) : mRanking;
+        }
+        return mRankingOfAll;
+    }
+
     /** Returns the ranking of the backend servers that take new work. */
     public Ranking ranking() {
         return mRanking;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
@@ -59,6 +59,12 @@
         apply(new ViewChange.Join(new Candidate(ref, "dc", 6)));
     }
 
+    /** The server says that it leaves; it still answers. */
+    void drain(String id) {
+        mBackends.computeIfPresent(id, (i, b) -> b.withState(Backend.State.DRAINING));
+        apply(new ViewChange.Drain(id));
+    }
+
     void leave(String id) {
         mBackends.remove(id);
         apply(new ViewChange.Leave(id));
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
@@ -76,6 +76,29 @@
         assertThat(moved).isBetween(DOCUMENTS / 10, DOCUMENTS / 2);
     }
 
+    @Test
+    void whatALeavingServerHoldsIsFetchedByRoutersThatNeverAskedForIt() {
+        // A server is replaced. This router has not seen its documents, each of which another
+        // router asks for now and then. They are fetched while the server is still there.
+        DirectDriver other = new DirectDriver(4);
+        Map<Long, BeginCall> homes = new HashMap<>();
+        for (long d = 0; d < DOCUMENTS; d++) {
+            other.arrive(d, STREAM, about(d, 9000));
+            homes.put(d, other.call());
+            other.answer(other.call().call(), 200, GENUINE);
+            other.give(new DirectEvent.Finished(other.call().call()));
+        }
+        mDriver.drain("s1");
+        int moved = 0;
+        for (long d = 0; d < DOCUMENTS; d++) {
+            if (homes.get(d).backend().id().equals("s1")) {
+                moved++;
+                assertThat(askAndAnswer(d).fetchFrom()).isEqualTo(homes.get(d).address());
+            }
+        }
+        assertThat(moved).isPositive();
+    }
+
     @Test
     void aServerThatFailedOrLeftIsNotAsked() {
         // The holder goes dark. A fetch from it would hold up the request that was moved away.
