--- a/org.laurelweir/src/test/java/org/laurelweir/agreement/ElectionRaceTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/agreement/ElectionRaceTest.java
@@ -63,6 +63,7 @@
                 "seed %d: of %d races %d split, median %s, slowest %s%n",
                 SEED, RACES, split, times.get(RACES / 2), times.get(RACES - 1));
         assertThat(split).isLessThanOrEqualTo(RACES / 100);
+        assertThat(times.get(RACES / 2)).isLessThan(Duration.ofMillis(350));
         assertThat(times.get(RACES - 1 - RACES / 100)).isLessThan(Duration.ofMillis(700));
     }
 
