--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -4,23 +4,18 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
-import org.laurelweir.membership.Backend;
 
 /**
  * Decides for requests that are routed without sidecars: the router itself chooses the backend
  * server, follows its answer and repeats what may be repeated.
  */
 public final class DirectRouting implements Reducer<DirectEvent, DirectEffect> {
-    /** Below this a further attempt can't bring an answer any more: a round trip and some work. */
-    private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(40);
-
     /** How often requests in flight are looked at; what they are held to is ten times as long. */
     private static final Duration SCAN_INTERVAL = Duration.ofMillis(10);
 
@@ -30,15 +25,13 @@
     private final ServerTable mServers = new ServerTable();
     private final ServerChoice mChoice;
     private final PartHolders mHolders = new PartHolders();
-    private final FetchSource mFetches;
     private final FleetBudget mBudget;
+    private final Attempts mAttempts;
     private final Reports mReports;
     private final Refusals mRefusals;
     private final Stalls mStalls = new Stalls();
     private final SplittableRandom mRandom;
     private final Long2ObjectHashMap<ActiveCall> mByCaller = new Long2ObjectHashMap<>();
-    private final Long2ObjectHashMap<ActiveCall> mByCall = new Long2ObjectHashMap<>();
-    private long mLastCall;
     private Instant mNextScan = Instant.MIN;
     private Instant mNextPrune = Instant.MIN;
     private Instant mNow;
@@ -55,10 +48,11 @@
     public DirectRouting(BackendSource source, IntSupplier routers, RetryLimits limits, long seed) {
         mSource = source;
         mChoice = new ServerChoice(source, mServers, seed);
-        mFetches = new FetchSource(source, mServers, mHolders);
         mBudget = new FleetBudget(limits, routers);
         mRandom = new SplittableRandom(seed + 1);
         mReports = new Reports();
+        FetchSource fetches = new FetchSource(source, mServers, mHolders);
+        mAttempts = new Attempts(source, mServers, mChoice, fetches, mBudget, mReports);
         mRefusals = new Refusals(seed + 2);
     }
 
@@ -71,6 +65,7 @@
     public void step(Instant now, DirectEvent event, Consumer<? super DirectEffect> effects) {
         mNow = now;
         mEffects = effects;
+        mAttempts.enter(now, effects);
         if (event instanceof DirectEvent.Tick) {
             onTick();
         } else if (event instanceof DirectEvent.Arrived e) {
@@ -78,13 +73,13 @@
         } else if (event instanceof DirectEvent.CallerGone e) {
             withRequest(mByCaller.get(e.caller()), this::onCallerGone);
         } else if (event instanceof DirectEvent.Answered e) {
-            withRequest(mByCall.get(e.call()), r -> onAnswered(r, e));
+            withRequest(mAttempts.byCall(e.call()), r -> onAnswered(r, e));
         } else if (event instanceof DirectEvent.Received e) {
-            withRequest(mByCall.get(e.call()), r -> onReceived(r, e.bytes()));
+            withRequest(mAttempts.byCall(e.call()), r -> onReceived(r, e.bytes()));
         } else if (event instanceof DirectEvent.Finished e) {
-            withRequest(mByCall.get(e.call()), this::onFinished);
+            withRequest(mAttempts.byCall(e.call()), this::onFinished);
         } else if (event instanceof DirectEvent.Failed e) {
-            withRequest(mByCall.get(e.call()), r -> onFailed(r, e));
+            withRequest(mAttempts.byCall(e.call()), r -> onFailed(r, e));
         }
     }
 
@@ -103,7 +98,7 @@
         ActiveCall r = new ActiveCall(e.caller(), e.request(), service, mNow);
         mByCaller.put(e.caller(), r);
         mBudget.onRequest(service, mNow);
-        if (!tryNext(r)) {
+        if (!mAttempts.next(r)) {
             refuse(r, "no backend server has room");
         }
     }
@@ -120,58 +115,6 @@
         return route.shares().get(route.shares().size() - 1).service();
     }
 
-    /** Sends the request to a server that has not had it, if there is one and a repeat is due. */
-    private boolean tryNext(ActiveCall r) {
-        boolean inTime = r.timeLeft(mNow).compareTo(LEAST_TIME_LEFT) >= 0;
-        if (!inTime || r.mArrivals >= r.route().maxAttempts()) {
-            return false;
-        }
-        Optional<ServerChoice.Chosen> chosen = mChoice.choose(r, mNow);
-        if (chosen.isEmpty()) {
-            return false;
-        }
-        Backend backend = mSource.backend(chosen.get().server().id());
-        if (backend == null || (r.mArrivals > 0 && !mBudget.spend(r.mService, mNow))) {
-            return false;
-        }
-        begin(r, backend, chosen.get());
-        return true;
-    }
-
-    private void begin(ActiveCall r, Backend backend, ServerChoice.Chosen chosen) {
-        r.begin(++mLastCall, backend.ref(), mNow);
-        r.mArrivals++;
-        mByCall.put(r.mCall, r);
-        mServers.began(backend.ref());
-        String fetchFrom = mFetches.addressFor(r, backend.ref(), mNow);
-        emit(mReports.chose(r, chosen, fetchFrom, mNow));
-        emit(
-                new DirectEffect.BeginCall(
-                        r.mCall,
-                        backend.ref(),
-                        backend.address(),
-                        r.mRequest,
-                        r.timeLeft(mNow),
-                        r.mHeadSent ? r.mFramer.lastId() : "",
-                        fetchFrom));
-    }
-
-    /** The present call is over; events that still come from it belong to no request. */
-    private void leaveCall(ActiveCall r) {
-        if (r.mCall != 0) {
-            mByCall.remove(r.mCall);
-            mServers.ended(r.mBackend);
-            r.mCall = 0;
-        }
-    }
-
-    private void cancelCall(ActiveCall r) {
-        if (r.mCall != 0) {
-            emit(new DirectEffect.CancelCall(r.mCall));
-            leaveCall(r);
-        }
-    }
-
     private void onAnswered(ActiveCall r, DirectEvent.Answered e) {
         r.mHeard = mNow;
         e.facts().load().ifPresent(l -> mServers.reported(r.mBackend, l, mNow));
@@ -180,7 +123,7 @@
             return;
         }
         if (!e.facts().genuine()) {
-            cancelCall(r);
+            mAttempts.cancel(r);
             serverFailed(r);
             afterUnknown(r, "the answer belongs to another request, or to none");
             return;
@@ -225,27 +168,8 @@
         serverFailed(r);
         r.mMayHaveRun = true;
         if (r.route().isRepeatable()) {
-            moveOn(r);
-        }
-    }
-
-    /**
-     * Sends the request to another server and ends the present call; the call goes on where no
-     * other server takes the request.
-     *
-     * @return whether another one took it
-     */
-    private boolean moveOn(ActiveCall r) {
-        long call = r.mCall;
-        leaveCall(r);
-        if (tryNext(r)) {
-            emit(new DirectEffect.CancelCall(call));
-            return true;
+            mAttempts.moveOn(r);
         }
-        r.mCall = call;
-        mByCall.put(call, r);
-        mServers.began(r.mBackend);
-        return false;
     }
 
     private void serverFailed(ActiveCall r) {
@@ -260,8 +184,8 @@
             mServers.full(r.mBackend, mNow);
         }
         emit(mReports.said(r, "not_run_" + e.status(), mNow));
-        cancelCall(r);
-        if (!tryNext(r)) {
+        mAttempts.cancel(r);
+        if (!mAttempts.next(r)) {
             giveUp(r, "the backend servers did not take the request");
         }
     }
@@ -279,7 +203,7 @@
     }
 
     private void onFinished(ActiveCall r) {
-        leaveCall(r);
+        mAttempts.leave(r);
         if (r.isStreaming()) {
             byte[] rest = r.mFramer.takeRest();
             if (rest.length > 0) {
@@ -306,7 +230,7 @@
     }
 
     private void onFailed(ActiveCall r, DirectEvent.Failed e) {
-        leaveCall(r);
+        mAttempts.leave(r);
         if (e.sent()) {
             serverFailed(r);
             afterUnknown(r, e.message());
@@ -316,7 +240,7 @@
         // It never arrived, so that it does not count as sent.
         r.mArrivals--;
         emit(mReports.said(r, "not_sent", mNow));
-        if (!tryNext(r)) {
+        if (!mAttempts.next(r)) {
             giveUp(r, e.message());
         }
     }
@@ -325,7 +249,7 @@
     private void afterUnknown(ActiveCall r, String message) {
         r.mMayHaveRun = true;
         emit(mReports.said(r, "outcome_unknown", mNow));
-        if (r.route().isRepeatable() && tryNext(r)) {
+        if (r.route().isRepeatable() && mAttempts.next(r)) {
             return;
         }
         fail(r, r.mHeadSent ? ResultCode.ANSWER_CUT : ResultCode.BACKEND_FAILED, message);
@@ -349,7 +273,7 @@
     }
 
     private void fail(ActiveCall r, ResultCode code, String message) {
-        cancelCall(r);
+        mAttempts.cancel(r);
         end(r, new DirectEffect.AnswerError(r.mCaller, code, message, Duration.ZERO));
     }
 
@@ -369,7 +293,7 @@
             r.mDetached = true;
             return;
         }
-        cancelCall(r);
+        mAttempts.cancel(r);
         mByCaller.remove(r.mCaller);
     }
 
@@ -405,7 +329,7 @@
     private void onStalled(ActiveCall r) {
         serverFailed(r);
         r.mMayHaveRun = true;
-        if (!moveOn(r)) {
+        if (!mAttempts.moveOn(r)) {
             r.mHeard = mNow;
         }
     }
