Spare requests that may run once a server that has just failed

Cause: a server that fails two in five requests while its health looks good is ejected only after two failures in a row, and comes back after a second; meanwhile requests that can't be repeated are lost with it.

Change: such a request without a prompt goes to a server that has not failed in the last 2 s without having succeeded since, where there is one. Requests that can be repeated go on trying it.

Prompts are left where their parts are: to move each one away from an engine that failed once would cost more reading than it saves where all engines fail alike.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -79,7 +79,9 @@
         }
         return all.stream()
                 .filter(c -> hasRoom(c, now))
-                .min(Comparator.comparingInt(c -> mServers.load(c.ref(), now)))
+                .min(
+                        Comparator.comparing((Candidate c) -> avoids(r, c, now))
+                                .thenComparingInt(c -> mServers.load(c.ref(), now)))
                 .map(c -> chosen(c, "least_loaded", all, now));
     }
 
@@ -88,6 +90,15 @@
         return new Chosen(c, reason, ids, mServers.load(c.ref(), now));
     }
 
+    /**
+     * A request that can't be repeated is lost with a server that fails it, and goes to one that
+     * has not just failed. A server that fails two in five seldom fails twice in a row, so that it
+     * is hardly ever ejected; the requests that can be repeated find out how it does.
+     */
+    private boolean avoids(ActiveCall r, Candidate c, Instant now) {
+        return !r.route().isRepeatable() && mServers.isDoubtful(r.mService, c.ref(), now);
+    }
+
     /** A server with as many requests as slots would only queue one more. */
     private boolean hasRoom(Candidate c, Instant now) {
         int slots = slots(c);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -33,6 +33,12 @@
     /** How long an address is passed over at which another server answered. */
     private static final Duration REPLACED_PAUSE = Duration.ofSeconds(10);
 
+    /**
+     * How long one failure makes a server doubtful. Long enough for other requests to show whether
+     * it still fails, short enough that a sound one is not left out for long where none does.
+     */
+    private static final Duration DOUBT = Duration.ofSeconds(2);
+
     /** How long a reported load is believed. */
     private static final Duration REPORT_AGE = Duration.ofSeconds(3);
 
@@ -72,6 +78,7 @@
 
     void failed(String service, BackendRef ref, int servers, Instant now) {
         if (isLatest(ref)) {
+            server(ref).mFailedAt = now;
             outliers(service).onFailure(ref.id(), servers, now);
         }
     }
@@ -88,9 +95,11 @@
         return now.isBefore(s.mPausedUntil) || outliers(service).isEjected(ref.id(), now);
     }
 
-    /** Returns whether the server has failed, or was passed over, since it last succeeded. */
+    /** Returns whether the server is passed over, or has failed lately and not succeeded since. */
     boolean isDoubtful(String service, BackendRef ref, Instant now) {
-        return isPassedOver(service, ref, now) || outliers(service).hasFailed(ref.id());
+        boolean failedLately = now.isBefore(server(ref).mFailedAt.plus(DOUBT));
+        return isPassedOver(service, ref, now)
+                || (failedLately && outliers(service).hasFailed(ref.id()));
     }
 
     /**
@@ -158,6 +167,7 @@
         private int mSlots;
         private Instant mReportedAt = Instant.EPOCH;
         private Instant mPausedUntil = Instant.EPOCH;
+        private Instant mFailedAt = Instant.EPOCH;
 
         Server(long incarnation) {
             mIncarnation = incarnation;
