--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/EngineTroubleTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/EngineTroubleTest.java
@@ -29,6 +29,7 @@
     private static final Map<String, Object> MIDDLE = Map.of("max_tokens", 200);
 
     private static final Map<String, String> SOON = Map.of("X-Timeout-Ms", "2500");
+
     /**
      * Time that an engine on a busy machine needs as well: a sidecar refuses what it has seen to be
      * too slow for its deadline, and an engine that shares its cores took 50 ms a token.
