--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/StartOrder.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/StartOrder.java
@@ -1,28 +1,26 @@
 package org.laurelweir.runtime.process;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.laurelweir.runtime.config.Endpoint;
 
 /**
  * Lets a program that starts on the same instance go first. After a stop of everything a router can
- * serve nobody until control has a leader. Where both load their classes on one small core at the
- * same time, control is ready 0.5 s later than alone, and all routers wait for it, those on other
- * instances included.
+ * serve nobody until control has a leader and vouches for its settings. Where both load their
+ * classes on one small core at the same time, that comes half a second later than with control
+ * alone, and all routers wait for it, those on other instances included.
  */
 public final class StartOrder {
     /**
-     * The longest wait: a control instance that starts alone listens after 0.7 s. One that does not
-     * start at all holds a router up by no more than this.
+     * The longest wait: a control instance that starts alone listens after 0.7 s and, with the
+     * others, has a leader and confirmed settings about half a second later. One that does not get
+     * there holds a router up by no more than this.
      */
-    private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(1300);
 
-    private static final Duration PAUSE = Duration.ofMillis(20);
-    private static final int CONNECT_MILLIS = 100;
+    private static final Duration PAUSE = Duration.ofMillis(40);
 
     private StartOrder() {}
 
@@ -37,15 +35,15 @@
     }
 
     /**
-     * Waits until something listens at an address, for a short time at most. Returns at once where
-     * it does, as when this program alone was stopped.
+     * Waits until the program that goes first is ready, for a short time at most. Returns at once
+     * where it is, as when the caller's program alone was stopped.
      *
-     * @param first where the program that goes first listens once it is loaded
-     * @return whether it listens
+     * @param isReady asks it
+     * @return whether it is ready
      */
-    public static boolean awaitListening(Endpoint first) {
+    public static boolean await(BooleanSupplier isReady) {
         long until = System.nanoTime() + LONGEST_WAIT.toNanos();
-        while (!isListening(first)) {
+        while (!isReady.getAsBoolean()) {
             if (System.nanoTime() - until >= 0) {
                 return false;
             }
@@ -58,14 +56,4 @@
         }
         return true;
     }
-
-    private static boolean isListening(Endpoint endpoint) {
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(endpoint.host(), endpoint.port()), CONNECT_MILLIS);
-            return true;
-        } catch (IOException e) {
-            // The ordinary answer while it starts; what comes of it is returned.
-            return false;
-        }
-    }
 }
