Open the callers' socket in one way, and let calls past the lock once settled

Found on reading the change again. CallerServer kept a way of its own to listen, with a second copy of the backlog, beside the socket that is opened first; it opens that socket itself now where none is given. A router that had settings before its first caller took EarlyCallHandler's lock for every call from then on; it goes past it now once no kept call can still be forgotten. DirectSessions looked a backend server up twice to withdraw it, and once is enough. Nothing else changes.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/EarlyCallHandler.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/EarlyCallHandler.java
@@ -64,6 +64,8 @@
 
     private synchronized boolean keep(Early early) {
         if (mCanServe.getAsBoolean()) {
+            // From here on calls go past the lock, unless one that waits could still be forgotten.
+            mStarted = mCalls.isEmpty();
             return false;
         }
         boolean first = mCalls.isEmpty();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -19,8 +19,6 @@
 
 /** Listens for callers. */
 public final class CallerServer implements Service {
-    private static final int BACKLOG = 1024;
-
     private final EventLoops mLoops;
     private final Endpoint mListen;
     private final Optional<EarlySocket> mSocket;
@@ -59,9 +57,8 @@
      */
     @Override
     public void start() {
-        mListener =
-                mSocket.map(s -> mLoops.listen(s, new Initializer()))
-                        .orElseGet(() -> mLoops.listen(mListen, BACKLOG, new Initializer()));
+        EarlySocket socket = mSocket.orElseGet(() -> EarlySocket.open(mListen));
+        mListener = mLoops.listen(socket, new Initializer());
     }
 
     /** Returns where the server listens, with the port that was chosen. Once started. */
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -95,8 +95,8 @@
         mStartsAreTold |= b.ref().incarnation() != START_UNTOLD;
         mNewest.put(id, Mark.of(b));
         String before = mHolders.put(b.address(), id);
-        if (before != null && !before.equals(id)) {
-            withdraw(now, before);
+        if (before != null && !before.equals(id) && mMembership.knows(before)) {
+            leave(now, mMembership.backend(before));
         }
         Backend known = mMembership.backend(id);
         boolean goesOn = known != null && isUnchanged(known, b) && mMembership.hears(known);
@@ -136,20 +136,13 @@
      */
     public void withdraw(Instant now, BackendRef ref) {
         Backend known = mMembership.backend(ref.id());
-        if (known == null) {
-            return;
-        }
-        long start = ref.incarnation();
-        if (start == START_UNTOLD || start == known.ref().incarnation()) {
-            withdraw(now, ref.id());
+        boolean anyStart = ref.incarnation() == START_UNTOLD;
+        if (known != null && (anyStart || known.ref().equals(ref))) {
+            leave(now, known);
         }
     }
 
-    private void withdraw(Instant now, String id) {
-        Backend known = mMembership.backend(id);
-        if (known == null) {
-            return;
-        }
+    private void leave(Instant now, Backend known) {
         Backend left = known.withState(Backend.State.LEFT).withSession(LAST);
         mMembership.hear(now, new SidecarReport(left, 0, 0, 0));
     }
