--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -1,5 +1,6 @@
 package org.laurelweir.control;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -11,9 +12,12 @@
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.coordination.LogCodec;
 import org.laurelweir.runtime.log.DecisionLog;
+import org.laurelweir.runtime.process.Program;
 
 /** Carries out the reducer's effects, on its thread; nothing here blocks. */
 final class ControlEffects implements Consumer<ControlEffect> {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final PendingCalls mCalls;
     private final PeerCalls mPeers;
     private final LogWriter mLog;
@@ -78,9 +82,18 @@
         }
     }
 
-    /** Off the reducer's thread: a large state would keep heartbeats waiting. */
+    /**
+     * Off the reducer's thread: a large state would keep heartbeats waiting. The executor would
+     * keep a failure to itself, and the log would grow without another snapshot until the heap is
+     * full.
+     */
     private void encode(ControlEffect.EncodeSnapshot s) {
-        byte[] state = mCodec.encode(s.snapshot());
-        mEvents.accept(new ControlEvent.Replica(new SnapshotTaken(s.index(), state)));
+        try {
+            byte[] state = mCodec.encode(s.snapshot());
+            sLogger.atInfo().log("snapshot at %d taken: %d B", s.index(), state.length);
+            mEvents.accept(new ControlEvent.Replica(new SnapshotTaken(s.index(), state)));
+        } catch (RuntimeException | Error e) {
+            Program.fail("the state can't be encoded", e);
+        }
     }
 }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -37,8 +37,6 @@
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.coordination.ControlReducer;
-import org.laurelweir.errors.LaurelweirException;
-import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.membership.MembershipConfig;
 import org.laurelweir.runtime.config.Endpoint;
@@ -155,7 +153,7 @@
 
     private void startReducer(
             ReplicaId self, Map<String, String> others, PeerCalls peers, Recovered recovered) {
-        mLog = new LogWriter(mStorage, this::persisted, ControlProgram::fail);
+        mLog = new LogWriter(mStorage, this::persisted, Program::halt);
         mEffects =
                 new ControlEffects(mCalls, peers, mLog, mCodec, mBackground, this::offer, mMetrics);
         Map<String, String> addresses = new TreeMap<>(others);
@@ -172,7 +170,7 @@
                         new ControlEvent.Tick(),
                         TICK,
                         mEffects,
-                        ControlProgram::fail);
+                        Program::halt);
         // First of all events: before it the replica knows neither its vote nor its log.
         loop.offer(new ControlEvent.Replica(recovered));
         mLog.start();
@@ -238,12 +236,6 @@
         offer(new ControlEvent.Replica(new Persisted(sequence)));
     }
 
-    private static void fail(Throwable failure) {
-        ResultCode code =
-                failure instanceof LaurelweirException e ? e.getCode() : ResultCode.INTERNAL;
-        Program.halt(code);
-    }
-
     /** While the server still runs: the successor's votes and the last answers pass through it. */
     private void handOver() {
         if (!mLoop.isDone()) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
@@ -42,7 +42,10 @@
         mSegmentBytes = segmentBytes;
         mFolder = folder;
         LogLoader loader = new LogLoader(files);
+        // Before the reading, which may be what a process ends in.
+        sLogger.atInfo().log("log in %s: %s", files.folder(), LogSize.of(files));
         loader.load();
+        sLogger.atInfo().log("log read: %s", loader);
         mRecovered = loader.recovered();
         mLastIndexes = loader.lastIndexes();
         if (!files.hardState().exists()) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogLoader.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogLoader.java
@@ -123,6 +123,13 @@
         return new LaurelweirException(ResultCode.LOG_CORRUPT, mFiles.folder() + ": " + what);
     }
 
+    /** Returns what was read, for the log. */
+    @Override
+    public String toString() {
+        long bytes = mEntries.stream().mapToLong(e -> e.payload().length).sum();
+        return mEntries.size() + " entries, " + bytes + " B, after " + mSnapshot;
+    }
+
     Recovered recovered() {
         return new Recovered(mHardState, mSnapshot, List.copyOf(mEntries), mCommitted);
     }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogWriter.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogWriter.java
@@ -1,12 +1,11 @@
 package org.laurelweir.control.storage;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.laurelweir.agreement.AgreementEffect.Persist;
-import org.laurelweir.errors.LaurelweirException;
-import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 
 /**
@@ -15,9 +14,11 @@
  * shell turns them into events.
  */
 public final class LogWriter implements Service {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final LogStorage mStorage;
     private final LongConsumer mPersisted;
-    private final Consumer<LaurelweirException> mFailed;
+    private final Consumer<Throwable> mFailed;
     private final Thread mThread = new Thread(this::run, "log-writer");
     private List<Persist> mWaiting = new ArrayList<>();
 
@@ -34,8 +35,7 @@
      * @param failed told once that the disk or the writer failed; nothing is persisted any more,
      *     and the replica must stop
      */
-    public LogWriter(
-            LogStorage storage, LongConsumer persisted, Consumer<LaurelweirException> failed) {
+    public LogWriter(LogStorage storage, LongConsumer persisted, Consumer<Throwable> failed) {
         mStorage = storage;
         mPersisted = persisted;
         mFailed = failed;
@@ -89,11 +89,10 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (LaurelweirException e) {
+        } catch (RuntimeException | Error e) {
+            // Ended by an error in silence, it would leave a replica that acknowledges nothing.
+            sLogger.atSevere().withCause(e).log("the log writer ended");
             mFailed.accept(e);
-        } catch (RuntimeException e) {
-            mFailed.accept(
-                    new LaurelweirException(ResultCode.INTERNAL, "the log writer failed", e));
         }
     }
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
@@ -37,6 +37,10 @@
         mSyncer = syncer;
     }
 
+    Path path() {
+        return mPath;
+    }
+
     boolean exists() {
         return Files.exists(mPath);
     }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/LogWriterTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/LogWriterTest.java
@@ -105,14 +105,17 @@
         SlowStorage storage = new SlowStorage();
         storage.mFails = true;
         LinkedBlockingQueue<Long> persisted = new LinkedBlockingQueue<>();
-        CompletableFuture<LaurelweirException> failed = new CompletableFuture<>();
+        CompletableFuture<Throwable> failed = new CompletableFuture<>();
         LogWriter writer = new LogWriter(storage, persisted::add, failed::complete);
         writer.start();
         writer.persist(effect(1));
         await(storage.mEntered);
         writer.persist(effect(2));
         storage.mLetGo.countDown();
-        assertThat(failed.get(60, TimeUnit.SECONDS).getCode()).isEqualTo(ResultCode.DISK_FAILED);
+        assertThat(failed.get(60, TimeUnit.SECONDS))
+                .isInstanceOfSatisfying(
+                        LaurelweirException.class,
+                        e -> assertThat(e.getCode()).isEqualTo(ResultCode.DISK_FAILED));
         writer.stop();
         assertThat(persisted).isEmpty();
     }
--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/JavaProcess.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/JavaProcess.java
@@ -36,9 +36,24 @@
      * @param args its arguments
      */
     public JavaProcess(String name, Path log, String main, List<String> args) {
+        this(name, log, List.of(), main, args);
+    }
+
+    /**
+     * Creates a process that has not started.
+     *
+     * @param name for failures
+     * @param log takes what it prints
+     * @param options of the virtual machine, in place of the usual ones where both are given
+     * @param main the class to run
+     * @param args its arguments
+     */
+    public JavaProcess(
+            String name, Path log, List<String> options, String main, List<String> args) {
         mName = name;
         mLog = log;
         mCommand = new ArrayList<>(JAVA);
+        mCommand.addAll(options);
         mCommand.addAll(List.of("-cp", classPath(), main));
         mCommand.addAll(args);
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -11,7 +11,6 @@
 import org.laurelweir.direct.RetryLimits;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.Decision;
-import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.router.direct.BackendCalls;
@@ -179,7 +178,7 @@
                 new RouterEvent.Tick(),
                 TICK,
                 mEffects,
-                f -> Program.halt(ResultCode.INTERNAL));
+                Program::halt);
     }
 
     private static RouterConfig config(RouterFile file, Instant started) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.runtime.process.Program;
 
 /**
  * One connection to a backend server, which carries one request at a time. It is kept for another
@@ -163,6 +164,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Program.endOnError("a connection failed", cause);
         fail(String.valueOf(cause.getMessage()));
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.process.Program;
 
 /**
  * One caller's connection: reads one request after the other and answers them in that order.
@@ -197,6 +198,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Program.endOnError("a connection failed", cause);
         // A reset or a write that stalled: the caller is gone either way.
         context.close();
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/Program.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/Program.java
@@ -22,6 +22,7 @@
      * @param create makes the service; its failure ends the process
      */
     public static void run(String name, Supplier<? extends Service> create) {
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> uncaught(thread, failure));
         try {
             Service service = create.get();
             service.start();
@@ -35,9 +36,64 @@
         } catch (RuntimeException e) {
             sLogger.atSevere().withCause(e).log("%s failed", name);
             System.exit(exitCode(ResultCode.INTERNAL));
+        } catch (Error e) {
+            fail(name + " failed", e);
         }
     }
 
+    private static void uncaught(Thread thread, Throwable failure) {
+        if (failure instanceof Error) {
+            fail("thread " + thread.getName() + " failed", failure);
+        }
+        sLogger.atSevere().withCause(failure).log("thread %s ended", thread.getName());
+    }
+
+    /**
+     * Ends the process if a failure is an {@link Error}, such as a full heap: whoever catches all
+     * failures of a connection or a task would go on with a state that is half changed.
+     *
+     * @param what what failed, for the log
+     * @param failure what was caught
+     */
+    public static void endOnError(String what, Throwable failure) {
+        if (failure instanceof Error) {
+            fail(what, failure);
+        }
+    }
+
+    /**
+     * Logs a failure and ends the process with the code of it.
+     *
+     * @param what what failed, for the log
+     * @param failure why
+     */
+    public static void fail(String what, Throwable failure) {
+        try {
+            sLogger.atSevere().withCause(failure).log("%s", what);
+        } finally {
+            // A full heap may keep the line from being written, but not the end of the process.
+            halt(codeOf(failure));
+        }
+    }
+
+    /** Returns the code under which a process ends after a failure. */
+    static ResultCode codeOf(Throwable failure) {
+        if (failure instanceof LaurelweirException e) {
+            return e.getCode();
+        }
+        boolean isMemory = failure instanceof OutOfMemoryError;
+        return isMemory ? ResultCode.OUT_OF_MEMORY : ResultCode.INTERNAL;
+    }
+
+    /**
+     * Ends the process after a failure that has been logged.
+     *
+     * @param failure why
+     */
+    public static void halt(Throwable failure) {
+        halt(codeOf(failure));
+    }
+
     /**
      * Ends the process after a failure that it can't go on with. Shutdown hooks are left out: they
      * would wait for a loop that has ended.
@@ -45,8 +101,11 @@
      * @param code why
      */
     public static void halt(ResultCode code) {
-        Logging.flushBeforeHalt();
-        Runtime.getRuntime().halt(exitCode(code));
+        try {
+            Logging.flushBeforeHalt();
+        } finally {
+            Runtime.getRuntime().halt(exitCode(code));
+        }
     }
 
     /**
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -12,7 +12,6 @@
 import org.laurelweir.admission.SidecarIdentity;
 import org.laurelweir.admission.SidecarReducer;
 import org.laurelweir.lib.BackendRef;
-import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.runtime.config.Endpoint;
 import org.laurelweir.runtime.log.DecisionRing;
@@ -116,7 +115,7 @@
                         new SidecarEvent.Tick(),
                         TICK,
                         mEffects,
-                        f -> Program.halt(ResultCode.INTERNAL));
+                        Program::halt);
     }
 
     private ControlExchange exchange(SidecarFile file) {
--- a/org.laurelweir/src/main/java/org/laurelweir/lib/ResultCode.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/lib/ResultCode.java
@@ -62,7 +62,8 @@
     CANNOT_LISTEN(6002, 500),
     USAGE(6003, 500),
     UNREACHABLE(6004, 503),
-    INTERNAL(6005, 500);
+    INTERNAL(6005, 500),
+    OUT_OF_MEMORY(6006, 500);
 
     private final int mNumber;
     private final int mHttpStatus;
