--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/LogBounds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/LogBounds.java
@@ -21,15 +21,26 @@
     /** Bytes are counted as int; a larger heap gets no larger log. */
     private static final long LARGEST_HEAP = 4L << 30;
 
+    /** A start applies as many bytes before it can serve; a larger heap gets no fewer snapshots. */
+    private static final int MOST_BETWEEN_SNAPSHOTS = 2 << 20;
+
+    /**
+     * A tree is decoded beside the one in force. With commands of a sixteenth of the heap that
+     * filled 64 MB; with a thirty-second it lasted through changes from eight operators at once.
+     */
+    private static final int HEAP_OF_COMMAND = 32;
+
     /**
      * Returns the bounds for a heap.
      *
-     * @param heapBytes the largest size of the heap; 64 MB give commands of 4 MB, a log of 12 MB
+     * @param heapBytes the largest size of the heap; 64 MB give commands of 2 MB, a log of 12 MB
      *     and a snapshot after each 2 MB
      */
     public static LogBounds ofHeap(long heapBytes) {
-        int unit = (int) (Math.min(heapBytes, LARGEST_HEAP) / 64);
-        return new LogBounds(4 * unit, 4 * unit, 12 * unit, 2 * unit, unit, unit);
+        int command = (int) (Math.min(heapBytes, LARGEST_HEAP) / HEAP_OF_COMMAND);
+        int snapshot = Math.min(command, MOST_BETWEEN_SNAPSHOTS);
+        return new LogBounds(
+                command, 2 * command, 6 * command, snapshot, snapshot / 2, command / 2);
     }
 
     /**
