--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -32,6 +32,8 @@
         gauge(registry, "control.backends", Reported::backends);
         gauge(registry, "control.claims", Reported::claims);
         gauge(registry, "control.settings.position", Reported::settingsPosition);
+        gauge(registry, "control.log.bytes", Reported::logBytes);
+        gauge(registry, "control.snapshot.bytes", Reported::snapshotBytes);
     }
 
     private void gauge(MetricRegistry registry, String name, ToLongFunction<Reported> value) {
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AgreementReducer.java
@@ -72,6 +72,16 @@
         return mState.log();
     }
 
+    /** Returns the bytes of the entries in memory. */
+    public long logBytes() {
+        return mState.log().bytes();
+    }
+
+    /** Returns the bytes of the last snapshot's state. */
+    public long snapshotBytes() {
+        return mState.log().snapshot().state().length;
+    }
+
     /** Returns the last entry known committed here; all up to it have been applied. */
     public long commitIndex() {
         return mApplier.commitIndex();
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/LogBounds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/LogBounds.java
@@ -18,8 +18,11 @@
  */
 public record LogBounds(
         int command, int uncommitted, int held, int snapshot, int tail, int inFlight) {
-    /** Bytes are counted as int; a larger heap gets no larger log. */
-    private static final long LARGEST_HEAP = 4L << 30;
+    /**
+     * A larger heap gets no larger log: its largest command would not fit into a message between
+     * replicas, which may have 32 MB, and could never be replicated.
+     */
+    private static final long LARGEST_HEAP = 512L << 20;
 
     /** A start applies as many bytes before it can serve; a larger heap gets no fewer snapshots. */
     private static final int MOST_BETWEEN_SNAPSHOTS = 2 << 20;
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -113,6 +113,8 @@
      * @param backends backend servers known, those that left lately included
      * @param claims idempotency keys in use
      * @param settingsPosition the log position of the settings in force
+     * @param logBytes bytes of the log's entries in memory
+     * @param snapshotBytes bytes of the last snapshot's state
      * @param peers where the other control instances are reached, host:port
      */
     record Reported(
@@ -121,6 +123,8 @@
             int backends,
             int claims,
             long settingsPosition,
+            long logBytes,
+            long snapshotBytes,
             List<String> peers)
             implements ControlEffect {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -71,6 +71,16 @@
         return mAgreement.role() == Role.LEADER;
     }
 
+    /** Returns the bytes of the log's entries in memory. */
+    long logBytes() {
+        return mAgreement.logBytes();
+    }
+
+    /** Returns the bytes of the last snapshot's state. */
+    long snapshotBytes() {
+        return mAgreement.snapshotBytes();
+    }
+
     Membership members() {
         return mAgreement.membership();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
@@ -91,6 +91,8 @@
                 mMembership.knownCount(),
                 mReplica.state().claimCount(),
                 mReplica.state().settings().tree().position(),
+                mReplica.logBytes(),
+                mReplica.snapshotBytes(),
                 peers);
     }
 
