Let a start wait for a disk that is full

A control instance ends when its disk refuses a write, as it must: after a failed sync nothing is known of what was written.

A replica that has not opened its log neither votes nor acknowledges, so that waiting promises nothing.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -33,10 +33,13 @@
 import org.laurelweir.control.storage.FileLogStorage;
 import org.laurelweir.control.storage.LogStorage;
 import org.laurelweir.control.storage.LogWriter;
+import org.laurelweir.control.storage.PatientOpening;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.coordination.ControlReducer;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 import org.laurelweir.membership.MembershipConfig;
 import org.laurelweir.runtime.config.Endpoint;
@@ -106,7 +109,12 @@
     public void start() {
         mLogging.start();
         mChannels.start();
-        mStorage = FileLogStorage.open(mFile.dataFolder(), new SecureRandom()::nextLong);
+        mStorage =
+                new PatientOpening(mClock, ControlProgram::sleep)
+                        .open(
+                                () ->
+                                        FileLogStorage.open(
+                                                mFile.dataFolder(), new SecureRandom()::nextLong));
         Recovered recovered = mStorage.recovered();
         mRecoveredEmpty = isEmpty(recovered);
         ReplicaId self = new ReplicaId(mFile.name(), mStorage.storageId());
@@ -121,6 +129,14 @@
         mConsole.accept("listening on " + address());
     }
 
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            throw new LaurelweirException(ResultCode.SHUTTING_DOWN, "stopped while it started", e);
+        }
+    }
+
     /** Returns where the instance is reached. Valid once started. */
     public Endpoint address() {
         Endpoint told = mFile.peers().get(mFile.name());
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
@@ -34,7 +34,7 @@
     private final int mSegmentBytes;
     private final DataFolder mFolder;
     private final SyncMark mMark;
-    private final MarkFile mCommitMark;
+    private MarkFile mCommitMark;
     private final TreeMap<Long, Long> mLastIndexes;
     private Recovered mRecovered;
     private Segment mSegment;
@@ -55,20 +55,31 @@
             files.hardState().write(HardStateCodec.encode(HardState.INITIAL));
         }
         mMark = openMark();
-        mCommitMark = new MarkFile(files.commitMark());
-        openSegment(loader);
+        try {
+            mCommitMark = new MarkFile(files.commitMark());
+            openSegment(loader);
+        } catch (IOException e) {
+            // The opening may be tried many times, and descriptors are few.
+            closeFiles();
+            throw e;
+        }
     }
 
     /** The mark is there before the first segment, so that a log without it was damaged. */
     private SyncMark openMark() throws IOException {
         boolean isNew = SyncMark.read(mFiles.syncMark()) == null;
         SyncMark mark = new SyncMark(mFiles.syncMark());
-        if (isNew) {
-            mark.write(new SyncMark.Position(0, 0));
-            mFiles.syncer().sync(mark.channel());
-            WholeFile.syncFolder(mFiles.folder(), mFiles.syncer());
+        try {
+            if (isNew) {
+                mark.write(new SyncMark.Position(0, 0));
+                mFiles.syncer().sync(mark.channel());
+                WholeFile.syncFolder(mFiles.folder(), mFiles.syncer());
+            }
+            return mark;
+        } catch (IOException e) {
+            mark.close();
+            throw e;
         }
-        return mark;
     }
 
     /**
@@ -233,13 +244,21 @@
         }
     }
 
+    private void closeFiles() throws IOException {
+        mMark.close();
+        if (mCommitMark != null) {
+            mCommitMark.close();
+        }
+        if (mSegment != null) {
+            mSegment.close();
+        }
+    }
+
     @Override
     public void close() {
         try {
-            mSegment.close();
             mFiles.syncer().sync(mMark.channel());
-            mMark.close();
-            mCommitMark.close();
+            closeFiles();
             mFolder.close();
         } catch (IOException e) {
             throw diskFailed(mFiles.folder(), e);
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
@@ -39,19 +39,29 @@
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE);
-        WholeFile.writeFully(channel, ByteBuffer.wrap(HEADER));
-        syncer.sync(channel);
-        WholeFile.syncFolder(folder, syncer);
-        return new Segment(number, channel, syncer);
+        try {
+            WholeFile.writeFully(channel, ByteBuffer.wrap(HEADER));
+            syncer.sync(channel);
+            WholeFile.syncFolder(folder, syncer);
+            return new Segment(number, channel, syncer);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
     }
 
     /** Opens a segment to append after an offset, and cuts off what follows. */
     static Segment open(Path folder, long number, long end, Syncer syncer) throws IOException {
         FileChannel channel = FileChannel.open(path(folder, number), StandardOpenOption.WRITE);
-        channel.truncate(end);
-        channel.position(end);
-        syncer.sync(channel);
-        return new Segment(number, channel, syncer);
+        try {
+            channel.truncate(end);
+            channel.position(end);
+            syncer.sync(channel);
+            return new Segment(number, channel, syncer);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
     }
 
     static Path path(Path folder, long number) {
