--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/Program.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/Program.java
@@ -22,7 +22,7 @@
      * @param create makes the service; its failure ends the process
      */
     public static void run(String name, Supplier<? extends Service> create) {
-        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> uncaught(thread, failure));
+        Thread.setDefaultUncaughtExceptionHandler(Program::uncaught);
         try {
             Service service = create.get();
             service.start();
