--- a/org.laurelweir/src/test/java/org/laurelweir/settings/SettingsStoreTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/settings/SettingsStoreTest.java
@@ -9,8 +9,10 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.coordination.Command.ChangeSettings;
+import org.laurelweir.coordination.Command.NodeChange;
 import org.laurelweir.lib.ResultCode;
 
 /** Answers to changes, and what they leave in force. */
@@ -195,6 +197,37 @@
         assertThat(store.state().answers()).hasSize(1);
     }
 
+    // Operators see: control instances whose memory and snapshots grow with each large change.
+    // Order: changes of several nodes, far fewer than are kept by number. Why: the history and the
+    // first answers are bounded in bytes too; who lacks what was forgotten gets the whole tree.
+    @Test
+    void forgetsFewLargeChangesAsManySmallOnes() {
+        int bytes = 3_000;
+        SettingsStore.Limits limits =
+                new SettingsStore.Limits(100, bytes, 100, bytes, Duration.ofHours(1));
+        SettingsStore store = new SettingsStore(SettingsState.EMPTY, limits);
+        for (int position = 1; position <= 30; position++) {
+            store.apply(position, change("large " + position, accounts(position)));
+        }
+
+        SettingsState state = store.state();
+        assertThat(state.nodes()).hasSize(150);
+        assertThat(state.history()).hasSizeBetween(1, 5);
+        assertThat(state.answers()).hasSizeBetween(1, 5);
+        assertThat(store.changesAfter(1).full()).isTrue();
+        assertThat(store.changesAfter(29).full()).isFalse();
+        SettingsStore restored = new SettingsStore(state, limits);
+        restored.apply(31, change("large 31", accounts(31)));
+        store.apply(31, change("large 31", accounts(31)));
+        assertThat(restored.state()).isEqualTo(store.state());
+    }
+
+    private static NodeChange[] accounts(int group) {
+        return IntStream.range(0, 5)
+                .mapToObj(i -> set("/account=g" + group + "-" + i, 0))
+                .toArray(NodeChange[]::new);
+    }
+
     @Test
     void rulesBindOnlyTheCallsTheyMatch() {
         define();
