--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/CallsInFlightTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/CallsInFlightTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** What is under way to a peer that takes nothing. */
 class CallsInFlightTest {
     private static final int LARGE = 600_000;
 
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/DocumentBudgetTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/DocumentBudgetTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** How much is read at the same time. */
 class DocumentBudgetTest {
     private final DocumentBudget mBudget = new DocumentBudget();
 
