--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.laurelweir.agreement.AgreementConfig;
 import org.laurelweir.agreement.AgreementEvent;
@@ -109,12 +110,7 @@
     public void start() {
         mLogging.start();
         mChannels.start();
-        mStorage =
-                new PatientOpening(mClock, ControlProgram::sleep)
-                        .open(
-                                () ->
-                                        FileLogStorage.open(
-                                                mFile.dataFolder(), new SecureRandom()::nextLong));
+        mStorage = openStorage();
         Recovered recovered = mStorage.recovered();
         mRecoveredEmpty = isEmpty(recovered);
         ReplicaId self = new ReplicaId(mFile.name(), mStorage.storageId());
@@ -129,6 +125,12 @@
         mConsole.accept("listening on " + address());
     }
 
+    private LogStorage openStorage() {
+        PatientOpening opening = new PatientOpening(mClock, ControlProgram::sleep);
+        LongSupplier newStorageId = new SecureRandom()::nextLong;
+        return opening.open(() -> FileLogStorage.open(mFile.dataFolder(), newStorageId));
+    }
+
     private static void sleep(Duration time) {
         try {
             Thread.sleep(time.toMillis());
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogLoader.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogLoader.java
@@ -26,7 +26,9 @@
     private long mCommitted;
     private long mFirstSegment = 1;
     private long mEnd;
-    private long mLastIndex;
+
+    /** The index of the record read last, kept or not. */
+    private long mReadUpTo;
 
     LogLoader(LogFiles files) {
         mFiles = files;
@@ -97,7 +99,7 @@
      * hold a log's length of it.
      */
     private void add(long segment, LogEntry entry) {
-        if (entry.index() > Math.max(mLastIndex, mSnapshot.index()) + 1) {
+        if (entry.index() > Math.max(mReadUpTo, mSnapshot.index()) + 1) {
             throw corrupt("entries before " + entry.index() + " are missing");
         }
         while (!mEntries.isEmpty() && mEntries.get(mEntries.size() - 1).index() >= entry.index()) {
@@ -106,7 +108,7 @@
         if (entry.index() > mSnapshot.index()) {
             mEntries.add(entry);
         }
-        mLastIndex = entry.index();
+        mReadUpTo = entry.index();
         mLastIndexes.merge(segment, entry.index(), Math::max);
     }
 
