Simplify what the bounds in bytes wrote twice

Cause: read once more, the change summed the bytes of a list of entries in three places, walked the answers with two iterators at once, closed a segment's channel after a failure in two equal blocks, and asked for an error in Program.uncaught beside endOnError. Change: LogEntry.bytesOf, AnswerLog.forgetOldest, Segment.prepare, and uncaught calls endOnError. Behaviour and tests stay as they are.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
@@ -39,31 +39,46 @@
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE);
-        try {
-            WholeFile.writeFully(channel, ByteBuffer.wrap(HEADER));
-            syncer.sync(channel);
-            WholeFile.syncFolder(folder, syncer);
-            return new Segment(number, channel, syncer);
-        } catch (IOException e) {
-            channel.close();
-            throw e;
-        }
+        return prepare(
+                channel,
+                () -> {
+                    WholeFile.writeFully(channel, ByteBuffer.wrap(HEADER));
+                    syncer.sync(channel);
+                    WholeFile.syncFolder(folder, syncer);
+                    return new Segment(number, channel, syncer);
+                });
     }
 
     /** Opens a segment to append after an offset, and cuts off what follows. */
     static Segment open(Path folder, long number, long end, Syncer syncer) throws IOException {
         FileChannel channel = FileChannel.open(path(folder, number), StandardOpenOption.WRITE);
+        return prepare(
+                channel,
+                () -> {
+                    channel.truncate(end);
+                    channel.position(end);
+                    syncer.sync(channel);
+                    return new Segment(number, channel, syncer);
+                });
+    }
+
+    /** Makes a segment of a channel, or closes it: an opening may be tried many times. */
+    private static Segment prepare(FileChannel channel, Preparation preparation)
+            throws IOException {
         try {
-            channel.truncate(end);
-            channel.position(end);
-            syncer.sync(channel);
-            return new Segment(number, channel, syncer);
+            return preparation.run();
         } catch (IOException e) {
             channel.close();
             throw e;
         }
     }
 
+    /** What is done with a channel before a segment can be appended to. */
+    @FunctionalInterface
+    private interface Preparation {
+        Segment run() throws IOException;
+    }
+
     static Path path(Path folder, long number) {
         return folder.resolve(PREFIX + String.format("%016x", number));
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/Program.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/Program.java
@@ -42,9 +42,7 @@
     }
 
     private static void uncaught(Thread thread, Throwable failure) {
-        if (failure instanceof Error) {
-            fail("thread " + thread.getName() + " failed", failure);
-        }
+        endOnError("thread " + thread.getName() + " failed", failure);
         sLogger.atSevere().withCause(failure).log("thread %s ended", thread.getName());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/AppendReceiver.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/AppendReceiver.java
@@ -40,7 +40,7 @@
      * log that is full of entries not yet committed has to take those that commit them.
      */
     private boolean hasRoomFor(List<LogEntry> entries) {
-        long bytes = entries.stream().mapToLong(LogEntry::bytes).sum();
+        long bytes = LogEntry.bytesOf(entries);
         if (bytes == 0) {
             return true;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/Durability.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/Durability.java
@@ -41,7 +41,7 @@
             mGatheredBytes -= mEntries.remove(mEntries.size() - 1).bytes();
         }
         mEntries.addAll(entries);
-        entries.forEach(e -> mGatheredBytes += e.bytes());
+        mGatheredBytes += LogEntry.bytesOf(entries);
     }
 
     /** Writes a snapshot; with discardLog, all entries written before are void. */
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/LogEntry.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/LogEntry.java
@@ -1,5 +1,7 @@
 package org.laurelweir.agreement;
 
+import java.util.List;
+
 /**
  * One entry of the replicated log.
  *
@@ -12,6 +14,11 @@
     /** What an entry takes in a message besides its payload, about. */
     private static final int FIXED_BYTES = 24;
 
+    /** Returns what entries take in a message, about. */
+    static long bytesOf(List<LogEntry> entries) {
+        return entries.stream().mapToLong(LogEntry::bytes).sum();
+    }
+
     /** Returns what the entry takes in a message, about. */
     public int bytes() {
         return FIXED_BYTES + payload.length;
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/Replication.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/Replication.java
@@ -72,8 +72,7 @@
             }
             List<LogEntry> entries = log.slice(p.nextIndex(), mState.config().maxBatchBytes());
             sendAppend(to, p, entries);
-            long last = entries.get(entries.size() - 1).index();
-            p.sent(last, log.bytesBetween(p.nextIndex() - 1, last));
+            p.sent(entries.get(entries.size() - 1).index(), LogEntry.bytesOf(entries));
         }
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/AnswerLog.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/AnswerLog.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.Collection;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,9 +28,8 @@
     /** Keeps an answer under an id that has none, and forgets the oldest beyond the limit. */
     void keep(KeptAnswer answer) {
         put(answer);
-        Iterator<KeptAnswer> oldestFirst = mAnswers.values().iterator();
         while (mBytes > mLimits.answerBytes() && mAnswers.size() > 1) {
-            forget(oldestFirst);
+            forgetOldest();
         }
     }
 
@@ -40,22 +38,25 @@
         mBytes += answer.bytes();
     }
 
-    private void forget(Iterator<KeptAnswer> oldestFirst) {
-        mBytes -= oldestFirst.next().bytes();
-        oldestFirst.remove();
+    private KeptAnswer oldest() {
+        return mAnswers.values().iterator().next();
+    }
+
+    private void forgetOldest() {
+        KeptAnswer forgotten = mAnswers.remove(oldest().changeId());
+        mBytes -= forgotten.bytes();
     }
 
     /** Forgets answers by the leader's time, so that every replica forgets the same. */
     void expire(Instant now) {
-        Instant oldest = now.minus(mLimits.answerRetention());
-        Iterator<KeptAnswer> answers = mAnswers.values().iterator();
-        while (!mAnswers.isEmpty() && isDue(mAnswers.values().iterator().next(), oldest)) {
-            forget(answers);
+        Instant earliest = now.minus(mLimits.answerRetention());
+        while (!mAnswers.isEmpty() && isDue(oldest(), earliest)) {
+            forgetOldest();
         }
     }
 
-    private boolean isDue(KeptAnswer first, Instant oldest) {
-        return first.at().isBefore(oldest) || mAnswers.size() > mLimits.answers();
+    private boolean isDue(KeptAnswer oldest, Instant earliest) {
+        return oldest.at().isBefore(earliest) || mAnswers.size() > mLimits.answers();
     }
 
     List<KeptAnswer> all() {
