--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlFile.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlFile.java
@@ -30,7 +30,8 @@
  * @param seedPort the port on which seeds are reached, 0 for that of each seed's own address
  * @param mayFound whether this is the first start of the whole deployment, in which a core may be
  *     made of empty disks
- * @param dataFolder where the log is kept
+ * @param dataFolder where the log is kept; an instance with seeds may do without one, and then
+ *     never votes and learns all anew at each start
  * @param bootstrapSettings a tree file, applied as the first change of an empty log
  * @param electionTimeout silence after which a leader is given up; the same on every instance
  * @param exchangeInterval how often sidecars and routers are asked to exchange
@@ -51,7 +52,7 @@
         List<Endpoint> seeds,
         @Default("0") @Range(min = "0", max = "65535") int seedPort,
         @Default("true") boolean mayFound,
-        @Required Path dataFolder,
+        Optional<Path> dataFolder,
         Optional<Path> bootstrapSettings,
         @Default("1s") @Range(min = "200ms", max = "30s") Duration electionTimeout,
         @Default("1s") @Range(min = "100ms", max = "10s") Duration exchangeInterval,
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -1,15 +1,15 @@
 package org.laurelweir.control;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -34,6 +34,7 @@
 import org.laurelweir.control.storage.FileLogStorage;
 import org.laurelweir.control.storage.LogStorage;
 import org.laurelweir.control.storage.LogWriter;
+import org.laurelweir.control.storage.NoLogStorage;
 import org.laurelweir.control.storage.PatientOpening;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
@@ -59,6 +60,7 @@
 
 /** A control instance: the reducer with its disk, its servers and its connections. */
 public final class ControlProgram implements Service {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration GRACE = Duration.ofMillis(500);
     private static final Duration HAND_OVER = Duration.ofSeconds(2);
@@ -118,7 +120,7 @@
         listen(self);
         PeerCalls peers = new PeerCalls(self, others, mFile.isOpen(), mChannels, this::offer);
         startReducer(self, others, peers, recovered);
-        found(self, others, peers);
+        found(self, peers);
         mConfirmer.begin();
         startMetrics();
         mFile.portFile().ifPresent(f -> PortFile.write(f, mServer.port()));
@@ -126,9 +128,23 @@
     }
 
     private LogStorage openStorage() {
+        LongSupplier random = new SecureRandom()::nextLong;
+        if (mFile.dataFolder().isEmpty()) {
+            return noStorage(random);
+        }
+        Path folder = mFile.dataFolder().get();
         PatientOpening opening = new PatientOpening(mClock, ControlProgram::sleep);
-        LongSupplier newStorageId = new SecureRandom()::nextLong;
-        return opening.open(() -> FileLogStorage.open(mFile.dataFolder(), newStorageId));
+        return opening.open(() -> FileLogStorage.open(folder, () -> ReplicaId.newDisk(random)));
+    }
+
+    private LogStorage noStorage(LongSupplier random) {
+        if (!mFile.isOpen()) {
+            throw new LaurelweirException(
+                    ResultCode.BAD_SETTINGS_FILE,
+                    "data-folder: is missing; only an instance with seeds may do without");
+        }
+        sLogger.atInfo().log("there is no data folder: this instance learns and never votes");
+        return new NoLogStorage(ReplicaId.noDisk(random));
     }
 
     private static void sleep(Duration time) {
@@ -213,12 +229,9 @@
                 .build();
     }
 
-    private void found(ReplicaId self, Map<String, String> others, PeerCalls peers) {
-        Set<String> names = new TreeSet<>(others.keySet());
-        names.add(mFile.name());
+    private void found(ReplicaId self, PeerCalls peers) {
         if (mFile.isFounder()) {
-            new FirstMembership(self, names, peers, this::isEmpty, this::offer, mBackground)
-                    .begin();
+            new FirstMembership(self, peers, this::isEmpty, this::offer, mBackground).begin();
         }
         if (mRecoveredEmpty && mFile.bootstrapSettings().isPresent()) {
             Map<String, Map<String, String>> nodes = TreeFile.read(mFile.bootstrapSettings().get());
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/replica/FirstMembership.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/replica/FirstMembership.java
@@ -5,7 +5,6 @@
 import com.google.common.util.concurrent.Futures;
 import com.google.common.util.concurrent.MoreExecutors;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,16 +19,16 @@
 import org.laurelweir.wire.v1.IdentifyReply;
 
 /**
- * Writes the first membership of a new deployment: by the instance whose name sorts first, once
- * every instance has said that its disk is new. Were one allowed to be missing, an instance that
- * lost its disk could found a second log beside the first while the others are out of reach.
+ * Writes the first membership of a new deployment: by the instance whose name sorts first of those
+ * with a disk, once every instance has answered and every disk is new. Were one allowed to be
+ * missing, an instance that lost its disk could found a second log beside the first while the
+ * others are out of reach.
  */
 public final class FirstMembership {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final long RETRY_MILLIS = 250;
 
     private final ReplicaId mSelf;
-    private final Collection<String> mNames;
     private final PeerCalls mPeers;
     private final BooleanSupplier mEmpty;
     private final Consumer<ControlEvent> mEvents;
@@ -39,21 +38,18 @@
      * Creates the founder.
      *
      * @param self this instance with its disk's id
-     * @param names every control instance, this one included
-     * @param peers asks the others
+     * @param peers asks every other control instance
      * @param empty whether this instance's disk holds nothing yet
      * @param events takes the first membership
      * @param timer runs the retries
      */
     public FirstMembership(
             ReplicaId self,
-            Collection<String> names,
             PeerCalls peers,
             BooleanSupplier empty,
             Consumer<ControlEvent> events,
             ScheduledExecutorService timer) {
         mSelf = self;
-        mNames = names;
         mPeers = peers;
         mEmpty = empty;
         mEvents = events;
@@ -62,8 +58,7 @@
 
     /** Asks the peers until the first membership is written, here or elsewhere. */
     public void begin() {
-        boolean first = mNames.stream().allMatch(n -> mSelf.name().compareTo(n) <= 0);
-        if (first && mEmpty.getAsBoolean()) {
+        if (mSelf.isDurable() && mEmpty.getAsBoolean()) {
             ask();
         }
     }
@@ -96,13 +91,17 @@
             askLater();
             return;
         }
+        List<ReplicaId> all = new ArrayList<>(List.of(mSelf));
+        replies.forEach(r -> all.add(ReplicaCodec.toCore(r.getReplica())));
+        List<ReplicaId> durable = all.stream().filter(ReplicaId::isDurable).sorted().toList();
+        if (!durable.get(0).equals(mSelf)) {
+            return;
+        }
         if (!replies.stream().allMatch(IdentifyReply::getEmpty)) {
             sLogger.atWarning().log(
                     "%s has a new disk and others have not: it waits to be made a replica", mSelf);
             return;
         }
-        List<ReplicaId> all = new ArrayList<>(List.of(mSelf));
-        replies.forEach(r -> all.add(ReplicaCodec.toCore(r.getReplica())));
-        mEvents.accept(new ControlEvent.Replica(new Bootstrapped(Membership.ofVoters(all))));
+        mEvents.accept(new ControlEvent.Replica(new Bootstrapped(Membership.ofVoters(durable))));
     }
 }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
@@ -91,6 +92,14 @@
     }
 
     void start(String name, Path dataFolder) {
+        start(name, Optional.of(dataFolder));
+    }
+
+    void startWithoutDisk(String name) {
+        start(name, Optional.empty());
+    }
+
+    private void start(String name, Optional<Path> dataFolder) {
         ControlFile file =
                 new ControlFile(
                         mSeeds == 0 ? name : address(name),
@@ -140,9 +149,19 @@
 
     /** Asks one instance after the other until one gives an answer that is wanted. */
     <R> R ask(Function<ControlServiceBlockingStub, R> call, Predicate<R> wanted) {
+        return ask(mRunning.keySet(), call, wanted);
+    }
+
+    /** Asks one instance until it gives an answer that is wanted. */
+    <R> R ask(String name, Function<ControlServiceBlockingStub, R> call, Predicate<R> wanted) {
+        return ask(Set.of(name), call, wanted);
+    }
+
+    private <R> R ask(
+            Set<String> names, Function<ControlServiceBlockingStub, R> call, Predicate<R> wanted) {
         long end = System.nanoTime() + DEADLINE.toNanos();
         while (System.nanoTime() < end) {
-            for (String name : mRunning.keySet()) {
+            for (String name : names) {
                 R reply = call.apply(stub(name));
                 if (wanted.test(reply)) {
                     return reply;
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
@@ -1,5 +1,6 @@
 package org.laurelweir.control;
 
+import static java.util.Comparator.comparing;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
@@ -21,6 +22,9 @@
 
 /** A core whose instances know a few seeds and find, replace and count each other by themselves. */
 class OpenCoreTest {
+    private static final ReadSettingsRequest LINEARIZABLE =
+            ReadSettingsRequest.newBuilder().setLinearizable(true).build();
+
     @TempDir Path mFolder;
 
     private static ControlStatus await(ControlFleet fleet, Predicate<ControlStatus> wanted) {
@@ -42,9 +46,7 @@
     }
 
     private static ReadSettingsReply read(ControlFleet fleet) {
-        ReadSettingsRequest request =
-                ReadSettingsRequest.newBuilder().setLinearizable(true).build();
-        return fleet.ask(s -> s.readSettings(request), r -> r.getCode() == 0);
+        return fleet.ask(s -> s.readSettings(LINEARIZABLE), r -> r.getCode() == 0);
     }
 
     @Test
@@ -60,6 +62,90 @@
         }
     }
 
+    @Test
+    void anInstanceWithoutDiskServesAndNeverVotes() throws Exception {
+        // One of four instances has no disk. It comes to know what was accepted and answers for it.
+        // Given a vote, a quorum that counts it would forget a change with its next restart.
+        try (ControlFleet fleet = new ControlFleet(mFolder, 4).seeds(3)) {
+            fleet.start("c1");
+            fleet.start("c2");
+            fleet.start("c3");
+            fleet.startWithoutDisk("c4");
+            ChangeSettingsReply first = change(fleet);
+            awaitLearned(fleet, first);
+            assertThat(voters(await(fleet, s -> s.getVotersCount() == 3)))
+                    .doesNotContain(fleet.address("c4"));
+            fleet.stop("c4");
+            fleet.startWithoutDisk("c4");
+            awaitLearned(fleet, first);
+            assertThat(voters(await(fleet, s -> s.getVotersCount() == 3)))
+                    .doesNotContain(fleet.address("c4"));
+        }
+    }
+
+    private static void awaitLearned(ControlFleet fleet, ChangeSettingsReply change) {
+        ReadSettingsRequest own = ReadSettingsRequest.getDefaultInstance();
+        fleet.ask(
+                "c4",
+                s -> s.readSettings(own),
+                r -> r.getCode() == 0 && r.getPosition() == change.getPosition());
+    }
+
+    @Test
+    void aSeedWithoutDiskLeavesTheFirstCoreToTheOthers() throws Exception {
+        // The seed whose name sorts first has no disk. The core is made by those that have one;
+        // made with it, what is accepted would be gone with its restart and one of the others.
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).seeds(3)) {
+            String first = fleet.names().stream().min(comparing(fleet::address)).orElseThrow();
+            for (String name : fleet.names()) {
+                if (name.equals(first)) {
+                    fleet.startWithoutDisk(name);
+                } else {
+                    fleet.start(name);
+                }
+            }
+            assertThat(change(fleet).getCode()).isEqualTo(ResultCode.OK.number());
+            assertThat(voters(await(fleet, s -> s.getVotersCount() == 2)))
+                    .doesNotContain(fleet.address(first));
+        }
+    }
+
+    @Test
+    void twoDisksOfSixMayBeLostAtOnce() throws Exception {
+        // Two of six instances lose their disks right after a change was accepted. It is still
+        // there, and both vote again, so that two more may be lost.
+        try (ControlFleet fleet = new ControlFleet(mFolder, 6).seeds(3).startAll()) {
+            await(fleet, s -> s.getVotersCount() == 6);
+            ChangeSettingsReply first = change(fleet);
+            ControlStatus before = await(fleet, s -> s.getVotersCount() == 6);
+            fleet.stop("c1");
+            fleet.stop("c2");
+            fleet.founding(false).start("c1", mFolder.resolve("c1-new"));
+            fleet.start("c2", mFolder.resolve("c2-new"));
+            await(
+                    fleet,
+                    s ->
+                            s.getVotersCount() == 6
+                                    && !s.getVotersList().equals(before.getVotersList())
+                                    && voters(s).containsAll(voters(before))
+                                    && isWithoutAny(s, before, "c1", "c2", fleet));
+            fleet.stop("c3");
+            fleet.stop("c4");
+            assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
+        }
+    }
+
+    /** Returns whether none of the named instances votes under the disk that it had before. */
+    private static boolean isWithoutAny(
+            ControlStatus now, ControlStatus before, String a, String b, ControlFleet fleet) {
+        return before.getVotersList().stream()
+                .filter(
+                        v ->
+                                v.getName().equals(fleet.address(a))
+                                        || v.getName().equals(fleet.address(b)))
+                .noneMatch(now.getVotersList()::contains);
+    }
+
     @Test
     void anEmptyDiskNeverFoundsASecondCore() throws Exception {
         // All but one instance of a deployment are away as one comes back with an empty disk.
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicaId.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicaId.java
@@ -1,14 +1,35 @@
 package org.laurelweir.agreement;
 
+import java.util.function.LongSupplier;
+
 /**
  * Names one replica together with its disk. A disk that was lost and replaced gets a new storage
  * id: the replica has forgotten its votes and entries, and under its old id a quorum that counted
  * them could be formed twice.
  *
  * @param name the control instance's name from its settings
- * @param storageId drawn at random when the data folder is created and kept in it
+ * @param storageId drawn at random when the data folder is created and kept in it; negative for an
+ *     instance without a disk, which draws another one at each start
  */
 public record ReplicaId(String name, long storageId) implements Comparable<ReplicaId> {
+    /** Returns the storage id of a new disk. */
+    public static long newDisk(LongSupplier random) {
+        return random.getAsLong() & Long.MAX_VALUE;
+    }
+
+    /** Returns the storage id of one start of an instance without a disk. */
+    public static long noDisk(LongSupplier random) {
+        return random.getAsLong() | Long.MIN_VALUE;
+    }
+
+    /**
+     * Returns whether the replica remembers its votes and entries after a restart. One that does
+     * not may learn, but must not vote: its vote would count towards a quorum that forgets.
+     */
+    public boolean isDurable() {
+        return storageId >= 0;
+    }
+
     // Written out, as the order is: the virtual machine takes 25 ms to make a record's own ones and
     // a combined comparator at their first use, which is on a starting control instance's way to
     // its first election.
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
@@ -22,6 +22,9 @@
  * says who it is now; as long as it is counted, the log survives one loss fewer. An instance that
  * an operator removed is left out.
  *
+ * <p>An instance without a disk stays a learner: it serves its callers from what it learns, and
+ * nothing depends on what it remembers.
+ *
  * <p>In an open deployment a new instance joins the same way, and a voter that has been silent for
  * long is removed: one that was replaced at another address never comes back, and each such voter
  * would take away one loss that the log survives. One that does come back joins again.
@@ -94,7 +97,7 @@
     private static Optional<MembershipChange> stepOfLearner(
             Membership members, ReplicaId now, Optional<ReplicaId> before) {
         boolean full = members.voters().size() >= MOST_VOTERS;
-        if (!full) {
+        if (!full && now.isDurable()) {
             return Optional.of(new MembershipChange.Promote(now));
         }
         return before.map(MembershipChange.Remove::new);
