--- a/bin/internal/run.sh
+++ b/bin/internal/run.sh
@@ -23,5 +23,6 @@
         -XX:ReservedCodeCacheSize=64m -XX:TieredStopAtLevel="${lw_tier:-4}" \
         --add-opens java.base/jdk.internal.misc=ALL-UNNAMED \
         -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 \
+        -Dio.netty.jfr.enabled=false \
         ${LAURELWEIR_JAVA_OPTS:-} -cp "$lib/*" "$main" "$@"
 }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,7 @@
 mvn -B -ntp -q -DskipTests package
 rm -rf target/archive target/laurelweir.jsa
 java -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss256k -Xmx64m \
-    --add-opens=java.base/jdk.internal.misc=ALL-UNNAMED \
+    --add-opens=java.base/jdk.internal.misc=ALL-UNNAMED -Dio.netty.jfr.enabled=false \
     -XX:ArchiveClassesAtExit=target/laurelweir.jsa -Xlog:cds=error -Xlog:cds+dynamic=error \
     -cp target/platform/laurelweir.jar org.laurelweir.platform.ClassArchiveMain target/archive ||
     echo "no archive of classes: the programs will start more slowly" >&2
