Send a caller back at once from an address that has another server by now

Cause: a route of one attempt meets a server that says that it is another one than meant (a server was replaced at its address, and this router has not heard of it yet). The one attempt is spent, the caller is refused though others serve, and was told to come back as from a full server, after 150 to 500 ms: late for chats whose first words are due within 400 ms.

Change: such a caller is told to come back within 20 ms.

Ruled out: a second server within the attempt, since the platform counts the servers to which a request is sent. Not done: routers that tell each other of such an address, which needs a message of its own.

Test: DirectRoutingTest.aCallerOfOneAttemptComesBackAtOnceFromTheWrongServer, fails without the change.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveCall.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveCall.java
@@ -36,6 +36,9 @@
     /** Whether some backend server may have run the request. */
     boolean mMayHaveRun;
 
+    /** Whether the last call met another server than the one it was meant for. */
+    boolean mMisdirected;
+
     /** Whether the present call's answer has begun. */
     boolean mAnswered;
 
@@ -75,6 +78,7 @@
         mTried.add(backend.id());
         mHeard = now;
         mAnswered = false;
+        mMisdirected = false;
         mStatus = 0;
         mBody.reset();
         mFramer.takeRest();
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -185,6 +185,7 @@
         }
         emit(mReports.said(r, "not_run_" + e.status(), mNow));
         mAttempts.cancel(r);
+        r.mMisdirected = e.facts().otherServer();
         if (!mAttempts.next(r)) {
             giveUp(r, "the backend servers did not take the request");
         }
@@ -268,7 +269,7 @@
     private void refuse(ActiveCall r, String message) {
         boolean none = mChoice.size(r.mService) == 0;
         ResultCode code = none ? ResultCode.NO_BACKEND_SERVER : ResultCode.OVERLOADED;
-        Duration back = mRefusals.comeBack(r.timeLeft(mNow));
+        Duration back = r.mMisdirected ? mRefusals.atOnce() : mRefusals.comeBack(r.timeLeft(mNow));
         end(r, new DirectEffect.AnswerError(r.mCaller, code, message, back));
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Refusals.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Refusals.java
@@ -11,6 +11,9 @@
     /** Spreads callers that were refused at the same moment, so that they do not return as one. */
     private static final int SPREAD_MILLIS = 350;
 
+    /** The longest wait of a caller for whom there is a server, spread as above. */
+    private static final int AT_ONCE_MILLIS = 20;
+
     /** A caller comes back only while it has time left to be served. */
     private static final int PART_OF_TIME_LEFT = 4;
 
@@ -20,6 +23,16 @@
         mRandom = new SplittableRandom(seed);
     }
 
+    /**
+     * Returns when a caller comes back whose request met another server than the one it was meant
+     * for. Nobody is busy: the router knows better now, and a caller that waits as for a busy
+     * server misses the time in which its answer is of use.
+     */
+    Duration atOnce() {
+        return Duration.ofMillis(1 + mRandom.nextInt(AT_ONCE_MILLIS));
+    }
+
+    /** Returns when a caller comes back for whom no server has room. */
     Duration comeBack(Duration timeLeft) {
         long wanted = LEAST_MILLIS + mRandom.nextInt(SPREAD_MILLIS);
         long most = Math.max(1, timeLeft.toMillis() / PART_OF_TIME_LEFT);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
@@ -86,6 +86,10 @@
 
     /** A route of the given kind with three attempts, a second in all and 100 ms to be prompt. */
     static Route route(boolean idempotent, boolean streamed, boolean resumable) {
+        return route(idempotent, streamed, resumable, 3);
+    }
+
+    static Route route(boolean idempotent, boolean streamed, boolean resumable, int maxAttempts) {
         return new Route(
                 "r",
                 "h",
@@ -95,7 +99,7 @@
                 streamed,
                 resumable,
                 false,
-                3,
+                maxAttempts,
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
                 Duration.ofMillis(100),
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
@@ -24,10 +24,14 @@
 /** Single decisions about requests that are routed without sidecars, event by event. */
 class DirectRoutingTest {
     private static final Route UNSAFE = route(false, false, false);
+    private static final Route ONCE = route(false, false, false, 1);
     private static final Route SAFE = route(true, false, false);
     private static final Route STREAM = route(false, true, false);
     private static final Route RESUMABLE = route(false, true, true);
 
+    /** Within which a short chat's first words are due. */
+    private static final Duration SHORT_OBJECTIVE = Duration.ofMillis(400);
+
     private final DirectDriver mDriver = new DirectDriver(4);
 
     private static byte[] bytes(String text) {
@@ -161,6 +165,22 @@
         }
     }
 
+    @Test
+    void aCallerOfOneAttemptComesBackAtOnceFromTheWrongServer() {
+        // The route allows one attempt, and the server at the address is another one by now, which
+        // refuses. Sixty others serve: a caller that is sent away for as long as from a full server
+        // is late, although nobody is busy. From a full one it has to stay away longer.
+        mDriver.arrive(1, ONCE);
+        mDriver.answer(mDriver.call().call(), 421, OTHER_SERVER);
+        AnswerError error = mDriver.last(AnswerError.class);
+        assertThat(error.code().isNotRun()).isTrue();
+        assertThat(error.retryAfter()).isPositive().isLessThan(SHORT_OBJECTIVE.dividedBy(8));
+        mDriver.arrive(2, ONCE);
+        mDriver.answer(mDriver.call().call(), 503, NOT_RUN);
+        Duration full = mDriver.last(AnswerError.class).retryAfter();
+        assertThat(full).isGreaterThan(SHORT_OBJECTIVE.dividedBy(8));
+    }
+
     @Test
     void streamsArePassedOnInWholeEvents() {
         mDriver.arrive(1, STREAM);
