Tell what fails in control's background tasks and in a router's exchanges

Cause: a task of control's background executor that threw left its failure in a future that nobody reads; the confirmation of settings schedules itself, and would have ended without a line. On a router an answer of control that could not be taken in was lost in the same way, and with it the next exchange, which is sent once the one before has ended.

Change: an executor that tells failures, of which control logs exceptions and ends on errors, as elsewhere; a router logs what it could not take in and goes on as after an exchange that failed. Errors in gRPC's own threads are still only logged by gRPC.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -49,6 +48,7 @@
 import org.laurelweir.runtime.log.Logging;
 import org.laurelweir.runtime.loop.ReducerLoop;
 import org.laurelweir.runtime.metrics.MetricsServer;
+import org.laurelweir.runtime.process.BackgroundExecutor;
 import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.runtime.process.Program;
 import org.laurelweir.runtime.rpc.Channels;
@@ -74,7 +74,7 @@
     private final ControlMetrics mMetrics = new ControlMetrics(mRegistry);
     private final PendingCalls mCalls = new PendingCalls();
     private final ScheduledExecutorService mBackground =
-            Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control-background"));
+            new BackgroundExecutor("control-background", ControlProgram::backgroundFailed);
     private final CommandCodec mCodec = new CommandCodec();
     private final EventLoops mLoops;
     private final Channels mChannels;
@@ -108,6 +108,11 @@
                 new ReadConfirmer(mCalls, this::offer, mChannels, mBackground, new ElapsedClock());
     }
 
+    private static void backgroundFailed(Throwable failure) {
+        Program.endOnError("a task in the background failed", failure);
+        sLogger.atSevere().withCause(failure).log("a task in the background failed");
+    }
+
     @Override
     public void start() {
         mLogging.start();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -12,6 +12,7 @@
 import org.laurelweir.routing.RouterEvent;
 import org.laurelweir.runtime.metrics.Readiness;
 import org.laurelweir.runtime.process.ElapsedClock;
+import org.laurelweir.runtime.process.Program;
 import org.laurelweir.runtime.rpc.ExchangeAnswer;
 import org.laurelweir.runtime.rpc.ExchangeClient;
 import org.laurelweir.settings.SettingsDelta;
@@ -83,6 +84,17 @@
             mEvents.accept(new RouterEvent.ExchangeFailed(failure.getMessage()));
             return;
         }
+        try {
+            take(asked, answer);
+        } catch (RuntimeException | Error e) {
+            Program.endOnError("an exchange with control was not taken in", e);
+            sLogger.atSevere().withCause(e).log("an exchange with control was not taken in");
+            // Without an event the next one would never be sent, and settings would stand still.
+            mEvents.accept(new RouterEvent.ExchangeFailed(String.valueOf(e.getMessage())));
+        }
+    }
+
+    private void take(ElapsedClock.Mark asked, ExchangeAnswer answer) {
         takeSettings(asked, answer);
         mControls.accept(answer.controls());
         mEvents.accept(
