Take figures of runs out of comments

Comments told what a change had brought or what a run had shown. That is the commits' and docs/design/decisions.md's to tell; a comment gives the failure and why the safeguard is enough. No code is changed.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the programs and the archive of their classes, from which they start in a third of the time.
+# Builds the programs and the archive of their classes, from which they start much sooner.
 # The archive is made with the flags that the roles run with; another one would not be used. Without
 # an archive the programs start all the same, only later, so that its failure does not fail the build.
 set -euo pipefail
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/HeldReaders.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/HeldReaders.java
@@ -9,13 +9,10 @@
 /**
  * Readers that wait for the first confirmation of the settings since the start. Told "not
  * confirmed" they would have to ask again, and after a start of everything the pause until then is
- * time in which nobody serves: 0.35 s of 2.4 s, as measured. Thread-safe.
+ * time in which nobody serves. Thread-safe.
  */
 final class HeldReaders {
-    /**
-     * How long a reader waits: well under the time in which routers expect an answer, 800 ms at the
-     * least.
-     */
+    /** How long a reader waits: well under the time in which routers expect an answer. */
     private static final Duration HOLD = Duration.ofMillis(500);
 
     private final ScheduledExecutorService mTimer;
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerCalls.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/PeerCalls.java
@@ -40,9 +40,9 @@
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
 
     /**
-     * Messages of this size and more are compressed. A settings tree of 340 routes is some 400 kB
-     * with its operator's text, goes to another data centre with each change, and shrinks to less
-     * than a tenth; heartbeats and single commands would only cost processor time.
+     * Messages of this size and more are compressed. A settings tree with its operator's text goes
+     * to another data centre with each change, and repeats itself; heartbeats and single commands
+     * would only cost processor time.
      */
     private static final int LEAST_COMPRESSED_BYTES = 16 << 10;
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ErrorBody.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ErrorBody.java
@@ -11,9 +11,9 @@
  * The JSON body of an error, in the shape that chat-completions clients read: {@code {"error":
  * {"message", "type", "code"}}}.
  *
- * <p>Written without data binding, whose classes take a program's first error about 90 ms of
- * processor time: it comes from a router that has just started and has no settings yet, when that
- * time is needed for getting them.
+ * <p>Written without data binding, whose classes take long to load: the first error comes from a
+ * router that has just started and has no settings yet, when its processor is needed for getting
+ * them.
  */
 final class ErrorBody {
     private static final JsonFactory JSON = new JsonFactory();
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/StartOrder.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/process/StartOrder.java
@@ -9,13 +9,13 @@
 /**
  * Lets a program that starts on the same instance go first. After a stop of everything a router can
  * serve nobody until control has a leader and vouches for its settings. Where both load their
- * classes on one small core at the same time, that comes half a second later than with control
- * alone, and all routers wait for it, those on other instances included.
+ * classes on one small core at the same time, that comes later than with control alone, and all
+ * routers wait for it, those on other instances included.
  */
 public final class StartOrder {
     /**
-     * The longest wait: a control instance that starts alone listens after 0.7 s and, with the
-     * others, has a leader and confirmed settings about half a second later. One that does not get
+     * The longest wait: the time in which a control instance that starts alone on a small core
+     * listens and, with the others, elects a leader and confirms settings. One that does not get
      * there holds a router up by no more than this.
      */
     private static final Duration LONGEST_WAIT = Duration.ofMillis(1300);
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Timeouts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Timeouts.java
@@ -6,8 +6,8 @@
 
 /**
  * Ends what has taken, or was kept, long enough, and breaks silences that last too long. Looks only
- * at attempts that changed or about which something is due: one look at each every 20 ms took most
- * of a tick.
+ * at attempts that changed or about which something is due: with a look at each, a tick would take
+ * longer the more there are.
  */
 final class Timeouts {
     private final DueOrder mDue = new DueOrder();
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/Elections.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/Elections.java
@@ -15,8 +15,7 @@
     /**
      * The first timeout after a start, as a part of the usual one. A replica that asks although
      * there is a leader is refused and harms nobody, so that nothing is won by waiting for a sign
-     * of one. Of 500 races after a stop of everything the median takes 0.30 s with 6 and 0.42 s
-     * with 3, and none is split (ElectionRaceTest).
+     * of one.
      */
     private static final int FIRST_TIMEOUT_DIVISOR = 6;
 
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/LogBounds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/LogBounds.java
@@ -2,11 +2,10 @@
 
 /**
  * How many bytes a replica gives to its log. A replica that bounds its log by the number of entries
- * alone takes memory in proportion to their size: some hundred whole settings trees filled the heap
- * of 64 MB, the process ended, and ended again at each start while it read them back. All figures
- * are shares of the heap, so that they hold together whatever its size; the state itself, what is
- * decoded at the moment and a snapshot on its way take the rest. Replicas of one log need heaps of
- * one size.
+ * alone takes memory in proportion to their size: whole settings trees fill the heap, the process
+ * ends, and ends again at each start while it reads them back. All figures are shares of the heap,
+ * so that they hold together whatever its size; the state itself, what is decoded at the moment and
+ * a snapshot on its way take the rest. Replicas of one log need heaps of one size.
  *
  * @param command the largest command, in bytes of its encoding; a larger one is refused
  * @param uncommitted bytes of proposals of one leader that are not committed, and of entries that
@@ -28,8 +27,8 @@
     private static final int MOST_BETWEEN_SNAPSHOTS = 2 << 20;
 
     /**
-     * A tree is decoded beside the one in force. With commands of a sixteenth of the heap that
-     * filled 64 MB; with a thirty-second it lasted through changes from eight operators at once.
+     * A tree is decoded beside the one in force, and several operators may send theirs at once;
+     * decoded, a tree takes several times the bytes of its command.
      */
     private static final int HEAP_OF_COMMAND = 32;
 
--- a/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicaId.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/agreement/ReplicaId.java
@@ -30,9 +30,9 @@
         return storageId >= 0;
     }
 
-    // Written out, as the order is: the virtual machine takes 25 ms to make a record's own ones and
-    // a combined comparator at their first use, which is on a starting control instance's way to
-    // its first election.
+    // Written out, as the order is: a record's own ones and a combined comparator are made by the
+    // virtual machine at their first use, which is on a starting control instance's way to its
+    // first election.
     @Override
     public boolean equals(Object other) {
         return other instanceof ReplicaId r && storageId == r.storageId && name.equals(r.name);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/EarlyCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/EarlyCalls.java
@@ -21,8 +21,9 @@
  */
 public final class EarlyCalls<T> {
     /**
-     * How long a call waits at most. Measured from listening to the first settings: 0.2 to 0.5 s
-     * where control serves on; over 1 s where control was killed as well, for which nobody waits.
+     * How long a call waits at most: the time in which a router has its first settings where
+     * control serves on, also on a small machine. One that waited longer in vain would have too
+     * little time left for its second try.
      */
     private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/PartHolders.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/PartHolders.java
@@ -10,8 +10,7 @@
 /**
  * Which backend servers hold shared parts of prompts, as this router's own requests tell. A part
  * that another engine holds can be fetched from it within milliseconds; read anew, a long one
- * delays everything that runs beside it by some hundred. On days with joins and leaves the tokens
- * that were read although some engine held them fell to less than half.
+ * delays everything that runs beside it by some hundred.
  *
  * <p>What is noted may be out of date: engines drop what was used least lately and tell nobody. A
  * fetch from one that has dropped a part brings nothing, and the part is read as it would have
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -92,9 +92,9 @@
 
     /**
      * A request that can't be repeated is lost with a server that fails it, and goes to one that
-     * has not just failed. Ejection alone takes two failures in a row, and ends after a second; of
-     * three servers one of which failed two in five, a third fewer of such requests were lost
-     * (FailingServerTest). Requests that can be repeated find out how the server does.
+     * has not just failed. Ejection alone takes two failures in a row, which a server that fails
+     * some of its requests seldom shows. Requests that can be repeated find out how the server
+     * does.
      */
     private boolean avoids(ActiveCall r, Candidate c, Instant now) {
         return !r.route().isRepeatable() && mServers.isDoubtful(r.mService, c.ref(), now);
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
@@ -155,8 +155,8 @@
         return new NodePath(region, dataCentre, service, account, null);
     }
 
-    // Written out: to make a record's own ones at their first use takes a starting control instance
-    // 70 ms, in which it can't vote.
+    // Written out: a record's own ones are made by the virtual machine at their first use, when a
+    // starting control instance can't vote yet.
     @Override
     public boolean equals(Object other) {
         return other instanceof NodePath p
