Read and write paths of settings nodes without patterns

Cause: a router that starts reads the path of each node of the tree, with a pattern for each name, a split for each path, and the word of each level made anew from its constant's name each time a path is read or written.

Tests: NodePath's properties in the settings' tests hold as before."

--- a/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/NodePath.java
@@ -1,7 +1,6 @@
 package org.laurelweir.settings;
 
 import java.util.Objects;
-import java.util.regex.Pattern;
 
 /**
  * Names a node of the settings tree by any subset of the levels, the most general first, such as
@@ -28,7 +27,10 @@
                     + " /region=vestkyst/service=seilhjerne;"
                     + " a name has up to 128 letters, digits and . _ : @ -";
 
-    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}");
+    private static final int LONGEST_NAME = 128;
+
+    /** What a name may have besides letters and digits, but for its first character. */
+    private static final String NAME_MARKS = "._:@-";
 
     /** Refuses names of a wrong form. */
     public NodePath {
@@ -46,11 +48,28 @@
     }
 
     private static void check(String name) {
-        if (name != null && !NAME.matcher(name).matches()) {
+        if (name != null && !isName(name)) {
             throw new IllegalArgumentException("not a name: " + name);
         }
     }
 
+    private static boolean isName(String text) {
+        if (text.isEmpty() || text.length() > LONGEST_NAME || !isLetterOrDigit(text.charAt(0))) {
+            return false;
+        }
+        for (int i = 1; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!isLetterOrDigit(c) && NAME_MARKS.indexOf(c) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isLetterOrDigit(char c) {
+        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
+    }
+
     /** Returns the node that defines a service. */
     public static NodePath ofService(String service) {
         return new NodePath(null, null, service, null, null);
@@ -80,7 +99,7 @@
         if (!text.startsWith("/")) {
             throw new IllegalArgumentException("not a path: " + text);
         }
-        String[] names = new String[Level.values().length];
+        String[] names = new String[Level.ALL.size()];
         int last = Level.DEPLOYMENT.ordinal();
         for (String part : text.substring(1).split("/", -1)) {
             int equals = part.indexOf('=');
@@ -95,7 +114,7 @@
     }
 
     private static int ordinalOf(String word) {
-        for (Level l : Level.values()) {
+        for (Level l : Level.ALL) {
             if (l.word().equals(word)) {
                 return l.ordinal();
             }
@@ -123,9 +142,10 @@
 
     /** Returns the most specific level that the path names. */
     public Level level() {
-        for (int i = Level.values().length - 1; i > 0; i--) {
-            if (name(Level.values()[i]) != null) {
-                return Level.values()[i];
+        for (int i = Level.ALL.size() - 1; i > 0; i--) {
+            Level level = Level.ALL.get(i);
+            if (name(level) != null) {
+                return level;
             }
         }
         return Level.DEPLOYMENT;
@@ -142,7 +162,7 @@
      */
     int specificity() {
         int bits = 0;
-        for (Level l : Level.values()) {
+        for (Level l : Level.ALL) {
             if (name(l) != null) {
                 bits |= l.bit();
             }
@@ -182,7 +202,7 @@
     @Override
     public String toString() {
         StringBuilder s = new StringBuilder();
-        for (Level l : Level.values()) {
+        for (Level l : Level.ALL) {
             String name = name(l);
             if (name != null) {
                 s.append('/').append(l.word()).append('=').append(name);
