Make the line of dropped log lines like the others

It had neither time nor logger, so that a search by either missed where a log has gaps. The queue is given the line by the log's own format. LogQueueTest fails to compile without the change; the other assertions hold as before.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/LineFormat.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/LineFormat.java
@@ -39,6 +39,13 @@
         return mFormat == LogSettings.Format.JSON ? json(record, fields) : plain(record, fields);
     }
 
+    /** Returns the line that tells how many lines were dropped. */
+    byte[] droppedLine(long dropped) {
+        LogRecord record = new LogRecord(Level.WARNING, "log lines dropped: " + dropped);
+        record.setLoggerName(LogQueue.class.getName());
+        return lineOf(record);
+    }
+
     private static byte[] json(LogRecord record, Map<String, Object> fields) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator json = JSON.createGenerator(out)) {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/LogQueue.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/LogQueue.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
 
 /**
  * Hands lines to a thread that writes them, so that whoever logs never waits for the reader of the
@@ -26,12 +26,20 @@
     private static final byte[] END = new byte[0];
 
     private final OutputStream mOut;
+    private final LongFunction<byte[]> mDroppedLine;
     private final BlockingQueue<byte[]> mLines = new ArrayBlockingQueue<>(CAPACITY);
     private final AtomicLong mDropped = new AtomicLong();
     private final Thread mWriter = new Thread(this::run, "log-writer");
 
-    LogQueue(OutputStream out) {
+    /**
+     * Creates a queue that has not started.
+     *
+     * @param out takes the lines
+     * @param droppedLine makes the line that tells how many were dropped
+     */
+    LogQueue(OutputStream out, LongFunction<byte[]> droppedLine) {
         mOut = out;
+        mDroppedLine = droppedLine;
         mWriter.setDaemon(true);
     }
 
@@ -90,9 +98,7 @@
         }
         long dropped = mDropped.getAndSet(0);
         if (dropped > 0) {
-            String text =
-                    "{\"level\":\"WARN\",\"message\":\"log lines dropped: " + dropped + "\"}\n";
-            mOut.write(text.getBytes(StandardCharsets.UTF_8));
+            mOut.write(mDroppedLine.apply(dropped));
         }
         mOut.flush();
         return ended;
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/Logging.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/Logging.java
@@ -39,13 +39,14 @@
     /** Puts the settings in force, also for loggers that exist already. */
     @Override
     public void start() {
-        mQueue = new LogQueue(output());
+        LineFormat format = new LineFormat(mSettings.format());
+        mQueue = new LogQueue(output(), format::droppedLine);
         mQueue.start();
         sCurrent = mQueue;
         removeHandlers();
         LIBRARIES.setLevel(Level.WARNING);
         ROOT.setLevel(level());
-        ROOT.addHandler(new QueueHandler(mQueue, new LineFormat(mSettings.format())));
+        ROOT.addHandler(new QueueHandler(mQueue, format));
     }
 
     private OutputStream output() {
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LogQueueTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LogQueueTest.java
@@ -38,12 +38,26 @@
         return (text + "\n").getBytes(StandardCharsets.UTF_8);
     }
 
+    private static byte[] dropped(long lines) {
+        return line("log lines dropped: " + lines);
+    }
+
+    @Test
+    void theLineOfWhatWasDroppedHasTheFieldsOfEveryLine() {
+        // Whoever searches a log by time or logger must find where it has gaps.
+        byte[] json = new LineFormat(LogSettings.Format.JSON).droppedLine(7);
+        assertThat(new String(json, StandardCharsets.UTF_8))
+                .startsWith("{\"time\":\"")
+                .contains("\"level\":\"WARN\",\"logger\":\"" + LogQueue.class.getName() + "\"")
+                .endsWith("\"message\":\"log lines dropped: 7\"}\n");
+    }
+
     @Test
     void aBlockedReaderCostsLinesAndNoTime() {
         // Nobody reads the log while ten times as many lines are written as it holds. Whoever logs
         // goes on: a put that waited would never return here. What failed is kept before the rest.
         BlockedStream blocked = new BlockedStream();
-        LogQueue queue = new LogQueue(blocked);
+        LogQueue queue = new LogQueue(blocked, LogQueueTest::dropped);
         queue.start();
         for (int i = 0; i < FAR_TOO_MANY; i++) {
             queue.put(line("ordinary"), false);
@@ -66,7 +80,7 @@
     @Test
     void linesComeInTheirOrder() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        LogQueue queue = new LogQueue(out);
+        LogQueue queue = new LogQueue(out, LogQueueTest::dropped);
         queue.start();
         for (int i = 0; i < 1000; i++) {
             queue.put(line(Integer.toString(i)), i % 2 == 0);
