Keep an odd number of voters, as far as there are disks for it

Cause: with control on six machines with a disk, all six voted. A sixth voter bears no further loss, and a core that is cut into two halves of three has a quorum on neither side: settings can't be confirmed, and routers refuse keys until the cut heals. With five voters one side has three.

Change: a learner is made a voter where the number becomes odd, where another learner waits too, where it replaces a voter's lost disk, or where a voter has been silent for so long that it is to be removed. The learner left over takes that place.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
@@ -22,6 +22,10 @@
  * says who it is now; as long as it is counted, the log survives one loss fewer. An instance that
  * an operator removed is left out.
  *
+ * <p>The voters are of an odd number, as far as there are disks for it: one more bears no further
+ * loss, and a core of an even number that is cut into halves has a quorum on neither side. The
+ * learner that is left over takes the place of the next voter that is removed.
+ *
  * <p>An instance without a disk stays a learner: it serves its callers from what it learns, and
  * nothing depends on what it remembers.
  *
@@ -66,57 +70,77 @@
         List<ReplicaId> present = new ArrayList<>();
         mPeers.fresh(now).forEach(p -> present.add(p.replica()));
         present.add(mReplica.presence(now).replica());
-        nextStep(mReplica.members(), present)
-                .or(() -> removal(now, mReplica.members(), present))
+        Membership members = mReplica.members();
+        noteSilent(now, members, present);
+        nextStep(now, members, present)
+                .or(() -> removal(now, members))
                 .ifPresent(step -> mReplica.change(now, CALL, step, effects));
     }
 
-    private Optional<MembershipChange> nextStep(Membership members, List<ReplicaId> present) {
+    private Optional<MembershipChange> nextStep(
+            Instant now, Membership members, List<ReplicaId> present) {
         return present.stream()
-                .map(p -> nextStep(members, p))
+                .map(p -> nextStep(now, members, p, present))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
-    private Optional<MembershipChange> nextStep(Membership members, ReplicaId now) {
+    private Optional<MembershipChange> nextStep(
+            Instant now, Membership members, ReplicaId replica, List<ReplicaId> present) {
         Optional<ReplicaId> before =
                 members.all().stream()
-                        .filter(r -> r.name().equals(now.name()) && !r.equals(now))
+                        .filter(r -> r.name().equals(replica.name()) && !r.equals(replica))
                         .findFirst();
-        if (members.learners().contains(now)) {
-            return stepOfLearner(members, now, before);
+        if (members.learners().contains(replica)) {
+            boolean replaces = before.filter(members::isVoter).isPresent();
+            return mayVote(members, replica) && (replaces || isWanted(now, members, present))
+                    ? Optional.of(new MembershipChange.Promote(replica))
+                    : before.map(MembershipChange.Remove::new);
         }
-        if (members.isVoter(now)) {
+        if (members.isVoter(replica)) {
             return before.map(MembershipChange.Remove::new);
         }
         return mOpen || before.isPresent()
-                ? Optional.of(new MembershipChange.AddLearner(now))
+                ? Optional.of(new MembershipChange.AddLearner(replica))
                 : Optional.empty();
     }
 
-    private static Optional<MembershipChange> stepOfLearner(
-            Membership members, ReplicaId now, Optional<ReplicaId> before) {
-        boolean full = members.voters().size() >= MOST_VOTERS;
-        if (!full && now.isDurable()) {
-            return Optional.of(new MembershipChange.Promote(now));
-        }
-        return before.map(MembershipChange.Remove::new);
+    private static boolean mayVote(Membership members, ReplicaId learner) {
+        return learner.isDurable() && members.voters().size() < MOST_VOTERS;
     }
 
-    private Optional<MembershipChange> removal(
-            Instant now, Membership members, List<ReplicaId> present) {
+    /** Returns whether another voter bears a further loss, or takes a place that gets free. */
+    private boolean isWanted(Instant now, Membership members, List<ReplicaId> present) {
+        boolean becomesOdd = members.voters().size() % 2 == 0;
+        boolean isPlaceFree = members.voters().stream().anyMatch(v -> isOverdue(now, v));
+        return becomesOdd || isPlaceFree || spares(members, present) > 1;
+    }
+
+    /** Returns how many learners could vote and replace no voter. */
+    private static long spares(Membership members, List<ReplicaId> present) {
+        return members.learners().stream()
+                .filter(r -> r.isDurable() && present.contains(r))
+                .filter(r -> members.voters().stream().noneMatch(v -> v.name().equals(r.name())))
+                .count();
+    }
+
+    private void noteSilent(Instant now, Membership members, List<ReplicaId> present) {
         mSilentSince.keySet().removeIf(r -> present.contains(r) || !members.contains(r));
-        if (!mOpen) {
-            return Optional.empty();
-        }
         for (ReplicaId r : members.all()) {
             if (!present.contains(r)) {
                 mSilentSince.putIfAbsent(r, now);
             }
         }
-        return mSilentSince.entrySet().stream()
-                .filter(e -> !e.getValue().plus(REMOVE_AFTER).isAfter(now))
-                .map(Map.Entry::getKey)
+    }
+
+    private boolean isOverdue(Instant now, ReplicaId replica) {
+        Instant since = mSilentSince.get(replica);
+        return mOpen && since != null && !since.plus(REMOVE_AFTER).isAfter(now);
+    }
+
+    private Optional<MembershipChange> removal(Instant now, Membership members) {
+        return members.all().stream()
+                .filter(r -> isOverdue(now, r))
                 .filter(r -> !members.isVoter(r) || members.voters().size() > FEWEST_VOTERS)
                 .min(ReplicaId::compareTo)
                 .map(MembershipChange.Remove::new);
