--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
@@ -1,12 +1,14 @@
 package org.laurelweir.control;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.wire.v1.ChangeMembersReply;
 import org.laurelweir.wire.v1.ChangeMembersRequest;
@@ -33,6 +35,18 @@
         }
     }
 
+    // A deployment whose instances name each other has counted on each of them: one that forgot its
+    // data folder would start, never vote, and leave the others a quorum short of what was planned.
+    @Test
+    void anInstanceThatOthersNameNeedsADisk() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 1)) {
+            assertThatThrownBy(() -> fleet.startWithoutDisk("c1"))
+                    .isInstanceOfSatisfying(
+                            LaurelweirException.class,
+                            e -> assertThat(e.getCode()).isEqualTo(ResultCode.BAD_SETTINGS_FILE));
+        }
+    }
+
     // The leader is stopped right after it answered a change. Its successor has the change, since
     // it was on most disks before the answer; a resend under the same id gets the first answer.
     @Test
