--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
@@ -49,6 +49,15 @@
         return fleet.ask(s -> s.readSettings(LINEARIZABLE), r -> r.getCode() == 0);
     }
 
+    /** Waits until three vote, one instance among them, and another one does not any more. */
+    private static void awaitInPlaceOf(ControlFleet fleet, String voter, String gone) {
+        ControlStatus after =
+                await(
+                        fleet,
+                        s -> s.getVotersCount() == 3 && voters(s).contains(fleet.address(voter)));
+        assertThat(voters(after)).doesNotContain(fleet.address(gone));
+    }
+
     @Test
     void instancesThatNoSeedNamesJoin() throws Exception {
         // Five instances start with empty disks and know three of them. One core comes of it, in
@@ -71,13 +80,7 @@
             ChangeSettingsReply first = change(fleet);
             await(fleet, s -> s.getVotersCount() == 3 && s.getLearnersCount() == 1);
             fleet.stop("c2");
-            ControlStatus after =
-                    await(
-                            fleet,
-                            s ->
-                                    s.getVotersCount() == 3
-                                            && voters(s).contains(fleet.address("c4")));
-            assertThat(voters(after)).doesNotContain(fleet.address("c2"));
+            awaitInPlaceOf(fleet, "c4", "c2");
             assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
         }
     }
@@ -210,13 +213,7 @@
             ChangeSettingsReply first = change(fleet);
             fleet.stop("c2");
             fleet.founding(false).start("c4");
-            ControlStatus after =
-                    await(
-                            fleet,
-                            s ->
-                                    s.getVotersCount() == 3
-                                            && voters(s).contains(fleet.address("c4")));
-            assertThat(voters(after)).doesNotContain(fleet.address("c2"));
+            awaitInPlaceOf(fleet, "c4", "c2");
             fleet.stop("c1");
             assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
         }
