Log what a router believes of backend servers, and each passed over departure

Routers now write one line for each service and state that an answer of control changes, with the instance and the version of its view. Control writes a line when another instance tells that a backend server leaves. A passed over announcement that says its server leaves is counted by itself, so that the limit of one line a second for the others can't hide it.

Test: MembershipNotesTest (a drain leaves one line with its source, a whole view of 1,000 one line, what changes nothing none).

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -156,6 +156,7 @@
 
     private void backendChanged(Backend backend, String reason, boolean heardHere) {
         if (!heardHere) {
+            mNotes.leavingToldByPeer(mNow, backend, reason, mEffects);
             return;
         }
         mNotes.backendChanged(mNow, backend, reason, mEffects);
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -44,12 +44,21 @@
         note(now, new Subject("", "", b.service()), List.of(id), choice, reason, effects);
     }
 
+    /** A peer's word that a backend server takes no new work from now on. */
+    void leavingToldByPeer(
+            Instant now, Backend b, String reason, Consumer<? super ControlEffect> effects) {
+        if (b.state() != Backend.State.SERVING) {
+            backendChanged(now, b, reason, effects);
+        }
+    }
+
     /** An announcement that changes nothing, since it is late or of another writer. */
     void passedOver(
             Instant now, Backend b, String reason, Consumer<? super ControlEffect> effects) {
         List<String> candidates = List.of(b.ref().toString(), b.address());
         Subject subject = new Subject("", "", b.service());
-        note(now, subject, candidates, "passed over", "announcement " + reason, effects);
+        String announced = "announcement of " + b.state() + " " + reason;
+        note(now, subject, candidates, "passed over", announced, effects);
     }
 
     void applied(Instant now, Command c, CommandResult r, Consumer<? super ControlEffect> out) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PassedOverNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PassedOverNotes.java
@@ -2,20 +2,23 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.DirectSessions.Outcome;
 
-/** Notes announcements that were passed over: each kind at most once a second, with a count. */
+/**
+ * Notes announcements that were passed over: each kind at most once a second, with a count. One
+ * that says its backend server leaves is a kind of its own, so that others don't hide it.
+ */
 final class PassedOverNotes {
     /** Another writer may send without end; a line a second tells as much as all of them. */
     private static final Duration INTERVAL = Duration.ofSeconds(1);
 
     private final DecisionNotes mNotes;
-    private final Map<Outcome, Instant> mNext = new EnumMap<>(Outcome.class);
-    private final Map<Outcome, Integer> mCounts = new EnumMap<>(Outcome.class);
+    private final Map<Kind, Instant> mNext = new HashMap<>();
+    private final Map<Kind, Integer> mCounts = new HashMap<>();
 
     PassedOverNotes(DecisionNotes notes) {
         mNotes = notes;
@@ -25,11 +28,14 @@
         if (outcome == Outcome.TAKEN) {
             return;
         }
-        int count = mCounts.merge(outcome, 1, Integer::sum);
-        if (now.isBefore(mNext.getOrDefault(outcome, Instant.MIN))) {
+        Kind kind = new Kind(outcome, b.state());
+        int count = mCounts.merge(kind, 1, Integer::sum);
+        if (now.isBefore(mNext.getOrDefault(kind, Instant.MIN))) {
             return;
         }
-        mNext.put(outcome, now.plus(INTERVAL));
+        mNext.put(kind, now.plus(INTERVAL));
         mNotes.passedOver(now, b, outcome.name() + ", " + count + " so far", effects);
     }
+
+    private record Kind(Outcome outcome, Backend.State state) {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipListener.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipListener.java
@@ -1,6 +1,6 @@
 package org.laurelweir.membership;
 
-/** Told of each change of the membership, for the log. */
+/** Told of each change of the backend servers that are there, for the log. */
 @FunctionalInterface
 public interface MembershipListener {
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -243,7 +243,10 @@
         if (!take(now, a)) {
             return;
         }
-        mListener.changed(b, "heard by " + a.control(), false);
+        // After a start peers tell of all that left lately, which changes nothing here.
+        if (known != null || b.state() != Backend.State.LEFT) {
+            mListener.changed(b, "heard by " + a.control(), false);
+        }
         boolean served = known != null && known.backend().state() == Backend.State.SERVING;
         if (served && b.state() == Backend.State.LEFT) {
             mFlaps.vanished(now, id);
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
@@ -8,7 +8,7 @@
 
 /** Tells every routing decision with what it was made from. */
 final class Decisions {
-    private static final String PROGRAM = "router";
+    static final String PROGRAM = "router";
 
     /** What sidecars take at least; they alone apply the bound, routers only show it. */
     private static final double CAPACITY_FLOOR = SidecarSettings.DEFAULT.bound().capacityFloor();
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
@@ -0,0 +1,64 @@
+package org.laurelweir.routing;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.laurelweir.lib.Decision;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+
+/**
+ * Words for the log what changes in a router's view of the backend servers: one line for each
+ * service and state that an answer of control changes, however many backend servers it names.
+ */
+final class MembershipNotes {
+    private static final int MAX_NAMED = 8;
+
+    private final Map<String, Map<Backend.State, List<String>>> mChanged = new TreeMap<>();
+
+    /** Notes a backend server that is new, or in another state than before. */
+    void changed(Backend b) {
+        mChanged.computeIfAbsent(b.service(), s -> new TreeMap<>())
+                .computeIfAbsent(b.state(), s -> new ArrayList<>())
+                .add(b.ref().id());
+    }
+
+    /**
+     * Emits what was noted.
+     *
+     * @param source whose word it is
+     */
+    void flush(Instant now, MembershipCursor source, Consumer<? super RouterEffect> effects) {
+        mChanged.forEach(
+                (service, states) ->
+                        states.forEach(
+                                (state, ids) ->
+                                        effects.accept(line(now, source, service, state, ids))));
+        mChanged.clear();
+    }
+
+    private static RouterEffect line(
+            Instant now,
+            MembershipCursor source,
+            String service,
+            Backend.State state,
+            List<String> ids) {
+        String from = source.control() + " at version " + source.version();
+        return new RouterEffect.Decided(
+                new Decision(
+                        now,
+                        Decisions.PROGRAM,
+                        "",
+                        0,
+                        "",
+                        service,
+                        ids.subList(0, Math.min(ids.size(), MAX_NAMED)),
+                        state.name(),
+                        ids.size() + " changed, told by " + from,
+                        Double.NaN,
+                        Double.NaN));
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.laurelweir.direct.BackendSource;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
@@ -28,9 +29,19 @@
     private final Map<String, Backend> mBackends = new HashMap<>();
     private final Map<String, ServiceView> mViews = new HashMap<>();
     private final Map<String, Instant> mMissingUntil = new HashMap<>();
+    private final Consumer<Backend> mOnChange;
     private MembershipCursor mCursor = MembershipCursor.NONE;
     private long mChanges;
 
+    /**
+     * Creates an empty view.
+     *
+     * @param onChange told of each backend server that is new, or in another state than before
+     */
+    Memberships(Consumer<Backend> onChange) {
+        mOnChange = onChange;
+    }
+
     MembershipCursor cursor() {
         return mCursor;
     }
@@ -97,6 +108,9 @@
             return;
         }
         mBackends.put(id, b);
+        if (known == null || known.state() != b.state()) {
+            mOnChange.accept(b);
+        }
         List<ViewChange> list = changes.computeIfAbsent(b.service(), s -> new ArrayList<>());
         list.add(new ViewChange.Join(new Candidate(b.ref(), b.dataCentre(), b.weight())));
         if (b.state() == Backend.State.DRAINING) {
@@ -107,6 +121,7 @@
     private void remove(String id, Map<String, List<ViewChange>> changes) {
         Backend gone = mBackends.remove(id);
         if (gone != null) {
+            mOnChange.accept(gone.withState(Backend.State.LEFT));
             changes.computeIfAbsent(gone.service(), s -> new ArrayList<>())
                     .add(new ViewChange.Leave(id));
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -13,7 +13,8 @@
 public final class RouterReducer implements Reducer<RouterEvent, RouterEffect> {
     private final Exchanges mExchanges;
     private final Requests mRequests = new Requests();
-    private final Memberships mMemberships = new Memberships();
+    private final MembershipNotes mNotes = new MembershipNotes();
+    private final Memberships mMemberships = new Memberships(mNotes::changed);
     private final AccountLimits mLimits = new AccountLimits();
     private final Placements mPlacements;
     private final Outcomes mOutcomes;
@@ -68,6 +69,7 @@
         } else {
             onRequestEvent(s, event);
         }
+        mNotes.flush(now, mMemberships.cursor(), effects);
         if (mStopping && mRequests.isEmpty() && mDirect.isIdle()) {
             mStopping = false;
             s.emit(new RouterEffect.Stopped());
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipNotesTest.java
@@ -0,0 +1,63 @@
+package org.laurelweir.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.Decision;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipCursor;
+import org.laurelweir.membership.MembershipDelta;
+
+/** What a router's log tells of the backend servers that it believes in. */
+class MembershipNotesTest {
+    private static final Instant NOW = Instant.EPOCH;
+
+    private final MembershipNotes mNotes = new MembershipNotes();
+    private final Memberships mMemberships = new Memberships(mNotes::changed);
+
+    private static Backend backend(int number, Backend.State state) {
+        BackendRef ref = new BackendRef("w" + number, 0);
+        return new Backend(ref, "s", "dc", "", "1.2.3.4:80", state, 6, 1);
+    }
+
+    private List<Decision> tell(boolean full, long version, List<Backend> backends) {
+        MembershipCursor cursor = new MembershipCursor("c", 1, version);
+        mMemberships.apply(NOW, new MembershipDelta(cursor, full, backends));
+        List<Decision> lines = new ArrayList<>();
+        mNotes.flush(
+                NOW, mMemberships.cursor(), e -> lines.add(((RouterEffect.Decided) e).decision()));
+        return lines;
+    }
+
+    @Test
+    void aDrainLeavesALineWithItsSource() {
+        tell(true, 1, List.of(backend(1, Backend.State.SERVING)));
+        List<Decision> lines = tell(false, 7, List.of(backend(1, Backend.State.DRAINING)));
+        assertThat(lines).hasSize(1);
+        assertThat(lines.get(0).choice()).isEqualTo("DRAINING");
+        assertThat(lines.get(0).candidates()).containsExactly("w1");
+        assertThat(lines.get(0).reason()).isEqualTo("1 changed, told by c at version 7");
+    }
+
+    @Test
+    void aWholeViewTakesOneLine() {
+        List<Backend> all = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            all.add(backend(i, Backend.State.SERVING));
+        }
+        List<Decision> lines = tell(true, 1, all);
+        assertThat(lines).hasSize(1);
+        assertThat(lines.get(0).candidates()).hasSizeLessThan(10);
+        assertThat(lines.get(0).reason()).startsWith("1000 changed");
+    }
+
+    @Test
+    void whatChangesNothingLeavesNoLine() {
+        tell(true, 1, List.of(backend(1, Backend.State.SERVING)));
+        assertThat(tell(true, 2, List.of(backend(1, Backend.State.SERVING)))).isEmpty();
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/PlacementsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/PlacementsTest.java
@@ -21,7 +21,7 @@
     // it for good: the idle one goes first, so that no answer ever corrects it.
     @Test
     void loadEndsWithTheRunOfTheSidecarThatToldIt() {
-        Memberships memberships = new Memberships();
+        Memberships memberships = new Memberships(b -> {});
         Placements placements =
                 new Placements(new RouterConfig("r", 1, 1, Duration.ofSeconds(1), 16), memberships);
         announce(memberships, 1);
