Test that a server leaves through an instance that knew another at its address

The test fails on this code, as the users' record suggests: a backend server that announced itself to one control instance tells another one that it drains. That one has an earlier server, long gone, on its record of the address, passes the announcement over as ADDRESS_TAKEN and acknowledges it all the same. Every router goes on sending it requests.

expected: DRAINING but was: SERVING

--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.lib.BackendRef;
 
@@ -108,6 +109,20 @@
         assertThat(mA.backend("new").state()).isEqualTo(Backend.State.SERVING);
     }
 
+    // A server's word that it leaves was acknowledged and dropped, so that routers went on using it.
+    @Tag("known-red")
+    @Test
+    void aServerLeavesThroughAnInstanceThatKnewAnEarlierOneAtItsAddress() {
+        mAtA.hear(NOW, at("old", "1.2.3.4:80", 7));
+        mAtA.withdraw(NOW, new BackendRef("old", 0));
+        mAtB.hear(NOW, at("w", "1.2.3.4:80", 1));
+        share();
+        mAtA.hear(NOW, announced(Backend.State.DRAINING, 2));
+        share();
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.DRAINING);
+        assertThat(mB.backend("w").state()).isEqualTo(Backend.State.DRAINING);
+    }
+
     private static Backend started(long start, Backend.State state, int number) {
         return new Backend(
                 new BackendRef("w", start), "s", "dc", "", "1.2.3.4:80", state, 6, number);
