Acknowledge a departure only where it is taken

What callers would see: requests sent for up to three seconds to a backend server that is gone. The incident's class, found by reading: a control instance acknowledged the departure of a server of which it knew nothing, as for about a second after its own start, and dropped it; the instance that heard the server missed it three seconds later. The departure of a later start than the one known here was dropped as well.

The first is refused now with 503, whereupon the server asks another instance; the second is taken.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
@@ -42,6 +42,7 @@
      * Passes on that a backend server without a sidecar leaves for good.
      *
      * @param backend its incarnation is when it started, 0 where it does not tell
+     * @param answer an AnswerAnnounced once it is taken, or a Refuse where nothing is known of it
      */
     public void withdraw(BackendRef backend, Consumer<Answer> answer) {
         mEvents.accept(new ControlEvent.BackendWithdrawn(mCalls.open(answer), backend));
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -86,8 +86,7 @@
         } else if (event instanceof BackendAnnounced e) {
             onAnnounced(e);
         } else if (event instanceof BackendWithdrawn e) {
-            mDirect.withdraw(now, e.backend());
-            effects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+            onWithdrawn(e);
         } else if (event instanceof CommandReceived e) {
             onCommand(e);
         } else {
@@ -135,6 +134,21 @@
         mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
     }
 
+    /** An instance that can't take a departure must not acknowledge it: another one may. */
+    private void onWithdrawn(BackendWithdrawn e) {
+        DirectSessions.Outcome outcome = mDirect.withdraw(mNow, e.backend());
+        if (outcome == DirectSessions.Outcome.UNKNOWN_SERVER) {
+            mEffects.accept(unknownServer(e.call(), e.backend().id()));
+        } else {
+            mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+        }
+    }
+
+    private static ControlEffect.Refuse unknownServer(long call, String id) {
+        String message = "no backend server " + id + " has announced itself";
+        return new ControlEffect.Refuse(call, ResultCode.UNKNOWN_BACKEND_SERVER, message, "");
+    }
+
     /** Before any settings are known, backend servers of every service are heard. */
     private boolean mayBeService(String name) {
         SettingsTree tree = mReplica.state().settings().tree();
@@ -145,10 +159,7 @@
         if (e.command() instanceof Command.Drain d
                 && d.drain()
                 && !mMembership.knows(d.backend())) {
-            String message = "no backend server " + d.backend() + " has announced itself";
-            mEffects.accept(
-                    new ControlEffect.Refuse(
-                            e.call(), ResultCode.UNKNOWN_BACKEND_SERVER, message, ""));
+            mEffects.accept(unknownServer(e.call(), d.backend()));
             return;
         }
         mReplica.propose(mNow, e.call(), e.command(), mEffects);
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
@@ -36,6 +36,11 @@
         return new Backend(ref, service, dataCentre, region, address, newState, weight, session);
     }
 
+    /** Returns another run of this backend server. */
+    public Backend withRef(BackendRef newRef) {
+        return new Backend(newRef, service, dataCentre, region, address, state, weight, session);
+    }
+
     /** Returns this backend server under another session. */
     public Backend withSession(int newSession) {
         return new Backend(ref, service, dataCentre, region, address, state, weight, newSession);
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -44,7 +44,9 @@
         /** It tells no start where others do, so that something else wrote it. */
         START_MISSING,
         /** A backend server that started later is at its address. */
-        ADDRESS_TAKEN
+        ADDRESS_TAKEN,
+        /** Nothing is known here of the backend server that it takes back. */
+        UNKNOWN_SERVER
     }
 
     /**
@@ -147,13 +149,20 @@
      *
      * @param now when
      * @param ref the start that leaves; one that tells no start means the run that is known
+     * @return what became of it; nothing that another instance believes changes unless it is {@code
+     *     TAKEN}
      */
-    public void withdraw(Instant now, BackendRef ref) {
+    public Outcome withdraw(Instant now, BackendRef ref) {
         Backend known = mMembership.backend(ref.id());
+        if (known == null) {
+            return Outcome.UNKNOWN_SERVER;
+        }
         boolean anyStart = ref.incarnation() == START_UNTOLD;
-        if (known != null && (anyStart || known.ref().equals(ref))) {
-            leave(now, known);
+        if (!anyStart && ref.incarnation() < known.ref().incarnation()) {
+            return Outcome.OVERTAKEN;
         }
+        leave(now, anyStart ? known : known.withRef(ref));
+        return Outcome.TAKEN;
     }
 
     private void leave(Instant now, Backend known) {
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -156,6 +156,26 @@
         assertThat(mA.backend("new").state()).isEqualTo(Backend.State.SERVING);
     }
 
+    // An instance that had just started acknowledged a departure that it could not pass on.
+    @Test
+    void aDepartureOfAnUnknownServerIsNotTaken() {
+        mAtB.hear(NOW, at("w", "1.2.3.4:80", 1));
+        assertThat(mAtA.withdraw(NOW, new BackendRef("w", 0)))
+                .isEqualTo(DirectSessions.Outcome.UNKNOWN_SERVER);
+        assertThat(mAtB.withdraw(NOW, new BackendRef("w", 0)))
+                .isEqualTo(DirectSessions.Outcome.TAKEN);
+    }
+
+    // The departure of a start that had been announced to another instance only was dropped.
+    @Test
+    void aDepartureOfALaterStartThanIsKnownIsTaken() {
+        mAtA.hear(NOW, started(1000, Backend.State.SERVING, 40));
+        mAtB.hear(NOW, started(9000, Backend.State.SERVING, 1));
+        assertThat(mAtA.withdraw(NOW, new BackendRef("w", 9000)))
+                .isEqualTo(DirectSessions.Outcome.TAKEN);
+        assertEverywhere(9000, Backend.State.LEFT);
+    }
+
     private static Backend started(long start, Backend.State state, int number) {
         return new Backend(
                 new BackendRef("w", start), "s", "dc", "", "1.2.3.4:80", state, 6, number);
