Take announcements of a service that other instances know already

What callers would see: requests to a server that is leaving.

Such an announcement is taken now if its server is known under that service from another instance. One under a known name with a service that nobody has still changes nothing.

DirectSessionsTest.aServerLeavesThroughAnInstanceThatHasNoSettingsOfItsServiceYet failed before (SERVING in place of DRAINING).

--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -39,7 +39,7 @@
         TAKEN,
         /** A later one of the same backend server, or of a later start of it, is known. */
         OVERTAKEN,
-        /** It names a service that the settings do not have. */
+        /** It names a service that neither the settings have nor its server is known for. */
         UNKNOWN_SERVICE,
         /** It tells no start where others do, so that something else wrote it. */
         START_MISSING,
@@ -77,13 +77,13 @@
     }
 
     private Outcome judge(Backend b) {
-        if (!mIsService.test(b.service())) {
+        Backend known = mMembership.backend(b.ref().id());
+        if (!mIsService.test(b.service()) && !isOfItsService(known, b)) {
             return Outcome.UNKNOWN_SERVICE;
         }
         if (mStartsAreTold && b.ref().incarnation() == START_UNTOLD) {
             return Outcome.START_MISSING;
         }
-        Backend known = mMembership.backend(b.ref().id());
         Mark told = Mark.of(b);
         boolean overtaken = known != null && !told.isAfter(Mark.of(known));
         if (overtaken || !told.isAfter(mNewest.get(b.ref().id()))) {
@@ -92,6 +92,11 @@
         return isLeaving(b) || mayHoldAddress(b) ? Outcome.TAKEN : Outcome.ADDRESS_TAKEN;
     }
 
+    /** Another instance, whose settings are newer than those here, has vouched for the service. */
+    private static boolean isOfItsService(Backend known, Backend b) {
+        return known != null && known.service().equals(b.service());
+    }
+
     /** One that leaves draws no requests, whoever is at its address. */
     private static boolean isLeaving(Backend b) {
         return b.state() != Backend.State.SERVING;
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -176,6 +176,35 @@
         assertEverywhere(9000, Backend.State.LEFT);
     }
 
+    // An instance whose settings lag dropped the departure of a server that the others send to.
+    @Test
+    void aServerLeavesThroughAnInstanceThatHasNoSettingsOfItsServiceYet() {
+        DirectSessions lagging = new DirectSessions(mB, s -> false);
+        mAtA.hear(NOW, announced(Backend.State.SERVING, 1));
+        share();
+        lagging.hear(NOW, announced(Backend.State.DRAINING, 2));
+        share();
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.DRAINING);
+    }
+
+    // Another writer's announcement under a server's name must not take that server out of use.
+    @Test
+    void aKnownNameWithAServiceThatNobodyHasChangesNothing() {
+        mAtA.hear(NOW, announced(Backend.State.SERVING, 1));
+        Backend other =
+                new Backend(
+                        new BackendRef("w", 0),
+                        "unheard-of",
+                        "dc",
+                        "",
+                        "1.2.3.4:80",
+                        Backend.State.DRAINING,
+                        6,
+                        2);
+        assertThat(mAtA.hear(NOW, other)).isEqualTo(DirectSessions.Outcome.UNKNOWN_SERVICE);
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.SERVING);
+    }
+
     private static Backend started(long start, Backend.State state, int number) {
         return new Backend(
                 new BackendRef("w", start), "s", "dc", "", "1.2.3.4:80", state, 6, number);
