Let a server that others gave up come back with its next announcement

What callers would see: after a partition of more than a minute, a server without a sidecar that the other side had given up stayed out of use for three seconds and until its next announcement. The instance that hears it wants a new session from it, which a sidecar is asked for; an announcement without one was passed over, though acknowledged, until the server was missed.

The announcement's own number is the new session now. DirectSessionsTest .aServerThatOthersGaveUpComesBackWithItsNextAnnouncement failed before (LEFT in place of SERVING).

--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -112,7 +112,15 @@
         Backend known = mMembership.backend(id);
         boolean goesOn = known != null && isUnchanged(known, b) && mMembership.hears(known);
         Backend told = goesOn ? b.withSession(known.session()) : b;
-        mMembership.hear(now, new SidecarReport(told, 0, 0, 0));
+        int leastSession = passOn(now, told);
+        if (leastSession > told.session()) {
+            // Others gave it up: only a new session wins over the departure that they announced.
+            passOn(now, b);
+        }
+    }
+
+    private int passOn(Instant now, Backend b) {
+        return mMembership.hear(now, new SidecarReport(b, 0, 0, 0));
     }
 
     private void occupyAddress(Instant now, Backend b) {
@@ -172,7 +180,7 @@
 
     private void leave(Instant now, Backend known) {
         Backend left = known.withState(Backend.State.LEFT).withSession(LAST);
-        mMembership.hear(now, new SidecarReport(left, 0, 0, 0));
+        passOn(now, left);
     }
 
     /** Forgets those that the membership has forgotten. */
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -205,6 +205,20 @@
         assertThat(mA.backend("w").state()).isEqualTo(Backend.State.SERVING);
     }
 
+    // After a partition a server that others had given up stayed out of use for seconds.
+    @Test
+    void aServerThatOthersGaveUpComesBackWithItsNextAnnouncement() {
+        mAtA.hear(NOW, announced(Backend.State.SERVING, 1));
+        share();
+        Backend gone = mB.backend("w").withState(Backend.State.LEFT);
+        mA.mergeEarly(NOW, List.of(new Announcement(gone, "b")));
+        mB.mergeEarly(NOW, List.of(new Announcement(gone, "b")));
+        mAtA.hear(NOW, announced(Backend.State.SERVING, 2));
+        share();
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.SERVING);
+        assertThat(mB.backend("w").state()).isEqualTo(Backend.State.SERVING);
+    }
+
     private static Backend started(long start, Backend.State state, int number) {
         return new Backend(
                 new BackendRef("w", start), "s", "dc", "", "1.2.3.4:80", state, 6, number);
