Remember on routers who left, so that an older view does not bring them back

What callers would see: requests sent to a backend server that had left, by a router that goes on from one control instance to another. A router dropped all it knew of a server that left; the whole view of an instance that was cut off at that time, and still has the server as serving, then added it anew.

MembershipsTest .anOlderViewDoesNotBringBackWhoLeft failed before.

--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -29,6 +29,7 @@
     private final Map<String, Backend> mBackends = new HashMap<>();
     private final Map<String, ServiceView> mViews = new HashMap<>();
     private final Map<String, Instant> mMissingUntil = new HashMap<>();
+    private final Departures mDepartures = new Departures();
     private final Consumer<Backend> mOnChange;
     private MembershipCursor mCursor = MembershipCursor.NONE;
     private long mChanges;
@@ -71,7 +72,7 @@
         Map<String, List<ViewChange>> changes = new HashMap<>();
         for (Backend b : delta.backends()) {
             mMissingUntil.remove(b.ref().id());
-            applyOne(b, changes);
+            applyOne(now, b, changes);
         }
         if (delta.full()) {
             noteMissing(now, delta.backends());
@@ -79,8 +80,9 @@
         applyToViews(changes);
     }
 
-    /** Drops what no view has named for too long. */
+    /** Drops what no view has named for too long, and forgets who left long ago. */
     void onTick(Instant now) {
+        mDepartures.forget(now);
         if (mMissingUntil.isEmpty()) {
             return;
         }
@@ -94,9 +96,9 @@
         applyToViews(changes);
     }
 
-    private void applyOne(Backend b, Map<String, List<ViewChange>> changes) {
+    private void applyOne(Instant now, Backend b, Map<String, List<ViewChange>> changes) {
         String id = b.ref().id();
-        Backend known = mBackends.get(id);
+        Backend known = mBackends.getOrDefault(id, mDepartures.get(id));
         if (known != null && !b.supersedes(known)) {
             return;
         }
@@ -105,8 +107,10 @@
         }
         if (b.state() == Backend.State.LEFT) {
             remove(id, changes);
+            mDepartures.add(now, b);
             return;
         }
+        mDepartures.remove(id);
         mBackends.put(id, b);
         if (known == null || known.state() != b.state()) {
             mOnChange.accept(b);
