Leave a control instance that can't confirm after two answers, and the next too

What callers saw: requests handled by settings of before a cut for up to five seconds, keys taken away among them, and refusals before the end of it.

Cause: the core is cut into two halves at 10.94 s. A router that asks an instance of the smaller half is told that its settings may be stale, and went on to another one after five such answers; there the number doubled to ten, and that one was cut off as well. front-gotri-6 obeyed position 13 until 16.38 s, 4.8 s after the instance had lost its leader. It would have learned of no drain either. Ruled out: elections (the larger half had a leader after 0.8 s), exchanges that fail (none did), slow machines.

Each stale instance is left after two answers, until all were found stale in a row; then, as before, twice as many answers lie between moves, since each move costs a whole view of the membership.

NearestControlTest.passesAllThatAreCutOffAtTheSamePace failed before (35 answers in place of 6). leavesInstanceThatStaysStale asked for the five answers that were the cause; it asks for two now, which is stricter.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
@@ -9,7 +9,7 @@
 final class NearestControl {
     private static final int EXCHANGES_BEFORE_RETURN = 60;
     private static final int MOST_EXCHANGES_BEFORE_RETURN = 3600;
-    private static final int STALE_BEFORE_LEAVING = 5;
+    private static final int STALE_BEFORE_LEAVING = 2;
     private static final int MOST_STALE_BEFORE_LEAVING = 300;
 
     private List<String> mAddresses;
@@ -17,6 +17,7 @@
     private int mUntilReturn;
     private int mReturnAfter = EXCHANGES_BEFORE_RETURN;
     private int mStale;
+    private int mStaleInARow;
     private int mStaleLimit = STALE_BEFORE_LEAVING;
 
     NearestControl(List<String> addresses) {
@@ -66,8 +67,9 @@
 
     /**
      * Notes whether an answer was possibly stale; returns whether to leave the instance. One behind
-     * a partition answers as promptly as ever, so only this shows it. Where every instance is
-     * stale, there is nowhere better to go, and the moves become rarer.
+     * a partition answers as promptly as ever, so only this shows it; the next one may be cut off
+     * with it, and is left as soon. Once every instance was found stale, there is nowhere better to
+     * go, and the moves become rarer.
      */
     boolean leavesStale(boolean possiblyStale) {
         if (!possiblyStale) {
@@ -75,13 +77,17 @@
                 mReturnAfter = EXCHANGES_BEFORE_RETURN;
             }
             mStale = 0;
+            mStaleInARow = 0;
             mStaleLimit = STALE_BEFORE_LEAVING;
             return false;
         }
         if (mAddresses.size() == 1 || ++mStale < mStaleLimit) {
             return false;
         }
-        mStaleLimit = Math.min(2 * mStaleLimit, MOST_STALE_BEFORE_LEAVING);
+        mStaleInARow++;
+        if (mStaleInARow % mAddresses.size() == 0) {
+            mStaleLimit = Math.min(2 * mStaleLimit, MOST_STALE_BEFORE_LEAVING);
+        }
         leave();
         return true;
     }
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/NearestControlTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/NearestControlTest.java
@@ -28,19 +28,43 @@
     }
 
     // The nearest instance sits behind a partition and answers promptly, with settings that it
-    // can't
-    // confirm. After a few such answers another one is asked, which can.
+    // can't confirm.
     @Test
     void leavesInstanceThatStaysStale() {
         int answers = 1;
         while (!mControl.leavesStale(true)) {
             answers++;
         }
-        assertThat(answers).isEqualTo(5);
+        assertThat(answers).isEqualTo(2);
         assertThat(mControl.address()).isEqualTo("far");
         assertThat(mControl.leavesStale(false)).isFalse();
     }
 
+    // Where several instances in a row were cut off, routers obeyed old settings for five seconds.
+    @Test
+    void passesAllThatAreCutOffAtTheSamePace() {
+        NearestControl control = new NearestControl(List.of("a", "b", "c", "d", "e", "f", "g"));
+        int answers = 0;
+        while (!control.address().equals("d")) {
+            control.leavesStale(true);
+            answers++;
+        }
+        assertThat(answers).isEqualTo(6);
+    }
+
+    // Each move costs a whole view of the membership.
+    @Test
+    void movesSeldomWhereNoInstanceCanConfirm() {
+        NearestControl control = new NearestControl(List.of("a", "b", "c", "d", "e"));
+        int moves = 0;
+        for (int i = 0; i < 300; i++) {
+            if (control.leavesStale(true)) {
+                moves++;
+            }
+        }
+        assertThat(moves).isLessThan(30);
+    }
+
     @Test
     void aloneItIsKeptHoweverStale() {
         NearestControl alone = new NearestControl(List.of("only"));
