Keep who is at an address in a class of its own

DirectSessions ordered announcements, kept addresses and passed on. No change of what it decides; DirectSessionsTest and DirectDeparturesTest pass as before.

--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -22,15 +22,12 @@
     private static final int LAST = Integer.MAX_VALUE;
 
     /** The incarnation of an announcement that tells no start. */
-    private static final long START_UNTOLD = 0;
+    static final long START_UNTOLD = 0;
 
     private final SharedMembership mMembership;
     private final Predicate<String> mIsService;
     private final Map<String, Mark> mNewest = new HashMap<>();
-
-    /** The name under which each address was announced for the first time last. */
-    private final Map<String, String> mHolders = new HashMap<>();
-
+    private final AddressHolders mAddresses;
     private boolean mStartsAreTold;
 
     /** What became of an announcement. */
@@ -58,6 +55,7 @@
     public DirectSessions(SharedMembership membership, Predicate<String> isService) {
         mMembership = membership;
         mIsService = isService;
+        mAddresses = new AddressHolders(membership);
     }
 
     /**
@@ -89,7 +87,9 @@
         if (overtaken || !told.isAfter(mNewest.get(b.ref().id()))) {
             return Outcome.OVERTAKEN;
         }
-        return isLeaving(b) || mayHoldAddress(b) ? Outcome.TAKEN : Outcome.ADDRESS_TAKEN;
+        boolean isUnheardOf = known == null && !mNewest.containsKey(b.ref().id());
+        boolean believed = isLeaving(b) || mAddresses.mayHold(b, isUnheardOf);
+        return believed ? Outcome.TAKEN : Outcome.ADDRESS_TAKEN;
     }
 
     /** Another instance, whose settings are newer than those here, has vouched for the service. */
@@ -124,10 +124,9 @@
     }
 
     private void occupyAddress(Instant now, Backend b) {
-        String id = b.ref().id();
-        String before = mHolders.put(b.address(), id);
-        if (before != null && !before.equals(id) && mMembership.knows(before)) {
-            leave(now, mMembership.backend(before));
+        Backend before = mAddresses.hold(b);
+        if (before != null) {
+            leave(now, before);
         }
     }
 
@@ -135,28 +134,6 @@
         return known.ref().equals(b.ref()) && known.state() == b.state();
     }
 
-    /**
-     * Decides who is at an address that two names announce. The one that started later is there,
-     * and the other has crashed. Left in place until it is missed, it would draw requests that its
-     * successor refuses; and a late announcement of it must not push the successor out. Where
-     * starts are not told, the one that is heard for the first time is the later one.
-     */
-    private boolean mayHoldAddress(Backend b) {
-        String id = b.ref().id();
-        String holderId = mHolders.getOrDefault(b.address(), id);
-        if (holderId.equals(id)) {
-            return true;
-        }
-        Backend holder = mMembership.backend(holderId);
-        if (holder == null || holder.state() == Backend.State.LEFT) {
-            return true;
-        }
-        if (holder.ref().incarnation() != START_UNTOLD) {
-            return b.ref().incarnation() > holder.ref().incarnation();
-        }
-        return mMembership.backend(id) == null && !mNewest.containsKey(id);
-    }
-
     /**
      * Takes the word of a backend server that it leaves.
      *
@@ -186,7 +163,7 @@
     /** Forgets those that the membership has forgotten. */
     public void prune() {
         mNewest.keySet().removeIf(id -> !mMembership.knows(id));
-        mHolders.values().removeIf(id -> !mMembership.knows(id));
+        mAddresses.prune();
     }
 
     /** Where an announcement stands among those of its backend server. */
