Offer plain requests to servers that are full by old reports

Cause: a router learns of a server's load from the answers to its own requests, and believes what one told for three seconds. A server that was full for a moment when it answered is sent nothing by that router, which therefore hears nothing newer, and refuses its callers for the rest of the three seconds.

Prompts stay as they were: they would wait in an engine's queue.

The line of a choice now tells a prompt that went to the least loaded server, since all were over their bound or full, from a plain request that did: all_over_bound.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -1,7 +1,6 @@
 package org.laurelweir.direct;
 
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -63,26 +62,30 @@
 
     /** Chooses a server that was not tried yet, or none. */
     Optional<Chosen> choose(ActiveCall r, Instant now) {
-        Map<String, Candidate> found = candidates(r, now);
-        if (found.isEmpty()) {
-            return Optional.empty();
+        List<Candidate> all = List.copyOf(candidates(r, now).values());
+        if (r.mRequest.prompt().isPresent()) {
+            return firstWithinBound(all, now).or(() -> leastLoaded(r, all, "all_over_bound", now));
         }
-        List<Candidate> all = new ArrayList<>(found.values());
+        return leastLoaded(r, all, "least_loaded", now);
+    }
+
+    private Optional<Chosen> firstWithinBound(List<Candidate> all, Instant now) {
         double mean = all.stream().mapToInt(c -> mServers.load(c.ref(), now)).average().orElse(0);
         double bound = BOUND_FACTOR * mean + BOUND_EXTRA;
-        if (r.mRequest.prompt().isPresent()) {
-            for (Candidate c : all) {
-                if (mServers.load(c.ref(), now) <= bound && hasRoom(c, now)) {
-                    return Optional.of(chosen(c, c == all.get(0) ? "home" : "next", all, now));
-                }
-            }
-        }
         return all.stream()
-                .filter(c -> hasRoom(c, now))
+                .filter(c -> mServers.load(c.ref(), now) <= bound && hasRoom(c, now))
+                .findFirst()
+                .map(c -> chosen(c, c == all.get(0) ? "home" : "next", all, now));
+    }
+
+    private Optional<Chosen> leastLoaded(
+            ActiveCall r, List<Candidate> all, String reason, Instant now) {
+        return all.stream()
+                .filter(c -> mayTake(r, c, now))
                 .min(
                         Comparator.comparing((Candidate c) -> avoids(r, c, now))
                                 .thenComparingInt(c -> mServers.load(c.ref(), now)))
-                .map(c -> chosen(c, "least_loaded", all, now));
+                .map(c -> chosen(c, reason, all, now));
     }
 
     private Chosen chosen(Candidate c, String reason, List<Candidate> all, Instant now) {
@@ -100,10 +103,26 @@
         return !r.route().isRepeatable() && mServers.isDoubtful(r.mService, c.ref(), now);
     }
 
+    /**
+     * A plain request is offered even to a server that is full by what it told last. This router
+     * learns of its load from answers alone: one that it sends nothing is believed full long after.
+     * The server refuses at once what it can't take, and is then left alone for a moment. A prompt
+     * would wait in the engine's queue instead.
+     */
+    private boolean mayTake(ActiveCall r, Candidate c, Instant now) {
+        return r.mRequest.prompt().isPresent()
+                ? hasRoom(c, now)
+                : isBelowSlots(c, mServers.ownLoad(c.ref()));
+    }
+
     /** A server with as many requests as slots would only queue one more. */
     private boolean hasRoom(Candidate c, Instant now) {
+        return isBelowSlots(c, mServers.load(c.ref(), now));
+    }
+
+    private boolean isBelowSlots(Candidate c, int load) {
         int slots = slots(c);
-        return slots <= 0 || mServers.load(c.ref(), now) < slots;
+        return slots <= 0 || load < slots;
     }
 
     private int slots(Candidate c) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -113,6 +113,11 @@
         return Math.max(s.mOwn, s.mReported - s.mOwnAtReport + s.mOwn);
     }
 
+    /** Returns the requests of this router alone that the server has. */
+    int ownLoad(BackendRef ref) {
+        return server(ref).mOwn;
+    }
+
     /** Returns the slots that the server told, or 0. */
     int slots(BackendRef ref) {
         return server(ref).mSlots;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.direct.DirectEffect.AnswerData;
 import org.laurelweir.direct.DirectEffect.AnswerEnd;
@@ -38,6 +39,10 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    private static AnswerFacts telling(AnswerFacts.ReportedLoad load) {
+        return new AnswerFacts(false, false, true, Optional.of(load));
+    }
+
     @Test
     void passesOnAWholeAnswerUnchanged() {
         mDriver.arrive(1, UNSAFE);
@@ -304,6 +309,37 @@
         return new Prompt.Part(id, 10);
     }
 
+    // Callers of plain services were refused for seconds after each server had been full once.
+    @Test
+    void aPlainRequestIsOfferedToAServerThatWasFullOnce() {
+        DirectDriver few = new DirectDriver(2);
+        AnswerFacts full = telling(new AnswerFacts.ReportedLoad(6, 1, 6));
+        for (int caller = 1; caller <= 2; caller++) {
+            few.arrive(caller, SAFE);
+            few.answer(few.call().call(), 200, full);
+            few.give(new DirectEvent.Finished(few.call().call()));
+        }
+        few.arrive(3, SAFE);
+        assertThat(few.calls()).isEqualTo(3);
+    }
+
+    @Test
+    void aPlainRequestIsRefusedWhereThisRouterAloneFillsEveryServer() {
+        DirectDriver few = new DirectDriver(2);
+        AnswerFacts told = telling(new AnswerFacts.ReportedLoad(1, 0, 2));
+        few.arrive(1, SAFE);
+        few.arrive(2, SAFE);
+        for (BeginCall call : few.all(BeginCall.class)) {
+            few.answer(call.call(), 200, told);
+            few.give(new DirectEvent.Finished(call.call()));
+        }
+        for (int caller = 3; caller <= 7; caller++) {
+            few.arrive(caller, SAFE);
+        }
+        assertThat(few.calls()).isEqualTo(2 + 4);
+        assertThat(few.last(AnswerError.class).code()).isEqualTo(ResultCode.OVERLOADED);
+    }
+
     @Test
     void aHotPartSpillsOver() {
         Prompt prompt = new Prompt(List.of(new Prompt.Part(7, 800), part(1)), 810, 5);
