--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectSessions.java
@@ -42,7 +42,7 @@
         START_MISSING,
         /** A backend server that started later is at its address. */
         ADDRESS_TAKEN,
-        /** Nothing is known here of the backend server that it takes back. */
+        /** It is a withdrawal, and nothing is known here of the backend server that leaves. */
         UNKNOWN_SERVER
     }
 
@@ -139,8 +139,7 @@
      *
      * @param now when
      * @param ref the start that leaves; one that tells no start means the run that is known
-     * @return what became of it; nothing that another instance believes changes unless it is {@code
-     *     TAKEN}
+     * @return what became of it; all but {@code TAKEN} change nothing
      */
     public Outcome withdraw(Instant now, BackendRef ref) {
         Backend known = mMembership.backend(ref.id());
