Flush membership notes only where the membership may have changed

The notes were looked at after every event of a router, each request's included; they change with an answer of control or with a tick alone. The time for which departures are remembered stood twice.

No change of what is decided or logged.

--- a/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipConfig.java
@@ -29,6 +29,8 @@
         Duration holdBase,
         Duration holdMax,
         double heldShare) {
+    /** How long backend servers that left are remembered where nothing else is set. */
+    public static final Duration DEFAULT_KEEP_LEFT = Duration.ofMinutes(10);
 
     /** Returns a builder with the defaults for one exchange a second. */
     public static Builder builder(String control, long incarnation) {
@@ -40,7 +42,7 @@
         private final String mControl;
         private final long mIncarnation;
         private Duration mVanishAfter = Duration.ofSeconds(3);
-        private Duration mKeepLeft = Duration.ofMinutes(10);
+        private Duration mKeepLeft = DEFAULT_KEEP_LEFT;
         private Duration mPeerSilence = Duration.ofSeconds(5);
         private Duration mOrphanAfter = Duration.ofSeconds(60);
         private Duration mFlapWindow = Duration.ofMinutes(10);
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Departures.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Departures.java
@@ -1,20 +1,17 @@
 package org.laurelweir.routing;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.MembershipConfig;
 
 /**
  * The backend servers that left lately. A router that goes on to a control instance which was cut
  * off when one left is told that it serves; without this it would be sent requests again.
  */
 final class Departures {
-    /** As long as control instances remember who left. */
-    private static final Duration KEEP = Duration.ofMinutes(10);
-
     private final Map<String, Departure> mLeft = new LinkedHashMap<>();
 
     /** Notes one that has left. */
@@ -38,7 +35,8 @@
     /** Forgets those that left long ago. */
     void forget(Instant now) {
         Iterator<Departure> oldest = mLeft.values().iterator();
-        while (oldest.hasNext() && oldest.next().at().plus(KEEP).isBefore(now)) {
+        while (oldest.hasNext()
+                && oldest.next().at().plus(MembershipConfig.DEFAULT_KEEP_LEFT).isBefore(now)) {
             oldest.remove();
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
@@ -31,12 +30,12 @@
      *
      * @param source whose word it is
      */
-    void flush(Instant now, MembershipCursor source, Consumer<? super RouterEffect> effects) {
+    void flush(Step s, MembershipCursor source) {
         mChanged.forEach(
                 (service, states) ->
                         states.forEach(
                                 (state, ids) ->
-                                        effects.accept(line(now, source, service, state, ids))));
+                                        s.emit(line(s.now(), source, service, state, ids))));
         mChanged.clear();
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -59,7 +59,7 @@
         } else if (event instanceof RouterEvent.StreamLost e) {
             mStreams.onLost(s, e);
         } else if (event instanceof RouterEvent.ExchangeAnswered e) {
-            onExchange(now, e);
+            onExchange(s, e);
         } else if (event instanceof RouterEvent.ExchangeFailed) {
             mExchanges.onEnded(false);
         } else if (event instanceof RouterEvent.Direct e) {
@@ -69,7 +69,6 @@
         } else {
             onRequestEvent(s, event);
         }
-        mNotes.flush(now, mMemberships.cursor(), effects);
         if (mStopping && mRequests.isEmpty() && mDirect.isIdle()) {
             mStopping = false;
             s.emit(new RouterEffect.Stopped());
@@ -80,19 +79,21 @@
         mDirect.step(s.now(), event, e -> s.emit(new RouterEffect.Direct(e)));
     }
 
-    private void onExchange(Instant now, RouterEvent.ExchangeAnswered answer) {
+    private void onExchange(Step s, RouterEvent.ExchangeAnswered answer) {
         mExchanges.onEnded(answer.membership().full() || mMemberships.isTold());
-        mMemberships.apply(now, answer.membership());
+        mMemberships.apply(s.now(), answer.membership());
+        mNotes.flush(s, mMemberships.cursor());
         if (Memberships.tells(answer.membership())) {
             mPlacements.prune();
         }
         mPlacements.onMeans(answer.loads());
-        mLimits.onRouters(now, answer.routers());
+        mLimits.onRouters(s.now(), answer.routers());
         mRouters = answer.routers();
     }
 
     private void onTick(Step s) {
         mMemberships.onTick(s.now());
+        mNotes.flush(s, mMemberships.cursor());
         mTimers.onTick(s);
         stepDirect(s, new DirectEvent.Tick());
         mExchanges.onTick(s, mMemberships.cursor());
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -192,15 +192,9 @@
     void aKnownNameWithAServiceThatNobodyHasChangesNothing() {
         mAtA.hear(NOW, announced(Backend.State.SERVING, 1));
         Backend other =
-                new Backend(
-                        new BackendRef("w", 0),
-                        "unheard-of",
-                        "dc",
-                        "",
-                        "1.2.3.4:80",
-                        Backend.State.DRAINING,
-                        6,
-                        2);
+                startedAt("w", 0, "unheard-of", "1.2.3.4:80")
+                        .withState(Backend.State.DRAINING)
+                        .withSession(2);
         assertThat(mAtA.hear(NOW, other)).isEqualTo(DirectSessions.Outcome.UNKNOWN_SERVICE);
         assertThat(mA.backend("w").state()).isEqualTo(Backend.State.SERVING);
     }
