Name what a request of unknown outcome was, in the line that tells of it

The digest of method, path and body, which claims on idempotency keys are compared by already, is in the line now, beside the account. Computed only when an outcome is unknown. No decision has changed.

--- a/org.laurelweir/src/main/java/org/laurelweir/attempt/AttemptRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/attempt/AttemptRequest.java
@@ -1,7 +1,9 @@
 package org.laurelweir.attempt;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import net.openhft.hashing.LongHashFunction;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 
@@ -83,7 +85,20 @@
      * @param streamed whether the answer is wanted as a stream of events
      */
     public record Call(
-            String method, String path, List<Header> headers, byte[] body, boolean streamed) {}
+            String method, String path, List<Header> headers, byte[] body, boolean streamed) {
+        private static final LongHashFunction XXH3 = LongHashFunction.xx3();
+        private static final byte SEPARATOR = 0;
+
+        /** Returns a digest of what the call does: of its method, path and body. */
+        public long fingerprint() {
+            byte[] start = (method + ' ' + path).getBytes(StandardCharsets.UTF_8);
+            byte[] all = new byte[start.length + 1 + body.length];
+            System.arraycopy(start, 0, all, 0, start.length);
+            all[start.length] = SEPARATOR;
+            System.arraycopy(body, 0, all, start.length + 1, body.length);
+            return XXH3.hashBytes(all);
+        }
+    }
 
     /**
      * What a call is expected to spend.
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -249,7 +249,7 @@
     /** The server may have run the request: it is repeated only where that is harmless. */
     private void afterUnknown(ActiveCall r, String message) {
         r.mMayHaveRun = true;
-        emit(mReports.said(r, "outcome_unknown", mNow));
+        emit(mReports.outcomeUnknown(r, mNow));
         if (r.route().isRepeatable() && mAttempts.next(r)) {
             return;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
@@ -18,6 +18,12 @@
         return decided(r, now, List.of(), r.mBackend.id(), reason, Double.NaN);
     }
 
+    /** Names what the call was, by which the same request is found under other servers' ends. */
+    DirectEffect.Decided outcomeUnknown(ActiveCall r, Instant now) {
+        String fingerprint = Long.toHexString(r.mRequest.call().fingerprint());
+        return said(r, "outcome_unknown of " + fingerprint, now);
+    }
+
     DirectEffect.Decided answered(ActiveCall r, Instant now) {
         return decided(r, now, List.of(), r.mBackend.id(), "answered_" + r.mStatus, Double.NaN);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Claims.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Claims.java
@@ -1,16 +1,10 @@
 package org.laurelweir.routing;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import net.openhft.hashing.LongHashFunction;
-import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.lib.ResultCode;
 
 /** Asks control for claims on idempotency keys and tells it how they ended. */
 final class Claims {
-    private static final LongHashFunction XXH3 = LongHashFunction.xx3();
-    private static final byte SEPARATOR = 0;
-
     /**
      * Asks for the claim of the request's present attempt. The attempt is sent only once the claim
      * is granted: a resend on any router then finds it, and no second one is sent.
@@ -25,7 +19,7 @@
                         q.account(),
                         q.idempotencyKey(),
                         q.service(),
-                        fingerprint(q.call()),
+                        q.call().fingerprint(),
                         r.mTarget.ref(),
                         r.mReplaces,
                         retention(s, r)));
@@ -50,14 +44,4 @@
         CallerRequest q = r.mRequest;
         s.emit(new RouterEffect.SettleClaim(r.mClaimHolder, q.account(), q.idempotencyKey(), code));
     }
-
-    /** Returns a digest of what a call does: the same key with another call is refused. */
-    static long fingerprint(AttemptRequest.Call call) {
-        byte[] start = (call.method() + ' ' + call.path()).getBytes(StandardCharsets.UTF_8);
-        byte[] all = new byte[start.length + 1 + call.body().length];
-        System.arraycopy(start, 0, all, 0, start.length);
-        all[start.length] = SEPARATOR;
-        System.arraycopy(call.body(), 0, all, start.length + 1, call.body().length);
-        return XXH3.hashBytes(all);
-    }
 }
