Test that a request which ends its servers is sent no more

Fails: a fleet of reducers in virtual time, nine routers, three control instances, six servers that come back 2.5 s after they ended, and one request every 0.4 s that ends whichever server begins it.

--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetControls.java
@@ -0,0 +1,127 @@
+package org.laurelweir.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import org.laurelweir.agreement.AgreementEvent;
+import org.laurelweir.agreement.HardState;
+import org.laurelweir.agreement.ReplicaId;
+import org.laurelweir.agreement.Snapshot;
+import org.laurelweir.coordination.ControlConfig;
+import org.laurelweir.coordination.ControlEffect;
+import org.laurelweir.coordination.ControlEvent;
+import org.laurelweir.coordination.ControlReducer;
+
+/** Control instances that share what they hear over messages; the replicated log stays empty. */
+final class FleetControls {
+    private static final int TICK_MILLIS = 20;
+    private static final int MOST_TRANSIT_MILLIS = 4;
+
+    private final VirtualTime mTime;
+    private final List<Node> mNodes = new ArrayList<>();
+    private final Map<String, String> mAddresses = new TreeMap<>();
+    private long mLastCall;
+
+    FleetControls(VirtualTime time, int count) {
+        mTime = time;
+        for (int i = 0; i < count; i++) {
+            mAddresses.put("c" + i, "c" + i);
+        }
+        mAddresses.keySet().forEach(name -> mNodes.add(new Node(name)));
+        mNodes.forEach(Node::start);
+        mNodes.forEach(n -> time.every(TICK_MILLIS, () -> n.offer(new ControlEvent.Tick())));
+    }
+
+    int count() {
+        return mNodes.size();
+    }
+
+    boolean isUp(int control) {
+        return mNodes.get(control).mReducer != null;
+    }
+
+    void stop(int control) {
+        mNodes.get(control).mReducer = null;
+    }
+
+    /** Starts an instance anew; it knows nothing of before. */
+    void start(int control) {
+        mNodes.get(control).start();
+    }
+
+    /** Makes a call; it is never answered by an instance that is down. */
+    void call(
+            int control, LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
+        transit(() -> mNodes.get(control).call(event, answer));
+    }
+
+    private void transit(Runnable arrival) {
+        mTime.between(1, MOST_TRANSIT_MILLIS, arrival);
+    }
+
+    private Node node(String name) {
+        return mNodes.stream().filter(n -> n.mName.equals(name)).findFirst().orElseThrow();
+    }
+
+    private final class Node {
+        private final String mName;
+        private final Map<Long, Consumer<ControlEffect.Answer>> mCalls = new HashMap<>();
+        private ControlReducer mReducer;
+        private int mStarts;
+
+        Node(String name) {
+            mName = name;
+        }
+
+        void start() {
+            mStarts++;
+            mCalls.clear();
+            ControlConfig config =
+                    ControlConfig.builder(new ReplicaId(mName, 1), mStarts, mAddresses).build();
+            mReducer = new ControlReducer(config, null, mTime.mRandom.nextLong());
+            offer(
+                    new ControlEvent.Replica(
+                            new AgreementEvent.Recovered(
+                                    HardState.INITIAL, Snapshot.NONE, List.of(), 0)));
+        }
+
+        void call(LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
+            long call = ++mLastCall;
+            mCalls.put(call, answer);
+            offer(event.apply(call));
+        }
+
+        void offer(ControlEvent event) {
+            if (mReducer != null) {
+                mReducer.step(mTime.instant(), event, this::take);
+            }
+        }
+
+        private void take(ControlEffect effect) {
+            if (effect instanceof ControlEffect.Answer a) {
+                Consumer<ControlEffect.Answer> taker = mCalls.remove(a.call());
+                transit(() -> taker.accept(a));
+            } else if (effect instanceof ControlEffect.AskPeer e) {
+                ask(e);
+            } else if (effect instanceof ControlEffect.AnnounceToPeers e) {
+                ControlEvent event = new ControlEvent.PeerAnnounced(e.announcements());
+                e.peers().forEach(p -> transit(() -> node(p).offer(event)));
+            }
+        }
+
+        private void ask(ControlEffect.AskPeer e) {
+            LongFunction<ControlEvent> question =
+                    call -> new ControlEvent.PeerAsked(call, mName, e.cursor(), e.withRouters());
+            transit(() -> node(e.peer()).call(question, a -> answered(e.peer(), a)));
+        }
+
+        private void answered(String peer, ControlEffect.Answer answer) {
+            ControlEffect.AnswerPeer a = (ControlEffect.AnswerPeer) answer;
+            offer(new ControlEvent.PeerAnswered(peer, a.share(), a.routers(), a.status()));
+        }
+    }
+}
