Let one router try a request again that ended servers, and bound the trials

Kept away for good, a request would stay refused after its servers were mended; tried by each router on its own, it would end one server for each of them. The router that saw the last end sends it once, 10 minutes after, then 20, then 40, and after three trials nobody does: no message is needed for that, since an end that another process tells of always looks later than it was. A trial that is served releases the request on every router.

CrashTableTest has the table's own rules: excuses, bounds by account and in all, messages of bounded size, trials, and that processes which told each other everything agree (300 random histories). CrashingRequestTest also has others at the same servers, a busy request under chance ends, control instances and routers that start anew, and one control instance down.

--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CrashCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CrashCodec.java
@@ -47,6 +47,9 @@
 
     private static Crash toCore(org.laurelweir.wire.v1.Crash c) {
         return new Crash(
-                IdCodec.toCore(c.getServer()), Duration.ofMillis(c.getAgeMillis()), c.getExcused());
+                IdCodec.toCore(c.getServer()),
+                c.getRouter(),
+                Duration.ofMillis(c.getAgeMillis()),
+                c.getExcused());
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/CrashSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/CrashSharing.java
@@ -19,12 +19,13 @@
 final class CrashSharing {
     private final MembershipCursor mRun;
     private final QuarantineNotes mNotes = new QuarantineNotes(DecisionNotes.PROGRAM);
-    private final CrashTable mCrashes = new CrashTable(mNotes);
+    private final CrashTable mCrashes;
     private final Map<String, Long> mSeenOfPeers = new HashMap<>();
     private final List<CrashRecord> mUrgent = new ArrayList<>();
 
     CrashSharing(ControlConfig config) {
         mRun = new MembershipCursor(config.name(), config.incarnation(), 0);
+        mCrashes = new CrashTable(config.name(), mNotes);
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CrashGuard.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CrashGuard.java
@@ -16,8 +16,10 @@
     }
 
     /** Returns whether a request that arrives must not be sent. */
-    boolean bars(ActiveCall r) {
-        return !mCrashes.isEmpty() && mCrashes.isQuarantined(r.key());
+    boolean bars(ActiveCall r, Instant now) {
+        return !mCrashes.isEmpty()
+                && mCrashes.isQuarantined(r.key())
+                && !mCrashes.takeTrial(now, r.key());
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -107,7 +107,7 @@
         ActiveCall r = new ActiveCall(e.caller(), e.request(), service, mNow);
         mByCaller.put(e.caller(), r);
         mBudget.onRequest(service, mNow);
-        if (mGuard.bars(r)) {
+        if (mGuard.bars(r, mNow)) {
             quarantine(r);
         } else if (!mAttempts.next(r)) {
             refuse(r, "no backend server has room");
--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
@@ -44,9 +44,16 @@
     /** Chance ends of backend servers under one request are rarer than this. */
     private static final Duration SUSPECTED_FOR = Duration.ofMinutes(10);
 
-    /** Long against the ends that one more try costs. */
-    private static final Duration QUARANTINED_FOR = Duration.ofHours(1);
+    /** Long against the ends that it costs until the request is known again. */
+    private static final Duration QUARANTINED_FOR = Duration.ofDays(1);
 
+    /** Ends from which on nobody tries again by itself: three more than quarantine takes. */
+    private static final int TRIED_BELOW = QUARANTINED_FROM + 3;
+
+    /** From the last end to the first trial; doubles with each. */
+    private static final Duration TRIAL_AFTER = Duration.ofMinutes(10);
+
+    private final String mSelf;
     private final QuarantineListener mListener;
     private final Map<RequestKey, Entry> mEntries = new HashMap<>();
     private final NavigableMap<Long, Entry> mChanges = new TreeMap<>();
@@ -59,9 +66,11 @@
     /**
      * Creates an empty table.
      *
+     * @param self the name of the process
      * @param listener told of each request that is kept away from now on, or not any more
      */
-    public CrashTable(QuarantineListener listener) {
+    public CrashTable(String self, QuarantineListener listener) {
+        mSelf = self;
         mListener = listener;
     }
 
@@ -81,6 +90,18 @@
         return e != null && e.isQuarantined();
     }
 
+    /**
+     * Lets a request that is kept away be sent once, so that a mended backend server is noticed.
+     * Only the router that saw the last end does so: without a message between them, no two try at
+     * the same time. Each end makes the next trial later, and after three there is none.
+     *
+     * @return whether it is to be sent
+     */
+    public boolean takeTrial(Instant now, RequestKey key) {
+        Entry e = mEntries.get(key);
+        return e != null && e.takeTrial(now, mSelf);
+    }
+
     /** Returns whether some backend server ended under a request that may have caused it. */
     public boolean isSuspect(RequestKey key) {
         Entry e = mEntries.get(key);
@@ -94,7 +115,7 @@
 
     /** Notes that a backend server ended while it had a request. */
     public void crashed(Instant now, RequestKey key, String service, BackendRef server) {
-        Crash crash = new Crash(server, Duration.ZERO, false);
+        Crash crash = new Crash(server, mSelf, Duration.ZERO, false);
         mergeOne(now, new CrashRecord(key, service, List.of(crash)));
     }
 
@@ -240,6 +261,7 @@
         private final RequestKey mKey;
         private final String mService;
         private final List<Known> mCrashes = new ArrayList<>();
+        private Instant mTried = Instant.MIN;
         private long mVersion;
 
         Entry(RequestKey key, String service) {
@@ -251,15 +273,13 @@
         boolean add(Instant now, Crash c) {
             for (Known k : mCrashes) {
                 if (k.mServer.equals(c.server())) {
-                    boolean excuses = c.excused() && !k.mExcused;
-                    k.mExcused |= c.excused();
-                    return excuses;
+                    return k.merge(c);
                 }
             }
             if (mCrashes.size() >= MOST_CRASHES && !dropExcused()) {
                 return false;
             }
-            mCrashes.add(new Known(c.server(), now.minus(c.age()), c.excused()));
+            mCrashes.add(new Known(c, now));
             return true;
         }
 
@@ -279,8 +299,27 @@
             return unexcused() >= QUARANTINED_FROM;
         }
 
+        boolean takeTrial(Instant now, String self) {
+            int ends = unexcused();
+            Known last = last();
+            if (ends >= TRIED_BELOW || !last.mRouter.equals(self)) {
+                return false;
+            }
+            Instant latest = mTried.isAfter(last.mAt) ? mTried : last.mAt;
+            Duration wait = TRIAL_AFTER.multipliedBy(1L << (ends - QUARANTINED_FROM));
+            if (now.isBefore(latest.plus(wait))) {
+                return false;
+            }
+            mTried = now;
+            return true;
+        }
+
+        private Known last() {
+            return mCrashes.stream().max(Comparator.comparing(k -> k.mAt)).orElseThrow();
+        }
+
         Instant newest() {
-            return mCrashes.stream().map(k -> k.mAt).max(Comparator.naturalOrder()).orElseThrow();
+            return last().mAt;
         }
 
         boolean isOld(Instant now) {
@@ -297,16 +336,27 @@
     private static final class Known {
         private final BackendRef mServer;
         private final Instant mAt;
+        private String mRouter;
         private boolean mExcused;
 
-        Known(BackendRef server, Instant at, boolean excused) {
-            mServer = server;
-            mAt = at;
-            mExcused = excused;
+        Known(Crash c, Instant now) {
+            mServer = c.server();
+            mAt = now.minus(c.age());
+            mRouter = c.router();
+            mExcused = c.excused();
+        }
+
+        /** Takes what another process knows of the same end; returns whether it was new. */
+        boolean merge(Crash c) {
+            boolean excuses = c.excused() && !mExcused;
+            boolean precedes = c.router().compareTo(mRouter) < 0;
+            mExcused |= excuses;
+            mRouter = precedes ? c.router() : mRouter;
+            return excuses || precedes;
         }
 
         Crash crash(Instant now) {
-            return new Crash(mServer, Duration.between(mAt, now), mExcused);
+            return new Crash(mServer, mRouter, Duration.between(mAt, now), mExcused);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -27,8 +27,8 @@
     private final Timers mTimers;
     private final DirectRouting mDirect;
     private final QuarantineNotes mQuarantineNotes = new QuarantineNotes(Decisions.PROGRAM);
-    private final CrashTable mCrashes = new CrashTable(mQuarantineNotes);
-    private final CrashSharing mCrashSharing = new CrashSharing(mCrashes);
+    private final CrashTable mCrashes;
+    private final CrashSharing mCrashSharing;
     private int mRouters;
     private boolean mStopping;
 
@@ -39,6 +39,8 @@
      */
     public RouterReducer(RouterConfig config) {
         mExchanges = new Exchanges(config.exchangeInterval());
+        mCrashes = new CrashTable(config.name(), mQuarantineNotes);
+        mCrashSharing = new CrashSharing(mCrashes);
         mPlacements = new Placements(config, mMemberships);
         mDirect =
                 new DirectRouting(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectDriver.java
@@ -28,7 +28,7 @@
     static final RetryLimits LIMITS = new RetryLimits(0.2, 64, Duration.ofSeconds(10), 1, 1);
 
     final List<DirectEffect> mEffects = new ArrayList<>();
-    final CrashTable mCrashes = new CrashTable((record, quarantined) -> {});
+    final CrashTable mCrashes = new CrashTable("r", (record, quarantined) -> {});
     private final Map<String, Backend> mBackends = new HashMap<>();
     private final DirectRouting mRouting;
     private ServiceView mView = ServiceView.empty(SERVICE);
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
@@ -0,0 +1,245 @@
+package org.laurelweir.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.lib.BackendRef;
+
+/** What a process believes of requests under which backend servers ended. */
+class CrashTableTest {
+    private static final RequestKey KEY = new RequestKey("acme", 7);
+    private static final Instant START = Instant.EPOCH;
+    private static final Duration FIRST_TRIAL = Duration.ofMinutes(10);
+
+    private final List<Boolean> mChanges = new ArrayList<>();
+    private final CrashTable mTable = new CrashTable("r1", (r, on) -> mChanges.add(on));
+    private Instant mNow = START;
+
+    private static BackendRef server(int number) {
+        return new BackendRef("s" + number, number);
+    }
+
+    private static CrashTable table(String name) {
+        return new CrashTable(name, (record, quarantined) -> {});
+    }
+
+    private void crash(int server) {
+        mTable.crashed(mNow, KEY, "svc", server(server));
+    }
+
+    private void quarantine() {
+        crash(1);
+        crash(2);
+        crash(3);
+    }
+
+    private static void tell(Instant now, CrashTable from, CrashTable to) {
+        to.merge(now, from.since(now, 0).records());
+    }
+
+    @Test
+    void threeDifferentServersEndsAreTheCause() {
+        crash(1);
+        assertThat(mTable.isSuspect(KEY)).isTrue();
+        crash(1);
+        crash(1);
+        crash(2);
+        assertThat(mTable.isQuarantined(KEY)).isFalse();
+        crash(3);
+        assertThat(mTable.isQuarantined(KEY)).isTrue();
+        assertThat(mTable.isQuarantined(new RequestKey("other", 7))).isFalse();
+        assertThat(mTable.isQuarantined(new RequestKey("acme", 8))).isFalse();
+        assertThat(mChanges).containsExactly(true);
+    }
+
+    // A request that is often cut off and often served was refused like one that ends servers.
+    @Test
+    void aRequestThatIsServedBetweenItsEndsIsNotTheCause() {
+        for (int i = 1; i < 100; i++) {
+            crash(i);
+            crash(100 + i);
+            mTable.served(mNow, KEY);
+        }
+        assertThat(mTable.isSuspect(KEY)).isFalse();
+        assertThat(mChanges).isEmpty();
+    }
+
+    // A connection that breaks looks like the end of its server, which lives on.
+    @Test
+    void aServerThatAnswersAfterItsEndHadNotEnded() {
+        quarantine();
+        mTable.survived(mNow.plusMillis(2), server(2), mNow.plusMillis(1));
+        assertThat(mTable.isQuarantined(KEY)).isFalse();
+        assertThat(mChanges).containsExactly(true, false);
+    }
+
+    @Test
+    void anAnswerThatWasAskedForBeforeTheEndSaysNothing() {
+        quarantine();
+        mTable.survived(mNow.plusMillis(2), server(2), mNow);
+        mTable.survived(mNow.plusMillis(2), new BackendRef("s2", 99), mNow.plusMillis(1));
+        assertThat(mTable.isQuarantined(KEY)).isTrue();
+    }
+
+    // A late message brought back an end that another process had excused.
+    @Test
+    void anExcuseHoldsWhateverComesLater() {
+        quarantine();
+        List<CrashRecord> late = mTable.since(mNow, 0).records();
+        mTable.served(mNow, KEY);
+        mTable.merge(mNow, late);
+        assertThat(mTable.isSuspect(KEY)).isFalse();
+    }
+
+    @Test
+    void tellsOnlyWhatIsNew() {
+        quarantine();
+        long version = mTable.since(mNow, 0).version();
+        assertThat(mTable.since(mNow, version).records()).isEmpty();
+        assertThat(mTable.merge(mNow, mTable.since(mNow, 0).records())).isFalse();
+        mTable.served(mNow, KEY);
+        assertThat(mTable.since(mNow, version).records()).hasSize(1);
+    }
+
+    // After a loss of many servers at once a message grew with all requests that they had.
+    @Test
+    void tellsManyInMessagesOfBoundedSize() {
+        for (int i = 0; i < 150; i++) {
+            mTable.crashed(mNow, new RequestKey("a" + i, i), "svc", server(1));
+        }
+        CrashTable reader = table("c1");
+        long seen = 0;
+        for (int i = 0; i < 3; i++) {
+            CrashDelta delta = mTable.since(mNow, seen);
+            assertThat(delta.records()).hasSizeLessThanOrEqualTo(CrashTable.MOST_TOLD);
+            reader.merge(mNow, delta.records());
+            seen = delta.version();
+        }
+        assertThat(seen).isEqualTo(mTable.version());
+        assertThat(reader.isSuspect(new RequestKey("a0", 0))).isTrue();
+        assertThat(reader.isSuspect(new RequestKey("a149", 149))).isTrue();
+    }
+
+    // One account's many requests pushed out what was known of another's.
+    @Test
+    void anAccountCantPushOutAnothers() {
+        quarantine();
+        for (int i = 0; i < 5 * CrashTable.MOST_REQUESTS; i++) {
+            mTable.crashed(mNow, new RequestKey("flood", i), "svc", server(i));
+        }
+        assertThat(mTable.isQuarantined(KEY)).isTrue();
+        assertThat(mTable.isSuspect(new RequestKey("flood", 0))).isFalse();
+    }
+
+    @Test
+    void manyAccountsPushOutTheLeastTelling() {
+        quarantine();
+        for (int i = 0; i < 2 * CrashTable.MOST_REQUESTS; i++) {
+            mTable.crashed(mNow, new RequestKey("a" + i, i), "svc", server(i));
+        }
+        assertThat(mTable.isQuarantined(KEY)).isTrue();
+    }
+
+    @Test
+    void chanceEndsAreForgotten() {
+        crash(1);
+        crash(2);
+        mNow = mNow.plus(Duration.ofMinutes(11));
+        mTable.forget(mNow);
+        assertThat(mTable.isEmpty()).isTrue();
+        crash(3);
+        assertThat(mTable.isQuarantined(KEY)).isFalse();
+    }
+
+    @Test
+    void aQuarantinedRequestIsRememberedForADay() {
+        quarantine();
+        mNow = mNow.plus(Duration.ofHours(23));
+        mTable.forget(mNow);
+        assertThat(mTable.isQuarantined(KEY)).isTrue();
+        mNow = mNow.plus(Duration.ofHours(2));
+        mTable.forget(mNow);
+        assertThat(mTable.isEmpty()).isTrue();
+        assertThat(mChanges).containsExactly(true, false);
+    }
+
+    // A mended server was never noticed, or each router tried on its own and ended one more.
+    @Test
+    void onlyTheRouterThatSawTheLastEndTriesAgain() {
+        CrashTable second = table("r2");
+        mTable.crashed(mNow, KEY, "svc", server(1));
+        mTable.crashed(mNow, KEY, "svc", server(2));
+        tell(mNow, mTable, second);
+        second.crashed(mNow.plusMillis(5), KEY, "svc", server(3));
+        tell(mNow.plusMillis(9), second, mTable);
+        mNow = mNow.plus(FIRST_TRIAL).plusSeconds(1);
+        assertThat(mTable.takeTrial(mNow, KEY)).isFalse();
+        assertThat(second.takeTrial(mNow, KEY)).isTrue();
+        assertThat(second.takeTrial(mNow.plusSeconds(1), KEY)).isFalse();
+    }
+
+    @Test
+    void trialsComeLaterEachTimeAndEndAfterThree() {
+        quarantine();
+        int trials = 0;
+        for (int minute = 0; minute < 12 * 60; minute++) {
+            mNow = mNow.plus(Duration.ofMinutes(1));
+            mTable.forget(mNow);
+            if (mTable.takeTrial(mNow, KEY)) {
+                trials++;
+                mTable.crashed(mNow, KEY, "svc", server(3 + trials));
+            }
+        }
+        assertThat(trials).isEqualTo(3);
+    }
+
+    @Test
+    void aTrialThatIsServedReleasesTheRequestEverywhere() {
+        quarantine();
+        CrashTable second = table("r2");
+        tell(mNow, mTable, second);
+        mNow = mNow.plus(FIRST_TRIAL).plusSeconds(1);
+        assertThat(mTable.takeTrial(mNow, KEY)).isTrue();
+        mTable.served(mNow, KEY);
+        tell(mNow, mTable, second);
+        assertThat(second.isQuarantined(KEY)).isFalse();
+    }
+
+    // Processes that had the same messages in another order disagreed for good.
+    @Property(tries = 300, seed = "3301")
+    void processesThatToldEachOtherEverythingAgree(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<CrashTable> tables = List.of(table("r1"), table("r2"), table("c1"));
+        Instant now = START;
+        for (int step = 0; step < 60; step++) {
+            now = now.plusMillis(random.nextInt(500));
+            CrashTable t = tables.get(random.nextInt(tables.size()));
+            RequestKey key = new RequestKey("a", random.nextInt(3));
+            switch (random.nextInt(6)) {
+                case 0 -> t.served(now, key);
+                case 1 -> t.survived(now, server(random.nextInt(5)), now);
+                case 2 -> tell(now, t, tables.get(random.nextInt(tables.size())));
+                default -> t.crashed(now, key, "svc", server(random.nextInt(5)));
+            }
+        }
+        for (int round = 0; round < 2; round++) {
+            for (CrashTable from : tables) {
+                for (CrashTable to : tables) {
+                    tell(now, from, to);
+                }
+            }
+        }
+        for (int i = 0; i < 3; i++) {
+            RequestKey key = new RequestKey("a", i);
+            assertThat(tables.stream().map(t -> t.isSuspect(key)).distinct()).hasSize(1);
+            assertThat(tables.stream().map(t -> t.isQuarantined(key)).distinct()).hasSize(1);
+        }
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
@@ -2,19 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.laurelweir.attempt.AttemptRequest;
-import org.laurelweir.direct.Prompt;
 import org.laurelweir.direct.Route;
-import org.laurelweir.direct.RoutedRequest;
-import org.laurelweir.settings.RouteShare;
+import org.laurelweir.lib.ResultCode;
 
-/** What becomes of a request that ends whichever backend server runs it. */
+/** What becomes of a request that ends whichever backend server runs it, and of all others. */
 class CrashingRequestTest {
     /** Time in which all routers have to know. */
     private static final long KNOWN_AFTER_MILLIS = 3000;
@@ -25,83 +20,123 @@
     /** Sends that the whole fleet may still make after that, as trials. */
     private static final int MOST_TRIALS = 3;
 
-    private static final int ROUTERS = 9;
-    private static final int SERVERS = 6;
     private static final int CRASHING_EVERY_MILLIS = 400;
     private static final int OTHERS_EVERY_MILLIS = 25;
-    private static final Duration TIMEOUT = Duration.ofSeconds(5);
-
-    private static Route route(boolean idempotent, boolean streamed, boolean resumable) {
-        return new Route(
-                "r",
-                "h",
-                "/",
-                List.of(new RouteShare(FleetServers.SERVICE, 1)),
-                idempotent,
-                streamed,
-                resumable,
-                false,
-                2,
-                TIMEOUT,
-                Duration.ofMillis(400),
-                Duration.ofMillis(400),
-                5);
+    private static final int BUSY_EVERY_MILLIS = 100;
+    private static final int RUN_MILLIS = 30_000;
+
+    private static final Route SAFE = RoutedFleet.route(true, false, false);
+    private static final Route STREAM = RoutedFleet.route(false, true, false);
+    private static final Route RESUMABLE = RoutedFleet.route(false, true, true);
+    private static final List<Route> ROUTES = List.of(SAFE, STREAM, RESUMABLE);
+
+    /** What callers other than that of the crashing request were told. */
+    private final List<ResultCode> mOthers = new ArrayList<>();
+
+    private void sendCrashing(RoutedFleet fleet, Route route) {
+        fleet.mTime.every(
+                CRASHING_EVERY_MILLIS,
+                () -> fleet.ask(route, FleetServers.CRASHING_BODY, code -> {}));
     }
 
-    private static RoutedRequest request(String id, Route route, String body) {
-        AttemptRequest.Call call =
-                new AttemptRequest.Call(
-                        "POST",
-                        "/x/1",
-                        List.of(),
-                        body.getBytes(StandardCharsets.UTF_8),
-                        route.streamed());
-        return new RoutedRequest(id, route, "acme", 5, TIMEOUT, call, Prompt.NONE);
+    private void sendOthers(RoutedFleet fleet, Route route) {
+        fleet.mTime.every(OTHERS_EVERY_MILLIS, () -> fleet.askAlone(route, mOthers::add));
     }
 
-    private static final class Fleet {
-        private final VirtualTime mTime;
-        private final FleetControls mControls;
-        private final FleetServers mServers;
-        private final List<FleetRouter> mRouters = new ArrayList<>();
-        private int mAsked;
-
-        Fleet(long seed) {
-            mTime = new VirtualTime(seed);
-            mControls = new FleetControls(mTime, 3);
-            mServers = new FleetServers(mTime, mControls, SERVERS);
-            for (int i = 0; i < ROUTERS; i++) {
-                mRouters.add(new FleetRouter(mTime, mControls, mServers, i));
-            }
-            mTime.run(2000);
+    /** Sends of the crashing request from the time on at which all routers have to know. */
+    private static long lateSends(RoutedFleet fleet) {
+        List<Long> ends = fleet.mServers.crashes();
+        assertThat(ends).hasSizeGreaterThanOrEqualTo(ENDS);
+        long known = ends.get(ENDS - 1) + KNOWN_AFTER_MILLIS;
+        return fleet.mServers.crashingArrivals().stream().filter(at -> at > known).count();
+    }
+
+    // One request ended every server that ran it, for as long as it came, and each time cut all
+    // others there.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void aRequestThatEndsServersIsSentNoMore(long seed) {
+        for (Route route : ROUTES) {
+            RoutedFleet fleet = new RoutedFleet(seed);
+            sendCrashing(fleet, route);
+            sendOthers(fleet, route);
+            fleet.mTime.run(RUN_MILLIS);
+            assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MOST_TRIALS);
         }
+    }
 
-        private void ask(Route route, String body) {
-            FleetRouter router = mRouters.get(mTime.mRandom.nextInt(ROUTERS));
-            router.ask(request("q" + ++mAsked, route, body), code -> {});
+    // Others that were at the same servers were refused as if they had ended them.
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15})
+    void othersAtTheSameServersAreNotHeldResponsible(long seed) {
+        for (Route route : ROUTES) {
+            RoutedFleet fleet = new RoutedFleet(seed);
+            sendCrashing(fleet, route);
+            sendOthers(fleet, route);
+            fleet.mTime.every(BUSY_EVERY_MILLIS, () -> fleet.ask(route, "busy", mOthers::add));
+            fleet.mTime.run(RUN_MILLIS);
+            assertThat(mOthers).as("%s", route).doesNotContain(ResultCode.REQUEST_QUARANTINED);
         }
+    }
 
-        /** Sends of the crashing request from the time on at which all routers have to know. */
-        private long lateSends() {
-            List<Long> ends = mServers.crashes();
-            assertThat(ends).hasSizeGreaterThanOrEqualTo(ENDS);
-            long known = ends.get(ENDS - 1) + KNOWN_AFTER_MILLIS;
-            return mServers.crashingArrivals().stream().filter(at -> at > known).count();
+    // A request that many callers send was refused after servers had ended by chance.
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23, 24, 25})
+    void aBusyRequestOutlivesChanceEndsOfServers(long seed) {
+        for (Route route : ROUTES) {
+            RoutedFleet fleet = new RoutedFleet(seed);
+            fleet.mTime.every(900, fleet.mServers::crashOne);
+            fleet.mTime.every(BUSY_EVERY_MILLIS, () -> fleet.ask(route, "busy", mOthers::add));
+            sendOthers(fleet, route);
+            fleet.mTime.run(RUN_MILLIS);
+            assertThat(mOthers).as("%s", route).doesNotContain(ResultCode.REQUEST_QUARANTINED);
         }
     }
 
-    // One request ended every server that ran it, for as long as it came, and each time cut all
-    // others there.
+    // What control knew was lost with its processes, and the request was sent again.
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5})
-    void aRequestThatEndsServersIsSentNoMore(long seed) {
-        for (Route route : List.of(route(true, false, false), route(false, true, false))) {
-            Fleet fleet = new Fleet(seed);
-            fleet.mTime.every(
-                    CRASHING_EVERY_MILLIS, () -> fleet.ask(route, FleetServers.CRASHING_BODY));
-            fleet.mTime.every(OTHERS_EVERY_MILLIS, () -> fleet.ask(route, "b" + fleet.mAsked));
-            fleet.mTime.run(30_000);
-            assertThat(fleet.lateSends()).as("%s", route).isLessThanOrEqualTo(MOST_TRIALS);
+    @ValueSource(longs = {31, 32, 33, 34, 35})
+    void controlInstancesThatStartAnewAreToldAgain(long seed) {
+        RoutedFleet fleet = new RoutedFleet(seed);
+        sendCrashing(fleet, SAFE);
+        sendOthers(fleet, SAFE);
+        fleet.mTime.run(10_000);
+        for (int i = 0; i < RoutedFleet.CONTROLS; i++) {
+            fleet.mControls.stop(i);
+        }
+        fleet.mTime.run(300);
+        for (int i = 0; i < RoutedFleet.CONTROLS; i++) {
+            fleet.mControls.start(i);
         }
+        fleet.mTime.run(5_000);
+        fleet.mRouters.forEach(FleetRouter::start);
+        fleet.mTime.run(RUN_MILLIS);
+        assertThat(lateSends(fleet)).isLessThanOrEqualTo(MOST_TRIALS);
+    }
+
+    // A router that had just started knew nothing and tried once more.
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44, 45})
+    void routersThatStartAnewAreTold(long seed) {
+        RoutedFleet fleet = new RoutedFleet(seed);
+        sendCrashing(fleet, SAFE);
+        sendOthers(fleet, SAFE);
+        fleet.mTime.every(
+                500,
+                () -> fleet.mRouters.get(fleet.mTime.mRandom.nextInt(RoutedFleet.ROUTERS)).start());
+        fleet.mTime.run(RUN_MILLIS);
+        assertThat(lateSends(fleet)).isLessThanOrEqualTo(MOST_TRIALS);
+    }
+
+    // While one control instance is down its routers take some time to find another one.
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53, 54, 55})
+    void aControlInstanceThatIsDownHidesNothingForLong(long seed) {
+        RoutedFleet fleet = new RoutedFleet(seed);
+        fleet.mControls.stop((int) (seed % RoutedFleet.CONTROLS));
+        sendCrashing(fleet, STREAM);
+        sendOthers(fleet, STREAM);
+        fleet.mTime.run(RUN_MILLIS);
+        assertThat(lateSends(fleet)).isLessThanOrEqualTo(MOST_TRIALS);
     }
 }
