Show operators the requests that are kept away, and let them release one

Until a trial is due, a request whose servers were mended stayed refused, and nobody could see which are. Not durable, as the records are not.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -13,6 +13,7 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.quarantine.CrashReport;
+import org.laurelweir.quarantine.RequestKey;
 import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.settings.NodePath;
 import org.laurelweir.wire.CrashCodec;
@@ -36,6 +37,8 @@
 import org.laurelweir.wire.v1.IssueFenceRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.ReleaseReply;
+import org.laurelweir.wire.v1.ReleaseRequest;
 import org.laurelweir.wire.v1.SettleClaimReply;
 import org.laurelweir.wire.v1.SettleClaimRequest;
 import org.laurelweir.wire.v1.StatusReply;
@@ -227,6 +230,15 @@
         mEvents.accept(new ControlEvent.StatusRead(mCalls.open(out, StatusReplies::status)));
     }
 
+    @Override
+    public void release(ReleaseRequest r, StreamObserver<ReleaseReply> out) {
+        mEvents.accept(
+                new ControlEvent.ReleaseOrdered(
+                        mCalls.open(out, Replies::release),
+                        new RequestKey(r.getAccount(), r.getFingerprint()),
+                        r.getAuthor()));
+    }
+
     @Override
     public void changeMembers(ChangeMembersRequest r, StreamObserver<ChangeMembersReply> out) {
         ReplicaId replica = ReplicaCodec.toCore(r.getReplica());
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
@@ -29,6 +29,7 @@
 import org.laurelweir.wire.v1.HistoryReply;
 import org.laurelweir.wire.v1.IssueFenceReply;
 import org.laurelweir.wire.v1.ReadSettingsReply;
+import org.laurelweir.wire.v1.ReleaseReply;
 import org.laurelweir.wire.v1.SettleClaimReply;
 
 /** Turns the reducer's answers into replies. */
@@ -111,6 +112,16 @@
         return DrainReply.newBuilder().setCode(result(answer).code().number()).build();
     }
 
+    static ReleaseReply release(Answer answer) {
+        if (answer instanceof Refuse r) {
+            return ReleaseReply.newBuilder()
+                    .setCode(r.code().number())
+                    .setMessage(r.message())
+                    .build();
+        }
+        return ReleaseReply.getDefaultInstance();
+    }
+
     static IssueFenceReply issueFence(Answer answer) {
         if (answer instanceof Refuse r) {
             return IssueFenceReply.newBuilder()
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
@@ -37,6 +37,7 @@
         s.backends().forEach(b -> reply.addBackends(toWire(b)));
         s.routers().forEach(r -> reply.addRouters(toWire(r)));
         s.loads().forEach(l -> reply.addLoads(MembershipCodec.toWire(l)));
+        reply.addAllQuarantined(CrashCodec.toWire(s.quarantined()));
         return reply.build();
     }
 
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
@@ -15,6 +15,7 @@
 import org.laurelweir.pgm.command.Drain;
 import org.laurelweir.pgm.command.Explain;
 import org.laurelweir.pgm.command.Order;
+import org.laurelweir.pgm.command.Release;
 import org.laurelweir.pgm.command.ReplicaAdd;
 import org.laurelweir.pgm.command.ReplicaPromote;
 import org.laurelweir.pgm.command.ReplicaRemove;
@@ -110,6 +111,7 @@
                         .withCommand(Drain.class)
                         .withCommand(Explain.class)
                         .withCommand(Order.class)
+                        .withCommand(Release.class)
                         .withCommand(Status.class)
                         .withCommand(Undrain.class);
         cli.withGroup(Texts.SETTINGS)
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -17,6 +17,8 @@
     public static final String CHECK = "Checks settings files of any program, with every fault.";
     public static final String DRAIN = "Lets a backend server finish and take no new work.";
     public static final String UNDRAIN = "Lets a drained backend server take work again.";
+    public static final String RELEASE =
+            "Lets a request be sent again that is kept away from backend servers.";
     public static final String STATUS = "Shows control instances, backend servers and routers.";
     public static final String EXPLAIN = "Shows the decisions for a request or chat, with inputs.";
     public static final String ORDER = "Orders a backend server to load something or change role.";
@@ -55,6 +57,10 @@
     public static final String ARGUMENT_TREE_FILE = "File of settings nodes, as get writes it.";
     public static final String ARGUMENT_FILES = "Settings files.";
     public static final String ARGUMENT_BACKEND = "The backend server's name.";
+    public static final String OPTION_ACCOUNT =
+            "The client account; none for a route that needs no key.";
+    public static final String ARGUMENT_FINGERPRINT =
+            "The request's fingerprint as status shows it.";
     public static final String ARGUMENT_SUBJECT =
             "A request's name or a chat's key; the newest decisions if absent.";
     public static final String ARGUMENTS_ORDER =
@@ -84,6 +90,8 @@
     public static final String DRAIN_ORDERED =
             "%s takes no new work; see status for what still runs";
     public static final String UNDRAIN_ORDERED = "%s takes work again";
+    public static final String RELEASED = "%s is sent to backend servers again";
+    public static final String NOT_A_FINGERPRINT = "not a fingerprint: %s";
     public static final String ORDER_TAKEN = "%s took the order under fence %d";
     public static final String NOT_A_REPLICA = "not NAME#ID: %s";
     public static final String NO_SUCH_CONTROL = "control instance %s is not heard of";
@@ -100,6 +108,9 @@
     public static final String BACKEND_COLUMNS =
             "BACKEND SERVER,SERVICE,DATA CENTRE,ADDRESS,STATE,RUNNING,WAITING,WORK";
     public static final String ROUTER_COLUMNS = "ROUTER,DATA CENTRE,ADDRESS,SETTINGS,HEARD";
+    public static final String QUARANTINE_COLUMNS =
+            "QUARANTINED REQUEST,ACCOUNT,SERVICE,ENDED,LAST END,BACKEND SERVERS";
+    public static final String SECONDS_AGO = "%d s ago";
     public static final String EFFECTIVE_COLUMNS = "KEY,VALUE,FROM";
     public static final String LEADER = "leader";
     public static final String FOLLOWER = "follower";
--- /dev/null
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Release.java
@@ -0,0 +1,70 @@
+package org.laurelweir.pgm.command;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.ArrayList;
+import java.util.List;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
+import org.laurelweir.pgm.Console;
+import org.laurelweir.pgm.PgmCommand;
+import org.laurelweir.pgm.Texts;
+import org.laurelweir.wire.v1.ReleaseReply;
+import org.laurelweir.wire.v1.ReleaseRequest;
+
+/** Lets a request be sent again that is kept away from backend servers. */
+@Command(name = "release", description = Texts.RELEASE)
+public final class Release implements PgmCommand {
+    private static final int HEXADECIMAL = 16;
+
+    @AirlineModule private FleetOptions mFleet = new FleetOptions();
+    @AirlineModule private HelpFlag mHelp = new HelpFlag();
+
+    @Option(name = "--author", title = "NAME", description = Texts.OPTION_AUTHOR)
+    private String mAuthor = "";
+
+    @Option(name = "--account", title = "ACCOUNT", description = Texts.OPTION_ACCOUNT)
+    private String mAccount = "";
+
+    @Required
+    @Arguments(title = "FINGERPRINT", description = Texts.ARGUMENT_FINGERPRINT)
+    private List<String> mFingerprint = new ArrayList<>();
+
+    /** What was released, for scripts. */
+    record Released(String account, String fingerprint) {}
+
+    @Override
+    public int run(Console console) {
+        String fingerprint = mFingerprint.get(0);
+        ReleaseRequest request =
+                ReleaseRequest.newBuilder()
+                        .setAccount(mAccount)
+                        .setFingerprint(parse(fingerprint))
+                        .setAuthor(mAuthor.isEmpty() ? console.user() : mAuthor)
+                        .build();
+        return mFleet.withFleet(
+                console,
+                f -> {
+                    ReleaseReply reply = f.control().release(request);
+                    Replies.check(reply.getCode(), reply.getMessage());
+                    if (mFleet.isJson()) {
+                        console.printJson(new Released(mAccount, fingerprint));
+                    } else {
+                        console.print(String.format(Texts.RELEASED, fingerprint));
+                    }
+                    return SUCCESS;
+                });
+    }
+
+    private static long parse(String fingerprint) {
+        try {
+            return Long.parseUnsignedLong(fingerprint, HEXADECIMAL);
+        } catch (NumberFormatException e) {
+            String message = String.format(Texts.NOT_A_FINGERPRINT, fingerprint);
+            throw new LaurelweirException(ResultCode.USAGE, message, e);
+        }
+    }
+}
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/ControlClient.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/ControlClient.java
@@ -23,6 +23,8 @@
 import org.laurelweir.wire.v1.IssueFenceRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.ReleaseReply;
+import org.laurelweir.wire.v1.ReleaseRequest;
 import org.laurelweir.wire.v1.StatusReply;
 import org.laurelweir.wire.v1.StatusRequest;
 
@@ -89,6 +91,11 @@
                 r -> ControlReply.of(r.getCode(), r.getMessage(), r.getLeader()));
     }
 
+    /** Lets a request be sent again that is kept away from backend servers. */
+    public ReleaseReply release(ReleaseRequest request) {
+        return call(s -> s.release(request), r -> ControlReply.of(r.getCode(), r.getMessage(), ""));
+    }
+
     /** Returns a new fencing number for orders to a backend server. */
     public IssueFenceReply issueFence(String backend) {
         IssueFenceRequest request = IssueFenceRequest.newBuilder().setBackend(backend).build();
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -3,10 +3,13 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.laurelweir.pgm.Table;
 import org.laurelweir.pgm.Texts;
 import org.laurelweir.wire.v1.BackendStatus;
 import org.laurelweir.wire.v1.ControlStatus;
+import org.laurelweir.wire.v1.Crash;
+import org.laurelweir.wire.v1.CrashRecord;
 import org.laurelweir.wire.v1.RouterStatus;
 import org.laurelweir.wire.v1.ServiceLoad;
 import org.laurelweir.wire.v1.StatusReply;
@@ -19,13 +22,15 @@
  * @param services services with their load; work is in token units
  * @param backends backend servers
  * @param routers routers
+ * @param quarantined requests that are kept away from backend servers
  */
 public record FleetView(
         long settingsPosition,
         List<Control> controls,
         List<ServiceMean> services,
         List<BackendServer> backends,
-        List<Router> routers) {
+        List<Router> routers,
+        List<Quarantined> quarantined) {
 
     /**
      * A control instance.
@@ -116,6 +121,30 @@
         }
     }
 
+    /**
+     * A request that is kept away from backend servers.
+     *
+     * @param lastEndSeconds how long ago a backend server ended under it last
+     * @param ended the backend servers that did
+     */
+    record Quarantined(
+            String fingerprint,
+            String account,
+            String service,
+            long lastEndSeconds,
+            List<String> ended) {
+        static Quarantined of(CrashRecord r) {
+            List<Crash> crashes = r.getCrashesList().stream().filter(c -> !c.getExcused()).toList();
+            long last = crashes.stream().mapToLong(Crash::getAgeMillis).min().orElse(0);
+            return new Quarantined(
+                    Long.toHexString(r.getFingerprint()),
+                    r.getAccount(),
+                    r.getService(),
+                    TimeUnit.MILLISECONDS.toSeconds(last),
+                    crashes.stream().map(c -> c.getServer().getId()).toList());
+        }
+    }
+
     /** Returns the view of an answer of control. */
     public static FleetView of(StatusReply reply) {
         return new FleetView(
@@ -123,14 +152,15 @@
                 reply.getControlsList().stream().map(Control::of).toList(),
                 reply.getLoadsList().stream().map(ServiceMean::of).toList(),
                 reply.getBackendsList().stream().map(BackendServer::of).toList(),
-                reply.getRoutersList().stream().map(Router::of).toList());
+                reply.getRoutersList().stream().map(Router::of).toList(),
+                reply.getQuarantinedList().stream().map(Quarantined::of).toList());
     }
 
     /** Returns the view for people: a table for each kind of program. */
     public List<String> lines() {
         List<String> lines = new ArrayList<>();
         lines.add(String.format(Texts.SETTINGS_POSITION, settingsPosition));
-        List.of(controlTable(), serviceTable(), backendTable(), routerTable())
+        List.of(controlTable(), serviceTable(), backendTable(), routerTable(), quarantineTable())
                 .forEach(
                         t -> {
                             lines.add("");
@@ -163,6 +193,16 @@
         return t;
     }
 
+    private Table quarantineTable() {
+        Table t = new Table(Texts.QUARANTINE_COLUMNS);
+        for (Quarantined q : quarantined) {
+            String last = String.format(Texts.SECONDS_AGO, q.lastEndSeconds);
+            String ended = String.join(" ", q.ended);
+            t.add(q.fingerprint, q.account, q.service, q.ended.size(), last, ended);
+        }
+        return t;
+    }
+
     private Table routerTable() {
         Table t = new Table(Texts.ROUTER_COLUMNS);
         routers.forEach(r -> t.add(r.name, r.dataCentre, r.address, r.settingsPosition, r.heard));
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -24,6 +24,8 @@
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ControlStatus;
+import org.laurelweir.wire.v1.Crash;
+import org.laurelweir.wire.v1.CrashRecord;
 import org.laurelweir.wire.v1.Decision;
 import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
@@ -37,6 +39,8 @@
 import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
+import org.laurelweir.wire.v1.ReleaseReply;
+import org.laurelweir.wire.v1.ReleaseRequest;
 import org.laurelweir.wire.v1.ReplicaId;
 import org.laurelweir.wire.v1.RouterReport;
 import org.laurelweir.wire.v1.RouterServiceGrpc;
@@ -49,11 +53,21 @@
 /** A leader and a follower of control, a router and a sidecar, over loopback and without a log. */
 final class FakeFleet implements Service {
     static final String BACKEND = "sh-1";
+    private static final CrashRecord QUARANTINED =
+            CrashRecord.newBuilder()
+                    .setAccount("acme")
+                    .setFingerprint(0xfeedL)
+                    .setService("seilhjerne")
+                    .addCrashes(crash("sh-2", 90_000))
+                    .addCrashes(crash("sh-3", 61_000))
+                    .addCrashes(crash("sh-4", 70_000))
+                    .build();
 
     private final EventLoops mLoops = new EventLoops("fake", 1);
     private final FakeTree mTree = new FakeTree();
     private final List<OrderRequest> mOrders = new ArrayList<>();
     private final List<DrainRequest> mDrains = new ArrayList<>();
+    private final List<ReleaseRequest> mReleases = new ArrayList<>();
     private final RpcServer mLeader = server(new Leader());
     private final RpcServer mFollower = server(new Follower());
     private final RpcServer mRouter = server(new Router());
@@ -112,6 +126,10 @@
         return List.copyOf(mOrders);
     }
 
+    synchronized List<ReleaseRequest> releases() {
+        return List.copyOf(mReleases);
+    }
+
     synchronized List<DrainRequest> drains() {
         return List.copyOf(mDrains);
     }
@@ -126,6 +144,13 @@
         return "127.0.0.1:" + server.port();
     }
 
+    private static Crash crash(String server, long ageMillis) {
+        return Crash.newBuilder()
+                .setServer(BackendRef.newBuilder().setId(server))
+                .setAgeMillis(ageMillis)
+                .build();
+    }
+
     private static ControlStatus.Builder control(String name, long storageId) {
         return ControlStatus.newBuilder()
                 .setName(name)
@@ -178,6 +203,14 @@
             }
         }
 
+        @Override
+        public void release(ReleaseRequest request, StreamObserver<ReleaseReply> observer) {
+            synchronized (FakeFleet.this) {
+                mReleases.add(request);
+                answer(observer, ReleaseReply.getDefaultInstance());
+            }
+        }
+
         @Override
         public void issueFence(
                 IssueFenceRequest request, StreamObserver<IssueFenceReply> observer) {
@@ -215,6 +248,7 @@
                             .addBackends(BackendStatus.newBuilder().setBackend(backend))
                             .addRouters(RouterStatus.newBuilder().setRouter(router))
                             .addRouters(RouterStatus.newBuilder().setRouter(gone))
+                            .addQuarantined(QUARANTINED)
                             .build());
         }
     }
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.runtime.process.Program;
+import org.laurelweir.wire.v1.ReleaseRequest;
 
 /** Whole command lines against a fake fleet on loopback. */
 class MainTest {
@@ -52,6 +53,7 @@
                 "drain",
                 "explain",
                 "order",
+                "release",
                 "replica add",
                 "replica promote",
                 "replica remove",
@@ -78,6 +80,8 @@
                 "settings set",
                 "settings set /x",
                 "order a b",
+                "release",
+                "release x#1",
                 "replica add c"
             })
     void wrongUseHasItsOwnStatus(String command) {
@@ -85,6 +89,16 @@
         assertThat(mErr.toString()).startsWith("laurelweir: ");
     }
 
+    @Test
+    void showsAndReleasesAQuarantinedRequest() {
+        assertThat(run("status")).isZero();
+        assertThat(mOut.toString()).contains("feed", "acme", "61 s ago", "sh-2 sh-3 sh-4");
+        assertThat(run("release", "--account", "acme", "feed")).isZero();
+        ReleaseRequest sent = mFleet.releases().get(0);
+        assertThat(sent.getAccount()).isEqualTo("acme");
+        assertThat(sent.getFingerprint()).isEqualTo(0xfeedL);
+    }
+
     @Test
     void followsTheHintToTheLeader() {
         mControl = mFleet.follower();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -94,6 +94,9 @@
     /** Answer an operator's question. */
     record AnswerStatus(long call, FleetStatus status) implements Answer {}
 
+    /** Answer that a request is not kept away any more. */
+    record AnswerReleased(long call) implements Answer {}
+
     /** Answer a change of the replicas that was carried out. */
     record AnswerMembers(long call, Membership members) implements Answer {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -13,6 +13,7 @@
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.quarantine.CrashRecord;
 import org.laurelweir.quarantine.CrashReport;
+import org.laurelweir.quarantine.RequestKey;
 import org.laurelweir.settings.NodePath;
 
 /**
@@ -81,6 +82,9 @@
     /** An operator asks how the fleet does. */
     record StatusRead(long call) implements ControlEvent {}
 
+    /** An operator wants a request sent again that is kept away from backend servers. */
+    record ReleaseOrdered(long call, RequestKey key, String author) implements ControlEvent {}
+
     /** An operator wants the replicas changed by one step. */
     record MembersChanged(long call, MembershipChange change) implements ControlEvent {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -14,6 +14,7 @@
 import org.laurelweir.coordination.ControlEvent.PeerAnnounced;
 import org.laurelweir.coordination.ControlEvent.PeerAnswered;
 import org.laurelweir.coordination.ControlEvent.PeerAsked;
+import org.laurelweir.coordination.ControlEvent.ReleaseOrdered;
 import org.laurelweir.coordination.ControlEvent.RouterExchanged;
 import org.laurelweir.coordination.ControlEvent.SettingsRead;
 import org.laurelweir.coordination.ControlEvent.SidecarExchanged;
@@ -67,7 +68,7 @@
         PeerPresences presences = new PeerPresences();
         mCrashes = new CrashSharing(config);
         mExchanges = new Exchanges(mMembership, mReplica, mRouters, mCrashes, mNotes);
-        mQueries = new Queries(mMembership, mReplica, mRouters, presences);
+        mQueries = new Queries(mMembership, mReplica, mRouters, mCrashes, presences);
         mRepair = new ReplicaRepair(mReplica, presences, config.open());
         mDirect = new DirectSessions(mMembership, this::mayBeService);
         mSharing =
@@ -116,6 +117,8 @@
             mQueries.answer(e, mEffects);
         } else if (event instanceof StatusRead e) {
             mQueries.answer(mNow, e, mEffects);
+        } else if (event instanceof ReleaseOrdered e) {
+            onReleaseOrdered(e);
         } else if (event instanceof MembersChanged e) {
             mReplica.change(mNow, e.call(), e.change(), mEffects);
         }
@@ -172,6 +175,17 @@
         mReplica.propose(mNow, e.call(), e.command(), mEffects);
     }
 
+    private void onReleaseOrdered(ReleaseOrdered e) {
+        if (mCrashes.release(mNow, e.key())) {
+            mNotes.released(mNow, e.key(), e.author(), mEffects);
+            mEffects.accept(new ControlEffect.AnswerReleased(e.call()));
+        } else {
+            String message = "request " + e.key().fingerprintText() + " is not kept away";
+            mEffects.accept(
+                    new ControlEffect.Refuse(e.call(), ResultCode.NOT_QUARANTINED, message, ""));
+        }
+    }
+
     private void backendChanged(Backend backend, String reason, boolean heardHere) {
         if (!heardHere) {
             mNotes.leavingToldByPeer(mNow, backend, reason, mEffects);
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/CrashSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/CrashSharing.java
@@ -11,6 +11,7 @@
 import org.laurelweir.quarantine.CrashRecord;
 import org.laurelweir.quarantine.CrashTable;
 import org.laurelweir.quarantine.QuarantineNotes;
+import org.laurelweir.quarantine.RequestKey;
 
 /**
  * Passes on between routers, and between control instances, under which requests backend servers
@@ -45,6 +46,25 @@
         }
     }
 
+    /**
+     * Lets a request be sent again.
+     *
+     * @return whether it was kept away
+     */
+    boolean release(Instant now, RequestKey key) {
+        if (!mCrashes.isQuarantined(key)) {
+            return false;
+        }
+        mCrashes.served(now, key);
+        mCrashes.find(now, key).ifPresent(mUrgent::add);
+        return true;
+    }
+
+    /** Returns the requests that are kept away from backend servers. */
+    List<CrashRecord> quarantined(Instant now) {
+        return mCrashes.quarantined(now);
+    }
+
     /** Returns, once, what peers should learn before they next ask. */
     List<CrashRecord> takeUrgent() {
         List<CrashRecord> urgent = List.copyOf(mUrgent);
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -11,6 +11,7 @@
 import org.laurelweir.coordination.CommandResult.FenceResult;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.quarantine.RequestKey;
 import org.laurelweir.settings.SettingsDelta;
 
 /** Words a control instance's decisions for the log. */
@@ -92,6 +93,12 @@
         note(now, new Subject("", "", ""), position, reader, reason, out);
     }
 
+    void released(Instant now, RequestKey key, String author, Consumer<? super ControlEffect> out) {
+        List<String> fingerprint = List.of(key.fingerprintText());
+        Subject subject = new Subject("", key.account(), "");
+        note(now, subject, fingerprint, "release", "ordered by " + author, out);
+    }
+
     private void claimed(
             Instant now, Command.Claim c, ClaimResult r, Consumer<? super ControlEffect> out) {
         Subject subject = new Subject(c.attempt().requestName(), c.account(), c.service());
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.laurelweir.membership.ServiceLoad;
+import org.laurelweir.quarantine.CrashRecord;
 
 /**
  * The fleet as one control instance knows it.
@@ -10,6 +11,7 @@
  * @param backends the backend servers, those that left lately included
  * @param routers the routers
  * @param loads the services' loads
+ * @param quarantined requests that are kept away from backend servers
  * @param settingsPosition the log position of the settings in force
  */
 public record FleetStatus(
@@ -17,4 +19,5 @@
         List<BackendPresence> backends,
         List<RouterPresence> routers,
         List<ServiceLoad> loads,
+        List<CrashRecord> quarantined,
         long settingsPosition) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
@@ -26,13 +26,16 @@
     private final SharedMembership mMembership;
     private final LogReplica mReplica;
     private final RouterTable mRouters;
+    private final CrashSharing mCrashes;
     private final PeerPresences mPeers;
 
     Queries(
             SharedMembership membership,
             LogReplica replica,
             RouterTable routers,
+            CrashSharing crashes,
             PeerPresences peers) {
+        mCrashes = crashes;
         mMembership = membership;
         mReplica = replica;
         mRouters = routers;
@@ -117,6 +120,7 @@
                                 backends,
                                 mRouters.all(),
                                 mMembership.loads(),
+                                mCrashes.quarantined(now),
                                 mReplica.state().settings().tree().position())));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
@@ -79,9 +79,12 @@
         return mEntries.isEmpty();
     }
 
-    /** Returns how many requests are kept away from backend servers. */
-    public int quarantined() {
-        return (int) mEntries.values().stream().filter(Entry::isQuarantined).count();
+    /** Returns the requests that are kept away from backend servers. */
+    public List<CrashRecord> quarantined(Instant now) {
+        return mEntries.values().stream()
+                .filter(Entry::isQuarantined)
+                .map(e -> e.record(now))
+                .toList();
     }
 
     /** Returns whether a request is kept away from backend servers. */
@@ -119,7 +122,10 @@
         mergeOne(now, new CrashRecord(key, service, List.of(crash)));
     }
 
-    /** Notes that a request was served: none of the ends under it was its doing. */
+    /**
+     * Notes that a request was served, or that an operator vouches for it: none of the ends under
+     * it was its doing.
+     */
     public void served(Instant now, RequestKey key) {
         Entry e = mEntries.get(key);
         if (e != null) {
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
@@ -39,6 +39,7 @@
     private final List<Long> mCrashes = new ArrayList<>();
     private final List<Long> mCrashingArrivals = new ArrayList<>();
     private int mStarts;
+    private boolean mMended;
 
     FleetServers(VirtualTime time, FleetControls controls, int count) {
         mTime = time;
@@ -49,6 +50,11 @@
         time.every(ANNOUNCE_MILLIS, () -> mByAddress.values().forEach(this::announce));
     }
 
+    /** From now on the crashing request is run like any other. */
+    void mend() {
+        mMended = true;
+    }
+
     /** When servers ended under the crashing request, in milliseconds. */
     List<Long> crashes() {
         return mCrashes;
@@ -126,6 +132,8 @@
         transit(() -> events.accept(head));
         if (isCrashing(call)) {
             mCrashingArrivals.add(mTime.millis());
+        }
+        if (isCrashing(call) && !mMended) {
             mTime.between(LEAST_CRASH_MILLIS, MOST_CRASH_MILLIS, () -> crash(s, id));
         } else {
             mTime.between(LEAST_RUN_MILLIS, MOST_RUN_MILLIS, () -> finish(s, id));
