--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
@@ -0,0 +1,154 @@
+package org.laurelweir.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.laurelweir.direct.DirectDriver.GENUINE;
+import static org.laurelweir.direct.DirectDriver.NOT_RUN;
+import static org.laurelweir.direct.DirectDriver.route;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.direct.DirectEffect.AnswerError;
+import org.laurelweir.direct.DirectEffect.AnswerWhole;
+import org.laurelweir.direct.DirectEvent.Failure;
+import org.laurelweir.lib.ResultCode;
+
+/** How a router treats requests under which backend servers end. */
+class CrashGuardTest {
+    private static final Route UNSAFE = route(false, false, false);
+    private static final Route SAFE = route(true, false, false);
+    private static final Route RESUMABLE = route(false, true, true);
+    private static final String BODY = "the same each time";
+
+    private final DirectDriver mDriver = new DirectDriver(6);
+    private long mCallers;
+
+    private void arrive(Route route) {
+        mDriver.arrive(++mCallers, route, Prompt.NONE, BODY);
+    }
+
+    private void fail(Failure failure) {
+        mDriver.give(new DirectEvent.Failed(mDriver.call().call(), failure, "ended"));
+    }
+
+    private void finish(int status) {
+        long call = mDriver.call().call();
+        mDriver.answer(call, status, GENUINE);
+        mDriver.give(new DirectEvent.Finished(call));
+    }
+
+    private void endThreeServers() {
+        for (int i = 0; i < 3; i++) {
+            arrive(UNSAFE);
+            fail(Failure.CONNECTION_LOST);
+        }
+    }
+
+    // Each arrival of a request that ends servers was sent to a further one.
+    @Test
+    void aRequestUnderWhichThreeServersEndedIsRefusedAtOnce() {
+        endThreeServers();
+        int calls = mDriver.calls();
+        arrive(UNSAFE);
+        assertThat(mDriver.calls()).isEqualTo(calls);
+        AnswerError error = mDriver.last(AnswerError.class);
+        assertThat(error.code()).isEqualTo(ResultCode.REQUEST_QUARANTINED);
+        assertThat(error.code().isNotRun()).isTrue();
+        assertThat(error.retryAfter()).isPositive();
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
+    @Test
+    void otherRequestsOfTheAccountAreServed() {
+        endThreeServers();
+        mDriver.arrive(99, UNSAFE);
+        finish(200);
+        assertThat(mDriver.last(AnswerWhole.class).caller()).isEqualTo(99);
+    }
+
+    // The second attempt of a request that had just ended a server ended another one.
+    @Test
+    void aRequestThatEndedAServerBeforeIsNotRepeatedWithinOneArrival() {
+        arrive(SAFE);
+        fail(Failure.CONNECTION_LOST);
+        assertThat(mDriver.calls()).isEqualTo(2);
+        fail(Failure.CONNECTION_LOST);
+        assertThat(mDriver.calls()).isEqualTo(2);
+        arrive(SAFE);
+        fail(Failure.CONNECTION_LOST);
+        assertThat(mDriver.calls()).isEqualTo(3);
+        arrive(SAFE);
+        assertThat(mDriver.calls()).isEqualTo(3);
+    }
+
+    @Test
+    void aStreamThatEndedAServerBeforeIsNotResumedAtAnother() {
+        arrive(RESUMABLE);
+        mDriver.answer(mDriver.call().call(), 200, GENUINE);
+        fail(Failure.CONNECTION_LOST);
+        mDriver.answer(mDriver.call().call(), 200, GENUINE);
+        fail(Failure.CONNECTION_LOST);
+        assertThat(mDriver.calls()).isEqualTo(2);
+        assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.ANSWER_CUT);
+    }
+
+    @Test
+    void aRequestThatIsServedNowAndThenIsNeverRefused() {
+        for (int i = 0; i < 20; i++) {
+            arrive(UNSAFE);
+            fail(Failure.CONNECTION_LOST);
+            arrive(UNSAFE);
+            fail(Failure.CONNECTION_LOST);
+            mDriver.pass(Duration.ofSeconds(3));
+            arrive(UNSAFE);
+            finish(200);
+        }
+        assertThat(mDriver.all(AnswerError.class))
+                .extracting(AnswerError::code)
+                .containsOnly(ResultCode.BACKEND_FAILED);
+    }
+
+    // A server that answers each time with a failure, or with garbage, was taken for one that ends.
+    @Test
+    void aFailureThatAServerTellsIsNoEnd() {
+        for (int i = 0; i < 10; i++) {
+            arrive(UNSAFE);
+            finish(500);
+            mDriver.pass(Duration.ofSeconds(3));
+            arrive(UNSAFE);
+            fail(Failure.ABANDONED);
+            mDriver.pass(Duration.ofSeconds(3));
+        }
+        assertThat(mDriver.mCrashes.isEmpty()).isTrue();
+    }
+
+    // A failure that a server told cleared what other servers' ends had shown.
+    @Test
+    void aFailureThatAServerTellsIsNoExcuse() {
+        arrive(UNSAFE);
+        fail(Failure.CONNECTION_LOST);
+        arrive(UNSAFE);
+        fail(Failure.CONNECTION_LOST);
+        arrive(UNSAFE);
+        finish(500);
+        arrive(UNSAFE);
+        mDriver.answer(mDriver.call().call(), 503, NOT_RUN);
+        fail(Failure.CONNECTION_LOST);
+        arrive(UNSAFE);
+        assertThat(mDriver.last(AnswerError.class).code())
+                .isEqualTo(ResultCode.REQUEST_QUARANTINED);
+    }
+
+    // Connections that live servers reset made a request look as if it had ended them.
+    @Test
+    void connectionsThatLiveServersResetAreExcused() {
+        endThreeServers();
+        for (int i = 0; i < 30; i++) {
+            mDriver.pass(Duration.ofSeconds(3));
+            mDriver.arrive(1000 + i, UNSAFE);
+            finish(200);
+        }
+        int calls = mDriver.calls();
+        arrive(UNSAFE);
+        assertThat(mDriver.calls()).isEqualTo(calls + 1);
+    }
+}
