Believe an answer as proof that a server lives for a second only

A server that comes back under its name is sent requests as the run that ended until routers are told of its start, and its answers excused the end: a request that ended it could be sent on. Found by reading, on the users' word that a server may start again under the id that it had. Within a second of its end no server is back. CrashTableTest fails without it.

--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
@@ -53,6 +53,12 @@
     /** From the last end to the first trial; doubles with each. */
     private static final Duration TRIAL_AFTER = Duration.ofMinutes(10);
 
+    /**
+     * A backend server takes longer to start again. One that does so under its name may be sent
+     * requests as the run that ended, until routers are told, and its answers prove nothing.
+     */
+    private static final Duration LEAST_RESTART = Duration.ofSeconds(1);
+
     private final String mSelf;
     private final QuarantineListener mListener;
     private final Map<RequestKey, Entry> mEntries = new HashMap<>();
@@ -142,7 +148,7 @@
     public void survived(Instant now, BackendRef server, Instant asked) {
         if (mEnded.contains(server)) {
             for (Entry e : mEntries.values()) {
-                excuse(now, e, c -> c.mServer.equals(server) && c.mAt.isBefore(asked));
+                excuse(now, e, c -> c.mServer.equals(server) && c.isDisprovedBy(asked));
             }
         }
     }
@@ -361,6 +367,11 @@
             return excuses || precedes;
         }
 
+        /** Returns whether an answer to what was asked then shows that there was no end. */
+        boolean isDisprovedBy(Instant asked) {
+            return mAt.isBefore(asked) && asked.isBefore(mAt.plus(LEAST_RESTART));
+        }
+
         Crash crash(Instant now) {
             return new Crash(mServer, mRouter, Duration.between(mAt, now), mExcused);
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
@@ -88,6 +88,15 @@
         assertThat(mTable.isQuarantined(KEY)).isTrue();
     }
 
+    // A server that came back under its name, sent requests as before, passed for one that lives.
+    @Test
+    void aServerThatStartsAgainUnderItsNameIsNoProof() {
+        quarantine();
+        Instant back = mNow.plusMillis(2500);
+        mTable.survived(back.plusMillis(50), server(2), back);
+        assertThat(mTable.isQuarantined(KEY)).isTrue();
+    }
+
     // A late message brought back an end that another process had excused.
     @Test
     void anExcuseHoldsWhateverComesLater() {
