Give what is known of one request a class of its own, and forget once a second

No decision has changed, but that a quarantined request which is pushed out of a full table is told as released.

--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
@@ -13,7 +13,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import org.laurelweir.lib.BackendRef;
 
 /**
@@ -22,15 +21,12 @@
  *
  * <p>Several requests are at a backend server when it ends, and one end says nothing of which
  * caused it. The cause is at every further end and is never served, while the others are served
- * when they come again. A crash is only ever added, or excused for good, so that processes that
- * have told each other everything agree, whatever the order of their messages.
+ * when they come again. An end is only ever added, or excused for good, so that processes that have
+ * told each other everything agree, whatever the order of their messages.
  *
- * <p>Bounded in requests, requests of an account and crashes of a request.
+ * <p>Bounded in requests, requests of an account and ends of a request.
  */
 public final class CrashTable {
-    /** Ends without an excuse from which on a request is kept away from backend servers. */
-    public static final int QUARANTINED_FROM = 3;
-
     /** Most records that one message tells; the rest follows with the next one. */
     static final int MOST_TOLD = 64;
 
@@ -39,35 +35,18 @@
     /** An account with more loses its own oldest, and can't push out those of others. */
     static final int MOST_OF_ACCOUNT = 64;
 
-    static final int MOST_CRASHES = 8;
-
-    /** Chance ends of backend servers under one request are rarer than this. */
-    private static final Duration SUSPECTED_FOR = Duration.ofMinutes(10);
-
-    /** Long against the ends that it costs until the request is known again. */
-    private static final Duration QUARANTINED_FOR = Duration.ofDays(1);
-
-    /** Ends from which on nobody tries again by itself: three more than quarantine takes. */
-    private static final int TRIED_BELOW = QUARANTINED_FROM + 3;
-
-    /** From the last end to the first trial; doubles with each. */
-    private static final Duration TRIAL_AFTER = Duration.ofMinutes(10);
-
-    /**
-     * A backend server takes longer to start again. One that does so under its name may be sent
-     * requests as the run that ended, until routers are told, and its answers prove nothing.
-     */
-    private static final Duration LEAST_RESTART = Duration.ofSeconds(1);
+    private static final Duration FORGET_INTERVAL = Duration.ofSeconds(1);
 
     private final String mSelf;
     private final QuarantineListener mListener;
-    private final Map<RequestKey, Entry> mEntries = new HashMap<>();
-    private final NavigableMap<Long, Entry> mChanges = new TreeMap<>();
+    private final Map<RequestKey, CrashEntry> mEntries = new HashMap<>();
+    private final NavigableMap<Long, CrashEntry> mChanges = new TreeMap<>();
 
-    /** Backend servers that are in some crash, so that answers of others cost nothing. */
+    /** Backend servers that are in some entry, so that answers of others cost nothing. */
     private final Set<BackendRef> mEnded = new HashSet<>();
 
     private long mVersion;
+    private Instant mNextForget = Instant.MIN;
 
     /**
      * Creates an empty table.
@@ -88,14 +67,14 @@
     /** Returns the requests that are kept away from backend servers. */
     public List<CrashRecord> quarantined(Instant now) {
         return mEntries.values().stream()
-                .filter(Entry::isQuarantined)
+                .filter(CrashEntry::isQuarantined)
                 .map(e -> e.record(now))
                 .toList();
     }
 
     /** Returns whether a request is kept away from backend servers. */
     public boolean isQuarantined(RequestKey key) {
-        Entry e = mEntries.get(key);
+        CrashEntry e = mEntries.get(key);
         return e != null && e.isQuarantined();
     }
 
@@ -107,13 +86,13 @@
      * @return whether it is to be sent
      */
     public boolean takeTrial(Instant now, RequestKey key) {
-        Entry e = mEntries.get(key);
+        CrashEntry e = mEntries.get(key);
         return e != null && e.takeTrial(now, mSelf);
     }
 
     /** Returns whether some backend server ended under a request that may have caused it. */
     public boolean isSuspect(RequestKey key) {
-        Entry e = mEntries.get(key);
+        CrashEntry e = mEntries.get(key);
         return e != null && e.unexcused() > 0;
     }
 
@@ -125,7 +104,7 @@
     /** Notes that a backend server ended while it had a request. */
     public void crashed(Instant now, RequestKey key, String service, BackendRef server) {
         Crash crash = new Crash(server, mSelf, Duration.ZERO, false);
-        mergeOne(now, new CrashRecord(key, service, List.of(crash)));
+        merge(now, new CrashRecord(key, service, List.of(crash)));
     }
 
     /**
@@ -133,9 +112,12 @@
      * it was its doing.
      */
     public void served(Instant now, RequestKey key) {
-        Entry e = mEntries.get(key);
+        CrashEntry e = mEntries.get(key);
         if (e != null) {
-            excuse(now, e, c -> true);
+            boolean before = e.isQuarantined();
+            if (e.excuseAll()) {
+                changed(now, e, before);
+            }
         }
     }
 
@@ -146,25 +128,15 @@
      * @param asked when it was sent the request that it answered
      */
     public void survived(Instant now, BackendRef server, Instant asked) {
-        if (mEnded.contains(server)) {
-            for (Entry e : mEntries.values()) {
-                excuse(now, e, c -> c.mServer.equals(server) && c.isDisprovedBy(asked));
-            }
+        if (!mEnded.contains(server)) {
+            return;
         }
-    }
-
-    private void excuse(Instant now, Entry e, Predicate<Known> excused) {
-        boolean before = e.isQuarantined();
-        boolean changed = false;
-        for (Known c : e.mCrashes) {
-            if (!c.mExcused && excused.test(c)) {
-                c.mExcused = true;
-                changed = true;
+        for (CrashEntry e : mEntries.values()) {
+            boolean before = e.isQuarantined();
+            if (e.excuse(server, asked)) {
+                changed(now, e, before);
             }
         }
-        if (changed) {
-            change(now, e, before);
-        }
     }
 
     /**
@@ -175,62 +147,61 @@
     public boolean merge(Instant now, List<CrashRecord> records) {
         boolean changed = false;
         for (CrashRecord r : records) {
-            changed |= mergeOne(now, r);
+            changed |= merge(now, r);
         }
         return changed;
     }
 
-    private boolean mergeOne(Instant now, CrashRecord r) {
-        boolean known = mEntries.containsKey(r.key());
-        Entry e = known ? mEntries.get(r.key()) : new Entry(r.key(), r.service());
+    private boolean merge(Instant now, CrashRecord r) {
+        CrashEntry known = mEntries.get(r.key());
+        CrashEntry e = known == null ? new CrashEntry(r.key(), r.service()) : known;
         boolean before = e.isQuarantined();
-        boolean changed = false;
-        for (Crash c : r.crashes()) {
-            changed |= c.age().compareTo(QUARANTINED_FOR) < 0 && e.add(now, c);
-        }
-        if (!changed) {
+        if (!e.add(now, r.crashes())) {
             return false;
         }
-        if (!known) {
-            makeRoom(r.key().account());
+        if (known == null) {
+            makeRoom(now, r.key().account());
             mEntries.put(r.key(), e);
         }
-        r.crashes().forEach(c -> mEnded.add(c.server()));
-        change(now, e, before);
+        mEnded.addAll(e.servers());
+        changed(now, e, before);
         return true;
     }
 
-    private void change(Instant now, Entry e, boolean before) {
+    private void changed(Instant now, CrashEntry e, boolean wasQuarantined) {
         mChanges.remove(e.mVersion);
         e.mVersion = ++mVersion;
         mChanges.put(e.mVersion, e);
-        if (before != e.isQuarantined()) {
-            mListener.changed(e.record(now), !before);
+        if (wasQuarantined != e.isQuarantined()) {
+            mListener.changed(e.record(now), e.isQuarantined());
         }
     }
 
-    private void makeRoom(String account) {
-        List<Entry> own =
-                mEntries.values().stream().filter(e -> e.mKey.account().equals(account)).toList();
+    private void makeRoom(Instant now, String account) {
+        List<CrashEntry> own =
+                mEntries.values().stream().filter(e -> e.key().account().equals(account)).toList();
         if (own.size() >= MOST_OF_ACCOUNT) {
-            removeLeastTelling(own);
+            removeLeastTelling(now, own);
         } else if (mEntries.size() >= MOST_REQUESTS) {
-            removeLeastTelling(List.copyOf(mEntries.values()));
+            removeLeastTelling(now, List.copyOf(mEntries.values()));
         }
     }
 
-    private void removeLeastTelling(List<Entry> entries) {
+    private void removeLeastTelling(Instant now, List<CrashEntry> entries) {
         entries.stream()
                 .min(
-                        Comparator.comparingInt(Entry::unexcused)
-                                .thenComparing(Entry::newest)
+                        Comparator.comparingInt(CrashEntry::unexcused)
+                                .thenComparing(CrashEntry::lastAt)
                                 .thenComparingLong(e -> e.mVersion))
-                .ifPresent(this::remove);
+                .ifPresent(e -> remove(now, e));
     }
 
-    private void remove(Entry e) {
-        mEntries.remove(e.mKey);
+    private void remove(Instant now, CrashEntry e) {
+        mEntries.remove(e.key());
         mChanges.remove(e.mVersion);
+        if (e.isQuarantined()) {
+            mListener.changed(e.record(now), false);
+        }
     }
 
     /** Returns a number that rises with every change. */
@@ -246,134 +217,24 @@
     public CrashDelta since(Instant now, long version) {
         List<CrashRecord> records = new ArrayList<>();
         long reached = version;
-        Iterator<Entry> changed = mChanges.tailMap(version, false).values().iterator();
+        Iterator<CrashEntry> changed = mChanges.tailMap(version, false).values().iterator();
         while (changed.hasNext() && records.size() < MOST_TOLD) {
-            Entry e = changed.next();
+            CrashEntry e = changed.next();
             records.add(e.record(now));
             reached = e.mVersion;
         }
         return new CrashDelta(changed.hasNext() ? reached : mVersion, records);
     }
 
-    /** Forgets requests under which no backend server has ended for long. */
+    /** Forgets, once a second, requests under which no backend server has ended for long. */
     public void forget(Instant now) {
-        List<Entry> old = mEntries.values().stream().filter(e -> e.isOld(now)).toList();
-        for (Entry e : old) {
-            remove(e);
-            if (e.isQuarantined()) {
-                mListener.changed(e.record(now), false);
-            }
-        }
-        if (mEntries.isEmpty()) {
-            mEnded.clear();
-        }
-    }
-
-    private static final class Entry {
-        private final RequestKey mKey;
-        private final String mService;
-        private final List<Known> mCrashes = new ArrayList<>();
-        private Instant mTried = Instant.MIN;
-        private long mVersion;
-
-        Entry(RequestKey key, String service) {
-            mKey = key;
-            mService = service;
-        }
-
-        /** Adds a crash, or its excuse; returns whether that was new. */
-        boolean add(Instant now, Crash c) {
-            for (Known k : mCrashes) {
-                if (k.mServer.equals(c.server())) {
-                    return k.merge(c);
-                }
-            }
-            if (mCrashes.size() >= MOST_CRASHES && !dropExcused()) {
-                return false;
-            }
-            mCrashes.add(new Known(c, now));
-            return true;
-        }
-
-        private boolean dropExcused() {
-            return mCrashes.stream()
-                    .filter(k -> k.mExcused)
-                    .findFirst()
-                    .map(mCrashes::remove)
-                    .orElse(false);
-        }
-
-        int unexcused() {
-            return (int) mCrashes.stream().filter(k -> !k.mExcused).count();
-        }
-
-        boolean isQuarantined() {
-            return unexcused() >= QUARANTINED_FROM;
-        }
-
-        boolean takeTrial(Instant now, String self) {
-            int ends = unexcused();
-            Known last = last();
-            if (ends >= TRIED_BELOW || !last.mRouter.equals(self)) {
-                return false;
-            }
-            Instant latest = mTried.isAfter(last.mAt) ? mTried : last.mAt;
-            Duration wait = TRIAL_AFTER.multipliedBy(1L << (ends - QUARANTINED_FROM));
-            if (now.isBefore(latest.plus(wait))) {
-                return false;
-            }
-            mTried = now;
-            return true;
-        }
-
-        private Known last() {
-            return mCrashes.stream().max(Comparator.comparing(k -> k.mAt)).orElseThrow();
-        }
-
-        Instant newest() {
-            return last().mAt;
-        }
-
-        boolean isOld(Instant now) {
-            Duration kept = isQuarantined() ? QUARANTINED_FOR : SUSPECTED_FOR;
-            return newest().plus(kept).isBefore(now);
-        }
-
-        CrashRecord record(Instant now) {
-            return new CrashRecord(
-                    mKey, mService, mCrashes.stream().map(k -> k.crash(now)).toList());
-        }
-    }
-
-    private static final class Known {
-        private final BackendRef mServer;
-        private final Instant mAt;
-        private String mRouter;
-        private boolean mExcused;
-
-        Known(Crash c, Instant now) {
-            mServer = c.server();
-            mAt = now.minus(c.age());
-            mRouter = c.router();
-            mExcused = c.excused();
-        }
-
-        /** Takes what another process knows of the same end; returns whether it was new. */
-        boolean merge(Crash c) {
-            boolean excuses = c.excused() && !mExcused;
-            boolean precedes = c.router().compareTo(mRouter) < 0;
-            mExcused |= excuses;
-            mRouter = precedes ? c.router() : mRouter;
-            return excuses || precedes;
-        }
-
-        /** Returns whether an answer to what was asked then shows that there was no end. */
-        boolean isDisprovedBy(Instant asked) {
-            return mAt.isBefore(asked) && asked.isBefore(mAt.plus(LEAST_RESTART));
-        }
-
-        Crash crash(Instant now) {
-            return new Crash(mServer, mRouter, Duration.between(mAt, now), mExcused);
-        }
+        if (mEntries.isEmpty() || now.isBefore(mNextForget)) {
+            return;
+        }
+        mNextForget = now.plus(FORGET_INTERVAL);
+        List<CrashEntry> old = mEntries.values().stream().filter(e -> e.isOld(now)).toList();
+        old.forEach(e -> remove(now, e));
+        mEnded.clear();
+        mEntries.values().forEach(e -> mEnded.addAll(e.servers()));
     }
 }
