--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -31,6 +31,7 @@
         gauge(registry, "control.sidecars.heard", Reported::sessions);
         gauge(registry, "control.backends", Reported::backends);
         gauge(registry, "control.claims", Reported::claims);
+        gauge(registry, "control.requests.quarantined", Reported::quarantined);
         gauge(registry, "control.settings.position", Reported::settingsPosition);
         gauge(registry, "control.log.bytes", Reported::logBytes);
         gauge(registry, "control.snapshot.bytes", Reported::snapshotBytes);
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -128,6 +128,7 @@
      * @param sessions sidecars heard here
      * @param backends backend servers known, those that left lately included
      * @param claims idempotency keys in use
+     * @param quarantined requests that are kept away from backend servers
      * @param settingsPosition the log position of the settings in force
      * @param logBytes bytes of the log's entries in memory
      * @param snapshotBytes bytes of the last snapshot's state
@@ -138,6 +139,7 @@
             int sessions,
             int backends,
             int claims,
+            int quarantined,
             long settingsPosition,
             long logBytes,
             long snapshotBytes,
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Queries.java
@@ -93,6 +93,7 @@
                 mMembership.heardCount(),
                 mMembership.knownCount(),
                 mReplica.state().claimCount(),
+                mCrashes.quarantined(now).size(),
                 mReplica.state().settings().tree().position(),
                 mReplica.logBytes(),
                 mReplica.snapshotBytes(),
