--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -9,7 +9,6 @@
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.lib.Reducer;
-import org.laurelweir.lib.ResultCode;
 import org.laurelweir.quarantine.CrashTable;
 
 /**
@@ -29,7 +28,7 @@
     private final FleetBudget mBudget;
     private final Attempts mAttempts;
     private final Reports mReports;
-    private final Refusals mRefusals;
+    private final ErrorAnswers mErrors;
     private final Stalls mStalls = new Stalls();
     private final CrashGuard mGuard;
     private final SplittableRandom mRandom;
@@ -62,7 +61,7 @@
         mReports = new Reports();
         FetchSource fetches = new FetchSource(source, mServers, mHolders);
         mAttempts = new Attempts(source, mServers, mChoice, fetches, mBudget, mReports);
-        mRefusals = new Refusals(seed + 2);
+        mErrors = new ErrorAnswers(mChoice, mAttempts, mReports, new Refusals(seed + 2));
     }
 
     /** Returns whether no request is under way. */
@@ -75,6 +74,7 @@
         mNow = now;
         mEffects = effects;
         mAttempts.enter(now, effects);
+        mErrors.enter(now, effects);
         if (event instanceof DirectEvent.Tick) {
             onTick();
         } else if (event instanceof DirectEvent.Arrived e) {
@@ -108,9 +108,9 @@
         mByCaller.put(e.caller(), r);
         mBudget.onRequest(service, mNow);
         if (mGuard.bars(r, mNow)) {
-            quarantine(r);
+            end(r, mErrors::quarantined);
         } else if (!mAttempts.next(r)) {
-            refuse(r, "no backend server has room");
+            end(r, c -> mErrors.refused(c, "no backend server has room"));
         }
     }
 
@@ -199,7 +199,7 @@
         mAttempts.cancel(r);
         r.mMisdirected = e.facts().otherServer();
         if (!mAttempts.next(r)) {
-            giveUp(r, "the backend servers did not take the request");
+            end(r, c -> mErrors.gaveUp(c, "the backend servers did not take the request"));
         }
     }
 
@@ -224,7 +224,7 @@
             }
             emitIfWanted(r, new DirectEffect.AnswerEnd(r.mCaller));
         } else if (r.mHeadSent) {
-            fail(r, ResultCode.ANSWER_CUT, "the stream could not be resumed");
+            end(r, c -> mErrors.failed(c, "the stream could not be resumed"));
             return;
         } else {
             emitIfWanted(
@@ -258,7 +258,7 @@
         r.mArrivals--;
         emit(mReports.said(r, "not_sent", mNow));
         if (!mAttempts.next(r)) {
-            giveUp(r, e.message());
+            end(r, c -> mErrors.gaveUp(c, e.message()));
         }
     }
 
@@ -273,40 +273,12 @@
         if (harmless && r.route().isRepeatable() && mAttempts.next(r)) {
             return;
         }
-        fail(r, r.mHeadSent ? ResultCode.ANSWER_CUT : ResultCode.BACKEND_FAILED, message);
+        end(r, c -> mErrors.failed(c, message));
     }
 
-    /** Ends a request that no further server takes, with "not run" only where that is proved. */
-    private void giveUp(ActiveCall r, String message) {
-        if (r.mMayHaveRun || r.mHeadSent) {
-            ResultCode code = r.mHeadSent ? ResultCode.ANSWER_CUT : ResultCode.BACKEND_FAILED;
-            fail(r, code, message);
-        } else {
-            refuse(r, message);
-        }
-    }
-
-    private void refuse(ActiveCall r, String message) {
-        boolean none = mChoice.size(r.mService) == 0;
-        ResultCode code = none ? ResultCode.NO_BACKEND_SERVER : ResultCode.OVERLOADED;
-        Duration back = r.mMisdirected ? mRefusals.atOnce() : mRefusals.comeBack(r.timeLeft(mNow));
-        end(r, new DirectEffect.AnswerError(r.mCaller, code, message, back));
-    }
-
-    private void quarantine(ActiveCall r) {
-        String message = "backend servers ended under this request: " + r.key().fingerprintText();
-        ResultCode code = ResultCode.REQUEST_QUARANTINED;
-        end(r, new DirectEffect.AnswerError(r.mCaller, code, message, mRefusals.quarantined()));
-    }
-
-    private void fail(ActiveCall r, ResultCode code, String message) {
-        mAttempts.cancel(r);
-        end(r, new DirectEffect.AnswerError(r.mCaller, code, message, Duration.ZERO));
-    }
-
-    private void end(ActiveCall r, DirectEffect.AnswerError error) {
-        emit(mReports.gaveUp(r, error, mNow));
-        emitIfWanted(r, error);
+    /** Ends a request whose caller gets an error. */
+    private void end(ActiveCall r, Consumer<ActiveCall> tell) {
+        tell.accept(r);
         mByCaller.remove(r.mCaller);
     }
 
@@ -349,7 +321,7 @@
         if (!r.mAnswered && r.mCall != 0) {
             serverFailed(r);
         }
-        fail(r, ResultCode.DEADLINE_EXCEEDED, "the time for the answer was over");
+        end(r, mErrors::expired);
     }
 
     /** Tries another server; where nobody else takes it, a late answer is better than none. */
