Tell which router saw an end, so that a trial ever comes

The message of an end left the router's name out, so that every process but the observer's took it for nobody's, and with the next merge the observer too, since the empty name comes first: no router would ever have tried a quarantined request again. Found by CrashCodecTest.keepsEverything, which was written for the codec and failed. The fleet in virtual time passes records without the codec.

--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CrashCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CrashCodec.java
@@ -33,6 +33,7 @@
     private static org.laurelweir.wire.v1.Crash toWire(Crash c) {
         return org.laurelweir.wire.v1.Crash.newBuilder()
                 .setServer(IdCodec.toWire(c.server()))
+                .setRouter(c.router())
                 .setAgeMillis(c.age().toMillis())
                 .setExcused(c.excused())
                 .build();
