Bound a message of crash records to a part of what control may send a node in a second

32 records of the largest kind are 9,933 bytes (CrashCodecTest, bound 27 KB, one exchange a second); 64, as before, would be about twice that, beside membership and settings in the same answer. A router that has something to tell waits 100 ms after its last exchange in place of 50: a storm of ends would otherwise ask control twenty times a second from each router.

--- a/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CrashCodecTest.java
+++ b/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CrashCodecTest.java
@@ -32,6 +32,7 @@
                 new RequestKey("account-" + request, -request), "seilhjerne", crashes);
     }
 
+    // The router that saw an end was left out, and no router held itself for the one that may try.
     @Test
     void keepsEverything() {
         List<CrashRecord> records = List.of(record(1), record(2));
@@ -50,7 +51,5 @@
         ExchangeReply reply =
                 ExchangeReply.newBuilder().addAllCrashes(CrashCodec.toWire(told)).build();
         assertThat(reply.getSerializedSize()).isLessThan(MOST_BYTES);
-        System.out.println(
-                "SIZE " + reply.getSerializedSize() + " " + told.get(0).crashes().size());
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
@@ -28,7 +28,7 @@
  */
 public final class CrashTable {
     /** Most records that one message tells; the rest follows with the next one. */
-    static final int MOST_TOLD = 64;
+    public static final int MOST_TOLD = 32;
 
     static final int MOST_REQUESTS = 1024;
 
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Exchanges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Exchanges.java
@@ -10,7 +10,7 @@
     private static final Duration FIRST_INTERVAL = Duration.ofMillis(200);
 
     /** Between two exchanges, also where there is something to tell. */
-    private static final Duration LEAST_INTERVAL = Duration.ofMillis(50);
+    private static final Duration LEAST_INTERVAL = Duration.ofMillis(100);
 
     private final Duration mInterval;
     private Instant mNext = Instant.MIN;
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
@@ -125,7 +125,7 @@
         }
         CrashTable reader = table("c1");
         long seen = 0;
-        for (int i = 0; i < 3; i++) {
+        while (seen < mTable.version()) {
             CrashDelta delta = mTable.since(mNow, seen);
             assertThat(delta.records()).hasSizeLessThanOrEqualTo(CrashTable.MOST_TOLD);
             reader.merge(mNow, delta.records());
