Take only a failure of the connection itself for its end

Any exception on a connection to a server counted as the server's end under the request, also one of this program's own codec.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.laurelweir.lib.BackendRef;
@@ -167,6 +168,11 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         Program.endOnError("a connection failed", cause);
-        end(x -> x.lost(String.valueOf(cause.getMessage())));
+        String message = String.valueOf(cause.getMessage());
+        if (cause instanceof IOException) {
+            end(x -> x.lost(message));
+        } else {
+            end(x -> x.abandon(message));
+        }
     }
 }
