Split a fixture's long method, and end a router's calls with its process

A router that started anew in the fleet of reducers could get events of calls that its run before had made, under the same numbers. The tests passed with it and pass without.

--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetRouter.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetRouter.java
@@ -27,7 +27,7 @@
     private final FleetServers mServers;
     private final String mName;
     private final Map<Long, Consumer<ResultCode>> mCallers = new HashMap<>();
-    private final Consumer<DirectEvent> mCallEvents = e -> give(new RouterEvent.Direct(e));
+    private Consumer<DirectEvent> mCallEvents;
     private RouterReducer mReducer;
     private int mStarts;
     private int mControl;
@@ -46,7 +46,14 @@
     /** Starts it anew; it knows nothing of before, and what it had under way is lost. */
     void start() {
         mStarts++;
+        int run = mStarts;
         mCallers.clear();
+        mCallEvents =
+                e -> {
+                    if (run == mStarts) {
+                        give(new RouterEvent.Direct(e));
+                    }
+                };
         mReducer =
                 new RouterReducer(
                         new RouterConfig(
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
@@ -3,10 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.direct.AnswerFacts;
@@ -33,6 +34,9 @@
     private static final AnswerFacts GENUINE =
             new AnswerFacts(false, false, true, Optional.empty());
 
+    private static final AnswerFacts OTHER_SERVER =
+            new AnswerFacts(true, true, true, Optional.empty());
+
     private final VirtualTime mTime;
     private final FleetControls mControls;
     private final Map<String, Server> mByAddress = new HashMap<>();
@@ -115,25 +119,33 @@
     private void arrive(DirectEffect.BeginCall call, Consumer<DirectEvent> events) {
         Server s = mByAddress.get(call.address());
         if (s == null) {
-            DirectEvent refused =
-                    new DirectEvent.Failed(call.call(), DirectEvent.Failure.NOT_SENT, "refused");
+            DirectEvent.Failure failure = DirectEvent.Failure.NOT_SENT;
+            DirectEvent refused = new DirectEvent.Failed(call.call(), failure, "refused");
             transit(() -> events.accept(refused));
-            return;
-        }
-        if (!s.mRef.equals(call.backend())) {
-            AnswerFacts other = new AnswerFacts(true, true, true, Optional.empty());
-            DirectEvent e = new DirectEvent.Answered(call.call(), 421, List.of(), other);
-            transit(() -> events.accept(e));
-            return;
+        } else if (!s.mRef.equals(call.backend())) {
+            answer(call, 421, OTHER_SERVER, events);
+        } else {
+            answer(call, 200, GENUINE, events);
+            run(s, call, new RunId(events, call.call()));
         }
-        RunId id = new RunId(events, call.call());
-        s.mRuns.put(id, call);
-        DirectEvent head = new DirectEvent.Answered(call.call(), 200, List.of(), GENUINE);
+    }
+
+    private void answer(
+            DirectEffect.BeginCall call,
+            int status,
+            AnswerFacts facts,
+            Consumer<DirectEvent> events) {
+        DirectEvent head = new DirectEvent.Answered(call.call(), status, List.of(), facts);
         transit(() -> events.accept(head));
-        if (isCrashing(call)) {
+    }
+
+    private void run(Server s, DirectEffect.BeginCall call, RunId id) {
+        s.mRuns.add(id);
+        boolean crashing = isCrashing(call);
+        if (crashing) {
             mCrashingArrivals.add(mTime.millis());
         }
-        if (isCrashing(call) && !mMended) {
+        if (crashing && !mMended) {
             mTime.between(LEAST_CRASH_MILLIS, MOST_CRASH_MILLIS, () -> crash(s, id));
         } else {
             mTime.between(LEAST_RUN_MILLIS, MOST_RUN_MILLIS, () -> finish(s, id));
@@ -146,13 +158,13 @@
     }
 
     private void finish(Server s, RunId id) {
-        if (s.mRuns.remove(id) != null) {
-            transit(() -> id.mEvents().accept(new DirectEvent.Finished(id.mCall())));
+        if (s.mRuns.remove(id)) {
+            transit(() -> id.events().accept(new DirectEvent.Finished(id.call())));
         }
     }
 
     private void crash(Server s, RunId id) {
-        if (s.mRuns.containsKey(id)) {
+        if (s.mRuns.contains(id)) {
             mCrashes.add(mTime.millis());
             end(s);
         }
@@ -160,26 +172,27 @@
 
     private void end(Server s) {
         if (mByAddress.remove(s.mAddress, s)) {
-            List<RunId> cut = List.copyOf(s.mRuns.keySet());
+            List<RunId> cut = List.copyOf(s.mRuns);
             s.mRuns.clear();
             for (RunId id : cut) {
                 DirectEvent lost =
                         new DirectEvent.Failed(
-                                id.mCall(),
+                                id.call(),
                                 DirectEvent.Failure.CONNECTION_LOST,
                                 "the connection ended");
-                transit(() -> id.mEvents().accept(lost));
+                transit(() -> id.events().accept(lost));
             }
             mTime.after(DOWN_MILLIS, () -> start(s.mAddress));
         }
     }
 
-    private record RunId(Consumer<DirectEvent> mEvents, long mCall) {}
+    /** A call of a router, which its events go back to. */
+    private record RunId(Consumer<DirectEvent> events, long call) {}
 
     private static final class Server {
         private final BackendRef mRef;
         private final String mAddress;
-        private final Map<RunId, DirectEffect.BeginCall> mRuns = new LinkedHashMap<>();
+        private final Set<RunId> mRuns = new LinkedHashSet<>();
         private int mAnnouncements;
 
         Server(BackendRef ref, String address) {
