Log the bound of a choice, and how old the load is that it goes by

A line of a choice told one load, and not whether a server had told it, when, or what the bound was. A decision has the bound and the age of the load now (bound, load_age_ms), absent where there is none. Decisions in which no load has a part are made without two numbers that say so.

No decision changes. Ran: formatter, linter, tests of the direct routing, the table of servers and the log.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -108,9 +108,7 @@
                 "",
                 List.of(position),
                 e.getCode().name(),
-                "turned away: " + e.getMessage(),
-                Double.NaN,
-                Double.NaN);
+                "turned away: " + e.getMessage());
     }
 
     private RouteTable routes() {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
@@ -18,6 +18,8 @@
     private static final MetadataKey<String> REASON = text("reason");
     private static final MetadataKey<Double> LOAD = MetadataKey.single("load", Double.class);
     private static final MetadataKey<Double> BOUND = MetadataKey.single("bound", Double.class);
+    private static final MetadataKey<Double> LOAD_AGE =
+            MetadataKey.single("load_age_ms", Double.class);
 
     private DecisionLog() {}
 
@@ -49,6 +51,7 @@
                 .with(REASON, present(d.reason()))
                 .with(LOAD, number(d.load()))
                 .with(BOUND, number(d.bound()))
+                .with(LOAD_AGE, number(d.loadAgeMillis()))
                 .log("%s decision", d.program());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -134,9 +134,7 @@
                                 subject.service(),
                                 candidates,
                                 choice,
-                                reason,
-                                Double.NaN,
-                                Double.NaN)));
+                                reason)));
     }
 
     private record Subject(String request, String account, String service) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
@@ -11,11 +11,25 @@
     DirectEffect.Decided chose(ActiveCall r, ServerChoice.Chosen c, String fetchFrom, Instant now) {
         String place = r.mArrivals > 1 ? "retry_" + c.reason() : c.reason();
         String reason = fetchFrom.isEmpty() ? place : place + "_fetching from " + fetchFrom;
-        return decided(r, now, c.candidates(), c.server().id(), reason, c.load());
+        RoutedRequest q = r.mRequest;
+        return new DirectEffect.Decided(
+                new Decision(
+                        now,
+                        PROGRAM,
+                        q.id(),
+                        part(q),
+                        q.account(),
+                        r.mService,
+                        c.candidates(),
+                        c.server().id(),
+                        reason,
+                        c.load(),
+                        c.bound(),
+                        c.loadAgeMillis()));
     }
 
     DirectEffect.Decided said(ActiveCall r, String reason, Instant now) {
-        return decided(r, now, List.of(), r.mBackend.id(), reason, Double.NaN);
+        return decided(r, now, List.of(), r.mBackend.id(), reason);
     }
 
     /** Names what the call was, by which the same request is found under other servers' ends. */
@@ -24,35 +38,31 @@
     }
 
     DirectEffect.Decided answered(ActiveCall r, Instant now) {
-        return decided(r, now, List.of(), r.mBackend.id(), "answered_" + r.mStatus, Double.NaN);
+        return decided(r, now, List.of(), r.mBackend.id(), "answered_" + r.mStatus);
     }
 
     DirectEffect.Decided gaveUp(ActiveCall r, DirectEffect.AnswerError e, Instant now) {
         String reason = "given_up: " + e.message();
-        return decided(r, now, List.copyOf(r.mTried), e.code().name(), reason, Double.NaN);
+        return decided(r, now, List.copyOf(r.mTried), e.code().name(), reason);
     }
 
     private static DirectEffect.Decided decided(
-            ActiveCall r,
-            Instant now,
-            List<String> candidates,
-            String choice,
-            String reason,
-            double load) {
+            ActiveCall r, Instant now, List<String> candidates, String choice, String reason) {
         RoutedRequest q = r.mRequest;
-        long part = q.prompt().isPresent() ? q.prompt().sharedPart().id() : 0;
         return new DirectEffect.Decided(
                 new Decision(
                         now,
                         PROGRAM,
                         q.id(),
-                        part,
+                        part(q),
                         q.account(),
                         r.mService,
                         candidates,
                         choice,
-                        reason,
-                        load,
-                        Double.NaN));
+                        reason));
+    }
+
+    private static long part(RoutedRequest q) {
+        return q.prompt().isPresent() ? q.prompt().sharedPart().id() : 0;
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -52,8 +52,17 @@
      * @param reason why, one of a few fixed words
      * @param candidates those that were weighed, best first
      * @param load its load as known
+     * @param bound the load above which it would not have been chosen by its rank; NaN where none
+     *     was asked for
+     * @param loadAgeMillis how long ago it told that load; NaN where it told none lately
      */
-    record Chosen(Candidate server, String reason, List<String> candidates, int load) {}
+    record Chosen(
+            Candidate server,
+            String reason,
+            List<String> candidates,
+            double load,
+            double bound,
+            double loadAgeMillis) {}
 
     /** Returns how many backend servers of a service take new work. */
     int size(String service) {
@@ -64,33 +73,45 @@
     Optional<Chosen> choose(ActiveCall r, Instant now) {
         List<Candidate> all = List.copyOf(candidates(r, now).values());
         if (r.mRequest.prompt().isPresent()) {
-            return firstWithinBound(all, now).or(() -> leastLoaded(r, all, "all_over_bound", now));
+            double bound = bound(all, now);
+            return firstWithinBound(all, bound, now)
+                    .or(() -> leastLoaded(r, all, "all_over_bound", bound, now));
         }
-        return leastLoaded(r, all, "least_loaded", now);
+        return leastLoaded(r, all, "least_loaded", Double.NaN, now);
     }
 
-    private Optional<Chosen> firstWithinBound(List<Candidate> all, Instant now) {
+    private double bound(List<Candidate> all, Instant now) {
         double mean = all.stream().mapToInt(c -> mServers.load(c.ref(), now)).average().orElse(0);
-        double bound = BOUND_FACTOR * mean + BOUND_EXTRA;
+        return BOUND_FACTOR * mean + BOUND_EXTRA;
+    }
+
+    private Optional<Chosen> firstWithinBound(List<Candidate> all, double bound, Instant now) {
         return all.stream()
                 .filter(c -> mServers.load(c.ref(), now) <= bound && hasRoom(c, now))
                 .findFirst()
-                .map(c -> chosen(c, c == all.get(0) ? "home" : "next", all, now));
+                .map(c -> chosen(c, c == all.get(0) ? "home" : "next", all, bound, now));
     }
 
     private Optional<Chosen> leastLoaded(
-            ActiveCall r, List<Candidate> all, String reason, Instant now) {
+            ActiveCall r, List<Candidate> all, String reason, double bound, Instant now) {
         return all.stream()
                 .filter(c -> mayTake(r, c, now))
                 .min(
                         Comparator.comparing((Candidate c) -> avoids(r, c, now))
                                 .thenComparingInt(c -> mServers.load(c.ref(), now)))
-                .map(c -> chosen(c, reason, all, now));
+                .map(c -> chosen(c, reason, all, bound, now));
     }
 
-    private Chosen chosen(Candidate c, String reason, List<Candidate> all, Instant now) {
+    private Chosen chosen(
+            Candidate c, String reason, List<Candidate> all, double bound, Instant now) {
         List<String> ids = all.stream().map(Candidate::id).toList();
-        return new Chosen(c, reason, ids, mServers.load(c.ref(), now));
+        return new Chosen(
+                c,
+                reason,
+                ids,
+                mServers.load(c.ref(), now),
+                bound,
+                mServers.loadAgeMillis(c.ref(), now));
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -113,6 +113,15 @@
         return Math.max(s.mOwn, s.mReported - s.mOwnAtReport + s.mOwn);
     }
 
+    /** Returns how long ago the server told its load, in milliseconds; NaN if that is too long. */
+    double loadAgeMillis(BackendRef ref, Instant now) {
+        Server s = server(ref);
+        if (s.mReportedAt.plus(REPORT_AGE).isBefore(now)) {
+            return Double.NaN;
+        }
+        return Duration.between(s.mReportedAt, now).toMillis();
+    }
+
     /** Returns the requests of this router alone that the server has. */
     int ownLoad(BackendRef ref) {
         return server(ref).mOwn;
--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/QuarantineNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/QuarantineNotes.java
@@ -49,9 +49,7 @@
                 r.service(),
                 ended,
                 n.quarantined() ? QUARANTINED : RELEASED,
-                ended.size() + " backend servers ended under request " + fingerprint,
-                Double.NaN,
-                Double.NaN);
+                ended.size() + " backend servers ended under request " + fingerprint);
     }
 
     private record Note(CrashRecord record, boolean quarantined) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
@@ -56,8 +56,6 @@
                         service,
                         ids.subList(0, Math.min(ids.size(), MAX_NAMED)),
                         state.name(),
-                        ids.size() + " changed, told by " + from,
-                        Double.NaN,
-                        Double.NaN));
+                        ids.size() + " changed, told by " + from));
     }
 }
