Move the fleet of reducers in virtual time to a package of its own

Control instances, routers and virtual time stood in the tests of the quarantine; a test of loads needs the same fleet with other backend servers. These are behind an interface now (FleetBackends), and announcing to some instance is a method of FleetControls. Nothing is checked differently: CrashingRequestTest runs the same cases and asserts the same.

--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetControls.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
@@ -1,4 +1,4 @@
-package org.laurelweir.quarantine;
+package org.laurelweir.fleet;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.function.Supplier;
 import org.laurelweir.agreement.AgreementEvent;
 import org.laurelweir.agreement.HardState;
 import org.laurelweir.agreement.ReplicaId;
@@ -15,18 +16,20 @@
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.coordination.ControlReducer;
+import org.laurelweir.membership.Backend;
 
 /** Control instances that share what they hear over messages; the replicated log stays empty. */
-final class FleetControls {
+public final class FleetControls {
     private static final int TICK_MILLIS = 20;
     private static final int MOST_TRANSIT_MILLIS = 4;
+    private static final int ANNOUNCE_AGAIN_MILLIS = 100;
 
     private final VirtualTime mTime;
     private final List<Node> mNodes = new ArrayList<>();
     private final Map<String, String> mAddresses = new TreeMap<>();
     private long mLastCall;
 
-    FleetControls(VirtualTime time, int count) {
+    public FleetControls(VirtualTime time, int count) {
         mTime = time;
         for (int i = 0; i < count; i++) {
             mAddresses.put("c" + i, "c" + i);
@@ -36,25 +39,36 @@
         mNodes.forEach(n -> time.every(TICK_MILLIS, () -> n.offer(new ControlEvent.Tick())));
     }
 
-    int count() {
+    public int count() {
         return mNodes.size();
     }
 
-    boolean isUp(int control) {
+    public boolean isUp(int control) {
         return mNodes.get(control).mReducer != null;
     }
 
-    void stop(int control) {
+    public void stop(int control) {
         mNodes.get(control).mReducer = null;
     }
 
     /** Starts an instance anew; it knows nothing of before. */
-    void start(int control) {
+    public void start(int control) {
         mNodes.get(control).start();
     }
 
+    /** A backend server announces itself to some instance, soon to another if that one is down. */
+    public void announce(Supplier<Backend> announcement) {
+        Backend b = announcement.get();
+        int control = mTime.random().nextInt(count());
+        if (isUp(control)) {
+            call(control, c -> new ControlEvent.BackendAnnounced(c, b), a -> {});
+        } else {
+            mTime.after(ANNOUNCE_AGAIN_MILLIS, () -> announce(announcement));
+        }
+    }
+
     /** Makes a call; it is never answered by an instance that is down. */
-    void call(
+    public void call(
             int control, LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
         transit(() -> mNodes.get(control).call(event, answer));
     }
@@ -82,7 +96,7 @@
             mCalls.clear();
             ControlConfig config =
                     ControlConfig.builder(new ReplicaId(mName, 1), mStarts, mAddresses).build();
-            mReducer = new ControlReducer(config, null, mTime.mRandom.nextLong());
+            mReducer = new ControlReducer(config, null, mTime.random().nextLong());
             offer(
                     new ControlEvent.Replica(
                             new AgreementEvent.Recovered(
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetRouter.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
@@ -1,4 +1,4 @@
-package org.laurelweir.quarantine;
+package org.laurelweir.fleet;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -17,14 +17,14 @@
 import org.laurelweir.routing.RouterReducer;
 
 /** A router that exchanges with the control instances and calls backend servers. */
-final class FleetRouter {
+public final class FleetRouter {
     private static final int TICK_MILLIS = 10;
     private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(300);
     private static final int EXCHANGE_TIMEOUT_MILLIS = 800;
 
     private final VirtualTime mTime;
     private final FleetControls mControls;
-    private final FleetServers mServers;
+    private final FleetBackends mBackends;
     private final String mName;
     private final Map<Long, Consumer<ResultCode>> mCallers = new HashMap<>();
     private Consumer<DirectEvent> mCallEvents;
@@ -33,10 +33,16 @@
     private int mControl;
     private long mLastCaller;
 
-    FleetRouter(VirtualTime time, FleetControls controls, FleetServers servers, int number) {
+    /**
+     * Creates a router and starts it.
+     *
+     * @param number tells it from others, and which control instance it asks first
+     */
+    public FleetRouter(
+            VirtualTime time, FleetControls controls, FleetBackends backends, int number) {
         mTime = time;
         mControls = controls;
-        mServers = servers;
+        mBackends = backends;
         mName = "r" + number;
         mControl = number % controls.count();
         start();
@@ -44,7 +50,7 @@
     }
 
     /** Starts it anew; it knows nothing of before, and what it had under way is lost. */
-    void start() {
+    public void start() {
         mStarts++;
         int run = mStarts;
         mCallers.clear();
@@ -57,11 +63,11 @@
         mReducer =
                 new RouterReducer(
                         new RouterConfig(
-                                mName, mStarts, mTime.mRandom.nextLong(), EXCHANGE_INTERVAL, 16));
+                                mName, mStarts, mTime.random().nextLong(), EXCHANGE_INTERVAL, 16));
     }
 
     /** Takes a caller's request; the caller is told OK, or why it got no whole answer. */
-    void ask(RoutedRequest request, Consumer<ResultCode> caller) {
+    public void ask(RoutedRequest request, Consumer<ResultCode> caller) {
         mCallers.put(++mLastCaller, caller);
         give(new RouterEvent.Direct(new DirectEvent.Arrived(mLastCaller, request)));
     }
@@ -88,9 +94,9 @@
 
     private void take(DirectEffect effect) {
         if (effect instanceof DirectEffect.BeginCall e) {
-            mServers.call(e, mCallEvents);
+            mBackends.call(e, mCallEvents);
         } else if (effect instanceof DirectEffect.CancelCall e) {
-            mServers.cancel(e.call(), mCallEvents);
+            mBackends.cancel(e.call(), mCallEvents);
         } else if (effect instanceof DirectEffect.AnswerWhole e) {
             tell(e.caller(), ResultCode.OK);
         } else if (effect instanceof DirectEffect.AnswerEnd e) {
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/VirtualTime.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/VirtualTime.java
@@ -1,39 +1,44 @@
-package org.laurelweir.quarantine;
+package org.laurelweir.fleet;
 
 import java.time.Instant;
 import java.util.PriorityQueue;
 import java.util.Random;
 
 /** Runs actions at their time, in an order that one seed decides, without waiting. */
-final class VirtualTime {
-    final Random mRandom;
+public final class VirtualTime {
+    private final Random mRandom;
     private final PriorityQueue<Scheduled> mQueue = new PriorityQueue<>();
     private long mNow;
     private long mScheduled;
 
-    VirtualTime(long seed) {
+    public VirtualTime(long seed) {
         mRandom = new Random(seed);
     }
 
-    long millis() {
+    /** Returns the source of all that is left to chance. */
+    public Random random() {
+        return mRandom;
+    }
+
+    public long millis() {
         return mNow;
     }
 
-    Instant instant() {
+    public Instant instant() {
         return Instant.ofEpochMilli(mNow);
     }
 
-    void after(long millis, Runnable action) {
+    public void after(long millis, Runnable action) {
         mQueue.add(new Scheduled(mNow + millis, mScheduled++, action));
     }
 
     /** Runs an action after a time from {@code least} to {@code most} milliseconds. */
-    void between(int least, int most, Runnable action) {
+    public void between(int least, int most, Runnable action) {
         after(least + mRandom.nextInt(most - least + 1), action);
     }
 
     /** Runs an action again and again, the first time within one interval. */
-    void every(int millis, Runnable action) {
+    public void every(int millis, Runnable action) {
         after(mRandom.nextInt(millis), () -> repeat(millis, action));
     }
 
@@ -43,7 +48,7 @@
     }
 
     /** Lets time pass. */
-    void run(long millis) {
+    public void run(long millis) {
         long end = mNow + millis;
         while (!mQueue.isEmpty() && mQueue.peek().at() <= end) {
             Scheduled s = mQueue.poll();
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
@@ -9,6 +9,7 @@
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.direct.Route;
+import org.laurelweir.fleet.FleetRouter;
 import org.laurelweir.lib.ResultCode;
 
 /** What becomes of a request that ends whichever backend server runs it, and of all others. */
@@ -125,7 +126,10 @@
         sendOthers(fleet, SAFE);
         fleet.mTime.every(
                 500,
-                () -> fleet.mRouters.get(fleet.mTime.mRandom.nextInt(RoutedFleet.ROUTERS)).start());
+                () ->
+                        fleet.mRouters
+                                .get(fleet.mTime.random().nextInt(RoutedFleet.ROUTERS))
+                                .start());
         fleet.mTime.run(RUN_MILLIS);
         assertThat(lateSends(fleet)).isZero();
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
@@ -9,10 +9,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.direct.AnswerFacts;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
+import org.laurelweir.fleet.FleetBackends;
+import org.laurelweir.fleet.FleetControls;
+import org.laurelweir.fleet.VirtualTime;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 
@@ -20,7 +22,7 @@
  * Backend servers at fixed addresses. One that begins to run a crashing request ends with all that
  * it runs, and another one starts at its address some seconds later.
  */
-final class FleetServers {
+final class FleetServers implements FleetBackends {
     static final String SERVICE = "svc";
     static final String CRASHING_BODY = "crash";
 
@@ -73,17 +75,17 @@
     void crashOne() {
         List<Server> all = List.copyOf(mByAddress.values());
         if (!all.isEmpty()) {
-            end(all.get(mTime.mRandom.nextInt(all.size())));
+            end(all.get(mTime.random().nextInt(all.size())));
         }
     }
 
-    /** A router calls a server; the events are what the router sees of it. */
-    void call(DirectEffect.BeginCall call, Consumer<DirectEvent> events) {
+    @Override
+    public void call(DirectEffect.BeginCall call, Consumer<DirectEvent> events) {
         transit(() -> arrive(call, events));
     }
 
-    /** A router closed its connection. */
-    void cancel(long call, Consumer<DirectEvent> events) {
+    @Override
+    public void cancel(long call, Consumer<DirectEvent> events) {
         mByAddress.values().forEach(s -> s.mRuns.remove(new RunId(events, call)));
     }
 
@@ -98,22 +100,17 @@
     }
 
     private void announce(Server s) {
-        Backend b =
-                new Backend(
-                        s.mRef,
-                        SERVICE,
-                        "dc",
-                        "rg",
-                        s.mAddress,
-                        Backend.State.SERVING,
-                        64,
-                        ++s.mAnnouncements);
-        int control = mTime.mRandom.nextInt(mControls.count());
-        if (mControls.isUp(control)) {
-            mControls.call(control, c -> new ControlEvent.BackendAnnounced(c, b), a -> {});
-        } else {
-            mTime.after(100, () -> announce(s));
-        }
+        mControls.announce(
+                () ->
+                        new Backend(
+                                s.mRef,
+                                SERVICE,
+                                "dc",
+                                "rg",
+                                s.mAddress,
+                                Backend.State.SERVING,
+                                64,
+                                ++s.mAnnouncements));
     }
 
     private void arrive(DirectEffect.BeginCall call, Consumer<DirectEvent> events) {
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/RoutedFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/RoutedFleet.java
@@ -9,6 +9,9 @@
 import org.laurelweir.direct.Prompt;
 import org.laurelweir.direct.Route;
 import org.laurelweir.direct.RoutedRequest;
+import org.laurelweir.fleet.FleetControls;
+import org.laurelweir.fleet.FleetRouter;
+import org.laurelweir.fleet.VirtualTime;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.settings.RouteShare;
 
@@ -72,7 +75,7 @@
         RoutedRequest request =
                 new RoutedRequest(
                         "q" + ++mAsked, route, ACCOUNT, 5, TIMEOUT, call(route, body), Prompt.NONE);
-        mRouters.get(mTime.mRandom.nextInt(ROUTERS)).ask(request, answer);
+        mRouters.get(mTime.random().nextInt(ROUTERS)).ask(request, answer);
     }
 
     /** A caller asks with a body that nobody else sends, and comes again once if it fails. */
