--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
@@ -0,0 +1,227 @@
+package org.laurelweir.load;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.laurelweir.direct.AnswerFacts;
+import org.laurelweir.direct.DirectEffect;
+import org.laurelweir.direct.DirectEvent;
+import org.laurelweir.direct.Prompt;
+import org.laurelweir.fleet.FleetBackends;
+import org.laurelweir.fleet.FleetControls;
+import org.laurelweir.fleet.VirtualTime;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
+
+/**
+ * Engines that read one prompt after the other, generate for all at once, and tell their load in
+ * the head of each answer, which they send with the first token.
+ */
+final class FleetEngines implements FleetBackends {
+    static final String SERVICE = "engines";
+
+    private static final int ANNOUNCE_MILLIS = 1200;
+    private static final int SLOTS = 64;
+
+    /** Also the requests that a router gives an engine whose slots it has not been told. */
+    private static final int WEIGHT = 20;
+
+    private static final int MOST_TRANSIT_MILLIS = 3;
+    private static final double READ_TOKENS_A_MILLI = 44;
+
+    /** A part that another engine holds arrives this much faster than it is read. */
+    private static final double FETCH_SPEEDUP = 6;
+
+    /** What an engine may hold: this multiple of the mean, and a few more. */
+    private static final double BOUND_FACTOR = 2;
+
+    private static final double BOUND_EXTRA = 3;
+
+    /** Time for a token while nothing else runs, and what each other request adds to it. */
+    private static final double TOKEN_MILLIS = 4;
+
+    private static final double TOKEN_MILLIS_BESIDE = 0.25;
+
+    private final VirtualTime mTime;
+    private final FleetControls mControls;
+    private final Map<String, Engine> mByAddress = new HashMap<>();
+    private final List<Arrival> mArrivals = new ArrayList<>();
+    private long mTokensRead;
+
+    /**
+     * A request that reached an engine.
+     *
+     * @param atMillis when
+     * @param held requests that the engine had already
+     * @param mean requests that an engine had on the mean
+     */
+    record Arrival(long atMillis, int held, double mean) {
+        boolean isOverBound() {
+            return held > BOUND_FACTOR * mean + BOUND_EXTRA;
+        }
+    }
+
+    FleetEngines(VirtualTime time, FleetControls controls, int count) {
+        mTime = time;
+        mControls = controls;
+        for (int i = 0; i < count; i++) {
+            Engine e = new Engine(new BackendRef("e" + i, 1), address(i));
+            mByAddress.put(e.mAddress, e);
+            announce(e);
+        }
+        time.every(ANNOUNCE_MILLIS, () -> mByAddress.values().forEach(this::announce));
+    }
+
+    /** One engine reads nothing for a while; what has begun goes on. */
+    void stall(int millis) {
+        Engine e = mByAddress.get(address(mTime.random().nextInt(mByAddress.size())));
+        e.mStalledUntil = mTime.millis() + millis;
+    }
+
+    /** Returns every request that reached an engine, in order. */
+    List<Arrival> arrivals() {
+        return mArrivals;
+    }
+
+    /** Returns the tokens of shared parts that engines read or fetched so far. */
+    long tokensRead() {
+        return mTokensRead;
+    }
+
+    private static String address(int number) {
+        return "10.0.0." + number + ":80";
+    }
+
+    private void announce(Engine e) {
+        mControls.announce(
+                () ->
+                        new Backend(
+                                e.mRef,
+                                SERVICE,
+                                "dc",
+                                "rg",
+                                e.mAddress,
+                                Backend.State.SERVING,
+                                WEIGHT,
+                                ++e.mAnnouncements));
+    }
+
+    @Override
+    public void call(DirectEffect.BeginCall call, Consumer<DirectEvent> events) {
+        transit(() -> arrive(mByAddress.get(call.address()), new Run(call, events)));
+    }
+
+    @Override
+    public void cancel(long call, Consumer<DirectEvent> events) {
+        for (Engine e : mByAddress.values()) {
+            e.mHeld.removeIf(r -> r.is(call, events));
+            e.mWaiting.removeIf(r -> r.is(call, events));
+        }
+    }
+
+    private void transit(Runnable arrival) {
+        mTime.between(1, MOST_TRANSIT_MILLIS, arrival);
+    }
+
+    private void arrive(Engine e, Run r) {
+        double mean = mByAddress.values().stream().mapToInt(Engine::held).average().orElse(0);
+        mArrivals.add(new Arrival(mTime.millis(), e.held(), mean));
+        e.mHeld.add(r);
+        e.mWaiting.add(r);
+        if (!e.mReading) {
+            readNext(e);
+        }
+    }
+
+    private void readNext(Engine e) {
+        Run r = e.mWaiting.poll();
+        e.mReading = r != null;
+        if (r != null) {
+            long start = Math.max(mTime.millis(), e.mStalledUntil);
+            mTime.after(start - mTime.millis() + readMillis(e, r), () -> begin(e, r));
+        }
+    }
+
+    private long readMillis(Engine e, Run r) {
+        Prompt prompt = r.mCall.request().prompt();
+        int shared = prompt.sharedTokens();
+        double tokens = prompt.inputTokens() - shared;
+        if (e.mParts.add(prompt.sharedPart().id())) {
+            mTokensRead += shared;
+            tokens += isFetched(r, prompt) ? shared / FETCH_SPEEDUP : shared;
+        }
+        return Math.max(1, Math.round(tokens / READ_TOKENS_A_MILLI));
+    }
+
+    private boolean isFetched(Run r, Prompt prompt) {
+        Engine holder = mByAddress.get(r.mCall.fetchFrom());
+        return holder != null && holder.mParts.contains(prompt.sharedPart().id());
+    }
+
+    private void begin(Engine e, Run r) {
+        readNext(e);
+        if (!e.mHeld.contains(r)) {
+            return;
+        }
+        AnswerFacts.ReportedLoad load =
+                new AnswerFacts.ReportedLoad(
+                        e.held() - e.mWaiting.size(), e.mWaiting.size(), SLOTS);
+        AnswerFacts facts = new AnswerFacts(false, false, true, Optional.of(load));
+        r.tell(new DirectEvent.Answered(r.mCall.call(), 200, List.of(), facts));
+        double token = TOKEN_MILLIS + TOKEN_MILLIS_BESIDE * e.held();
+        mTime.after(
+                Math.round(token * r.mCall.request().prompt().outputTokens()), () -> finish(e, r));
+    }
+
+    private void finish(Engine e, Run r) {
+        if (e.mHeld.remove(r)) {
+            r.tell(new DirectEvent.Finished(r.mCall.call()));
+        }
+    }
+
+    /** A call of a router, which its events go back to. */
+    private final class Run {
+        private final DirectEffect.BeginCall mCall;
+        private final Consumer<DirectEvent> mEvents;
+
+        Run(DirectEffect.BeginCall call, Consumer<DirectEvent> events) {
+            mCall = call;
+            mEvents = events;
+        }
+
+        boolean is(long call, Consumer<DirectEvent> events) {
+            return mCall.call() == call && mEvents == events;
+        }
+
+        void tell(DirectEvent event) {
+            transit(() -> mEvents.accept(event));
+        }
+    }
+
+    private static final class Engine {
+        private final BackendRef mRef;
+        private final String mAddress;
+        private final Set<Run> mHeld = new HashSet<>();
+        private final Deque<Run> mWaiting = new ArrayDeque<>();
+        private final Set<Long> mParts = new HashSet<>();
+        private boolean mReading;
+        private long mStalledUntil;
+        private int mAnnouncements;
+
+        Engine(BackendRef ref, String address) {
+            mRef = ref;
+            mAddress = address;
+        }
+
+        int held() {
+            return mHeld.size();
+        }
+    }
+}
--- /dev/null
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/LoadedFleet.java
@@ -0,0 +1,135 @@
+package org.laurelweir.load;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.direct.Prompt;
+import org.laurelweir.direct.Route;
+import org.laurelweir.direct.RoutedRequest;
+import org.laurelweir.fleet.FleetControls;
+import org.laurelweir.fleet.FleetRouter;
+import org.laurelweir.fleet.VirtualTime;
+import org.laurelweir.settings.RouteShare;
+
+/**
+ * Many routers before many engines in virtual time, so that each router meets an engine once in
+ * some seconds, and callers whose prompts share parts.
+ */
+final class LoadedFleet {
+    private static final int START_MILLIS = 2000;
+    private static final int CONTROLS = 5;
+    private static final int MOST_ARRIVING_TOGETHER = 5;
+    private static final Duration TIMEOUT = Duration.ofSeconds(12);
+
+    /** Popularity of a kind's parts falls with this power of their rank. */
+    private static final double SKEW = 0.3;
+
+    private static final List<Kind> KINDS =
+            List.of(
+                    new Kind(1, 396, 8620, 580, 49, 0.42),
+                    new Kind(2, 130, 2041, 360, 21, 0.24),
+                    new Kind(3, 285, 603, 110, 280, 0.34));
+
+    private static final Route ROUTE =
+            new Route(
+                    "r",
+                    "h",
+                    "/",
+                    List.of(new RouteShare(FleetEngines.SERVICE, 1)),
+                    false,
+                    true,
+                    false,
+                    false,
+                    1,
+                    TIMEOUT,
+                    Duration.ofMillis(600),
+                    Duration.ofMillis(400),
+                    5);
+
+    final VirtualTime mTime;
+    final FleetControls mControls;
+    final FleetEngines mEngines;
+    final List<FleetRouter> mRouters = new ArrayList<>();
+    private double mHotShare;
+    private int mAsked;
+
+    /**
+     * A kind of request.
+     *
+     * @param number tells its parts from those of other kinds
+     * @param parts shared parts that its prompts are about
+     * @param shared tokens of such a part
+     * @param own tokens of a prompt beyond it
+     * @param output tokens that are generated
+     * @param weight its share of all requests
+     */
+    private record Kind(int number, int parts, int shared, int own, int output, double weight) {}
+
+    LoadedFleet(long seed, int routers, int engines) {
+        mTime = new VirtualTime(seed);
+        mControls = new FleetControls(mTime, CONTROLS);
+        mEngines = new FleetEngines(mTime, mControls, engines);
+        for (int i = 0; i < routers; i++) {
+            mRouters.add(new FleetRouter(mTime, mControls, mEngines, i));
+        }
+        mTime.run(START_MILLIS);
+    }
+
+    /** Callers ask from now on, several at the same moment. */
+    void load(double requestsASecond) {
+        int together = random().nextInt(MOST_ARRIVING_TOGETHER) + 1;
+        for (int i = 0; i < together; i++) {
+            ask(kind());
+        }
+        double pause = -Math.log(1 - random().nextDouble()) * 1000 * together / requestsASecond;
+        mTime.after(Math.round(pause), () -> load(requestsASecond));
+    }
+
+    /** From now on this share of the longest prompts is about one and the same part. */
+    void heat(double share) {
+        mHotShare = share;
+    }
+
+    private Random random() {
+        return mTime.random();
+    }
+
+    private Kind kind() {
+        double at = random().nextDouble();
+        for (Kind k : KINDS) {
+            at -= k.weight();
+            if (at < 0) {
+                return k;
+            }
+        }
+        return KINDS.get(0);
+    }
+
+    private void ask(Kind k) {
+        int part = part(k);
+        Prompt prompt =
+                new Prompt(
+                        List.of(
+                                new Prompt.Part(k.number() * 1000L + part, k.shared()),
+                                new Prompt.Part(1_000_000L + ++mAsked, k.own())),
+                        k.shared() + k.own(),
+                        k.output());
+        byte[] body = ("body " + mAsked).getBytes(StandardCharsets.UTF_8);
+        AttemptRequest.Call call = new AttemptRequest.Call("POST", "/x/1", List.of(), body, true);
+        RoutedRequest request =
+                new RoutedRequest("q" + mAsked, ROUTE, "acme", 5, TIMEOUT, call, prompt);
+        mRouters.get(random().nextInt(mRouters.size())).ask(request, code -> {});
+    }
+
+    private int part(Kind k) {
+        if (k.number() == 1 && random().nextDouble() < mHotShare) {
+            return 0;
+        }
+        // The inverse of the sum of a power law, close enough for many parts.
+        double at = Math.pow(random().nextDouble(), 1 / (1 - SKEW));
+        return (int) (at * k.parts());
+    }
+}
