Say in the log why a request's outcome is unknown

Of a server that ended under a request, and of one whose answer could not be taken, the router wrote the same words, so that the logs could not tell why an end was not held against a request. The line of a call that is repeated had nothing else; the reason stood in given_up alone, for the last attempt. A server that was silent for too long left no line of its own. Both name the fingerprint now, and why.

Not told by any line: a connection that this side closes, whatever becomes of its server.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -280,7 +280,7 @@
      */
     private void afterUnknown(ActiveCall r, boolean harmless, String message) {
         r.mMayHaveRun = true;
-        emit(mReports.outcomeUnknown(r, mNow));
+        emit(mReports.outcomeUnknown(r, message, mNow));
         if (harmless && r.route().isRepeatable() && mAttempts.next(r)) {
             return;
         }
@@ -337,6 +337,7 @@
 
     /** Tries another server; where nobody else takes it, a late answer is better than none. */
     private void onStalled(ActiveCall r) {
+        emit(mReports.stalled(r, mNow));
         serverFailed(r);
         r.mMayHaveRun = true;
         if (!mAttempts.moveOn(r)) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
@@ -32,9 +32,18 @@
         return decided(r, now, List.of(), r.mBackend.id(), reason);
     }
 
-    /** Names what the call was, by which the same request is found under other servers' ends. */
-    DirectEffect.Decided outcomeUnknown(ActiveCall r, Instant now) {
-        return said(r, "outcome_unknown of " + r.key().fingerprintText(), now);
+    /**
+     * Names what the call was, by which the same request is found under other servers' ends.
+     *
+     * @param why what the router saw: a connection that ended, or an answer that it can't take
+     */
+    DirectEffect.Decided outcomeUnknown(ActiveCall r, String why, Instant now) {
+        return said(r, "outcome_unknown of " + r.key().fingerprintText() + ": " + why, now);
+    }
+
+    /** The router waits no longer for this server; what becomes of it is not seen any more. */
+    DirectEffect.Decided stalled(ActiveCall r, Instant now) {
+        return said(r, "stalled of " + r.key().fingerprintText(), now);
     }
 
     DirectEffect.Decided answered(ActiveCall r, Instant now) {
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
@@ -1,6 +1,7 @@
 package org.laurelweir.direct;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.laurelweir.direct.DirectDriver.CROSSED;
 import static org.laurelweir.direct.DirectDriver.GENUINE;
 import static org.laurelweir.direct.DirectDriver.NOT_RUN;
 import static org.laurelweir.direct.DirectDriver.route;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.laurelweir.direct.DirectEffect.AnswerError;
 import org.laurelweir.direct.DirectEffect.AnswerWhole;
+import org.laurelweir.direct.DirectEffect.Decided;
 import org.laurelweir.direct.DirectEvent.Failure;
 import org.laurelweir.lib.ResultCode;
 
@@ -138,6 +140,30 @@
                 .isEqualTo(ResultCode.REQUEST_QUARANTINED);
     }
 
+    // The log had the same words for a server that ended and for an answer that can't be taken.
+    @Test
+    void theLogTellsAnEndFromAnAnswerThatCantBeTaken() {
+        arrive(UNSAFE);
+        fail(Failure.CONNECTION_LOST);
+        arrive(UNSAFE);
+        mDriver.answer(mDriver.call().call(), 200, CROSSED);
+        assertThat(mDriver.all(Decided.class))
+                .extracting(d -> d.decision().reason())
+                .filteredOn(reason -> reason.startsWith("outcome_unknown of "))
+                .doesNotHaveDuplicates()
+                .hasSize(2);
+    }
+
+    // A server that was silent for too long left no line by which its request can be found again.
+    @Test
+    void theLogNamesTheRequestOfASilentServer() {
+        arrive(SAFE);
+        mDriver.pass(Duration.ofMillis(400));
+        assertThat(mDriver.all(Decided.class))
+                .extracting(d -> d.decision().reason())
+                .anyMatch(reason -> reason.startsWith("stalled of "));
+    }
+
     // Connections that live servers reset made a request look as if it had ended them.
     @Test
     void connectionsThatLiveServersResetAreExcused() {
