Never hold back a backend server that leaves

A server that came back after crashes is held back for a while, so that chats don't move to it. Its announcement that it drains, or its withdrawal, was answered with "yes" and ended or sat with the hold, while another instance that had heard it serve told everyone so.

Holding back is there to give no work to a server; one that leaves draws none. A hold ends with that word now, and none begins with it.

--- a/org.laurelweir/src/main/java/org/laurelweir/membership/FlapGuard.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/FlapGuard.java
@@ -24,14 +24,20 @@
         mDamper.vanished(now, id);
     }
 
-    /** Notes that a held one was heard; returns whether it is held. */
+    /** Notes that a held one was heard; returns whether it is held. One that leaves is not. */
     boolean refresh(SidecarReport report) {
         return mHeld.refresh(report);
     }
 
-    /** Holds one that comes back, if it has to be; returns for how long, or zero. */
+    /**
+     * Holds one that comes back, if it has to be; returns for how long, or zero. One that leaves is
+     * never held: its word has to reach everyone.
+     */
     Duration hold(Instant now, SidecarReport report) {
         Backend b = report.backend();
+        if (b.state() != Backend.State.SERVING) {
+            return Duration.ZERO;
+        }
         Duration time = mDamper.holdTime(now, b.ref().id());
         int limit = mDamper.holdLimit(mCounts.present(b.service()));
         if (time.isZero() || mHeld.count(b.service()) >= limit) {
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/HeldBackends.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/HeldBackends.java
@@ -18,12 +18,16 @@
         mVanishAfter = vanishAfter;
     }
 
-    /** Notes that a held one was heard; returns whether it is held. */
+    /** Notes that a held one was heard; returns whether it is held. One that leaves is not. */
     boolean refresh(SidecarReport report) {
         Held h = mHeld.get(report.backend().ref().id());
         if (h == null || !report.backend().ref().equals(h.report().backend().ref())) {
             return false;
         }
+        if (report.backend().state() != Backend.State.SERVING) {
+            mHeld.remove(report.backend().ref().id());
+            return false;
+        }
         mHeld.put(report.backend().ref().id(), new Held(report, h.until(), mTime.seen()));
         return true;
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectSessionsTest.java
@@ -15,6 +15,7 @@
     private final SharedMembership mB = membership("b", "a");
     private final DirectSessions mAtA = new DirectSessions(mA, "s"::equals);
     private final DirectSessions mAtB = new DirectSessions(mB, "s"::equals);
+    private int mNumber;
 
     private static SharedMembership membership(String self, String peer) {
         MembershipConfig config = MembershipConfig.builder(self, 1).build();
@@ -293,4 +294,46 @@
         assertThat(mA.backend("w").state()).isEqualTo(Backend.State.SERVING);
         assertThat(mA.knows("x")).isFalse();
     }
+
+    private Instant pass(Instant start, int seconds) {
+        for (int i = 1; i <= 2 * seconds; i++) {
+            for (int other = 0; other < 10; other++) {
+                mAtA.hear(start, at("other" + other, "1.2.4." + other + ":80", ++mNumber));
+            }
+            mA.tick(start.plusMillis(500L * i));
+        }
+        return start.plusSeconds(seconds);
+    }
+
+    private Instant flapAtA(Instant start) {
+        Instant now = start;
+        for (int i = 0; i < 4; i++) {
+            mAtA.hear(now, announced(Backend.State.SERVING, ++mNumber));
+            now = pass(now, 4);
+        }
+        return now;
+    }
+
+    // The word that a server leaves was acknowledged and dropped while the server was held back.
+    @Test
+    void aServerThatIsHeldBackLeavesThoughAnotherInstanceHasHeardIt() {
+        Instant now = flapAtA(NOW);
+        mAtB.hear(now, announced(Backend.State.SERVING, ++mNumber));
+        mAtA.hear(now, announced(Backend.State.DRAINING, ++mNumber));
+        share();
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.DRAINING);
+        assertThat(mB.backend("w").state()).isEqualTo(Backend.State.DRAINING);
+    }
+
+    // The word that a server held back leaves was dropped with the hold.
+    @Test
+    void aServerThatIsHeldBackAlreadyLeavesThoughAnotherInstanceHasHeardIt() {
+        Instant now = flapAtA(NOW);
+        mAtA.hear(now, announced(Backend.State.SERVING, ++mNumber));
+        mAtB.hear(now, announced(Backend.State.SERVING, ++mNumber));
+        mAtA.withdraw(now, new BackendRef("w", 0));
+        share();
+        assertThat(mA.backend("w").state()).isEqualTo(Backend.State.LEFT);
+        assertThat(mB.backend("w").state()).isEqualTo(Backend.State.LEFT);
+    }
 }
