Remember a server that drained when no view names it any more

A router drops a backend server that no view has named for five seconds. One that was draining was dropped without a trace, so that a late announcement from before, told by an instance that had been cut off, made it serve again. It is remembered now like one that left; one that served comes back with any word of it, as before.

--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Departures.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Departures.java
@@ -8,8 +8,9 @@
 import org.laurelweir.membership.MembershipConfig;
 
 /**
- * The backend servers that left lately. A router that goes on to a control instance which was cut
- * off when one left is told that it serves; without this it would be sent requests again.
+ * The backend servers that left lately, or drained when they were last named. A router that goes on
+ * to a control instance which was cut off when one left is told that it serves; without this it
+ * would be sent requests again.
  */
 final class Departures {
     private final Map<String, Departure> mLeft = new LinkedHashMap<>();
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -90,12 +90,20 @@
         for (String id : new ArrayList<>(mMissingUntil.keySet())) {
             if (!now.isBefore(mMissingUntil.get(id))) {
                 mMissingUntil.remove(id);
-                remove(id, changes);
+                dropMissing(now, id, changes);
             }
         }
         applyToViews(changes);
     }
 
+    private void dropMissing(Instant now, String id, Map<String, List<ViewChange>> changes) {
+        Backend b = mBackends.get(id);
+        remove(id, changes);
+        if (b != null && b.state() == Backend.State.DRAINING) {
+            mDepartures.add(now, b);
+        }
+    }
+
     private void applyOne(Instant now, Backend b, Map<String, List<ViewChange>> changes) {
         String id = b.ref().id();
         Backend known = mBackends.getOrDefault(id, mDepartures.get(id));
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipsTest.java
@@ -50,6 +50,27 @@
         assertThat(mMemberships.backend("w")).isNotNull();
     }
 
+    // A server that drained came back with an announcement from before, once no view had named it.
+    @Test
+    void anOlderWordDoesNotBringBackWhoDrainedAndIsNamedNoMore() {
+        tell("a", true, backend(0, Backend.State.DRAINING, 6));
+        MembershipCursor startedAnew = new MembershipCursor("a", 2, 1);
+        mMemberships.apply(NOW, new MembershipDelta(startedAnew, true, List.of()));
+        mMemberships.onTick(NOW.plusSeconds(6));
+        tell("a", false, backend(0, Backend.State.SERVING, 5));
+        assertThat(mMemberships.view("s").candidates()).noneMatch(c -> !c.draining());
+    }
+
+    @Test
+    void oneThatServedAndWasNamedNoMoreComesBackWithItsWord() {
+        tell("a", true, backend(0, Backend.State.SERVING, 5));
+        MembershipCursor startedAnew = new MembershipCursor("a", 2, 1);
+        mMemberships.apply(NOW, new MembershipDelta(startedAnew, true, List.of()));
+        mMemberships.onTick(NOW.plusSeconds(6));
+        tell("a", false, backend(0, Backend.State.SERVING, 5));
+        assertThat(mMemberships.view("s").size()).isOne();
+    }
+
     @Test
     void departuresAreForgottenInTheEnd() {
         tell("a", true, backend(0, Backend.State.SERVING, 3));
