Look again for a control instance that can confirm, however long none could

Callers of a router beside an instance that is cut off are served by old settings, and its servers that leave are still sent work. After a time without any quorum a router looked for another instance ever more seldom, after up to 300 answers (90 s at the deployment's interval), since "all were found stale" of minutes ago stood for now; and an instance that fails was taken for a stale one, so that one stale instance beside silent ones slowed the search the same way.

Once all were found stale the next one is asked after 12 answers, not ever later. 300 answers without a quorum make 29 moves, each of which costs a whole view, under the 30 that movesSeldomWhereNoInstanceCanConfirm allows.

NearestControlTest: two of seven failed before (16 answers, 12 allowed), none after. Found by the trace of CONFIG. What remains: with four others to ask, the one that can confirm may be the last, 48 answers on; a question that costs no whole view would allow asking all at the first pace.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/NearestControl.java
@@ -10,7 +10,9 @@
     private static final int EXCHANGES_BEFORE_RETURN = 60;
     private static final int MOST_EXCHANGES_BEFORE_RETURN = 3600;
     private static final int STALE_BEFORE_LEAVING = 2;
-    private static final int MOST_STALE_BEFORE_LEAVING = 300;
+
+    /** Once all were found stale: rare enough for what a move costs, a whole view. */
+    private static final int STALE_BEFORE_LEAVING_AGAIN = 12;
 
     private List<String> mAddresses;
     private int mCurrent;
@@ -69,7 +71,8 @@
      * Notes whether an answer was possibly stale; returns whether to leave the instance. One behind
      * a partition answers as promptly as ever, so only this shows it; the next one may be cut off
      * with it, and is left as soon. Once every instance was found stale, there is nowhere better to
-     * go, and the moves become rarer.
+     * go for now, and the moves become rarer; how long that lasts says nothing of the next moment,
+     * so that they don't become rarer still.
      */
     boolean leavesStale(boolean possiblyStale) {
         if (!possiblyStale) {
@@ -84,9 +87,8 @@
         if (mAddresses.size() == 1 || ++mStale < mStaleLimit) {
             return false;
         }
-        mStaleInARow++;
-        if (mStaleInARow % mAddresses.size() == 0) {
-            mStaleLimit = Math.min(2 * mStaleLimit, MOST_STALE_BEFORE_LEAVING);
+        if (++mStaleInARow >= mAddresses.size()) {
+            mStaleLimit = STALE_BEFORE_LEAVING_AGAIN;
         }
         leave();
         return true;
