Let no age of a confirmation come out as newer than it is

An age of settings in ms was cut to 32 bits by control, read with a sign by the router, and any value was believed: an age of 30 days came out as -473 hours, and a confirmation of a moment to come lengthens the trust in keys, which no later one takes back. It takes a step of a control instance's clock from long ago to the present, or an outage of weeks.

Control tells 24.8 days at most, above the longest lease; the router reads the field without a sign, and a negative age confirms nothing.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -132,11 +132,16 @@
                                     .addAllControls(mControls.get());
                     mConfirmer
                             .ageMillis(confirmed)
-                            .ifPresent(age -> reply.setSettingsAgeMillis((int) age));
+                            .ifPresent(age -> reply.setSettingsAgeMillis(toWire(age)));
                     return reply.build();
                 });
     }
 
+    /** Returns an age that fits its field: one that is cut could look newer than the answer. */
+    static int toWire(long ageMillis) {
+        return (int) Math.min(ageMillis, Integer.MAX_VALUE);
+    }
+
     @Override
     public void claim(ClaimRequest r, StreamObserver<ClaimReply> out) {
         // Kept for no time, a claim would let the resend run a second time.
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SettingsTrust.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/SettingsTrust.java
@@ -54,9 +54,13 @@
      * Notes that settings were confirmed.
      *
      * @param asked when the question was asked
-     * @param age how old the confirmation was as the answer was made
+     * @param age how old the confirmation was as the answer was made; a negative one confirms
+     *     nothing
      */
     synchronized void confirmed(ElapsedClock.Mark asked, Duration age) {
+        if (age.isNegative()) {
+            return;
+        }
         Duration left = mAsked == null ? null : mClock.since(mAsked).plus(mAge);
         Duration fresh = mClock.since(asked).plus(age);
         if (left == null || fresh.compareTo(left) < 0) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/rpc/SettingsTrustTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/rpc/SettingsTrustTest.java
@@ -50,6 +50,16 @@
         assertThat(mTrust.isGiven()).isTrue();
     }
 
+    // A confirmation of a moment that has not come yet let keys in long after control was lost.
+    @Test
+    void aConfirmationOfAMomentToComeLengthensNothing() {
+        ElapsedClock.Mark now = mTrust.asking();
+        ElapsedClock.Mark asked =
+                new ElapsedClock.Mark(now.steadyNanos() - 2 * HOUR.toNanos(), now.wallMillis());
+        mTrust.confirmed(asked, HOUR.multipliedBy(-3));
+        assertThat(mTrust.isGiven()).isFalse();
+    }
+
     @Test
     void aSuspensionCounts() {
         // The steady clock stood still for two hours while the machine was suspended; the time of
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
@@ -61,7 +61,9 @@
                 List.copyOf(reply.getControlsList()),
                 reply.getRouters(),
                 reply.hasSettingsAgeMillis()
-                        ? Optional.of(Duration.ofMillis(reply.getSettingsAgeMillis()))
+                        ? Optional.of(
+                                Duration.ofMillis(
+                                        Integer.toUnsignedLong(reply.getSettingsAgeMillis())))
                         : Optional.empty());
     }
 }
