--- a/org.laurelweir/src/test/java/org/laurelweir/settings/SettingsStoreTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/settings/SettingsStoreTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.coordination.Command.ChangeSettings;
 import org.laurelweir.coordination.Command.NodeChange;
@@ -222,6 +223,26 @@
         assertThat(restored.state()).isEqualTo(store.state());
     }
 
+    // Each change was small, and together they made a tree that no start could read back.
+    @Tag("known-red")
+    @Test
+    void theTreeOfAcceptedChangesFitsIntoTheSmallestHeap() {
+        define();
+        int smallestHeap = 64 << 20;
+        String path = "/" + "p".repeat(16_000);
+        for (int position = 2; position <= 60; position++) {
+            mStore.apply(position, change("rules " + position, rules(position, path)));
+        }
+        long bytes = mStore.tree().nodes().stream().mapToLong(SettingsNode::bytes).sum();
+        assertThat(bytes).isLessThan(smallestHeap);
+    }
+
+    private static NodeChange[] rules(int group, String path) {
+        return IntStream.range(0, 100)
+                .mapToObj(i -> set("/service=s/rule=g" + group + "-" + i, 0, "match.path", path))
+                .toArray(NodeChange[]::new);
+    }
+
     private static NodeChange[] accounts(int group) {
         return IntStream.range(0, 5)
                 .mapToObj(i -> set("/account=g" + group + "-" + i, 0))
