--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
@@ -29,6 +29,7 @@
     private final Map<String, String> mAddresses = new TreeMap<>();
     private long mLastCall;
 
+    /** Creates instances that have just started, and know of each other. */
     public FleetControls(VirtualTime time, int count) {
         mTime = time;
         for (int i = 0; i < count; i++) {
