Count what routers have whole, once, and as old as it is

The numbers of those named are taken as the answer is made. - One lost message hid a server with a constant load, since what a peer told counted for two of its intervals at the most: that is just the server that stands still. It counts for three now, and a peer that is silent for 1.5 s for nothing. The sums are scaled to the number of routers; only what is known of a server itself counts against its slots. The own word goes first for 0.4 s. - What a router sent to a server that is not named did not count; not being named proves nothing where the list was cut; an answer that had waited in a process that stood still counted as new; a clock set back made loads negative. - A part that two asked for had two homes at a low mean: one home takes two in any case.

A silent router counts for five intervals of exchanges, whatever these are. Not mended: at 580 requests under way a node, as the size of two years has it, a whole report takes some 24 KB (docs/CAPACITY.md).

--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/LoadCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/LoadCodec.java
@@ -49,13 +49,14 @@
         return org.laurelweir.wire.v1.PeerLoads.newBuilder()
                 .setControl(l.control())
                 .setRouters(l.routers())
+                .setWhole(l.whole())
                 .setSums(toWire(l.sums()))
                 .build();
     }
 
     /** Returns what a message passes on. */
     public static PeerLoads toCore(org.laurelweir.wire.v1.PeerLoads l) {
-        return new PeerLoads(l.getControl(), l.getRouters(), toCore(l.getSums()));
+        return new PeerLoads(l.getControl(), l.getRouters(), l.getWhole(), toCore(l.getSums()));
     }
 
     private static org.laurelweir.wire.v1.BackendLoad toWire(BackendLoad l) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LoadSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LoadSharing.java
@@ -16,17 +16,20 @@
     /** Between two messages of loads to the other control instances. */
     private static final Duration PEER_INTERVAL = Duration.ofMillis(100);
 
-    /** How long routers are told the same; a digest takes a look at every backend server. */
+    /** How often it is looked for who is busy; that takes a look at every backend server. */
     private static final Duration DIGEST_INTERVAL = Duration.ofMillis(50);
 
+    private static final Duration FORGET_INTERVAL = Duration.ofMillis(100);
+
     private final SharedMembership mMembership;
     private final LoadTable mLoads;
     private Instant mNextForPeers = Instant.MIN;
     private Instant mNextDigest = Instant.MIN;
+    private Instant mNextForget = Instant.MIN;
     private LoadDigest mDigest = LoadDigest.NONE;
 
     LoadSharing(ControlConfig config, SharedMembership membership) {
-        mLoads = new LoadTable(config.name());
+        mLoads = new LoadTable(config.name(), config.exchangeInterval());
         mMembership = membership;
     }
 
@@ -42,13 +45,13 @@
         }
     }
 
-    /** Returns what a router is told. */
+    /** Returns what a router is told; what it has just reported is in it. */
     LoadDigest digest(Instant now) {
         if (!now.isBefore(mNextDigest)) {
             mNextDigest = now.plus(DIGEST_INTERVAL);
             mDigest = mLoads.digest(mMembership.backends());
         }
-        return mDigest;
+        return mLoads.refreshed(mDigest);
     }
 
     /** Returns, once, what peers are told now; nothing while the last message is too fresh. */
@@ -66,6 +69,10 @@
     }
 
     void forget(Instant now) {
+        if (now.isBefore(mNextForget)) {
+            return;
+        }
+        mNextForget = now.plus(FORGET_INTERVAL);
         mLoads.forget(now);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -27,6 +27,9 @@
     /** Of a server's mean load, what requests about one part may make up. */
     private static final double HOT_SHARE = 0.33;
 
+    /** Requests about one part that its home takes in any case. */
+    private static final int LEAST_HOT = 2;
+
     /** Each further home has to read the part once. */
     private static final int MOST_HOMES = 8;
 
@@ -134,10 +137,9 @@
     }
 
     /**
-     * A plain request is offered even to a server that is full by what it told last. This router
-     * learns of its load from answers alone: one that it sends nothing is believed full long after.
-     * The server refuses at once what it can't take, and is then left alone for a moment. A prompt
-     * would wait in the engine's queue instead.
+     * A plain request is offered even to a server that is full by what is believed of it, which may
+     * be over already. The server refuses at once what it can't take, and is then left alone for a
+     * moment. A prompt would wait in the engine's queue instead.
      */
     private boolean mayTake(ActiveCall r, Weighed w) {
         return r.mRequest.prompt().isPresent()
@@ -145,9 +147,13 @@
                 : isBelowSlots(w.server(), mLoads.own(w.server().ref()));
     }
 
-    /** A server with as many requests as slots would only queue one more. */
+    /**
+     * A server with as many requests as slots would only queue one more. Only what is known of the
+     * very server counts: the mean of the others is no reason to refuse.
+     */
     private boolean hasRoom(Weighed w) {
-        return isBelowSlots(w.server(), w.load());
+        boolean known = !Double.isNaN(w.belief().ageMillis());
+        return isBelowSlots(w.server(), known ? w.load() : mLoads.own(w.server().ref()));
     }
 
     private boolean isBelowSlots(Candidate c, double load) {
@@ -188,7 +194,7 @@
         if (requests == 0 || Double.isNaN(mean)) {
             return 1;
         }
-        double each = Math.max(1, HOT_SHARE * mean);
+        double each = Math.max(LEAST_HOT, HOT_SHARE * mean);
         return (int) Math.min(MOST_HOMES, Math.ceil(requests / each));
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/load/BelievedLoads.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/BelievedLoads.java
@@ -106,29 +106,33 @@
     }
 
     /**
-     * Takes control's answer to the last report.
+     * Takes control's answer to the last report, which is as old as that report.
      *
      * @param routers how many routers there are
      * @param serviceOf finds a backend server's service, null where it is gone
      */
-    public void told(
-            Instant now, LoadDigest digest, int routers, Function<BackendRef, String> serviceOf) {
+    public void told(LoadDigest digest, int routers, Function<BackendRef, String> serviceOf) {
         if (digest.means().isEmpty() || digest.routers() < LEAST_ROUTERS * routers) {
             return;
         }
+        // Routers that have just gone to another control instance are in it twice.
+        double once = Math.min(1, (double) routers / digest.routers());
         mMeans = new HashMap<>();
-        digest.means().forEach(m -> mMeans.put(m.service(), m.requests()));
-        mMeansAt = now;
+        digest.means().forEach(m -> mMeans.put(m.service(), once * m.requests()));
+        mMeansAt = mReportedAt;
         mHotParts = new HashMap<>();
         digest.hot().forEach(l -> mHotParts.put(l.part(), l.requests()));
-        mKnown.forEach(
-                (ref, k) -> {
-                    Double mean = mMeans.get(serviceOf.apply(ref));
-                    if (mean != null) {
-                        k.notNamed(mReportedAt, mean);
-                    }
-                });
-        digest.busy().forEach(l -> known(l.server()).told(mReportedAt, l.requests()));
+        if (digest.namesAllBusy()) {
+            mKnown.forEach((ref, k) -> notNamed(k, serviceOf.apply(ref)));
+        }
+        digest.busy().forEach(l -> known(l.server()).told(mReportedAt, once * l.requests()));
+    }
+
+    private void notNamed(KnownLoad k, String service) {
+        Double mean = mMeans.get(service);
+        if (mean != null) {
+            k.notNamed(mReportedAt, mean);
+        }
     }
 
     private KnownLoad known(BackendRef ref) {
--- a/org.laurelweir/src/main/java/org/laurelweir/load/KnownLoad.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/KnownLoad.java
@@ -8,6 +8,12 @@
     /** How long a load counts after it was told; requests come and go several times in this. */
     static final Duration BELIEVED_FOR = Duration.ofSeconds(3);
 
+    /**
+     * How long the backend server's own word goes before the sum over all routers, in which what
+     * the others sent lately is not yet, and what they gave up is not any more.
+     */
+    static final Duration HEARD_FIRST_FOR = Duration.ofMillis(400);
+
     /** This router's requests that the backend server has. */
     private int mOwn;
 
@@ -15,7 +21,8 @@
     private int mOwnReported;
 
     private Instant mToldAt = Instant.MIN;
-    private int mTold;
+    private Instant mHeardAt = Instant.MIN;
+    private double mTold;
 
     /** Of the requests that were told, those of this router. */
     private int mOwnThen;
@@ -44,18 +51,19 @@
 
     /** Takes what the backend server tells itself. */
     void heard(Instant now, int requests) {
+        mHeardAt = now;
         mToldAt = now;
         mTold = requests;
         mOwnThen = mOwn;
     }
 
     /**
-     * Takes what control answers to a report, unless the backend server has told its load since.
+     * Takes what control answers to a report.
      *
      * @param reportedAt when the report was made, which is in the answer
      */
-    void told(Instant reportedAt, int requests) {
-        if (reportedAt.isBefore(mToldAt)) {
+    void told(Instant reportedAt, double requests) {
+        if (isHeardFirst(reportedAt)) {
             return;
         }
         mToldAt = reportedAt;
@@ -68,18 +76,22 @@
      * than the mean.
      */
     void notNamed(Instant reportedAt, double mean) {
-        if (mTold > mean && !reportedAt.isBefore(mToldAt)) {
+        if (mTold > mean && !isHeardFirst(reportedAt)) {
             mToldAt = Instant.MIN;
         }
     }
 
+    private boolean isHeardFirst(Instant reportedAt) {
+        return mHeardAt != Instant.MIN && reportedAt.isBefore(mHeardAt.plus(HEARD_FIRST_FOR));
+    }
+
     /**
      * Returns the load that is believed. What was told fades into the mean as it gets older.
      *
      * @param mean of the service, NaN where it is not known
      */
     double believed(Instant now, double mean) {
-        double rest = Double.isNaN(mean) ? mOwn : Math.max(mOwn, mean);
+        double rest = Double.isNaN(mean) ? mOwn : Math.max(mOwn, mean + sentSinceReport());
         if (!isBelieved(now, mToldAt)) {
             return rest;
         }
@@ -88,10 +100,17 @@
         return told + (rest - told) * faded;
     }
 
+    private int sentSinceReport() {
+        return Math.max(0, mOwn - mOwnReported);
+    }
+
     /** Returns how long ago the load was told, in milliseconds; NaN where that counts no more. */
     double ageMillis(Instant now) {
-        boolean believed = isBelieved(now, mToldAt);
-        return believed ? Duration.between(mToldAt, now).toMillis() : Double.NaN;
+        if (!isBelieved(now, mToldAt)) {
+            return Double.NaN;
+        }
+        // The clock may have been set back.
+        return Math.max(0, Duration.between(mToldAt, now).toMillis());
     }
 
     /** Returns whether nothing is left to know. */
--- a/org.laurelweir/src/main/java/org/laurelweir/load/LoadDigest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/LoadDigest.java
@@ -23,6 +23,11 @@
     /** Nothing, from a process that knows nothing. */
     public static final LoadDigest NONE = new LoadDigest(0, List.of(), List.of(), List.of());
 
+    /** Returns whether no busy backend server was left out. */
+    boolean namesAllBusy() {
+        return busy.size() < MOST_BUSY;
+    }
+
     /** Copies the lists. */
     public LoadDigest {
         means = List.copyOf(means);
--- a/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
@@ -8,7 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToIntFunction;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 
@@ -18,34 +19,46 @@
  * is what a backend server has.
  */
 public final class LoadTable {
-    /** A router that is silent this long has ended, or reports to another instance. */
-    static final Duration ROUTER_COUNTS_FOR = Duration.ofMillis(1500);
+    /** A control instance that is silent this long has ended; a live one speaks each second. */
+    static final Duration PEER_COUNTS_FOR = Duration.ofMillis(1500);
 
-    /** What a peer told counts this long; it tells everything again twice in that time. */
-    static final Duration PEER_COUNTS_FOR = Duration.ofSeconds(2);
+    /** What a peer told counts this long: it tells all again three times in that. */
+    static final Duration TOLD_COUNTS_FOR = Duration.ofMillis(3500);
 
     private static final Duration TOLD_AGAIN_AFTER = Duration.ofSeconds(1);
 
+    /**
+     * Intervals of exchanges after which a silent router has ended, or gone to another instance.
+     */
+    private static final int SILENT_INTERVALS = 5;
+
     /** Requests about a part from which on routers are told of it; most parts have none or one. */
     private static final int HOT_FROM = 2;
 
     private final String mSelf;
+    private final Duration mRouterCountsFor;
     private final Map<String, Instant> mRouters = new HashMap<>();
     private final Map<String, Peer> mPeers = new HashMap<>();
     private final SharedCounts<BackendRef> mServers = new SharedCounts<>();
     private final SharedCounts<Long> mParts = new SharedCounts<>();
     private Instant mNextTellAll = Instant.MIN;
 
-    /** A control instance that passes on how many routers report to it. */
+    /**
+     * A control instance that passes on what its routers have.
+     *
+     * @param routers how many report to it; 0 before it has told all that they have
+     */
     private record Peer(int routers, Instant heardAt) {}
 
     /**
      * Creates an empty table.
      *
      * @param self the control instance's name
+     * @param exchangeInterval how often routers report
      */
-    public LoadTable(String self) {
+    public LoadTable(String self, Duration exchangeInterval) {
         mSelf = self;
+        mRouterCountsFor = exchangeInterval.multipliedBy(SILENT_INTERVALS);
     }
 
     /** Takes all that a router has under way. */
@@ -62,7 +75,9 @@
     /** Takes what a peer's routers have under way. */
     public void toldByPeer(Instant now, PeerLoads told) {
         String peer = told.control();
-        mPeers.put(peer, new Peer(told.routers(), now));
+        boolean known =
+                told.whole() || (mPeers.containsKey(peer) && mPeers.get(peer).routers() > 0);
+        mPeers.put(peer, new Peer(known ? told.routers() : 0, now));
         told.sums().servers().forEach(l -> mServers.putOfPeer(now, peer, l.server(), l.requests()));
         told.sums().parts().forEach(l -> mParts.putOfPeer(now, peer, l.part(), l.requests()));
     }
@@ -81,24 +96,35 @@
         mServers.takeUntold((ref, n) -> servers.add(new BackendLoad(ref, n)));
         List<PartLoad> parts = new ArrayList<>();
         mParts.takeUntold((part, n) -> parts.add(new PartLoad(part, n)));
-        return new PeerLoads(mSelf, mRouters.size(), new LoadReport(servers, parts));
+        return new PeerLoads(mSelf, mRouters.size(), tellsAll, new LoadReport(servers, parts));
     }
 
     /** Forgets who is silent. */
     public void forget(Instant now) {
-        mRouters.entrySet()
-                .removeIf(
-                        e -> {
-                            boolean silent = isOver(now, e.getValue(), ROUTER_COUNTS_FOR);
-                            if (silent) {
-                                mServers.put(e.getKey(), Map.of());
-                                mParts.put(e.getKey(), Map.of());
-                            }
-                            return silent;
-                        });
-        mPeers.values().removeIf(p -> isOver(now, p.heardAt(), PEER_COUNTS_FOR));
-        mServers.forget(now, PEER_COUNTS_FOR);
-        mParts.forget(now, PEER_COUNTS_FOR);
+        silent(mRouters, now, at -> at, mRouterCountsFor).forEach(this::forgetRouter);
+        silent(mPeers, now, Peer::heardAt, PEER_COUNTS_FOR).forEach(this::forgetPeer);
+        mServers.forget(now, TOLD_COUNTS_FOR);
+        mParts.forget(now, TOLD_COUNTS_FOR);
+    }
+
+    private static <S> List<String> silent(
+            Map<String, S> sources, Instant now, Function<S, Instant> heardAt, Duration after) {
+        return sources.entrySet().stream()
+                .filter(e -> isOver(now, heardAt.apply(e.getValue()), after))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private void forgetRouter(String router) {
+        mRouters.remove(router);
+        mServers.put(router, Map.of());
+        mParts.put(router, Map.of());
+    }
+
+    private void forgetPeer(String peer) {
+        mPeers.remove(peer);
+        mServers.forgetPeer(peer);
+        mParts.forgetPeer(peer);
     }
 
     private static boolean isOver(Instant now, Instant since, Duration time) {
@@ -126,27 +152,37 @@
         Map<String, List<BackendLoad>> byService = new HashMap<>();
         for (Backend b : backends) {
             if (b.state() == Backend.State.SERVING) {
-                byService
-                        .computeIfAbsent(b.service(), s -> new ArrayList<>())
-                        .add(new BackendLoad(b.ref(), mServers.get(b.ref())));
+                byService.computeIfAbsent(b.service(), s -> new ArrayList<>()).add(load(b.ref()));
             }
         }
         List<MeanLoad> means = new ArrayList<>();
-        List<BackendLoad> busy = new ArrayList<>();
+        List<Busy> busy = new ArrayList<>();
         byService.forEach(
                 (service, loads) -> {
                     double mean =
                             loads.stream().mapToInt(BackendLoad::requests).average().orElse(0);
                     means.add(new MeanLoad(service, mean));
-                    loads.stream().filter(l -> l.requests() > mean).forEach(busy::add);
+                    loads.stream()
+                            .filter(l -> l.requests() > mean)
+                            .forEach(l -> busy.add(new Busy(l, mean)));
                 });
         return new LoadDigest(
                 routers(),
                 means,
-                most(busy, BackendLoad::requests, LoadDigest.MOST_BUSY),
+                most(busy, Busy::excess, LoadDigest.MOST_BUSY).stream().map(Busy::load).toList(),
                 hotParts());
     }
 
+    /** Returns a digest with the present numbers of the backend servers that it names. */
+    public LoadDigest refreshed(LoadDigest digest) {
+        List<BackendLoad> busy = digest.busy().stream().map(l -> load(l.server())).toList();
+        return new LoadDigest(digest.routers(), digest.means(), busy, digest.hot());
+    }
+
+    private BackendLoad load(BackendRef ref) {
+        return new BackendLoad(ref, mServers.get(ref));
+    }
+
     private List<PartLoad> hotParts() {
         List<PartLoad> hot = new ArrayList<>();
         mParts.forEach(
@@ -158,13 +194,21 @@
         return most(hot, PartLoad::requests, LoadDigest.MOST_HOT);
     }
 
-    private static <T> List<T> most(List<T> all, ToIntFunction<T> requests, int limit) {
+    private static <T> List<T> most(List<T> all, ToDoubleFunction<T> measure, int limit) {
         if (all.size() <= limit) {
             return all;
         }
         return all.stream()
-                .sorted(Comparator.comparingInt(requests).reversed())
+                .sorted(Comparator.comparingDouble(measure).reversed())
                 .limit(limit)
                 .toList();
     }
+
+    /** A backend server that holds more than the mean of its service. */
+    private record Busy(BackendLoad load, double mean) {
+        /** Services differ in how much their backend servers hold. */
+        double excess() {
+            return load.requests() / (mean + 1);
+        }
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/load/SharedCounts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/SharedCounts.java
@@ -55,23 +55,29 @@
         add(mAll, key, count - (before == null ? 0 : before.count()));
     }
 
+    /** Drops all that a peer told. */
+    void forgetPeer(String peer) {
+        Map<K, Told> told = mPeers.remove(peer);
+        if (told != null) {
+            told.forEach((key, t) -> add(mAll, key, -t.count()));
+        }
+    }
+
     /** Drops peers' sums that were not told again for a time. */
     void forget(Instant now, Duration after) {
-        for (Map<K, Told> peer : mPeers.values()) {
-            peer.entrySet()
-                    .removeIf(
-                            e -> {
-                                Told told = e.getValue();
-                                boolean old = !now.isBefore(told.at().plus(after));
-                                if (old) {
-                                    add(mAll, e.getKey(), -told.count());
-                                }
-                                return old;
-                            });
-        }
+        mPeers.values().forEach(told -> told.entrySet().removeIf(e -> isDropped(e, now, after)));
         mPeers.values().removeIf(Map::isEmpty);
     }
 
+    private boolean isDropped(Map.Entry<K, Told> e, Instant now, Duration after) {
+        Told told = e.getValue();
+        if (now.isBefore(told.at().plus(after))) {
+            return false;
+        }
+        add(mAll, e.getKey(), -told.count());
+        return true;
+    }
+
     private static <K> void add(Map<K, Integer> sums, K key, int change) {
         sums.merge(key, change, (a, b) -> a + b == 0 ? null : Integer.valueOf(a + b));
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/load/LoadSpreadTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/LoadSpreadTest.java
@@ -29,9 +29,7 @@
         assertThat(check.isBroken()).as("%s", check).isFalse();
     }
 
-    // An engine that finished nothing for a moment got more and more: no router knew what the
-    // others
-    // had there.
+    // An engine that finished nothing got more and more: no router knew what others had there.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void anEngineThatFinishesNothingIsNotFilled(long seed) {
