Report changes of what is under way, and all of it once in a while

A router told control everything that it has under way with each exchange: at the size of two years 585 requests, some 24 KB, which with the answer is more than the 27 KB that a node may spend on control in a second.

A report has what changed since control took the last one; all of it where the last one was not answered, where another run of control answered it, and each tenth time. Changes of a router that an instance does not know are not taken, so that part of its requests never stand for all. At 31 requests a second and node that is some 60 changes, 3 KB.

--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/LoadCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/LoadCodec.java
@@ -15,6 +15,7 @@
     /** Returns the message of what routers have under way. */
     public static org.laurelweir.wire.v1.LoadReport toWire(LoadReport r) {
         return org.laurelweir.wire.v1.LoadReport.newBuilder()
+                .setWhole(r.whole())
                 .addAllServers(r.servers().stream().map(LoadCodec::toWire).toList())
                 .addAllParts(r.parts().stream().map(LoadCodec::toWire).toList())
                 .build();
@@ -22,7 +23,7 @@
 
     /** Returns what a message says that routers have under way. */
     public static LoadReport toCore(org.laurelweir.wire.v1.LoadReport r) {
-        return new LoadReport(servers(r.getServersList()), parts(r.getPartsList()));
+        return new LoadReport(r.getWhole(), servers(r.getServersList()), parts(r.getPartsList()));
     }
 
     /** Returns the message of a digest. */
@@ -49,14 +50,13 @@
         return org.laurelweir.wire.v1.PeerLoads.newBuilder()
                 .setControl(l.control())
                 .setRouters(l.routers())
-                .setWhole(l.whole())
                 .setSums(toWire(l.sums()))
                 .build();
     }
 
     /** Returns what a message passes on. */
     public static PeerLoads toCore(org.laurelweir.wire.v1.PeerLoads l) {
-        return new PeerLoads(l.getControl(), l.getRouters(), l.getWhole(), toCore(l.getSums()));
+        return new PeerLoads(l.getControl(), l.getRouters(), toCore(l.getSums()));
     }
 
     private static org.laurelweir.wire.v1.BackendLoad toWire(BackendLoad l) {
--- a/org.laurelweir/src/main/java/org/laurelweir/load/BelievedLoads.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/BelievedLoads.java
@@ -18,12 +18,16 @@
     /** Told of a smaller share of all routers' requests, a router does not go by it. */
     private static final double LEAST_ROUTERS = 0.5;
 
+    /** So many reports tell changes only; one that tells all makes good whatever was lost. */
+    private static final int REPORTS_UNTIL_WHOLE = 10;
+
     private final Map<BackendRef, KnownLoad> mKnown = new HashMap<>();
-    private final Map<Long, Integer> mOwnParts = new HashMap<>();
+    private final OwnParts mParts = new OwnParts();
     private Map<String, Double> mMeans = Map.of();
     private Map<Long, Integer> mHotParts = Map.of();
     private Instant mMeansAt = Instant.MIN;
     private Instant mReportedAt = Instant.MIN;
+    private int mUntilWhole;
 
     /**
      * What is believed of one backend server.
@@ -42,14 +46,16 @@
     public void began(BackendRef ref, long part) {
         known(ref).begin();
         if (part != 0) {
-            mOwnParts.merge(part, 1, Integer::sum);
+            mParts.add(part, 1);
         }
     }
 
     /** Notes that a request of this router is over. */
     public void ended(BackendRef ref, long part) {
         known(ref).end();
-        mOwnParts.computeIfPresent(part, (p, n) -> n == 1 ? null : Integer.valueOf(n - 1));
+        if (part != 0) {
+            mParts.add(part, -1);
+        }
     }
 
     /** Takes what a backend server told in an answer to this router. */
@@ -88,21 +94,28 @@
         return isTold(now) ? mHotParts.getOrDefault(part, 0) : 0;
     }
 
-    /** Returns what this router has under way, to be told to control. */
+    /** Returns what control has to be told of what this router has under way. */
     public LoadReport report(Instant now) {
         mReportedAt = now;
+        boolean whole = mUntilWhole-- <= 0;
+        if (whole) {
+            mUntilWhole = REPORTS_UNTIL_WHOLE;
+        }
         mKnown.values().removeIf(k -> k.isForgotten(now));
-        List<BackendLoad> loads = new ArrayList<>();
+        List<BackendLoad> servers = new ArrayList<>();
         mKnown.forEach(
                 (ref, k) -> {
-                    int own = k.report();
-                    if (own > 0) {
-                        loads.add(new BackendLoad(ref, own));
+                    if (k.report(whole)) {
+                        servers.add(new BackendLoad(ref, k.own()));
                     }
                 });
-        List<PartLoad> parts = new ArrayList<>();
-        mOwnParts.forEach((part, n) -> parts.add(new PartLoad(part, n)));
-        return new LoadReport(loads, parts);
+        List<PartLoad> parts = mParts.report(whole);
+        return new LoadReport(whole, servers, parts);
+    }
+
+    /** Control has not answered the last report, or another run of it than the one before has. */
+    public void notTaken() {
+        mUntilWhole = 0;
     }
 
     /**
@@ -112,6 +125,8 @@
      * @param serviceOf finds a backend server's service, null where it is gone
      */
     public void told(LoadDigest digest, int routers, Function<BackendRef, String> serviceOf) {
+        mKnown.values().forEach(KnownLoad::taken);
+        mParts.taken();
         if (digest.means().isEmpty() || digest.routers() < LEAST_ROUTERS * routers) {
             return;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/load/KnownLoad.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/KnownLoad.java
@@ -17,9 +17,12 @@
     /** This router's requests that the backend server has. */
     private int mOwn;
 
-    /** As many as control was told with the report under way. */
+    /** As many as were told with the last report. */
     private int mOwnReported;
 
+    /** As many as control has taken. */
+    private int mOwnTaken;
+
     private Instant mToldAt = Instant.MIN;
     private Instant mHeardAt = Instant.MIN;
     private double mTold;
@@ -43,10 +46,20 @@
         return mOwn;
     }
 
-    /** Notes that control is told what this router has here. */
-    int report() {
+    /**
+     * Notes that a report is made.
+     *
+     * @param whole whether control is told all that this router has
+     * @return whether control has to be told what it has here
+     */
+    boolean report(boolean whole) {
         mOwnReported = mOwn;
-        return mOwn;
+        return whole ? mOwn != 0 : mOwn != mOwnTaken;
+    }
+
+    /** Control has taken the last report. */
+    void taken() {
+        mOwnTaken = mOwnReported;
     }
 
     /** Takes what the backend server tells itself. */
@@ -115,6 +128,6 @@
 
     /** Returns whether nothing is left to know. */
     boolean isForgotten(Instant now) {
-        return mOwn == 0 && !isBelieved(now, mToldAt);
+        return mOwn == 0 && mOwnTaken == 0 && !isBelieved(now, mToldAt);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
@@ -61,22 +61,33 @@
         mRouterCountsFor = exchangeInterval.multipliedBy(SILENT_INTERVALS);
     }
 
-    /** Takes all that a router has under way. */
+    /**
+     * Takes what a router has under way. One that tells changes only, of what is not known here, is
+     * passed over: it tells everything next, since another run than before has answered it.
+     */
     public void toldByRouter(Instant now, String router, LoadReport report) {
+        if (!report.whole() && !mRouters.containsKey(router)) {
+            return;
+        }
         mRouters.put(router, now);
         Map<BackendRef, Integer> servers = new HashMap<>();
         report.servers().forEach(l -> servers.put(l.server(), l.requests()));
-        mServers.put(router, servers);
         Map<Long, Integer> parts = new HashMap<>();
         report.parts().forEach(l -> parts.put(l.part(), l.requests()));
-        mParts.put(router, parts);
+        if (report.whole()) {
+            mServers.put(router, servers);
+            mParts.put(router, parts);
+        } else {
+            mServers.change(router, servers);
+            mParts.change(router, parts);
+        }
     }
 
     /** Takes what a peer's routers have under way. */
     public void toldByPeer(Instant now, PeerLoads told) {
         String peer = told.control();
         boolean known =
-                told.whole() || (mPeers.containsKey(peer) && mPeers.get(peer).routers() > 0);
+                told.sums().whole() || (mPeers.containsKey(peer) && mPeers.get(peer).routers() > 0);
         mPeers.put(peer, new Peer(known ? told.routers() : 0, now));
         told.sums().servers().forEach(l -> mServers.putOfPeer(now, peer, l.server(), l.requests()));
         told.sums().parts().forEach(l -> mParts.putOfPeer(now, peer, l.part(), l.requests()));
@@ -96,7 +107,7 @@
         mServers.takeUntold((ref, n) -> servers.add(new BackendLoad(ref, n)));
         List<PartLoad> parts = new ArrayList<>();
         mParts.takeUntold((part, n) -> parts.add(new PartLoad(part, n)));
-        return new PeerLoads(mSelf, mRouters.size(), tellsAll, new LoadReport(servers, parts));
+        return new PeerLoads(mSelf, mRouters.size(), new LoadReport(tellsAll, servers, parts));
     }
 
     /** Forgets who is silent. */
@@ -117,8 +128,8 @@
 
     private void forgetRouter(String router) {
         mRouters.remove(router);
-        mServers.put(router, Map.of());
-        mParts.put(router, Map.of());
+        mServers.forgetSource(router);
+        mParts.forgetSource(router);
     }
 
     private void forgetPeer(String peer) {
--- a/org.laurelweir/src/main/java/org/laurelweir/load/PeerLoads.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/PeerLoads.java
@@ -5,12 +5,11 @@
  *
  * @param control the instance's name
  * @param routers how many routers report to it
- * @param whole whether these are all sums over these routers, and not only those that changed
- * @param sums over these routers, 0 where there is nothing any more
+ * @param sums over these routers
  */
-public record PeerLoads(String control, int routers, boolean whole, LoadReport sums) {
+public record PeerLoads(String control, int routers, LoadReport sums) {
     /** Nothing to pass on. */
-    public static final PeerLoads NONE = new PeerLoads("", 0, false, LoadReport.NONE);
+    public static final PeerLoads NONE = new PeerLoads("", 0, LoadReport.NONE);
 
     /** Returns whether there is nothing to pass on. */
     public boolean isEmpty() {
--- a/org.laurelweir/src/main/java/org/laurelweir/load/SharedCounts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/SharedCounts.java
@@ -32,11 +32,23 @@
         Map<K, Integer> before = mSources.getOrDefault(source, Map.of());
         before.forEach((key, n) -> addOwn(key, counts.getOrDefault(key, 0) - n));
         counts.forEach((key, n) -> addOwn(key, before.containsKey(key) ? 0 : n));
-        if (counts.isEmpty()) {
-            mSources.remove(source);
-        } else {
-            mSources.put(source, counts);
-        }
+        mSources.put(source, new HashMap<>(counts));
+    }
+
+    /** Takes the numbers of a source that have changed. */
+    void change(String source, Map<K, Integer> counts) {
+        Map<K, Integer> known = mSources.computeIfAbsent(source, s -> new HashMap<>());
+        counts.forEach(
+                (key, n) -> {
+                    Integer before = n == 0 ? known.remove(key) : known.put(key, n);
+                    addOwn(key, n - (before == null ? 0 : before));
+                });
+    }
+
+    /** Drops all that a source told. */
+    void forgetSource(String source) {
+        put(source, Map.of());
+        mSources.remove(source);
     }
 
     private void addOwn(K key, int change) {
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -79,6 +79,7 @@
             onExchange(s, e);
         } else if (event instanceof RouterEvent.ExchangeFailed) {
             mExchanges.onEnded(false);
+            mLoads.notTaken();
         } else if (event instanceof RouterEvent.Direct e) {
             stepDirect(s, e.event());
         } else if (event instanceof RouterEvent.StopRequested) {
@@ -99,6 +100,9 @@
 
     private void onExchange(Step s, RouterEvent.ExchangeAnswered answer) {
         mExchanges.onEnded(answer.membership().full() || mMemberships.isTold());
+        if (!answer.membership().cursor().isSameRun(mMemberships.cursor())) {
+            mLoads.notTaken();
+        }
         mMemberships.apply(s.now(), answer.membership());
         mNotes.flush(s, mMemberships.cursor());
         mCrashSharing.answered(s.now(), mMemberships.cursor(), answer.crashes());
