Build decisions for the log step by step

A decision had two constructors of nine and eleven positions beside its own twelve, told apart by their number, and eight places that passed empty texts and zeros for what does not apply. A builder names what is set and leaves out the rest, as the house style asks for. Same lines in the log: LoggingTest checks one whole line, and the age of the load besides now.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -99,16 +99,11 @@
      */
     public Decision refusal(HttpCall call, LaurelweirException e) {
         String position = "settings at " + mSettings.tree().position();
-        return new Decision(
-                mClock.instant(),
-                PROGRAM,
-                call.header(mDialect.requestId()),
-                0,
-                "",
-                "",
-                List.of(position),
-                e.getCode().name(),
-                "turned away: " + e.getMessage());
+        return Decision.builder(mClock.instant(), PROGRAM)
+                .request(call.header(mDialect.requestId()))
+                .candidates(List.of(position))
+                .chose(e.getCode().name(), "turned away: " + e.getMessage())
+                .build();
     }
 
     private RouteTable routes() {
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
@@ -22,18 +22,15 @@
 class LoggingTest {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Decision DECISION =
-            new Decision(
-                    Instant.EPOCH,
-                    "router",
-                    "r1-5-77",
-                    0xabcL,
-                    "broker-1",
-                    "",
-                    List.of("s-2", "s-1"),
-                    "s-2",
-                    "home",
-                    0.8,
-                    1.25);
+            Decision.builder(Instant.EPOCH, "router")
+                    .request("r1-5-77")
+                    .chat(0xabcL)
+                    .account("broker-1")
+                    .candidates(List.of("s-2", "s-1"))
+                    .chose("s-2", "home")
+                    .load(0.8, 1.25)
+                    .loadAgeMillis(310)
+                    .build();
 
     @TempDir Path mFolder;
 
@@ -56,6 +53,7 @@
         assertThat(decision.path("candidates").asText()).isEqualTo("s-2 s-1");
         assertThat(decision.path("load").isNumber()).isTrue();
         assertThat(decision.path("bound").asDouble()).isEqualTo(1.25);
+        assertThat(decision.path("load_age_ms").asDouble()).isEqualTo(310);
         assertThat(decision.path("chat").asText()).isEqualTo("abc");
         assertThat(decision.has("service")).isFalse();
         JsonNode warning = new ObjectMapper().readTree(lines.get(1));
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/DecisionReport.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/DecisionReport.java
@@ -30,17 +30,14 @@
             double bound) {
         step.emit(
                 new SidecarEffect.Decided(
-                        new Decision(
-                                step.now(),
-                                PROGRAM,
-                                request.id().toString(),
-                                request.chat(),
-                                request.account(),
-                                request.service(),
-                                mNext.candidates(request),
-                                choice,
-                                reason.text(),
-                                mLoad.work(),
-                                bound)));
+                        Decision.builder(step.now(), PROGRAM)
+                                .request(request.id().toString())
+                                .chat(request.chat())
+                                .account(request.account())
+                                .service(request.service())
+                                .candidates(mNext.candidates(request))
+                                .chose(choice, reason.text())
+                                .load(mLoad.work(), bound)
+                                .build()));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionNotes.java
@@ -125,16 +125,13 @@
             Consumer<? super ControlEffect> effects) {
         effects.accept(
                 new ControlEffect.Decided(
-                        new Decision(
-                                now,
-                                PROGRAM,
-                                subject.request(),
-                                0,
-                                subject.account(),
-                                subject.service(),
-                                candidates,
-                                choice,
-                                reason)));
+                        Decision.builder(now, PROGRAM)
+                                .request(subject.request())
+                                .account(subject.account())
+                                .service(subject.service())
+                                .candidates(candidates)
+                                .chose(choice, reason)
+                                .build()));
     }
 
     private record Subject(String request, String account, String service) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Reports.java
@@ -12,21 +12,13 @@
     DirectEffect.Decided chose(ActiveCall r, ServerChoice.Chosen c, String fetchFrom, Instant now) {
         String place = r.mArrivals > 1 ? "retry_" + c.reason() : c.reason();
         String reason = fetchFrom.isEmpty() ? place : place + "_fetching from " + fetchFrom;
-        RoutedRequest q = r.mRequest;
         return new DirectEffect.Decided(
-                new Decision(
-                        now,
-                        PROGRAM,
-                        q.id(),
-                        r.part(),
-                        q.account(),
-                        r.mService,
-                        c.candidates(),
-                        c.server().id(),
-                        reason,
-                        c.load(),
-                        c.bound(),
-                        c.loadAgeMillis()));
+                about(r, now)
+                        .candidates(c.candidates())
+                        .chose(c.server().id(), reason)
+                        .load(c.load(), c.bound())
+                        .loadAgeMillis(c.loadAgeMillis())
+                        .build());
     }
 
     DirectEffect.Decided said(ActiveCall r, String reason, Instant now) {
@@ -64,17 +56,15 @@
 
     private static DirectEffect.Decided decided(
             ActiveCall r, Instant now, List<String> candidates, String choice, String reason) {
-        RoutedRequest q = r.mRequest;
         return new DirectEffect.Decided(
-                new Decision(
-                        now,
-                        PROGRAM,
-                        q.id(),
-                        r.part(),
-                        q.account(),
-                        r.mService,
-                        candidates,
-                        choice,
-                        reason));
+                about(r, now).candidates(candidates).chose(choice, reason).build());
+    }
+
+    private static Decision.Builder about(ActiveCall r, Instant now) {
+        return Decision.builder(now, PROGRAM)
+                .request(r.mRequest.id())
+                .chat(r.part())
+                .account(r.mRequest.account())
+                .service(r.mService);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/lib/Decision.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/lib/Decision.java
@@ -33,56 +33,101 @@
         double load,
         double bound,
         double loadAgeMillis) {
-    /** Creates a decision by a load that the program knows itself. */
-    public Decision(
-            Instant at,
-            String program,
-            String request,
-            long chat,
-            String account,
-            String service,
-            List<String> candidates,
-            String choice,
-            String reason,
-            double load,
-            double bound) {
-        this(
-                at,
-                program,
-                request,
-                chat,
-                account,
-                service,
-                candidates,
-                choice,
-                reason,
-                load,
-                bound,
-                Double.NaN);
+    /**
+     * Returns a builder of a decision that concerns no request and goes by no load.
+     *
+     * @param at when it was taken
+     * @param program router, sidecar or control
+     */
+    public static Builder builder(Instant at, String program) {
+        return new Builder(at, program);
     }
 
-    /** Creates a decision in which no load has a part. */
-    public Decision(
-            Instant at,
-            String program,
-            String request,
-            long chat,
-            String account,
-            String service,
-            List<String> candidates,
-            String choice,
-            String reason) {
-        this(
-                at,
-                program,
-                request,
-                chat,
-                account,
-                service,
-                candidates,
-                choice,
-                reason,
-                Double.NaN,
-                Double.NaN);
+    /** Builds a {@link Decision}. */
+    public static final class Builder {
+        private final Instant mAt;
+        private final String mProgram;
+        private String mRequest = "";
+        private long mChat;
+        private String mAccount = "";
+        private String mService = "";
+        private List<String> mCandidates = List.of();
+        private String mChoice = "";
+        private String mReason = "";
+        private double mLoad = Double.NaN;
+        private double mBound = Double.NaN;
+        private double mLoadAgeMillis = Double.NaN;
+
+        private Builder(Instant at, String program) {
+            mAt = at;
+            mProgram = program;
+        }
+
+        /** Sets the request's name. */
+        public Builder request(String request) {
+            mRequest = request;
+            return this;
+        }
+
+        /** Sets the chat's key. */
+        public Builder chat(long chat) {
+            mChat = chat;
+            return this;
+        }
+
+        /** Sets the client account. */
+        public Builder account(String account) {
+            mAccount = account;
+            return this;
+        }
+
+        /** Sets the service. */
+        public Builder service(String service) {
+            mService = service;
+            return this;
+        }
+
+        /** Sets the backend servers that were considered, best first. */
+        public Builder candidates(List<String> candidates) {
+            mCandidates = candidates;
+            return this;
+        }
+
+        /** Sets what was chosen, and why. */
+        public Builder chose(String choice, String reason) {
+            mChoice = choice;
+            mReason = reason;
+            return this;
+        }
+
+        /** Sets the choice's load, and the load above which it would not have been taken. */
+        public Builder load(double load, double bound) {
+            mLoad = load;
+            mBound = bound;
+            return this;
+        }
+
+        /** Sets how long ago the load was told. */
+        public Builder loadAgeMillis(double loadAgeMillis) {
+            mLoadAgeMillis = loadAgeMillis;
+            return this;
+        }
+
+        /** Returns the decision. */
+        public Decision build() {
+            return new Decision(
+                    mAt,
+                    mProgram,
+                    mRequest,
+                    mChat,
+                    mAccount,
+                    mService,
+                    mCandidates,
+                    mChoice,
+                    mReason,
+                    mLoad,
+                    mBound,
+                    mLoadAgeMillis);
+        }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/QuarantineNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/QuarantineNotes.java
@@ -40,16 +40,14 @@
         CrashRecord r = n.record();
         List<String> ended = r.unexcused();
         String fingerprint = r.key().fingerprintText();
-        return new Decision(
-                now,
-                mProgram,
-                "",
-                0,
-                r.key().account(),
-                r.service(),
-                ended,
-                n.quarantined() ? QUARANTINED : RELEASED,
-                ended.size() + " backend servers ended under request " + fingerprint);
+        return Decision.builder(now, mProgram)
+                .account(r.key().account())
+                .service(r.service())
+                .candidates(ended)
+                .chose(
+                        n.quarantined() ? QUARANTINED : RELEASED,
+                        ended.size() + " backend servers ended under request " + fingerprint)
+                .build();
     }
 
     private record Note(CrashRecord record, boolean quarantined) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Decisions.java
@@ -55,18 +55,15 @@
         CallerRequest q = r.mRequest;
         s.emit(
                 new RouterEffect.Decided(
-                        new Decision(
-                                s.now(),
-                                PROGRAM,
-                                requestName(r.mCaller),
-                                q.chat(),
-                                q.account(),
-                                q.service(),
-                                candidates,
-                                choice,
-                                reason,
-                                load,
-                                bound)));
+                        Decision.builder(s.now(), PROGRAM)
+                                .request(requestName(r.mCaller))
+                                .chat(q.chat())
+                                .account(q.account())
+                                .service(q.service())
+                                .candidates(candidates)
+                                .chose(choice, reason)
+                                .load(load, bound)
+                                .build()));
     }
 
     private String requestName(long caller) {
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/LoadNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/LoadNotes.java
@@ -1,6 +1,5 @@
 package org.laurelweir.routing;
 
-import java.util.List;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.load.BelievedLoads;
 import org.laurelweir.membership.MembershipCursor;
@@ -34,15 +33,8 @@
                         : "not told any more by " + control.control() + ", own calls decide";
         s.emit(
                 new RouterEffect.Decided(
-                        new Decision(
-                                s.now(),
-                                Decisions.PROGRAM,
-                                "",
-                                0,
-                                "",
-                                "",
-                                List.of(),
-                                told ? TOLD : NOT_TOLD,
-                                reason)));
+                        Decision.builder(s.now(), Decisions.PROGRAM)
+                                .chose(told ? TOLD : NOT_TOLD, reason)
+                                .build()));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/MembershipNotes.java
@@ -47,15 +47,10 @@
             List<String> ids) {
         String from = source.control() + " at version " + source.version();
         return new RouterEffect.Decided(
-                new Decision(
-                        now,
-                        Decisions.PROGRAM,
-                        "",
-                        0,
-                        "",
-                        service,
-                        ids.subList(0, Math.min(ids.size(), MAX_NAMED)),
-                        state.name(),
-                        ids.size() + " changed, told by " + from));
+                Decision.builder(now, Decisions.PROGRAM)
+                        .service(service)
+                        .candidates(ids.subList(0, Math.min(ids.size(), MAX_NAMED)))
+                        .chose(state.name(), ids.size() + " changed, told by " + from)
+                        .build());
     }
 }
