--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
@@ -84,7 +84,8 @@
                                                 " INFO  DecisionLog: router decision"
                                                         + " {account=broker-1, bound=1.25,"
                                                         + " candidates=s-2 s-1, chat=abc,"
-                                                        + " choice=s-2, load=0.8, reason=home,"
+                                                        + " choice=s-2, load=0.8,"
+                                                        + " load_age_ms=310.0, reason=home,"
                                                         + " request=r1-5-77}"),
                         l -> assertThat(l).endsWith(" WARN  Sample: from gRPC"));
     }
