Leave nothing behind of requests that were there for a moment

A request that begins and ends between two messages of a control instance is told to its peers as none. They added nothing to nothing, and kept the number of it under the request's part for good: one entry for each part that was ever asked for so, without a bound. Found by reading the change once more.

A part is told to routers from three requests on: its one home takes two in any case, so that telling two said nothing.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -58,7 +58,7 @@
      * @param load its load as known
      * @param bound the load above which it would not have been chosen by its rank; NaN where none
      *     was asked for
-     * @param loadAgeMillis how long ago it told that load; NaN where it told none lately
+     * @param loadAgeMillis how long ago that load was told; NaN where none was told lately
      */
     record Chosen(
             Candidate server,
--- a/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
@@ -32,8 +32,8 @@
      */
     private static final int SILENT_INTERVALS = 5;
 
-    /** Requests about a part from which on routers are told of it; most parts have none or one. */
-    private static final int HOT_FROM = 2;
+    /** Requests about a part from which on routers are told of it; its home takes fewer anyway. */
+    private static final int HOT_FROM = 3;
 
     private final String mSelf;
     private final Duration mRouterCountsFor;
--- a/org.laurelweir/src/main/java/org/laurelweir/load/SharedCounts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/SharedCounts.java
@@ -52,12 +52,11 @@
     }
 
     private void addOwn(K key, int change) {
-        if (change == 0) {
-            return;
+        if (change != 0) {
+            add(mOwn, key, change);
+            add(mAll, key, change);
+            mUntold.add(key);
         }
-        add(mOwn, key, change);
-        add(mAll, key, change);
-        mUntold.add(key);
     }
 
     /** Takes a peer's sum. */
@@ -91,7 +90,9 @@
     }
 
     private static <K> void add(Map<K, Integer> sums, K key, int change) {
-        sums.merge(key, change, (a, b) -> a + b == 0 ? null : Integer.valueOf(a + b));
+        if (change != 0) {
+            sums.merge(key, change, (a, b) -> a + b == 0 ? null : Integer.valueOf(a + b));
+        }
     }
 
     /** Has peers told all sums again. */
@@ -114,6 +115,11 @@
         return mAll.getOrDefault(key, 0);
     }
 
+    /** Returns of how many there is any. */
+    int size() {
+        return mAll.size();
+    }
+
     void forEach(BiConsumer<K, Integer> taker) {
         mAll.forEach(taker);
     }
