Refuse a change that makes the tree of settings larger than every heap holds

A tree counts its bytes as nodes come and go, and a change that takes it beyond 8 MB is invalid, with the size in its message. One that makes it smaller is taken, so that a tree of an earlier version can be brought back under the bound. The bound is no share of the heap, since all replicas have to refuse the same. During an upgrade a replica of the version before would take what this one refuses: a tree so large has to be made smaller first.

Shown: with the bound at the largest number both tests fail (95 MB; a change that is taken beyond the bound), with it all of SettingsStoreTest passes.

--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
@@ -131,6 +131,7 @@
         SettingsTree after = mTree.with(position, plan.after());
         List<NodeFault> faults = new ArrayList<>(plan.faults());
         faults.addAll(ReferenceCheck.faultsOf(mTree, after, plan.after()));
+        faults.addAll(TreeBound.faultsOf(mTree, after));
         if (!faults.isEmpty()) {
             return refusal(ResultCode.SETTINGS_INVALID, List.of(), faults);
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
@@ -25,7 +25,8 @@
                     PersistentMap.empty(),
                     PersistentMap.empty(),
                     PersistentMap.empty(),
-                    List.of());
+                    List.of(),
+                    0);
 
     private final long mPosition;
     private final PersistentMap<SettingsNode> mNodes;
@@ -42,19 +43,23 @@
     /** The names of the services, sorted. */
     private final List<String> mServices;
 
+    private final long mBytes;
+
     private SettingsTree(
             long position,
             PersistentMap<SettingsNode> nodes,
             PersistentMap<NodePath> claims,
             PersistentMap<Integer> uses,
             PersistentMap<List<NodePath>> rules,
-            List<String> services) {
+            List<String> services,
+            long bytes) {
         mPosition = position;
         mNodes = nodes;
         mClaims = claims;
         mUses = uses;
         mRules = rules;
         mServices = services;
+        mBytes = bytes;
     }
 
     /**
@@ -77,6 +82,11 @@
         return mNodes.size();
     }
 
+    /** Returns what all nodes take together, about: the same on every replica. */
+    long bytes() {
+        return mBytes;
+    }
+
     /** Returns a node, or nothing if there is none at the path. */
     public Optional<SettingsNode> node(NodePath path) {
         return Optional.ofNullable(mNodes.get(path.toString()));
@@ -182,6 +192,7 @@
         private PersistentMap<Integer> mNewUses;
         private PersistentMap<List<NodePath>> mNewRules;
         private final SortedSet<String> mNewServices;
+        private long mNewBytes;
 
         Editor(SettingsTree tree) {
             mNewNodes = tree.mNodes;
@@ -189,6 +200,7 @@
             mNewUses = tree.mUses;
             mNewRules = tree.mRules;
             mNewServices = new TreeSet<>(tree.mServices);
+            mNewBytes = tree.mBytes;
         }
 
         void remove(NodePath path) {
@@ -197,6 +209,7 @@
                 return;
             }
             mNewNodes = mNewNodes.with(path.toString(), null);
+            mNewBytes -= old.bytes();
             NodeNames.claimsOf(old).forEach(c -> mNewClaims = mNewClaims.with(c, null));
             count(old, -1);
             if (path.isOnly(Level.SERVICE)) {
@@ -212,6 +225,7 @@
         void add(SettingsNode node) {
             NodePath path = node.path();
             mNewNodes = mNewNodes.with(path.toString(), node);
+            mNewBytes += node.bytes();
             NodeNames.claimsOf(node).forEach(c -> mNewClaims = mNewClaims.with(c, path));
             count(node, 1);
             if (path.isOnly(Level.SERVICE)) {
@@ -251,7 +265,8 @@
                     mNewClaims,
                     mNewUses,
                     mNewRules,
-                    List.copyOf(mNewServices));
+                    List.copyOf(mNewServices),
+                    mNewBytes);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/TreeReplacement.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/TreeReplacement.java
@@ -47,14 +47,15 @@
         if (replacement.mFaults.isEmpty()) {
             plan.after().forEach(n -> replacement.edit(now.node(n.path()).orElse(null), n));
             now.nodesOutside(nodes.keySet()).forEach(replacement::delete);
-            replacement.checkReferences(now);
+            replacement.checkWhole(now);
         }
         return replacement;
     }
 
-    private void checkReferences(SettingsTree now) {
+    private void checkWhole(SettingsTree now) {
         SettingsTree after = now.with(mPosition, mAfter);
         mFaults.addAll(ReferenceCheck.faultsOf(now, after, mAfter));
+        mFaults.addAll(TreeBound.faultsOf(now, after));
     }
 
     private void edit(SettingsNode before, SettingsNode after) {
--- a/org.laurelweir/src/test/java/org/laurelweir/settings/SettingsStoreTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/settings/SettingsStoreTest.java
@@ -7,10 +7,11 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.coordination.Command.ChangeSettings;
 import org.laurelweir.coordination.Command.NodeChange;
@@ -224,7 +225,6 @@
     }
 
     // Each change was small, and together they made a tree that no start could read back.
-    @Tag("known-red")
     @Test
     void theTreeOfAcceptedChangesFitsIntoTheSmallestHeap() {
         define();
@@ -237,6 +237,33 @@
         assertThat(bytes).isLessThan(smallestHeap);
     }
 
+    // A tree that an earlier version let grow beyond the bound could not be made smaller again.
+    @Test
+    void aTreeBeyondTheBoundTakesWhatMakesItSmaller() {
+        String path = "/" + "p".repeat(16_000);
+        List<SettingsNode> nodes = new ArrayList<>(List.of(node("/service=s")));
+        for (int i = 0; i < 1_000; i++) {
+            nodes.add(node("/service=s/rule=g" + i, "match.path", path));
+        }
+        SettingsState large = new SettingsState(1, nodes, 1, List.of(), List.of(), 0, "");
+        SettingsStore store = new SettingsStore(large, SettingsStore.Limits.DEFAULT);
+        assertThat(store.tree().bytes()).isGreaterThan(TreeBound.MOST_BYTES);
+
+        SettingsAnswer more = store.apply(2, change("more", set("/account=x", 0)));
+        assertThat(more.code()).isEqualTo(ResultCode.SETTINGS_INVALID);
+        SettingsAnswer less = store.apply(3, change("less", delete("/service=s/rule=g7", 1)));
+        assertThat(less.code()).isEqualTo(ResultCode.OK);
+        assertThat(store.tree().bytes())
+                .isEqualTo(store.tree().nodes().stream().mapToLong(SettingsNode::bytes).sum());
+    }
+
+    private static SettingsNode node(String path, String... keyAndValue) {
+        NodePath parsed = NodePath.parse(path);
+        Map<String, String> values =
+                keyAndValue.length == 0 ? Map.of() : Map.of(keyAndValue[0], keyAndValue[1]);
+        return SettingsNode.of(parsed, 1, values);
+    }
+
     private static NodeChange[] rules(int group, String path) {
         return IntStream.range(0, 100)
                 .mapToObj(i -> set("/service=s/rule=g" + group + "-" + i, 0, "match.path", path))
