Let a running control instance wait while its disk is full

Cause: any failed write was final, as a failed sync has to be. A refused write has promised nothing. The writer tries again each 250 ms and says so; nothing behind it is written, voted or acknowledged meanwhile, and the leader's bounds turn proposals away. A part of a batch is cut off before the batch is written again, a part of a file written aside is removed. A failed sync ends the process as before.

Disk takes the place of Syncer, so that a test can refuse a write.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
@@ -40,6 +40,12 @@
     private Segment mSegment;
     private boolean mFailed;
 
+    /** Up to which sequence the entries are in the log. */
+    private long mAppended;
+
+    /** Up to which sequence everything has been carried out but for the appending of entries. */
+    private long mDone;
+
     private FileLogStorage(LogFiles files, int segmentBytes, DataFolder folder) throws IOException {
         mFiles = files;
         mSegmentBytes = segmentBytes;
@@ -72,8 +78,8 @@
         try {
             if (isNew) {
                 mark.write(new SyncMark.Position(0, 0));
-                mFiles.syncer().sync(mark.channel());
-                WholeFile.syncFolder(mFiles.folder(), mFiles.syncer());
+                mFiles.disk().sync(mark.channel());
+                WholeFile.syncFolder(mFiles.folder(), mFiles.disk());
             }
             return mark;
         } catch (IOException e) {
@@ -92,12 +98,12 @@
      *     folder, {@code DISK_FAILED} if the disk reported an error
      */
     public static FileLogStorage open(Path folder, LongSupplier newStorageId) {
-        return open(folder, newStorageId, SEGMENT_BYTES, Syncer.DEFAULT);
+        return open(folder, newStorageId, SEGMENT_BYTES, Disk.DEFAULT);
     }
 
     static FileLogStorage open(
-            Path folder, LongSupplier newStorageId, int segmentBytes, Syncer syncer) {
-        LogFiles files = new LogFiles(folder, syncer);
+            Path folder, LongSupplier newStorageId, int segmentBytes, Disk disk) {
+        LogFiles files = new LogFiles(folder, disk.tellingSyncFailures());
         try {
             DataFolder taken = DataFolder.take(files, newStorageId);
             try {
@@ -118,17 +124,18 @@
             startSegment(mLastIndexes.lastKey());
         } else {
             long number = mLastIndexes.lastKey();
-            mSegment = Segment.open(mFiles.folder(), number, loader.end(), mFiles.syncer());
+            mSegment = Segment.open(mFiles.folder(), number, loader.end(), mFiles.disk());
         }
         mMark.write(mSegment.end());
-        mFiles.syncer().sync(mMark.channel());
+        mFiles.disk().sync(mMark.channel());
     }
 
     private void startSegment(long number) throws IOException {
+        Segment next = Segment.create(mFiles.folder(), number, mFiles.disk());
         if (mSegment != null) {
             mSegment.close();
         }
-        mSegment = Segment.create(mFiles.folder(), number, mFiles.syncer());
+        mSegment = next;
         mLastIndexes.put(number, 0L);
     }
 
@@ -153,10 +160,13 @@
         }
         try {
             writeAll(effects);
-        } catch (IOException e) {
+        } catch (Disk.SyncFailure e) {
             // After a failed sync the system may have dropped the data and call the next sync good.
             mFailed = true;
             throw diskFailed(mFiles.folder(), e);
+        } catch (IOException e) {
+            String message = mFiles.folder() + ": " + e.getMessage();
+            throw new LaurelweirException(ResultCode.DISK_FULL, message, e);
         }
     }
 
@@ -170,22 +180,29 @@
         }
     }
 
+    /** Leaves out what an earlier try that was refused has carried out. */
     private void writeAll(List<Persist> effects) throws IOException {
         writeHardState(effects);
         List<LogEntry> batch = new ArrayList<>();
         for (Persist p : effects) {
-            if (p.discardLog()) {
+            boolean isNew = p.sequence() > mDone;
+            if (isNew && p.discardLog()) {
                 batch.clear();
                 discardLog(p.snapshot());
             }
-            batch.addAll(p.entries());
-            if (p.snapshot() != null && !p.discardLog()) {
-                append(batch);
+            if (p.sequence() > mAppended) {
+                batch.addAll(p.entries());
+            }
+            if (isNew && p.snapshot() != null && !p.discardLog()) {
+                append(batch, p.sequence());
+                mDone = p.sequence() - 1;
                 batch.clear();
                 compactLog(p.snapshot());
+                mDone = p.sequence();
             }
         }
-        append(batch);
+        append(batch, effects.get(effects.size() - 1).sequence());
+        mDone = mAppended;
     }
 
     /** Only the last one counts: the batch is acknowledged as a whole. */
@@ -199,10 +216,15 @@
         }
     }
 
-    private void append(List<LogEntry> batch) throws IOException {
-        if (batch.isEmpty()) {
-            return;
+    /** Appends what the effects up to a sequence bring. */
+    private void append(List<LogEntry> batch, long sequence) throws IOException {
+        if (!batch.isEmpty()) {
+            append(batch);
         }
+        mAppended = sequence;
+    }
+
+    private void append(List<LogEntry> batch) throws IOException {
         if (mSegment.size() >= mSegmentBytes) {
             startSegment(mSegment.number() + 1);
         }
@@ -239,7 +261,7 @@
 
     private void removeSegmentsBefore(long first) throws IOException {
         for (long number : List.copyOf(mLastIndexes.headMap(first).keySet())) {
-            Files.delete(Segment.path(mFiles.folder(), number));
+            Files.deleteIfExists(Segment.path(mFiles.folder(), number));
             mLastIndexes.remove(number);
         }
     }
@@ -257,7 +279,7 @@
     @Override
     public void close() {
         try {
-            mFiles.syncer().sync(mMark.channel());
+            mFiles.disk().sync(mMark.channel());
             closeFiles();
             mFolder.close();
         } catch (IOException e) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogFiles.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogFiles.java
@@ -4,17 +4,17 @@
 import org.laurelweir.lib.ResultCode;
 
 /** The names of the files in a data folder. */
-record LogFiles(Path folder, Syncer syncer) {
+record LogFiles(Path folder, Disk disk) {
     WholeFile identity() {
-        return new WholeFile(folder.resolve("identity"), ResultCode.LOG_CORRUPT, syncer);
+        return new WholeFile(folder.resolve("identity"), ResultCode.LOG_CORRUPT, disk);
     }
 
     WholeFile hardState() {
-        return new WholeFile(folder.resolve("hard-state"), ResultCode.LOG_CORRUPT, syncer);
+        return new WholeFile(folder.resolve("hard-state"), ResultCode.LOG_CORRUPT, disk);
     }
 
     WholeFile snapshot() {
-        return new WholeFile(folder.resolve("snapshot"), ResultCode.SNAPSHOT_CORRUPT, syncer);
+        return new WholeFile(folder.resolve("snapshot"), ResultCode.SNAPSHOT_CORRUPT, disk);
     }
 
     Path syncMark() {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogStorage.java
@@ -20,7 +20,10 @@
     /**
      * Carries out effects in order and syncs once at the end.
      *
-     * @param effects in the order of their sequences
+     * @param effects in the order of their sequences; not empty
+     * @throws org.laurelweir.errors.LaurelweirException {@code DISK_FULL} if the disk refused a
+     *     write; nothing is promised of these effects then, and they may be given again, with
+     *     others behind them
      */
     void persist(List<Persist> effects);
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogWriter.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogWriter.java
@@ -1,11 +1,16 @@
 package org.laurelweir.control.storage;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.laurelweir.agreement.AgreementEffect.Persist;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
 
 /**
@@ -16,6 +21,9 @@
 public final class LogWriter implements Service {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
+    /** Between two tries; a disk that has room again is noticed well within an election. */
+    private static final Duration PAUSE = Duration.ofMillis(250);
+
     private final LogStorage mStorage;
     private final LongConsumer mPersisted;
     private final Consumer<Throwable> mFailed;
@@ -26,6 +34,7 @@
     private long mCommitted;
 
     private boolean mStopping;
+    private final CountDownLatch mStopped = new CountDownLatch(1);
 
     /**
      * Creates a writer.
@@ -62,8 +71,8 @@
     }
 
     /**
-     * Persists what has been handed over, then ends. The thread is not interrupted: that would
-     * close the file channel in the middle of a write.
+     * Persists what has been handed over, as far as the disk takes it, then ends. The thread is not
+     * interrupted: that would close the file channel in the middle of a write.
      */
     @Override
     public void stop() {
@@ -77,14 +86,14 @@
 
     private synchronized void requestStop() {
         mStopping = true;
+        mStopped.countDown();
         notifyAll();
     }
 
     private void run() {
         try {
             Work work = take();
-            while (!work.isEmpty()) {
-                carryOut(work);
+            while (!work.isEmpty() && carryOut(work)) {
                 work = take();
             }
         } catch (InterruptedException e) {
@@ -96,13 +105,53 @@
         }
     }
 
-    private void carryOut(Work work) {
+    /**
+     * Does a piece of work.
+     *
+     * @return whether it is done; if not nothing may be persisted behind it
+     */
+    private boolean carryOut(Work work) throws InterruptedException {
         if (work.batch().isEmpty()) {
             mStorage.markCommitted(work.committed());
-            return;
+            return true;
+        }
+        if (!persist(work.batch())) {
+            return false;
         }
-        mStorage.persist(work.batch());
         mPersisted.accept(work.batch().get(work.batch().size() - 1).sequence());
+        return true;
+    }
+
+    /**
+     * Persists a batch, again and again while the disk takes no writes: the instance goes on
+     * serving what it knows, and neither votes nor acknowledges what is not on the disk.
+     *
+     * @return whether it is persisted; if not, the writer has been stopped
+     */
+    private boolean persist(List<Persist> batch) throws InterruptedException {
+        for (int tries = 1; ; tries++) {
+            try {
+                mStorage.persist(batch);
+                noteRoom(tries);
+                return true;
+            } catch (LaurelweirException e) {
+                if (e.getCode() != ResultCode.DISK_FULL) {
+                    throw e;
+                }
+                sLogger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                        "the disk takes no writes, %d effects wait, tried again: %s",
+                        batch.size(), e);
+            }
+            if (mStopped.await(PAUSE.toMillis(), TimeUnit.MILLISECONDS)) {
+                return false;
+            }
+        }
+    }
+
+    private static void noteRoom(int tries) {
+        if (tries > 1) {
+            sLogger.atInfo().log("the disk takes writes again, after %d tries", tries);
+        }
     }
 
     /** Waits for something to do and takes all effects, or else the mark; nothing once stopped. */
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
@@ -21,18 +21,18 @@
 
     private final long mNumber;
     private final FileChannel mChannel;
-    private final Syncer mSyncer;
+    private final Disk mDisk;
     private long mSize;
 
-    private Segment(long number, FileChannel channel, Syncer syncer) throws IOException {
+    private Segment(long number, FileChannel channel, Disk disk) throws IOException {
         mNumber = number;
         mChannel = channel;
-        mSyncer = syncer;
+        mDisk = disk;
         mSize = channel.size();
     }
 
     /** Creates an empty segment, in place of one whose creation was cut short. */
-    static Segment create(Path folder, long number, Syncer syncer) throws IOException {
+    static Segment create(Path folder, long number, Disk disk) throws IOException {
         FileChannel channel =
                 FileChannel.open(
                         path(folder, number),
@@ -42,23 +42,23 @@
         return prepare(
                 channel,
                 () -> {
-                    WholeFile.writeFully(channel, ByteBuffer.wrap(HEADER));
-                    syncer.sync(channel);
-                    WholeFile.syncFolder(folder, syncer);
-                    return new Segment(number, channel, syncer);
+                    disk.write(channel, ByteBuffer.wrap(HEADER));
+                    disk.sync(channel);
+                    WholeFile.syncFolder(folder, disk);
+                    return new Segment(number, channel, disk);
                 });
     }
 
     /** Opens a segment to append after an offset, and cuts off what follows. */
-    static Segment open(Path folder, long number, long end, Syncer syncer) throws IOException {
+    static Segment open(Path folder, long number, long end, Disk disk) throws IOException {
         FileChannel channel = FileChannel.open(path(folder, number), StandardOpenOption.WRITE);
         return prepare(
                 channel,
                 () -> {
                     channel.truncate(end);
                     channel.position(end);
-                    syncer.sync(channel);
-                    return new Segment(number, channel, syncer);
+                    disk.sync(channel);
+                    return new Segment(number, channel, disk);
                 });
     }
 
@@ -94,15 +94,19 @@
         return numbers;
     }
 
-    /** Appends entries as one batch and syncs them. */
+    /** Appends entries as one batch and syncs them, in place of one that was refused before. */
     void append(List<LogEntry> entries) throws IOException {
         int bytes = entries.stream().mapToInt(RecordCodec::sizeOf).sum();
         ByteBuffer out = ByteBuffer.allocate(bytes);
         for (LogEntry e : entries) {
             RecordCodec.encode(e, (int) mSize, out);
         }
-        WholeFile.writeFully(mChannel, out.flip());
-        mSyncer.sync(mChannel);
+        if (mChannel.size() > mSize) {
+            mChannel.truncate(mSize);
+        }
+        mChannel.position(mSize);
+        mDisk.write(mChannel, out.flip());
+        mDisk.sync(mChannel);
         mSize += bytes;
     }
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
@@ -24,17 +24,17 @@
 
     private final Path mPath;
     private final ResultCode mCorruptCode;
-    private final Syncer mSyncer;
+    private final Disk mDisk;
 
     /**
      * Creates an accessor.
      *
      * @param corruptCode the code under which damage is reported
      */
-    WholeFile(Path path, ResultCode corruptCode, Syncer syncer) {
+    WholeFile(Path path, ResultCode corruptCode, Disk disk) {
         mPath = path;
         mCorruptCode = corruptCode;
-        mSyncer = syncer;
+        mDisk = disk;
     }
 
     Path path() {
@@ -47,6 +47,18 @@
 
     void write(byte[] content) throws IOException {
         Path aside = mPath.resolveSibling(mPath.getFileName() + ASIDE);
+        try {
+            writeAside(aside, content);
+        } catch (IOException e) {
+            // On a full disk what was written so far would take the room of the log itself.
+            Files.deleteIfExists(aside);
+            throw e;
+        }
+        Files.move(aside, mPath, StandardCopyOption.ATOMIC_MOVE);
+        syncFolder(mPath.getParent(), mDisk);
+    }
+
+    private void writeAside(Path aside, byte[] content) throws IOException {
         ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
         header.putInt(MAGIC).putInt(checksum(content)).flip();
         try (FileChannel channel =
@@ -55,12 +67,10 @@
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE)) {
-            writeFully(channel, header);
-            writeFully(channel, ByteBuffer.wrap(content));
-            mSyncer.sync(channel);
+            mDisk.write(channel, header);
+            mDisk.write(channel, ByteBuffer.wrap(content));
+            mDisk.sync(channel);
         }
-        Files.move(aside, mPath, StandardCopyOption.ATOMIC_MOVE);
-        syncFolder(mPath.getParent(), mSyncer);
     }
 
     /**
@@ -88,16 +98,10 @@
         return (int) crc.getValue();
     }
 
-    static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
-        while (bytes.hasRemaining()) {
-            channel.write(bytes);
-        }
-    }
-
     /** Makes the creation, renaming and removal of files in a folder last. */
-    static void syncFolder(Path folder, Syncer syncer) throws IOException {
+    static void syncFolder(Path folder, Disk disk) throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-            syncer.sync(channel);
+            disk.sync(channel);
         }
     }
 }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/FileLogStorageTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/FileLogStorageTest.java
@@ -243,10 +243,9 @@
     @Example
     void neverRetriesAfterAFailedSync() {
         AtomicBoolean fails = new AtomicBoolean();
-        Syncer syncer = channel -> failIf(fails.get());
+        Disk disk = channel -> failIf(fails.get());
         List<Persist> batch = new PersistSequence(1).nextBatch();
-        try (FileLogStorage storage =
-                FileLogStorage.open(mFolder, () -> 7, SEGMENT_BYTES, syncer)) {
+        try (FileLogStorage storage = FileLogStorage.open(mFolder, () -> 7, SEGMENT_BYTES, disk)) {
             fails.set(true);
             assertFails(ResultCode.DISK_FAILED, () -> storage.persist(batch));
             fails.set(false);
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/LogWriterTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/LogWriterTest.java
@@ -12,6 +12,7 @@
 import org.laurelweir.agreement.AgreementEffect.Persist;
 import org.laurelweir.agreement.AgreementEvent.Recovered;
 import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.junit.Await;
 import org.laurelweir.lib.ResultCode;
 
 /** How the writer's thread batches, reports and fails. */
@@ -23,6 +24,7 @@
         private final List<Integer> mBatches = new ArrayList<>();
         private final List<Long> mMarks = new ArrayList<>();
         private boolean mFails;
+        private int mRefusals;
 
         @Override
         public long storageId() {
@@ -41,6 +43,10 @@
             if (mFails) {
                 throw new LaurelweirException(ResultCode.DISK_FAILED, "no space");
             }
+            if (mRefusals > 0) {
+                mRefusals--;
+                throw new LaurelweirException(ResultCode.DISK_FULL, "no space");
+            }
             mBatches.add(effects.size());
         }
 
@@ -119,4 +125,40 @@
         writer.stop();
         assertThat(persisted).isEmpty();
     }
+
+    // A control instance ended, beside a router that served, when its disk was full for a moment.
+    @Test
+    void waitsForADiskThatIsFull() {
+        SlowStorage storage = new SlowStorage();
+        storage.mRefusals = 3;
+        LinkedBlockingQueue<Long> persisted = new LinkedBlockingQueue<>();
+        CompletableFuture<Throwable> failed = new CompletableFuture<>();
+        LogWriter writer = new LogWriter(storage, persisted::add, failed::complete);
+        writer.start();
+        storage.mLetGo.countDown();
+        writer.persist(effect(1));
+        Await.until("the effect is persisted", () -> !persisted.isEmpty());
+        writer.persist(effect(2));
+        writer.stop();
+        assertThat(failed).isNotDone();
+        assertThat(persisted).containsExactly(1L, 2L);
+        assertThat(storage.mBatches).containsExactly(1, 1);
+    }
+
+    // An effect that waited behind one that was given up would leave a hole in the log.
+    @Test
+    void persistsNothingBehindWhatAFullDiskRefusedUntilTheStop() {
+        SlowStorage storage = new SlowStorage();
+        storage.mRefusals = Integer.MAX_VALUE;
+        LinkedBlockingQueue<Long> persisted = new LinkedBlockingQueue<>();
+        LogWriter writer = new LogWriter(storage, persisted::add, e -> {});
+        writer.start();
+        writer.persist(effect(1));
+        await(storage.mEntered);
+        writer.persist(effect(2));
+        storage.mLetGo.countDown();
+        writer.stop();
+        assertThat(persisted).isEmpty();
+        assertThat(storage.mBatches).isEmpty();
+    }
 }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/PatientOpeningTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/PatientOpeningTest.java
@@ -44,7 +44,7 @@
             before = PersistSequence.render(storage.recovered());
         }
         AtomicInteger failures = new AtomicInteger();
-        Syncer full =
+        Disk full =
                 channel -> {
                     if (failures.incrementAndGet() <= 12) {
                         throw new IOException("no space left");
@@ -56,8 +56,8 @@
         assertThat(failures.get()).isGreaterThan(12);
     }
 
-    private LogStorage storage(Syncer syncer) {
-        return FileLogStorage.open(mFolder, () -> 7, 300, syncer);
+    private LogStorage storage(Disk disk) {
+        return FileLogStorage.open(mFolder, () -> 7, 300, disk);
     }
 
     @Test
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/PersistSequence.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/PersistSequence.java
@@ -36,12 +36,16 @@
     private Persist next() {
         return switch (mRandom.nextInt(10)) {
             case 0 -> new Persist(++mSequence, newTerm(), null, false, replace());
-            case 1 -> new Persist(++mSequence, null, snapshot(mLast), false, append());
+            case 1 -> snapshotWithEntries();
             case 2 -> discard();
             default -> new Persist(++mSequence, null, null, false, append());
         };
     }
 
+    Persist snapshotWithEntries() {
+        return new Persist(++mSequence, null, snapshot(mLast), false, append());
+    }
+
     private HardState newTerm() {
         mTerm++;
         boolean voted = mRandom.nextBoolean();
