Begin anew as after a lost disk where a control instance's log is damaged

Cause: refusing the log and ending the process were one decision. The log must not be used; the instance can still be one that has lost its disk, for which there is a way back: a new id, an empty log, a vote once it has caught up. The log is moved aside, its id first and for good, so that an empty folder never goes by the id that has voted. An instance beside a damaged log does not say that it is new: with all logs damaged the instances wait without a quorum in place of founding an empty log in which everything accepted is forgotten.

Shown: OpenCoreTest.anInstanceWithADamagedLogComesBackAndVotesAnew failed with the opening as it was (LOG_CORRUPT at the start); instancesWithDamagedLogsFoundNoSecondCore failed without the look for a damaged log (a second core was founded). FileLogStorage.open refuses damage as before, and its tests are as they were. A file with a name like that of a segment, which is none, no longer ends the start.

Not covered: a log that reads back and holds a command or state that this version doesn't know; all replicas hold it alike.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -119,7 +119,7 @@
         mChannels.start();
         mStorage = openStorage();
         Recovered recovered = mStorage.recovered();
-        mRecoveredEmpty = isEmpty(recovered);
+        mRecoveredEmpty = isEmpty(recovered) && !mStorage.isBesideDamagedLog();
         ReplicaId self = new ReplicaId(mFile.name(), mStorage.storageId());
         Map<String, String> others = mFile.others();
         listen(self);
@@ -139,7 +139,8 @@
         }
         Path folder = mFile.dataFolder().get();
         PatientOpening opening = new PatientOpening(mClock, ControlProgram::sleep);
-        return opening.open(() -> FileLogStorage.open(folder, () -> ReplicaId.newDisk(random)));
+        LongSupplier newDisk = () -> ReplicaId.newDisk(random);
+        return opening.open(() -> FileLogStorage.openOrBeginAnew(folder, newDisk));
     }
 
     private LogStorage noStorage(LongSupplier random) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
@@ -101,6 +101,40 @@
         return open(folder, newStorageId, SEGMENT_BYTES, Disk.DEFAULT);
     }
 
+    /**
+     * Opens a data folder; a log in it that is damaged is set aside, and an empty one begun under
+     * an id of its own.
+     *
+     * @param folder holds nothing else
+     * @param newStorageId draws the storage id of a new log; must be random
+     * @throws LaurelweirException {@code BAD_SETTINGS_FILE} if another process has the folder,
+     *     {@code DISK_FAILED} if the disk reported an error
+     */
+    public static FileLogStorage openOrBeginAnew(Path folder, LongSupplier newStorageId) {
+        return openOrBeginAnew(folder, newStorageId, SEGMENT_BYTES, Disk.DEFAULT);
+    }
+
+    static FileLogStorage openOrBeginAnew(
+            Path folder, LongSupplier newStorageId, int segmentBytes, Disk disk) {
+        try {
+            return open(folder, newStorageId, segmentBytes, disk);
+        } catch (LaurelweirException e) {
+            if (!DamagedLog.isDamage(e)) {
+                throw e;
+            }
+            setAside(new LogFiles(folder, disk), e);
+            return open(folder, newStorageId, segmentBytes, disk);
+        }
+    }
+
+    private static void setAside(LogFiles files, LaurelweirException damage) {
+        try {
+            DamagedLog.setAside(files, damage);
+        } catch (IOException e) {
+            throw diskFailed(files.folder(), e);
+        }
+    }
+
     static FileLogStorage open(
             Path folder, LongSupplier newStorageId, int segmentBytes, Disk disk) {
         LogFiles files = new LogFiles(folder, disk.tellingSyncFailures());
@@ -144,6 +178,11 @@
         return mFolder.storageId();
     }
 
+    @Override
+    public boolean isBesideDamagedLog() {
+        return DamagedLog.isBeside(mFiles.folder());
+    }
+
     /** {@inheritDoc} May be called once; the entries are not kept. */
     @Override
     public Recovered recovered() {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/LogStorage.java
@@ -14,6 +14,14 @@
     /** Returns the id drawn when the storage was created, part of the replica's id. */
     long storageId();
 
+    /**
+     * Returns whether a log was set aside here since it was damaged: one that is empty then is not
+     * new, and others may lack what was in the damaged one.
+     */
+    default boolean isBesideDamagedLog() {
+        return false;
+    }
+
     /** Returns what the disk held when the storage was opened. */
     Recovered recovered();
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/Segment.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.laurelweir.agreement.LogEntry;
 
@@ -18,6 +20,7 @@
     static final byte[] HEADER = {'l', 'w', 'l', 'o', 'g', 0, 0, 1};
 
     private static final String PREFIX = "log-";
+    private static final Pattern NAME = Pattern.compile(PREFIX + "([0-9a-f]{16})");
 
     private final long mNumber;
     private final FileChannel mChannel;
@@ -87,9 +90,9 @@
     static SortedSet<Long> numbersIn(Path folder) throws IOException {
         SortedSet<Long> numbers = new TreeSet<>();
         try (Stream<Path> files = Files.list(folder)) {
-            files.map(f -> f.getFileName().toString())
-                    .filter(name -> name.startsWith(PREFIX))
-                    .forEach(name -> numbers.add(Long.parseLong(name.substring(4), 16)));
+            files.map(f -> NAME.matcher(f.getFileName().toString()))
+                    .filter(Matcher::matches)
+                    .forEach(name -> numbers.add(Long.parseLong(name.group(1), 16)));
         }
         return numbers;
     }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/OpenCoreTest.java
@@ -3,6 +3,8 @@
 import static java.util.Comparator.comparing;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
@@ -184,6 +186,52 @@
         }
     }
 
+    // An instance whose log was damaged ended at each start, until an operator replaced its disk.
+    @Test
+    void anInstanceWithADamagedLogComesBackAndVotesAnew() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).seeds(3).startAll()) {
+            ChangeSettingsReply first = change(fleet);
+            ControlStatus before = await(fleet, s -> s.getVotersCount() == 3);
+            fleet.stop("c1");
+            damageLog(mFolder.resolve("c1"));
+            fleet.start("c1");
+            await(
+                    fleet,
+                    s -> s.getVotersCount() == 3 && isWithoutAny(s, before, "c1", "c1", fleet));
+            fleet.stop("c2");
+            assertThat(read(fleet).getPosition()).isEqualTo(first.getPosition());
+        }
+    }
+
+    // Instances whose logs were all damaged founded a second core, which had forgotten everything.
+    @Test
+    void instancesWithDamagedLogsFoundNoSecondCore() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).seeds(3).startAll()) {
+            change(fleet);
+            await(fleet, s -> s.getVotersCount() == 3);
+            fleet.names().forEach(fleet::stop);
+            for (String name : fleet.names()) {
+                damageLog(mFolder.resolve(name));
+            }
+            fleet.startAll();
+            fleet.names().forEach(fleet::stop);
+            fleet.startAll();
+            for (String name : fleet.names()) {
+                ControlStatus alone =
+                        fleet.stub(name).status(StatusRequest.getDefaultInstance()).getControls(0);
+                assertThat(alone.getVotersCount()).isZero();
+            }
+        }
+    }
+
+    /** Flips a bit of what was synced, in the log's first segment. */
+    private static void damageLog(Path folder) throws IOException {
+        Path segment = folder.resolve("log-0000000000000001");
+        byte[] bytes = Files.readAllBytes(segment);
+        bytes[20] ^= 1;
+        Files.write(segment, bytes);
+    }
+
     @Test
     void aLostDiskIsReplacedAndNothingAcceptedIsLost() throws Exception {
         try (ControlFleet fleet = new ControlFleet(mFolder, 3).seeds(3).startAll()) {
