Keep whole trees in the log as what changes in them

The leader logs the difference from the tree that it has applied. Another tree in force by then: the entry changes nothing, on all replicas alike, and the whole tree goes into the log. A command too large as a whole is refused as before.

Ruled out: a lock for one change at a time (operators would wait for each other), a difference worked out by the instance that was asked.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/DamagedLog.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/DamagedLog.java
@@ -73,8 +73,7 @@
     }
 
     private static void move(Path file, Path folder) throws IOException {
-        Files.move(
-                file, folder.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+        Files.move(file, folder.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
     }
 
     /** Returns all that is there of a log but its id and the lock, which its process holds. */
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SimulatedControls.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SimulatedControls.java
@@ -42,6 +42,7 @@
     private long mScheduled;
     private long mLastCall;
     private boolean mLossy = true;
+    private long mLoggedBytes;
 
     SimulatedControls(int nodes, long seed) {
         mRandom = new Random(seed);
@@ -85,6 +86,11 @@
         }
     }
 
+    /** Returns the bytes of all entries that were written to disks. */
+    long loggedBytes() {
+        return mLoggedBytes;
+    }
+
     /** Starts all that are down and lets messages arrive from now on. */
     void heal() {
         mLossy = false;
@@ -250,6 +256,7 @@
             for (LogEntry e : p.entries()) {
                 mLog.tailMap(e.index(), true).clear();
                 mLog.put(e.index(), e);
+                mLoggedBytes += e.payload().length;
             }
         }
     }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
@@ -24,6 +24,8 @@
             message.setChangeSettings(SettingsCodec.toWire(s));
         } else if (c instanceof Command.ReplaceSettings s) {
             message.setReplaceSettings(SettingsCodec.toWire(s));
+        } else if (c instanceof Command.PatchSettings s) {
+            message.setPatchSettings(SettingsCodec.toWire(s));
         } else if (c instanceof Command.Claim s) {
             message.setClaim(RequestCodec.toWire(s));
         } else if (c instanceof Command.SettleClaim s) {
@@ -50,6 +52,7 @@
         return switch (m.getBodyCase()) {
             case CHANGE_SETTINGS -> RequestCodec.toCore(m.getChangeSettings(), at);
             case REPLACE_SETTINGS -> SettingsCodec.toCore(m.getReplaceSettings(), at);
+            case PATCH_SETTINGS -> SettingsCodec.toCore(m.getPatchSettings(), at);
             case CLAIM -> RequestCodec.toCore(m.getClaim(), at);
             case SETTLE_CLAIM -> RequestCodec.toCore(m.getSettleClaim(), at);
             case DRAIN -> RequestCodec.toCore(m.getDrain(), at);
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SettingsCodec.java
@@ -1,6 +1,7 @@
 package org.laurelweir.wire;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -9,9 +10,13 @@
 import org.laurelweir.settings.NodePath;
 import org.laurelweir.settings.SettingsDelta;
 import org.laurelweir.settings.SettingsNode;
+import org.laurelweir.settings.TextPatch;
+import org.laurelweir.settings.TreeDifference;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.NodeValues;
+import org.laurelweir.wire.v1.PatchSettings;
 import org.laurelweir.wire.v1.ReplaceSettings;
+import org.laurelweir.wire.v1.TextPiece;
 
 /** Converts settings nodes, changes and deltas. */
 public final class SettingsCodec {
@@ -125,27 +130,71 @@
 
     /** Returns the message of a whole tree; its time is the leader's to give. */
     static ReplaceSettings toWire(Command.ReplaceSettings c) {
-        ReplaceSettings.Builder message =
-                ReplaceSettings.newBuilder()
-                        .setRevision(c.revision())
-                        .setAuthor(c.author())
-                        .setSource(c.source());
-        new TreeMap<>(c.nodes())
+        return ReplaceSettings.newBuilder()
+                .setRevision(c.revision())
+                .setAuthor(c.author())
+                .setSource(c.source())
+                .addAllNodes(valuesToWire(c.nodes()))
+                .build();
+    }
+
+    private static List<NodeValues> valuesToWire(Map<String, Map<String, String>> nodes) {
+        List<NodeValues> messages = new ArrayList<>();
+        new TreeMap<>(nodes)
                 .forEach(
                         (path, values) ->
-                                message.addNodes(
+                                messages.add(
                                         NodeValues.newBuilder()
                                                 .setPath(path)
-                                                .putAllValues(values)));
-        return message.build();
+                                                .putAllValues(values)
+                                                .build()));
+        return messages;
+    }
+
+    private static Map<String, Map<String, String>> valuesToCore(List<NodeValues> messages) {
+        Map<String, Map<String, String>> nodes = new TreeMap<>();
+        messages.forEach(n -> nodes.put(n.getPath(), new TreeMap<>(n.getValuesMap())));
+        return nodes;
     }
 
     /** Returns the whole tree that a message holds. */
     static Command.ReplaceSettings toCore(ReplaceSettings m, Instant at) {
-        Map<String, Map<String, String>> nodes = new TreeMap<>();
-        m.getNodesList().forEach(n -> nodes.put(n.getPath(), new TreeMap<>(n.getValuesMap())));
         return new Command.ReplaceSettings(
-                at, m.getRevision(), m.getAuthor(), nodes, m.getSource());
+                at, m.getRevision(), m.getAuthor(), valuesToCore(m.getNodesList()), m.getSource());
+    }
+
+    /** Returns the message of a tree that is told by its difference. */
+    static PatchSettings toWire(Command.PatchSettings c) {
+        PatchSettings.Builder message =
+                PatchSettings.newBuilder()
+                        .setBase(c.base())
+                        .setRevision(c.revision())
+                        .setAuthor(c.author())
+                        .addAllChanged(valuesToWire(c.difference().changed()))
+                        .addAllRemoved(c.difference().removed());
+        for (TextPatch.Piece p : c.source().pieces()) {
+            message.addSource(
+                    TextPiece.newBuilder()
+                            .setOffset(p.offset())
+                            .setLength(p.length())
+                            .setLiteral(p.literal()));
+        }
+        return message.build();
+    }
+
+    /** Returns the tree that a message tells by its difference. */
+    static Command.PatchSettings toCore(PatchSettings m, Instant at) {
+        List<TextPatch.Piece> pieces =
+                m.getSourceList().stream()
+                        .map(p -> new TextPatch.Piece(p.getOffset(), p.getLength(), p.getLiteral()))
+                        .toList();
+        return new Command.PatchSettings(
+                at,
+                m.getBase(),
+                m.getRevision(),
+                m.getAuthor(),
+                new TreeDifference(valuesToCore(m.getChangedList()), m.getRemovedList()),
+                new TextPatch(pieces));
     }
 
     /** Returns the message of an accepted change. */
--- a/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
+++ b/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
@@ -14,6 +14,8 @@
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.settings.TextPatch;
+import org.laurelweir.settings.TreeDifference;
 
 /** What stands in the log is read back as it was written. */
 class CommandCodecTest {
@@ -53,7 +55,14 @@
                     new Command.SettleClaim(
                             AT, "account", "key", ATTEMPT, ResultCode.OUTCOME_UNKNOWN),
                     new Command.Drain(AT, "w1", true, "operator"),
-                    new Command.IssueFence(AT, "w1"));
+                    new Command.IssueFence(AT, "w1"),
+                    new Command.PatchSettings(
+                            AT,
+                            0,
+                            3,
+                            "operator",
+                            new TreeDifference(Map.of("/", Map.of()), List.of()),
+                            new TextPatch(List.of(new TextPatch.Piece(0, 0, "text")))));
 
     private final CommandCodec mCodec = new CommandCodec();
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -7,6 +7,8 @@
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.settings.TextPatch;
+import org.laurelweir.settings.TreeDifference;
 
 /**
  * One entry of the replicated log. The leader stamps it with its time, so that every replica
@@ -66,6 +68,30 @@
         }
     }
 
+    /**
+     * A whole tree as what it has other than the one before. It changes nothing where another one
+     * is in force by then; the leader then takes the whole tree to the log.
+     *
+     * @param base the position of the tree that it differs from
+     * @param revision the operator's number of the tree
+     * @param author whom the history names
+     * @param difference the nodes that change
+     * @param source makes the operator's own text of the one before
+     */
+    record PatchSettings(
+            Instant at,
+            long base,
+            long revision,
+            String author,
+            TreeDifference difference,
+            TextPatch source)
+            implements Command {
+        @Override
+        public PatchSettings stamped(Instant time) {
+            return new PatchSettings(time, base, revision, author, difference, source);
+        }
+    }
+
     /**
      * A claim on an idempotency key, before the attempt is sent.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
@@ -67,6 +67,9 @@
         if (c instanceof Command.ReplaceSettings s) {
             return new SettingsResult(mSettings.replace(index, s));
         }
+        if (c instanceof Command.PatchSettings s) {
+            return new SettingsResult(mSettings.patch(index, s));
+        }
         if (c instanceof Command.Claim s) {
             return mClaims.apply(s);
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -1,9 +1,11 @@
 package org.laurelweir.coordination;
 
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.laurelweir.agreement.AgreementEffect;
@@ -34,6 +36,10 @@
     private final Map<Long, Command> mCommands = new HashMap<>();
     private final Set<Long> mMemberChanges = new HashSet<>();
     private final Map<Long, Runnable> mReads = new HashMap<>();
+
+    /** Whole trees whose difference came too late. */
+    private final Queue<Long> mOvertaken = new ArrayDeque<>();
+
     private Instant mNow;
     private Consumer<? super ControlEffect> mEffects;
     private CommandResult mLastResult;
@@ -92,6 +98,7 @@
             restore(r.snapshot());
         }
         mAgreement.step(now, event, this::take);
+        proposeWholeTrees();
         if (event instanceof AgreementEvent.MessageReceived m) {
             mFreshness.received(now, m);
         }
@@ -102,7 +109,27 @@
         // Files hold milliseconds; all replicas have to apply the same instant.
         Command stamped = command.stamped(Instant.ofEpochMilli(now.toEpochMilli()));
         mCommands.put(call, stamped);
-        step(now, new AgreementEvent.Proposed(call, mCodec.encode(stamped)), out);
+        step(now, new AgreementEvent.Proposed(call, encode(stamped)), out);
+    }
+
+    /** A whole tree goes into the log as what changes, where it is small enough to be taken. */
+    private byte[] encode(Command command) {
+        byte[] encoded = mCodec.encode(command);
+        boolean fits = encoded.length <= mConfig.agreement().bounds().command();
+        if (!fits || !leads() || !(command instanceof Command.ReplaceSettings whole)) {
+            return encoded;
+        }
+        byte[] patch = mCodec.encode(mState.settings().differenceTo(whole));
+        return patch.length < encoded.length ? patch : encoded;
+    }
+
+    /** After the step that told of them: the agreement takes one event at a time. */
+    private void proposeWholeTrees() {
+        while (!mOvertaken.isEmpty()) {
+            long call = mOvertaken.remove();
+            byte[] whole = mCodec.encode(mCommands.get(call));
+            mAgreement.step(mNow, new AgreementEvent.Proposed(call, whole), this::take);
+        }
     }
 
     void change(Instant now, long call, MembershipChange c, Consumer<? super ControlEffect> out) {
@@ -163,10 +190,22 @@
             mEffects.accept(new AnswerMembers(call, mAgreement.membership()));
             return;
         }
+        if (isOvertaken(mCommands.get(call))) {
+            mOvertaken.add(call);
+            return;
+        }
         mNotes.applied(mNow, mCommands.remove(call), mLastResult, mEffects);
         mEffects.accept(new AnswerCommand(call, mLastResult));
     }
 
+    /**
+     * Returns whether the tree in force was another one than the one that the log's patch needs.
+     */
+    private boolean isOvertaken(Command command) {
+        return command instanceof Command.ReplaceSettings
+                && mLastResult.code() == ResultCode.SETTINGS_CONFLICT;
+    }
+
     private void rejected(AgreementEffect.ProposalRejected r) {
         mMemberChanges.remove(r.proposalId());
         mCommands.remove(r.proposalId());
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsStore.java
@@ -1,6 +1,7 @@
 package org.laurelweir.settings;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -159,27 +160,70 @@
         if (position <= mTree.position()) {
             throw new IllegalArgumentException("position " + position + " has passed");
         }
-        TreeReplacement replacement = TreeReplacement.of(mTree, position, whole.nodes());
+        TreeDifference difference = TreeDifference.between(mTree, whole.nodes());
+        HistoryNote note = new HistoryNote(whole.at(), whole.revision(), whole.author());
+        return replace(position, difference, note, whole.source());
+    }
+
+    /**
+     * Replaces the tree by one that is told by its difference.
+     *
+     * @param position where the command stands in the log; rises from call to call
+     * @param patch the difference with its revision
+     * @return as {@link #replace}; or SETTINGS_CONFLICT if another tree is in force than the one
+     *     that it differs from, and nothing changed
+     */
+    public SettingsAnswer patch(long position, Command.PatchSettings patch) {
+        if (position <= mTree.position()) {
+            throw new IllegalArgumentException("position " + position + " has passed");
+        }
+        if (patch.base() != mTree.position()) {
+            return refusal(ResultCode.SETTINGS_CONFLICT, List.of(), List.of());
+        }
+        HistoryNote note = new HistoryNote(patch.at(), patch.revision(), patch.author());
+        return replace(position, patch.difference(), note, patch.source().applyTo(mSource));
+    }
+
+    /**
+     * Returns a whole tree as what it has other than the one in force: a log of whole trees would
+     * send megabytes to each replica for a change of one value.
+     */
+    public Command.PatchSettings differenceTo(Command.ReplaceSettings whole) {
+        return new Command.PatchSettings(
+                whole.at(),
+                mTree.position(),
+                whole.revision(),
+                whole.author(),
+                TreeDifference.between(mTree, whole.nodes()),
+                TextPatch.between(mSource, whole.source()));
+    }
+
+    private SettingsAnswer replace(
+            long position, TreeDifference difference, HistoryNote note, String source) {
+        TreeReplacement replacement = TreeReplacement.of(mTree, position, difference);
         if (!replacement.faults().isEmpty()) {
             return refusal(ResultCode.SETTINGS_INVALID, List.of(), replacement.faults());
         }
-        if (whole.revision() <= mRevision) {
+        if (note.revision() <= mRevision) {
             return refusal(ResultCode.OK, List.of(), List.of());
         }
         mTree = mTree.with(position, replacement.after());
-        mRevision = whole.revision();
-        mSource = whole.source();
+        mRevision = note.revision();
+        mSource = source;
         mHistory.add(
                 new HistoryEntry(
                         position,
-                        whole.at(),
-                        "revision-" + whole.revision(),
-                        whole.author(),
+                        note.at(),
+                        "revision-" + note.revision(),
+                        note.author(),
                         replacement.changes(),
                         replacement.before()));
         return new SettingsAnswer(ResultCode.OK, position, replacement.after(), List.of());
     }
 
+    /** What the history tells of a replaced tree beside the nodes. */
+    private record HistoryNote(Instant at, long revision, String author) {}
+
     /** Returns the operator's number of the tree that was replaced last, 0 if none was. */
     public long revision() {
         return mRevision;
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingsTree.java
@@ -92,6 +92,11 @@
         return Optional.ofNullable(mNodes.get(path.toString()));
     }
 
+    /** Returns whether there is a node at a path, as text. */
+    boolean has(String path) {
+        return mNodes.get(path) != null;
+    }
+
     /** Returns whether there is a node at a path, as text, with just these values. */
     boolean holds(String path, Map<String, String> values) {
         SettingsNode node = mNodes.get(path);
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/TreeReplacement.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/TreeReplacement.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.laurelweir.coordination.Command.NodeChange;
 
 /**
@@ -30,23 +29,22 @@
      *
      * @param now the tree in force
      * @param position where the new tree will be in force
-     * @param nodes the values of every node by its path
+     * @param difference what the new tree has other than the one in force
      */
-    static TreeReplacement of(
-            SettingsTree now, long position, Map<String, Map<String, String>> nodes) {
+    static TreeReplacement of(SettingsTree now, long position, TreeDifference difference) {
         List<NodeChange> wanted = new ArrayList<>();
-        new TreeMap<>(nodes)
-                .forEach(
-                        (path, values) -> {
-                            if (!now.holds(path, values)) {
-                                wanted.add(new NodeChange(path, 0, values, List.of(), false));
-                            }
-                        });
-        ChangePlan plan = ChangePlan.ofWhole(position, nodes.size(), wanted);
+        int size = now.size() - difference.removed().size();
+        for (Map.Entry<String, Map<String, String>> e : difference.changed().entrySet()) {
+            wanted.add(new NodeChange(e.getKey(), 0, e.getValue(), List.of(), false));
+            size += now.has(e.getKey()) ? 0 : 1;
+        }
+        ChangePlan plan = ChangePlan.ofWhole(position, size, wanted);
         TreeReplacement replacement = new TreeReplacement(position, plan.faults());
         if (replacement.mFaults.isEmpty()) {
             plan.after().forEach(n -> replacement.edit(now.node(n.path()).orElse(null), n));
-            now.nodesOutside(nodes.keySet()).forEach(replacement::delete);
+            difference.removed().stream()
+                    .flatMap(path -> now.node(NodePath.parse(path)).stream())
+                    .forEach(replacement::delete);
             replacement.checkWhole(now);
         }
         return replacement;
--- a/org.laurelweir/src/test/java/org/laurelweir/settings/TreeReplacementTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/settings/TreeReplacementTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.coordination.Command.PatchSettings;
 import org.laurelweir.coordination.Command.ReplaceSettings;
 import org.laurelweir.lib.ResultCode;
 
@@ -126,6 +127,34 @@
         assertThat(taken).isBetween(TREES / 5, TREES * 4 / 5);
     }
 
+    // A replica that was told of a tree by its difference held another one than the others.
+    @Test
+    void aTreeToldByItsDifferenceIsTheWholeTree() {
+        SplittableRandom random = new SplittableRandom(SEED);
+        SettingsStore told = Trees.store();
+        for (int revision = 1; revision <= TREES; revision++) {
+            ReplaceSettings whole =
+                    new ReplaceSettings(
+                            Instant.EPOCH, revision, "op", randomTree(random), "text " + revision);
+            SettingsAnswer byDifference = told.patch(revision, told.differenceTo(whole));
+            assertThat(byDifference).isEqualTo(mStore.replace(revision, whole));
+        }
+        assertThat(told.state()).isEqualTo(mStore.state());
+    }
+
+    // A difference from a tree that was no longer in force made a tree that nobody had sent.
+    @Test
+    void aDifferenceFromAnotherTreeChangesNothing() {
+        replace(5, tree("x"));
+        ReplaceSettings whole =
+                new ReplaceSettings(Instant.EPOCH, 7, "op", tree("x", "y"), "text 7");
+        PatchSettings late = mStore.differenceTo(whole);
+        replace(6, tree("z"));
+        SettingsState before = mStore.state();
+        assertThat(mStore.patch(++mPosition, late).code()).isEqualTo(ResultCode.SETTINGS_CONFLICT);
+        assertThat(mStore.state()).isEqualTo(before);
+    }
+
     private static Map<String, Map<String, String>> values(SettingsStore store) {
         Map<String, Map<String, String>> values = new TreeMap<>();
         store.tree().nodes().forEach(n -> values.put(n.path().toString(), n.values()));
