Send only so many bytes of large answers to routers at the same time

The settings are encoded once for all that lack the same, but each answer is a copy for its connection, and is held until its reader has taken it: 360 routers and a tree of 900 kB are 320 MB beside a heap of 64.

Answers of more than 32 KB are counted from the moment they are sent until their call has ended; those beyond a sixteenth of the heap wait in order. A call that its caller has given up gives its place back and is not answered. The age of the settings is told as of the moment in which the answer goes, so that one that waited does not look newer than it is.

Calls over a connection that are answered or given up give their place back. An operator's reading of the whole tree is not counted: operators are few.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laurelweir.agreement.MembershipChange;
@@ -55,6 +56,7 @@
     private final Supplier<List<String>> mControls;
     private final ReadConfirmer mConfirmer;
     private final SettingsMessages mSettings = new SettingsMessages();
+    private final LargeAnswers mLargeAnswers = new LargeAnswers();
 
     /**
      * Creates the service.
@@ -80,16 +82,17 @@
 
     @Override
     public void exchange(ExchangeRequest r, StreamObserver<ExchangeReply> out) {
+        ExchangeCall call = new ExchangeCall(r, out, mLargeAnswers.open(out));
         MembershipCursor cursor = MembershipCodec.toCore(r.getMembership());
         switch (r.getReporterCase()) {
             case SIDECAR ->
                     mEvents.accept(
                             new ControlEvent.SidecarExchanged(
-                                    openExchange(r, out),
+                                    openExchange(call),
                                     MembershipCodec.toCore(r.getSidecar()),
                                     cursor,
                                     r.getSettingsPosition()));
-            case ROUTER -> routerExchanged(r, cursor, out);
+            case ROUTER -> routerExchanged(call, cursor);
             default ->
                     out.onError(
                             Status.INVALID_ARGUMENT
@@ -98,14 +101,20 @@
         }
     }
 
+    /** An exchange that was asked for. */
+    private record ExchangeCall(
+            ExchangeRequest request,
+            StreamObserver<ExchangeReply> out,
+            LargeAnswers.Ticket ticket) {}
+
     /** The first question is answered at once: the router takes in the tree while it waits. */
-    private void routerExchanged(
-            ExchangeRequest r, MembershipCursor cursor, StreamObserver<ExchangeReply> out) {
+    private void routerExchanged(ExchangeCall call, MembershipCursor cursor) {
+        ExchangeRequest r = call.request();
         Runnable answer =
                 () ->
                         mEvents.accept(
                                 new ControlEvent.RouterExchanged(
-                                        openExchange(r, out),
+                                        openExchange(call),
                                         MembershipCodec.toCore(r.getRouter()),
                                         cursor,
                                         r.getSettingsPosition(),
@@ -120,23 +129,32 @@
         }
     }
 
-    private long openExchange(ExchangeRequest r, StreamObserver<ExchangeReply> out) {
+    private long openExchange(ExchangeCall call) {
         // Taken before the settings are read: they hold at least what was confirmed by now.
         ElapsedClock.Mark confirmed = mConfirmer.confirmed();
         return mCalls.open(
-                out,
                 answer -> {
-                    ExchangeReply.Builder reply =
-                            Replies.exchange(answer, r, mSettings)
+                    ExchangeReply reply =
+                            Replies.exchange(answer, call.request(), mSettings)
                                     .setNextExchangeMillis((int) mExchangeInterval.toMillis())
-                                    .addAllControls(mControls.get());
-                    mConfirmer
-                            .ageMillis(confirmed)
-                            .ifPresent(age -> reply.setSettingsAgeMillis(toWire(age)));
-                    return reply.build();
+                                    .addAllControls(mControls.get())
+                                    .build();
+                    int bytes = reply.getSerializedSize();
+                    // With the age of the moment in which it goes, which may be some time later.
+                    call.ticket()
+                            .send(
+                                    bytes,
+                                    () -> PendingCalls.send(call.out(), aged(reply, confirmed)));
                 });
     }
 
+    private ExchangeReply aged(ExchangeReply reply, ElapsedClock.Mark confirmed) {
+        OptionalLong age = mConfirmer.ageMillis(confirmed);
+        return age.isEmpty()
+                ? reply
+                : reply.toBuilder().setSettingsAgeMillis(toWire(age.getAsLong())).build();
+    }
+
     /** Returns an age that fits its field: one that is cut could look newer than the answer. */
     static int toWire(long ageMillis) {
         return (int) Math.min(ageMillis, Integer.MAX_VALUE);
