Let no failed deletion hide a failed sync

A file written aside is removed where its writing fails. Where the removal failed too, its failure took the place of a failed sync, and the write would have been tried again as if the disk had refused it. Found by reading the change once more; the removal's failure is added to the first one now.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/FileLogStorage.java
@@ -40,10 +40,10 @@
     private Segment mSegment;
     private boolean mFailed;
 
-    /** Up to which sequence the entries are in the log. */
+    /** Up to which sequence the entries of effects are in the log. */
     private long mAppended;
 
-    /** Up to which sequence everything has been carried out but for the appending of entries. */
+    /** Up to which sequence the snapshots of effects are kept, and the log cut to them. */
     private long mDone;
 
     private FileLogStorage(LogFiles files, int segmentBytes, DataFolder folder) throws IOException {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/WholeFile.java
@@ -50,14 +50,22 @@
         try {
             writeAside(aside, content);
         } catch (IOException e) {
-            // On a full disk what was written so far would take the room of the log itself.
-            Files.deleteIfExists(aside);
+            discard(aside, e);
             throw e;
         }
         Files.move(aside, mPath, StandardCopyOption.ATOMIC_MOVE);
         syncFolder(mPath.getParent(), mDisk);
     }
 
+    /** On a full disk what was written so far would take the room of the log itself. */
+    private static void discard(Path aside, IOException cause) {
+        try {
+            Files.deleteIfExists(aside);
+        } catch (IOException e) {
+            cause.addSuppressed(e);
+        }
+    }
+
     private void writeAside(Path aside, byte[] content) throws IOException {
         ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
         header.putInt(MAGIC).putInt(checksum(content)).flip();
