Say what a piece of a patched text is, and leave a figure out of a comment

Comments only: a piece is a part of the other text and then a literal, either of which may be empty; the reason for checking changed nodes only needs no figure.

--- a/org.laurelweir/src/main/java/org/laurelweir/settings/TextPatch.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/TextPatch.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 
 /**
- * A text as what it has in common with another one, and the rest of it.
+ * A text as what it has in common with another one, and the rest of it. Texts are compared in
+ * chunks, each up to the end of an object or line: what is equal is found wherever it stands, at a
+ * cost in proportion to the texts, and the patch is not always the shortest.
  *
  * @param pieces put together in their order they are the text
  */
@@ -18,11 +20,11 @@
     private static final int LEAST_CHUNK = 24;
 
     /**
-     * A part of the text.
+     * A part of the text: what stands in the other one, then what doesn't.
      *
-     * @param offset where it begins in the other text, if it is taken from there
-     * @param length how much is taken from there; 0 if nothing is
-     * @param literal the part itself, if it is not taken from the other text
+     * @param offset where the first begins in the other text
+     * @param length how long it is there, in characters; may be 0
+     * @param literal the rest; may be empty
      */
     public record Piece(int offset, int length, String literal) {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/TreeReplacement.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/TreeReplacement.java
@@ -23,9 +23,8 @@
 
     /**
      * Works out a replacement. Nodes that stay as they are were valid when they came, so that only
-     * the others are checked, and what they do to the references between nodes: of a tree of 370
-     * nodes, of which few change, that takes a sixth of the time, and a control instance that
-     * starts has every replacement since the last snapshot to apply before it can serve.
+     * the others are checked, and what they do to the references between nodes: a control instance
+     * that starts has every replacement since the last snapshot to apply before it can serve.
      *
      * @param now the tree in force
      * @param position where the new tree will be in force
