--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/RouterDriver.java
@@ -7,6 +7,7 @@
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.routing.CallerRequest;
@@ -125,6 +126,7 @@
                         CrashDelta.NONE,
                         LoadDigest.NONE,
                         SampleData.loads(),
-                        1));
+                        1,
+                        PlacementRules.NONE));
     }
 }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/SampleData.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/SampleData.java
@@ -169,7 +169,8 @@
     static ControlState.Snapshot snapshot(int accounts) {
         SettingsState settings =
                 new SettingsState(1, accountNodes(accounts), 1, List.of(), List.of(), 0, "");
-        return new ControlState.Snapshot(Instant.EPOCH, settings, List.of(), Map.of(), List.of());
+        return new ControlState.Snapshot(
+                Instant.EPOCH, settings, List.of(), Map.of(), List.of(), 0, List.of());
     }
 
     /** Returns a change of one client account's weight. */
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlFile.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlFile.java
@@ -19,6 +19,8 @@
  * @param name unique in the deployment
  * @param region the region of the instance
  * @param dataCentre the data centre of the instance
+ * @param dataCentres the regions of all data centres of the deployment, by the data centre's name;
+ *     if empty, a drain order may name any data centre
  * @param listen the address for routers, sidecars, operators and peers; with port 0 the operating
  *     system chooses the port, which is useful only for an instance without peers
  * @param portFile the file to write the port to
@@ -45,6 +47,7 @@
         @Required String name,
         @Required String region,
         @Required String dataCentre,
+        Map<String, String> dataCentres,
         @Required Endpoint listen,
         Optional<Path> portFile,
         @Default("127.0.0.1:0") Endpoint metricsListen,
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -32,6 +32,7 @@
         gauge(registry, "control.backends", ReportStatus::backends);
         gauge(registry, "control.claims", ReportStatus::claims);
         gauge(registry, "control.requests.quarantined", ReportStatus::quarantined);
+        gauge(registry, "control.data-centres.drained", ReportStatus::drainedDataCentres);
         gauge(registry, "control.requests.under.way", ReportStatus::runningRequests);
         gauge(registry, "control.settings.position", ReportStatus::settingsPosition);
         gauge(registry, "control.log.bytes", ReportStatus::logBytes);
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -227,6 +227,7 @@
         MembershipConfig defaults = MembershipConfig.builder(mFile.name(), incarnation).build();
         return ControlConfig.builder(self, incarnation, addresses)
                 .autoJoin(mFile.isAutoJoin())
+                .regions(mFile.dataCentres())
                 .consensus(
                         ConsensusConfig.builder()
                                 .electionTimeout(election)
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
@@ -69,6 +69,19 @@
         mEvents.accept(new ControlEvent.CommandReceived(mCalls.open(answer), command));
     }
 
+    /**
+     * Orders to drain a data centre, so that its backend servers get no new requests, or to undrain
+     * it.
+     *
+     * @param answer receives an AnswerCommand once the order is durable, or an AnswerError; with
+     *     the code NOT_LEADER it names the instance to ask
+     */
+    public void drainDataCentre(
+            String dataCentre, boolean drain, String author, Consumer<Answer> answer) {
+        Command command = new Command.DrainDataCentre(Instant.EPOCH, dataCentre, drain, author);
+        mEvents.accept(new ControlEvent.CommandReceived(mCalls.open(answer), command));
+    }
+
     /**
      * Reads the most recent text of an operator that was accepted.
      *
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -29,6 +29,7 @@
 import org.laurelweir.wire.v1.ClaimReply;
 import org.laurelweir.wire.v1.ClaimRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceImplBase;
+import org.laurelweir.wire.v1.DrainDataCentreRequest;
 import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.ExchangeReply;
@@ -210,6 +211,11 @@
         propose(mCalls.open(out, Replies::drain), RequestCodec.toCore(r, Instant.EPOCH));
     }
 
+    @Override
+    public void drainDataCentre(DrainDataCentreRequest r, StreamObserver<DrainReply> out) {
+        propose(mCalls.open(out, Replies::drain), RequestCodec.toCore(r, Instant.EPOCH));
+    }
+
     @Override
     public void issueFence(IssueFenceRequest r, StreamObserver<IssueFenceReply> out) {
         propose(mCalls.open(out, Replies::issueFence), RequestCodec.toCore(r, Instant.EPOCH));
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
@@ -19,6 +19,7 @@
 import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.LoadCodec;
 import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.PlacementRulesCodec;
 import org.laurelweir.wire.ReplicaCodec;
 import org.laurelweir.wire.SettingsCodec;
 import org.laurelweir.wire.v1.ChangeMembersReply;
@@ -49,6 +50,7 @@
                         .setCrashesVersion(a.crashes().version())
                         .addAllCrashes(CrashCodec.toWire(a.crashes().records()))
                         .setLoadDigest(LoadCodec.toWire(a.digest()));
+        PlacementRulesCodec.addTo(reply, a.rules());
         a.loads().forEach(l -> reply.addLoads(MembershipCodec.toWire(l)));
         if (a.orders() != null) {
             reply.setDrain(a.orders().drain())
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
@@ -17,6 +17,7 @@
 import org.laurelweir.membership.ServiceSum;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.wire.CrashCodec;
+import org.laurelweir.wire.DrainCodec;
 import org.laurelweir.wire.MembershipCodec;
 import org.laurelweir.wire.ReplicaCodec;
 import org.laurelweir.wire.v1.BackendStatus;
@@ -37,6 +38,7 @@
         s.backends().forEach(b -> reply.addBackends(toWire(b)));
         s.routers().forEach(r -> reply.addRouters(toWire(r)));
         s.loads().forEach(l -> reply.addLoads(MembershipCodec.toWire(l)));
+        s.drainedDataCentres().forEach(d -> reply.addDrainedDataCentres(DrainCodec.toWire(d)));
         reply.addAllQuarantined(CrashCodec.toWire(s.quarantined()));
         return reply.build();
     }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -108,6 +108,7 @@
                         mSeeds == 0 ? name : address(name),
                         "vestkyst",
                         "bergen",
+                        Map.of(),
                         mPeers.get(name),
                         Optional.empty(),
                         new Endpoint("127.0.0.1", 0),
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Main.java
@@ -12,6 +12,9 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.pgm.command.Check;
 import org.laurelweir.pgm.command.Completion;
+import org.laurelweir.pgm.command.DataCentreDrain;
+import org.laurelweir.pgm.command.DataCentreList;
+import org.laurelweir.pgm.command.DataCentreUndrain;
 import org.laurelweir.pgm.command.Drain;
 import org.laurelweir.pgm.command.Explain;
 import org.laurelweir.pgm.command.Order;
@@ -36,7 +39,8 @@
 public final class Main {
     private static final List<String> HELP_OPTIONS = List.of("-h", "--help");
     private static final String HELP = "help";
-    private static final List<String> GROUPS = List.of(Texts.SETTINGS, Texts.REPLICA);
+    private static final List<String> GROUPS =
+            List.of(Texts.DATA_CENTRE, Texts.REPLICA, Texts.SETTINGS);
 
     private final Console mConsole;
     private final Cli<PgmCommand> mCli = newCli();
@@ -122,6 +126,11 @@
                 .withCommand(SettingsGet.class)
                 .withCommand(SettingsHistory.class)
                 .withCommand(SettingsSet.class);
+        cli.withGroup(Texts.DATA_CENTRE)
+                .withDescription(Texts.DATA_CENTRE_GROUP)
+                .withCommand(DataCentreDrain.class)
+                .withCommand(DataCentreList.class)
+                .withCommand(DataCentreUndrain.class);
         cli.withGroup(Texts.REPLICA)
                 .withDescription(Texts.REPLICA_GROUP)
                 .withCommand(ReplicaAdd.class)
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -17,6 +17,15 @@
     public static final String CHECK = "Checks settings files of any program, with every fault.";
     public static final String DRAIN = "Lets a backend server finish and take no new work.";
     public static final String UNDRAIN = "Lets a drained backend server take work again.";
+    public static final String DATA_CENTRE = "data-centre";
+    public static final String DATA_CENTRE_GROUP =
+            "Empties data centres of requests, and takes them back.";
+    public static final String DATA_CENTRE_DRAIN =
+            "Keeps new requests away from all backend servers of a data centre.";
+    public static final String DATA_CENTRE_UNDRAIN =
+            "Lets the backend servers of a drained data centre take requests again.";
+    public static final String DATA_CENTRE_LIST =
+            "Lists the drained data centres, with who ordered it and since when.";
     public static final String RELEASE =
             "Lets a request be sent again that is kept away from backend servers.";
     public static final String STATUS = "Shows control instances, backend servers and routers.";
@@ -57,6 +66,7 @@
     public static final String ARGUMENT_TREE_FILE = "File of settings nodes, as get writes it.";
     public static final String ARGUMENT_FILES = "Settings files.";
     public static final String ARGUMENT_BACKEND = "The backend server's name.";
+    public static final String ARGUMENT_DATA_CENTRE = "The data centre's name.";
     public static final String OPTION_ACCOUNT =
             "The client account; none for a route that needs no key.";
     public static final String ARGUMENT_FINGERPRINT =
@@ -90,6 +100,10 @@
     public static final String DRAIN_ORDERED =
             "%s takes no new work; see status for what still runs";
     public static final String UNDRAIN_ORDERED = "%s takes work again";
+    public static final String DATA_CENTRE_DRAINED =
+            "the backend servers of %s take no new requests; those under way go on";
+    public static final String DATA_CENTRE_UNDRAINED =
+            "the backend servers of %s take requests again";
     public static final String RELEASED = "%s is sent to backend servers again";
     public static final String NOT_A_FINGERPRINT = "not a fingerprint: %s";
     public static final String ORDER_TAKEN = "%s took the order under fence %d";
@@ -108,6 +122,7 @@
     public static final String BACKEND_COLUMNS =
             "BACKEND SERVER,SERVICE,DATA CENTRE,ADDRESS,STATE,RUNNING,WAITING,WORK";
     public static final String ROUTER_COLUMNS = "ROUTER,DATA CENTRE,ADDRESS,SETTINGS,HEARD";
+    public static final String DRAINED_DATA_CENTRE_COLUMNS = "DRAINED DATA CENTRE,AUTHOR,SINCE";
     public static final String QUARANTINE_COLUMNS =
             "QUARANTINED REQUEST,ACCOUNT,SERVICE,ENDED,LAST END,BACKEND SERVERS";
     public static final String SECONDS_AGO = "%d s ago";
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/ControlClient.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/ControlClient.java
@@ -15,6 +15,7 @@
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ControlServiceGrpc.ControlServiceBlockingStub;
+import org.laurelweir.wire.v1.DrainDataCentreRequest;
 import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.HistoryReply;
@@ -91,6 +92,13 @@
                 r -> ControlReply.of(r.getCode(), r.getMessage(), r.getLeader()));
     }
 
+    /** Orders a data centre's drain, or ends it. */
+    public DrainReply drainDataCentre(DrainDataCentreRequest request) {
+        return call(
+                s -> s.drainDataCentre(request),
+                r -> ControlReply.of(r.getCode(), r.getMessage(), r.getLeader()));
+    }
+
     /** Releases a request from quarantine. */
     public ReleaseReply release(ReleaseRequest request) {
         return call(s -> s.release(request), r -> ControlReply.of(r.getCode(), r.getMessage(), ""));
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -10,6 +10,7 @@
 import org.laurelweir.wire.v1.ControlStatus;
 import org.laurelweir.wire.v1.Crash;
 import org.laurelweir.wire.v1.CrashRecord;
+import org.laurelweir.wire.v1.DataCentreDrain;
 import org.laurelweir.wire.v1.RouterStatus;
 import org.laurelweir.wire.v1.ServiceLoad;
 import org.laurelweir.wire.v1.StatusReply;
@@ -22,6 +23,7 @@
  * @param services services with their load; work is in token units
  * @param backends backend servers
  * @param routers routers
+ * @param drainedDataCentres data centres whose backend servers get no new requests
  * @param quarantined requests in quarantine, which no backend server receives
  */
 public record FleetView(
@@ -30,6 +32,7 @@
         List<ServiceMean> services,
         List<BackendServer> backends,
         List<Router> routers,
+        List<DrainedDataCentre> drainedDataCentres,
         List<Quarantined> quarantined) {
 
     /**
@@ -123,6 +126,16 @@
         }
     }
 
+    /** A drained data centre, with the operator who ordered it and the time of the order. */
+    record DrainedDataCentre(String name, String author, String since) {
+        static DrainedDataCentre of(DataCentreDrain d) {
+            return new DrainedDataCentre(
+                    d.getDataCentre(),
+                    d.getAuthor(),
+                    Instant.ofEpochMilli(d.getAtMillis()).toString());
+        }
+    }
+
     /**
      * A request in quarantine.
      *
@@ -156,6 +169,7 @@
                 reply.getLoadsList().stream().map(ServiceMean::of).toList(),
                 reply.getBackendsList().stream().map(BackendServer::of).toList(),
                 reply.getRoutersList().stream().map(Router::of).toList(),
+                reply.getDrainedDataCentresList().stream().map(DrainedDataCentre::of).toList(),
                 reply.getQuarantinedList().stream().map(Quarantined::of).toList());
     }
 
@@ -163,7 +177,13 @@
     public List<String> lines() {
         List<String> lines = new ArrayList<>();
         lines.add(String.format(Texts.SETTINGS_POSITION, settingsPosition));
-        List.of(controlTable(), serviceTable(), backendTable(), routerTable(), quarantineTable())
+        List.of(
+                        controlTable(),
+                        serviceTable(),
+                        backendTable(),
+                        routerTable(),
+                        drainedDataCentreTable(),
+                        quarantineTable())
                 .forEach(
                         t -> {
                             lines.add("");
@@ -206,6 +226,13 @@
         return t;
     }
 
+    /** Returns the table of the drained data centres. */
+    public Table drainedDataCentreTable() {
+        Table t = new Table(Texts.DRAINED_DATA_CENTRE_COLUMNS);
+        drainedDataCentres.forEach(d -> t.add(d.name, d.author, d.since));
+        return t;
+    }
+
     private Table routerTable() {
         Table t = new Table(Texts.ROUTER_COLUMNS);
         routers.forEach(r -> t.add(r.name, r.dataCentre, r.address, r.settingsPosition, r.heard));
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -26,7 +26,9 @@
 import org.laurelweir.wire.v1.ControlStatus;
 import org.laurelweir.wire.v1.Crash;
 import org.laurelweir.wire.v1.CrashRecord;
+import org.laurelweir.wire.v1.DataCentreDrain;
 import org.laurelweir.wire.v1.Decision;
+import org.laurelweir.wire.v1.DrainDataCentreRequest;
 import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.ExplainReply;
@@ -53,6 +55,7 @@
 /** A control leader and follower, a router and a sidecar on loopback, without a replicated log. */
 final class FakeFleet implements Service {
     static final String BACKEND = "sh-1";
+    static final String DRAINED_DATA_CENTRE = "askoy";
     private static final CrashRecord QUARANTINED =
             CrashRecord.newBuilder()
                     .setAccount("acme")
@@ -67,6 +70,7 @@
     private final FakeTree mTree = new FakeTree();
     private final List<OrderRequest> mOrders = new ArrayList<>();
     private final List<DrainRequest> mDrains = new ArrayList<>();
+    private final List<DrainDataCentreRequest> mDataCentreDrains = new ArrayList<>();
     private final List<ReleaseRequest> mReleases = new ArrayList<>();
     private final RpcServer mLeader = server(new Leader());
     private final RpcServer mFollower = server(new Follower());
@@ -130,6 +134,10 @@
         return List.copyOf(mReleases);
     }
 
+    synchronized List<DrainDataCentreRequest> dataCentreDrains() {
+        return List.copyOf(mDataCentreDrains);
+    }
+
     synchronized List<DrainRequest> drains() {
         return List.copyOf(mDrains);
     }
@@ -203,6 +211,15 @@
             }
         }
 
+        @Override
+        public void drainDataCentre(
+                DrainDataCentreRequest request, StreamObserver<DrainReply> observer) {
+            synchronized (FakeFleet.this) {
+                mDataCentreDrains.add(request);
+                answer(observer, DrainReply.getDefaultInstance());
+            }
+        }
+
         @Override
         public void release(ReleaseRequest request, StreamObserver<ReleaseReply> observer) {
             synchronized (FakeFleet.this) {
@@ -249,6 +266,10 @@
                             .addRouters(RouterStatus.newBuilder().setRouter(router))
                             .addRouters(RouterStatus.newBuilder().setRouter(unreachable))
                             .addQuarantined(QUARANTINED)
+                            .addDrainedDataCentres(
+                                    DataCentreDrain.newBuilder()
+                                            .setDataCentre(DRAINED_DATA_CENTRE)
+                                            .setAuthor("ann"))
                             .build());
         }
     }
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -50,6 +50,9 @@
             strings = {
                 "check",
                 "completion",
+                "data-centre drain",
+                "data-centre list",
+                "data-centre undrain",
                 "drain",
                 "explain",
                 "order",
@@ -235,6 +238,24 @@
         assertThat(mFleet.drains()).extracting(d -> d.getDrain()).isEqualTo(List.of(true, false));
     }
 
+    @Test
+    void drainsAndUndrainsDataCentre() {
+        assertThat(run("data-centre", "drain", "bergen", "--author", "ann")).isZero();
+        assertThat(run("data-centre", "undrain", "bergen", "--json")).isZero();
+        assertThat(mFleet.dataCentreDrains())
+                .extracting(d -> d.getDataCentre() + " " + d.getDrain())
+                .containsExactly("bergen true", "bergen false");
+        assertThat(mFleet.dataCentreDrains().get(0).getAuthor()).isEqualTo("ann");
+    }
+
+    @Test
+    void listsDrainedDataCentres() throws IOException {
+        assertThat(run("data-centre", "list", "--json")).isZero();
+        assertThat(json().at("/drainedDataCentres/0/name").asText())
+                .isEqualTo(FakeFleet.DRAINED_DATA_CENTRE);
+        assertThat(json().at("/drainedDataCentres/0/author").asText()).isEqualTo("ann");
+    }
+
     @Test
     void explainsDespiteUnreachableRouter() throws IOException {
         assertThat(run("explain", "--json", "f00d")).isZero();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -109,7 +109,8 @@
                         answer.crashes(),
                         answer.digest(),
                         answer.loads(),
-                        answer.routers()));
+                        answer.routers(),
+                        answer.rules()));
         // Last, so that the first request served under the lease finds the backend servers.
         answer.settingsAge().ifPresent(age -> mLease.confirm(requestedAt, age));
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
@@ -5,12 +5,14 @@
 import java.util.Optional;
 import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.settings.SettingsDelta;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.LoadCodec;
 import org.laurelweir.wire.MembershipCodec;
+import org.laurelweir.wire.PlacementRulesCodec;
 import org.laurelweir.wire.SettingsCodec;
 import org.laurelweir.wire.v1.ExchangeReply;
 
@@ -31,6 +33,7 @@
  * @param routers number of serving routers, 0 if unknown; for routers
  * @param settingsAge maximum age, when the answer was made, of the confirmation that the settings
  *     are the newest; empty if they are not confirmed
+ * @param rules rules for where requests may go; for routers
  */
 public record ExchangeAnswer(
         MembershipDelta membership,
@@ -44,7 +47,8 @@
         long fence,
         List<String> controls,
         int routers,
-        Optional<Duration> settingsAge) {
+        Optional<Duration> settingsAge,
+        PlacementRules rules) {
 
     static ExchangeAnswer of(ExchangeReply reply) {
         return new ExchangeAnswer(
@@ -64,6 +68,7 @@
                         ? Optional.of(
                                 Duration.ofMillis(
                                         Integer.toUnsignedLong(reply.getSettingsAgeMillis())))
-                        : Optional.empty());
+                        : Optional.empty(),
+                PlacementRulesCodec.toCore(reply));
     }
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
@@ -33,6 +33,8 @@
             message.setSettleClaim(RequestCodec.toWire(s));
         } else if (c instanceof Command.Drain s) {
             message.setDrain(RequestCodec.toWire(s));
+        } else if (c instanceof Command.DrainDataCentre s) {
+            message.setDrainDataCentre(RequestCodec.toWire(s));
         } else if (c instanceof Command.IssueFence s) {
             message.setIssueFence(RequestCodec.toWire(s));
         }
@@ -58,6 +60,7 @@
             case CLAIM -> RequestCodec.toCore(m.getClaim(), timestamp);
             case SETTLE_CLAIM -> RequestCodec.toCore(m.getSettleClaim(), timestamp);
             case DRAIN -> RequestCodec.toCore(m.getDrain(), timestamp);
+            case DRAIN_DATA_CENTRE -> RequestCodec.toCore(m.getDrainDataCentre(), timestamp);
             case ISSUE_FENCE -> RequestCodec.toCore(m.getIssueFence(), timestamp);
             // If this replica skipped the entry, its state would differ from the other replicas'
             // state.
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
@@ -25,6 +25,7 @@
                 .setState(toWire(b.state()))
                 .setWeight(b.weight())
                 .setSession(b.session())
+                .setSlowStart(b.slowStart())
                 .build();
     }
 
@@ -38,7 +39,8 @@
                 b.getAddress(),
                 toCore(b.getState()),
                 b.getWeight(),
-                b.getSession());
+                b.getSession(),
+                b.getSlowStart());
     }
 
     /** Returns the message of an announcement. */
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/RequestCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/RequestCodec.java
@@ -7,6 +7,7 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
 import org.laurelweir.wire.v1.ClaimRequest;
+import org.laurelweir.wire.v1.DrainDataCentreRequest;
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.IssueFenceRequest;
 import org.laurelweir.wire.v1.SettleClaimRequest;
@@ -93,6 +94,21 @@
         return new Command.Drain(timestamp, r.getBackend(), r.getDrain(), r.getAuthor());
     }
 
+    /** Returns the request that starts or cancels a drain of a data centre. */
+    public static DrainDataCentreRequest toWire(Command.DrainDataCentre c) {
+        return DrainDataCentreRequest.newBuilder()
+                .setDataCentre(c.dataCentre())
+                .setDrain(c.drain())
+                .setAuthor(c.author())
+                .build();
+    }
+
+    /** Returns the command for a request, with the time that the leader sets. */
+    public static Command.DrainDataCentre toCore(DrainDataCentreRequest r, Instant timestamp) {
+        return new Command.DrainDataCentre(
+                timestamp, r.getDataCentre(), r.getDrain(), r.getAuthor());
+    }
+
     /** Returns the request for a fencing token. */
     public static IssueFenceRequest toWire(Command.IssueFence c) {
         return IssueFenceRequest.newBuilder().setBackend(c.backend()).build();
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
@@ -31,6 +31,8 @@
                         .putAllFences(s.fences());
         s.claims().forEach(c -> message.addClaims(toWire(c)));
         s.drains().forEach(d -> message.addDrains(toWire(d)));
+        message.setDataCentreDrainsPosition(s.dataCentreDrainsPosition());
+        s.dataCentreDrains().forEach(d -> message.addDataCentreDrains(DrainCodec.toWire(d)));
         return message.build();
     }
 
@@ -40,7 +42,9 @@
                 toCore(m.getSettings()),
                 m.getClaimsList().stream().map(SnapshotCodec::toCore).toList(),
                 Map.copyOf(m.getFencesMap()),
-                m.getDrainsList().stream().map(SnapshotCodec::toCore).toList());
+                m.getDrainsList().stream().map(SnapshotCodec::toCore).toList(),
+                m.getDataCentreDrainsPosition(),
+                m.getDataCentreDrainsList().stream().map(DrainCodec::toCore).toList());
     }
 
     private static ClaimRecord toWire(Claim c) {
--- a/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
+++ b/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
@@ -55,6 +55,7 @@
                     new Command.SettleClaim(
                             TIMESTAMP, "account", "key", ATTEMPT, ResultCode.OUTCOME_UNKNOWN),
                     new Command.Drain(TIMESTAMP, "w1", true, "operator"),
+                    new Command.DrainDataCentre(TIMESTAMP, "bergen", true, "operator"),
                     new Command.IssueFence(TIMESTAMP, "w1"),
                     new Command.PatchSettings(
                             TIMESTAMP,
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -142,6 +142,18 @@
         }
     }
 
+    /**
+     * An operator's order to drain a data centre, so that its backend servers get no new requests,
+     * or to undrain it.
+     */
+    record DrainDataCentre(Instant timestamp, String dataCentre, boolean drain, String author)
+            implements Command {
+        @Override
+        public DrainDataCentre withTimestamp(Instant time) {
+            return new DrainDataCentre(time, dataCentre, drain, author);
+        }
+    }
+
     /** Issues a new, higher fencing token for orders to a backend server. */
     record IssueFence(Instant timestamp, String backend) implements Command {
         @Override
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/CommandResult.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/CommandResult.java
@@ -42,7 +42,7 @@
     /** The result of recording the result code of a claim's holder. */
     record SettleResult(ResultCode code) implements CommandResult {}
 
-    /** The result of an order to drain or undrain a backend server. */
+    /** The result of an order to drain or undrain a backend server or a data centre. */
     record DrainResult(ResultCode code) implements CommandResult {}
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlConfig.java
@@ -22,6 +22,7 @@
  * @param limits limits of the state machine
  * @param autoJoin whether control instances that are not configured may join by themselves; the
  *     name of each instance is then its address
+ * @param regions the region of each data centre; empty if the data centres are not known
  */
 public record ControlConfig(
         ReplicaId replica,
@@ -33,7 +34,8 @@
         ConsensusConfig consensus,
         MembershipConfig membership,
         ControlState.Limits limits,
-        boolean autoJoin) {
+        boolean autoJoin,
+        Map<String, String> regions) {
 
     /**
      * Returns a builder with the default values.
@@ -77,6 +79,7 @@
         private MembershipConfig mMembership;
         private ControlState.Limits mLimits = ControlState.Limits.DEFAULT;
         private boolean mAutoJoin;
+        private Map<String, String> mRegions = Map.of();
 
         private Builder(ReplicaId replica, long incarnation, Map<String, String> addresses) {
             mReplica = replica;
@@ -104,6 +107,12 @@
             return this;
         }
 
+        /** Sets the region of each data centre. Without them every name is accepted. */
+        public Builder regions(Map<String, String> regions) {
+            mRegions = Map.copyOf(regions);
+            return this;
+        }
+
         /** Sets the configuration of the replicated log. */
         public Builder consensus(ConsensusConfig consensus) {
             mConsensus = consensus;
@@ -134,7 +143,8 @@
                     mConsensus,
                     mMembership,
                     mLimits,
-                    mAutoJoin);
+                    mAutoJoin,
+                    mRegions);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -11,6 +11,7 @@
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
 import org.laurelweir.membership.PeerUpdate;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.quarantine.CrashRecord;
@@ -55,6 +56,7 @@
      *     sidecar
      * @param orders orders to the sidecar; null for a router
      * @param routerCount number of routers that serve; 0 for a sidecar
+     * @param rules rules for where the router sends requests; empty for a sidecar
      */
     record AnswerExchange(
             long call,
@@ -65,13 +67,14 @@
             List<ServiceLoad> loads,
             boolean possiblyStale,
             SidecarOrders orders,
-            int routerCount)
+            int routerCount,
+            PlacementRules rules)
             implements Answer {}
 
     /**
      * Orders to a sidecar.
      *
-     * @param drain whether an operator has ordered to drain its backend server
+     * @param drain whether an operator has ordered to drain its backend server or data centre
      * @param fence the highest fencing token issued for its backend server
      * @param minSession the lowest session number under which control accepts its reports
      */
@@ -152,6 +155,7 @@
      * @param backends number of known backend servers, including recently departed ones
      * @param claims number of idempotency keys in use
      * @param quarantined number of quarantined requests
+     * @param drainedDataCentres number of drained data centres
      * @param runningRequests number of requests that routers have reported as running at backend
      *     servers
      * @param settingsPosition the log position of the current settings
@@ -165,6 +169,7 @@
             int backends,
             int claims,
             int quarantined,
+            int drainedDataCentres,
             int runningRequests,
             long settingsPosition,
             long logBytes,
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.laurelweir.consensus.ConsensusEvent;
 import org.laurelweir.coordination.ControlEvent.BackendAnnounced;
@@ -25,6 +26,8 @@
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.DirectAnnouncements;
 import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.settings.NodePath;
+import org.laurelweir.settings.SettingKeys;
 import org.laurelweir.settings.SettingsTree;
 
 /**
@@ -34,6 +37,7 @@
 public final class ControlReducer implements Reducer<ControlEvent, ControlEffect> {
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
 
+    private final ControlConfig mConfig;
     private final DecisionLogger mDecisionLogger;
     private final SharedMembership mMembership;
     private final LogReplica mReplica;
@@ -59,6 +63,7 @@
      * @param seed seed for random election timeouts; must differ between instances
      */
     public ControlReducer(ControlConfig config, LogCodec codec, long seed) {
+        mConfig = config;
         mDecisionLogger = new DecisionLogger(config.name());
         mIgnoredAnnouncementLogger = new IgnoredAnnouncementLogger(mDecisionLogger);
         mReplica = new LogReplica(config, codec, seed, mDecisionLogger);
@@ -76,6 +81,7 @@
                         mRouters,
                         mCrashSharing,
                         mLoadSharing,
+                        new SlowStartPermits(this::slowStartRate),
                         mDecisionLogger);
         mQueries =
                 new QueryHandler(
@@ -159,11 +165,32 @@
     }
 
     private void onAnnounced(BackendAnnounced e) {
-        DirectAnnouncements.Outcome outcome = mDirectAnnouncements.receive(mNow, e.backend());
-        mIgnoredAnnouncementLogger.log(mNow, e.backend(), outcome, mEffects);
+        Backend b = withoutNeedlessSlowStart(e.backend());
+        DirectAnnouncements.Outcome outcome = mDirectAnnouncements.receive(mNow, b);
+        mIgnoredAnnouncementLogger.log(mNow, b, outcome, mEffects);
         mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
     }
 
+    /**
+     * Returns the announcement without its slow start if the settings set no limit for that. While
+     * settings are unknown, there may be one.
+     */
+    private Backend withoutNeedlessSlowStart(Backend b) {
+        boolean isLimited =
+                mReplica.state().settings().tree().size() == 0 || slowStartRate(b.service()) > 0;
+        return b.slowStart() && !isLimited ? b.withSlowStart(false) : b;
+    }
+
+    /** Returns the number of requests a second of a service's servers in slow start. */
+    private double slowStartRate(String service) {
+        return mReplica.state()
+                .settings()
+                .tree()
+                .node(NodePath.ofService(service))
+                .map(n -> n.value(SettingKeys.SERVICE_SLOW_START_RATE))
+                .orElse(0.0);
+    }
+
     /**
      * Handles a departure. An instance that does not know the backend server must not acknowledge
      * the departure; the caller can then report it to another instance.
@@ -192,6 +219,12 @@
     }
 
     private void onCommand(CommandReceived e) {
+        if (e.command() instanceof Command.DrainDataCentre d && !isDataCentre(d.dataCentre())) {
+            String message = "there is no data centre " + d.dataCentre();
+            mEffects.accept(
+                    new ControlEffect.AnswerError(e.call(), ResultCode.BAD_REQUEST, message, ""));
+            return;
+        }
         if (e.command() instanceof Command.Drain d
                 && d.drain()
                 && !mMembership.knows(d.backend())) {
@@ -201,6 +234,18 @@
         mReplica.propose(mNow, e.call(), e.command(), mEffects);
     }
 
+    /**
+     * Returns whether a name is that of a data centre. The configuration lists them all; without a
+     * list, every name is accepted. A data centre that is drained can always be undrained.
+     */
+    private boolean isDataCentre(String name) {
+        Set<String> known = mConfig.regions().keySet();
+        return !name.isEmpty()
+                && (known.isEmpty()
+                        || known.contains(name)
+                        || mReplica.state().drainedDataCentres().contains(name));
+    }
+
     private void onReleaseRequested(ReleaseRequested e) {
         if (mCrashSharing.release(mNow, e.key())) {
             mDecisionLogger.quarantineReleased(mNow, e.key(), e.author(), mEffects);
@@ -219,7 +264,7 @@
             return;
         }
         mDecisionLogger.backendChanged(mNow, backend, reason, mEffects);
-        if (backend.state() != Backend.State.SERVING) {
+        if (backend.state() != Backend.State.SERVING || backend.slowStart()) {
             mPeerSharing.announce(backend);
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
@@ -10,19 +10,21 @@
 import org.laurelweir.coordination.CommandResult.SettingsResult;
 import org.laurelweir.coordination.CommandResult.SettleResult;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.DrainedDataCentres;
 import org.laurelweir.settings.SettingsState;
 import org.laurelweir.settings.SettingsStore;
 
 /**
- * The state machine of the replicated log: settings, claims, fencing tokens and drain orders.
- * Replicas that apply the same commands at the same log positions have equal states and return
- * equal results.
+ * The state machine of the replicated log: settings, claims, fencing tokens and drain orders of
+ * backend servers and data centres. Replicas that apply the same commands at the same log positions
+ * have equal states and return equal results.
  */
 public final class ControlState {
     private final Limits mLimits;
     private final ClaimTable mClaims;
     private final TreeMap<String, Long> mFences = new TreeMap<>();
     private final TreeMap<String, DrainOrder> mDrains = new TreeMap<>();
+    private final DataCentreDrains mDataCentreDrains = new DataCentreDrains();
     private SettingsStore mSettings;
     private Instant mLogTime = Instant.EPOCH;
 
@@ -83,6 +85,10 @@
         if (c instanceof Command.Drain s) {
             return drain(s);
         }
+        if (c instanceof Command.DrainDataCentre s) {
+            mDataCentreDrains.apply(index, s);
+            return new DrainResult(ResultCode.OK);
+        }
         return new FenceResult(
                 ResultCode.OK, mFences.merge(((Command.IssueFence) c).backend(), 1L, Long::sum));
     }
@@ -107,6 +113,16 @@
         return mDrains.containsKey(backend);
     }
 
+    /** Returns the data centres that operators have ordered to drain. */
+    public DrainedDataCentres drainedDataCentres() {
+        return mDataCentreDrains.current();
+    }
+
+    /** Returns the drain orders of data centres, sorted by name. */
+    public List<DataCentreDrain> dataCentreDrains() {
+        return mDataCentreDrains.all();
+    }
+
     /** Returns the highest fencing token issued for a backend server, or 0 if none was issued. */
     public long highestFence(String backend) {
         return mFences.getOrDefault(backend, 0L);
@@ -124,7 +140,9 @@
                 mSettings.state(),
                 mClaims.all(),
                 Map.copyOf(mFences),
-                List.copyOf(mDrains.values()));
+                List.copyOf(mDrains.values()),
+                mDataCentreDrains.current().position(),
+                mDataCentreDrains.all());
     }
 
     /**
@@ -140,6 +158,7 @@
         mFences.putAll(snapshot.fences());
         mDrains.clear();
         snapshot.drains().forEach(d -> mDrains.put(d.backend(), d));
+        mDataCentreDrains.restore(snapshot.dataCentreDrainsPosition(), snapshot.dataCentreDrains());
     }
 
     /**
@@ -149,12 +168,17 @@
      * @param settings the settings with their history
      * @param claims the claims in the order in which they expire
      * @param fences the highest fencing token of each backend server that has one
-     * @param drains the drain orders in force
+     * @param drains the drain orders of backend servers in force
+     * @param dataCentreDrainsPosition the log position of the last change to the drained data
+     *     centres
+     * @param dataCentreDrains the drain orders of data centres in force
      */
     public record Snapshot(
             Instant time,
             SettingsState settings,
             List<Claim> claims,
             Map<String, Long> fences,
-            List<DrainOrder> drains) {}
+            List<DrainOrder> drains,
+            long dataCentreDrainsPosition,
+            List<DataCentreDrain> dataCentreDrains) {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionLogger.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionLogger.java
@@ -84,6 +84,10 @@
             List<String> backend = List.of(d.backend());
             String reason = "ordered by " + d.author();
             log(now, new Subject("", "", ""), backend, order, reason, out);
+        } else if (c instanceof Command.DrainDataCentre d) {
+            String order = d.drain() ? "drain data centre" : "undrain data centre";
+            List<String> name = List.of(d.dataCentre());
+            log(now, new Subject("", "", ""), name, order, "ordered by " + d.author(), out);
         } else if (c instanceof Command.IssueFence f) {
             String fence = Long.toString(((FenceResult) r).fence());
             List<String> backend = List.of(f.backend());
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ExchangeHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ExchangeHandler.java
@@ -9,7 +9,10 @@
 import org.laurelweir.coordination.ControlEvent.SidecarExchanged;
 import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.DrainedDataCentres;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.membership.SlowStartPermit;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.settings.SettingsDelta;
 import org.laurelweir.settings.SettingsNode;
@@ -25,6 +28,7 @@
     private final RouterTable mRouters;
     private final CrashSharing mCrashSharing;
     private final LoadSharing mLoadSharing;
+    private final SlowStartPermits mSlowStartPermits;
     private final DecisionLogger mDecisionLogger;
 
     ExchangeHandler(
@@ -33,7 +37,9 @@
             RouterTable routers,
             CrashSharing crashSharing,
             LoadSharing loadSharing,
+            SlowStartPermits slowStartPermits,
             DecisionLogger decisionLogger) {
+        mSlowStartPermits = slowStartPermits;
         mCrashSharing = crashSharing;
         mLoadSharing = loadSharing;
         mDecisionLogger = decisionLogger;
@@ -47,10 +53,7 @@
         int minSession = mMembership.receiveReport(now, e.report());
         String id = b.ref().id();
         SidecarOrders orders =
-                new SidecarOrders(
-                        mReplica.state().isDrainOrdered(id),
-                        mReplica.state().highestFence(id),
-                        minSession);
+                new SidecarOrders(isDrainOrdered(b), mReplica.state().highestFence(id), minSession);
         effects.accept(
                 new AnswerExchange(
                         e.call(),
@@ -61,7 +64,8 @@
                         List.of(mMembership.load(b.service())),
                         isPossiblyStale(now, e.settingsPosition()),
                         orders,
-                        0));
+                        0,
+                        PlacementRules.NONE));
     }
 
     void answer(Instant now, RouterExchanged e, Consumer<? super ControlEffect> effects) {
@@ -82,7 +86,21 @@
                         mMembership.loads(),
                         isPossiblyStale(now, e.settingsPosition()),
                         null,
-                        mRouters.count()));
+                        mRouters.count(),
+                        rules(now, e.report().name())));
+    }
+
+    private boolean isDrainOrdered(Backend b) {
+        return mReplica.state().isDrainOrdered(b.ref().id())
+                || mReplica.state().drainedDataCentres().contains(b.dataCentre());
+    }
+
+    private PlacementRules rules(Instant now, String router) {
+        DrainedDataCentres drained = mReplica.state().drainedDataCentres();
+        mSlowStartPermits.onDrained(now, drained);
+        List<SlowStartPermit> permits =
+                mSlowStartPermits.permitsOf(now, router, mMembership.backends(), mRouters.names());
+        return new PlacementRules(drained, mSlowStartPermits.services(), permits);
     }
 
     private SettingsDelta settings(long position) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
@@ -12,6 +12,7 @@
  * @param routers the statuses of the routers
  * @param loads the loads of the services
  * @param quarantined the crash records of the quarantined requests
+ * @param drainedDataCentres the drain orders of data centres in force
  * @param settingsPosition the log position of the current settings
  */
 public record FleetStatus(
@@ -20,4 +21,5 @@
         List<RouterInstanceStatus> routers,
         List<ServiceLoad> loads,
         List<CrashRecord> quarantined,
+        List<DataCentreDrain> drainedDataCentres,
         long settingsPosition) {}
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
@@ -97,6 +97,7 @@
                 mMembership.backendCount(),
                 mReplica.state().claimCount(),
                 mCrashSharing.quarantined(now).size(),
+                mReplica.state().drainedDataCentres().names().size(),
                 mLoadSharing.requestCount(),
                 mReplica.state().settings().tree().position(),
                 mReplica.logBytes(),
@@ -126,6 +127,7 @@
                                 mRouters.all(),
                                 mMembership.loads(),
                                 mCrashSharing.quarantined(now),
+                                mReplica.state().dataCentreDrains(),
                                 mReplica.state().settings().tree().position())));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/RouterTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/RouterTable.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -44,6 +45,10 @@
         return mAll.size();
     }
 
+    Collection<String> names() {
+        return Collections.unmodifiableSet(mAll.keySet());
+    }
+
     List<RouterInstanceStatus> all() {
         return new ArrayList<>(mAll.values());
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -19,6 +19,7 @@
 
     private final BackendSource mBackends;
     private final LoadEstimator mLoads;
+    private final SlowStartLimiter mSlowStarts;
     private final ServerChoice mChoice;
     private final FetchSource mFetchSource;
     private final FleetRetryBudget mBudget;
@@ -31,12 +32,14 @@
     Attempts(
             BackendSource backends,
             LoadEstimator loads,
+            SlowStartLimiter slowStarts,
             ServerChoice choice,
             FetchSource fetchSource,
             FleetRetryBudget budget,
             RequestDecisions decisions) {
         mBackends = backends;
         mLoads = loads;
+        mSlowStarts = slowStarts;
         mChoice = choice;
         mFetchSource = fetchSource;
         mBudget = budget;
@@ -82,6 +85,7 @@
         r.mAttemptCount++;
         mByCall.put(r.mCall, r);
         mLoads.onRequestSent(backend.ref(), r.sharedPartId());
+        mSlowStarts.onRequestSent(mNow, backend.ref());
         String fetchFrom = mFetchSource.addressFor(r, backend.ref(), mNow);
         mEffects.accept(mDecisions.serverChosen(r, choice, fetchFrom, mNow));
         mEffects.accept(
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/BackendSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/BackendSource.java
@@ -1,5 +1,6 @@
 package org.laurelweir.direct;
 
+import java.time.Instant;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.ServiceView;
 
@@ -8,6 +9,15 @@
     /** Returns the backend servers of a service; empty if the service is unknown. */
     ServiceView view(String service);
 
+    /**
+     * Returns whether a backend server is in slow start, or may be since its data centre was
+     * drained until lately.
+     */
+    default boolean isInSlowStart(String id, Instant now) {
+        Backend b = backend(id);
+        return b != null && b.slowStart();
+    }
+
     /** Returns the latest announcement of a backend server, or null if it is unknown. */
     Backend backend(String id);
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -53,6 +53,7 @@
      * @param limits limits of the retries of all routers
      * @param crashes the crashes of backend servers and the requests that were running then
      * @param loads the estimated loads of the backend servers
+     * @param slowStarts limits the requests to backend servers in slow start
      * @param seed seed of the random choices
      */
     public DirectRouting(
@@ -61,17 +62,20 @@
             RetryLimits limits,
             CrashTable crashes,
             LoadEstimator loads,
+            SlowStartLimiter slowStarts,
             long seed) {
         mBackends = backends;
         mLoads = loads;
         mCrashGuard = new CrashGuard(crashes);
-        mChoice = new ServerChoice(backends, mServers, loads, seed);
+        mChoice = new ServerChoice(backends, mServers, loads, slowStarts, seed);
         mBudget = new FleetRetryBudget(limits, routerCount);
         mRandom = new SplittableRandom(seed + 1);
         mDecisions = new RequestDecisions();
         mInvalidAnswers = new InvalidAnswerCalls(loads, mCrashGuard, mDecisions);
         FetchSource fetchSource = new FetchSource(backends, mServers, mHolders);
-        mAttempts = new Attempts(backends, loads, mChoice, fetchSource, mBudget, mDecisions);
+        mAttempts =
+                new Attempts(
+                        backends, loads, slowStarts, mChoice, fetchSource, mBudget, mDecisions);
         mErrorAnswers = new ErrorAnswers(mChoice, mAttempts, mDecisions, new RetryDelays(seed + 2));
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -40,10 +40,17 @@
     private final BackendSource mBackends;
     private final ServerTable mServers;
     private final LoadEstimator mLoads;
+    private final SlowStartLimiter mSlowStarts;
     private final SplittableRandom mRandom;
     private final Map<String, ServingServers> mServing = new HashMap<>();
 
-    ServerChoice(BackendSource backends, ServerTable servers, LoadEstimator loads, long seed) {
+    ServerChoice(
+            BackendSource backends,
+            ServerTable servers,
+            LoadEstimator loads,
+            SlowStartLimiter slowStarts,
+            long seed) {
+        mSlowStarts = slowStarts;
         mBackends = backends;
         mServers = servers;
         mLoads = loads;
@@ -234,7 +241,13 @@
 
     private boolean isEligible(ActiveRequest r, Candidate c, Instant now) {
         return !r.mTriedServers.contains(c.id())
-                && !mServers.isPassedOver(r.mService, c.ref(), now);
+                && !mServers.isPassedOver(r.mService, c.ref(), now)
+                && isWarmOrPermitted(c, now);
+    }
+
+    /** Returns whether a server is not in slow start, or takes a request of this router even so. */
+    private boolean isWarmOrPermitted(Candidate c, Instant now) {
+        return !mBackends.isInSlowStart(c.id(), now) || mSlowStarts.permits(now, c.ref());
     }
 
     private ServingServers serving(String service) {
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
@@ -14,6 +14,7 @@
  * @param state whether it accepts new work
  * @param weight its capacity relative to the service's other backend servers
  * @param session the number of the announcement session, counted within one incarnation
+ * @param slowStart whether it has lately started and takes few requests for some time
  */
 public record Backend(
         BackendRef ref,
@@ -23,7 +24,21 @@
         String address,
         State state,
         double weight,
-        int session) {
+        int session,
+        boolean slowStart) {
+
+    /** Creates an announcement of a backend server that is not in slow start. */
+    public Backend(
+            BackendRef ref,
+            String service,
+            String dataCentre,
+            String region,
+            String address,
+            State state,
+            double weight,
+            int session) {
+        this(ref, service, dataCentre, region, address, state, weight, session, false);
+    }
 
     /** Whether a backend server accepts new work. */
     public enum State {
@@ -34,17 +49,26 @@
 
     /** Returns a copy in another state. */
     public Backend withState(State newState) {
-        return new Backend(ref, service, dataCentre, region, address, newState, weight, session);
+        return new Backend(
+                ref, service, dataCentre, region, address, newState, weight, session, slowStart);
     }
 
     /** Returns a copy with another name and incarnation. */
     public Backend withRef(BackendRef newRef) {
-        return new Backend(newRef, service, dataCentre, region, address, state, weight, session);
+        return new Backend(
+                newRef, service, dataCentre, region, address, state, weight, session, slowStart);
     }
 
     /** Returns a copy with another session number. */
     public Backend withSession(int newSession) {
-        return new Backend(ref, service, dataCentre, region, address, state, weight, newSession);
+        return new Backend(
+                ref, service, dataCentre, region, address, state, weight, newSession, slowStart);
+    }
+
+    /** Returns a copy that is in slow start or not. */
+    public Backend withSlowStart(boolean newSlowStart) {
+        return new Backend(
+                ref, service, dataCentre, region, address, state, weight, session, newSlowStart);
     }
 
     /** Returns whether both announcements have the same name, incarnation and session. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -1,7 +1,9 @@
 package org.laurelweir.routing;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,19 +12,31 @@
 import java.util.function.Consumer;
 import org.laurelweir.direct.BackendSource;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.DrainedDataCentres;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ServiceView;
 import org.laurelweir.placement.ViewChange;
 
 /** The backend servers that this router knows, built from control's membership deltas. */
 final class Memberships implements BackendSource {
+    /**
+     * How long the backend servers of an undrained data centre are taken to be in slow start. An
+     * empty server often is, and this covers two announcements and an exchange, after which control
+     * has told which are.
+     */
+    static final Duration UNDRAINED_SLOW_START = Duration.ofSeconds(3);
+
     private final Map<String, Backend> mBackends = new HashMap<>();
     private final Map<String, ServiceView> mViews = new HashMap<>();
     private final MissingBackends mMissing = new MissingBackends();
     private final DepartedBackends mDeparted = new DepartedBackends();
     private final Consumer<Backend> mOnChange;
+    private final Map<String, Instant> mUndrainedAt = new HashMap<>();
+    private Collection<String> mSlowStartServices = Set.of();
+    private DrainedDataCentres mDrained = DrainedDataCentres.NONE;
     private MembershipCursor mCursor = MembershipCursor.NONE;
     private long mViewVersion;
 
@@ -49,6 +63,21 @@
         return mBackends.get(id);
     }
 
+    @Override
+    public boolean isInSlowStart(String id, Instant now) {
+        Backend b = mBackends.get(id);
+        if (b == null) {
+            return false;
+        }
+        return b.slowStart()
+                || (mSlowStartServices.contains(b.service()) && isJustUndrained(b, now));
+    }
+
+    private boolean isJustUndrained(Backend b, Instant now) {
+        Instant undrainedAt = mUndrainedAt.get(b.dataCentre());
+        return undrainedAt != null && now.isBefore(undrainedAt.plus(UNDRAINED_SLOW_START));
+    }
+
     /** Returns whether control has sent a full view. */
     boolean hasFullView() {
         return !mCursor.equals(MembershipCursor.NONE);
@@ -74,6 +103,42 @@
         applyToViews(changes);
     }
 
+    /**
+     * Applies the drained data centres. Their backend servers count as draining: they get no new
+     * requests and finish the running ones, and others may still fetch cached prompt parts from
+     * them. A set of an earlier position is ignored.
+     *
+     * @return whether the set is newer than the last one
+     */
+    boolean applyRules(Instant now, PlacementRules rules) {
+        mSlowStartServices = rules.slowStartServices();
+        return applyDrained(now, rules.drained());
+    }
+
+    private boolean applyDrained(Instant now, DrainedDataCentres drained) {
+        if (drained.position() <= mDrained.position()) {
+            return false;
+        }
+        DrainedDataCentres before = mDrained;
+        mDrained = drained;
+        before.names().stream()
+                .filter(name -> !drained.contains(name))
+                .forEach(name -> mUndrainedAt.put(name, now));
+        Map<String, List<ViewChange>> changes = new HashMap<>();
+        for (Backend b : mBackends.values()) {
+            boolean isDrained = drained.contains(b.dataCentre());
+            if (isDrained != before.contains(b.dataCentre())) {
+                addToView(b, changes);
+            }
+        }
+        applyToViews(changes);
+        return true;
+    }
+
+    DrainedDataCentres drained() {
+        return mDrained;
+    }
+
     /**
      * Suspends or removes backend servers that full views lack for too long, and expires
      * departures.
@@ -128,7 +193,18 @@
         Backend b = mBackends.get(id);
         if (b != null && b.state() == Backend.State.SERVING) {
             mOnChange.accept(b);
-            changesOf(b, changes).add(joinOf(b));
+            addToView(b, changes);
+        }
+    }
+
+    /** Adds a backend server to its view, or updates it there. */
+    private void addToView(Backend b, Map<String, List<ViewChange>> changes) {
+        String id = b.ref().id();
+        List<ViewChange> serviceChanges = changesOf(b, changes);
+        serviceChanges.add(joinOf(b));
+        boolean isDraining = b.state() == Backend.State.DRAINING || mMissing.isSuspended(id);
+        if (isDraining || mDrained.contains(b.dataCentre())) {
+            serviceChanges.add(new ViewChange.Drain(id));
         }
     }
 
@@ -167,11 +243,7 @@
         if (known == null || known.state() != b.state()) {
             mOnChange.accept(b);
         }
-        List<ViewChange> serviceChanges = changesOf(b, changes);
-        serviceChanges.add(joinOf(b));
-        if (b.state() == Backend.State.DRAINING) {
-            serviceChanges.add(new ViewChange.Drain(id));
-        }
+        addToView(b, changes);
     }
 
     private void remove(String id, Map<String, List<ViewChange>> changes) {
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/MissingBackends.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/MissingBackends.java
@@ -57,6 +57,12 @@
         return named != null && named.suspended();
     }
 
+    /** Returns whether a backend server is missing and receives no new requests. */
+    boolean isSuspended(String id) {
+        Missing missing = mMissing.get(id);
+        return missing != null && missing.suspended();
+    }
+
     Set<String> ids() {
         return Collections.unmodifiableSet(mMissing.keySet());
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
@@ -9,6 +9,7 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.quarantine.CrashDelta;
 
@@ -69,13 +70,15 @@
      * @param digest the load of all routers at backend servers
      * @param loads the mean work of services with sidecars
      * @param routers the number of routers that serve, this one included, or 0 if unknown
+     * @param rules rules for where requests may go
      */
     record ExchangeAnswered(
             MembershipDelta membership,
             CrashDelta crashes,
             LoadDigest digest,
             List<ServiceLoad> loads,
-            int routers)
+            int routers,
+            PlacementRules rules)
             implements RouterEvent {}
 
     /** An event of a request that is routed without sidecars. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -5,11 +5,13 @@
 import java.util.function.Consumer;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectRouting;
+import org.laurelweir.direct.SlowStartLimiter;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.ChatKey;
 import org.laurelweir.quarantine.CrashTable;
 import org.laurelweir.quarantine.QuarantineLogger;
@@ -19,6 +21,7 @@
     private final ExchangeScheduler mExchanges;
     private final Requests mRequests = new Requests();
     private final MembershipChangeLogger mChangeLogger = new MembershipChangeLogger();
+    private final DataCentreDrainLogger mDrainLogger = new DataCentreDrainLogger();
     private final Memberships mMemberships = new Memberships(mChangeLogger::onChange);
     private final AccountLimits mLimits = new AccountLimits();
     private final Placements mPlacements;
@@ -33,6 +36,7 @@
     private final CrashTable mCrashes;
     private final CrashSharing mCrashSharing;
     private final LoadEstimator mLoads = new LoadEstimator();
+    private final SlowStartLimiter mSlowStarts = new SlowStartLimiter();
     private final LoadDigestLogger mLoadDigestLogger = new LoadDigestLogger(mLoads);
     private int mRouterCount;
     private boolean mStopping;
@@ -54,6 +58,7 @@
                         config.retryLimits(),
                         mCrashes,
                         mLoads,
+                        mSlowStarts,
                         config.seed());
         DecisionLogger decisionLogger = new DecisionLogger(config, mPlacements);
         Claims claims = new Claims();
@@ -104,6 +109,7 @@
         if (!answer.membership().cursor().isSameIncarnation(mMemberships.cursor())) {
             mLoads.requestFullReport();
         }
+        applyRules(s, answer.rules());
         mMemberships.apply(s.now(), answer.membership());
         mChangeLogger.flush(s, mMemberships.cursor());
         mCrashSharing.onAnswered(s.now(), mMemberships.cursor(), answer.crashes());
@@ -116,6 +122,15 @@
         mLoads.onDigest(answer.digest(), mLimits.routerCount(), this::serviceOf);
     }
 
+    /** Applies control's rules, before the membership, so that new backend servers obey them. */
+    private void applyRules(Step s, PlacementRules rules) {
+        if (mMemberships.applyRules(s.now(), rules)) {
+            mDrainLogger.log(s, rules.drained(), mMemberships.cursor());
+            mPlacements.prune();
+        }
+        mSlowStarts.onPermits(s.now(), rules.slowStartPermits());
+    }
+
     /** Returns the service of a backend server, or null if this run of it is unknown. */
     private String serviceOf(BackendRef ref) {
         Backend b = mMemberships.backend(ref.id());
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -192,6 +192,17 @@
                                     "Requests that one engine of a routed service runs at"
                                             + " once; 0 for a service without engines."));
 
+    public static final SettingKey<Double> SERVICE_SLOW_START_RATE =
+            add(
+                    SettingKey.builder("service.slow-start-rate", SettingType.NUMBER)
+                            .defaultsTo("0")
+                            .range("0", "1000000")
+                            .defines(Level.SERVICE)
+                            .doc(
+                                    "Requests a second that one backend server of a routed"
+                                            + " service takes while it announces that it is in"
+                                            + " slow start; 0 for no limit."));
+
     public static final SettingKey<String> CHAT_HEADER =
             add(
                     SettingKey.builder("chat.header", SettingType.TOKEN_NAME)
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlStateTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlStateTest.java
@@ -12,6 +12,7 @@
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.DrainedDataCentres;
 import org.laurelweir.routing.RequestPolicy;
 import org.laurelweir.settings.SettingKeys;
 
@@ -150,6 +151,42 @@
                 .containsExactly(1L, 2L, 1L);
     }
 
+    private void drainDataCentre(String name, boolean drain, String author) {
+        mState.apply(++mIndex, new Command.DrainDataCentre(Instant.EPOCH, name, drain, author));
+    }
+
+    // Guards against a late copy of an acknowledged order that changes who gave it and when, or
+    // that makes routers apply an unchanged set again.
+    @Test
+    void repeatedDrainOfADataCentreChangesNothing() {
+        drainDataCentre("bergen", true, "ann");
+        drainDataCentre("bergen", true, "bo");
+        drainDataCentre("askoy", false, "bo");
+        assertThat(mState.dataCentreDrains())
+                .containsExactly(new DataCentreDrain("bergen", "ann", Instant.EPOCH));
+        assertThat(mState.drainedDataCentres().position()).isEqualTo(1);
+    }
+
+    @Test
+    void lastOrderInTheLogDecidesOnADataCentre() {
+        drainDataCentre("bergen", true, "ann");
+        drainDataCentre("askoy", true, "ann");
+        drainDataCentre("bergen", false, "bo");
+        assertThat(mState.drainedDataCentres())
+                .isEqualTo(new DrainedDataCentres(3, List.of("askoy")));
+    }
+
+    // Guards against losing the orders about data centres when the log is compacted.
+    @Test
+    void snapshotContainsDrainedDataCentres() {
+        drainDataCentre("bergen", true, "ann");
+        drainDataCentre("askoy", true, "ann");
+        ControlState restored = new ControlState(ControlState.Limits.DEFAULT);
+        restored.restore(mState.snapshot());
+        assertThat(restored.snapshot()).isEqualTo(mState.snapshot());
+        assertThat(restored.drainedDataCentres()).isEqualTo(mState.drainedDataCentres());
+    }
+
     @Test
     void snapshotContainsWholeState() {
         claim(1, "key", FIRST, null);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -31,6 +31,7 @@
 
     final List<DirectEffect> mEffects = new ArrayList<>();
     final CrashTable mCrashes = new CrashTable("r", (record, quarantined) -> {});
+    final SlowStartLimiter mSlowStarts = new SlowStartLimiter();
     final LoadEstimator mLoads = new LoadEstimator();
     private final Map<String, Backend> mBackends = new HashMap<>();
     private final DirectRouting mRouting;
@@ -46,7 +47,7 @@
         for (int i = 0; i < servers; i++) {
             join("s" + i);
         }
-        mRouting = new DirectRouting(this, () -> 1, limits, mCrashes, mLoads, seed);
+        mRouting = new DirectRouting(this, () -> 1, limits, mCrashes, mLoads, mSlowStarts, seed);
     }
 
     void join(String id) {
--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
@@ -11,7 +11,6 @@
 import org.laurelweir.consensus.ConsensusEvent;
 import org.laurelweir.consensus.HardState;
 import org.laurelweir.consensus.ReplicaId;
-import org.laurelweir.consensus.Snapshot;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
@@ -20,7 +19,7 @@
 
 /**
  * Simulated control instances that exchange their membership, loads and crashes by messages. Their
- * replicated log stays empty.
+ * replicated logs start with a snapshot of the settings and then stay as they are.
  */
 public final class FleetControls {
     private static final int TICK_MILLIS = 20;
@@ -28,13 +27,24 @@
     private static final int ANNOUNCE_RETRY_MILLIS = 100;
 
     private final VirtualTime mTime;
+    private final PresetState mState;
     private final List<Instance> mInstances = new ArrayList<>();
     private final Map<String, String> mAddresses = new TreeMap<>();
     private long mLastCall;
 
-    /** Creates instances that have just started and know each other's addresses. */
+    /** Creates instances without settings that have just started. */
     public FleetControls(VirtualTime time, int count) {
+        this(time, count, Map.of());
+    }
+
+    /**
+     * Creates instances that have just started and know each other's addresses.
+     *
+     * @param settings the values of each settings node by its path
+     */
+    public FleetControls(VirtualTime time, int count, Map<String, Map<String, String>> settings) {
         mTime = time;
+        mState = new PresetState(settings);
         for (int i = 0; i < count; i++) {
             mAddresses.put("c" + i, "c" + i);
         }
@@ -106,11 +116,11 @@
             mCalls.clear();
             ControlConfig config =
                     ControlConfig.builder(new ReplicaId(mName, 1), mStarts, mAddresses).build();
-            mReducer = new ControlReducer(config, null, mTime.random().nextLong());
+            mReducer = new ControlReducer(config, mState, mTime.random().nextLong());
             step(
                     new ControlEvent.ReplicaEvent(
                             new ConsensusEvent.Recovered(
-                                    HardState.INITIAL, Snapshot.NONE, List.of(), 0)));
+                                    HardState.INITIAL, PresetState.SNAPSHOT, List.of(), 0)));
         }
 
         void call(LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
@@ -144,6 +144,6 @@
 
     private static RouterEvent exchangeAnswered(AnswerExchange a) {
         return new RouterEvent.ExchangeAnswered(
-                a.membership(), a.crashes(), a.digest(), a.loads(), a.routerCount());
+                a.membership(), a.crashes(), a.digest(), a.loads(), a.routerCount(), a.rules());
     }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
@@ -28,6 +28,7 @@
 final class FleetEngines implements FleetBackends {
     static final String SERVICE = "engines";
 
+    private static final int DATA_CENTRES = 4;
     private static final int ANNOUNCE_INTERVAL_MILLIS = 1200;
     private static final int SLOTS = 64;
 
@@ -51,10 +52,14 @@
     /** Additional time per token for each request of the engine. */
     private static final double MILLIS_PER_TOKEN_PER_REQUEST = 0.25;
 
+    private static final AnswerMetadata MISDIRECTED =
+            new AnswerMetadata(true, true, true, Optional.empty());
+
     private final VirtualTime mTime;
     private final FleetControls mControls;
     private final Map<String, Engine> mByAddress = new HashMap<>();
     private final List<Arrival> mArrivals = new ArrayList<>();
+    private final List<SlowStartArrival> mSlowStartArrivals = new ArrayList<>();
     private long mPrefilledTokens;
 
     /**
@@ -74,7 +79,7 @@
         mTime = time;
         mControls = controls;
         for (int i = 0; i < count; i++) {
-            Engine e = new Engine(new BackendRef("e" + i, 1), address(i));
+            Engine e = new Engine(new BackendRef("e" + i, 1), address(i), i % DATA_CENTRES);
             mByAddress.put(e.mAddress, e);
             announce(e);
         }
@@ -87,6 +92,43 @@
         e.mStalledUntil = mTime.millis() + millis;
     }
 
+    /**
+     * Crashes all engines of a data centre. They start again together after some time, each under a
+     * new name, without cached parts and in slow start.
+     */
+    void restartDataCentre(int dataCentre, int downMillis, int slowStartMillis) {
+        for (Engine e : mByAddress.values()) {
+            if (e.mDataCentre == dataCentre) {
+                crash(e);
+                mTime.after(downMillis, () -> restart(e, slowStartMillis));
+            }
+        }
+    }
+
+    private void crash(Engine e) {
+        e.mDown = true;
+        e.mWaiting.clear();
+        e.mCachedParts.clear();
+        e.mRequests.forEach(r -> r.fail(DirectEvent.Failure.CONNECTION_LOST));
+        e.mRequests.clear();
+    }
+
+    private void restart(Engine e, int slowStartMillis) {
+        e.mDown = false;
+        e.mRef = new BackendRef(e.mRef.id() + "'", 1);
+        e.mAnnouncements = 0;
+        e.mSlowStartUntil = mTime.millis() + slowStartMillis;
+        announce(e);
+    }
+
+    /** Returns the requests that reached engines in slow start, in order of arrival. */
+    List<SlowStartArrival> slowStartArrivals() {
+        return mSlowStartArrivals;
+    }
+
+    /** A request that reached an engine in slow start. */
+    record SlowStartArrival(long atMillis, BackendRef engine) {}
+
     /** Returns the requests that reached engines, in order of arrival. */
     List<Arrival> arrivals() {
         return mArrivals;
@@ -102,17 +144,25 @@
     }
 
     private void announce(Engine e) {
+        if (e.mDown) {
+            return;
+        }
         mControls.announce(
                 () ->
                         new Backend(
                                 e.mRef,
                                 SERVICE,
-                                "dc",
+                                "dc" + e.mDataCentre,
                                 "rg",
                                 e.mAddress,
                                 Backend.State.SERVING,
                                 WEIGHT,
-                                ++e.mAnnouncements));
+                                ++e.mAnnouncements,
+                                isInSlowStart(e)));
+    }
+
+    private boolean isInSlowStart(Engine e) {
+        return mTime.millis() < e.mSlowStartUntil;
     }
 
     @Override
@@ -133,6 +183,17 @@
     }
 
     private void arrive(Engine e, EngineCall r) {
+        if (e.mDown) {
+            r.fail(DirectEvent.Failure.NOT_SENT);
+            return;
+        }
+        if (!e.mRef.equals(r.mCall.backend())) {
+            r.send(new DirectEvent.HeadReceived(r.mCall.call(), 421, List.of(), MISDIRECTED));
+            return;
+        }
+        if (isInSlowStart(e)) {
+            mSlowStartArrivals.add(new SlowStartArrival(mTime.millis(), e.mRef));
+        }
         double mean =
                 mByAddress.values().stream().mapToInt(Engine::requestCount).average().orElse(0);
         mArrivals.add(new Arrival(mTime.millis(), e.requestCount(), mean));
@@ -204,23 +265,31 @@
             return mCall.call() == call && mEvents == events;
         }
 
+        void fail(DirectEvent.Failure failure) {
+            send(new DirectEvent.Failed(mCall.call(), failure, "the engine is down"));
+        }
+
         void send(DirectEvent event) {
             transit(() -> mEvents.accept(event));
         }
     }
 
     private static final class Engine {
-        private final BackendRef mRef;
+        private BackendRef mRef;
         private final String mAddress;
+        private final int mDataCentre;
         private final Set<EngineCall> mRequests = new HashSet<>();
         private final Deque<EngineCall> mWaiting = new ArrayDeque<>();
         private final Set<Long> mCachedParts = new HashSet<>();
         private boolean mPrefilling;
+        private boolean mDown;
         private long mStalledUntil;
+        private long mSlowStartUntil;
         private int mAnnouncements;
 
-        Engine(BackendRef ref, String address) {
+        Engine(BackendRef ref, String address, int dataCentre) {
             mRef = ref;
+            mDataCentre = dataCentre;
             mAddress = address;
         }
 
--- a/org.laurelweir/src/test/java/org/laurelweir/load/LoadedFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/LoadedFleet.java
@@ -3,7 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.direct.Prompt;
@@ -12,6 +14,7 @@
 import org.laurelweir.fleet.FleetControls;
 import org.laurelweir.fleet.FleetRouter;
 import org.laurelweir.fleet.VirtualTime;
+import org.laurelweir.lib.ResultCode;
 import org.laurelweir.settings.RouteShare;
 
 /**
@@ -49,10 +52,26 @@
                     Duration.ofMillis(400),
                     5);
 
+    /** Requests a second that an engine takes in slow start. */
+    static final int SLOW_START_RATE = 11;
+
+    private static final Map<String, Map<String, String>> SETTINGS =
+            Map.of(
+                    "/service=" + FleetEngines.SERVICE,
+                    Map.of(
+                            "service.kind",
+                            "routed",
+                            "service.slow-start-rate",
+                            String.valueOf(SLOW_START_RATE)));
+
     final VirtualTime mTime;
     final FleetControls mControls;
     final FleetEngines mEngines;
     final List<FleetRouter> mRouters = new ArrayList<>();
+
+    /** Number of requests by the code that their callers got. */
+    final Map<ResultCode, Integer> mAnswers = new EnumMap<>(ResultCode.class);
+
     private double mHotShare;
     private int mRequests;
 
@@ -76,7 +95,7 @@
 
     LoadedFleet(long seed, int routers, int engines) {
         mTime = new VirtualTime(seed);
-        mControls = new FleetControls(mTime, CONTROL_COUNT);
+        mControls = new FleetControls(mTime, CONTROL_COUNT, SETTINGS);
         mEngines = new FleetEngines(mTime, mControls, engines);
         for (int i = 0; i < routers; i++) {
             mRouters.add(new FleetRouter(mTime, mControls, mEngines, i));
@@ -127,7 +146,8 @@
         AttemptRequest.Call call = new AttemptRequest.Call("POST", "/x/1", List.of(), body, true);
         RoutedRequest request =
                 new RoutedRequest("q" + mRequests, ROUTE, "acme", 5, TIMEOUT, call, prompt);
-        mRouters.get(random().nextInt(mRouters.size())).submit(request, code -> {});
+        mRouters.get(random().nextInt(mRouters.size()))
+                .submit(request, code -> mAnswers.merge(code, 1, Integer::sum));
     }
 
     private int randomPart(Kind k) {
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectAnnouncementsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectAnnouncementsTest.java
@@ -354,4 +354,18 @@
         assertThat(mMembershipA.backend("w").state()).isEqualTo(Backend.State.LEFT);
         assertThat(mMembershipB.backend("w").state()).isEqualTo(Backend.State.LEFT);
     }
+
+    // Guards against routers that learn of a slow start only when something else changes, because
+    // an unchanged announcement is not passed on.
+    @Test
+    void beginAndEndOfASlowStartReachThePeer() {
+        mDirectA.receive(NOW, announcement(Backend.State.SERVING, 1));
+        exchangeUpdates();
+        mDirectA.receive(NOW, announcement(Backend.State.SERVING, 2).withSlowStart(true));
+        exchangeUpdates();
+        assertThat(mMembershipB.backend("w").slowStart()).isTrue();
+        mDirectB.receive(NOW, announcement(Backend.State.SERVING, 3));
+        exchangeUpdates();
+        assertThat(mMembershipA.backend("w").slowStart()).isFalse();
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/AccountShareTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/AccountShareTest.java
@@ -22,6 +22,7 @@
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.quarantine.CrashDelta;
 
@@ -156,7 +157,12 @@
         void receiveRouterCount(int routers) {
             step(
                     new RouterEvent.ExchangeAnswered(
-                            ONE_BACKEND, CrashDelta.NONE, LoadDigest.NONE, List.of(), routers));
+                            ONE_BACKEND,
+                            CrashDelta.NONE,
+                            LoadDigest.NONE,
+                            List.of(),
+                            routers,
+                            PlacementRules.NONE));
         }
 
         void startRequests(RequestPolicy policy, int requests) {
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/FakeFleet.java
@@ -18,6 +18,7 @@
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.quarantine.CrashDelta;
 
@@ -120,7 +121,12 @@
             stepRouter(
                     i,
                     new RouterEvent.ExchangeAnswered(
-                            delta, CrashDelta.NONE, LoadDigest.NONE, List.of(), ROUTERS));
+                            delta,
+                            CrashDelta.NONE,
+                            LoadDigest.NONE,
+                            List.of(),
+                            ROUTERS,
+                            PlacementRules.NONE));
         }
     }
 
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipsTest.java
@@ -9,8 +9,10 @@
 import org.junit.jupiter.api.Test;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.DrainedDataCentres;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.Candidate;
 
 /**
@@ -127,4 +129,70 @@
                 .map(Candidate::id)
                 .toList();
     }
+
+    private void applyDrained(long position, String... names) {
+        applyDrained(position, List.of(), names);
+    }
+
+    private void applyDrained(long position, List<String> slowStartServices, String... names) {
+        DrainedDataCentres drained = new DrainedDataCentres(position, List.of(names));
+        mMemberships.applyRules(NOW, new PlacementRules(drained, slowStartServices, List.of()));
+    }
+
+    private boolean takesRequests(String id) {
+        Candidate c = mMemberships.view("s").candidate(id);
+        return c != null && !c.draining();
+    }
+
+    // Guards against requests to a drained data centre, whichever of its backend servers joins or
+    // announces itself again meanwhile.
+    @Test
+    void drainedDataCentreGetsNoRequests() {
+        applyDelta("a", true, backend(0, Backend.State.SERVING, 3));
+        assertThat(takesRequests("w")).isTrue();
+        applyDrained(7, "dc");
+        assertThat(takesRequests("w")).isFalse();
+        applyDelta("a", false, backend(0, Backend.State.SERVING, 4));
+        assertThat(takesRequests("w")).isFalse();
+        applyDelta("a", false, backend(9, Backend.State.SERVING, 1));
+        assertThat(takesRequests("w")).isFalse();
+        applyDrained(8);
+        assertThat(takesRequests("w")).isTrue();
+    }
+
+    // Guards against requests to a drained data centre after an exchange with a control instance
+    // that was cut off before the order.
+    @Test
+    void olderSetOfDrainedDataCentresIsIgnored() {
+        applyDelta("a", true, backend(0, Backend.State.SERVING, 3));
+        applyDrained(7, "dc");
+        applyDrained(5);
+        assertThat(takesRequests("w")).isFalse();
+    }
+
+    // Guards against new requests to a backend server that leaves, once its data centre is
+    // undrained.
+    @Test
+    void undrainedDataCentreKeepsItsDrainingServersDraining() {
+        applyDrained(7, "dc");
+        applyDelta("a", true, backend(0, Backend.State.DRAINING, 3));
+        applyDrained(8);
+        assertThat(takesRequests("w")).isFalse();
+    }
+
+    // Guards against a rush of requests to servers that have become cold while their data centre
+    // was drained and have not announced that yet.
+    @Test
+    void serversOfAnUndrainedDataCentreCountAsInSlowStartForAWhile() {
+        applyDelta("a", true, backend(0, Backend.State.SERVING, 3));
+        assertThat(mMemberships.isInSlowStart("w", NOW)).isFalse();
+        applyDrained(7, "dc");
+        applyDrained(8);
+        assertThat(mMemberships.isInSlowStart("w", NOW)).isFalse();
+        applyDrained(9, List.of("s"), "dc");
+        applyDrained(10, List.of("s"));
+        assertThat(mMemberships.isInSlowStart("w", NOW)).isTrue();
+        Instant later = NOW.plus(Memberships.UNDRAINED_SLOW_START);
+        assertThat(mMemberships.isInSlowStart("w", later)).isFalse();
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/RouterReducerTest.java
@@ -20,6 +20,7 @@
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.MembershipDelta;
+import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.routing.RouterEffect.AnswerError;
@@ -54,7 +55,8 @@
                 CrashDelta.NONE,
                 LoadDigest.NONE,
                 List.of(),
-                1);
+                1,
+                PlacementRules.NONE);
     }
 
     private void step(RouterEvent event) {
