Serve requests in the allowed regions of their route and client account only

route.allowed-regions and account.allowed-regions are conditions of each choice of a backend server, on first attempts, retries and resumed streams, and of the source from which cached parts are fetched. Both hold where both are set; a server whose region nobody told is not allowed. Control refuses a change that names a region which its settings file does not list, and gives servers that tell no region that of their data centre.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.direct.AllowedRegions;
 import org.laurelweir.direct.Prompt;
 import org.laurelweir.direct.Route;
 import org.laurelweir.direct.RouteTable;
@@ -130,7 +131,17 @@
                         forwardedHeaders(call),
                         call.body(),
                         route.streamed()),
-                prompt(call));
+                prompt(call),
+                route.allowedRegions().and(allowedRegions(tree, account)));
+    }
+
+    private static AllowedRegions allowedRegions(SettingsTree tree, String account) {
+        if (account.isEmpty()) {
+            return AllowedRegions.ALL;
+        }
+        return tree.node(NodePath.ofAccount(account))
+                .map(n -> AllowedRegions.of(n.value(SettingKeys.ACCOUNT_ALLOWED_REGIONS)))
+                .orElse(AllowedRegions.ALL);
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -38,6 +38,7 @@
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
 
     private final ControlConfig mConfig;
+    private final RegionCheck mRegionCheck;
     private final DecisionLogger mDecisionLogger;
     private final SharedMembership mMembership;
     private final LogReplica mReplica;
@@ -64,6 +65,7 @@
      */
     public ControlReducer(ControlConfig config, LogCodec codec, long seed) {
         mConfig = config;
+        mRegionCheck = new RegionCheck(config.regions().values());
         mDecisionLogger = new DecisionLogger(config.name());
         mIgnoredAnnouncementLogger = new IgnoredAnnouncementLogger(mDecisionLogger);
         mReplica = new LogReplica(config, codec, seed, mDecisionLogger);
@@ -165,7 +167,7 @@
     }
 
     private void onAnnounced(BackendAnnounced e) {
-        Backend b = withoutNeedlessSlowStart(e.backend());
+        Backend b = withRegion(withoutNeedlessSlowStart(e.backend()));
         DirectAnnouncements.Outcome outcome = mDirectAnnouncements.receive(mNow, b);
         mIgnoredAnnouncementLogger.log(mNow, b, outcome, mEffects);
         mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
@@ -181,6 +183,12 @@
         return b.slowStart() && !isLimited ? b.withSlowStart(false) : b;
     }
 
+    /** Returns the announcement with the region of its data centre if it does not name one. */
+    private Backend withRegion(Backend b) {
+        String region = mConfig.regions().getOrDefault(b.dataCentre(), "");
+        return b.region().isEmpty() ? b.withRegion(region) : b;
+    }
+
     /** Returns the number of requests a second of a service's servers in slow start. */
     private double slowStartRate(String service) {
         return mReplica.state()
@@ -231,6 +239,14 @@
             mEffects.accept(unknownBackendServer(e.call(), d.backend()));
             return;
         }
+        Set<String> unknown = mRegionCheck.unknownRegions(e.command());
+        if (!unknown.isEmpty()) {
+            String message = "unknown regions: " + String.join(", ", unknown);
+            mEffects.accept(
+                    new ControlEffect.AnswerError(
+                            e.call(), ResultCode.SETTINGS_INVALID, message, ""));
+            return;
+        }
         mReplica.propose(mNow, e.call(), e.command(), mEffects);
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
@@ -74,13 +74,15 @@
     }
 
     /**
-     * Returns whether a server is known, has not been restarted since and has not failed recently.
-     * A fetch from an unreachable server would delay the request.
+     * Returns whether a server is known, is in a region that may have the request's prompt, has not
+     * been restarted since and has not failed recently. A fetch from an unreachable server would
+     * delay the request.
      */
     private boolean isUsable(ActiveRequest r, BackendRef holder, Instant now) {
         Backend known = mBackends.backend(holder.id());
         return known != null
                 && known.ref().equals(holder)
+                && r.mRequest.allowedRegions().allows(known.region())
                 && !mServers.isUnreliable(r.mService, holder, now);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Route.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Route.java
@@ -23,6 +23,7 @@
  * @param objective target time to the first data of an answer
  * @param maxPause target for the longest pause between events of a stream
  * @param priority requests with a higher priority go first, 0 to 9
+ * @param allowedRegions the regions whose backend servers may run the requests
  */
 public record Route(
         String name,
@@ -37,7 +38,40 @@
         Duration timeout,
         Duration objective,
         Duration maxPause,
-        int priority) {
+        int priority,
+        AllowedRegions allowedRegions) {
+    /** Creates a route whose requests may be served in every region. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            List<RouteShare> shares,
+            boolean idempotent,
+            boolean streamed,
+            boolean resumable,
+            boolean isPublic,
+            int maxAttempts,
+            Duration timeout,
+            Duration objective,
+            Duration maxPause,
+            int priority) {
+        this(
+                name,
+                host,
+                prefix,
+                shares,
+                idempotent,
+                streamed,
+                resumable,
+                isPublic,
+                maxAttempts,
+                timeout,
+                objective,
+                maxPause,
+                priority,
+                AllowedRegions.ALL);
+    }
+
     /**
      * Returns the route that a node of the settings tree defines, with defaults for missing keys.
      */
@@ -55,7 +89,8 @@
                 value(node, SettingKeys.ROUTE_TIMEOUT),
                 value(node, SettingKeys.ROUTE_OBJECTIVE),
                 value(node, SettingKeys.ROUTE_MAX_PAUSE),
-                value(node, SettingKeys.ROUTE_PRIORITY));
+                value(node, SettingKeys.ROUTE_PRIORITY),
+                AllowedRegions.of(value(node, SettingKeys.ROUTE_ALLOWED_REGIONS)));
     }
 
     private static <T> T value(SettingsNode node, SettingKey<T> key) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
@@ -13,6 +13,7 @@
  * @param timeLeft time until the caller's deadline or the route's timeout, whichever is earlier
  * @param call the HTTP request to send to the backend server
  * @param prompt the caller's description of the prompt, or {@link Prompt#NONE}
+ * @param allowedRegions the regions whose backend servers may run the request
  */
 public record RoutedRequest(
         String id,
@@ -21,4 +22,17 @@
         int priority,
         Duration timeLeft,
         AttemptRequest.Call call,
-        Prompt prompt) {}
+        Prompt prompt,
+        AllowedRegions allowedRegions) {
+    /** Creates a request that may be served in every region. */
+    public RoutedRequest(
+            String id,
+            Route route,
+            String account,
+            int priority,
+            Duration timeLeft,
+            AttemptRequest.Call call,
+            Prompt prompt) {
+        this(id, route, account, priority, timeLeft, call, prompt, AllowedRegions.ALL);
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.laurelweir.load.LoadEstimator;
+import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ChatKey;
 import org.laurelweir.placement.ServiceView;
@@ -242,7 +243,8 @@
     private boolean isEligible(ActiveRequest r, Candidate c, Instant now) {
         return !r.mTriedServers.contains(c.id())
                 && !mServers.isPassedOver(r.mService, c.ref(), now)
-                && isWarmOrPermitted(c, now);
+                && isWarmOrPermitted(c, now)
+                && isInAllowedRegion(r, c);
     }
 
     /** Returns whether a server is not in slow start, or takes a request of this router even so. */
@@ -250,6 +252,14 @@
         return !mBackends.isInSlowStart(c.id(), now) || mSlowStarts.permits(now, c.ref());
     }
 
+    private boolean isInAllowedRegion(ActiveRequest r, Candidate c) {
+        if (!r.mRequest.allowedRegions().isLimited()) {
+            return true;
+        }
+        Backend b = mBackends.backend(c.id());
+        return b != null && r.mRequest.allowedRegions().allows(b.region());
+    }
+
     private ServingServers serving(String service) {
         ServiceView view = mBackends.view(service);
         ServingServers servers = mServing.get(service);
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
@@ -65,6 +65,12 @@
                 ref, service, dataCentre, region, address, state, weight, newSession, slowStart);
     }
 
+    /** Returns a copy in another region. */
+    public Backend withRegion(String newRegion) {
+        return new Backend(
+                ref, service, dataCentre, newRegion, address, state, weight, session, slowStart);
+    }
+
     /** Returns a copy that is in slow start or not. */
     public Backend withSlowStart(boolean newSlowStart) {
         return new Backend(
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -99,6 +99,15 @@
                                     "SHA-256 digests of the bearer keys that name the client"
                                             + " account."));
 
+    public static final SettingKey<List<String>> ACCOUNT_ALLOWED_REGIONS =
+            add(
+                    SettingKey.builder("account.allowed-regions", SettingType.NAMES)
+                            .defines(Level.ACCOUNT)
+                            .doc(
+                                    "Regions whose backend servers may run the client account's"
+                                            + " routed requests; those of the route hold, too."
+                                            + " Every one if absent."));
+
     public static final SettingKey<Integer> ACCOUNT_PRIORITY =
             add(
                     SettingKey.builder("account.priority", SettingType.COUNT)
@@ -511,6 +520,14 @@
                             .defines(Level.ROUTE)
                             .doc("Longest pause between events of a prompt stream."));
 
+    public static final SettingKey<List<String>> ROUTE_ALLOWED_REGIONS =
+            add(
+                    SettingKey.builder("route.allowed-regions", SettingType.NAMES)
+                            .defines(Level.ROUTE)
+                            .doc(
+                                    "Regions whose backend servers may run the requests; every"
+                                            + " one if absent."));
+
     public static final SettingKey<Integer> ROUTE_PRIORITY =
             add(
                     SettingKey.builder("route.priority", SettingType.COUNT)
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -59,6 +59,12 @@
         join(new BackendRef(id, mBackends.get(id).ref().incarnation() + 1));
     }
 
+    /** Adds a server of a region. */
+    void join(String id, String region) {
+        join(new BackendRef(id, 0));
+        mBackends.computeIfPresent(id, (i, b) -> b.withRegion(region));
+    }
+
     private void join(BackendRef ref) {
         String id = ref.id();
         mBackends.put(
