--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
@@ -0,0 +1,42 @@
+package org.laurelweir.direct;
+
+import java.time.Instant;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.placement.Candidate;
+
+/**
+ * Says which backend servers may be candidates for a request. Draining servers, and those of
+ * drained data centres, are not in the views that candidates are taken from.
+ */
+final class CandidateFilter {
+    private final BackendSource mBackends;
+    private final ServerTable mServers;
+    private final SlowStartLimiter mSlowStarts;
+
+    CandidateFilter(BackendSource backends, ServerTable servers, SlowStartLimiter slowStarts) {
+        mBackends = backends;
+        mServers = servers;
+        mSlowStarts = slowStarts;
+    }
+
+    /** Returns whether a server may be a candidate for a request. */
+    boolean isEligible(ActiveRequest r, Candidate c, Instant now) {
+        return !r.mTriedServers.contains(c.id())
+                && !mServers.isPassedOver(r.mService, c.ref(), now)
+                && isWarmOrPermitted(c, now)
+                && isInAllowedRegion(r, c);
+    }
+
+    /** Returns whether a server is not in slow start, or takes a request of this router even so. */
+    private boolean isWarmOrPermitted(Candidate c, Instant now) {
+        return !mBackends.isInSlowStart(c.id(), now) || mSlowStarts.permits(now, c.ref());
+    }
+
+    private boolean isInAllowedRegion(ActiveRequest r, Candidate c) {
+        if (!r.mRequest.allowedRegions().isLimited()) {
+            return true;
+        }
+        Backend b = mBackends.backend(c.id());
+        return b != null && r.mRequest.allowedRegions().allows(b.region());
+    }
+}
