Rename Figures, HeldBackends and mVanishAfter after what they hold

RunMeasurements, DelayedBackends and mDepartureTimeout. Kept, as the usual terms: Turn (a chat's), Parker (as LockSupport parks), PartHolders, VoterPlan, EarlyCalls. Left: MarkFile, SafeHandler, BareProcess.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/AccountMisses.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/AccountMisses.java
@@ -1,7 +1,7 @@
 package org.laurelweir.benchmarks.measure;
 
 import java.util.stream.IntStream;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 
 /**
  * Missed deadlines by client account. A rejected request counts as missed.
@@ -9,7 +9,7 @@
  * @param figures the measurements of one run
  * @param surging index of the surging account, which the totals of the others exclude
  */
-record AccountMisses(Figures figures, int surging) {
+record AccountMisses(RunMeasurements figures, int surging) {
     private IntStream others() {
         return IntStream.range(0, figures.arrivalsByAccount().length).filter(a -> a != surging);
     }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/FairShares.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/FairShares.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.Locale;
 import org.laurelweir.benchmarks.measure.Deployment.Surge;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
 import org.laurelweir.benchmarks.measure.fleet.Run;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 import org.laurelweir.benchmarks.measure.policy.FairScheme;
 import org.laurelweir.benchmarks.measure.workload.SurgeTrace;
 import org.laurelweir.benchmarks.measure.workload.Trace;
@@ -58,14 +58,14 @@
                         " --- |".repeat(9)));
         for (FairScheme scheme : FairScheme.values()) {
             out.append(line(scheme, "usual", new AccountMisses(play(d, scheme, -1), account)));
-            Figures surged = play(d, scheme, account);
+            RunMeasurements surged = play(d, scheme, account);
             out.append(line(scheme, "surge", new AccountMisses(surged, account)));
         }
         out.append('\n');
     }
 
     /** Executes a run in which an account surges; no account surges if it is negative. */
-    Figures play(Deployment d, FairScheme scheme, int account) {
+    RunMeasurements play(Deployment d, FairScheme scheme, int account) {
         Trace trace = TraceGenerator.generate(d, mSeed);
         if (account >= 0) {
             Surge s = new Surge(account, SURGE_START_MINUTE, SURGE_MINUTES, SURGE_FACTOR, 0);
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/MeasureCommand.java
@@ -18,9 +18,9 @@
 import java.util.concurrent.Future;
 import java.util.function.Supplier;
 import org.laurelweir.benchmarks.measure.fleet.ChurnPlan;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
 import org.laurelweir.benchmarks.measure.fleet.MembershipEvent;
 import org.laurelweir.benchmarks.measure.fleet.Run;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 import org.laurelweir.benchmarks.measure.policy.Policy;
 import org.laurelweir.benchmarks.measure.report.Comparison;
 import org.laurelweir.benchmarks.measure.report.JsonReport;
@@ -89,14 +89,14 @@
     private Supplier<Comparison> startRuns(Deployment deployment, ExecutorService pool) {
         Trace trace = TraceGenerator.generate(deployment, mSeed);
         List<MembershipEvent> churn = ChurnPlan.generate(deployment, mSeed);
-        Map<Policy, Future<Figures>> runs = new EnumMap<>(Policy.class);
+        Map<Policy, Future<RunMeasurements>> runs = new EnumMap<>(Policy.class);
         for (Policy p : policies()) {
-            Callable<Figures> play =
+            Callable<RunMeasurements> play =
                     () -> new Run(deployment, trace, churn, p::newScheme, mSeed).play();
             runs.put(p, pool.submit(play));
         }
         return () -> {
-            Map<Policy, Figures> figures = new EnumMap<>(Policy.class);
+            Map<Policy, RunMeasurements> figures = new EnumMap<>(Policy.class);
             runs.forEach((p, run) -> figures.put(p, awaitResult(run)));
             return new Comparison(deployment, mSeed, figures);
         };
@@ -112,7 +112,7 @@
         return policies;
     }
 
-    private static Figures awaitResult(Future<Figures> run) {
+    private static RunMeasurements awaitResult(Future<RunMeasurements> run) {
         try {
             return run.get();
         } catch (InterruptedException | ExecutionException e) {
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Fleet.java
@@ -24,15 +24,15 @@
     private final double[] mReportedMeans;
     private final Timers mTimers = new Timers();
     private final ControlBytes mControlBytes = new ControlBytes();
-    private final Figures mFigures;
+    private final RunMeasurements mMeasurements;
     private final int mExpectedOutputTokens;
     private final long mSeed;
     private Scheme mScheme;
     private long mNow;
 
-    Fleet(Deployment deployment, Figures figures, long seed) {
+    Fleet(Deployment deployment, RunMeasurements figures, long seed) {
         mDeployment = deployment;
-        mFigures = figures;
+        mMeasurements = figures;
         mSeed = seed;
         mReportedMeans = new double[deployment.services().size()];
         mExpectedOutputTokens = (int) deployment.chats().output().mean();
@@ -86,8 +86,8 @@
         return mControlBytes;
     }
 
-    Figures figures() {
-        return mFigures;
+    RunMeasurements figures() {
+        return mMeasurements;
     }
 
     Timers timers() {
@@ -135,21 +135,21 @@
     public void start(Request request, Engine engine) {
         WorkEstimate work = request.workAt(engine);
         engine.accept(request, work.units(mDeployment.bound().prefillWeight()));
-        double skew = mFigures.skew(engine, Figures.mean(engines(engine.service())));
-        mFigures.onStart(request, work.cachedTokens(), skew, mNow);
+        double skew = mMeasurements.skew(engine, RunMeasurements.mean(engines(engine.service())));
+        mMeasurements.onStart(request, work.cachedTokens(), skew, mNow);
         startQueued(engine);
     }
 
     /** Rejects a request; its caller learns that it was not run. */
     public void reject(Request request) {
-        mFigures.onReject(request, mNow);
+        mMeasurements.onReject(request, mNow);
     }
 
     private void startQueued(Engine engine) {
         for (Request r = engine.pollStartable(); r != null; r = engine.pollStartable()) {
             Request started = r;
             long end = engine.begin(r, r.workAt(engine).uncachedTokens(), mNow);
-            mFigures.onFirstToken(r, r.firstTokenAt(), mNow);
+            mMeasurements.onFirstToken(r, r.firstTokenAt(), mNow);
             mTimers.add(end, () -> end(started, engine));
         }
     }
@@ -216,11 +216,11 @@
     private void crash(Engine engine) {
         for (Request r : engine.crash()) {
             if (r.firstTokenAt() <= mNow) {
-                mFigures.onAnswerCut(r, mNow);
+                mMeasurements.onAnswerCut(r, mNow);
                 continue;
             }
             // No part of the answer has been sent, so the router can retry on another engine.
-            mFigures.onRetry(r);
+            mMeasurements.onRetry(r);
             schedule(
                     mDeployment.lags().detectMillis() * MICROS_PER_MILLI,
                     () -> {
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Run.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Run.java
@@ -15,7 +15,7 @@
     private final List<MembershipEvent> mChurnEvents;
     private final Fleet mFleet;
     private final Scheme mScheme;
-    private final Figures mFigures;
+    private final RunMeasurements mMeasurements;
     private final long mEndMicros;
 
     /**
@@ -35,15 +35,15 @@
             long seed) {
         mTrace = trace;
         mChurnEvents = churn;
-        mFigures = new Figures(deployment);
-        mFleet = new Fleet(deployment, mFigures, seed);
+        mMeasurements = new RunMeasurements(deployment);
+        mFleet = new Fleet(deployment, mMeasurements, seed);
         mScheme = scheme.apply(mFleet);
         mFleet.setScheme(mScheme);
         mEndMicros = (long) (deployment.minutes() * 60 * MICROS_PER_SECOND);
     }
 
     /** Executes the run and returns its measurements. */
-    public Figures play() {
+    public RunMeasurements play() {
         fillCaches();
         for (MembershipEvent e : mChurnEvents) {
             mFleet.timers().add(e.at(), () -> mFleet.applyEvent(e));
@@ -55,12 +55,12 @@
             runTimers(turn.at());
             mFleet.advance(turn.at());
             Request r = mFleet.newRequest(turn);
-            mFigures.onArrival(r, turn.at());
+            mMeasurements.onArrival(r, turn.at());
             mScheme.onArrival(r);
         }
         runTimers(mEndMicros);
-        mFigures.finish(mFleet.controlBytes());
-        return mFigures;
+        mMeasurements.finish(mFleet.controlBytes());
+        return mMeasurements;
     }
 
     /**
@@ -91,7 +91,7 @@
     }
 
     private void sample() {
-        mFigures.sample(mFleet);
+        mMeasurements.sample(mFleet);
         long routers = mFleet.deployment().routers();
         mFleet.controlBytes().addPerSecond(ControlBytes.EXCHANGE * routers);
     }
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/Figures.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/fleet/RunMeasurements.java
@@ -6,7 +6,7 @@
 import org.laurelweir.benchmarks.measure.Deployment;
 
 /** The measurements of one run. Requests that arrive in the warm-up are not counted. */
-public final class Figures {
+public final class RunMeasurements {
     private static final double MICROS_PER_SECOND = 1e6;
     private static final int SECONDS_PER_MINUTE = 60;
     private static final long MAX_FIRST_TOKEN_MICROS = 3_600_000_000L;
@@ -26,7 +26,7 @@
     private long mCutAnswers;
     private ControlBytes mControlBytes;
 
-    Figures(Deployment deployment) {
+    RunMeasurements(Deployment deployment) {
         mDeployment = deployment;
         mWarmUpEndMicros =
                 (long) (deployment.warmUpMinutes() * SECONDS_PER_MINUTE * MICROS_PER_SECOND);
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/Comparison.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/Comparison.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 import java.util.Map;
 import org.laurelweir.benchmarks.measure.Deployment;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 import org.laurelweir.benchmarks.measure.policy.Policy;
 
 /**
@@ -13,7 +13,7 @@
  * @param seed of the arrivals, the churn and the lags
  * @param figures measurements by policy
  */
-public record Comparison(Deployment deployment, long seed, Map<Policy, Figures> figures) {
+public record Comparison(Deployment deployment, long seed, Map<Policy, RunMeasurements> figures) {
     /** Backend servers at the two-year target size, from the developers' page. */
     static final int TARGET_WORKERS = 3800;
 
@@ -43,7 +43,7 @@
      * Returns the largest share of rejected requests of any client account with at least {@link
      * #MIN_ARRIVALS} requests.
      */
-    static double worstRejectionShare(Figures f) {
+    static double worstRejectionShare(RunMeasurements f) {
         long[] rejected = f.rejections();
         long[] arrived = f.arrivalsByAccount();
         double worst = 0;
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/JsonReport.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/JsonReport.java
@@ -8,7 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.laurelweir.benchmarks.measure.fleet.CacheReuse;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 
 /** Writes a comparison as measure.json. */
 public final class JsonReport {
@@ -38,7 +38,7 @@
         }
     }
 
-    private static ObjectNode figures(Figures f) {
+    private static ObjectNode figures(RunMeasurements f) {
         ObjectNode node = MAPPER.createObjectNode();
         double[] skew = f.skew();
         node.put("arrivals", f.arrivals());
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/PlotReport.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/PlotReport.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import org.laurelweir.benchmarks.measure.fleet.CacheReuse;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 
 /** Writes an SVG plot for each measurement: lines over time for reuse and skew, else bars. */
 public final class PlotReport {
@@ -38,9 +38,9 @@
                         f -> largest(f.skew(), SKEW_STEP_SECONDS)));
         plots.put(
                 "control",
-                bars(c, "Control bytes a second a router", Figures::controlBytesPerRouter));
-        plots.put("hops", bars(c, "Added hops a request", Figures::meanHops));
-        plots.put("deadlines", bars(c, "Share of deadlines met", Figures::deadlinesMet));
+                bars(c, "Control bytes a second a router", RunMeasurements::controlBytesPerRouter));
+        plots.put("hops", bars(c, "Added hops a request", RunMeasurements::meanHops));
+        plots.put("deadlines", bars(c, "Share of deadlines met", RunMeasurements::deadlinesMet));
         plots.put("rejections", rejections(c));
         try {
             Files.createDirectories(folder);
@@ -53,13 +53,17 @@
     }
 
     private static String lines(
-            Comparison c, String title, SvgPlot.Scale scale, Function<Figures, double[]> series) {
+            Comparison c,
+            String title,
+            SvgPlot.Scale scale,
+            Function<RunMeasurements, double[]> series) {
         Map<String, double[]> all = new LinkedHashMap<>();
         c.figures().forEach((p, f) -> all.put(p.title(), series.apply(f)));
         return SvgPlot.lines(c.deployment().name() + ": " + title, scale, all);
     }
 
-    private static String bars(Comparison c, String title, Function<Figures, Double> value) {
+    private static String bars(
+            Comparison c, String title, Function<RunMeasurements, Double> value) {
         Map<String, double[]> all = new LinkedHashMap<>();
         c.figures().forEach((p, f) -> all.put(p.title(), new double[] {value.apply(f)}));
         return SvgPlot.bars(c.deployment().name() + ": " + title, all);
@@ -73,7 +77,7 @@
         return SvgPlot.bars(c.deployment().name() + title, all);
     }
 
-    private static double[] rejectedShares(Figures f) {
+    private static double[] rejectedShares(RunMeasurements f) {
         long[] rejected = f.rejections();
         long[] arrived = f.arrivalsByAccount();
         double[] shares = new double[Math.min(10, arrived.length)];
--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/TableReport.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/measure/report/TableReport.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import java.util.function.BiFunction;
 import java.util.stream.Collectors;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 import org.laurelweir.benchmarks.measure.policy.Policy;
 
 /** The table that bin/measure prints, in Markdown. */
@@ -71,7 +71,7 @@
         return cells.stream().collect(Collectors.joining(" | ", "| " + first + " | ", " |\n"));
     }
 
-    private static Figures figures(Comparison c, Policy p) {
+    private static RunMeasurements figures(Comparison c, Policy p) {
         return c.figures().get(p);
     }
 
@@ -85,7 +85,7 @@
                         Comparison.TARGET_WORKERS, Comparison.TARGET_REQUESTS_PER_ROUTER);
     }
 
-    private static double rejected(Figures f) {
+    private static double rejected(RunMeasurements f) {
         return Arrays.stream(f.rejections()).sum();
     }
 }
--- a/org.laurelweir.benchmarks/src/test/java/org/laurelweir/benchmarks/measure/RunTest.java
+++ b/org.laurelweir.benchmarks/src/test/java/org/laurelweir/benchmarks/measure/RunTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.benchmarks.measure.fleet.ChurnPlan;
-import org.laurelweir.benchmarks.measure.fleet.Figures;
 import org.laurelweir.benchmarks.measure.fleet.Run;
+import org.laurelweir.benchmarks.measure.fleet.RunMeasurements;
 import org.laurelweir.benchmarks.measure.policy.Policy;
 import org.laurelweir.benchmarks.measure.workload.Trace;
 import org.laurelweir.benchmarks.measure.workload.TraceGenerator;
@@ -23,7 +23,7 @@
     private final Deployment mDeployment = Deployment.read("fjordvik");
     private final Trace mTrace = TraceGenerator.generate(mDeployment, SEED);
 
-    private Figures play(Policy policy) {
+    private RunMeasurements play(Policy policy) {
         return new Run(
                         mDeployment,
                         mTrace,
@@ -36,8 +36,8 @@
     @ParameterizedTest
     @EnumSource(Policy.class)
     void sameSeedGivesTheSameFigures(Policy policy) {
-        Figures one = play(policy);
-        Figures other = play(policy);
+        RunMeasurements one = play(policy);
+        RunMeasurements other = play(policy);
         assertThat(other.reuse().series()).isEqualTo(one.reuse().series());
         assertThat(other.skew()).isEqualTo(one.skew());
         assertThat(other.rejections()).isEqualTo(one.rejections());
@@ -56,7 +56,7 @@
 
     @Test
     void reuseIsCloseToTheOracleAndSkewStaysBelowTheFactor() {
-        Figures ours = play(Policy.DIRECTORY);
+        RunMeasurements ours = play(Policy.DIRECTORY);
         double oracle = play(Policy.ALL_KNOWING).reuse().churnShare();
         assertThat(ours.reuse().churnShare() / oracle).isGreaterThan(0.95);
         assertThat(Arrays.stream(ours.skew()).boxed())
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -30,7 +30,7 @@
     private static final long RETRY_MILLIS = 20;
 
     private final Path mFolder;
-    private Duration mVanishAfter = Duration.ofSeconds(3);
+    private Duration mDepartureTimeout = Duration.ofSeconds(3);
     private int mSeeds;
     private boolean mMayBootstrap = true;
     private final Map<String, Endpoint> mPeers = new TreeMap<>();
@@ -81,7 +81,7 @@
      * started from now on.
      */
     ControlFleet vanishAfter(Duration silence) {
-        mVanishAfter = silence;
+        mDepartureTimeout = silence;
         return this;
     }
 
@@ -121,7 +121,7 @@
                         Optional.empty(),
                         Duration.ofMillis(500),
                         Duration.ofSeconds(1),
-                        mVanishAfter,
+                        mDepartureTimeout,
                         1,
                         LogSettings.defaults());
         ControlProgram program = new ControlProgram(file, InstantSource.system(), line -> {});
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/HeldBackends.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DelayedBackends.java
@@ -8,14 +8,14 @@
 import java.util.Map;
 
 /** Backend servers that send reports but are not announced yet because they flapped. */
-final class HeldBackends {
+final class DelayedBackends {
     private final PauseTolerantClock mClock;
-    private final Duration mVanishAfter;
+    private final Duration mDepartureTimeout;
     private final Map<String, Held> mHeld = new LinkedHashMap<>();
 
-    HeldBackends(PauseTolerantClock clock, Duration vanishAfter) {
+    DelayedBackends(PauseTolerantClock clock, Duration vanishAfter) {
         mClock = clock;
-        mVanishAfter = vanishAfter;
+        mDepartureTimeout = vanishAfter;
     }
 
     /**
@@ -65,7 +65,7 @@
         Iterator<Held> iterator = mHeld.values().iterator();
         while (iterator.hasNext()) {
             Held h = iterator.next();
-            if (h.lastReportTime().plus(mVanishAfter).compareTo(now) < 0) {
+            if (h.lastReportTime().plus(mDepartureTimeout).compareTo(now) < 0) {
                 iterator.remove();
             } else if (h.releaseTime().compareTo(now) <= 0) {
                 iterator.remove();
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/FlapGuard.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/FlapGuard.java
@@ -7,12 +7,12 @@
 /** Holds back flapping backend servers, so that not every restart of one is announced. */
 final class FlapGuard {
     private final FlapDamper mDamper;
-    private final HeldBackends mHeld;
+    private final DelayedBackends mHeld;
     private final ServiceCounts mCounts = new ServiceCounts();
 
     FlapGuard(PauseTolerantClock clock, MembershipConfig config) {
         mDamper = new FlapDamper(config);
-        mHeld = new HeldBackends(clock, config.vanishAfter());
+        mHeld = new DelayedBackends(clock, config.vanishAfter());
     }
 
     /** Updates the number of a service's backend servers; only a share of them may be held back. */
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/MembershipConfig.java
@@ -42,7 +42,7 @@
     public static final class Builder {
         private final String mControl;
         private final long mIncarnation;
-        private Duration mVanishAfter = Duration.ofSeconds(3);
+        private Duration mDepartureTimeout = Duration.ofSeconds(3);
         private Duration mDepartedRetention = DEFAULT_DEPARTED_RETENTION;
         private Duration mPeerTimeout = Duration.ofSeconds(5);
         private Duration mOrphanTimeout = Duration.ofSeconds(60);
@@ -59,7 +59,7 @@
 
         /** Sets when a silent sidecar times out, and how long departed servers are kept. */
         public Builder departureTimes(Duration vanishAfter, Duration departedRetention) {
-            mVanishAfter = vanishAfter;
+            mDepartureTimeout = vanishAfter;
             mDepartedRetention = departedRetention;
             return this;
         }
@@ -91,7 +91,7 @@
             return new MembershipConfig(
                     mControl,
                     mIncarnation,
-                    mVanishAfter,
+                    mDepartureTimeout,
                     mDepartedRetention,
                     mPeerTimeout,
                     mOrphanTimeout,
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SessionTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SessionTable.java
@@ -12,14 +12,14 @@
  * search for timed-out sidecars reads only those and not the whole table.
  */
 final class SessionTable {
-    private final Duration mVanishAfter;
+    private final Duration mDepartureTimeout;
     private final LoadSums mSums = new LoadSums();
     private final Map<String, Session> mSessions = new LinkedHashMap<>();
     private final PauseTolerantClock mClock;
 
     SessionTable(PauseTolerantClock clock, Duration vanishAfter) {
         mClock = clock;
-        mVanishAfter = vanishAfter;
+        mDepartureTimeout = vanishAfter;
     }
 
     /** Returns a sidecar's last report, or null if it does not report to this instance. */
@@ -60,7 +60,7 @@
     /** Removes and returns the backend servers whose sidecars have timed out. */
     List<Backend> removeTimedOut() {
         List<Backend> timedOut = new ArrayList<>();
-        Duration earliestAllowed = mClock.elapsed().minus(mVanishAfter);
+        Duration earliestAllowed = mClock.elapsed().minus(mDepartureTimeout);
         Iterator<Session> oldest = mSessions.values().iterator();
         while (oldest.hasNext()) {
             Session s = oldest.next();
