--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -104,17 +104,20 @@
     }
 
     /**
-     * Applies the drained data centres. Their backend servers count as draining: they get no new
-     * requests and finish the running ones, and others may still fetch cached prompt parts from
-     * them. A set of an earlier position is ignored.
+     * Applies the rules for where requests may go.
      *
-     * @return whether the set is newer than the last one
+     * @return whether the set of drained data centres is newer than the last one
      */
     boolean applyRules(Instant now, PlacementRules rules) {
         mSlowStartServices = rules.slowStartServices();
         return applyDrained(now, rules.drained());
     }
 
+    /**
+     * Applies the drained data centres. Their backend servers count as draining: they get no new
+     * requests and finish the running ones, and others may still fetch cached prompt parts from
+     * them. A set of an earlier position is ignored.
+     */
     private boolean applyDrained(Instant now, DrainedDataCentres drained) {
         if (drained.position() <= mDrained.position()) {
             return false;
@@ -135,10 +138,6 @@
         return true;
     }
 
-    DrainedDataCentres drained() {
-        return mDrained;
-    }
-
     /**
      * Suspends or removes backend servers that full views lack for too long, and expires
      * departures.
