Bound the points of a server in the ranking where weights are slots

A server that announces itself has its slots, 64, as weight, and the ranking made eight points for each unit: 512 points a server, 1.5 million in all, anew at each change of the membership.

Points are now fewer by a power of two that the heaviest server of the service gives: 17 to 32 for it. Weights up to 4, as of sidecars, keep theirs.

Ruled out: dividing by the slots at the edge, since the slots are also the limit until a server tells it.

RankingTest.largeWeightsMakeNoMoreThan32PointsForEachServer fails without it.

--- a/org.laurelweir/src/main/java/org/laurelweir/placement/ChatLocator.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/ChatLocator.java
@@ -90,8 +90,8 @@
         if (view.departed().isEmpty()) {
             return false;
         }
-        long own = Ranking.distance(chat, home);
-        return view.departed().stream().anyMatch(d -> Ranking.distance(chat, d) < own);
+        long own = view.ranking().distance(chat, home);
+        return view.departed().stream().anyMatch(d -> view.ranking().distance(chat, d) < own);
     }
 
     private boolean markAsked(ChatKey chat) {
--- a/org.laurelweir/src/main/java/org/laurelweir/placement/Ranking.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/placement/Ranking.java
@@ -13,11 +13,15 @@
  * chat has {@value #PROBES} probes. The distance of a server is the smallest distance forward from
  * any probe to any of its points. The nearest server ranks first.
  *
- * <p>A server's distance does not depend on the other servers. When a server joins or leaves, the
- * order of the others therefore stays the same, and a join moves only the chats that rank the new
- * server first, as with rendezvous hashing. Unlike rendezvous hashing, the nearest few are found
- * without a look at every server: a ranking costs the same with 100 servers as with 4,000.
- * docs/design/placement.md has the measurements.
+ * <p>Where weights are large, as of servers that announce their slots, points are fewer by the
+ * power of two that bounds the largest weight: otherwise the points of some thousand servers would
+ * not fit into a small heap, and each change of the members would take a second.
+ *
+ * <p>A server's distance does not depend on the other servers, except for that power of two. When a
+ * server joins or leaves, the order of the others therefore stays the same, and a join moves only
+ * the chats that rank the new server first, as with rendezvous hashing. Unlike rendezvous hashing,
+ * the nearest few are found without a look at every server: a ranking costs the same with 100
+ * servers as with 4,000. docs/design/placement.md has the measurements.
  */
 public final class Ranking {
     /**
@@ -32,11 +36,18 @@
      */
     static final int POINTS_PER_WEIGHT = 8;
 
+    /**
+     * Up to this weight of the heaviest server, points are not made fewer. Fewer than some 16
+     * points of a server make the shares uneven enough for hot prompt parts to overload engines.
+     */
+    private static final double MAX_UNSCALED_WEIGHT = 4;
+
     private static final LongHashFunction XXH3 = LongHashFunction.xx3();
     private static final long GOLDEN_GAMMA = 0x9E3779B97F4A7C15L;
     private static final int CIRCLE_BITS = 63;
 
     private final Candidate[] mCandidates;
+    private final double mPointsPerWeight;
     private final long[] mPoints;
     private final int[] mOwners;
 
@@ -50,6 +61,7 @@
 
     private Ranking(Candidate[] candidates) {
         mCandidates = candidates;
+        mPointsPerWeight = pointsPerWeight(candidates);
         long[][] sorted = sortedPoints(candidates);
         mPoints = sorted[0];
         mOwners = Arrays.stream(sorted[1]).mapToInt(o -> (int) o).toArray();
@@ -69,7 +81,16 @@
         return new Ranking(sorted);
     }
 
-    private static long[][] sortedPoints(Candidate[] candidates) {
+    private static double pointsPerWeight(Candidate[] candidates) {
+        double max = Arrays.stream(candidates).mapToDouble(Candidate::weight).max().orElse(0);
+        double scale = 1;
+        while (scale * MAX_UNSCALED_WEIGHT < max) {
+            scale *= 2;
+        }
+        return POINTS_PER_WEIGHT / scale;
+    }
+
+    private long[][] sortedPoints(Candidate[] candidates) {
         List<long[]> all = new ArrayList<>();
         for (int i = 0; i < candidates.length; i++) {
             long seed = seed(candidates[i]);
@@ -83,6 +104,11 @@
         return new long[][] {points, owners};
     }
 
+    /** Returns the number of points of all servers, with which time and memory grow. */
+    int pointCount() {
+        return mPoints.length;
+    }
+
     private static int[] sliceStarts(long[] points, int bits, int shift) {
         int[] slices = new int[1 << bits];
         int next = 0;
@@ -148,13 +174,13 @@
     }
 
     /**
-     * Returns the distance of a backend server from a chat, whether it is in the ranking or not. Of
-     * two servers, the one with the smaller distance ranks first.
+     * Returns the distance of a backend server from a chat, whether it is in this ranking or not.
+     * Of two servers, the one with the smaller distance ranks first.
      *
      * @param chat the chat
      * @param candidate a current or former backend server
      */
-    public static long distance(ChatKey chat, Candidate candidate) {
+    public long distance(ChatKey chat, Candidate candidate) {
         long smallest = Long.MAX_VALUE;
         long seed = seed(candidate);
         for (int p = 0; p < pointCount(candidate); p++) {
@@ -185,11 +211,11 @@
         }
     }
 
-    private static int pointCount(Candidate candidate) {
+    private int pointCount(Candidate candidate) {
         if (candidate.weight() == 0) {
             return 0;
         }
-        return (int) Math.max(1, Math.round(candidate.weight() * POINTS_PER_WEIGHT));
+        return (int) Math.max(1, Math.round(candidate.weight() * mPointsPerWeight));
     }
 
     private static long seed(Candidate candidate) {
--- a/org.laurelweir/src/test/java/org/laurelweir/placement/RankingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/placement/RankingTest.java
@@ -42,17 +42,18 @@
             @ForAll @IntRange(min = 1, max = 5) int k,
             @ForAll long hash) {
         ChatKey chat = new ChatKey(hash);
+        Ranking ranking = Ranking.of(Candidates.of(n));
         List<Candidate> byDistance =
                 Candidates.of(n).stream()
                         .sorted(
                                 (a, b) ->
                                         Long.compare(
-                                                Ranking.distance(chat, a),
-                                                Ranking.distance(chat, b)))
+                                                ranking.distance(chat, a),
+                                                ranking.distance(chat, b)))
                         .limit(k)
                         .toList();
 
-        assertThat(Ranking.of(Candidates.of(n)).top(chat, k)).isEqualTo(byDistance);
+        assertThat(ranking.top(chat, k)).isEqualTo(byDistance);
     }
 
     @ParameterizedTest
@@ -93,6 +94,30 @@
         assertThat(homes).hasSize(10);
     }
 
+    @Test
+    void shareFollowsLargeWeights() {
+        List<Candidate> all = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            all.add(new Candidate(new BackendRef("worker-" + i, 1), "floro", 64));
+        }
+        Candidate light = new Candidate(new BackendRef("light", 1), "floro", 16);
+        all.add(light);
+        Map<Candidate, Integer> homes = homes(Ranking.of(all), 12_000);
+        assertThat(homes.get(light)).isBetween(200, 480);
+        assertThat(homes).hasSize(10);
+    }
+
+    // Guards against a heap that is too small for the points of some thousand servers that announce
+    // their slots as weight, and against a ranking that takes seconds after each change.
+    @Test
+    void largeWeightsMakeNoMoreThan32PointsForEachServer() {
+        List<Candidate> all = new ArrayList<>();
+        for (int i = 0; i < 3_800; i++) {
+            all.add(new Candidate(new BackendRef("worker-" + i, 1), "floro", 64));
+        }
+        assertThat(Ranking.of(all).pointCount()).isLessThanOrEqualTo(32 * all.size());
+    }
+
     @Test
     void emptyRankingHasNoHome() {
         Ranking empty = Ranking.of(List.of());
