--- a/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipsTest.java
@@ -180,8 +180,8 @@
         assertThat(takesRequests("w")).isFalse();
     }
 
-    // Guards against a rush of requests to servers that have become cold while their data centre
-    // was drained and have not announced that yet.
+    // Guards against a rush of requests to servers whose slow start began while their data centre
+    // was drained and which have not announced that yet.
     @Test
     void serversOfAnUndrainedDataCentreCountAsInSlowStartForAWhile() {
         applyDelta("a", true, backend(0, Backend.State.SERVING, 3));
