Give no permits for slow starts before the routers are known

Cause, found by reading: a control instance shared the rate of a server in slow start among the routers that it knew. After a stop of all control each instance knows a few routers for up to five seconds, the first one alone, which got the whole rate; six instances could so permit some 70 requests in one second where 21 are borne. In a cut of more than a minute both sides would each share out the whole rate.

An instance gives no permits in the first 10 s after its first exchange, nor without a majority of the control instances. What it costs: servers that are in slow start in that time get no requests for its rest, a few seconds each.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ExchangeHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ExchangeHandler.java
@@ -99,7 +99,12 @@
         DrainedDataCentres drained = mReplica.state().drainedDataCentres();
         mSlowStartPermits.onDrained(now, drained);
         List<SlowStartPermit> permits =
-                mSlowStartPermits.permitsOf(now, router, mMembership::backends, mRouters.names());
+                mSlowStartPermits.permitsOf(
+                        now,
+                        router,
+                        mMembership::backends,
+                        mRouters.names(),
+                        mMembership.hasMajority());
         return new PlacementRules(drained, mSlowStartPermits.services(), permits);
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/SlowStartPermits.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/SlowStartPermits.java
@@ -35,6 +35,13 @@
      */
     static final Duration UNDRAINED_TIME = Duration.ofMillis(3_500);
 
+    /**
+     * How long after its start an instance gives no permits. By then it has heard the routers of
+     * all peers, which tell them every five seconds; an instance that knows only some routers would
+     * give each of them too large a share.
+     */
+    static final Duration SETTLING_TIME = Duration.ofSeconds(10);
+
     /**
      * Routers for each request a second that a server takes. Each of them may send one request more
      * than its share of a second, so that the server gets at most half more than its rate.
@@ -47,6 +54,7 @@
     private Map<String, List<SlowStartPermit>> mPermits = Map.of();
     private Set<String> mServices = Set.of();
     private Instant mNextComputation = Instant.MIN;
+    private Instant mFirstExchange;
 
     /**
      * Creates an instance without permits.
@@ -78,12 +86,16 @@
      * @param router the router's name
      * @param backends returns all backend servers; called only when the permits are computed
      * @param routers the names of all routers
+     * @param hasMajority whether this instance is in touch with most control instances. One that is
+     *     not gives no permits, since the others give them to routers that it may not know.
      */
     List<SlowStartPermit> permitsOf(
             Instant now,
             String router,
             Supplier<Collection<Backend>> backends,
-            Collection<String> routers) {
+            Collection<String> routers,
+            boolean hasMajority) {
+        mFirstExchange = mFirstExchange == null ? now : mFirstExchange;
         if (!now.isBefore(mNextComputation)) {
             mNextComputation = now.plus(INTERVAL);
             mUndrainedAt.values().removeIf(t -> !now.isBefore(t.plus(UNDRAINED_TIME)));
@@ -91,7 +103,8 @@
             mServices = servicesWithRate(all);
             mPermits = compute(all, routers);
         }
-        return mPermits.getOrDefault(router, List.of());
+        boolean isSettled = !now.isBefore(mFirstExchange.plus(SETTLING_TIME));
+        return isSettled && hasMajority ? mPermits.getOrDefault(router, List.of()) : List.of();
     }
 
     /** Returns the services with a slow start, as of the last computation of permits. */
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/SlowStartPermitsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/SlowStartPermitsTest.java
@@ -20,7 +20,7 @@
     private static final double RATE = 11;
     private static final List<String> ROUTERS = routers(31);
 
-    private final SlowStartPermits mPermits = new SlowStartPermits(s -> RATE);
+    private final SlowStartPermits mPermits = newPermits();
 
     private static List<String> routers(int count) {
         return IntStream.range(0, count).mapToObj(i -> "router-" + i).toList();
@@ -43,7 +43,7 @@
             SlowStartPermits permits, Instant now, Backend server, List<String> routers) {
         Set<String> holders = new TreeSet<>();
         for (String r : routers) {
-            if (!permits.permitsOf(now, r, () -> List.of(server), routers).isEmpty()) {
+            if (!permits.permitsOf(now, r, () -> List.of(server), routers, true).isEmpty()) {
                 holders.add(r);
             }
         }
@@ -55,7 +55,7 @@
         Backend server = server("w", true);
         List<SlowStartPermit> all = new ArrayList<>();
         ROUTERS.forEach(
-                r -> all.addAll(mPermits.permitsOf(NOW, r, () -> List.of(server), ROUTERS)));
+                r -> all.addAll(mPermits.permitsOf(NOW, r, () -> List.of(server), ROUTERS, true)));
         assertThat(all).hasSize(5);
         double rate = all.stream().mapToDouble(SlowStartPermit::requestsPerSecond).sum();
         assertThat(rate).isEqualTo(RATE);
@@ -74,12 +74,38 @@
     }
 
     private static SlowStartPermits newPermits() {
-        return new SlowStartPermits(s -> RATE);
+        SlowStartPermits permits = new SlowStartPermits(s -> RATE);
+        Instant start = NOW.minus(SlowStartPermits.SETTLING_TIME);
+        permits.permitsOf(start, "r", List::of, List.of(), true);
+        return permits;
+    }
+
+    // Guards against too many requests after all control instances have started anew, when each of
+    // them knows a few routers only and would share the whole rate among these.
+    @Test
+    void instanceThatHasJustStartedGivesNoPermits() {
+        SlowStartPermits permits = new SlowStartPermits(s -> RATE);
+        Backend server = server("w", true);
+        assertThat(holders(permits, NOW, server, ROUTERS)).isEmpty();
+        Instant settled = NOW.plus(SlowStartPermits.SETTLING_TIME);
+        assertThat(holders(permits, settled.minusMillis(1), server, ROUTERS)).isEmpty();
+        assertThat(holders(permits, settled, server, ROUTERS)).hasSize(5);
+    }
+
+    // Guards against two sides of a cut that each share the whole rate among their own routers.
+    @Test
+    void instanceWithoutAMajorityGivesNoPermits() {
+        Backend server = server("w", true);
+        for (String r : ROUTERS) {
+            assertThat(mPermits.permitsOf(NOW, r, () -> List.of(server), ROUTERS, false)).isEmpty();
+        }
     }
 
     @Test
     void singleRouterMaySendTheWholeRate() {
-        assertThat(mPermits.permitsOf(NOW, "r", () -> List.of(server("w", true)), List.of("r")))
+        assertThat(
+                        mPermits.permitsOf(
+                                NOW, "r", () -> List.of(server("w", true)), List.of("r"), true))
                 .containsExactly(new SlowStartPermit(new BackendRef("w", 0), RATE));
     }
 
