Log what told the end of a forwarded answer

How the body ends is part of what the head says to the router (AnswerMetadata), and the connection's reuse goes by the same function, so that an answer without a body (204) no longer costs its connection. What is forwarded is as before.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.router.http.HttpDialect;
@@ -38,12 +39,12 @@
         return headers;
     }
 
-    AnswerMetadata metadata(String id, HttpResponse r) {
+    AnswerMetadata metadata(String id, HttpResponse r, BodyFraming framing) {
         int status = r.status().code();
         boolean misdirected = status == MISDIRECTED;
         boolean notRun = misdirected || r.headers().contains(mDialect.notRun());
         boolean genuine = !isForOtherRequest(id, r) && (status / 100 != 2 || isSealed(r.headers()));
-        return new AnswerMetadata(notRun, misdirected, genuine, reportedLoad(r.headers()));
+        return new AnswerMetadata(notRun, misdirected, genuine, framing, reportedLoad(r.headers()));
     }
 
     private boolean isSealed(HttpHeaders headers) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -17,6 +16,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.runtime.process.Program;
 
@@ -121,8 +121,9 @@
             return;
         }
         mHeadReceived = true;
+        AnswerMetadata metadata = mExchange.onHead(r);
         mIdleTime = idleTime(r);
-        mNotReusable |= !mExchange.onHead(r);
+        mNotReusable |= !metadata.genuine() || !metadata.framing().provesEnd();
     }
 
     private void onContent(HttpContent c) {
@@ -153,10 +154,7 @@
      * Returns how long the connection may stay idle after the answer; zero if it must be closed.
      */
     private static Duration idleTime(HttpResponse r) {
-        boolean framed =
-                HttpUtil.isTransferEncodingChunked(r)
-                        || r.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (!framed || !HttpUtil.isKeepAlive(r)) {
+        if (!HttpUtil.isKeepAlive(r)) {
             return Duration.ZERO;
         }
         return IdleConnections.idleTime(r.headers().get("Keep-Alive", ""));
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -5,10 +5,12 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.function.Consumer;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectEvent.Failure;
+import org.laurelweir.runtime.rpc.AnswerFraming;
 
 /**
  * One request to a backend server and its answer. Reports exactly one final event, or none if it is
@@ -47,9 +49,10 @@
         return mReader.isForOtherRequest(mCall.request().id(), response);
     }
 
-    /** Reports the head of the answer. Returns whether the head is one of a genuine answer. */
-    boolean onHead(HttpResponse response) {
-        AnswerMetadata metadata = mReader.metadata(mCall.request().id(), response);
+    /** Reports the head of the answer, and returns what it says to the router. */
+    AnswerMetadata onHead(HttpResponse response) {
+        BodyFraming framing = AnswerFraming.of(mCall.request().call().method(), response);
+        AnswerMetadata metadata = mReader.metadata(mCall.request().id(), response, framing);
         if (!mEnded) {
             mEvents.accept(
                     new DirectEvent.HeadReceived(
@@ -58,7 +61,7 @@
                             mReader.headers(response),
                             metadata));
         }
-        return metadata.genuine();
+        return metadata;
     }
 
     void onContent(HttpContent content) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.quarantine.RequestKey;
@@ -59,6 +60,10 @@
     boolean mDetached;
 
     int mStatus;
+
+    /** What tells the end of the current answer's body. */
+    BodyFraming mFraming = BodyFraming.LENGTH;
+
     List<Header> mHeaders = List.of();
     ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private RequestKey mKey;
@@ -107,6 +112,7 @@
         mHeadReceived = false;
         mMisdirected = false;
         mStatus = 0;
+        mFraming = BodyFraming.LENGTH;
         mBody.reset();
         mFramer.takeIncomplete();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/AnswerMetadata.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/AnswerMetadata.java
@@ -1,6 +1,7 @@
 package org.laurelweir.direct;
 
 import java.util.Optional;
+import org.laurelweir.answer.BodyFraming;
 
 /**
  * What the head of a backend server's answer says in addition to its status and headers.
@@ -9,10 +10,15 @@
  * @param misdirected whether another backend server than the intended one answered
  * @param genuine whether the answer belongs to this request; a successful answer also has to carry
  *     the seal of the backend server
+ * @param framing what tells the end of the answer's body
  * @param load the load that the backend server reports, if it does
  */
 public record AnswerMetadata(
-        boolean notRun, boolean misdirected, boolean genuine, Optional<ReportedLoad> load) {
+        boolean notRun,
+        boolean misdirected,
+        boolean genuine,
+        BodyFraming framing,
+        Optional<ReportedLoad> load) {
     /**
      * The load of a backend server at the time of the answer.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -159,6 +159,7 @@
         r.mHeadReceived = true;
         r.mStatus = e.status();
         r.mHeaders = e.headers();
+        r.mFraming = e.metadata().framing();
         if (isFailure(e.status())) {
             onFailureStatus(r);
         } else {
@@ -257,9 +258,11 @@
 
     private void onFinished(ActiveRequest r) {
         mAttempts.end(r);
+        boolean stoppedInsideEvent = false;
         if (r.isStreaming()) {
             byte[] incomplete = r.mFramer.takeIncomplete();
-            if (incomplete.length > 0) {
+            stoppedInsideEvent = incomplete.length > 0;
+            if (stoppedInsideEvent) {
                 emitUnlessDetached(r, new DirectEffect.AnswerData(r.mCaller, incomplete));
             }
             emitUnlessDetached(r, new DirectEffect.AnswerEnd(r.mCaller));
@@ -272,7 +275,7 @@
                     new DirectEffect.AnswerComplete(
                             r.mCaller, r.mStatus, r.mHeaders, r.mBody.toByteArray()));
         }
-        emit(mDecisions.answered(r, mNow));
+        emit(mDecisions.answered(r, stoppedInsideEvent, mNow));
         if (!isFailure(r.mStatus)) {
             mCrashGuard.onServed(r, mNow);
             mInvalidAnswers.onServed(r);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
@@ -51,8 +51,14 @@
         return withReason(r, "stalled of " + r.key().fingerprintText(), now);
     }
 
-    DirectEffect.LogDecision answered(ActiveRequest r, Instant now) {
-        return decision(r, now, List.of(), r.mBackend.id(), "answered_" + r.mStatus);
+    /**
+     * Returns the entry of an answer that was forwarded. It tells if nothing proves that the answer
+     * is complete.
+     */
+    DirectEffect.LogDecision answered(ActiveRequest r, boolean stoppedInsideEvent, Instant now) {
+        String end = r.mFraming.provesEnd() ? "" : ", ended by its connection";
+        String rest = stoppedInsideEvent ? ", stopped inside an event" : "";
+        return withReason(r, "answered_" + r.mStatus + end + rest, now);
     }
 
     DirectEffect.LogDecision errorAnswered(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.BackendRef;
@@ -22,11 +23,14 @@
 /** Drives {@link DirectRouting} event by event, with one service of a few backend servers. */
 final class DirectRoutingDriver implements BackendSource {
     static final String SERVICE = "svc";
-    static final AnswerMetadata GENUINE = new AnswerMetadata(false, false, true, Optional.empty());
-    static final AnswerMetadata NOT_RUN = new AnswerMetadata(true, false, true, Optional.empty());
+    static final AnswerMetadata GENUINE =
+            new AnswerMetadata(false, false, true, BodyFraming.LENGTH, Optional.empty());
+    static final AnswerMetadata NOT_RUN =
+            new AnswerMetadata(true, false, true, BodyFraming.LENGTH, Optional.empty());
     static final AnswerMetadata MISDIRECTED =
-            new AnswerMetadata(true, true, true, Optional.empty());
-    static final AnswerMetadata INVALID = new AnswerMetadata(false, false, false, Optional.empty());
+            new AnswerMetadata(true, true, true, BodyFraming.LENGTH, Optional.empty());
+    static final AnswerMetadata INVALID =
+            new AnswerMetadata(false, false, false, BodyFraming.LENGTH, Optional.empty());
     static final RetryLimits LIMITS = new RetryLimits(0.2, 64, Duration.ofSeconds(10), 1, 1);
 
     final List<DirectEffect> mEffects = new ArrayList<>();
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.direct.DirectEffect.AnswerComplete;
 import org.laurelweir.direct.DirectEffect.AnswerData;
 import org.laurelweir.direct.DirectEffect.AnswerEnd;
@@ -40,7 +41,7 @@
     }
 
     private static AnswerMetadata withLoad(AnswerMetadata.ReportedLoad load) {
-        return new AnswerMetadata(false, false, true, Optional.of(load));
+        return new AnswerMetadata(false, false, true, BodyFraming.LENGTH, Optional.of(load));
     }
 
     @Test
--- a/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
@@ -53,7 +54,7 @@
     private static final double MILLIS_PER_TOKEN_PER_REQUEST = 0.25;
 
     private static final AnswerMetadata MISDIRECTED =
-            new AnswerMetadata(true, true, true, Optional.empty());
+            new AnswerMetadata(true, true, true, BodyFraming.LENGTH, Optional.empty());
 
     private final VirtualTime mTime;
     private final FleetControls mControls;
@@ -237,7 +238,8 @@
         AnswerMetadata.ReportedLoad load =
                 new AnswerMetadata.ReportedLoad(
                         e.requestCount() - e.mWaiting.size(), e.mWaiting.size(), SLOTS);
-        AnswerMetadata metadata = new AnswerMetadata(false, false, true, Optional.of(load));
+        AnswerMetadata metadata =
+                new AnswerMetadata(false, false, true, BodyFraming.LENGTH, Optional.of(load));
         r.send(new DirectEvent.HeadReceived(r.mCall.call(), 200, List.of(), metadata));
         double millisPerToken = MILLIS_PER_TOKEN + MILLIS_PER_TOKEN_PER_REQUEST * e.requestCount();
         mTime.after(
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
@@ -39,13 +40,13 @@
     private static final int MAX_RUN_MILLIS = 800;
     private static final int MAX_TRANSIT_MILLIS = 3;
     private static final AnswerMetadata GENUINE =
-            new AnswerMetadata(false, false, true, Optional.empty());
+            new AnswerMetadata(false, false, true, BodyFraming.LENGTH, Optional.empty());
 
     private static final AnswerMetadata INVALID =
-            new AnswerMetadata(false, false, false, Optional.empty());
+            new AnswerMetadata(false, false, false, BodyFraming.LENGTH, Optional.empty());
 
     private static final AnswerMetadata MISDIRECTED =
-            new AnswerMetadata(true, true, true, Optional.empty());
+            new AnswerMetadata(true, true, true, BodyFraming.LENGTH, Optional.empty());
 
     private final VirtualTime mTime;
     private final FleetControls mControls;
