--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.coordination.ControlEffect;
@@ -91,6 +92,22 @@
         }
     }
 
+    // Guards against missing the crash of a server whose answer ends with its connection, within an
+    // event: the request would count as served, and be sent to one server after the other.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {101, 102, 103, 104, 105})
+    void crashingRequestWithStreamsCutInsideAnEventIsQuarantined(long seed) {
+        for (Route route : List.of(STREAM, RESUMABLE)) {
+            RoutedFleet fleet = new RoutedFleet(seed);
+            fleet.mServers.endCrashingAnswersWithTheirConnection("id: 1\ndata: a\n\nid: 2\nda");
+            sendCrashing(fleet, route);
+            sendOthers(fleet, route);
+            fleet.mTime.advance(RUN_MILLIS);
+            assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MAX_TRIALS);
+        }
+    }
+
     // Guards against quarantining a request because live servers send invalid answers to it.
     @ParameterizedTest
     @ValueSource(longs = {81, 82, 83, 84, 85})
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
@@ -45,6 +45,10 @@
     private static final AnswerMetadata INVALID =
             new AnswerMetadata(false, false, false, BodyFraming.LENGTH, Optional.empty());
 
+    /** The metadata of an answer that ends with its connection. */
+    private static final AnswerMetadata UNFRAMED =
+            new AnswerMetadata(false, false, true, BodyFraming.CONNECTION, Optional.empty());
+
     private static final AnswerMetadata MISDIRECTED =
             new AnswerMetadata(true, true, true, BodyFraming.LENGTH, Optional.empty());
 
@@ -56,6 +60,7 @@
     private int mStarts;
     private boolean mRepaired;
     private AnswerMetadata mCrashingMetadata = GENUINE;
+    private String mBodyBeforeCrash = "";
     private int mInvalidAnswerCutPercent;
 
     FleetServers(VirtualTime time, FleetControls controls, int count) {
@@ -77,6 +82,17 @@
         mCrashingMetadata = INVALID;
     }
 
+    /**
+     * From now on, answers to the crashing request end with their connection, and a crash closes
+     * that connection in order.
+     *
+     * @param body what the server sends before it crashes
+     */
+    void endCrashingAnswersWithTheirConnection(String body) {
+        mCrashingMetadata = UNFRAMED;
+        mBodyBeforeCrash = body;
+    }
+
     /** From now on, live servers cut this share of the invalid answers. */
     void cutInvalidAnswers(int percent) {
         mInvalidAnswerCutPercent = percent;
@@ -211,10 +227,23 @@
         boolean runs = s.mCalls.contains(id) || !mCrashingMetadata.genuine();
         if (runs && mByAddress.get(s.mAddress) == s) {
             mCrashes.add(mTime.millis());
+            if (!mCrashingMetadata.framing().provesEnd()) {
+                s.mCalls.remove(id);
+                closeInOrder(id);
+            }
             crash(s);
         }
     }
 
+    private void closeInOrder(CallId id) {
+        byte[] body = mBodyBeforeCrash.getBytes(StandardCharsets.UTF_8);
+        transit(
+                () -> {
+                    id.events().accept(new DirectEvent.DataReceived(id.call(), body));
+                    id.events().accept(new DirectEvent.Finished(id.call()));
+                });
+    }
+
     private void crash(Server s) {
         if (mByAddress.remove(s.mAddress, s)) {
             List<CallId> calls = List.copyOf(s.mCalls);
