Recognise broken-off answers behind sidecars

BodyCheck decides by the content: a stream of events that stops inside an event, in any framing; a JSON text that its connection ends before it is closed. A chat's stream goes by its last event, as before. Of other bodies the content tells nothing, and they count as complete. A number at the top of a JSON text doesn't tell its end either.

BackendCallTest fails on the code before in two of four tests (a plain stream inside an event, and a JSON text that is not closed) and passes now.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -14,15 +14,14 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.Locale;
+import org.laurelweir.answer.BodyCheck;
+import org.laurelweir.runtime.rpc.AnswerFraming;
 
 /**
  * One call to the backend server over a connection of its own. Reports exactly one end: finished if
  * the complete answer arrived, else failed. Runs on its connection's event loop.
  */
 final class BackendCall extends ChannelInboundHandlerAdapter {
-    private static final String EVENT_STREAM = "text/event-stream";
-
     private final FullHttpRequest mRequest;
     private final boolean mStreamRequested;
     private final CallListener mListener;
@@ -30,6 +29,7 @@
     private boolean mPossiblySent;
     private boolean mHeadReceived;
     private boolean mIsEventStream;
+    private BodyCheck mCheck;
     private boolean mEnded;
 
     /**
@@ -101,7 +101,8 @@
     private void onHead(HttpResponse response) {
         mHeadReceived = true;
         String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-        mIsEventStream = type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+        mIsEventStream = BodyCheck.isEventStream(type);
+        mCheck = new BodyCheck(type, AnswerFraming.of(mRequest.method().name(), response));
         mListener.onHead(response.status().code(), HopByHopHeaders.endToEnd(response.headers()));
     }
 
@@ -111,14 +112,20 @@
         }
         byte[] bytes = ByteBufUtil.getBytes(content);
         mTail.add(bytes);
+        mCheck.add(bytes);
         mListener.onData(bytes);
     }
 
     private void onBodyEnd() {
-        if (mStreamRequested && mIsEventStream && !mTail.isStreamDone()) {
+        boolean isChatStream = mStreamRequested && mIsEventStream;
+        if (isChatStream && !mTail.isStreamDone()) {
             fail("the stream of events ended before its last one");
             return;
         }
+        if (!isChatStream && mCheck.isBrokenOff()) {
+            fail("the answer ended within its content");
+            return;
+        }
         if (markEnded()) {
             mListener.onFinished(mTail.usage());
         }
--- /dev/null
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -0,0 +1,94 @@
+package org.laurelweir.sidecar.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Frame;
+import org.laurelweir.attempt.Header;
+
+/** Tests which ends of a backend server's answer count as complete. */
+class BackendCallTest {
+    private static final String EVENTS = "text/event-stream";
+    private static final String JSON = "application/json";
+
+    private enum End {
+        FINISHED,
+        FAILED
+    }
+
+    private static final class EndRecorder implements CallListener {
+        private End mEnd;
+
+        @Override
+        public void onHead(int status, List<Header> headers) {}
+
+        @Override
+        public void onData(byte[] bytes) {}
+
+        @Override
+        public void onFinished(Frame.Usage usage) {
+            mEnd = End.FINISHED;
+        }
+
+        @Override
+        public void onFailed(boolean possiblySent, String message) {
+            mEnd = End.FAILED;
+        }
+    }
+
+    /** Returns the end of a call whose server sends an answer and closes the connection. */
+    private static End endOf(boolean chat, String type, String framing, String body) {
+        EndRecorder end = new EndRecorder();
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+        BackendCall call = new BackendCall(request, chat, end);
+        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), call);
+        call.onConnected(channel.newSucceededFuture());
+        String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + type + framing + "\r\n\r\n" + body;
+        channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII));
+        channel.finish();
+        return end.mEnd;
+    }
+
+    private static End endOfUnframed(String type, String body) {
+        return endOf(false, type, "", body);
+    }
+
+    // Guards against a plain service's stream that its connection cuts and that counts as complete.
+    @Test
+    void plainStreamThatEndsInsideAnEventFails() {
+        assertThat(endOfUnframed(EVENTS, "data: a\n\n")).isEqualTo(End.FINISHED);
+        assertThat(endOfUnframed(EVENTS, "data: a\n\ndata")).isEqualTo(End.FAILED);
+        assertThat(endOfUnframed(EVENTS, "data: a\n\ndata: b\n")).isEqualTo(End.FAILED);
+        assertThat(endOfUnframed(EVENTS, "")).isEqualTo(End.FAILED);
+    }
+
+    // Guards against keeping half an answer as the outcome of a call that may run only once.
+    @Test
+    void jsonTextThatItsConnectionCutsFails() {
+        assertThat(endOfUnframed(JSON, "{\"a\": [1]}")).isEqualTo(End.FINISHED);
+        assertThat(endOfUnframed(JSON, "{\"a\": [1]")).isEqualTo(End.FAILED);
+        assertThat(endOf(false, JSON, "\r\nContent-Length: 3", "{\"a")).isEqualTo(End.FINISHED);
+    }
+
+    @Test
+    void chatStreamEndsWithItsLastEvent() {
+        String event = "data: {}\n\n";
+        assertThat(endOf(true, EVENTS, "", event)).isEqualTo(End.FAILED);
+        assertThat(endOf(true, EVENTS, "", event + "data: [DONE]\n\n")).isEqualTo(End.FINISHED);
+        assertThat(endOf(true, EVENTS, "", event + "data: [DONE]\n")).isEqualTo(End.FINISHED);
+    }
+
+    @Test
+    void answerThatTellsNothingOfItsEndIsComplete() {
+        assertThat(endOfUnframed("text/plain", "half a sen")).isEqualTo(End.FINISHED);
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -5,8 +5,8 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
+import org.laurelweir.answer.BodyCheck;
 import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.answer.EventFramer;
 import org.laurelweir.attempt.Header;
@@ -16,7 +16,6 @@
 /** State of a caller's request from its arrival to its final answer, with the current call. */
 final class ActiveRequest {
     private static final String CONTENT_TYPE = "Content-Type";
-    private static final String EVENT_STREAM = "text/event-stream";
     private static final BackendRef NO_BACKEND = new BackendRef("", 0);
 
     final long mCaller;
@@ -114,8 +113,7 @@
         if (!isStreaming() || !isEventStream()) {
             return false;
         }
-        boolean isEmpty = mFramer.eventCount() == 0 && !mFraming.provesEnd();
-        return isEmpty || mFramer.isInsideEvent();
+        return BodyCheck.isBrokenOff(mFramer, mFraming);
     }
 
     /**
@@ -126,7 +124,7 @@
         return mHeaders.stream()
                 .filter(h -> h.name().equalsIgnoreCase(CONTENT_TYPE))
                 .findFirst()
-                .map(h -> h.value().toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM))
+                .map(h -> BodyCheck.isEventStream(h.value()))
                 .orElse(!mFraming.provesEnd());
     }
 
