--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.laurelweir.answer.BodyCheck;
 import org.laurelweir.answer.BodyFraming;
@@ -105,15 +106,17 @@
         return route().streamed() && mStatus / 100 == 2;
     }
 
-    /**
-     * Returns whether the current answer is a stream of events that was broken off: it ended inside
-     * an event, or with its connection before its first event.
-     */
+    /** Returns whether the current answer ended, and its content shows that it was broken off. */
     boolean isBrokenOff() {
-        if (!isStreaming() || !isEventStream()) {
+        if (isStreaming()) {
+            return isEventStream() && BodyCheck.isBrokenOff(mFramer, mFraming);
+        }
+        if (mFraming.provesEnd()) {
             return false;
         }
-        return BodyCheck.isBrokenOff(mFramer, mFraming);
+        BodyCheck check = new BodyCheck(contentType().orElse(""), mFraming);
+        check.add(mBody.toByteArray());
+        return check.isBrokenOff();
     }
 
     /**
@@ -121,11 +124,14 @@
      * unless the server told its end, in which case there is no reason to doubt it.
      */
     private boolean isEventStream() {
+        return contentType().map(BodyCheck::isEventStream).orElse(!mFraming.provesEnd());
+    }
+
+    private Optional<String> contentType() {
         return mHeaders.stream()
                 .filter(h -> h.name().equalsIgnoreCase(CONTENT_TYPE))
-                .findFirst()
-                .map(h -> BodyCheck.isEventStream(h.value()))
-                .orElse(!mFraming.provesEnd());
+                .map(Header::value)
+                .findFirst();
     }
 
     /** Records the start of a call and resets the state of the previous answer. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -292,7 +292,7 @@
     }
 
     /**
-     * Handles a stream that ended by the rules of HTTP and lacks a part. If its connection ended
+     * Handles an answer that ended by the rules of HTTP and lacks a part. If its connection ended
      * it, the server may have crashed, as with any connection that is lost within an answer.
      */
     private void onBrokenOff(ActiveRequest r) {
@@ -300,10 +300,8 @@
                 r.mFraming.provesEnd()
                         ? DirectEvent.Failure.INCOMPLETE
                         : DirectEvent.Failure.CONNECTION_LOST;
-        String message =
-                r.mFramer.isInsideEvent()
-                        ? "the stream ended inside an event"
-                        : "the connection was closed before the first event of the stream";
+        String how = r.mFraming.provesEnd() ? "told by the server" : "by its connection";
+        String message = "the answer ended within its content, " + how;
         onFailed(r, new DirectEvent.Failed(r.mCall, failure, message));
     }
 
