Don't resume a stream whose last events have no id

A stream of a resumable route whose forwarded events carry no id was "resumed" with no Last-Event-Id, or with an older one, so that the next server sent those events again and the caller had them twice.

A stream goes on at another server only if every event since the last id is identified; comments and retry times don't matter. Else its connection is closed without the last chunk. BrokenOffStreamTest.streamWhoseLastForwardedEventHasNoIdIsNotResumed failed before.

--- a/org.laurelweir/src/main/java/org/laurelweir/answer/EventFramer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/answer/EventFramer.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 
 /**
  * Splits a stream of server-sent events into complete events. If a backend server fails in the
@@ -14,11 +15,16 @@
 public final class EventFramer {
     private static final byte[] EMPTY = new byte[0];
     private static final String ID_FIELD = "id:";
+    private static final String RETRY_FIELD = "retry:";
+    private static final String COMMENT = ":";
 
     private byte[] mIncomplete = EMPTY;
     private String mLastId = "";
     private int mEventCount;
 
+    /** Whether no event came without an id after the last one with an id. */
+    private boolean mIsIdentified = true;
+
     /** Number of bytes in the current line, without its end. */
     private int mLineLength;
 
@@ -113,10 +119,14 @@
         mHasField = false;
         mEventCount++;
         String event = new String(all, start, end - start, StandardCharsets.UTF_8);
-        event.lines()
-                .filter(l -> l.startsWith(ID_FIELD))
-                .reduce((a, b) -> b)
-                .ifPresent(l -> mLastId = l.substring(ID_FIELD.length()).strip());
+        Optional<String> id = event.lines().filter(l -> l.startsWith(ID_FIELD)).reduce((a, b) -> b);
+        id.ifPresent(l -> mLastId = l.substring(ID_FIELD.length()).strip());
+        mIsIdentified =
+                id.isPresent() || mIsIdentified && event.lines().noneMatch(EventFramer::hasContent);
+    }
+
+    private static boolean hasContent(String line) {
+        return !line.isEmpty() && !line.startsWith(COMMENT) && !line.startsWith(RETRY_FIELD);
     }
 
     /** Returns the last id in any complete event, or empty. */
@@ -124,6 +134,13 @@
         return mLastId;
     }
 
+    /**
+     * Returns whether the stream can go on after the last id: no event since then would come twice.
+     */
+    public boolean isIdentified() {
+        return mIsIdentified;
+    }
+
     /** Returns the number of complete events so far. */
     public int eventCount() {
         return mEventCount;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -91,6 +91,14 @@
         return mKey;
     }
 
+    /**
+     * Returns whether the request may be sent to another server: the route permits it, and a stream
+     * of which the caller has a part can go on after that part.
+     */
+    boolean isRepeatable() {
+        return route().isRepeatable() && (!mHeadSent || mFramer.isIdentified());
+    }
+
     RequestSummary summary() {
         return new RequestSummary(mRequest.id(), sharedPartId(), mService, key());
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -222,7 +222,7 @@
     private void onFailureStatus(ActiveRequest r) {
         recordServerFailure(r);
         r.mMayHaveRun = true;
-        if (r.route().isRepeatable()) {
+        if (r.isRepeatable()) {
             mAttempts.switchServer(r);
         }
     }
@@ -350,7 +350,7 @@
     private void onUnknownOutcome(ActiveRequest r, boolean mayRetry, String message) {
         r.mMayHaveRun = true;
         emit(mDecisions.outcomeUnknown(r, message, mNow));
-        if (mayRetry && r.route().isRepeatable() && mAttempts.startNext(r)) {
+        if (mayRetry && r.isRepeatable() && mAttempts.startNext(r)) {
             return;
         }
         end(r, c -> mErrorAnswers.failed(c, message));
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/StallDetector.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/StallDetector.java
@@ -20,7 +20,7 @@
 
     /** Returns whether the current call of a request is stalled. */
     boolean isStalled(ActiveRequest r, Instant now) {
-        if (r.mCall == 0 || !r.route().isRepeatable()) {
+        if (r.mCall == 0 || !r.isRepeatable()) {
             return false;
         }
         return now.isAfter(r.mLastActivity.plus(limit(r)));
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/BrokenOffStreamTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/BrokenOffStreamTest.java
@@ -114,6 +114,29 @@
         assertThat(mDriver.all(AnswerEnd.class)).hasSize(1);
     }
 
+    // Guards against events that the caller gets twice: without ids, a resumed stream starts anew.
+    @Test
+    void streamWhoseLastForwardedEventHasNoIdIsNotResumed() {
+        for (String events : List.of("data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n")) {
+            mDriver.arrive(++mLastCaller, RESUMABLE);
+            int calls = mDriver.callCount();
+            answer(EVENTS, BodyFraming.CONNECTION, events + "da");
+            assertThat(mDriver.callCount()).isEqualTo(calls);
+            assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.ANSWER_CUT);
+        }
+    }
+
+    @Test
+    void streamIsResumedBeforeItsFirstEventAndAfterOnesThatCarryNothing() {
+        for (String events : List.of("", ": a\n\n", "id: 1\ndata: a\n\n: b\n\nretry: 9\n\n")) {
+            mDriver.arrive(++mLastCaller, RESUMABLE);
+            int calls = mDriver.callCount();
+            answer(EVENTS, BodyFraming.CONNECTION, events + "da");
+            assertThat(mDriver.callCount()).as(events).isEqualTo(calls + 1);
+            answer(EVENTS, BodyFraming.LENGTH, "data: z\n\n");
+        }
+    }
+
     @Test
     void streamOfACallerThatHasGoneIsNotResumed() {
         mDriver.arrive(1, RESUMABLE);
