Don't join an answer of another type to a stream

Found while the class was looked for: where the server that goes on with a broken-off stream answers with something else than a stream of events, its bytes followed the first server's events, and the caller got the two as one complete answer. The caller's connection is closed without the last chunk now. An answer without a content type is taken for a stream, as before. BrokenOffStreamTest.answerOfAnotherTypeIsNotJoinedToAStream failed before.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -60,6 +60,9 @@
     /** Whether the head of a streamed answer has been sent to the caller. */
     boolean mHeadSent;
 
+    /** Whether the current call goes on after a part of the answer that the caller has. */
+    private boolean mIsResumed;
+
     /** Whether the caller has disconnected while the call continues; its answer is dropped. */
     boolean mDetached;
 
@@ -113,9 +116,13 @@
         return Duration.between(now, mDeadline);
     }
 
-    /** Returns whether the current answer is a successful stream, forwarded event by event. */
+    /**
+     * Returns whether the current answer is a successful stream, forwarded event by event. One that
+     * goes on after the beginning of another answer must not be of another type.
+     */
     boolean isStreaming() {
-        return route().streamed() && mStatus / 100 == 2;
+        boolean isJoinable = contentType().map(BodyCheck::isEventStream).orElse(true);
+        return route().streamed() && mStatus / 100 == 2 && (!mIsResumed || isJoinable);
     }
 
     /** Returns whether the current answer ended, and its content shows that it was broken off. */
@@ -154,6 +161,7 @@
         mTriedServers.add(backend.id());
         mLastActivity = now;
         mHeadReceived = false;
+        mIsResumed = mHeadSent;
         mMisdirected = false;
         mStatus = 0;
         mFraming = BodyFraming.LENGTH;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/BrokenOffStreamTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/BrokenOffStreamTest.java
@@ -137,6 +137,18 @@
         }
     }
 
+    // Guards against joining the beginning of a stream with an answer of another kind.
+    @Test
+    void answerOfAnotherTypeIsNotJoinedToAStream() {
+        mDriver.arrive(1, RESUMABLE);
+        answer(EVENTS, BodyFraming.CONNECTION, CUT);
+        answer("application/json", BodyFraming.LENGTH, "{\"a\": 1}\n\n");
+        assertThat(forwarded()).isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(mDriver.all(AnswerEnd.class)).isEmpty();
+        assertThat(mDriver.last(AnswerError.class).code()).isEqualTo(ResultCode.ANSWER_CUT);
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
     @Test
     void streamOfACallerThatHasGoneIsNotResumed() {
         mDriver.arrive(1, RESUMABLE);
