Count a server's success at the end of its answer

Found while the class was looked for (who else learns from an outcome): the head of an answer cleared the failures of its server, before the outcome was known. It counts at the end now; of an answer that its connection ends, once the server shows that it lives. A failure status, a lost connection and an answer that is cut count as before.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -73,7 +73,7 @@
         mBudget = new FleetRetryBudget(limits, routerCount);
         mRandom = new SplittableRandom(seed + 1);
         mDecisions = new RequestDecisions();
-        mUnconfirmedEnds = new UnconfirmedEnds(backends, mCrashGuard, mDecisions);
+        mUnconfirmedEnds = new UnconfirmedEnds(backends, mServers, mCrashGuard, mDecisions);
         mInvalidAnswers = new InvalidAnswerCalls(loads, mCrashGuard, mUnconfirmedEnds, mDecisions);
         FetchSource fetchSource = new FetchSource(backends, mServers, mHolders);
         mAttempts =
@@ -170,7 +170,6 @@
         if (isFailure(e.status())) {
             onFailureStatus(r);
         } else {
-            mServers.onSuccess(r.mService, r.mBackend);
             recordHolder(r);
             beginStream(r);
         }
@@ -294,6 +293,7 @@
     /** Records a complete answer. One that its connection ended may come from a crashed server. */
     private void onServed(ActiveRequest r) {
         if (r.mFraming.provesEnd()) {
+            mServers.onSuccess(r.mService, r.mBackend);
             mCrashGuard.onServed(r, mNow);
             mInvalidAnswers.onServed(r);
         } else {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
@@ -37,6 +37,7 @@
     private static final int MAX_ENDS = 1024;
 
     private final BackendSource mBackends;
+    private final ServerTable mServers;
     private final CrashGuard mCrashGuard;
     private final RequestDecisions mDecisions;
     private final Map<BackendRef, Watch> mWatches = new HashMap<>();
@@ -76,8 +77,13 @@
         }
     }
 
-    UnconfirmedEnds(BackendSource backends, CrashGuard crashGuard, RequestDecisions decisions) {
+    UnconfirmedEnds(
+            BackendSource backends,
+            ServerTable servers,
+            CrashGuard crashGuard,
+            RequestDecisions decisions) {
         mBackends = backends;
+        mServers = servers;
         mCrashGuard = crashGuard;
         mDecisions = decisions;
     }
@@ -114,13 +120,12 @@
     }
 
     private void confirm(Watch w, Instant aliveAt) {
-        remove(w, e -> e.time().isBefore(aliveAt))
-                .forEach(
-                        e -> {
-                            if (e.counts()) {
-                                mCrashGuard.onServed(e.request().key(), mNow);
-                            }
-                        });
+        for (End e : remove(w, e -> e.time().isBefore(aliveAt))) {
+            if (e.counts()) {
+                mServers.onSuccess(e.request().service(), w.mServer);
+                mCrashGuard.onServed(e.request().key(), mNow);
+            }
+        }
     }
 
     /** Checks the servers that have not shown that they live. */
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/FailingServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/FailingServerTest.java
@@ -61,6 +61,29 @@
         assertThat((double) mLostRequests / nonIdempotent).isLessThan(0.03);
     }
 
+    // Guards against a server that breaks off each answer after a good head and is never ejected.
+    @Test
+    void serverThatBreaksOffEveryAnswerIsEjected() {
+        Route stream = DirectRoutingDriver.route(false, true, false);
+        int brokenOff = 0;
+        for (int i = 1; i <= REQUEST_COUNT; i++) {
+            mDriver.arrive(i, stream);
+            BeginCall call = mDriver.lastCall();
+            mDriver.answer(call.call(), 200, GENUINE);
+            if (call.backend().id().equals(FAILING_SERVER)) {
+                brokenOff++;
+                DirectEvent.Failure lost = DirectEvent.Failure.CONNECTION_LOST;
+                mDriver.step(new DirectEvent.Failed(call.call(), lost, "broken off"));
+            } else {
+                mDriver.step(new DirectEvent.Finished(call.call()));
+            }
+            mDriver.advance(Duration.ofMillis(50));
+        }
+        // Two failures eject it, then one after each ejection: of 1, 2, 4 and then 8 seconds.
+        int ejections = 3 + REQUEST_COUNT * 50 / 8000;
+        assertThat(brokenOff).isLessThanOrEqualTo(2 + ejections);
+    }
+
     @Test
     void singleFailureIsForgottenSoon() {
         // All requests are non-idempotent, so no other request shows that the server has recovered.
