Tell callers which answers only their connection ended

A router sends each answer with a length or in chunks. Of a backend server's answer that had neither it so told its caller more than it knew: a length, or a last chunk, that the server never sent. Weighed: sending it on without a length, too. Then the caller could not tell a cut by the router from the end either, and would lose its connection.

What the headers say of a body is read once, with its head (BodyType). A compressed body is not judged by its content; before this commit a compressed stream could have been cut.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.laurelweir.answer.BodyFraming;
+import org.laurelweir.answer.EndHeader;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.router.http.HttpDialect;
@@ -31,12 +32,13 @@
         return answered != null && !id.isEmpty() && !answered.equals(id);
     }
 
-    List<Header> headers(HttpResponse r) {
+    /** Returns the headers of an answer for its caller. */
+    List<Header> headers(HttpResponse r, BodyFraming framing) {
         List<Header> headers = new ArrayList<>();
         for (Map.Entry<String, String> h : r.headers()) {
             headers.add(new Header(h.getKey(), h.getValue()));
         }
-        return headers;
+        return EndHeader.applyTo(headers, framing);
     }
 
     AnswerMetadata metadata(String id, HttpResponse r, BodyFraming framing) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -58,7 +58,7 @@
                     new DirectEvent.HeadReceived(
                             mCall.call(),
                             response.status().code(),
-                            mReader.headers(response),
+                            mReader.headers(response, framing),
                             metadata));
         }
         return metadata;
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -8,13 +8,17 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import org.laurelweir.answer.BodyCheck;
+import org.laurelweir.answer.BodyFraming;
+import org.laurelweir.answer.BodyType;
+import org.laurelweir.answer.EndHeader;
+import org.laurelweir.attempt.Header;
 import org.laurelweir.runtime.rpc.AnswerFraming;
 
 /**
@@ -100,10 +104,12 @@
 
     private void onHead(HttpResponse response) {
         mHeadReceived = true;
-        String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-        mIsEventStream = BodyCheck.isEventStream(type);
-        mCheck = new BodyCheck(type, AnswerFraming.of(mRequest.method().name(), response));
-        mListener.onHead(response.status().code(), HopByHopHeaders.endToEnd(response.headers()));
+        BodyFraming framing = AnswerFraming.of(mRequest.method().name(), response);
+        List<Header> headers = HopByHopHeaders.endToEnd(response.headers());
+        BodyType type = BodyType.of(headers);
+        mIsEventStream = type == BodyType.EVENTS;
+        mCheck = new BodyCheck(type, framing);
+        mListener.onHead(response.status().code(), EndHeader.applyTo(headers, framing));
     }
 
     private void onContent(ByteBuf content) {
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -26,9 +26,12 @@
 
     private static final class EndRecorder implements CallListener {
         private End mEnd;
+        private List<Header> mHeaders;
 
         @Override
-        public void onHead(int status, List<Header> headers) {}
+        public void onHead(int status, List<Header> headers) {
+            mHeaders = headers;
+        }
 
         @Override
         public void onData(byte[] bytes) {}
@@ -46,6 +49,10 @@
 
     /** Returns the end of a call whose server sends an answer and closes the connection. */
     private static End endOf(boolean chat, String type, String framing, String body) {
+        return call(chat, type, framing, body).mEnd;
+    }
+
+    private static EndRecorder call(boolean chat, String type, String framing, String body) {
         EndRecorder end = new EndRecorder();
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
@@ -55,7 +62,7 @@
         String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + type + framing + "\r\n\r\n" + body;
         channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII));
         channel.finish();
-        return end.mEnd;
+        return end;
     }
 
     private static End endOfUnframed(String type, String body) {
@@ -87,6 +94,15 @@
         assertThat(endOf(true, EVENTS, "", event + "data: [DONE]\n")).isEqualTo(End.FINISHED);
     }
 
+    // Guards against telling callers more of an answer's end than is known.
+    @Test
+    void headTellsThatOnlyTheConnectionEndsTheAnswer() {
+        Header end = new Header("X-Answer-End", "connection");
+        assertThat(call(false, "text/plain", "", "a").mHeaders).contains(end);
+        assertThat(call(false, "text/plain", "\r\nContent-Length: 1", "a").mHeaders)
+                .doesNotContain(end);
+    }
+
     @Test
     void answerThatTellsNothingOfItsEndIsComplete() {
         assertThat(endOfUnframed("text/plain", "half a sen")).isEqualTo(End.FINISHED);
--- a/org.laurelweir/src/main/java/org/laurelweir/answer/BodyCheck.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/answer/BodyCheck.java
@@ -1,7 +1,5 @@
 package org.laurelweir.answer;
 
-import java.util.Locale;
-
 /**
  * Finds out from the content of a body that has ended whether it was broken off. This matters most
  * for a body that ends with its connection, because a crash of the server ends it in the same way.
@@ -11,33 +9,16 @@
  * off if it is not closed. Of any other body, the content tells nothing.
  */
 public final class BodyCheck {
-    private static final String EVENT_STREAM = "text/event-stream";
-    private static final String JSON = "application/json";
-    private static final String JSON_SUFFIX = "+json";
-
     private final BodyFraming mFraming;
     private final EventFramer mEvents;
     private final JsonScanner mJson;
 
-    /**
-     * Creates the check of a body that has not begun.
-     *
-     * @param contentType the value of the Content-Type header, empty if there is none
-     */
-    public BodyCheck(String contentType, BodyFraming framing) {
+    /** Creates the check of a body that has not begun. */
+    public BodyCheck(BodyType type, BodyFraming framing) {
+        boolean isUnprovenJson = type == BodyType.JSON && !framing.provesEnd();
         mFraming = framing;
-        mEvents = isEventStream(contentType) ? new EventFramer() : null;
-        mJson = isJson(contentType) && !framing.provesEnd() ? new JsonScanner() : null;
-    }
-
-    /** Returns whether a content type is that of a stream of events. */
-    public static boolean isEventStream(String contentType) {
-        return contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-    }
-
-    private static boolean isJson(String contentType) {
-        String type = contentType.toLowerCase(Locale.ROOT).split(";", 2)[0].strip();
-        return type.equals(JSON) || type.endsWith(JSON_SUFFIX);
+        mEvents = type == BodyType.EVENTS ? new EventFramer() : null;
+        mJson = isUnprovenJson ? new JsonScanner() : null;
     }
 
     /** Adds the next bytes of the body. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -5,10 +5,10 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.laurelweir.answer.BodyCheck;
 import org.laurelweir.answer.BodyFraming;
+import org.laurelweir.answer.BodyType;
 import org.laurelweir.answer.EventFramer;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.BackendRef;
@@ -16,7 +16,6 @@
 
 /** State of a caller's request from its arrival to its final answer, with the current call. */
 final class ActiveRequest {
-    private static final String CONTENT_TYPE = "Content-Type";
     private static final BackendRef NO_BACKEND = new BackendRef("", 0);
 
     final long mCaller;
@@ -71,6 +70,8 @@
     /** What tells the end of the current answer's body. */
     BodyFraming mFraming = BodyFraming.LENGTH;
 
+    private BodyType mBodyType = BodyType.UNKNOWN;
+
     List<Header> mHeaders = List.of();
     ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private RequestKey mKey;
@@ -121,7 +122,7 @@
      * goes on after the beginning of another answer must not be of another type.
      */
     boolean isStreaming() {
-        boolean isJoinable = contentType().map(BodyCheck::isEventStream).orElse(true);
+        boolean isJoinable = mBodyType == BodyType.EVENTS || mBodyType == BodyType.UNKNOWN;
         return route().streamed() && mStatus / 100 == 2 && (!mIsResumed || isJoinable);
     }
 
@@ -133,24 +134,27 @@
         if (mFraming.provesEnd()) {
             return false;
         }
-        BodyCheck check = new BodyCheck(contentType().orElse(""), mFraming);
+        BodyCheck check = new BodyCheck(mBodyType, mFraming);
         check.add(mBody.toByteArray());
         return check.isBrokenOff();
     }
 
     /**
-     * Returns whether the answer is a stream of events. Without a content type it is taken for one
-     * unless the server told its end, in which case there is no reason to doubt it.
+     * Returns whether the answer of a streamed route is a stream of events. Without a content type
+     * it is taken for one unless the server told its end: then there is no reason to doubt it.
      */
     private boolean isEventStream() {
-        return contentType().map(BodyCheck::isEventStream).orElse(!mFraming.provesEnd());
+        return mBodyType == BodyType.EVENTS
+                || mBodyType == BodyType.UNKNOWN && !mFraming.provesEnd();
     }
 
-    private Optional<String> contentType() {
-        return mHeaders.stream()
-                .filter(h -> h.name().equalsIgnoreCase(CONTENT_TYPE))
-                .map(Header::value)
-                .findFirst();
+    /** Records the head of the current answer. */
+    void acceptHead(int status, List<Header> headers, BodyFraming framing) {
+        mHeadReceived = true;
+        mStatus = status;
+        mHeaders = headers;
+        mFraming = framing;
+        mBodyType = BodyType.of(headers);
     }
 
     /** Records the start of a call and resets the state of the previous answer. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -163,10 +163,7 @@
         }
         mCrashGuard.onHeadReceived(r, mNow);
         mUnconfirmedEnds.onAnswer(r.mBackend, r.mCallStart);
-        r.mHeadReceived = true;
-        r.mStatus = e.status();
-        r.mHeaders = e.headers();
-        r.mFraming = e.metadata().framing();
+        r.acceptHead(e.status(), e.headers(), e.metadata().framing());
         if (isFailure(e.status())) {
             onFailureStatus(r);
         } else {
--- a/org.laurelweir/src/test/java/org/laurelweir/answer/BodyCheckTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/answer/BodyCheckTest.java
@@ -5,13 +5,19 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.attempt.Header;
 
 /** Tests which bodies are recognised as broken off. */
 class BodyCheckTest {
     private static final String EVENTS = "text/event-stream; charset=utf-8";
     private static final String JSON = "application/json";
 
-    private static boolean isBrokenOff(String type, BodyFraming framing, String body) {
+    private static BodyType type(String contentType) {
+        return BodyType.of(List.of(new Header("content-type", contentType)));
+    }
+
+    private static boolean isBrokenOff(String contentType, BodyFraming framing, String body) {
+        BodyType type = type(contentType);
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         BodyCheck whole = new BodyCheck(type, framing);
         whole.add(bytes);
@@ -58,6 +64,19 @@
         }
     }
 
+    // Guards against judging compressed bytes.
+    @Test
+    void compressedBodyIsNotJudged() {
+        Header encoding = new Header("Content-Encoding", "gzip");
+        for (String type : List.of(EVENTS, JSON)) {
+            List<Header> headers = List.of(new Header("Content-Type", type), encoding);
+            assertThat(BodyType.of(headers)).isEqualTo(BodyType.OTHER);
+        }
+        assertThat(type("Application/JSON; charset=utf-8")).isEqualTo(BodyType.JSON);
+        assertThat(type(EVENTS)).isEqualTo(BodyType.EVENTS);
+        assertThat(type("")).isEqualTo(BodyType.UNKNOWN);
+    }
+
     @Test
     void streamOfEventsIsBrokenOffInsideAnEvent() {
         for (BodyFraming framing : BodyFraming.values()) {
