Let stand-ins end answers with their connections

The faults of the stand-ins had no answer without a length or chunks, so that no test, demo or measurement of ours met the framing of the ORDER incident. The engine and the plain service take the faults "unframed" and "unframed_cut" now; the second stops a stream within an event. Two tests with real processes use them: a chat's stream that is cut so is not reported complete, and half a JSON answer to a call with an idempotency key does not become its outcome; neither call runs again. The chat's test would pass without the fixes of this incident, since a chat's stream has its last event; it was not run without them.

--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/EngineFailureTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/EngineFailureTest.java
@@ -1,7 +1,9 @@
 package org.laurelweir.packaging;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterAll;
@@ -119,6 +121,22 @@
         assertThat(Caller.chat(sRouter, "third", SMALL_ANSWER, Map.of()).findFault()).isEmpty();
     }
 
+    /**
+     * The engine's answers have neither a length nor chunks, so that the end of the connection is
+     * all that ends them. One is cut within an event: the caller must not get it as a whole one.
+     */
+    @Test
+    void streamThatItsConnectionCutsIsNotReportedComplete() {
+        sEngine.injectFault("{\"kind\":\"unframed_cut\",\"count\":1,\"after\":3}");
+        ChatStream cut = Caller.chat(sRouter, "cut", SMALL_ANSWER, MEDIUM_TIMEOUT);
+        Await.until("the answer ends", () -> !cut.isOpen());
+        assertThatThrownBy(cut::findFault).hasRootCauseInstanceOf(IOException.class);
+        assertThat(cut.text()).doesNotContain("[DONE]");
+        sEngine.injectFault("{\"kind\":\"unframed\",\"count\":1}");
+        ChatStream whole = Caller.chat(sRouter, "whole", SMALL_ANSWER, MEDIUM_TIMEOUT);
+        assertThat(whole.findFault()).isEmpty();
+    }
+
     private static Outcome outcome(ChatStream chat) {
         List<Execution> runs = sEngine.runsOfDigest(chat.digest());
         return runs.isEmpty() ? null : runs.get(runs.size() - 1).outcome();
--- a/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/ResendTest.java
+++ b/org.laurelweir.packaging/src/test/java/org/laurelweir/packaging/ResendTest.java
@@ -1,7 +1,9 @@
 package org.laurelweir.packaging;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -108,6 +110,22 @@
         assertIsOutcomeOfOnlyRun("killed-leader", again);
     }
 
+    /**
+     * The backend server's answer ends with its connection, in the middle of a JSON text. Half an
+     * answer must not become the outcome that each resend gets, and the order must not run again.
+     */
+    @Test
+    void answerThatItsConnectionCutsIsNotTheOutcome() {
+        sPlainServices.forEach(
+                p -> p.injectFault("{\"kind\":\"unframed_cut\",\"count\":1,\"after\":9}"));
+        assertThatThrownBy(() -> Caller.await(Caller.order(sFirstRouter, "cut-answer")))
+                .hasRootCauseInstanceOf(IOException.class);
+        sPlainServices.forEach(StandIn::clearFaults);
+        assertThatThrownBy(() -> Caller.await(Caller.order(sSecondRouter, "cut-answer")))
+                .hasRootCauseInstanceOf(IOException.class);
+        assertThat(runs("cut-answer")).hasSize(1);
+    }
+
     private static CompletableFuture<Caller.Reply> sendWithDelayedAnswer(String key) {
         sPlainServices.forEach(p -> p.delayAnswers(1, ANSWER_DELAY_MILLIS));
         CompletableFuture<Caller.Reply> first = Caller.order(sFirstRouter, key);
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/Fault.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/Fault.java
@@ -23,7 +23,11 @@
         /** The answer is delayed; a plain call is still run at once. */
         LATE,
         /** The connection is closed in the middle of the answer. */
-        CUT
+        CUT,
+        /** The answer has neither a length nor chunks and ends with its connection. */
+        UNFRAMED,
+        /** As {@link #UNFRAMED}, and the connection is closed in the middle of the answer. */
+        UNFRAMED_CUT
     }
 
     /**
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/ChatCall.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/ChatCall.java
@@ -115,10 +115,13 @@
 
     /**
      * Closes the connection in the middle of the answer. Of an answer that is not streamed, half is
-     * sent.
+     * sent; of a stream that ends with its connection, half an event.
      */
     void cut() {
         if (mBody.isStreamed()) {
+            if (mExchange.endsWithConnection()) {
+                mExchange.send("data: {\"id\"");
+            }
             mExchange.abort();
             return;
         }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/engine/EngineServer.java
@@ -137,6 +137,14 @@
                                     f.delay().toNanos(),
                                     TimeUnit.NANOSECONDS);
             case CUT -> answer(now, call, f.after());
+            case UNFRAMED -> {
+                call.endWithConnection();
+                answer(now, call, EngineEvent.NO_CUT);
+            }
+            case UNFRAMED_CUT -> {
+                call.endWithConnection();
+                answer(now, call, f.after());
+            }
             default -> throw new IllegalStateException(f.toString());
         }
     }
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/http/HttpExchange.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/http/HttpExchange.java
@@ -8,8 +8,8 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -33,6 +33,7 @@
     private final boolean mKeepAlive;
     private final HttpHeaders mAnswerHeaders;
     private Runnable mOnClose = () -> {};
+    private boolean mEndsWithConnection;
     private boolean mHeadSent;
     private boolean mEnded;
 
@@ -84,6 +85,18 @@
         mAnswerHeaders.set(name, value);
     }
 
+    /**
+     * Leaves out the answer's length and chunks, so that only the end of the connection ends it.
+     */
+    public void endWithConnection() {
+        mEndsWithConnection = true;
+    }
+
+    /** Returns whether only the end of the connection ends the answer. */
+    public boolean endsWithConnection() {
+        return mEndsWithConnection;
+    }
+
     /** Sets the action to run if the caller closes the connection before the answer has ended. */
     public void onClose(Runnable action) {
         mOnClose = action;
@@ -109,8 +122,8 @@
                         HttpResponseStatus.valueOf(status),
                         Unpooled.wrappedBuffer(body));
         response.headers().set(mAnswerHeaders).set(HttpHeaderNames.CONTENT_TYPE, contentType);
-        HttpUtil.setContentLength(response, body.length);
-        HttpUtil.setKeepAlive(response, mKeepAlive);
+        frame(response, () -> HttpUtil.setContentLength(response, body.length));
+        HttpUtil.setKeepAlive(response, keepsAlive());
         mChannel.writeAndFlush(response);
         end();
     }
@@ -126,14 +139,24 @@
         mHeadSent = true;
         DefaultHttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        response.headers()
-                .set(mAnswerHeaders)
-                .set(HttpHeaderNames.CONTENT_TYPE, contentType)
-                .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        HttpUtil.setKeepAlive(response, mKeepAlive);
+        response.headers().set(mAnswerHeaders).set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        frame(response, () -> HttpUtil.setTransferEncodingChunked(response, true));
+        HttpUtil.setKeepAlive(response, keepsAlive());
         mChannel.writeAndFlush(response);
     }
 
+    /** Sets the framing of an answer, unless its connection ends it. */
+    private void frame(HttpResponse response, Runnable framing) {
+        response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (!mEndsWithConnection) {
+            framing.run();
+        }
+    }
+
+    private boolean keepsAlive() {
+        return mKeepAlive && !mEndsWithConnection;
+    }
+
     /** Sends a chunk of an answer that has begun. Does nothing once the answer has ended. */
     public void send(String part) {
         if (mEnded) {
@@ -166,7 +189,7 @@
         DefaultHttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         response.headers().set(mAnswerHeaders).set(HttpHeaderNames.CONTENT_TYPE, contentType);
-        HttpUtil.setContentLength(response, body.length);
+        frame(response, () -> HttpUtil.setContentLength(response, body.length));
         mChannel.write(response);
         int n = Math.min(after, Math.max(0, body.length - 1));
         mChannel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(body, 0, n)));
@@ -195,7 +218,7 @@
 
     private void end() {
         mEnded = true;
-        if (!mKeepAlive) {
+        if (!keepsAlive()) {
             mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> mChannel.close());
         }
         mOnEnd.run();
--- a/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainServer.java
+++ b/org.laurelweir.standin/src/main/java/org/laurelweir/standin/plain/PlainServer.java
@@ -99,6 +99,16 @@
                 PlainAnswer answer = execute(now, call);
                 schedule(work, () -> cut(call, answer, appliedFault.after()));
             }
+            case UNFRAMED -> {
+                call.endWithConnection();
+                PlainAnswer answer = execute(now, call);
+                schedule(work, () -> finish(call, answer));
+            }
+            case UNFRAMED_CUT -> {
+                call.endWithConnection();
+                PlainAnswer answer = execute(now, call);
+                schedule(work, () -> cut(call, answer, appliedFault.after()));
+            }
             default -> throw new IllegalStateException(appliedFault.toString());
         }
     }
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineServerTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/engine/EngineServerTest.java
@@ -101,6 +101,20 @@
                 .containsExactly(Outcome.CUT, Outcome.FINISHED);
     }
 
+    /** By HTTP such a stream is over when its connection is closed, also within an event. */
+    @Test
+    void streamWithoutChunksEndsWithItsConnection() {
+        mCalls.call("POST", "/engine/faults", "{\"kind\":\"unframed\"}");
+        mCalls.call("POST", "/engine/faults", "{\"kind\":\"unframed_cut\",\"afterTokens\":9}");
+
+        HttpResponse<String> whole = mCalls.call("POST", CHAT, body(true));
+        HttpResponse<String> cut = mCalls.call("POST", CHAT, body(true));
+        assertThat(whole.headers().firstValue("transfer-encoding")).isEmpty();
+        assertThat(whole.body()).endsWith("data: [DONE]\n\n");
+        assertThat(cut.headers().firstValue("transfer-encoding")).isEmpty();
+        assertThat(cut.body()).endsWith("data: {\"id\"");
+    }
+
     /**
      * The caller closes its connection in the middle of a slow answer. The engine removes the
      * request from its batch and records it as cancelled, with fewer tokens than the call asked
--- a/org.laurelweir.standin/src/test/java/org/laurelweir/standin/plain/PlainServerTest.java
+++ b/org.laurelweir.standin/src/test/java/org/laurelweir/standin/plain/PlainServerTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -70,6 +71,24 @@
                 .containsExactly(Outcome.CUT);
     }
 
+    /** By HTTP such an answer is over when its connection is closed, also in its middle. */
+    @Test
+    void answerWithoutALengthEndsWithItsConnection() {
+        mCalls.call("POST", "/plain/faults", "{\"kind\":\"unframed\"}");
+        mCalls.call("POST", "/plain/faults", "{\"kind\":\"unframed_cut\",\"after\":5}");
+
+        HttpResponse<String> whole = mCalls.call("GET", "/bookings/1", "");
+        HttpResponse<String> cut = mCalls.call("GET", "/bookings/1", "");
+        for (HttpResponse<String> r : List.of(whole, cut)) {
+            assertThat(r.headers().firstValue("content-length")).isEmpty();
+            assertThat(r.headers().firstValue("transfer-encoding")).isEmpty();
+        }
+        assertThat(whole.body()).endsWith("}");
+        assertThat(cut.body()).hasSize(5);
+        assertThat(mCalls.call("GET", "/bookings/1", "").headers().firstValue("content-length"))
+                .isPresent();
+    }
+
     /**
      * A frozen call is accepted and run, but never answered. Other connections still work, so the
      * execution log can be read.
