Share the options of the orders to drain

DrainOptions has the author, the call and what is printed; the command line is as before (MainTest).

--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/DrainRequests.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/DrainRequests.java
@@ -2,20 +2,14 @@
 
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Arguments;
-import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import org.laurelweir.pgm.Console;
-import org.laurelweir.pgm.PgmCommand;
 import org.laurelweir.pgm.Texts;
-import org.laurelweir.wire.v1.DrainReply;
 import org.laurelweir.wire.v1.DrainRequest;
 
 /** Sends an order to drain a backend server, or to end its drain, to control. */
 final class DrainRequests {
-    @AirlineModule private FleetOptions mFleet = new FleetOptions();
-
-    @Option(name = "--author", title = "NAME", description = Texts.OPTION_AUTHOR)
-    private String mAuthor = "";
+    @AirlineModule private DrainOptions mOptions = new DrainOptions();
 
     @Required
     @Arguments(title = "BACKEND", description = Texts.ARGUMENT_BACKEND)
@@ -29,19 +23,12 @@
                 DrainRequest.newBuilder()
                         .setBackend(mBackend)
                         .setDrain(drain)
-                        .setAuthor(mAuthor.isEmpty() ? console.user() : mAuthor)
+                        .setAuthor(mOptions.author(console))
                         .build();
-        return mFleet.withFleet(
+        return mOptions.send(
                 console,
-                f -> {
-                    DrainReply reply = f.control().drain(request);
-                    Replies.requireOk(reply.getCode(), reply.getMessage());
-                    if (mFleet.isJson()) {
-                        console.printJson(new Recorded(mBackend, drain));
-                    } else {
-                        console.print(String.format(text, mBackend));
-                    }
-                    return PgmCommand.SUCCESS;
-                });
+                f -> f.control().drain(request),
+                new Recorded(mBackend, drain),
+                String.format(text, mBackend));
     }
 }
