--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -9,7 +9,6 @@
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.answer.BodyFraming;
-import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.quarantine.CrashTable;
@@ -29,9 +28,6 @@
 
     private final BackendSource mBackends;
     private final ServerTable mServers = new ServerTable();
-    private final LoadEstimator mLoads;
-    private final ServerChoice mChoice;
-    private final PartHolders mHolders = new PartHolders();
     private final FleetRetryBudget mBudget;
     private final Attempts mAttempts;
     private final RequestDecisions mDecisions;
@@ -40,6 +36,7 @@
     private final CrashGuard mCrashGuard;
     private final UnconfirmedEnds mUnconfirmedEnds;
     private final InvalidAnswerCalls mInvalidAnswers;
+    private final Outcomes mOutcomes;
     private final SplittableRandom mRandom;
     private final Long2ObjectHashMap<ActiveRequest> mByCaller = new Long2ObjectHashMap<>();
     private Instant mNextScan = Instant.MIN;
@@ -67,19 +64,27 @@
             SlowStartLimiter slowStarts,
             long seed) {
         mBackends = backends;
-        mLoads = loads;
         mCrashGuard = new CrashGuard(crashes);
-        mChoice = new ServerChoice(backends, mServers, loads, slowStarts, seed);
+        ServerChoice choice = new ServerChoice(backends, mServers, loads, slowStarts, seed);
         mBudget = new FleetRetryBudget(limits, routerCount);
         mRandom = new SplittableRandom(seed + 1);
         mDecisions = new RequestDecisions();
         mUnconfirmedEnds = new UnconfirmedEnds(backends, mServers, mCrashGuard, mDecisions);
         mInvalidAnswers = new InvalidAnswerCalls(loads, mCrashGuard, mUnconfirmedEnds, mDecisions);
-        FetchSource fetchSource = new FetchSource(backends, mServers, mHolders);
+        PartHolders holders = new PartHolders();
+        mOutcomes =
+                new Outcomes(
+                        mServers,
+                        choice,
+                        loads,
+                        holders,
+                        mCrashGuard,
+                        mUnconfirmedEnds,
+                        mInvalidAnswers);
+        FetchSource fetchSource = new FetchSource(backends, mServers, holders);
         mAttempts =
-                new Attempts(
-                        backends, loads, slowStarts, mChoice, fetchSource, mBudget, mDecisions);
-        mErrorAnswers = new ErrorAnswers(mChoice, mAttempts, mDecisions, new RetryDelays(seed + 2));
+                new Attempts(backends, loads, slowStarts, choice, fetchSource, mBudget, mDecisions);
+        mErrorAnswers = new ErrorAnswers(choice, mAttempts, mDecisions, new RetryDelays(seed + 2));
     }
 
     /** Returns whether no request is in flight. */
@@ -95,6 +100,7 @@
         mErrorAnswers.beginStep(now, effects);
         mInvalidAnswers.beginStep(now, effects);
         mUnconfirmedEnds.beginStep(now, effects);
+        mOutcomes.beginStep(now);
         if (event instanceof DirectEvent.Tick) {
             onTick();
         } else if (event instanceof DirectEvent.RequestArrived e) {
@@ -152,7 +158,7 @@
 
     private void onHeadReceived(ActiveRequest r, DirectEvent.HeadReceived e) {
         r.mLastActivity = mNow;
-        e.metadata().load().ifPresent(l -> onReportedLoad(r.mBackend, l));
+        e.metadata().load().ifPresent(l -> mOutcomes.onReportedLoad(r.mBackend, l));
         if (e.metadata().notRun()) {
             onNotRun(r, e);
             return;
@@ -161,22 +167,16 @@
             onInvalidAnswer(r, e.metadata().framing());
             return;
         }
-        mCrashGuard.onHeadReceived(r, mNow);
-        mUnconfirmedEnds.onAnswer(r.mBackend, r.mCallStart);
+        mOutcomes.onHead(r);
         r.acceptHead(e.status(), e.headers(), e.metadata().framing());
         if (isFailure(e.status())) {
             onFailureStatus(r);
         } else {
-            recordHolder(r);
+            mOutcomes.onPromptRead(r);
             beginStream(r);
         }
     }
 
-    private void onReportedLoad(BackendRef backend, AnswerMetadata.ReportedLoad load) {
-        mServers.onReportedSlots(backend, load.slots());
-        mLoads.onReportedLoad(mNow, backend, load.running() + load.waiting());
-    }
-
     /**
      * Handles an answer that does not belong to the request. Its server may be about to crash under
      * the request. The call stays open to find out, and until then at most one more server gets the
@@ -187,16 +187,10 @@
         long call = r.mCall;
         mAttempts.end(r);
         mInvalidAnswers.watch(r, call, framing);
-        recordServerFailure(r);
+        mOutcomes.onFailure(r);
         onUnknownOutcome(r, mayRetry, "the answer belongs to another request, or to none");
     }
 
-    private void recordHolder(ActiveRequest r) {
-        if (r.mRequest.prompt().isPresent()) {
-            mHolders.recordHolder(r.mRequest.prompt().sharedPart().id(), r.mBackend);
-        }
-    }
-
     private void beginStream(ActiveRequest r) {
         if (!r.isStreaming() || r.mHeadSent) {
             return;
@@ -216,24 +210,16 @@
      * another server. If none accepts it, the 5xx answer is forwarded.
      */
     private void onFailureStatus(ActiveRequest r) {
-        recordServerFailure(r);
+        mOutcomes.onFailure(r);
         r.mMayHaveRun = true;
         if (r.isRepeatable()) {
             mAttempts.switchServer(r);
         }
     }
 
-    private void recordServerFailure(ActiveRequest r) {
-        mServers.onFailure(r.mService, r.mBackend, mChoice.servingCount(r.mService), mNow);
-    }
-
     /** Handles the statement of a server that it did not run the request and will not. */
     private void onNotRun(ActiveRequest r, DirectEvent.HeadReceived e) {
-        if (e.metadata().misdirected()) {
-            mServers.onReplaced(r.mBackend, mNow);
-        } else {
-            mServers.onFull(r.mBackend, mNow);
-        }
+        mOutcomes.onNotRun(r, e.metadata().misdirected());
         emit(mDecisions.withReason(r, "not_run_" + e.status(), mNow));
         mAttempts.cancel(r);
         r.mMisdirected = e.metadata().misdirected();
@@ -282,22 +268,11 @@
         }
         emit(mDecisions.answered(r, mNow));
         if (!isFailure(r.mStatus)) {
-            onServed(r);
+            mOutcomes.onSuccess(r);
         }
         mByCaller.remove(r.mCaller);
     }
 
-    /** Records a complete answer. One that its connection ended may come from a crashed server. */
-    private void onServed(ActiveRequest r) {
-        if (r.mFraming.provesEnd()) {
-            mServers.onSuccess(r.mService, r.mBackend);
-            mCrashGuard.onServed(r, mNow);
-            mInvalidAnswers.onServed(r);
-        } else {
-            mUnconfirmedEnds.onAnswerEnded(r, r.mBackend);
-        }
-    }
-
     private void emitUnlessDetached(ActiveRequest r, DirectEffect effect) {
         if (!r.mDetached) {
             emit(effect);
@@ -321,7 +296,7 @@
     private void onFailed(ActiveRequest r, DirectEvent.Failed e) {
         mAttempts.end(r);
         if (e.failure() != DirectEvent.Failure.NOT_SENT) {
-            recordServerFailure(r);
+            mOutcomes.onFailure(r);
             boolean connectionLost = e.failure() == DirectEvent.Failure.CONNECTION_LOST;
             onUnknownOutcome(
                     r,
@@ -329,7 +304,7 @@
                     e.message());
             return;
         }
-        mServers.onUnreachable(r.mService, r.mBackend, mChoice.servingCount(r.mService), mNow);
+        mOutcomes.onUnreachable(r);
         // The request never reached the server and does not count as an attempt.
         r.mAttemptCount--;
         emit(mDecisions.withReason(r, "not_sent", mNow));
@@ -398,7 +373,7 @@
 
     private void expire(ActiveRequest r) {
         if (!r.mHeadReceived && r.mCall != 0) {
-            recordServerFailure(r);
+            mOutcomes.onFailure(r);
         }
         end(r, mErrorAnswers::expired);
     }
@@ -406,7 +381,7 @@
     /** Tries another server. If none accepts the request, the current call continues. */
     private void onStalled(ActiveRequest r) {
         emit(mDecisions.stalled(r, mNow));
-        recordServerFailure(r);
+        mOutcomes.onFailure(r);
         r.mMayHaveRun = true;
         if (!mAttempts.switchServer(r)) {
             r.mLastActivity = mNow;
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
@@ -0,0 +1,95 @@
+package org.laurelweir.direct;
+
+import java.time.Instant;
+import org.laurelweir.lib.BackendRef;
+import org.laurelweir.load.LoadEstimator;
+
+/**
+ * Learns from the outcomes of calls: which backend servers fail, are full or gone, which requests
+ * they served, and what they have cached. Whatever counts as a success is learnt here, at the end
+ * of the answer and only if the server told that end or has shown since that it lives.
+ */
+final class Outcomes {
+    private final ServerTable mServers;
+    private final ServerChoice mChoice;
+    private final LoadEstimator mLoads;
+    private final PartHolders mHolders;
+    private final CrashGuard mCrashGuard;
+    private final UnconfirmedEnds mUnconfirmedEnds;
+    private final InvalidAnswerCalls mInvalidAnswers;
+    private Instant mNow;
+
+    Outcomes(
+            ServerTable servers,
+            ServerChoice choice,
+            LoadEstimator loads,
+            PartHolders holders,
+            CrashGuard crashGuard,
+            UnconfirmedEnds unconfirmedEnds,
+            InvalidAnswerCalls invalidAnswers) {
+        mServers = servers;
+        mChoice = choice;
+        mLoads = loads;
+        mHolders = holders;
+        mCrashGuard = crashGuard;
+        mUnconfirmedEnds = unconfirmedEnds;
+        mInvalidAnswers = invalidAnswers;
+    }
+
+    /** Sets the time for one step of the reducer. */
+    void beginStep(Instant now) {
+        mNow = now;
+    }
+
+    void onReportedLoad(BackendRef backend, AnswerMetadata.ReportedLoad load) {
+        mServers.onReportedSlots(backend, load.slots());
+        mLoads.onReportedLoad(mNow, backend, load.running() + load.waiting());
+    }
+
+    /** Records the head of an answer that belongs to its request: the server lives. */
+    void onHead(ActiveRequest r) {
+        mCrashGuard.onHeadReceived(r, mNow);
+        mUnconfirmedEnds.onAnswer(r.mBackend, r.mCallStart);
+    }
+
+    /** Records that the server has read the prompt of a request. */
+    void onPromptRead(ActiveRequest r) {
+        if (r.mRequest.prompt().isPresent()) {
+            mHolders.recordHolder(r.mRequest.prompt().sharedPart().id(), r.mBackend);
+        }
+    }
+
+    /** Records a successful answer that ended and is not known to be cut. */
+    void onSuccess(ActiveRequest r) {
+        if (r.mFraming.provesEnd()) {
+            mServers.onSuccess(r.mService, r.mBackend);
+            mCrashGuard.onServed(r, mNow);
+            mInvalidAnswers.onServed(r);
+        } else {
+            mUnconfirmedEnds.onAnswerEnded(r, r.mBackend);
+        }
+    }
+
+    /** Records that the server failed, broke off or stayed silent. */
+    void onFailure(ActiveRequest r) {
+        mServers.onFailure(r.mService, r.mBackend, servingCount(r), mNow);
+    }
+
+    /** Records that no connection to the server could be opened. */
+    void onUnreachable(ActiveRequest r) {
+        mServers.onUnreachable(r.mService, r.mBackend, servingCount(r), mNow);
+    }
+
+    /** Records that the server is full, or that another server answered at its address. */
+    void onNotRun(ActiveRequest r, boolean misdirected) {
+        if (misdirected) {
+            mServers.onReplaced(r.mBackend, mNow);
+        } else {
+            mServers.onFull(r.mBackend, mNow);
+        }
+    }
+
+    private int servingCount(ActiveRequest r) {
+        return mChoice.servingCount(r.mService);
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingRequestTest.java
@@ -63,6 +63,21 @@
                 .count();
     }
 
+    private void sendBusy(RoutedFleet fleet, Route route) {
+        fleet.mTime.every(
+                FREQUENT_INTERVAL_MILLIS, () -> fleet.submit(route, "busy", mOtherResults::add));
+    }
+
+    private static void assertQuarantinedInTime(RoutedFleet fleet, Route route) {
+        fleet.mTime.advance(RUN_MILLIS);
+        assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MAX_TRIALS);
+    }
+
+    private void assertOthersAreNotQuarantined(RoutedFleet fleet, Route route) {
+        fleet.mTime.advance(RUN_MILLIS);
+        assertThat(mOtherResults).as("%s", route).doesNotContain(ResultCode.REQUEST_QUARANTINED);
+    }
+
     // Guards against a request that crashes one server after the other, as long as it is sent, and
     // each time cuts all other requests there.
     @ParameterizedTest
@@ -72,8 +87,7 @@
             RoutedFleet fleet = new RoutedFleet(seed);
             sendCrashing(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MAX_TRIALS);
+            assertQuarantinedInTime(fleet, route);
         }
     }
 
@@ -86,8 +100,7 @@
             fleet.mServers.invalidateCrashingAnswers();
             sendCrashing(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MAX_TRIALS);
+            assertQuarantinedInTime(fleet, route);
         }
     }
 
@@ -101,8 +114,7 @@
             fleet.mServers.endCrashingAnswersWithTheirConnection("id: 1\ndata: a\n\nid: 2\nda");
             sendCrashing(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MAX_TRIALS);
+            assertQuarantinedInTime(fleet, route);
         }
     }
 
@@ -116,8 +128,7 @@
             fleet.mServers.endCrashingAnswersWithTheirConnection(FleetServers.WHOLE_STREAM);
             sendCrashing(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(lateSends(fleet)).as("%s", route).isLessThanOrEqualTo(MAX_TRIALS);
+            assertQuarantinedInTime(fleet, route);
         }
     }
 
@@ -130,13 +141,8 @@
             fleet.mServers.endAllAnswersWithTheirConnection();
             sendCrashing(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.every(
-                    FREQUENT_INTERVAL_MILLIS,
-                    () -> fleet.submit(route, "busy", mOtherResults::add));
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(mOtherResults)
-                    .as("%s", route)
-                    .doesNotContain(ResultCode.REQUEST_QUARANTINED);
+            sendBusy(fleet, route);
+            assertOthersAreNotQuarantined(fleet, route);
         }
     }
 
@@ -149,13 +155,8 @@
             fleet.mServers.endAllAnswersWithTheirConnection();
             fleet.mTime.every(900, fleet.mServers::crashOne);
             sendOthers(fleet, route);
-            fleet.mTime.every(
-                    FREQUENT_INTERVAL_MILLIS,
-                    () -> fleet.submit(route, "busy", mOtherResults::add));
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(mOtherResults)
-                    .as("%s", route)
-                    .doesNotContain(ResultCode.REQUEST_QUARANTINED);
+            sendBusy(fleet, route);
+            assertOthersAreNotQuarantined(fleet, route);
         }
     }
 
@@ -166,10 +167,7 @@
         for (Route route : ROUTES) {
             RoutedFleet fleet = new RoutedFleet(seed);
             fleet.mTime.every(FREQUENT_INTERVAL_MILLIS, () -> sendWithInvalidAnswer(fleet, route));
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(mOtherResults)
-                    .as("%s", route)
-                    .doesNotContain(ResultCode.REQUEST_QUARANTINED);
+            assertOthersAreNotQuarantined(fleet, route);
         }
     }
 
@@ -182,10 +180,7 @@
             fleet.mServers.cutInvalidAnswers(50);
             fleet.mTime.every(CRASHING_INTERVAL_MILLIS, () -> sendWithInvalidAnswer(fleet, route));
             sendOthers(fleet, route);
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(mOtherResults)
-                    .as("%s", route)
-                    .doesNotContain(ResultCode.REQUEST_QUARANTINED);
+            assertOthersAreNotQuarantined(fleet, route);
         }
     }
 
@@ -197,13 +192,8 @@
             RoutedFleet fleet = new RoutedFleet(seed);
             sendCrashing(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.every(
-                    FREQUENT_INTERVAL_MILLIS,
-                    () -> fleet.submit(route, "busy", mOtherResults::add));
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(mOtherResults)
-                    .as("%s", route)
-                    .doesNotContain(ResultCode.REQUEST_QUARANTINED);
+            sendBusy(fleet, route);
+            assertOthersAreNotQuarantined(fleet, route);
         }
     }
 
@@ -214,14 +204,9 @@
         for (Route route : ROUTES) {
             RoutedFleet fleet = new RoutedFleet(seed);
             fleet.mTime.every(900, fleet.mServers::crashOne);
-            fleet.mTime.every(
-                    FREQUENT_INTERVAL_MILLIS,
-                    () -> fleet.submit(route, "busy", mOtherResults::add));
+            sendBusy(fleet, route);
             sendOthers(fleet, route);
-            fleet.mTime.advance(RUN_MILLIS);
-            assertThat(mOtherResults)
-                    .as("%s", route)
-                    .doesNotContain(ResultCode.REQUEST_QUARANTINED);
+            assertOthersAreNotQuarantined(fleet, route);
         }
     }
 
