Name the instance that ended when a fleet of processes does not start

The listed test of PlatformProcessesTest waited 90 s for settings to be accepted, once, and its logs went with its folder.

--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/JavaProcess.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/JavaProcess.java
@@ -26,6 +26,7 @@
     private final Path mLog;
     private final List<String> mCommand;
     private Process mProcess;
+    private boolean mDestroyed;
 
     /**
      * Creates a process without starting it.
@@ -67,6 +68,7 @@
 
     /** Starts the process, or starts it again after it has ended. */
     public void start() {
+        mDestroyed = false;
         try {
             mProcess =
                     new ProcessBuilder(mCommand)
@@ -99,6 +101,14 @@
         }
     }
 
+    /** Fails if the process was started and has ended other than by {@link #destroy}. */
+    public void requireNotEnded() {
+        if (mProcess != null && !mDestroyed && !isRunning()) {
+            throw new AssertionError(
+                    mName + " has ended with " + mProcess.exitValue() + ":\n" + read(mLog));
+        }
+    }
+
     /** Returns whether the process is running. */
     public boolean isRunning() {
         return mProcess != null && mProcess.isAlive();
@@ -140,6 +150,7 @@
     /** Kills the process if it was ever started, without waiting for its end. */
     public void destroy() {
         if (mProcess != null) {
+            mDestroyed = true;
             mProcess.destroyForcibly();
         }
     }
