--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -32,7 +32,10 @@
     private final AnswerTail mTail = new AnswerTail();
     private boolean mPossiblySent;
     private boolean mHeadReceived;
-    private boolean mIsEventStream;
+
+    /** Whether the answer is a chat's stream, whose last event tells its end. */
+    private boolean mIsChatStream;
+
     private BodyCheck mCheck;
     private boolean mEnded;
 
@@ -107,8 +110,8 @@
         BodyFraming framing = AnswerFraming.of(mRequest.method().name(), response);
         List<Header> headers = HopByHopHeaders.endToEnd(response.headers());
         BodyType type = BodyType.of(headers);
-        mIsEventStream = type == BodyType.EVENTS;
-        mCheck = new BodyCheck(type, framing);
+        mIsChatStream = mStreamRequested && type == BodyType.EVENTS;
+        mCheck = new BodyCheck(mIsChatStream ? BodyType.OTHER : type, framing);
         mListener.onHead(response.status().code(), EndHeader.applyTo(headers, framing));
     }
 
@@ -123,12 +126,11 @@
     }
 
     private void onBodyEnd() {
-        boolean isChatStream = mStreamRequested && mIsEventStream;
-        if (isChatStream && !mTail.isStreamDone()) {
+        if (mIsChatStream && !mTail.isStreamDone()) {
             fail("the stream of events ended before its last one");
             return;
         }
-        if (!isChatStream && mCheck.isBrokenOff()) {
+        if (mCheck.isBrokenOff()) {
             fail("the answer ended within its content");
             return;
         }
