--- a/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
@@ -24,7 +24,7 @@
  * restart takes longer. A server that does not react tells nothing.
  */
 final class UnconfirmedEnds {
-    /** A server that crashes closes its listening socket this long after its connections. */
+    /** Time in which a crashing server that ends its connections stops to listen, too. */
     private static final Duration CHECK_DELAY = Duration.ofMillis(250);
 
     /** Time after which an end is forgotten; the connection attempt of a check is shorter. */
@@ -50,7 +50,8 @@
     /**
      * The end of an answer.
      *
-     * @param counts whether the request was served if the server lives
+     * @param counts whether the answer was a success, so that the request was served if the server
+     *     lives
      */
     private record End(RequestSummary request, Instant time, boolean counts) {}
 
