Require the last event of a compressed chat's stream again

The content type decides again. BackendCallTest.compressedChatStreamWithoutItsLastEventFails failed before and passes now.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -109,9 +109,8 @@
         mHeadReceived = true;
         BodyFraming framing = AnswerFraming.of(mRequest.method().name(), response);
         List<Header> headers = HopByHopHeaders.endToEnd(response.headers());
-        BodyType type = BodyType.of(headers);
-        mIsChatStream = mStreamRequested && type == BodyType.EVENTS;
-        mCheck = new BodyCheck(mIsChatStream ? BodyType.OTHER : type, framing);
+        mIsChatStream = mStreamRequested && BodyType.isEventStream(headers);
+        mCheck = new BodyCheck(mIsChatStream ? BodyType.OTHER : BodyType.of(headers), framing);
         mListener.onHead(response.status().code(), EndHeader.applyTo(headers, framing));
     }
 
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -94,6 +94,14 @@
         assertThat(endOf(true, EVENTS, "", event + "data: [DONE]\n")).isEqualTo(End.FINISHED);
     }
 
+    // Guards against a compressed chat's stream that counts as complete although it was cut.
+    @Test
+    void compressedChatStreamWithoutItsLastEventFails() {
+        String gzip = EVENTS + "\r\nContent-Encoding: gzip";
+        assertThat(endOf(true, gzip, "", "half of it")).isEqualTo(End.FAILED);
+        assertThat(endOf(false, gzip, "", "half of it")).isEqualTo(End.FINISHED);
+    }
+
     // Guards against telling callers more of an answer's end than is known.
     @Test
     void headTellsThatOnlyTheConnectionEndsTheAnswer() {
--- a/org.laurelweir/src/main/java/org/laurelweir/answer/BodyType.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/answer/BodyType.java
@@ -31,16 +31,26 @@
         if (!encoding.isEmpty() && !encoding.equals(NOT_ENCODED)) {
             return OTHER;
         }
-        String type = value(headers, CONTENT_TYPE).split(";", 2)[0].strip();
+        if (isEventStream(headers)) {
+            return EVENTS;
+        }
+        String type = mediaType(headers);
         if (type.isEmpty()) {
             return UNKNOWN;
         }
-        if (type.equals(EVENT_STREAM_TYPE)) {
-            return EVENTS;
-        }
         return type.equals(JSON_TYPE) || type.endsWith(JSON_SUFFIX) ? JSON : OTHER;
     }
 
+    /** Returns whether the body is a stream of events, compressed or not. */
+    public static boolean isEventStream(List<Header> headers) {
+        return mediaType(headers).equals(EVENT_STREAM_TYPE);
+    }
+
+    /** Returns the content type without its parameters, or empty. */
+    private static String mediaType(List<Header> headers) {
+        return value(headers, CONTENT_TYPE).split(";", 2)[0].strip();
+    }
+
     private static String value(List<Header> headers, String name) {
         return headers.stream()
                 .filter(h -> h.name().equalsIgnoreCase(name))
