--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -131,7 +131,7 @@
         if (isStreaming()) {
             return isEventStream() && BodyCheck.isBrokenOff(mFramer, mFraming);
         }
-        if (mFraming.provesEnd()) {
+        if (mFraming.provesEnd() && mBodyType != BodyType.EVENTS) {
             return false;
         }
         BodyCheck check = new BodyCheck(mBodyType, mFraming);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/BrokenOffStreamTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/BrokenOffStreamTest.java
@@ -149,6 +149,17 @@
         assertThat(mDriver.isIdle()).isTrue();
     }
 
+    // Guards against a cut stream of events that counts as complete because its route is plain.
+    @Test
+    void streamOfEventsOnAPlainRouteIsBrokenOffInsideAnEvent() {
+        for (BodyFraming framing : BodyFraming.values()) {
+            mDriver.arrive(++mLastCaller, route(false, false, false));
+            answer(EVENTS, framing, CUT);
+            assertThat(mDriver.all(DirectEffect.AnswerComplete.class)).as("%s", framing).isEmpty();
+            assertThat(mDriver.isIdle()).isTrue();
+        }
+    }
+
     @Test
     void streamOfACallerThatHasGoneIsNotResumed() {
         mDriver.arrive(1, RESUMABLE);
