Ask the membership itself what is a quorum

Five places counted voters and compared the number with a quorum. They ask Membership.hasQuorum and quorumValue now, so that what a quorum is stands in one place. No change of behaviour.

--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Elections.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Elections.java
@@ -126,7 +126,7 @@
             return;
         }
         mVotes.add(voter);
-        if (mVotes.size() < membership.quorum()) {
+        if (!membership.hasQuorum(mVotes::contains)) {
             return;
         }
         if (mState.role() == Role.PRE_CANDIDATE) {
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
@@ -134,9 +134,7 @@
     }
 
     private boolean isQuorumInContact() {
-        Membership membership = mState.log().membership();
-        return membership.voters().stream().filter(this::isInContact).count()
-                >= membership.quorum();
+        return mState.log().membership().hasQuorum(this::isInContact);
     }
 
     private boolean isInContact(ReplicaId id) {
@@ -181,10 +179,7 @@
     }
 
     private long quorumIndex() {
-        Membership membership = mState.log().membership();
-        long[] durableIndexes =
-                membership.voters().stream().mapToLong(this::durableIndexOf).sorted().toArray();
-        return durableIndexes[durableIndexes.length - membership.quorum()];
+        return mState.log().membership().quorumValue(this::durableIndexOf);
     }
 
     private long durableIndexOf(ReplicaId voter) {
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Membership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Membership.java
@@ -10,6 +10,8 @@
 import java.util.Collections;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * The replicas of the log: voters and learners.
@@ -33,8 +35,26 @@
         return new Membership(new TreeSet<>(voters), new TreeSet<>());
     }
 
-    /** Returns the number of voters that form a majority. */
-    public int quorum() {
+    /** Returns whether the voters that match a condition form a quorum. */
+    public boolean hasQuorum(Predicate<ReplicaId> condition) {
+        return spareVoters(condition) >= 0;
+    }
+
+    /**
+     * Returns how many of the voters that match a condition are not needed for a quorum. Negative
+     * if they are no quorum.
+     */
+    public int spareVoters(Predicate<ReplicaId> condition) {
+        return (int) voters.stream().filter(condition).count() - majority();
+    }
+
+    /** Returns the highest value that a quorum of the voters reaches. */
+    long quorumValue(ToLongFunction<ReplicaId> value) {
+        long[] values = voters.stream().mapToLong(value).sorted().toArray();
+        return values[values.length - majority()];
+    }
+
+    private int majority() {
         return voters.size() / 2 + 1;
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
@@ -67,8 +67,7 @@
         if (change instanceof Promote && !hasCaughtUp(change.replica())) {
             return ResultCode.MEMBERSHIP_CHANGE_PENDING;
         }
-        long inContact = next.voters().stream().filter(mIsInContact).count();
-        return inContact >= next.quorum() ? ResultCode.OK : ResultCode.NO_QUORUM;
+        return next.hasQuorum(mIsInContact) ? ResultCode.OK : ResultCode.NO_QUORUM;
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/PendingReads.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/PendingReads.java
@@ -53,15 +53,13 @@
     }
 
     private boolean isRoundAnswered() {
-        Membership membership = mState.log().membership();
-        long answers =
-                membership.voters().stream()
-                        .filter(v -> v.equals(mState.self()) || hasAnswered(v))
-                        .count();
-        return answers >= membership.quorum();
+        return mState.log().membership().hasQuorum(this::hasAnswered);
     }
 
     private boolean hasAnswered(ReplicaId voter) {
+        if (voter.equals(mState.self())) {
+            return true;
+        }
         FollowerProgress p = mReplication.progress(voter);
         return p != null && p.answeredRound() >= mRound;
     }
