Let a leader tell which replicas have caught up and when each last replied

What follows needs both: to say how many losses the log can bear now, and to decide which replica takes whose place. No change of behaviour; ConsensusRulesTest passes.

--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusReducer.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.laurelweir.consensus.ConsensusEvent.Bootstrapped;
 import org.laurelweir.consensus.ConsensusEvent.MembershipChangeProposed;
@@ -68,6 +69,22 @@
         return mState.log().membership();
     }
 
+    /**
+     * Returns whether a replica replied within the last election timeout and its log is close to
+     * this one. False unless this replica leads.
+     */
+    public boolean hasCaughtUp(ReplicaId id) {
+        return mLeadership != null && mLeadership.hasCaughtUp(id);
+    }
+
+    /**
+     * Returns when another replica last replied to this one as the leader; empty if this replica
+     * does not lead, or the other one is not a member. Since an election, at the earliest.
+     */
+    public Optional<Instant> lastContact(ReplicaId id) {
+        return mLeadership == null ? Optional.empty() : mLeadership.lastContact(id);
+    }
+
     ReplicatedLog log() {
         return mState.log();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.laurelweir.consensus.ConsensusEffect.ProposalAccepted;
 import org.laurelweir.consensus.ConsensusEffect.ProposalRejected;
 import org.laurelweir.lib.ResultCode;
@@ -146,6 +147,16 @@
         return progress != null && progress.lastContact().isAfter(earliest);
     }
 
+    /** Returns whether a replica is in contact and its log is close to the leader's. */
+    boolean hasCaughtUp(ReplicaId id) {
+        return mMembershipRules.hasCaughtUp(id);
+    }
+
+    /** Returns when another replica last replied, or empty if it is not a member. */
+    Optional<Instant> lastContact(ReplicaId id) {
+        return Optional.ofNullable(mReplication.progress(id)).map(FollowerProgress::lastContact);
+    }
+
     void onAppendReply(ReplicaId from, ReplicaMessage.AppendReply m) {
         mReplication.onAppendReply(from, m);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
@@ -71,14 +71,20 @@
     }
 
     /**
-     * Returns whether a learner's log is close to the leader's. A voter without the log enlarges
+     * Returns whether a replica is in contact and its log is close to the leader's. A voter without the log enlarges
      * the quorum but can't help to reach it: until it has caught up, the loss of one more replica
      * would stop all commits.
      */
-    private boolean hasCaughtUp(ReplicaId learner) {
-        FollowerProgress p = mReplication.progress(learner);
+    boolean hasCaughtUp(ReplicaId replica) {
+        if (replica.equals(mState.self())) {
+            return true;
+        }
+        FollowerProgress p = mReplication.progress(replica);
+        if (p == null) {
+            return false;
+        }
         long lag = mState.log().lastIndex() - p.matchIndex();
         boolean isClose = p.matchIndex() > 0 && lag <= mState.config().maxLearnerLagEntries();
-        return isClose && mIsInContact.test(learner);
+        return isClose && mIsInContact.test(replica);
     }
 }
