--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SimulatedControls.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SimulatedControls.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -15,11 +14,8 @@
 import org.laurelweir.consensus.ConsensusConfig;
 import org.laurelweir.consensus.ConsensusEffect;
 import org.laurelweir.consensus.ConsensusEvent;
-import org.laurelweir.consensus.HardState;
-import org.laurelweir.consensus.LogEntry;
 import org.laurelweir.consensus.Membership;
 import org.laurelweir.consensus.ReplicaId;
-import org.laurelweir.consensus.Snapshot;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
@@ -37,13 +33,10 @@
 
     final Random mRandom;
     final List<Node> mNodes = new ArrayList<>();
-    private final PriorityQueue<Scheduled> mQueue = new PriorityQueue<>();
+    private final SimulatedTime mTime = new SimulatedTime();
     private final Map<String, String> mAddresses = new TreeMap<>();
-    private long mNow;
-    private long mScheduled;
     private long mLastCall;
     private boolean mLossy = true;
-    private long mLoggedBytes;
 
     SimulatedControls(int nodes, long seed) {
         mRandom = new Random(seed);
@@ -62,22 +55,16 @@
     }
 
     long now() {
-        return mNow;
+        return mTime.now();
     }
 
     void after(long millis, Runnable action) {
-        mQueue.add(new Scheduled(mNow + millis, mScheduled++, action));
+        mTime.after(millis, action);
     }
 
     /** Advances the time by some milliseconds and runs the actions that are due. */
     void run(long millis) {
-        long end = mNow + millis;
-        while (!mQueue.isEmpty() && mQueue.peek().at() <= end) {
-            Scheduled s = mQueue.poll();
-            mNow = s.at();
-            s.action().run();
-        }
-        mNow = end;
+        mTime.run(millis);
     }
 
     /** Advances the time until a condition holds, by a minute at most. */
@@ -89,7 +76,7 @@
 
     /** Returns the total size of the entries that were written to disks. */
     long loggedBytes() {
-        return mLoggedBytes;
+        return mNodes.stream().mapToLong(n -> n.mDisk.loggedBytes()).sum();
     }
 
     /** Starts all stopped instances and ends partitions and message loss. */
@@ -107,15 +94,6 @@
         return mLossy && mRandom.nextDouble() < probability;
     }
 
-    private record Scheduled(long at, long order, Runnable action)
-            implements Comparable<Scheduled> {
-        @Override
-        public int compareTo(Scheduled other) {
-            int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     /** A simulated instance with its disk. */
     final class Node {
         final ReplicaId mId;
@@ -123,11 +101,8 @@
         final Map<Long, Consumer<ControlEffect.Answer>> mCalls = new HashMap<>();
         ControlReducer mReducer;
         boolean mPartitioned;
-        private final TreeMap<Long, LogEntry> mLog = new TreeMap<>();
-        private HardState mHardState = HardState.INITIAL;
-        private Snapshot mSnapshot = Snapshot.NONE;
+        private final SimulatedDisk mDisk = new SimulatedDisk();
         private int mIncarnation;
-        private long mDiskCommitIndex;
         private long mDiskBusyUntil;
 
         Node(ReplicaId id) {
@@ -148,12 +123,7 @@
                             .build();
             mReducer = new ControlReducer(config, new CommandCodec(), mRandom.nextLong());
             mCalls.clear();
-            List<LogEntry> entries =
-                    new ArrayList<>(mLog.tailMap(mSnapshot.index(), false).values());
-            offer(
-                    new ControlEvent.ReplicaEvent(
-                            new ConsensusEvent.Recovered(
-                                    mHardState, mSnapshot, entries, mDiskCommitIndex)));
+            offer(new ControlEvent.ReplicaEvent(mDisk.recover()));
             tick(mIncarnation);
         }
 
@@ -170,7 +140,7 @@
 
         void offer(ControlEvent event) {
             if (mReducer != null) {
-                Instant local = Instant.ofEpochMilli(mNow).plus(mClockSkew);
+                Instant local = Instant.ofEpochMilli(now()).plus(mClockSkew);
                 mReducer.step(local, event, this::execute);
             }
         }
@@ -193,7 +163,7 @@
             } else if (effect instanceof ControlEffect.Persist p) {
                 persist(p.persist(), mIncarnation);
             } else if (effect instanceof ControlEffect.MarkCommitted m && occurs(0.5)) {
-                mDiskCommitIndex = m.index();
+                mDisk.markCommitted(m.index());
             } else if (effect instanceof ControlEffect.EncodeSnapshot s) {
                 byte[] state = new CommandCodec().encode(s.snapshot());
                 offerLater(
@@ -235,35 +205,17 @@
          * those that have not reached it.
          */
         private void persist(ConsensusEffect.Persist p, int incarnation) {
-            mDiskBusyUntil = Math.max(mNow, mDiskBusyUntil) + 1 + mRandom.nextInt(4);
+            mDiskBusyUntil = Math.max(now(), mDiskBusyUntil) + 1 + mRandom.nextInt(4);
             after(
-                    mDiskBusyUntil - mNow,
+                    mDiskBusyUntil - now(),
                     () -> {
                         if (incarnation == mIncarnation && mReducer != null) {
-                            write(p);
+                            mDisk.write(p);
                             offer(
                                     new ControlEvent.ReplicaEvent(
                                             new ConsensusEvent.Persisted(p.sequence())));
                         }
                     });
         }
-
-        private void write(ConsensusEffect.Persist p) {
-            if (p.hardState() != null) {
-                mHardState = p.hardState();
-            }
-            if (p.discardLog()) {
-                mLog.clear();
-            }
-            if (p.snapshot() != null) {
-                mSnapshot = p.snapshot();
-                mLog.headMap(mSnapshot.index(), true).clear();
-            }
-            for (LogEntry e : p.entries()) {
-                mLog.tailMap(e.index(), true).clear();
-                mLog.put(e.index(), e);
-                mLoggedBytes += e.payload().length;
-            }
-        }
     }
 }
