Hand the vote of an instance that stops over to a spare

What callers would see: the same as after two losses. A machine of the core is replaced as planned: the new one first, which is a learner for as long as there are three voters; then the old one stops, in order. For 2 s and more after that two voters are left, although the successor has been there for long, and the loss of one disk in that time is the last.

Cause: a stop handed over the leadership, not the vote.

Change: a replica that stops soon says so in its replies to the leader (EntriesAnswered.leaving), which replaces it by a spare through a joint membership. The stop waits until that is committed, a second at most, and not at all where there is no spare with a disk.

Consensus*Test, VoterPlanTest, AutoJoinTest and ControlProgramTest pass. An instance of a version before doesn't know the flag and replaces the one that stops after 2 s of silence.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -26,6 +26,7 @@
     private final Consumer<ControlEvent> mEvents;
     private final ControlMetrics mMetrics;
     private final CompletableFuture<Void> mLeadershipTransferEnded = new CompletableFuture<>();
+    private final CompletableFuture<Void> mVoteHandedOver = new CompletableFuture<>();
     private volatile boolean mHasWritten;
 
     ControlEffects(
@@ -58,6 +59,15 @@
         return mLeadershipTransferEnded;
     }
 
+    /**
+     * Returns a future that completes when this instance has no vote any more, or no other one
+     * could vote in its place. Only meaningful after {@link
+     * org.laurelweir.consensus.ConsensusEvent.Leaving}.
+     */
+    CompletableFuture<Void> voteHandedOver() {
+        return mVoteHandedOver;
+    }
+
     @Override
     public void accept(ControlEffect e) {
         if (e instanceof ControlEffect.Answer a) {
@@ -80,6 +90,8 @@
             mMetrics.onReport(r);
         } else if (e instanceof ControlEffect.LeadershipTransferEnded) {
             mLeadershipTransferEnded.complete(null);
+        } else if (e instanceof ControlEffect.VoteHandedOver) {
+            mVoteHandedOver.complete(null);
         } else if (e instanceof ControlEffect.LogDecision d) {
             DecisionLog.write(d.decision());
         }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -64,6 +64,7 @@
     private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
     private static final Duration SHUTDOWN_GRACE = Duration.ofMillis(500);
     private static final Duration LEADERSHIP_TRANSFER_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration VOTE_HANDOVER_TIMEOUT = Duration.ofSeconds(1);
     private static final int HEARTBEATS_PER_ELECTION = 6;
 
     private final ControlFile mFile;
@@ -281,25 +282,28 @@
     }
 
     /**
-     * Transfers the leadership to another instance. Runs before the server stops, since the
-     * successor's votes and the last answers pass through it.
+     * Hands the leadership and the vote over to other instances. Runs before the server stops,
+     * since the successor's votes and the last answers pass through it. The instance stops in any
+     * case. If the leadership transfer does not end in time, the others elect a leader after their
+     * election timeout. If the vote is not handed over in time, a spare takes its place later.
      */
-    private void transferLeadership() {
+    private void handOver() {
         if (!mLoop.isDone()) {
             return;
         }
         offer(new ControlEvent.ReplicaEvent(new ConsensusEvent.LeadershipTransferRequested()));
-        // The instance stops in any case. If the transfer does not end in time, the others elect a
-        // leader after their election timeout.
-        mEffects.leadershipTransferEnded()
-                .completeOnTimeout(
-                        null, LEADERSHIP_TRANSFER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .join();
+        await(mEffects.leadershipTransferEnded(), LEADERSHIP_TRANSFER_TIMEOUT);
+        offer(new ControlEvent.ReplicaEvent(new ConsensusEvent.Leaving()));
+        await(mEffects.voteHandedOver(), VOTE_HANDOVER_TIMEOUT);
+    }
+
+    private static void await(CompletableFuture<Void> end, Duration timeout) {
+        end.completeOnTimeout(null, timeout.toMillis(), TimeUnit.MILLISECONDS).join();
     }
 
     @Override
     public void stop() {
-        transferLeadership();
+        handOver();
         if (mServer != null) {
             mServer.stop();
         }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/JoiningControls.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/JoiningControls.java
@@ -43,6 +43,7 @@
     private static final int MAX_SYNC_MILLIS = 4;
     private static final int SNAPSHOT_MILLIS = 5;
     private static final int RETRY_MILLIS = 100;
+    private static final int HANDOVER_MILLIS = 1_000;
 
     final Random mRandom;
     final SimulatedTime mTime = new SimulatedTime();
@@ -166,6 +167,7 @@
         boolean mCutOff;
         ControlInstanceStatus mStatus;
         private SimulatedDisk mDisk;
+        private ControlEffect mLastHandover;
         private ControlReducer mReducer;
         private int mIncarnation;
         private long mDiskBusyUntil;
@@ -203,6 +205,24 @@
             mCalls.clear();
         }
 
+        /** Stops in order: hands over the leadership and the vote first, for a second at most. */
+        void shutDown() {
+            offerUntil(
+                    new ConsensusEvent.LeadershipTransferRequested(),
+                    ControlEffect.LeadershipTransferEnded.class);
+            offerUntil(new ConsensusEvent.Leaving(), ControlEffect.VoteHandedOver.class);
+            stop();
+        }
+
+        private void offerUntil(ConsensusEvent event, Class<? extends ControlEffect> wanted) {
+            mLastHandover = null;
+            offer(new ControlEvent.ReplicaEvent(event));
+            long end = mTime.now() + HANDOVER_MILLIS;
+            while (!wanted.isInstance(mLastHandover) && mTime.now() < end) {
+                run(1);
+            }
+        }
+
         /** Cuts the power and replaces the disk by an empty one. */
         void wipe() {
             stop();
@@ -284,6 +304,9 @@
                 persist(p.persist());
             } else if (effect instanceof ControlEffect.MarkCommitted m) {
                 mDisk.markCommitted(m.index());
+            } else if (effect instanceof ControlEffect.LeadershipTransferEnded
+                    || effect instanceof ControlEffect.VoteHandedOver) {
+                mLastHandover = effect;
             } else if (effect instanceof ControlEffect.RequestPeerUpdate r) {
                 requestPeerUpdate(r);
             } else if (effect instanceof ControlEffect.EncodeSnapshot s) {
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SecondLossTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SecondLossTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.control.history.JoiningControls.Machine;
 
@@ -38,11 +39,22 @@
         assertThat(unsurvivedLosses(LATE_SECOND_LOSS_MILLIS)).isEmpty();
     }
 
+    // Guards against a planned replacement that leaves two voters: the successor has been there for
+    // long, the old voter stops in order, and the next voter loses its disk right after that.
+    @Test
+    void secondVoterLosesItsDiskRightAfterAPlannedReplacement() {
+        assertThat(unsurvivedPairs(SecondLossTest::survivesAfterPlannedReplacement)).isEmpty();
+    }
+
     private static List<String> unsurvivedLosses(int millisBetween) {
+        return unsurvivedPairs((first, second) -> survives(first, second, millisBetween));
+    }
+
+    private static List<String> unsurvivedPairs(BiPredicate<Integer, Integer> survives) {
         List<String> unsurvived = new ArrayList<>();
         for (int first = 0; first < VOTERS; first++) {
             for (int second = 0; second < VOTERS; second++) {
-                if (first != second && !survives(first, second, millisBetween)) {
+                if (first != second && !survives.test(first, second)) {
                     unsurvived.add("voter " + first + ", then voter " + second);
                 }
             }
@@ -50,6 +62,18 @@
         return unsurvived;
     }
 
+    private static boolean survivesAfterPlannedReplacement(int first, int second) {
+        JoiningControls controls = new JoiningControls(VOTERS, VOTERS, SEED);
+        Machine replaced = controls.machines().get(first);
+        Machine wiped = controls.machines().get(second);
+        assertThat(controls.change("/service=before", SETTLE_MILLIS)).isTrue();
+        controls.add(true);
+        controls.run(SETTLE_MILLIS);
+        replaced.shutDown();
+        replaced.lose();
+        return survivesPowerLossAndWipe(controls, wiped);
+    }
+
     private static boolean survives(int first, int second, int millisBetween) {
         JoiningControls controls = new JoiningControls(VOTERS, VOTERS, SEED);
         Machine lost = controls.machines().get(first);
@@ -60,6 +84,10 @@
         controls.run(SUCCESSOR_START_MILLIS);
         controls.add(true);
         controls.run(millisBetween - SUCCESSOR_START_MILLIS);
+        return survivesPowerLossAndWipe(controls, wiped);
+    }
+
+    private static boolean survivesPowerLossAndWipe(JoiningControls controls, Machine wiped) {
         controls.machines().forEach(Machine::stop);
         wiped.wipe();
         controls.run(POWER_OFF_MILLIS);
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/ReplicaCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/ReplicaCodec.java
@@ -155,12 +155,13 @@
                 .setSuccess(m.success())
                 .setMatchIndex(m.matchIndex())
                 .setRound(m.round())
+                .setLeaving(m.leaving())
                 .build();
     }
 
     private static ReplicaMessage toCore(EntriesAnswered m) {
         return new ReplicaMessage.AppendReply(
-                m.getTerm(), m.getSuccess(), m.getMatchIndex(), m.getRound());
+                m.getTerm(), m.getSuccess(), m.getMatchIndex(), m.getRound(), m.getLeaving());
     }
 
     private static SnapshotPiece toWire(ReplicaMessage.SnapshotChunk m) {
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/AppendReceiver.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/AppendReceiver.java
@@ -55,7 +55,9 @@
     }
 
     private void reply(ReplicaId from, AppendRequest m, boolean success, long index) {
-        mState.sendAfterSync(from, new AppendReply(mState.term(), success, index, m.round()));
+        mState.sendAfterSync(
+                from,
+                new AppendReply(mState.term(), success, index, m.round(), mState.isLeaving()));
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusEffect.java
@@ -97,6 +97,12 @@
      */
     record LeadershipTransferEnded() implements ConsensusEffect {}
 
+    /**
+     * Reports that a replica that stops soon has no vote any more, or that no other replica could
+     * vote in its place.
+     */
+    record VoteHandedOver() implements ConsensusEffect {}
+
     /**
      * Reports that the newest membership in this replica's log changed. The shell updates its
      * connections.
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusEvent.java
@@ -60,6 +60,12 @@
      */
     record LeadershipTransferRequested() implements ConsensusEvent {}
 
+    /**
+     * The replica stops soon. It tells this to each leader, so that another replica can vote in its
+     * place. The reducer answers with {@link ConsensusEffect.VoteHandedOver}.
+     */
+    record Leaving() implements ConsensusEvent {}
+
     /** Every {@link ConsensusEffect.Persist} up to this sequence number is synced to disk. */
     record Persisted(long sequence) implements ConsensusEvent {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusReducer.java
@@ -34,6 +34,7 @@
     private final Applier mApplier;
     private final AppendReceiver mAppendReceiver;
     private final SnapshotReceiver mSnapshotReceiver;
+    private final VoteHandover mVoteHandover;
     private Leadership mLeadership;
 
     /**
@@ -49,6 +50,7 @@
         mApplier = new Applier(mState, this::onApplied);
         mAppendReceiver = new AppendReceiver(mState, mApplier);
         mSnapshotReceiver = new SnapshotReceiver(mState, mApplier);
+        mVoteHandover = new VoteHandover(mState, mApplier);
     }
 
     public Role role() {
@@ -85,6 +87,14 @@
         return mLeadership == null ? Optional.empty() : mLeadership.lastContact(id);
     }
 
+    /**
+     * Returns whether another replica has told this one as the leader that it stops soon, so that
+     * another one should vote in its place.
+     */
+    public boolean isLeaving(ReplicaId id) {
+        return mLeadership != null && mLeadership.isLeaving(id);
+    }
+
     ReplicatedLog log() {
         return mState.log();
     }
@@ -116,6 +126,7 @@
             updateLeadership();
         }
         mApplier.markCommitted();
+        mVoteHandover.advance();
         mState.endStep();
     }
 
@@ -152,6 +163,8 @@
             onRecovered(e);
         } else if (event instanceof ConsensusEvent.LeadershipTransferRequested) {
             onTransferRequested();
+        } else if (event instanceof ConsensusEvent.Leaving) {
+            mVoteHandover.begin();
         } else if (event instanceof Bootstrapped e) {
             onBootstrapped(e);
         }
@@ -265,7 +278,7 @@
     /** Tells the leader of an earlier term that a newer term exists. Late replies are ignored. */
     private void rejectOldTerm(ReplicaId from, ReplicaMessage message) {
         if (message instanceof AppendRequest || message instanceof SnapshotChunk) {
-            mState.sendAfterSync(from, new AppendReply(mState.term(), false, 0, 0));
+            mState.sendAfterSync(from, new AppendReply(mState.term(), false, 0, 0, false));
         }
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/FollowerProgress.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/FollowerProgress.java
@@ -29,6 +29,7 @@
     private long mNextIndex;
     private Instant mLastContact;
     private long mAnsweredRound;
+    private boolean mIsLeaving;
     private Snapshot mSnapshot;
     private int mSnapshotOffset;
 
@@ -59,6 +60,15 @@
         return mAnsweredRound;
     }
 
+    /** Returns whether the replica has told that it stops soon. */
+    boolean isLeaving() {
+        return mIsLeaving;
+    }
+
+    void setLeaving(boolean leaving) {
+        mIsLeaving = leaving;
+    }
+
     void onReply(Instant now, long round) {
         mLastContact = now;
         mAnsweredRound = Math.max(mAnsweredRound, round);
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
@@ -175,6 +175,12 @@
         return Optional.ofNullable(mReplication.progress(id)).map(FollowerProgress::lastContact);
     }
 
+    /** Returns whether another replica has told that it stops soon. */
+    boolean isLeaving(ReplicaId id) {
+        FollowerProgress progress = mReplication.progress(id);
+        return progress != null && progress.isLeaving();
+    }
+
     void onAppendReply(ReplicaId from, ReplicaMessage.AppendReply m) {
         mReplication.onAppendReply(from, m);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ReplicaMessage.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ReplicaMessage.java
@@ -75,8 +75,10 @@
      * @param matchIndex on success, the index of the last entry that matches the leader's log and
      *     is synced; else the last index at which the leader should try again
      * @param round echoed from the request
+     * @param leaving whether the sender stops soon, so that another replica should vote in its
+     *     place
      */
-    record AppendReply(long term, boolean success, long matchIndex, long round)
+    record AppendReply(long term, boolean success, long matchIndex, long round, boolean leaving)
             implements ReplicaMessage {}
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ReplicaState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ReplicaState.java
@@ -17,6 +17,7 @@
     private Role mRole = Role.FOLLOWER;
     private ReplicaId mLeader;
     private Membership mReportedMembership = Membership.EMPTY;
+    private boolean mIsLeaving;
     private Instant mNow;
     private Consumer<? super ConsensusEffect> mEffects;
 
@@ -90,6 +91,15 @@
         return mLog.membership().isVoter(mSelf);
     }
 
+    /** Returns whether this replica stops soon. */
+    boolean isLeaving() {
+        return mIsLeaving;
+    }
+
+    void setLeaving() {
+        mIsLeaving = true;
+    }
+
     /** Moves to a higher term as a follower without a known leader. */
     void adoptTerm(long term) {
         setHardState(new HardState(term, null));
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Replication.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Replication.java
@@ -143,6 +143,7 @@
             return;
         }
         p.onReply(mState.now(), m.round());
+        p.setLeaving(m.leaving());
         if (m.success()) {
             p.onMatch(m.matchIndex());
         } else {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -183,6 +183,12 @@
      */
     record LeadershipTransferEnded() implements ControlEffect {}
 
+    /**
+     * Reports that this instance, which is about to stop, has no vote any more, or that no other
+     * one could vote in its place.
+     */
+    record VoteHandedOver() implements ControlEffect {}
+
     /** Logs a decision. */
     record LogDecision(Decision decision) implements ControlEffect {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -104,6 +104,11 @@
         return mConsensus.hasCaughtUp(id);
     }
 
+    /** Returns whether another replica has told this instance as the leader that it stops soon. */
+    boolean isLeaving(ReplicaId id) {
+        return mConsensus.isLeaving(id);
+    }
+
     /**
      * Returns when another replica last replied; empty if it is not a member, or this instance does
      * not lead.
@@ -212,6 +217,8 @@
             mDecisionLogger.roleChanged(mNow, r, mEffects);
         } else if (e instanceof ConsensusEffect.LeadershipTransferEnded) {
             mEffects.accept(new ControlEffect.LeadershipTransferEnded());
+        } else if (e instanceof ConsensusEffect.VoteHandedOver) {
+            mEffects.accept(new ControlEffect.VoteHandedOver());
         } else if (e instanceof ConsensusEffect.MembershipChanged m) {
             mDecisionLogger.replicasChanged(mNow, m.membership(), mEffects);
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
@@ -76,11 +76,17 @@
                 members,
                 running,
                 matching(members, mReplica::hasCaughtUp),
-                silentFor(REPLACEMENT_TIMEOUT, now, members),
+                departing(now, members),
                 mAutoJoin ? timedOut : Set.of(),
                 mAutoJoin);
     }
 
+    private Set<ReplicaId> departing(Instant now, Membership members) {
+        Set<ReplicaId> departing = silentFor(REPLACEMENT_TIMEOUT, now, members);
+        departing.addAll(matching(members, mReplica::isLeaving));
+        return departing;
+    }
+
     private Set<ReplicaId> silentFor(Duration timeout, Instant now, Membership members) {
         Instant latest = now.minus(timeout);
         return matching(
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/VoterPlan.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/VoterPlan.java
@@ -15,7 +15,7 @@
  * <p>The number of voters is odd, as far as there are enough replicas with disks. An additional
  * voter would not make the log survive a further loss, and an even number of voters that is
  * partitioned into halves has no quorum on either side. The remaining learner is the spare: it
- * takes the place of a voter whose disk is lost or that is silent.
+ * takes the place of a voter whose disk is lost, that is silent, or that stops soon.
  *
  * <p>An instance without a disk stays a learner. It serves its callers from its copy of the log,
  * and no quorum depends on its memory.
@@ -23,7 +23,8 @@
  * @param members the current membership of the log
  * @param running the replica ids that the running control instances report
  * @param caughtUp the replicas that acknowledge entries and lack at most the newest ones
- * @param silent the replicas that have not replied for so long that a spare takes their place
+ * @param departing the replicas whose place a spare takes: they have not replied for some time, or
+ *     stop soon
  * @param timedOut the replicas that have been silent for so long that they are removed
  * @param autoJoin whether instances that are not configured may join by themselves
  */
@@ -31,7 +32,7 @@
         Membership members,
         Set<ReplicaId> running,
         Set<ReplicaId> caughtUp,
-        Set<ReplicaId> silent,
+        Set<ReplicaId> departing,
         Set<ReplicaId> timedOut,
         boolean autoJoin) {
     private static final int MAX_VOTERS = 7;
@@ -61,11 +62,11 @@
 
     /**
      * Returns a change that puts a learner in the place of a voter whose disk is lost or that is
-     * silent. The learner of the same name is the first choice. Any other one that has caught up
+     * departing. The learner of the same name is the first choice. Any other one that has caught up
      * will do as well, because a further loss may come before the first choice has caught up.
      */
     private Optional<MembershipChange> replacement() {
-        return Stream.concat(votersWithLostDisks(), silentVoters())
+        return Stream.concat(votersWithLostDisks(), departingVoters())
                 .flatMap(v -> successorOf(v).stream().map(s -> replace(v, s)))
                 .findFirst();
     }
@@ -78,8 +79,8 @@
         return members.voters().stream().filter(this::isDiskLost);
     }
 
-    private Stream<ReplicaId> silentVoters() {
-        return members.voters().stream().filter(silent::contains);
+    private Stream<ReplicaId> departingVoters() {
+        return members.voters().stream().filter(departing::contains);
     }
 
     private Optional<ReplicaId> successorOf(ReplicaId voter) {
@@ -93,7 +94,10 @@
      * the log enlarges the quorum but can't help to reach it.
      */
     private boolean canVote(ReplicaId learner) {
-        return learner.isDurable() && caughtUp.contains(learner) && !isDiskLost(learner);
+        return learner.isDurable()
+                && caughtUp.contains(learner)
+                && !departing.contains(learner)
+                && !isDiskLost(learner);
     }
 
     /**
@@ -135,7 +139,7 @@
         }
         boolean isNeeded = members.voters().size() % 2 == 0 || spareCount() > 1;
         return members.learners().stream()
-                .filter(l -> isNeeded && isSpare(l) && caughtUp.contains(l))
+                .filter(l -> isNeeded && isSpare(l) && canVote(l))
                 .findFirst()
                 .map(MembershipChange.Promote::new);
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/VoterPlanTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/VoterPlanTest.java
@@ -232,8 +232,8 @@
             Membership members =
                     Membership.ofVoters(all.subList(0, voters)).withLearner(all.get(voters));
             Set<ReplicaId> running = new HashSet<>(all.subList(1, voters + 1));
-            Set<ReplicaId> silent = Set.of(all.get(0));
-            VoterPlan plan = new VoterPlan(members, running, running, silent, Set.of(), true);
+            Set<ReplicaId> departing = Set.of(all.get(0));
+            VoterPlan plan = new VoterPlan(members, running, running, departing, Set.of(), true);
             assertThat(plan.nextStep()).contains(new Replace(all.get(0), all.get(voters)));
         }
     }
