Refuse a vote to a replica without a disk in the membership rules

An operator could promote a learner without a disk (`replica promote`); it would forget its votes and entries at each restart, and a quorum that counted them would lose what was accepted.

--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
@@ -73,6 +73,9 @@
             return ResultCode.OK;
         }
         boolean addsVoter = change instanceof Promote || change instanceof Replace;
+        if (addsVoter && !change.replica().isDurable()) {
+            return ResultCode.SETTINGS_INVALID;
+        }
         if (addsVoter && !hasCaughtUp(change.replica())) {
             return ResultCode.MEMBERSHIP_CHANGE_PENDING;
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/consensus/ConsensusRulesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/consensus/ConsensusRulesTest.java
@@ -175,6 +175,26 @@
         assertChangePending(mLeader, new AddLearner(new ReplicaId("x", 1)));
     }
 
+    // Guards against a voter that forgets its votes and entries at each restart: an operator
+    // promotes
+    // a learner without a disk.
+    @Test
+    void learnerWithoutDiskNeverVotes() {
+        ReplicaId learner = new ReplicaId("d", -1);
+        TestReplica replica = new TestReplica(learner);
+        mNetwork.mReplicas.put(learner.name(), replica);
+        mNetwork.start(replica);
+        mNetwork.propose(mLeader, new AddLearner(learner));
+        mNetwork.healAndRun(SECOND);
+        ProposalRejected rejection =
+                new ProposalRejected(9, ResultCode.SETTINGS_INVALID, mLeader.mId);
+        for (MembershipChange change :
+                List.of(new Promote(learner), new Replace(mFollower.mId, learner))) {
+            assertThat(mNetwork.effectsOf(mLeader, new MembershipChangeProposed(9, change)))
+                    .contains(rejection);
+        }
+    }
+
     /** Loses a replica for good and adds an empty one at another address as a learner. */
     private ReplicaId replaceInstanceByLearner(TestReplica lost) {
         mNetwork.replaceInstance(lost);
