Let decisions be logged as warnings

Cause: decision lines are all INFO, so that a line an operator has to act on looks like each other one, and a log that is written too slowly drops it with the others. Change: DecisionLog.writeWarning writes the same fields at WARN.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
@@ -42,8 +42,21 @@
      * @param decision the decision
      */
     public static void write(Decision decision) {
-        sLogger.atInfo()
-                .with(REQUEST, nullIfEmpty(decision.request()))
+        write(sLogger.atInfo(), decision);
+    }
+
+    /**
+     * Writes a decision as a warning, which is kept longer than other lines if the log can't be
+     * written fast enough.
+     *
+     * @param decision the decision
+     */
+    public static void writeWarning(Decision decision) {
+        write(sLogger.atWarning(), decision);
+    }
+
+    private static void write(FluentLogger.Api line, Decision decision) {
+        line.with(REQUEST, nullIfEmpty(decision.request()))
                 .with(CHAT, decision.chat() == 0 ? null : Long.toHexString(decision.chat()))
                 .with(ACCOUNT, nullIfEmpty(decision.account()))
                 .with(SERVICE, nullIfEmpty(decision.service()))
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/log/LoggingTest.java
@@ -61,6 +61,26 @@
         assertThat(warning.path("error").asText()).contains("IllegalStateException: why");
     }
 
+    // Guards against a warning of a decision that is dropped like an ordinary line under load.
+    @Test
+    void decisionsThatAreWarningsHaveTheirLevelAndTheSameFields() throws IOException {
+        Path file = mFolder.resolve("log.json");
+        LogSettings settings =
+                new LogSettings(LogSettings.Format.JSON, LogSettings.Level.WARN, Optional.of(file));
+        try (Logging log = new Logging(settings)) {
+            log.start();
+            DecisionLog.write(DECISION);
+            DecisionLog.writeWarning(DECISION);
+        }
+
+        List<String> lines = Files.readAllLines(file);
+        assertThat(lines).hasSize(1);
+        JsonNode warning = new ObjectMapper().readTree(lines.get(0));
+        assertThat(warning.path("level").asText()).isEqualTo("WARN");
+        assertThat(warning.path("message").asText()).isEqualTo("router decision");
+        assertThat(warning.path("choice").asText()).isEqualTo("s-2");
+    }
+
     @Test
     void writesPlainLinesToStandardErrorAndNothingElse() {
         PrintStream before = System.err;
