Say how many losses the log can bear, and when a quorum is gone

A voter was lost for good and its replacement did not vote yet; nothing said that no second loss could be borne, and after it nothing told a quorum that is missing for good from one that is only silent or from an election without end. Ruled out: counting voters without their state (a silent voter counts towards nothing), and the status of a follower (it does not know who has the log; it says nothing, which is not 0). Change: the leader computes LossTolerance from what it knows of each voter (VoterHealth): losses bearable now, possible with all voters, promised by the configuration, and the missing voters with a cause. It goes into ControlInstanceStatus, to peers and operators; a peer's number is not passed on once it is more than two seconds old.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/ControlDriver.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/ControlDriver.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.laurelweir.consensus.ConsensusEvent;
 import org.laurelweir.consensus.HardState;
@@ -174,6 +175,7 @@
 
     private static ControlInstanceStatus peerStatus(int instance) {
         ReplicaId id = new ReplicaId(instanceName(instance), 1);
-        return new ControlInstanceStatus(id, "10.3.0.9:7000", false, 1, 1, false, Membership.EMPTY);
+        return new ControlInstanceStatus(
+                id, "10.3.0.9:7000", false, 1, 1, false, Membership.EMPTY, Optional.empty());
     }
 }
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -82,6 +82,8 @@
             mLeadershipTransferEnded.complete(null);
         } else if (e instanceof ControlEffect.LogDecision d) {
             DecisionLog.write(d.decision());
+        } else if (e instanceof ControlEffect.LogWarning d) {
+            DecisionLog.writeWarning(d.decision());
         }
     }
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/StatusReplies.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeSet;
 import org.laurelweir.consensus.Membership;
 import org.laurelweir.consensus.ReplicaId;
@@ -12,12 +13,14 @@
 import org.laurelweir.coordination.ControlEvent.PeerUpdateReceived;
 import org.laurelweir.coordination.ControlInstanceStatus;
 import org.laurelweir.coordination.FleetStatus;
+import org.laurelweir.coordination.LossTolerance;
 import org.laurelweir.coordination.RouterInstanceStatus;
 import org.laurelweir.membership.PeerUpdate;
 import org.laurelweir.membership.ServiceSum;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.DrainCodec;
+import org.laurelweir.wire.LossToleranceCodec;
 import org.laurelweir.wire.MembershipCodec;
 import org.laurelweir.wire.ReplicaCodec;
 import org.laurelweir.wire.v1.BackendStatus;
@@ -124,10 +127,15 @@
                         .setReplica(ReplicaCodec.toWire(c.replica()));
         c.members().voters().forEach(v -> status.addVoters(ReplicaCodec.toWire(v)));
         c.members().learners().forEach(l -> status.addLearners(ReplicaCodec.toWire(l)));
+        c.lossTolerance().map(LossToleranceCodec::toWire).ifPresent(status::setLossTolerance);
         return status.build();
     }
 
     private static ControlInstanceStatus toCore(ControlStatus m) {
+        Optional<LossTolerance> lossTolerance =
+                m.hasLossTolerance()
+                        ? Optional.of(LossToleranceCodec.toCore(m.getLossTolerance()))
+                        : Optional.empty();
         return new ControlInstanceStatus(
                 ReplicaCodec.toCore(m.getReplica()),
                 m.getAddress(),
@@ -135,7 +143,8 @@
                 m.getTerm(),
                 m.getCommitted(),
                 m.getPossiblyStale(),
-                new Membership(replicas(m.getVotersList()), replicas(m.getLearnersList())));
+                new Membership(replicas(m.getVotersList()), replicas(m.getLearnersList())),
+                lossTolerance);
     }
 
     private static TreeSet<ReplicaId> replicas(List<org.laurelweir.wire.v1.ReplicaId> ids) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlConfig.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.laurelweir.consensus.ConsensusConfig;
 import org.laurelweir.consensus.ReplicaId;
 import org.laurelweir.membership.MembershipConfig;
@@ -23,6 +24,8 @@
  * @param autoJoin whether control instances that are not configured may join by themselves; the
  *     name of each instance is then its address
  * @param regions the region of each data centre; empty if the data centres are not known
+ * @param toleratedLosses number of lost voters that the log is promised to survive; empty if
+ *     nothing is promised
  */
 public record ControlConfig(
         ReplicaId replica,
@@ -35,7 +38,8 @@
         MembershipConfig membership,
         ControlState.Limits limits,
         boolean autoJoin,
-        Map<String, String> regions) {
+        Map<String, String> regions,
+        OptionalInt toleratedLosses) {
 
     /**
      * Returns a builder with the default values.
@@ -80,6 +84,7 @@
         private ControlState.Limits mLimits = ControlState.Limits.DEFAULT;
         private boolean mAutoJoin;
         private Map<String, String> mRegions = Map.of();
+        private OptionalInt mToleratedLosses = OptionalInt.empty();
 
         private Builder(ReplicaId replica, long incarnation, Map<String, String> addresses) {
             mReplica = replica;
@@ -113,6 +118,12 @@
             return this;
         }
 
+        /** Sets the number of lost voters that the log is promised to survive, if any. */
+        public Builder toleratedLosses(OptionalInt losses) {
+            mToleratedLosses = losses;
+            return this;
+        }
+
         /** Sets the configuration of the replicated log. */
         public Builder consensus(ConsensusConfig consensus) {
             mConsensus = consensus;
@@ -144,7 +155,8 @@
                     mMembership,
                     mLimits,
                     mAutoJoin,
-                    mRegions);
+                    mRegions,
+                    mToleratedLosses);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -185,4 +185,7 @@
 
     /** Logs a decision. */
     record LogDecision(Decision decision) implements ControlEffect {}
+
+    /** Logs a decision as a warning: an operator may have to act. */
+    record LogWarning(Decision decision) implements ControlEffect {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlInstanceStatus.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlInstanceStatus.java
@@ -1,5 +1,6 @@
 package org.laurelweir.coordination;
 
+import java.util.Optional;
 import org.laurelweir.consensus.Membership;
 import org.laurelweir.consensus.ReplicaId;
 
@@ -13,6 +14,8 @@
  * @param commitIndex the index of the last entry that it knows to be committed and has applied
  * @param possiblyStale whether it can't confirm that its settings are the newest accepted ones
  * @param members the newest membership in its log
+ * @param lossTolerance how many losses the log can bear; empty if that is not known, as on an
+ *     instance that does not lead
  */
 public record ControlInstanceStatus(
         ReplicaId replica,
@@ -21,4 +24,21 @@
         long term,
         long commitIndex,
         boolean possiblyStale,
-        Membership members) {}
+        Membership members,
+        Optional<LossTolerance> lossTolerance) {
+
+    /** Returns this status with the given loss tolerance. */
+    ControlInstanceStatus withLossTolerance(LossTolerance tolerance) {
+        return withLossTolerance(Optional.of(tolerance));
+    }
+
+    /** Returns this status without a loss tolerance, because it may be outdated. */
+    ControlInstanceStatus withoutLossTolerance() {
+        return withLossTolerance(Optional.empty());
+    }
+
+    private ControlInstanceStatus withLossTolerance(Optional<LossTolerance> tolerance) {
+        return new ControlInstanceStatus(
+                replica, address, leader, term, commitIndex, possiblyStale, members, tolerance);
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -47,6 +47,7 @@
     private final ExchangeHandler mExchanges;
     private final QueryHandler mQueries;
     private final ReplicaRepair mReplicaRepair;
+    private final QuorumMonitor mQuorumMonitor;
     private final PeerSharing mPeerSharing;
     private final DirectAnnouncements mDirectAnnouncements;
     private final IgnoredAnnouncementLogger mIgnoredAnnouncementLogger;
@@ -74,6 +75,7 @@
         mMembership = new SharedMembership(config.membership(), peers, this::onBackendChanged);
         mPeers = new ControlPeers(config, mMembership::forgetPeer);
         PeerStatuses peerStatuses = new PeerStatuses();
+        mQuorumMonitor = new QuorumMonitor(config, mReplica, peerStatuses);
         mCrashSharing = new CrashSharing(config);
         mLoadSharing = new LoadSharing(config, mMembership);
         mExchanges =
@@ -87,7 +89,13 @@
                         mDecisionLogger);
         mQueries =
                 new QueryHandler(
-                        mMembership, mReplica, mRouters, mCrashSharing, mLoadSharing, peerStatuses);
+                        mMembership,
+                        mReplica,
+                        mRouters,
+                        mCrashSharing,
+                        mLoadSharing,
+                        peerStatuses,
+                        mQuorumMonitor);
         mReplicaRepair = new ReplicaRepair(mReplica, peerStatuses, config.autoJoin());
         mDirectAnnouncements = new DirectAnnouncements(mMembership, this::isAcceptedService);
         mPeerSharing =
@@ -97,6 +105,7 @@
                         mReplica,
                         mRouters,
                         peerStatuses,
+                        mQuorumMonitor,
                         mPeers,
                         mCrashSharing,
                         mLoadSharing);
@@ -159,6 +168,7 @@
         mLoadSharing.expire(mNow);
         mPeerSharing.tick(mNow, mEffects);
         mReplicaRepair.tick(mNow, mEffects);
+        mQuorumMonitor.tick(mNow, mEffects);
         if (!mNow.isBefore(mNextReport)) {
             mNextReport = mNow.plus(REPORT_INTERVAL);
             mDirectAnnouncements.prune();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -66,6 +67,7 @@
         return mStaleness.isPossiblyStale(now);
     }
 
+    /** Returns the status of this instance, without a loss tolerance. */
     ControlInstanceStatus status(Instant now) {
         return new ControlInstanceStatus(
                 mConfig.replica(),
@@ -74,13 +76,29 @@
                 mConsensus.term(),
                 mConsensus.commitIndex(),
                 isPossiblyStale(now),
-                mConsensus.membership());
+                mConsensus.membership(),
+                Optional.empty());
     }
 
     boolean isLeader() {
         return mConsensus.role() == Role.LEADER;
     }
 
+    /** Returns the leader of the current term, or null while unknown. */
+    ReplicaId leader() {
+        return mConsensus.leader();
+    }
+
+    /** Returns whether a replica has replied lately and its log is close to this leader's. */
+    boolean hasCaughtUp(ReplicaId id) {
+        return mConsensus.hasCaughtUp(id);
+    }
+
+    /** Returns when another replica last replied to this leader; empty if this is not one. */
+    Optional<Instant> lastContact(ReplicaId id) {
+        return mConsensus.lastContact(id);
+    }
+
     /** Returns the size in bytes of the log entries in memory. */
     long logBytes() {
         return mConsensus.logBytes();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
@@ -28,6 +28,7 @@
     private final LogReplica mReplica;
     private final RouterTable mRouters;
     private final PeerStatuses mPeerStatuses;
+    private final QuorumMonitor mQuorumMonitor;
     private final ControlPeers mPeers;
     private final CrashSharing mCrashSharing;
     private final LoadSharing mLoadSharing;
@@ -41,6 +42,7 @@
             LogReplica replica,
             RouterTable routers,
             PeerStatuses peerStatuses,
+            QuorumMonitor quorumMonitor,
             ControlPeers peers,
             CrashSharing crashSharing,
             LoadSharing loadSharing) {
@@ -51,6 +53,7 @@
         mReplica = replica;
         mRouters = routers;
         mPeerStatuses = peerStatuses;
+        mQuorumMonitor = quorumMonitor;
         mPeers = peers;
     }
 
@@ -101,7 +104,7 @@
                         mMembership.updateSince(e.cursor()),
                         mCrashSharing.deltaSince(now, e.cursor(), e.crashesVersion()),
                         e.withRouters() ? mRouters.local() : List.of(),
-                        mReplica.status(now)));
+                        mQuorumMonitor.status(now)));
     }
 
     void onPeerUpdate(Instant now, PeerUpdateReceived e) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerStatuses.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerStatuses.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import org.laurelweir.consensus.ReplicaId;
 
 /** The last statuses received from the other control instances. */
 final class PeerStatuses {
@@ -17,20 +19,34 @@
         mByName.put(peer.replica().name(), new ReceivedStatus(now, peer));
     }
 
-    List<ControlInstanceStatus> all() {
-        return mByName.values().stream().map(ReceivedStatus::status).toList();
+    /** Returns all statuses; those of more than two seconds ago without their loss tolerance. */
+    List<ControlInstanceStatus> all(Instant now) {
+        return mByName.values().stream()
+                .map(r -> r.isRecent(now) ? r.status() : r.status().withoutLossTolerance())
+                .toList();
     }
 
     /** Returns the statuses received within the last two seconds. */
     List<ControlInstanceStatus> recent(Instant now) {
         List<ControlInstanceStatus> recent = new ArrayList<>();
         for (ReceivedStatus received : mByName.values()) {
-            if (!received.receivedAt().plus(MAX_AGE).isBefore(now)) {
+            if (received.isRecent(now)) {
                 recent.add(received.status());
             }
         }
         return recent;
     }
 
-    private record ReceivedStatus(Instant receivedAt, ControlInstanceStatus status) {}
+    /** Returns the replica that an instance has last reported, if it did so after a given time. */
+    Optional<ReplicaId> replicaReportedSince(String name, Instant since) {
+        return Optional.ofNullable(mByName.get(name))
+                .filter(r -> r.receivedAt().isAfter(since))
+                .map(r -> r.status().replica());
+    }
+
+    private record ReceivedStatus(Instant receivedAt, ControlInstanceStatus status) {
+        boolean isRecent(Instant now) {
+            return !receivedAt.plus(MAX_AGE).isBefore(now);
+        }
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
@@ -29,6 +29,7 @@
     private final CrashSharing mCrashSharing;
     private final LoadSharing mLoadSharing;
     private final PeerStatuses mPeerStatuses;
+    private final QuorumMonitor mQuorumMonitor;
 
     QueryHandler(
             SharedMembership membership,
@@ -36,7 +37,9 @@
             RouterTable routers,
             CrashSharing crashSharing,
             LoadSharing loadSharing,
-            PeerStatuses peerStatuses) {
+            PeerStatuses peerStatuses,
+            QuorumMonitor quorumMonitor) {
+        mQuorumMonitor = quorumMonitor;
         mCrashSharing = crashSharing;
         mLoadSharing = loadSharing;
         mMembership = membership;
@@ -92,7 +95,7 @@
 
     ControlEffect.ReportStatus statusReport(Instant now, List<String> peers) {
         return new ControlEffect.ReportStatus(
-                mReplica.status(now),
+                mQuorumMonitor.status(now),
                 mMembership.sessionCount(),
                 mMembership.backendCount(),
                 mReplica.state().claimCount(),
@@ -107,8 +110,8 @@
 
     void answer(Instant now, StatusRequested e, Consumer<? super ControlEffect> effects) {
         List<ControlInstanceStatus> controls = new ArrayList<>();
-        controls.add(mReplica.status(now));
-        controls.addAll(mPeerStatuses.all());
+        controls.add(mQuorumMonitor.status(now));
+        controls.addAll(mPeerStatuses.all(now));
         List<BackendServerStatus> backends =
                 mMembership.backends().stream()
                         .map(
