Read the promised number of losses, and show the losses in metrics

Without a promise nothing can say that a log of three voters that is one short breaks one. Ruled out: an upper bound of the key, since a start must not fail for a promise that can't be kept; the leader warns of it instead.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlFile.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlFile.java
@@ -35,6 +35,8 @@
  * @param dataFolder the folder of the log; an instance with seeds may omit it, and then never votes
  *     and receives the whole log again after each start
  * @param bootstrapSettings a tree file that is applied as the first change of an empty log
+ * @param toleratedLosses the number of lost voters that the log is promised to survive; if set,
+ *     control warns whenever it would survive fewer
  * @param electionTimeout time without a message from the leader after which a new leader is
  *     elected; the same on every instance
  * @param exchangeInterval the interval at which sidecars and routers are asked to exchange
@@ -58,6 +60,7 @@
         @Default("true") boolean mayFound,
         Optional<Path> dataFolder,
         Optional<Path> bootstrapSettings,
+        @Range(min = "0") Optional<Integer> toleratedLosses,
         @Default("1s") @Range(min = "200ms", max = "30s") Duration electionTimeout,
         @Default("1s") @Range(min = "100ms", max = "10s") Duration exchangeInterval,
         @Default("3s") @Range(min = "500ms", max = "1m") Duration vanishAfter,
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlMetrics.java
@@ -11,10 +11,14 @@
 import org.laurelweir.coordination.ControlEffect.AnswerError;
 import org.laurelweir.coordination.ControlEffect.AnswerExchange;
 import org.laurelweir.coordination.ControlEffect.ReportStatus;
+import org.laurelweir.coordination.LossTolerance;
 import org.laurelweir.runtime.metrics.Readiness;
 
 /** The metrics and the readiness of a control instance. */
 final class ControlMetrics implements Readiness {
+    /** The value of a gauge whose value is not known here. */
+    private static final int UNKNOWN = -1;
+
     private final Meter mExchanges;
     private final Meter mCommands;
     private final Meter mRefusals;
@@ -35,6 +39,10 @@
         gauge(registry, "control.data-centres.drained", ReportStatus::drainedDataCentres);
         gauge(registry, "control.requests.under.way", ReportStatus::runningRequests);
         gauge(registry, "control.settings.position", ReportStatus::settingsPosition);
+        lossGauge(registry, "control.losses.bearable", LossTolerance::now);
+        lossGauge(registry, "control.losses.possible", LossTolerance::possible);
+        lossGauge(registry, "control.losses.promised", t -> t.promised().orElse(UNKNOWN));
+        lossGauge(registry, "control.voters.missing", t -> t.missing().size());
         gauge(registry, "control.log.bytes", ReportStatus::logBytes);
         gauge(registry, "control.snapshot.bytes", ReportStatus::snapshotBytes);
     }
@@ -49,6 +57,19 @@
                         });
     }
 
+    /** Registers a gauge of what only the leader knows. */
+    private void lossGauge(
+            MetricRegistry registry, String name, ToLongFunction<LossTolerance> value) {
+        registry.register(
+                name,
+                (Gauge<Long>)
+                        () ->
+                                Optional.ofNullable(mLastReport)
+                                        .flatMap(r -> r.self().lossTolerance())
+                                        .map(value::applyAsLong)
+                                        .orElse((long) UNKNOWN));
+    }
+
     /** Returns the addresses of the other control instances, or empty before the first report. */
     Optional<Collection<String>> peers() {
         return Optional.ofNullable(mLastReport).map(ReportStatus::peers);
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -228,6 +230,7 @@
         return ControlConfig.builder(self, incarnation, addresses)
                 .autoJoin(mFile.isAutoJoin())
                 .regions(mFile.dataCentres())
+                .toleratedLosses(toOptionalInt(mFile.toleratedLosses()))
                 .consensus(
                         ConsensusConfig.builder()
                                 .electionTimeout(election)
@@ -240,6 +243,10 @@
                 .build();
     }
 
+    private static OptionalInt toOptionalInt(Optional<Integer> value) {
+        return value.map(OptionalInt::of).orElseGet(OptionalInt::empty);
+    }
+
     private void bootstrap(ReplicaId self, PeerCalls peers) {
         if (mFile.mayBootstrap()) {
             new MembershipBootstrap(self, peers, this::isEmpty, this::offer, mBackground).start();
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlFleet.java
@@ -119,6 +119,7 @@
                         mMayBootstrap,
                         dataFolder,
                         Optional.empty(),
+                        Optional.of(1),
                         Duration.ofMillis(500),
                         Duration.ofSeconds(1),
                         mDepartureTimeout,
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.file.Path;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,6 +16,8 @@
 import org.laurelweir.wire.v1.ChangeMembersRequest.Step;
 import org.laurelweir.wire.v1.ChangeSettingsReply;
 import org.laurelweir.wire.v1.ChangeSettingsRequest;
+import org.laurelweir.wire.v1.LossTolerance;
+import org.laurelweir.wire.v1.MissingVoter;
 import org.laurelweir.wire.v1.NodeChange;
 import org.laurelweir.wire.v1.ReadSettingsReply;
 import org.laurelweir.wire.v1.ReadSettingsRequest;
@@ -126,6 +129,40 @@
         }
     }
 
+    // Guards against a first loss after which no status says that the log can't bear a second one.
+    // Each instance that is asked has to say so, since an operator may ask any of them.
+    @Test
+    void everyInstanceTellsThatTheLogCanBearNoFurtherLoss() throws Exception {
+        try (ControlFleet fleet = new ControlFleet(mFolder, 3).startAll()) {
+            fleet.names().forEach(n -> awaitLossTolerance(fleet, n, t -> t.getNow() == 1));
+            String leader = leader(fleet);
+            String lost = fleet.names().stream().filter(n -> !n.equals(leader)).findAny().get();
+            fleet.stop(lost);
+            for (String name : fleet.names()) {
+                if (!name.equals(lost)) {
+                    awaitLossTolerance(fleet, name, t -> t.getNow() == 0 && isMissing(t, lost));
+                }
+            }
+        }
+    }
+
+    private static void awaitLossTolerance(
+            ControlFleet fleet, String name, Predicate<LossTolerance> wanted) {
+        fleet.ask(
+                name,
+                s -> s.status(StatusRequest.getDefaultInstance()),
+                r ->
+                        r.getControlsList().stream()
+                                .filter(c -> c.getLeader() && c.hasLossTolerance())
+                                .anyMatch(c -> wanted.test(c.getLossTolerance())));
+    }
+
+    private static boolean isMissing(LossTolerance t, String name) {
+        return t.getMissingCount() == 1
+                && t.getMissing(0).getVoter().getName().equals(name)
+                && t.getMissing(0).getCause() == MissingVoter.Cause.SILENT;
+    }
+
     private static ReplicaId replica(ControlFleet fleet, String name) {
         return fleet.stub(name)
                 .status(StatusRequest.getDefaultInstance())
