Show the losses that the log can bear in the status command

An operator who looked saw a leader and positions that keep up. Change: one line above the tables and the field losses in JSON, from the leader of the newest term; it says so if nobody leads. Measured: MainTest passes (49, three of them new).

--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -116,6 +116,16 @@
     public static final String DEFAULT_ORIGIN = "default";
 
     public static final String SETTINGS_POSITION = "settings position %d";
+    public static final String LOSSES_PROMISED = "losses the log can bear now: %d of %d promised";
+    public static final String LOSSES_POSSIBLE =
+            "losses the log can bear now: %d of %d possible with all voters";
+    public static final String LOSSES_TOO_FEW_VOTERS = ", %d possible with all voters";
+    public static final String LOSSES_MISSING = "; missing: ";
+    public static final String LOSSES_UNKNOWN =
+            "losses the log can bear now: unknown, no control instance leads as far as is known here";
+    public static final String VOTER_SILENT = "%s (silent for %d s)";
+    public static final String VOTER_BEHIND = "%s (behind)";
+    public static final String VOTER_LOST_DISK = "%s (its disk is lost)";
     public static final String CONTROL_COLUMNS =
             "REPLICA,ADDRESS,ROLE,TERM,APPLIED,COMMITTED,STATE";
     public static final String SERVICE_COLUMNS = "SERVICE,BACKEND SERVERS,MEAN WORK";
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -19,6 +19,7 @@
  * The fleet as {@code status} shows it.
  *
  * @param settingsPosition the position of the newest accepted change of settings
+ * @param losses how many voters the log can lose; null if no control instance is known to lead
  * @param controls control instances
  * @param services services with their load; work is in token units
  * @param backends backend servers
@@ -28,6 +29,7 @@
  */
 public record FleetView(
         long settingsPosition,
+        LossView losses,
         List<Control> controls,
         List<ServiceMean> services,
         List<BackendServer> backends,
@@ -165,6 +167,7 @@
     public static FleetView of(StatusReply reply) {
         return new FleetView(
                 reply.getSettingsPosition(),
+                LossView.of(reply.getControlsList()),
                 reply.getControlsList().stream().map(Control::of).toList(),
                 reply.getLoadsList().stream().map(ServiceMean::of).toList(),
                 reply.getBackendsList().stream().map(BackendServer::of).toList(),
@@ -173,10 +176,14 @@
                 reply.getQuarantinedList().stream().map(Quarantined::of).toList());
     }
 
-    /** Returns the view as lines: the settings position, then a table for each kind of entry. */
+    /**
+     * Returns the view as lines: the settings position, the losses the log can bear, then a table
+     * for each kind of entry.
+     */
     public List<String> lines() {
         List<String> lines = new ArrayList<>();
         lines.add(String.format(Texts.SETTINGS_POSITION, settingsPosition));
+        lines.add(losses == null ? Texts.LOSSES_UNKNOWN : losses.line());
         List.of(
                         controlTable(),
                         serviceTable(),
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -37,6 +37,7 @@
 import org.laurelweir.wire.v1.HistoryRequest;
 import org.laurelweir.wire.v1.IssueFenceReply;
 import org.laurelweir.wire.v1.IssueFenceRequest;
+import org.laurelweir.wire.v1.LossTolerance;
 import org.laurelweir.wire.v1.OrderReply;
 import org.laurelweir.wire.v1.OrderRequest;
 import org.laurelweir.wire.v1.ReadSettingsReply;
@@ -80,6 +81,7 @@
     private int mPendingPromotions;
     private int mChangeCalls;
     private int mLostAnswers;
+    private LossTolerance mLossTolerance;
 
     @Override
     public void start() {
@@ -105,6 +107,11 @@
         mLostAnswers = count;
     }
 
+    /** Sets what the leader tells of the losses that the log can bear. */
+    synchronized void setLossTolerance(LossTolerance tolerance) {
+        mLossTolerance = tolerance;
+    }
+
     synchronized void put(String path, long version, Map<String, String> values) {
         mTree.put(path, version, values);
     }
@@ -167,6 +174,11 @@
                 .addVoters(ReplicaId.newBuilder().setName("control-2").setStorageId(0xa));
     }
 
+    private ControlStatus.Builder leaderStatus() {
+        ControlStatus.Builder status = control("control-1", 1).setLeader(true).setTerm(7);
+        return mLossTolerance == null ? status : status.setLossTolerance(mLossTolerance);
+    }
+
     private static <T> void answer(StreamObserver<T> observer, T reply) {
         observer.onNext(reply);
         observer.onCompleted();
@@ -260,7 +272,7 @@
             answer(
                     observer,
                     StatusReply.newBuilder()
-                            .addControls(control("control-1", 1).setLeader(true))
+                            .addControls(leaderStatus())
                             .addControls(control("control-2", 0xb))
                             .addBackends(BackendStatus.newBuilder().setBackend(backend))
                             .addRouters(RouterStatus.newBuilder().setRouter(router))
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -21,7 +21,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.runtime.process.Program;
+import org.laurelweir.wire.v1.LossTolerance;
+import org.laurelweir.wire.v1.MissingVoter;
 import org.laurelweir.wire.v1.ReleaseRequest;
+import org.laurelweir.wire.v1.ReplicaId;
 
 /** Runs complete command lines against a fake fleet on loopback. */
 class MainTest {
@@ -288,6 +291,56 @@
         assertThat(mOut.toString()).contains("seilhjerne", "SERVING");
     }
 
+    // Guards against a status that hides that the log can't bear another loss.
+    @Test
+    void statusTellsHowManyLossesTheLogCanBear() throws IOException {
+        mFleet.setLossTolerance(
+                LossTolerance.newBuilder()
+                        .setNow(0)
+                        .setPossible(1)
+                        .setPromised(1)
+                        .addMissing(missing("control-2", MissingVoter.Cause.SILENT, 3_200))
+                        .addMissing(missing("control-3", MissingVoter.Cause.DISK_LOST, 0))
+                        .build());
+        assertThat(run("status")).isZero();
+        assertThat(mOut.toString())
+                .contains(
+                        "losses the log can bear now: 0 of 1 promised; missing: control-2#a"
+                                + " (silent for 3 s), control-3#a (its disk is lost)");
+        assertThat(run("status", "--json")).isZero();
+        assertThat(json().at("/losses/now").asInt(-1)).isZero();
+        assertThat(json().at("/losses/promised").asInt()).isEqualTo(1);
+        assertThat(json().at("/losses/missing/0/replica").asText()).isEqualTo("control-2#a");
+        assertThat(json().at("/losses/missing/0/cause").asText()).isEqualTo("SILENT");
+        assertThat(json().at("/losses/missing/0/silentSeconds").asInt()).isEqualTo(3);
+    }
+
+    @Test
+    void statusTellsThatTheVotersAreTooFewForThePromise() {
+        mFleet.setLossTolerance(
+                LossTolerance.newBuilder().setNow(1).setPossible(1).setPromised(2).build());
+        assertThat(run("status")).isZero();
+        assertThat(mOut.toString())
+                .contains("can bear now: 1 of 2 promised, 1 possible with all voters");
+    }
+
+    // Guards against a status in which an unknown number looks like one.
+    @Test
+    void statusSaysThatNobodyLeads() throws IOException {
+        assertThat(run("status")).isZero();
+        assertThat(mOut.toString()).contains("can bear now: unknown, no control instance leads");
+        assertThat(run("status", "--json")).isZero();
+        assertThat(json().has("losses")).isFalse();
+    }
+
+    private static MissingVoter missing(String name, MissingVoter.Cause cause, long silentMillis) {
+        return MissingVoter.newBuilder()
+                .setVoter(ReplicaId.newBuilder().setName(name).setStorageId(0xa))
+                .setCause(cause)
+                .setSilentMillis(silentMillis)
+                .build();
+    }
+
     private int run(String... args) {
         mOut.reset();
         mErr.reset();
