--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -122,7 +122,7 @@
     public static final String LOSSES_TOO_FEW_VOTERS = ", %d possible with all voters";
     public static final String LOSSES_MISSING = "; missing: ";
     public static final String LOSSES_UNKNOWN =
-            "losses the log can bear now: unknown, no control instance leads as far as is known here";
+            "losses the log can bear now: unknown, no control instance leads as far as known here";
     public static final String VOTER_SILENT = "%s (silent for %d s)";
     public static final String VOTER_BEHIND = "%s (behind)";
     public static final String VOTER_LOST_DISK = "%s (its disk is lost)";
