Name who could take a missing voter's place, and a leader that others hear

An instance that is no member, or that one leader does not reach, would call a quorum lost or missing that leads elsewhere. Change: a leader's line names the learners with disks that have the log while a voter is missing; an instance without a leader says NO_LEADER and who leads where a peer reports that it leads. The line about too few voters has a class of its own.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LeaderlessLogger.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LeaderlessLogger.java
@@ -74,12 +74,15 @@
                 view.quorumSize(),
                 listText("; silent: ", view.silentVoters()),
                 listText("; disk lost: ", content.lost()),
-                verdictText(content.verdict()));
+                verdictText(content.verdict(), view));
     }
 
-    private static String verdictText(QuorumView.Verdict verdict) {
+    private static String verdictText(QuorumView.Verdict verdict, QuorumView view) {
         return switch (verdict) {
-            case NO_LEADER -> "a quorum is heard and has no leader that is heard here";
+            case NO_LEADER ->
+                    view.reportedLeader()
+                            .map(l -> l + " leads, and this instance gets no log from it")
+                            .orElse("a quorum is heard, but it has no leader");
             case QUORUM_MISSING ->
                     "a quorum is missing until silent voters return with their disks";
             case QUORUM_LOST -> "a quorum is missing for good, as far as known here";
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LossToleranceLogger.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LossToleranceLogger.java
@@ -7,7 +7,6 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import org.laurelweir.consensus.Membership;
 import org.laurelweir.consensus.ReplicaId;
 import org.laurelweir.coordination.LossTolerance.MissingVoter;
 import org.laurelweir.lib.Decision;
@@ -23,81 +22,62 @@
      */
     static final Duration SETTLE_TIME = Duration.ofMillis(1500);
 
-    /** Longer than instances take to join and become voters, after any number of restarts. */
-    static final Duration TOO_FEW_VOTERS_TIME = Duration.ofSeconds(30);
-
     private static final String FULL = "LOSSES_BEARABLE";
     private static final String REDUCED = "FEWER_LOSSES_BEARABLE";
-    private static final String TOO_FEW_VOTERS = "TOO_FEW_VOTERS";
 
     private Key mCandidate;
     private Instant mCandidateSince;
     private Key mLogged;
-    private Instant mTooFewVotersSince;
-    private boolean mIsTooFewVotersLogged;
 
     /** Forgets everything, because this instance does not lead. */
     void reset() {
         mCandidate = null;
         mLogged = null;
-        mTooFewVotersSince = null;
-        mIsTooFewVotersLogged = false;
     }
 
-    /**
-     * Logs the tolerance if it has changed.
-     *
-     * @param oldestReply age of the oldest last reply among the voters that count
-     */
-    void update(
-            Instant now,
-            Membership members,
-            LossTolerance tolerance,
-            Duration oldestReply,
-            Consumer<? super ControlEffect> effects) {
-        Key key = Key.of(tolerance);
+    /** Logs the tolerance if it has changed. */
+    void update(Instant now, LossReport report, Consumer<? super ControlEffect> effects) {
+        Key key = Key.of(report);
         if (!key.equals(mCandidate)) {
             mCandidate = key;
             mCandidateSince = now;
         }
-        if (!key.equals(mLogged) && hasLasted(mCandidateSince, SETTLE_TIME, now)) {
+        if (!key.equals(mLogged) && !mCandidateSince.plus(SETTLE_TIME).isAfter(now)) {
             mLogged = key;
-            log(now, members, tolerance, oldestReply, effects);
+            log(now, report, effects);
         }
-        checkVoterCount(now, members, tolerance, effects);
-    }
-
-    private static boolean hasLasted(Instant since, Duration time, Instant now) {
-        return !since.plus(time).isAfter(now);
     }
 
     private static void log(
-            Instant now,
-            Membership members,
-            LossTolerance t,
-            Duration oldestReply,
-            Consumer<? super ControlEffect> effects) {
-        int counted = members.voters().size() - t.missing().size();
-        String reason =
-                String.format(
-                        "the log can bear %d losses now, %d with all voters%s; %s%d of %d voters"
-                                + " count, each heard within %d ms",
-                        t.now(),
-                        t.possible(),
-                        promiseText(t),
-                        missingText(t),
-                        counted,
-                        members.voters().size(),
-                        oldestReply.toMillis());
+            Instant now, LossReport report, Consumer<? super ControlEffect> effects) {
+        LossTolerance t = report.tolerance();
         List<String> missing = t.missing().stream().map(m -> m.voter().toString()).toList();
-        String choice = t.isReduced() ? REDUCED : FULL;
-        Decision decision = decision(now, missing, choice, reason);
+        Decision decision =
+                Decision.builder(now, DecisionLogger.PROGRAM)
+                        .candidates(missing)
+                        .choice(t.isReduced() ? REDUCED : FULL, reason(report))
+                        .build();
         effects.accept(
                 t.isReduced()
                         ? new ControlEffect.LogWarning(decision)
                         : new ControlEffect.LogDecision(decision));
     }
 
+    private static String reason(LossReport report) {
+        LossTolerance t = report.tolerance();
+        return String.format(
+                "the log can bear %d losses now, %d with all voters%s; %s%d of %d voters count,"
+                        + " each heard within %d ms%s",
+                t.now(),
+                t.possible(),
+                promiseText(t),
+                missingText(t),
+                report.countedVoters(),
+                report.voterCount(),
+                report.oldestReply().toMillis(),
+                learnersText(report));
+    }
+
     private static String promiseText(LossTolerance t) {
         return t.promised().isPresent() ? ", promised are " + t.promised().getAsInt() : "";
     }
@@ -120,48 +100,24 @@
         };
     }
 
-    /** Logs once that there are too few voters for what is promised, even if all are well. */
-    private void checkVoterCount(
-            Instant now,
-            Membership members,
-            LossTolerance t,
-            Consumer<? super ControlEffect> effects) {
-        if (!t.hasTooFewVoters()) {
-            mTooFewVotersSince = null;
-            mIsTooFewVotersLogged = false;
-            return;
-        }
-        if (mTooFewVotersSince == null) {
-            mTooFewVotersSince = now;
-        }
-        if (mIsTooFewVotersLogged || !hasLasted(mTooFewVotersSince, TOO_FEW_VOTERS_TIME, now)) {
-            return;
+    /** Returns the learners that could take the place of a missing voter. */
+    private static String learnersText(LossReport report) {
+        if (report.readyLearners().isEmpty()) {
+            return "";
         }
-        mIsTooFewVotersLogged = true;
-        int promised = t.promised().orElse(0);
-        String reason =
-                String.format(
-                        "%d losses are promised, which takes %d instances with disks; the %d voters"
-                                + " can bear %d even if all are well",
-                        promised, 2 * promised + 1, members.voters().size(), t.possible());
-        List<String> voters = members.voters().stream().map(ReplicaId::toString).toList();
-        effects.accept(new ControlEffect.LogWarning(decision(now, voters, TOO_FEW_VOTERS, reason)));
-    }
-
-    private static Decision decision(
-            Instant now, List<String> candidates, String choice, String reason) {
-        return Decision.builder(now, DecisionLogger.PROGRAM)
-                .candidates(candidates)
-                .choice(choice, reason)
-                .build();
+        return report.readyLearners().stream()
+                .map(ReplicaId::toString)
+                .collect(Collectors.joining(" ", "; have the log and don't vote: ", ""));
     }
 
-    /** What a line is written for if it changes. */
-    private record Key(int now, int possible, Set<String> missing) {
-        static Key of(LossTolerance t) {
+    /** What a line is written for if it changes. Learners matter only while a voter is missing. */
+    private record Key(int now, int possible, Set<String> missing, List<ReplicaId> learners) {
+        static Key of(LossReport report) {
+            LossTolerance t = report.tolerance();
             Set<String> missing = new TreeSet<>();
             t.missing().forEach(m -> missing.add(m.voter() + " " + m.cause()));
-            return new Key(t.now(), t.possible(), missing);
+            List<ReplicaId> learners = missing.isEmpty() ? List.of() : report.readyLearners();
+            return new Key(t.now(), t.possible(), missing, learners);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumMonitor.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumMonitor.java
@@ -24,6 +24,7 @@
     private final PeerStatuses mPeerStatuses;
     private final LostDisks mLostDisks;
     private final LossToleranceLogger mLossToleranceLogger = new LossToleranceLogger();
+    private final TooFewVotersLogger mTooFewVotersLogger = new TooFewVotersLogger();
     private final LeaderlessLogger mLeaderlessLogger = new LeaderlessLogger();
     private Instant mNextCheck = Instant.MIN;
 
@@ -52,12 +53,12 @@
         mNextCheck = now.plus(CHECK_INTERVAL);
         updateLostDisks(now);
         if (mReplica.isLeader()) {
-            LossTolerance tolerance = lossTolerance(now);
-            Duration oldestReply = oldestReply(now, tolerance);
-            mLossToleranceLogger.update(
-                    now, mReplica.membership(), tolerance, oldestReply, effects);
+            LossReport report = lossReport(now);
+            mLossToleranceLogger.update(now, report, effects);
+            mTooFewVotersLogger.update(now, report, effects);
         } else {
             mLossToleranceLogger.reset();
+            mTooFewVotersLogger.reset();
         }
         ReplicaId leader = mReplica.leader();
         if (leader == null) {
@@ -68,6 +69,17 @@
         }
     }
 
+    private LossReport lossReport(Instant now) {
+        Membership members = mReplica.membership();
+        LossTolerance tolerance = lossTolerance(now);
+        List<ReplicaId> readyLearners =
+                members.learners().stream()
+                        .filter(ReplicaId::isDurable)
+                        .filter(this::hasCaughtUp)
+                        .toList();
+        return new LossReport(members, tolerance, oldestReply(now, tolerance), readyLearners);
+    }
+
     private void updateLostDisks(Instant now) {
         Set<ReplicaId> voters = new HashSet<>(mReplica.membership().voters());
         peerMemberships(now).forEach(m -> voters.addAll(m.voters()));
@@ -106,7 +118,12 @@
         Set<ReplicaId> heard = new HashSet<>();
         heard.add(mConfig.replica());
         mPeerStatuses.recent(now).forEach(p -> heard.add(p.replica()));
-        return new QuorumView(members, peerMemberships(now), heard, mLostDisks::contains);
+        Optional<ReplicaId> leader =
+                mPeerStatuses.recent(now).stream()
+                        .filter(ControlInstanceStatus::leader)
+                        .map(ControlInstanceStatus::replica)
+                        .findFirst();
+        return new QuorumView(members, peerMemberships(now), heard, mLostDisks::contains, leader);
     }
 
     @Override
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumView.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumView.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.laurelweir.consensus.Membership;
@@ -14,16 +15,18 @@
  * @param otherMemberships the memberships that other instances report and that may be newer
  * @param heard the replicas that it hears, itself included
  * @param lost the voters that are known to have lost their disks
+ * @param reportedLeader another instance that reports that it leads
  */
 record QuorumView(
         Membership members,
         List<Membership> otherMemberships,
         Set<ReplicaId> heard,
-        Predicate<ReplicaId> lost) {
+        Predicate<ReplicaId> lost,
+        Optional<ReplicaId> reportedLeader) {
 
     /** What an instance without a leader can tell of the quorum. */
     enum Verdict {
-        /** A quorum is heard, but it has elected no leader that this instance hears. */
+        /** There is a leader or a quorum is heard, but this instance receives no log from it. */
         NO_LEADER,
 
         /** Too few voters are heard; those that are silent may return. */
@@ -38,7 +41,7 @@
      * since a newer one may be in force.
      */
     Verdict verdict() {
-        if (members.hasQuorum(heard::contains)) {
+        if (reportedLeader.isPresent() || members.hasQuorum(heard::contains)) {
             return Verdict.NO_LEADER;
         }
         List<Membership> all = new ArrayList<>(otherMemberships);
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/LeaderlessLoggerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/LeaderlessLoggerTest.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.consensus.Membership;
@@ -28,7 +29,7 @@
     private Instant mNow = Instant.EPOCH;
 
     private static QuorumView view(Set<ReplicaId> heard, Set<ReplicaId> lost) {
-        return new QuorumView(THREE, List.of(), heard, lost::contains);
+        return new QuorumView(THREE, List.of(), heard, lost::contains, Optional.empty());
     }
 
     private void leaderlessFor(Duration time, QuorumView view) {
@@ -79,7 +80,8 @@
     void newerMembershipThatAPeerReportsKeepsTheQuorum() {
         Membership newer = Membership.ofVoters(List.of(C1, C3, C4));
         Set<ReplicaId> lost = Set.of(C2, C3);
-        QuorumView view = new QuorumView(THREE, List.of(newer), Set.of(C1), lost::contains);
+        QuorumView view =
+                new QuorumView(THREE, List.of(newer), Set.of(C1), lost::contains, Optional.empty());
         assertThat(view.verdict()).isEqualTo(QuorumView.Verdict.QUORUM_MISSING);
     }
 
@@ -91,6 +93,16 @@
         assertThat(warning(0).candidates()).containsExactly("c1#1", "c3#1");
     }
 
+    // Guards against calling a quorum lost that another instance leads.
+    @Test
+    void leaderThatAnotherInstanceReportsIsNamed() {
+        QuorumView view = new QuorumView(THREE, List.of(), Set.of(C1), v -> true, Optional.of(C4));
+        leaderlessFor(Duration.ofSeconds(6), view);
+        assertThat(warning(0).choice()).isEqualTo("NO_LEADER");
+        assertThat(warning(0).reason())
+                .endsWith("c4#1 leads, and this instance gets no log from it");
+    }
+
     @Test
     void linesRepeatSlowlyAndEndWithTheLeader() {
         leaderlessFor(Duration.ofMinutes(5), ONE_SILENT);
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/LossToleranceLoggerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/LossToleranceLoggerTest.java
@@ -23,7 +23,9 @@
     private static final LossTolerance FULL = new LossTolerance(1, 1, ONE, List.of());
 
     private final LossToleranceLogger mLogger = new LossToleranceLogger();
+    private final TooFewVotersLogger mTooFewVotersLogger = new TooFewVotersLogger();
     private final List<ControlEffect> mLines = new ArrayList<>();
+    private List<ReplicaId> mReadyLearners = List.of();
     private Instant mNow = Instant.EPOCH;
 
     private static LossTolerance missing(Cause cause, Duration silence) {
@@ -33,7 +35,10 @@
     private void updateFor(Duration time, LossTolerance tolerance) {
         Instant end = mNow.plus(time);
         while (mNow.isBefore(end)) {
-            mLogger.update(mNow, THREE, tolerance, Duration.ofMillis(80), mLines::add);
+            LossReport report =
+                    new LossReport(THREE, tolerance, Duration.ofMillis(80), mReadyLearners);
+            mLogger.update(mNow, report, mLines::add);
+            mTooFewVotersLogger.update(mNow, report, mLines::add);
             mNow = mNow.plus(CHECK);
         }
     }
@@ -74,6 +79,26 @@
         assertThat(mLines.get(2)).isInstanceOf(ControlEffect.LogDecision.class);
     }
 
+    // Guards against a learner that could take a lost voter's place while nothing says that it
+    // waits.
+    @Test
+    void learnerThatCouldTakeAMissingVotersPlaceIsNamed() {
+        updateFor(Duration.ofSeconds(3), missing(Cause.SILENT, Duration.ofSeconds(3)));
+        mReadyLearners = List.of(new ReplicaId("c4", 1));
+        updateFor(Duration.ofSeconds(3), missing(Cause.SILENT, Duration.ofSeconds(6)));
+        assertThat(mLines).hasSize(2);
+        ControlEffect.LogWarning line = (ControlEffect.LogWarning) mLines.get(1);
+        assertThat(line.decision().reason()).endsWith("; have the log and don't vote: c4#1");
+    }
+
+    @Test
+    void learnersOfAHealthyLogAreNoReasonForALine() {
+        updateFor(Duration.ofSeconds(3), FULL);
+        mReadyLearners = List.of(new ReplicaId("c4", 1));
+        updateFor(Duration.ofSeconds(3), FULL);
+        assertThat(mLines).hasSize(1);
+    }
+
     // Guards against a line for each heartbeat that is late once.
     @Test
     void shortSilenceIsNotLogged() {
