--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -94,6 +94,8 @@
             mVoteHandedOver.complete(null);
         } else if (e instanceof ControlEffect.LogDecision d) {
             DecisionLog.write(d.decision());
+        } else if (e instanceof ControlEffect.LogWarning d) {
+            DecisionLog.writeWarning(d.decision());
         }
     }
 
