Count a replaced seed no longer as a control instance

What callers see: in a deployment whose instances join by themselves, a backend server in slow start gets no request, for as long as the settings name seeds that were replaced at other addresses and one instance more is gone; and the backend servers that the gone instance had announced are not declared departed. Control gives no permits and declares no peer lost without a majority of the control instances, and a seed counted among these for good. Three seeds of which one was replaced: four are counted, so the loss of one more leaves two of four, no majority, though the log has its quorum (two of three voters). All three replaced: three of six, no majority without any loss.

Cause: configured peers were permanent in ControlPeers, and so in the table that hasMajority counts. Discovered peers are forgotten after a minute of silence, unless the log has them as members; seeds never were.

Ruled out: forgetting silent seeds without a look at the log. An instance that is cut off would then be the majority of itself. A member that has not answered is taken for lost only an orphan timeout after it became known. Seeds are still asked. Deployments with named peers are not concerned: a name is taken over by the instance that comes in its place.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -72,7 +72,7 @@
         List<String> peers = new ArrayList<>(config.addresses().keySet());
         peers.remove(config.name());
         mMembership = new SharedMembership(config.membership(), peers, this::onBackendChanged);
-        mPeers = new ControlPeers(config, mMembership::forgetPeer);
+        mPeers = new ControlPeers(config, mMembership::expectPeer, mMembership::forgetPeer);
         PeerStatuses peerStatuses = new PeerStatuses();
         mCrashSharing = new CrashSharing(config);
         mLoadSharing = new LoadSharing(config, mMembership);
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
@@ -81,8 +81,7 @@
         Duration interval = mConfig.peerUpdateInterval();
         mNextRound = now.plus(interval);
         boolean withRouters = mRound++ % ROUNDS_PER_ROUTER_UPDATE == 0;
-        mReplica.membership().all().forEach(r -> mPeers.discover(now, r.name()));
-        mPeers.removeSilent(now);
+        mPeers.removeSilent(now, mReplica.membership());
         for (String peer : mPeers.all()) {
             effects.accept(
                     new RequestPeerUpdate(
@@ -109,6 +108,7 @@
         mCrashSharing.onPeerUpdate(now, e.peer(), e.crashes());
         mRouters.merge(e.routers());
         mPeerStatuses.put(now, e.status());
+        mPeers.discover(now, e.peer());
         e.status().members().all().forEach(r -> mPeers.discover(now, r.name()));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/PeerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/PeerTable.java
@@ -35,6 +35,15 @@
         update.sums().forEach(s -> p.mSums.put(s.service(), s));
     }
 
+    /** Adds a peer if it is not known. It counts as lost only after the orphan timeout from now. */
+    void addPeer(String peer) {
+        if (!mPeers.containsKey(peer)) {
+            Peer p = new Peer();
+            p.mLastAnswer = mClock.elapsed();
+            mPeers.put(peer, p);
+        }
+    }
+
     void removePeer(String peer) {
         mPeers.remove(peer);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -326,6 +326,13 @@
         return mSessions.hasSession(b);
     }
 
+    /**
+     * Adds a control instance that exists, if it is not known, although it has not answered yet.
+     */
+    public void expectPeer(String peer) {
+        mPeers.addPeer(peer);
+    }
+
     /** Removes a control instance that will not return. */
     public void forgetPeer(String peer) {
         mPeers.removePeer(peer);
