Divide the retry reserve by the count that account limits use

What callers see: while control starts anew, or an instance that has just started is cut off, a failing service gets more retries than the settings allow. The reserve is divided by the number of routers, and at least three: 35 routers that hear "one" may take 32 / 3 retries each, about 12 times the reserve (360 routers: 120 times; both worked out, not measured).

Cause: a control instance that has just started has heard few routers and tells so. Account limits pass over a lower count for 30 s (RouterCount); the reserve took the last count as it came. Routers that are there were not counted.

Ruled out: telling no count until control has heard its peers. The peers' word comes every five seconds and not at all in a cut, and the router already has the better answer.

Change: the reserve asks AccountLimits for the count. A count that has fallen for good takes 30 s longer to widen each share, which is the safe side; a higher one holds at once, as before.

Before: RetryReserveTest.lowerCountOfAStartedControlInstanceDoesNotWidenTheReserve failed, 6 retries of 40 failing requests where 1 is this router's part of six.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -48,7 +48,7 @@
      * Creates the routing without any request.
      *
      * @param backends the backend servers that the router knows
-     * @param routerCount supplies the number of routers in the fleet, 0 if unknown
+     * @param routerCount supplies the number of routers in the fleet, 1 if unknown
      * @param limits limits of the retries of all routers
      * @param crashes the crashes of backend servers and the requests that were running then
      * @param loads the estimated loads of the backend servers
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/FleetRetryBudget.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/FleetRetryBudget.java
@@ -24,7 +24,7 @@
      * Creates a budget without any request.
      *
      * @param limits limits of the retries of all routers
-     * @param routerCount supplies the number of routers in the fleet, 0 if unknown
+     * @param routerCount supplies the number of routers in the fleet, 1 if unknown
      */
     FleetRetryBudget(RetryLimits limits, IntSupplier routerCount) {
         mLimits = limits;
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -38,7 +38,6 @@
     private final LoadEstimator mLoads = new LoadEstimator();
     private final SlowStartLimiter mSlowStarts = new SlowStartLimiter();
     private final LoadDigestLogger mLoadDigestLogger = new LoadDigestLogger(mLoads);
-    private int mRouterCount;
     private boolean mStopping;
 
     /**
@@ -54,7 +53,7 @@
         mDirect =
                 new DirectRouting(
                         mMemberships,
-                        () -> mRouterCount,
+                        mLimits::routerCount,
                         config.retryLimits(),
                         mCrashes,
                         mLoads,
@@ -118,7 +117,6 @@
         }
         mPlacements.onMeanLoads(answer.loads());
         mLimits.onRouterCount(s.now(), answer.routers());
-        mRouterCount = answer.routers();
         mLoads.onDigest(answer.digest(), mLimits.routerCount(), this::serviceOf);
     }
 
