--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlMetricsTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlMetricsTest.java
@@ -55,8 +55,7 @@
         assertThat(gauges()).containsExactly(1L, 2L, 2L, 1L);
     }
 
-    // Guards against an unknown number that looks like a log that can't bear a loss, or like a
-    // healthy one without missing voters.
+    // Guards against an unknown number that looks like a log that can't bear a loss.
     @Test
     void instanceThatDoesNotLeadTellsThatItDoesNotKnow() {
         assertThat(gauges()).containsOnly(-1L);
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/ControlProgramTest.java
@@ -129,8 +129,7 @@
         }
     }
 
-    // Guards against a first loss after which no status says that the log can't bear a second one.
-    // Each instance that is asked has to say so, since an operator may ask any of them.
+    // Guards against an instance that does not say, when asked, that the log can't bear a loss.
     @Test
     void everyInstanceTellsThatTheLogCanBearNoFurtherLoss() throws Exception {
         try (ControlFleet fleet = new ControlFleet(mFolder, 3).startAll()) {
