Count the voters before and after a replacement in the sight of losses

QuorumMonitorTest, LossToleranceLoggerTest, VoterHealthTest, LeaderlessLoggerTest and LostDisksTest pass.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/MessageSizes.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/MessageSizes.java
@@ -48,7 +48,8 @@
         out.size(
                 "answer to an append message",
                 envelope(
-                        new ReplicaMessage.AppendReply(7, true, SEQUENCE_NUMBER, SEQUENCE_NUMBER)));
+                        new ReplicaMessage.AppendReply(
+                                7, true, SEQUENCE_NUMBER, SEQUENCE_NUMBER, false)));
     }
 
     private static int append(byte[] command, int entries) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -89,16 +89,6 @@
         return mConsensus.leader();
     }
 
-    /** Returns whether a replica has replied lately and its log is close to this leader's. */
-    boolean hasCaughtUp(ReplicaId id) {
-        return mConsensus.hasCaughtUp(id);
-    }
-
-    /** Returns when another replica last replied to this leader; empty if this is not one. */
-    Optional<Instant> lastContact(ReplicaId id) {
-        return mConsensus.lastContact(id);
-    }
-
     /** Returns the size in bytes of the log entries in memory. */
     long logBytes() {
         return mConsensus.logBytes();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LossReport.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LossReport.java
@@ -20,7 +20,7 @@
         List<ReplicaId> readyLearners) {
 
     int voterCount() {
-        return members.voters().size();
+        return members.allVoters().size();
     }
 
     int countedVoters() {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumMonitor.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumMonitor.java
@@ -81,13 +81,13 @@
     }
 
     private void updateLostDisks(Instant now) {
-        Set<ReplicaId> voters = new HashSet<>(mReplica.membership().voters());
-        peerMemberships(now).forEach(m -> voters.addAll(m.voters()));
+        Set<ReplicaId> voters = new HashSet<>(mReplica.membership().allVoters());
+        peerMemberships(now).forEach(m -> voters.addAll(m.allVoters()));
         mLostDisks.update(now, voters);
     }
 
     private Duration oldestReply(Instant now, LossTolerance tolerance) {
-        Set<ReplicaId> counted = new HashSet<>(mReplica.membership().voters());
+        Set<ReplicaId> counted = new HashSet<>(mReplica.membership().allVoters());
         tolerance.missing().forEach(m -> counted.remove(m.voter()));
         return counted.stream()
                 .flatMap(v -> lastContact(v).stream())
@@ -99,7 +99,7 @@
     /** Returns the membership in this replica's log, or in a peer's if this log has none. */
     private Optional<Membership> knownMembership(Instant now) {
         return Stream.concat(Stream.of(mReplica.membership()), peerMemberships(now).stream())
-                .filter(m -> !m.voters().isEmpty())
+                .filter(m -> !m.allVoters().isEmpty())
                 .findFirst();
     }
 
@@ -110,7 +110,7 @@
         return mPeerStatuses.recent(now).stream()
                 .sorted(Comparator.comparingLong(ControlInstanceStatus::commitIndex).reversed())
                 .map(ControlInstanceStatus::members)
-                .filter(m -> !m.voters().isEmpty())
+                .filter(m -> !m.allVoters().isEmpty())
                 .toList();
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumView.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QuorumView.java
@@ -63,11 +63,11 @@
     }
 
     private List<ReplicaId> voters(Predicate<ReplicaId> condition) {
-        return members.voters().stream().filter(condition).toList();
+        return members.allVoters().stream().filter(condition).toList();
     }
 
     /** Returns the number of voters in a quorum. */
     int quorumSize() {
-        return members.voters().size() - members.spareVoters(v -> true);
+        return members.allVoters().size() - members.spareVoters(v -> true);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/TooFewVotersLogger.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/TooFewVotersLogger.java
@@ -37,7 +37,8 @@
             return;
         }
         mIsLogged = true;
-        List<String> voters = report.members().voters().stream().map(ReplicaId::toString).toList();
+        List<String> voters =
+                report.members().allVoters().stream().map(ReplicaId::toString).toList();
         effects.accept(
                 new ControlEffect.LogWarning(
                         Decision.builder(now, DecisionLogger.PROGRAM)
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/VoterHealth.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/VoterHealth.java
@@ -31,7 +31,7 @@
     default LossTolerance lossTolerance(
             Instant now, Membership members, Duration silenceTimeout, OptionalInt promised) {
         List<MissingVoter> missing = new ArrayList<>();
-        for (ReplicaId voter : members.voters()) {
+        for (ReplicaId voter : members.allVoters()) {
             if (!isWell(voter)) {
                 Duration silence = silence(now, voter);
                 missing.add(
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
@@ -132,7 +132,7 @@
             reply = new ReplicaMessage.VoteReply(r.term(), true);
         } else if (m instanceof ReplicaMessage.AppendRequest r) {
             long match = r.prevIndex() + r.entries().size();
-            reply = new ReplicaMessage.AppendReply(r.term(), true, match, r.round());
+            reply = new ReplicaMessage.AppendReply(r.term(), true, match, r.round(), false);
         }
         if (reply != null) {
             offer(new ConsensusEvent.MessageReceived(send.to(), reply));
