Promote no learner while a voter is missing

Two are lost for good, two successors have caught up a second later, and for the first 2 s nobody is known to be missing: both successors are promoted beside the lost voters. Seven voters of which two are gone bear one loss instead of two, until the removal after 10 s. Three voters escape it (one successor is a spare), seven too (no eighth is allowed).

Cause: VoterPlan counted learners as spares as soon as they ran, whether they could vote or not, and took silence for the only sign of a missing voter.

Change: a spare is a learner that may vote now, and none is promoted beside voters of which one has not caught up, is departing or has lost its disk.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/VoterPlan.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/VoterPlan.java
@@ -1,6 +1,7 @@
 package org.laurelweir.coordination;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -130,29 +131,28 @@
     }
 
     /**
-     * Returns the promotion of a learner if an even number of voters remains, or if there are two
-     * learners more than needed as spares, so that the log survives one more loss.
+     * Returns the promotion of a learner if the number of voters is even, or if there are two
+     * spares, so that the log survives one more loss. While a voter is missing, none is promoted:
+     * the spares are needed in the places of missing voters, and an additional voter would only
+     * enlarge the quorum.
      */
     private Optional<MembershipChange> promotion() {
-        if (members.voters().size() >= MAX_VOTERS) {
-            return Optional.empty();
-        }
-        boolean isNeeded = members.voters().size() % 2 == 0 || spareCount() > 1;
-        return members.learners().stream()
-                .filter(l -> isNeeded && isSpare(l) && canVote(l))
-                .findFirst()
-                .map(MembershipChange.Promote::new);
+        List<ReplicaId> spares = members.learners().stream().filter(this::isSpare).toList();
+        boolean isNeeded = members.voters().size() % 2 == 0 || spares.size() > 1;
+        boolean isPossible = members.voters().size() < MAX_VOTERS && areAllVotersWell();
+        return isNeeded && isPossible
+                ? spares.stream().findFirst().map(MembershipChange.Promote::new)
+                : Optional.empty();
     }
 
-    private long spareCount() {
-        return members.learners().stream().filter(this::isSpare).count();
+    private boolean areAllVotersWell() {
+        return members.voters().stream()
+                .allMatch(v -> caughtUp.contains(v) && !departing.contains(v) && !isDiskLost(v));
     }
 
-    /** Returns whether a learner runs, could vote and is not the successor of a voter. */
+    /** Returns whether a learner may become a voter and is not the successor of a voter. */
     private boolean isSpare(ReplicaId learner) {
-        return learner.isDurable()
-                && running.contains(learner)
-                && members.voters().stream().noneMatch(v -> isSameName(v, learner));
+        return canVote(learner) && members.voters().stream().noneMatch(v -> isSameName(v, learner));
     }
 
     /**
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/VoterPlanTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/VoterPlanTest.java
@@ -251,4 +251,34 @@
             assertThat(plan.nextStep()).isEmpty();
         }
     }
+
+    // Guards against learners that are promoted beside voters that have just been lost, so that
+    // none is left to take their places: 5 voters of which 2 are gone become 7 of which 2 are gone,
+    // which survive one loss instead of two.
+    @Test
+    void learnersAreKeptForVotersThatAreMissing() {
+        List<ReplicaId> all = replicasWithDisks(7);
+        Membership members =
+                Membership.ofVoters(all.subList(0, 5))
+                        .withLearner(all.get(5))
+                        .withLearner(all.get(6));
+        Set<ReplicaId> there = new HashSet<>(all.subList(2, 7));
+        VoterPlan plan = new VoterPlan(members, there, there, Set.of(), Set.of(), true);
+        assertThat(plan.nextStep()).isEmpty();
+    }
+
+    // Guards against an even number of voters without a spare: of two learners one has caught up
+    // and the other one has not (it is gone, behind, or its disk takes no write).
+    @Test
+    void noVoterIsAddedForALearnerThatCannotVote() {
+        List<ReplicaId> all = replicasWithDisks(5);
+        Membership members =
+                Membership.ofVoters(all.subList(0, 3))
+                        .withLearner(all.get(3))
+                        .withLearner(all.get(4));
+        Set<ReplicaId> caughtUp = new HashSet<>(all.subList(0, 4));
+        VoterPlan plan =
+                new VoterPlan(members, new HashSet<>(all), caughtUp, Set.of(), Set.of(), true);
+        assertThat(plan.nextStep()).isEmpty();
+    }
 }
