Don't measure the silence of a voter anew after each election

Besides, with an election timeout of 2 s and more, voters that are well looked silent between two heartbeats.

Cause: the time of the last reply is the time of the election where nobody has replied since.

Change: a voter counts as missing when it has not replied for an election timeout and its instance was not heard for 2 s, before the election or since; statuses are kept by every instance. One that is heard and does not acknowledge, for example because its disk takes no writes, still has 2 s, or an election timeout if that is longer. A swap too many costs little: the replaced voter is the spare when it returns.

--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/JoiningControls.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/JoiningControls.java
@@ -47,6 +47,8 @@
 
     final Random mRandom;
     final SimulatedTime mTime = new SimulatedTime();
+    private final Duration mElectionTimeout;
+    private final Duration mHeartbeatInterval;
     private final Map<String, Machine> mMachines = new TreeMap<>();
     private long mLastCall;
     private int mAddresses;
@@ -54,6 +56,14 @@
 
     /** Creates machines that have just started with empty disks, and of which the first vote. */
     JoiningControls(int machines, int firstVoters, long seed) {
+        this(machines, firstVoters, seed, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL);
+    }
+
+    /** The same with other times of the log's leader. */
+    JoiningControls(
+            int machines, int firstVoters, long seed, Duration election, Duration heartbeat) {
+        mElectionTimeout = election;
+        mHeartbeatInterval = heartbeat;
         mRandom = new Random(seed);
         for (int i = 0; i < machines; i++) {
             create(true);
@@ -205,6 +215,11 @@
             mCalls.clear();
         }
 
+        /** Lets the disk take no write for some time. */
+        void hangDisk(long millis) {
+            mDiskBusyUntil = mTime.now() + millis;
+        }
+
         /** Stops in order: hands over the leadership and the vote first, for a second at most. */
         void shutDown() {
             offerUntil(
@@ -251,8 +266,8 @@
         private ControlConfig config() {
             ConsensusConfig consensus =
                     ConsensusConfig.builder()
-                            .electionTimeout(ELECTION_TIMEOUT)
-                            .heartbeatInterval(HEARTBEAT_INTERVAL)
+                            .electionTimeout(mElectionTimeout)
+                            .heartbeatInterval(mHeartbeatInterval)
                             .snapshotPolicy(ENTRIES_PER_SNAPSHOT, ENTRIES_PER_SNAPSHOT / 4, 4096)
                             .build();
             Map<String, String> addresses =
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -96,7 +96,7 @@
                         mLoadSharing,
                         peerStatuses,
                         mQuorumMonitor);
-        mReplicaRepair = new ReplicaRepair(mReplica, peerStatuses, config.autoJoin());
+        mReplicaRepair = new ReplicaRepair(mReplica, peerStatuses, config);
         mDirectAnnouncements = new DirectAnnouncements(mMembership, this::isAcceptedService);
         mPeerSharing =
                 new PeerSharing(
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
@@ -33,7 +33,10 @@
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
 
-    /** Time without a reply after which a spare takes the place of a voter. */
+    /**
+     * Time without a reply after which a spare takes the place of a voter, although its instance is
+     * heard, for example because its disk takes no writes.
+     */
     private static final Duration REPLACEMENT_TIMEOUT = Duration.ofSeconds(2);
 
     /**
@@ -44,13 +47,13 @@
 
     private final LogReplica mReplica;
     private final PeerStatuses mPeerStatuses;
-    private final boolean mAutoJoin;
+    private final ControlConfig mConfig;
     private Instant mNextCheck = Instant.MIN;
 
-    ReplicaRepair(LogReplica replica, PeerStatuses peerStatuses, boolean autoJoin) {
+    ReplicaRepair(LogReplica replica, PeerStatuses peerStatuses, ControlConfig config) {
         mReplica = replica;
         mPeerStatuses = peerStatuses;
-        mAutoJoin = autoJoin;
+        mConfig = config;
     }
 
     void tick(Instant now, Consumer<? super ControlEffect> effects) {
@@ -76,17 +79,29 @@
                 members,
                 running,
                 matching(members, mReplica::hasCaughtUp),
-                departing(now, members),
-                mAutoJoin ? timedOut : Set.of(),
-                mAutoJoin);
+                departing(now, members, running),
+                mConfig.autoJoin() ? timedOut : Set.of(),
+                mConfig.autoJoin());
     }
 
-    private Set<ReplicaId> departing(Instant now, Membership members) {
-        Set<ReplicaId> departing = silentFor(REPLACEMENT_TIMEOUT, now, members);
+    /**
+     * Returns the replicas whose place a spare takes. One that has not replied since the election
+     * of this leader counts if its instance was not heard before, either. Otherwise each change of
+     * the leader would prolong the time in which a lost voter is counted.
+     */
+    private Set<ReplicaId> departing(Instant now, Membership members, Set<ReplicaId> running) {
+        Duration contactTimeout = mConfig.consensus().electionTimeout();
+        Set<ReplicaId> departing = silentFor(contactTimeout, now, members);
+        departing.removeAll(running);
+        departing.addAll(silentFor(max(REPLACEMENT_TIMEOUT, contactTimeout), now, members));
         departing.addAll(matching(members, mReplica::isLeaving));
         return departing;
     }
 
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? b : a;
+    }
+
     private Set<ReplicaId> silentFor(Duration timeout, Instant now, Membership members) {
         Instant latest = now.minus(timeout);
         return matching(
