Let a leader whose disk takes no writes give up its leadership

The disk of the leader is full or hangs; the others go on committing, and the leader counts its own copy among those that bear a loss. A follower in that state does not reply and is replaced by a spare; a leader stayed a voter for ever, since it never is silent to itself.

Change: a leader whose durable index has been behind the commit index for two election timeouts transfers the leadership, and after one it does not count itself among those that have caught up, so that status, log and metrics say one loss fewer. As a follower it is then treated like any other. The end of such a transfer is not reported as the one that a stop waits for. A voter that is about to stop is no longer chosen as successor of a leader.

PromisedToleranceTest.aLeaderWhoseDiskHangsIsReplacedLikeAFollower failed before for the leader and passes; Consensus*Test and ElectionRaceTest pass. Not noticed: a disk that hangs while nothing is written.

--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/Leadership.java
@@ -1,5 +1,6 @@
 package org.laurelweir.consensus;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +15,11 @@
 final class Leadership {
     private static final byte[] EMPTY = new byte[0];
 
+    /**
+     * Election timeouts after which a leader whose disk takes no writes gives up its leadership.
+     */
+    private static final int DISK_STALL_ELECTION_TIMEOUTS = 2;
+
     private final ReplicaState mState;
     private final Applier mApplier;
     private final Replication mReplication;
@@ -23,6 +29,9 @@
     private final LeadershipTransfer mTransfer;
     private Instant mNextHeartbeat;
 
+    /** Since when entries are committed that are not durable here; null if there are none. */
+    private Instant mDiskBehindSince;
+
     Leadership(ReplicaState state, Applier applier) {
         mState = state;
         mApplier = applier;
@@ -56,7 +65,7 @@
     }
 
     void onTransferRequested() {
-        mTransfer.begin();
+        mTransfer.beginRequested();
     }
 
     void onProposed(long proposalId, byte[] command) {
@@ -145,6 +154,7 @@
             mState.become(Role.FOLLOWER, null);
             return;
         }
+        transferIfDiskStalls();
         if (!mState.now().isBefore(mNextHeartbeat)) {
             mNextHeartbeat = mState.now().plus(mState.config().heartbeatInterval());
             mReplication.sendHeartbeats();
@@ -152,6 +162,29 @@
         }
     }
 
+    /**
+     * Transfers the leadership if the others have committed without this replica's disk for some
+     * time, for example because it is full. A follower with such a disk does not reply, so that a
+     * spare can take its place; a leader would keep its place.
+     */
+    private void transferIfDiskStalls() {
+        boolean isBehind = mState.diskWrites().durableIndex() < mApplier.commitIndex();
+        if (!isBehind) {
+            mDiskBehindSince = null;
+        } else if (mDiskBehindSince == null) {
+            mDiskBehindSince = mState.now();
+        } else if (hasDiskBeenBehindFor(DISK_STALL_ELECTION_TIMEOUTS)
+                && !mTransfer.isInProgress()) {
+            mDiskBehindSince = null;
+            mTransfer.begin();
+        }
+    }
+
+    private boolean hasDiskBeenBehindFor(int electionTimeouts) {
+        Duration time = mState.config().electionTimeout().multipliedBy(electionTimeouts);
+        return mDiskBehindSince != null && !mDiskBehindSince.plus(time).isAfter(mState.now());
+    }
+
     private boolean isQuorumInContact() {
         return mState.log().membership().hasQuorum(this::isInContact);
     }
@@ -167,7 +200,8 @@
 
     /** Returns whether a replica is in contact and its log is close to the leader's. */
     boolean hasCaughtUp(ReplicaId id) {
-        return mMembershipRules.hasCaughtUp(id);
+        boolean isDiskStalled = id.equals(mState.self()) && hasDiskBeenBehindFor(1);
+        return !isDiskStalled && mMembershipRules.hasCaughtUp(id);
     }
 
     /** Returns when another replica last replied, or empty if it is not a member. */
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/LeadershipTransfer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/LeadershipTransfer.java
@@ -15,6 +15,7 @@
     private final ReplicaState mState;
     private final Replication mReplication;
     private final Predicate<ReplicaId> mIsInContact;
+    private boolean mIsRequested;
     private Instant mDeadline;
     private boolean mIsRequestSent;
 
@@ -25,6 +26,12 @@
         mIsInContact = isInContact;
     }
 
+    /** Begins a transfer whose end is reported, because this replica is about to stop. */
+    void beginRequested() {
+        mIsRequested = true;
+        begin();
+    }
+
     void begin() {
         mDeadline = mState.now().plus(mState.config().electionTimeout());
         mIsRequestSent = false;
@@ -35,13 +42,15 @@
     }
 
     /**
-     * Ends a transfer in progress and reports it: this replica stops leading, there is no
-     * successor, or the transfer timed out.
+     * Ends a transfer in progress, and reports it if it was requested: this replica stops leading,
+     * there is no successor, or the transfer timed out.
      */
     void end() {
         if (isInProgress()) {
             mDeadline = null;
-            mState.emit(new ConsensusEffect.LeadershipTransferEnded());
+            if (mIsRequested) {
+                mState.emit(new ConsensusEffect.LeadershipTransferEnded());
+            }
         }
     }
 
@@ -79,6 +88,7 @@
     private Optional<ReplicaId> successor() {
         return mState.log().membership().voters().stream()
                 .filter(v -> !v.equals(mState.self()) && mIsInContact.test(v))
+                .filter(v -> !mReplication.progress(v).isLeaving())
                 .max(Comparator.comparingLong(this::matchIndex));
     }
 
