Search for overlapping losses that the log does not survive

3 to 7 machines that join by themselves, of which 3, 5 or 7 vote, play 40 s of random losses: replaced at another address, disk lost, disk lost again before the replica has caught up, cut off for 1 to 15 s, flapping, restarted; several at once, the leader, a machine that has just returned; half of the losses of disks with a loss of power everywhere; learners without disks come and go. Then as many disks as promised are lost at once. Next losses come at random, or within 50 ms after a machine stops to count as lost.

--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/LossScenario.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/LossScenario.java
@@ -32,6 +32,7 @@
     private static final int RECOVERY_MILLIS = 12_000;
     private static final int RESEND_MILLIS = 300;
     private static final int READ_MILLIS = 500;
+    private static final int FINAL_READS_MILLIS = 2_000;
     private static final int OBSERVE_MILLIS = 100;
     private static final int MAX_VISITORS = 2;
     private static final int MAX_VOTERS = 7;
@@ -61,6 +62,7 @@
     private final List<Loss> mLosses;
     private final boolean mWithPowerCuts;
     private String mViolation = "";
+    private int mLastReadSize;
     private String mLastMembership = "";
     private long mPowerBackAt;
     private int mSent;
@@ -239,19 +241,26 @@
     }
 
     private String verdict() {
-        if (!mControls.change("/service=last", RECOVERY_MILLIS)) {
-            return "no change is accepted";
+        boolean isWritable = mControls.change("/service=last", RECOVERY_MILLIS);
+        if (isWritable) {
+            mAccepted.add("/service=last");
         }
-        mAccepted.add("/service=last");
+        int accepted = mAccepted.size();
         long end = now() + RECOVERY_MILLIS;
         while (!isAtFullStrength() && now() < end) {
             mControls.run(OBSERVE_MILLIS);
         }
-        if (!isAtFullStrength()) {
-            return "not at full strength: " + mLastMembership;
+        mControls.run(FINAL_READS_MILLIS);
+        if (!mViolation.isEmpty()) {
+            return mViolation;
+        }
+        if (!isWritable) {
+            return "no change is accepted";
         }
-        mControls.run(READ_MILLIS * 4);
-        return mViolation;
+        if (mLastReadSize < accepted) {
+            return "the accepted changes can't be read";
+        }
+        return isAtFullStrength() ? "" : "not at full strength: " + mLastMembership;
     }
 
     private boolean isAtFullStrength() {
@@ -297,12 +306,14 @@
                 });
     }
 
+    /** Reads from all machines; those that do not lead refuse. */
     private void readNext() {
         List<String> expected = List.copyOf(mAccepted);
-        anyMachine()
-                .call(
-                        call -> new ControlEvent.SettingsRequested(call, null, true, 0),
-                        a -> checkRead(expected, a));
+        for (Machine m : mControls.machines()) {
+            m.call(
+                    call -> new ControlEvent.SettingsRequested(call, null, true, 0),
+                    a -> checkRead(expected, a));
+        }
         mControls.mTime.after(READ_MILLIS, this::readNext);
     }
 
@@ -311,6 +322,7 @@
             Set<String> found =
                     s.nodes().stream().map(n -> n.path().toString()).collect(Collectors.toSet());
             List<String> missing = expected.stream().filter(p -> !found.contains(p)).toList();
+            mLastReadSize = found.size();
             if (!missing.isEmpty() && mViolation.isEmpty()) {
                 mViolation = "accepted changes are lost: " + missing;
                 note(mViolation);
