Let `replica replace` put the new replica in the place of the lost one in one step

The command promoted the new replica and then removed the lost one: of three voters four with one gone in between, so that one more loss of any of the others, the new one too, is the last; if the command stops there, for as long as nobody runs it again.

Change: a step REPLACE of ChangeMembers with the voter that is replaced; the command uses it, and PROMOTE only where no old replica votes any more. An earlier leader answers the step with "no step", so control is upgraded before the command line is used for that.

MainTest.replacesLostReplicaOnceNewOneHasCaughtUp expects the one step, with the voter it is for, in place of the two; it failed so before. MainTest and ControlProgramTest pass.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -292,6 +292,9 @@
                     case ADD_LEARNER -> new MembershipChange.AddLearner(replica);
                     case PROMOTE -> new MembershipChange.Promote(replica);
                     case REMOVE -> new MembershipChange.Remove(replica);
+                    case REPLACE ->
+                            new MembershipChange.Replace(
+                                    ReplicaCodec.toCore(r.getReplaced()), replica);
                     default -> null;
                 };
         if (change == null) {
@@ -299,7 +302,7 @@
                     out,
                     ChangeMembersReply.newBuilder()
                             .setCode(ResultCode.BAD_REQUEST.number())
-                            .setMessage("no step: expected ADD_LEARNER, PROMOTE or REMOVE")
+                            .setMessage("no step: expected ADD_LEARNER, PROMOTE, REMOVE or REPLACE")
                             .build());
             return;
         }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/MembershipChanger.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/MembershipChanger.java
@@ -33,7 +33,11 @@
 
     /** Requests one step, without a retry. */
     static ChangeMembersReply change(FleetConnection fleet, Step step, ReplicaId replica) {
-        ChangeMembersReply reply = fleet.control().changeMembers(request(step, replica));
+        return change(fleet, request(step, replica).build());
+    }
+
+    private static ChangeMembersReply change(FleetConnection fleet, ChangeMembersRequest request) {
+        ChangeMembersReply reply = fleet.control().changeMembers(request);
         Replies.requireOk(reply.getCode(), reply.getMessage());
         return reply;
     }
@@ -43,15 +47,27 @@
      */
     static ChangeMembersReply changeWithRetries(
             FleetConnection fleet, Step step, ReplicaId replica) {
+        return changeWithRetries(fleet, request(step, replica).build());
+    }
+
+    /** Puts a replica in the place of a voter, and retries while it copies the log. */
+    static ChangeMembersReply replaceWithRetries(
+            FleetConnection fleet, ReplicaId replaced, ReplicaId replica) {
+        return changeWithRetries(
+                fleet, request(Step.REPLACE, replica).setReplaced(replaced).build());
+    }
+
+    private static ChangeMembersReply changeWithRetries(
+            FleetConnection fleet, ChangeMembersRequest request) {
         for (int i = 0; i < MAX_ATTEMPTS; i++) {
-            ChangeMembersReply reply = fleet.control().changeMembers(request(step, replica));
+            ChangeMembersReply reply = fleet.control().changeMembers(request);
             if (ResultCode.of(reply.getCode()) != ResultCode.MEMBERSHIP_CHANGE_PENDING) {
                 Replies.requireOk(reply.getCode(), reply.getMessage());
                 return reply;
             }
             fleet.pauseBeforeRetry();
         }
-        return change(fleet, step, replica);
+        return change(fleet, request);
     }
 
     static int show(ChangeMembersReply reply, Console console, boolean json) {
@@ -65,7 +81,7 @@
         return PgmCommand.SUCCESS;
     }
 
-    private static ChangeMembersRequest request(Step step, ReplicaId replica) {
-        return ChangeMembersRequest.newBuilder().setStep(step).setReplica(replica).build();
+    private static ChangeMembersRequest.Builder request(Step step, ReplicaId replica) {
+        return ChangeMembersRequest.newBuilder().setStep(step).setReplica(replica);
     }
 }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/ReplicaReplace.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/ReplicaReplace.java
@@ -19,9 +19,9 @@
 
 /**
  * Replaces the replica on a control instance's lost disk by the one on its new disk. The new
- * replica becomes a voter before the old one is removed, and only after it has copied the log, so
- * that no quorum includes a replica without the log. After a failure, a second run continues where
- * the first one stopped.
+ * replica becomes a voter in the step in which the old one ceases to be one, and only after it has
+ * copied the log, so that at no moment fewer losses are survived than before. After a failure, a
+ * second run continues where the first one stopped.
  */
 @Command(name = "replace", description = Texts.REPLICA_REPLACE)
 public final class ReplicaReplace implements PgmCommand {
@@ -45,8 +45,11 @@
                         .filter(v -> v.getName().equals(mName) && !v.equals(fresh))
                         .toList();
         MembershipChanger.changeWithRetries(fleet, Step.ADD_LEARNER, fresh);
-        ChangeMembersReply reply = MembershipChanger.changeWithRetries(fleet, Step.PROMOTE, fresh);
-        for (ReplicaId old : lost) {
+        ChangeMembersReply reply =
+                lost.isEmpty()
+                        ? MembershipChanger.changeWithRetries(fleet, Step.PROMOTE, fresh)
+                        : MembershipChanger.replaceWithRetries(fleet, lost.get(0), fresh);
+        for (ReplicaId old : lost.stream().skip(1).toList()) {
             reply = MembershipChanger.changeWithRetries(fleet, Step.REMOVE, old);
         }
         return MembershipChanger.show(reply, console, mFleet.isJson());
