Leave control instances that are gone out of the status

What callers see: "status" shows a control instance that is gone as it spoke last, for good, as the leader if it was that, with no age. "replica replace" goes by it: run before the instance is back, it takes the lost replica for the present one, finds it a voter already, changes nothing and ends with 0; and the first status that says "leader" may be that of a leader that is gone, so that the lost voter is looked for in an old list of voters and stays counted if it is not there.

Cause: the status answered with the last status of every peer, whatever its age. The repair of replicas has gone by those of the last two seconds all along.

Ruled out for now: an age beside each status. It needs a field on the wire (ControlStatus has none, RouterStatus has one) and a rule in each reader; it would be the better sight of a silent instance. Until then it is seen by its absence, and the lists of voters still name its replica. Under load an instance may be missing for a moment; "replica replace" then says that it does not know the instance, and can be run again.

That the command itself goes wrong was read, not run.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/FleetStatus.java
@@ -7,7 +7,8 @@
 /**
  * The status of the fleet as known to one control instance.
  *
- * @param controls the statuses of the control instances, this one first
+ * @param controls the statuses of the control instances heard within the last two seconds, this one
+ *     first
  * @param backends the statuses of the backend servers, including recently departed ones
  * @param routers the statuses of the routers
  * @param loads the loads of the services
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerStatuses.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerStatuses.java
@@ -17,10 +17,6 @@
         mByName.put(peer.replica().name(), new ReceivedStatus(now, peer));
     }
 
-    List<ControlInstanceStatus> all() {
-        return mByName.values().stream().map(ReceivedStatus::status).toList();
-    }
-
     /** Returns the statuses received within the last two seconds. */
     List<ControlInstanceStatus> recent(Instant now) {
         List<ControlInstanceStatus> recent = new ArrayList<>();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
@@ -108,7 +108,7 @@
     void answer(Instant now, StatusRequested e, Consumer<? super ControlEffect> effects) {
         List<ControlInstanceStatus> controls = new ArrayList<>();
         controls.add(mReplica.status(now));
-        controls.addAll(mPeerStatuses.all());
+        controls.addAll(mPeerStatuses.recent(now));
         List<BackendServerStatus> backends =
                 mMembership.backends().stream()
                         .map(
