--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/FleetStatusTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/FleetStatusTest.java
@@ -32,9 +32,7 @@
         ControlInstanceStatus status =
                 new ControlInstanceStatus(LEADER, "c2:1", true, 1, 1, false, members);
         PeerUpdate update = new PeerUpdate(new MembershipCursor("c2", 1, 1), List.of(), List.of());
-        step(
-                new ControlEvent.PeerUpdateReceived(
-                        "c2", update, CrashDelta.NONE, List.of(), status));
+        step(new ControlEvent.PeerUpdateReceived("c2", update, CrashDelta.NONE, List.of(), status));
     }
 
     private List<ControlEffect> step(ControlEvent event) {
