--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlInstanceStatus.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlInstanceStatus.java
@@ -29,16 +29,14 @@
 
     /** Returns this status with the given loss tolerance. */
     ControlInstanceStatus withLossTolerance(LossTolerance tolerance) {
-        return withLossTolerance(Optional.of(tolerance));
-    }
-
-    /** Returns this status without a loss tolerance, because it may be outdated. */
-    ControlInstanceStatus withoutLossTolerance() {
-        return withLossTolerance(Optional.empty());
-    }
-
-    private ControlInstanceStatus withLossTolerance(Optional<LossTolerance> tolerance) {
         return new ControlInstanceStatus(
-                replica, address, leader, term, commitIndex, possiblyStale, members, tolerance);
+                replica,
+                address,
+                leader,
+                term,
+                commitIndex,
+                possiblyStale,
+                members,
+                Optional.of(tolerance));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerStatuses.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerStatuses.java
@@ -19,13 +19,6 @@
         mByName.put(peer.replica().name(), new ReceivedStatus(now, peer));
     }
 
-    /** Returns all statuses; those of more than two seconds ago without their loss tolerance. */
-    List<ControlInstanceStatus> all(Instant now) {
-        return mByName.values().stream()
-                .map(r -> r.isRecent(now) ? r.status() : r.status().withoutLossTolerance())
-                .toList();
-    }
-
     /** Returns the statuses received within the last two seconds. */
     List<ControlInstanceStatus> recent(Instant now) {
         List<ControlInstanceStatus> recent = new ArrayList<>();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/QueryHandler.java
@@ -111,7 +111,7 @@
     void answer(Instant now, StatusRequested e, Consumer<? super ControlEffect> effects) {
         List<ControlInstanceStatus> controls = new ArrayList<>();
         controls.add(mQuorumMonitor.status(now));
-        controls.addAll(mPeerStatuses.all(now));
+        controls.addAll(mPeerStatuses.recent(now));
         List<BackendServerStatus> backends =
                 mMembership.backends().stream()
                         .map(
