--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/process/BackgroundExecutorTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/process/BackgroundExecutorTest.java
@@ -1,6 +1,7 @@
 package org.laurelweir.runtime.process;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -66,4 +67,14 @@
         mExecutor.submit(() -> {}).get(1, TimeUnit.MINUTES);
         assertThat(mFailures).isEmpty();
     }
+
+    // Guards against a reducer that ends with a failure while its program stops: the reducer
+    // schedules a task when the executor is already shut down.
+    @Test
+    void dropsTasksAfterTheShutdown() {
+        mExecutor.shutdownNow();
+        assertThatCode(() -> mExecutor.schedule(() -> {}, 1, TimeUnit.MILLISECONDS))
+                .doesNotThrowAnyException();
+        assertThatCode(() -> mExecutor.execute(() -> {})).doesNotThrowAnyException();
+    }
 }
