--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/JoiningControls.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/JoiningControls.java
@@ -30,7 +30,7 @@
 
 /**
  * Simulates control instances that join by themselves: their messages, updates, disks and clocks
- * are driven by one seed. Machines lose power, disks and connections, and are replaced at other
+ * are driven by one seed. Instances lose power, disks and connections, and are replaced at other
  * addresses.
  */
 final class JoiningControls {
@@ -49,54 +49,54 @@
     final SimulatedTime mTime = new SimulatedTime();
     private final Duration mElectionTimeout;
     private final Duration mHeartbeatInterval;
-    private final Map<String, Machine> mMachines = new TreeMap<>();
+    private final Map<String, Instance> mInstances = new TreeMap<>();
     private long mLastCall;
     private int mAddresses;
     private int mChanges;
 
-    /** Creates machines that have just started with empty disks, and of which the first vote. */
-    JoiningControls(int machines, int firstVoters, long seed) {
-        this(machines, firstVoters, seed, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL);
+    /** Creates instances that have just started with empty disks, and of which the first vote. */
+    JoiningControls(int instances, int firstVoters, long seed) {
+        this(instances, firstVoters, seed, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL);
     }
 
     /** The same with other times of the log's leader. */
     JoiningControls(
-            int machines, int firstVoters, long seed, Duration election, Duration heartbeat) {
+            int instances, int firstVoters, long seed, Duration election, Duration heartbeat) {
         mElectionTimeout = election;
         mHeartbeatInterval = heartbeat;
         mRandom = new Random(seed);
-        for (int i = 0; i < machines; i++) {
+        for (int i = 0; i < instances; i++) {
             create(true);
         }
-        List<Machine> all = machines();
-        all.forEach(m -> m.mSeeds.addAll(mMachines.keySet()));
-        all.forEach(Machine::start);
+        List<Instance> all = instances();
+        all.forEach(m -> m.mSeeds.addAll(mInstances.keySet()));
+        all.forEach(Instance::start);
         List<ReplicaId> first = all.stream().limit(firstVoters).map(m -> m.mId).toList();
         ConsensusEvent bootstrap = new ConsensusEvent.Bootstrapped(Membership.ofVoters(first));
         all.get(0).offer(new ControlEvent.ReplicaEvent(bootstrap));
     }
 
-    /** Returns all machines that are not lost for good, whether they run or not. */
-    List<Machine> machines() {
-        return new ArrayList<>(mMachines.values());
+    /** Returns all instances that are not lost for good, whether they run or not. */
+    List<Instance> instances() {
+        return new ArrayList<>(mInstances.values());
     }
 
     void run(long millis) {
         mTime.run(millis);
     }
 
-    /** Starts a machine with an empty disk, or without a disk, at an address not used before. */
-    Machine add(boolean durable) {
-        Machine machine = create(durable);
-        machine.mSeeds.addAll(mMachines.keySet());
-        machine.start();
-        return machine;
+    /** Starts an instance with an empty disk, or without a disk, at an address not used before. */
+    Instance add(boolean durable) {
+        Instance instance = create(durable);
+        instance.mSeeds.addAll(mInstances.keySet());
+        instance.start();
+        return instance;
     }
 
-    private Machine create(boolean durable) {
-        Machine machine = new Machine(String.format("10.0.0.%03d:1", ++mAddresses), durable);
-        mMachines.put(machine.mAddress, machine);
-        return machine;
+    private Instance create(boolean durable) {
+        Instance instance = new Instance(String.format("10.0.0.%03d:1", ++mAddresses), durable);
+        mInstances.put(instance.mAddress, instance);
+        return instance;
     }
 
     /** Returns the newest membership that a leader reports; empty if there is no leader. */
@@ -104,9 +104,9 @@
         return leader().map(m -> m.mStatus.members());
     }
 
-    /** Returns the running machine that leads the highest term, as they last reported. */
-    Optional<Machine> leader() {
-        return mMachines.values().stream()
+    /** Returns the running instance that leads the highest term, as they last reported. */
+    Optional<Instance> leader() {
+        return mInstances.values().stream()
                 .filter(m -> m.isUp() && m.mStatus != null && m.mStatus.leader())
                 .max((a, b) -> Long.compare(a.mStatus.term(), b.mStatus.term()));
     }
@@ -148,25 +148,25 @@
         boolean[] answered = new boolean[1];
         long end = mTime.now() + millis;
         while (!answered[0] && mTime.now() < end) {
-            machines().forEach(m -> m.call(event, a -> answered[0] |= wanted.test(a)));
+            instances().forEach(m -> m.call(event, a -> answered[0] |= wanted.test(a)));
             run(RETRY_MILLIS);
         }
         return answered[0];
     }
 
-    private void deliver(Machine from, String to, Consumer<Machine> message) {
+    private void deliver(Instance from, String to, Consumer<Instance> message) {
         mTime.after(
                 1 + mRandom.nextInt(MAX_TRANSIT_MILLIS),
                 () -> {
-                    Machine receiver = mMachines.get(to);
+                    Instance receiver = mInstances.get(to);
                     if (receiver != null && receiver.isUp() && from.isConnected(receiver)) {
                         message.accept(receiver);
                     }
                 });
     }
 
-    /** A simulated machine with an instance and its disk. */
-    final class Machine {
+    /** A simulated instance with its disk. */
+    final class Instance {
         final String mAddress;
         private final boolean mDurable;
         private final Duration mClockSkew =
@@ -182,7 +182,7 @@
         private int mIncarnation;
         private long mDiskBusyUntil;
 
-        Machine(String address, boolean durable) {
+        Instance(String address, boolean durable) {
             mAddress = address;
             mDurable = durable;
             replaceDisk();
@@ -202,8 +202,8 @@
             return mReducer != null;
         }
 
-        /** Returns whether messages between this machine and another one arrive. */
-        boolean isConnected(Machine other) {
+        /** Returns whether messages between this instance and another one arrive. */
+        boolean isConnected(Instance other) {
             return !mCutOff && !other.mCutOff;
         }
 
@@ -244,14 +244,14 @@
             replaceDisk();
         }
 
-        /** Takes the machine away for good. */
+        /** Takes the instance away for good. */
         void lose() {
             stop();
-            mMachines.remove(mAddress);
+            mInstances.remove(mAddress);
         }
 
         void start() {
-            if (isUp() || !mMachines.containsKey(mAddress)) {
+            if (isUp() || !mInstances.containsKey(mAddress)) {
                 return;
             }
             if (!mDurable) {
@@ -303,7 +303,7 @@
                     });
         }
 
-        /** Makes a call. It is lost if the machine is stopped or stops before it answers. */
+        /** Makes a call. It is lost if the instance is stopped or stops before it answers. */
         void call(LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
             long call = ++mLastCall;
             mCalls.put(call, answer);
@@ -370,7 +370,7 @@
                     to -> to.call(request, a -> returnPeerUpdate(to, incarnation, a)));
         }
 
-        private void returnPeerUpdate(Machine peer, int incarnation, ControlEffect.Answer answer) {
+        private void returnPeerUpdate(Instance peer, int incarnation, ControlEffect.Answer answer) {
             ControlEffect.AnswerPeerUpdate a = (ControlEffect.AnswerPeerUpdate) answer;
             deliver(
                     peer,
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/LossScenario.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/LossScenario.java
@@ -12,19 +12,19 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.laurelweir.consensus.Membership;
-import org.laurelweir.control.history.JoiningControls.Machine;
+import org.laurelweir.control.history.JoiningControls.Instance;
 import org.laurelweir.coordination.Command;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.lib.ResultCode;
 
 /**
- * Plays random losses of machines that overlap, while an operator changes settings. There are never
- * more than the log has to survive: a machine counts as lost until 4 s after its successor's start
- * or its own return.
+ * Plays random losses of instances that overlap, while an operator changes settings. There are
+ * never more than the log has to survive: an instance counts as lost until 4 s after its
+ * successor's start or its own return.
  */
 final class LossScenario {
-    /** Time after a return during which a machine still counts as lost. */
+    /** Time after a return during which an instance still counts as lost. */
     private static final int MAKE_GOOD_MILLIS = 4_000;
 
     private static final int SETTLE_MILLIS = 6_000;
@@ -37,7 +37,7 @@
     private static final int MAX_VISITORS = 2;
     private static final int MAX_VOTERS = 7;
 
-    /** What happens to a machine. */
+    /** What happens to an instance. */
     enum Loss {
         REPLACED,
         WIPED,
@@ -46,7 +46,7 @@
         FLAPPING,
         RESTARTED;
 
-        /** Returns whether the machine's copy of the log is lost. */
+        /** Returns whether the instance's copy of the log is lost. */
         boolean isOfDisk() {
             return this == REPLACED || this == WIPED || this == WIPED_TWICE;
         }
@@ -55,7 +55,7 @@
     private final JoiningControls mControls;
     private final Random mRandom;
     private final List<Slot> mSlots = new ArrayList<>();
-    private final List<Machine> mVisitors = new ArrayList<>();
+    private final List<Instance> mVisitors = new ArrayList<>();
     private final List<String> mAccepted = new ArrayList<>();
     private final List<String> mTrace = new ArrayList<>();
     private final int mTolerance;
@@ -70,22 +70,22 @@
     /**
      * Creates a deployment with empty disks.
      *
-     * @param machines number of machines with disks, 3 to 7
+     * @param instances number of instances with disks, 3 to 7
      * @param losses the losses that may happen
-     * @param withPowerCuts whether all machines may lose power at the moment of a loss
+     * @param withPowerCuts whether all instances may lose power at the moment of a loss
      */
-    LossScenario(int machines, long seed, List<Loss> losses, boolean withPowerCuts) {
-        int voters = Math.min(MAX_VOTERS, machines - 1 + machines % 2);
+    LossScenario(int instances, long seed, List<Loss> losses, boolean withPowerCuts) {
+        int voters = Math.min(MAX_VOTERS, instances - 1 + instances % 2);
         mTolerance = (voters - 1) / 2;
         mLosses = losses;
         mWithPowerCuts = withPowerCuts;
-        mControls = new JoiningControls(machines, voters, seed);
+        mControls = new JoiningControls(instances, voters, seed);
         mRandom = new Random(~seed);
-        mControls.machines().forEach(m -> mSlots.add(new Slot(m)));
+        mControls.instances().forEach(m -> mSlots.add(new Slot(m)));
     }
 
     /**
-     * Plays losses for a time, then one more of as many machines as the log has to survive, and
+     * Plays losses for a time, then one more of as many instances as the log has to survive, and
      * then waits until all is back.
      *
      * @return what was not kept, or an empty text
@@ -127,7 +127,7 @@
         return choices.get(mRandom.nextInt(choices.size()));
     }
 
-    /** Returns a short pause, or one until the next machine no longer counts as lost. */
+    /** Returns a short pause, or one until the next instance no longer counts as lost. */
     private int nextPauseMillis() {
         long next =
                 mSlots.stream()
@@ -169,7 +169,7 @@
         if (spareLosses() > 0) {
             mControls
                     .leader()
-                    .flatMap(m -> mSlots.stream().filter(s -> s.mMachine == m).findFirst())
+                    .flatMap(m -> mSlots.stream().filter(s -> s.mInstance == m).findFirst())
                     .filter(s -> !s.isLost())
                     .ifPresent(s -> lose(List.of(s), anyOf(mLosses)));
         }
@@ -183,7 +183,7 @@
         }
     }
 
-    /** Loses a machine that has returned and still counts as lost. */
+    /** Loses an instance that has returned and still counts as lost. */
     private void loseAgain() {
         List<Slot> candidates = slots(s -> s.isLost() && !s.mIsAway);
         if (!candidates.isEmpty()) {
@@ -200,12 +200,12 @@
         }
     }
 
-    /** Cuts the power of all machines for a second or so. All disks stay. */
+    /** Cuts the power of all instances for a second or so. All disks stay. */
     private void cutPower() {
         mPowerBackAt = Math.max(mPowerBackAt, now() + between(300, 1_500));
-        List<Machine> running =
-                mControls.machines().stream().filter(Machine::isUp).collect(Collectors.toList());
-        for (Machine m : running) {
+        List<Instance> running =
+                mControls.instances().stream().filter(Instance::isUp).collect(Collectors.toList());
+        for (Instance m : running) {
             m.stop();
             whenPowered(0, m::start);
         }
@@ -225,7 +225,7 @@
                 });
     }
 
-    /** Lets a machine without a disk come or go. */
+    /** Lets an instance without a disk come or go. */
     private void visit() {
         if (mVisitors.size() < MAX_VISITORS) {
             whenPowered(0, () -> mVisitors.add(mControls.add(false)));
@@ -265,15 +265,15 @@
 
     private boolean isAtFullStrength() {
         Set<String> names = new HashSet<>();
-        slots(s -> !s.mIsAway).forEach(s -> names.add(s.mMachine.mId.toString()));
+        slots(s -> !s.mIsAway).forEach(s -> names.add(s.mInstance.mId.toString()));
         return mControls
                 .membership()
                 .filter(m -> m.spareVoters(r -> names.contains(r.toString())) == mTolerance)
                 .isPresent();
     }
 
-    private Machine anyMachine() {
-        return anyOf(mControls.machines());
+    private Instance anyInstance() {
+        return anyOf(mControls.instances());
     }
 
     private void changeNext() {
@@ -294,7 +294,7 @@
                         accepted[0] = true;
                     }
                 };
-        anyMachine().call(call -> new ControlEvent.CommandReceived(call, change), onAnswer);
+        anyInstance().call(call -> new ControlEvent.CommandReceived(call, change), onAnswer);
         mControls.mTime.after(
                 RESEND_MILLIS,
                 () -> {
@@ -306,10 +306,10 @@
                 });
     }
 
-    /** Reads from all machines; those that do not lead refuse. */
+    /** Reads from all instances; those that do not lead refuse. */
     private void readNext() {
         List<String> expected = List.copyOf(mAccepted);
-        for (Machine m : mControls.machines()) {
+        for (Instance m : mControls.instances()) {
             m.call(
                     call -> new ControlEvent.SettingsRequested(call, null, true, 0),
                     a -> checkRead(expected, a));
@@ -347,14 +347,14 @@
         return "voters " + members.voters() + " learners " + members.learners();
     }
 
-    /** A machine of the deployment, and those that come in its place. */
+    /** An instance of the deployment, and those that come in its place. */
     private final class Slot {
-        private Machine mMachine;
+        private Instance mInstance;
         private boolean mIsAway;
         private long mLostUntil;
 
-        Slot(Machine machine) {
-            mMachine = machine;
+        Slot(Instance instance) {
+            mInstance = instance;
         }
 
         boolean isLost() {
@@ -385,21 +385,21 @@
         }
 
         private void replace() {
-            mMachine.lose();
+            mInstance.lose();
             whenPowered(
                     1_000,
                     () -> {
-                        mMachine = mControls.add(true);
+                        mInstance = mControls.add(true);
                         returned();
                     });
         }
 
         private void wipe(int times) {
-            mMachine.wipe();
+            mInstance.wipe();
             whenPowered(
                     between(100, 2_000),
                     () -> {
-                        mMachine.start();
+                        mInstance.start();
                         if (times == 0) {
                             returned();
                         } else {
@@ -409,21 +409,21 @@
         }
 
         private void restart() {
-            mMachine.stop();
+            mInstance.stop();
             whenPowered(
                     between(100, 3_000),
                     () -> {
-                        mMachine.start();
+                        mInstance.start();
                         returned();
                     });
         }
 
         private void cutOff(int times, int minMillis, int maxMillis) {
-            mMachine.mCutOff = true;
+            mInstance.mCutOff = true;
             mControls.mTime.after(
                     between(minMillis, maxMillis),
                     () -> {
-                        mMachine.mCutOff = false;
+                        mInstance.mCutOff = false;
                         if (times == 0) {
                             returned();
                         } else {
@@ -436,7 +436,7 @@
 
         @Override
         public String toString() {
-            return mMachine.mId.toString();
+            return mInstance.mId.toString();
         }
     }
 }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/PromisedToleranceTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/PromisedToleranceTest.java
@@ -11,10 +11,10 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.consensus.Membership;
-import org.laurelweir.control.history.JoiningControls.Machine;
+import org.laurelweir.control.history.JoiningControls.Instance;
 
 /**
- * Tests that 4 s after the start of the successors of lost machines, the log survives as many
+ * Tests that 4 s after the start of the successors of lost instances, the log survives as many
  * further losses as before.
  */
 class PromisedToleranceTest {
@@ -68,18 +68,18 @@
 
     private static void runWithRestart(JoiningControls c, int killedAt) {
         c.run(killedAt);
-        c.machines().forEach(Machine::stop);
+        c.instances().forEach(Instance::stop);
         c.run(200);
-        c.machines().forEach(Machine::start);
+        c.instances().forEach(Instance::start);
         c.run(PROMISED_MILLIS - 200 - killedAt);
     }
 
     private static void runWithLeaderRestart(JoiningControls c, int killedAt) {
         c.run(killedAt);
-        Optional<Machine> leader = c.leader();
-        leader.ifPresent(Machine::stop);
+        Optional<Instance> leader = c.leader();
+        leader.ifPresent(Instance::stop);
         c.run(200);
-        leader.ifPresent(Machine::start);
+        leader.ifPresent(Instance::start);
         c.run(PROMISED_MILLIS - 200 - killedAt);
     }
 
@@ -117,9 +117,9 @@
             c.run(SETTLE_MILLIS);
             c.add(true);
             c.run(SETTLE_MILLIS);
-            Machine leader = c.leader().orElseThrow();
-            Machine hanging =
-                    c.machines().stream()
+            Instance leader = c.leader().orElseThrow();
+            Instance hanging =
+                    c.instances().stream()
                             .limit(3)
                             .filter(m -> (m == leader) == isLeader)
                             .findFirst()
@@ -151,7 +151,7 @@
                 .isTrue();
     }
 
-    private static void cutOff(JoiningControls c, Machine leader) {
+    private static void cutOff(JoiningControls c, Instance leader) {
         leader.mCutOff = true;
         c.run(2_000);
         leader.mCutOff = false;
@@ -162,20 +162,20 @@
         JoiningControls c = new JoiningControls(voters, voters, SEED);
         assertThat(c.change("/service=before", SETTLE_MILLIS)).isTrue();
         c.run(SETTLE_MILLIS);
-        List<Machine> first = c.machines();
-        Machine leader = c.leader().orElseThrow();
+        List<Instance> first = c.instances();
+        Instance leader = c.leader().orElseThrow();
         first.remove(leader);
         first.add(0, leader);
-        first.subList(0, faults).forEach(Machine::lose);
+        first.subList(0, faults).forEach(Instance::lose);
         c.run(successorStart);
         for (int i = 0; i < faults; i++) {
             c.add(true);
         }
         fourSeconds.accept(c);
-        c.machines().forEach(Machine::stop);
-        first.subList(voters - faults, voters).forEach(Machine::wipe);
+        c.instances().forEach(Instance::stop);
+        first.subList(voters - faults, voters).forEach(Instance::wipe);
         c.run(1_000);
-        c.machines().forEach(Machine::start);
+        c.instances().forEach(Instance::start);
         return c.change("/service=after", RECOVERY_MILLIS)
                 && c.canRead("/service=before", RECOVERY_MILLIS);
     }
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SecondLossTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/history/SecondLossTest.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
-import org.laurelweir.control.history.JoiningControls.Machine;
+import org.laurelweir.control.history.JoiningControls.Instance;
 
 /**
  * Tests that the log survives a further loss as soon as the one before it is promised to be made
@@ -64,8 +64,8 @@
 
     private static boolean survivesAfterPlannedReplacement(int first, int second) {
         JoiningControls controls = new JoiningControls(VOTERS, VOTERS, SEED);
-        Machine replaced = controls.machines().get(first);
-        Machine wiped = controls.machines().get(second);
+        Instance replaced = controls.instances().get(first);
+        Instance wiped = controls.instances().get(second);
         assertThat(controls.change("/service=before", SETTLE_MILLIS)).isTrue();
         controls.add(true);
         controls.run(SETTLE_MILLIS);
@@ -76,8 +76,8 @@
 
     private static boolean survives(int first, int second, int millisBetween) {
         JoiningControls controls = new JoiningControls(VOTERS, VOTERS, SEED);
-        Machine lost = controls.machines().get(first);
-        Machine wiped = controls.machines().get(second);
+        Instance lost = controls.instances().get(first);
+        Instance wiped = controls.instances().get(second);
         assertThat(controls.change("/service=before", SETTLE_MILLIS)).isTrue();
         controls.run(SETTLE_MILLIS);
         lost.lose();
@@ -87,11 +87,11 @@
         return survivesPowerLossAndWipe(controls, wiped);
     }
 
-    private static boolean survivesPowerLossAndWipe(JoiningControls controls, Machine wiped) {
-        controls.machines().forEach(Machine::stop);
+    private static boolean survivesPowerLossAndWipe(JoiningControls controls, Instance wiped) {
+        controls.instances().forEach(Instance::stop);
         wiped.wipe();
         controls.run(POWER_OFF_MILLIS);
-        controls.machines().forEach(Machine::start);
+        controls.instances().forEach(Instance::start);
         return controls.change("/service=after", RECOVERY_MILLIS)
                 && controls.canRead("/service=before", RECOVERY_MILLIS);
     }
