--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/ConsensusReducer.java
@@ -80,8 +80,9 @@
     }
 
     /**
-     * Returns when another replica last replied to this one as the leader; empty if this replica
-     * does not lead, or the other one is not a member. Since an election, at the earliest.
+     * Returns when another replica last replied to this one as the leader, or the time of this
+     * leader's election if it has not replied since. Empty if this replica does not lead, or the
+     * other one is not a member.
      */
     public Optional<Instant> lastContact(ReplicaId id) {
         return mLeadership == null ? Optional.empty() : mLeadership.lastContact(id);
--- a/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/consensus/MembershipRules.java
@@ -53,14 +53,14 @@
     /**
      * Checks whether a change may be proposed.
      *
-     * @param committed whether the newest membership and an entry of the current term are
-     *     committed, and no replacement is in progress. Without the first, two changes could be
-     *     uncommitted at once; without the second, a change by a previous leader could still be
-     *     uncommitted. In both cases two quorums might share no voter, and both could commit
+     * @param isStable whether the newest membership and an entry of the current term are committed,
+     *     and no replacement is in progress. Without the first, two changes could be uncommitted at
+     *     once; without the second, a change by a previous leader could still be uncommitted. In
+     *     both cases two quorums might share no voter, and both could commit
      * @return OK, or the reason to reject the change
      */
-    ResultCode check(MembershipChange change, Membership next, boolean committed) {
-        if (!committed) {
+    ResultCode check(MembershipChange change, Membership next, boolean isStable) {
+        if (!isStable) {
             return ResultCode.MEMBERSHIP_CHANGE_PENDING;
         }
         if (!hasEffect(change, next) || next.voters().isEmpty()) {
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
@@ -57,7 +57,7 @@
                         .consensus(consensus)
                         .toleratedLosses(toleratedLosses)
                         .build();
-        mReducer = new ControlReducer(config, new NoCommands(), 1);
+        mReducer = new ControlReducer(config, new UnusedLogCodec(), 1);
         offer(new ConsensusEvent.Recovered(HardState.INITIAL, Snapshot.NONE, List.of(), 0));
         offer(new ConsensusEvent.Bootstrapped(Membership.ofVoters(voters)));
     }
@@ -148,27 +148,4 @@
                 new ControlEvent.PeerUpdateReceived(
                         peer.name(), update, CrashDelta.NONE, List.of(), status));
     }
-
-    /** The log holds no commands and no snapshots. */
-    private static final class NoCommands implements LogCodec {
-        @Override
-        public byte[] encode(Command command) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Command decodeCommand(byte[] bytes) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public byte[] encode(ControlState.Snapshot snapshot) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ControlState.Snapshot decodeSnapshot(byte[] bytes) {
-            throw new UnsupportedOperationException();
-        }
-    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/FleetStatusTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/FleetStatusTest.java
@@ -66,26 +66,4 @@
         mNow = mNow.plus(LONGER_THAN_STATUS_AGE);
         assertThat(replicasInStatus()).containsExactly(SELF);
     }
-
-    private static final class UnusedLogCodec implements LogCodec {
-        @Override
-        public byte[] encode(Command command) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Command decodeCommand(byte[] bytes) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public byte[] encode(ControlState.Snapshot snapshot) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ControlState.Snapshot decodeSnapshot(byte[] bytes) {
-            throw new UnsupportedOperationException();
-        }
-    }
 }
