Say in the comment of ReplicaRepair which voters are replaced

It named one of two times of silence and left out voters that are about to stop and lost disks. Comment only; formatter, linter and compiler pass, the tests were not run again.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ReplicaRepair.java
@@ -15,11 +15,10 @@
  *
  * <p>Each voter that is lost reduces by one the losses that the log survives, until another replica
  * has its place. An instance that returns with an empty disk, or one that takes the place of
- * another at a new address, is added as a learner. Once it has caught up, it replaces the voter
- * whose disk is lost, or that has not replied for {@link #REPLACEMENT_TIMEOUT}; a spare learner
- * does so, too. The replaced voter stays as a learner. So a voter that was only silent for a while
- * loses nothing but its vote, and is the spare when it returns. An instance that an operator has
- * removed is not added again.
+ * another at a new address, is added as a learner. A learner that has caught up replaces a voter
+ * whose disk is lost, that is silent, or that is about to stop. A replaced voter stays as a learner
+ * unless its disk is lost. So a voter that was only silent for a while loses nothing but its vote,
+ * and is the spare when it returns. An instance that an operator has removed is not added again.
  *
  * <p>{@link VoterPlan} decides which replicas vote.
  *
