--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -130,7 +130,8 @@
             "REPLICA,ADDRESS,ROLE,TERM,APPLIED,COMMITTED,STATE";
     public static final String SERVICE_COLUMNS = "SERVICE,BACKEND SERVERS,MEAN WORK";
     public static final String BACKEND_COLUMNS =
-            "BACKEND SERVER,SERVICE,DATA CENTRE,ADDRESS,STATE,RUNNING,WAITING,WORK";
+            "BACKEND SERVER,SERVICE,VERSION,DATA CENTRE,ADDRESS,STATE,RUNNING,WAITING,WORK";
+    public static final String VERSION_COLUMNS = "SERVICE,VERSION,SERVING,DRAINING";
     public static final String ROUTER_COLUMNS = "ROUTER,DATA CENTRE,ADDRESS,SETTINGS,HEARD";
     public static final String DRAINED_DATA_CENTRE_COLUMNS = "DRAINED DATA CENTRE,AUTHOR,SINCE";
     public static final String QUARANTINE_COLUMNS =
@@ -146,7 +147,7 @@
     public static final String DRAIN_MARK = " (drain ordered)";
     public static final String DECISION = "%s %s %s: %s, %s";
     public static final String DECISION_INPUTS =
-            "  chat %s, account %s, service %s, load %.1f, bound %.1f";
+            "  chat %s, account %s, service %s, load %.1f, bound %.1f, version %s";
     public static final String DECISION_CANDIDATES = "  candidates %s";
 
     private Texts() {}
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
@@ -43,7 +43,8 @@
             String choice,
             String reason,
             double load,
-            double bound) {
+            double bound,
+            String version) {
         static DecisionView of(Decision d) {
             return new DecisionView(
                     Instant.ofEpochMilli(d.getAtMillis()).toString(),
@@ -56,7 +57,8 @@
                     d.getChoice(),
                     d.getReason(),
                     d.getLoad(),
-                    d.getBound());
+                    d.getBound(),
+                    d.getVersion());
         }
 
         List<String> lines() {
@@ -69,7 +71,8 @@
                             account,
                             service,
                             load,
-                            bound),
+                            bound,
+                            version),
                     String.format(Texts.DECISION_CANDIDATES, String.join(", ", candidates)));
         }
     }
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/fleet/FleetView.java
@@ -22,6 +22,7 @@
  * @param losses how many voters the log can lose; null if no control instance is known to lead
  * @param controls control instances
  * @param services services with their load; work is in token units
+ * @param versions how many backend servers of each service have which software version
  * @param backends backend servers
  * @param routers routers
  * @param drainedDataCentres data centres whose backend servers get no new requests
@@ -32,6 +33,7 @@
         LossView losses,
         List<Control> controls,
         List<ServiceMean> services,
+        List<ServiceVersion> versions,
         List<BackendServer> backends,
         List<Router> routers,
         List<DrainedDataCentre> drainedDataCentres,
@@ -88,6 +90,7 @@
     record BackendServer(
             String id,
             String service,
+            String version,
             String dataCentre,
             String address,
             String state,
@@ -99,6 +102,7 @@
             return new BackendServer(
                     b.getBackend().getRef().getId(),
                     b.getBackend().getService(),
+                    b.getBackend().getVersion(),
                     b.getBackend().getDataCentre(),
                     b.getBackend().getAddress(),
                     b.getBackend().getState().name(),
@@ -170,6 +174,7 @@
                 LossView.of(reply.getControlsList()),
                 reply.getControlsList().stream().map(Control::of).toList(),
                 reply.getLoadsList().stream().map(ServiceMean::of).toList(),
+                ServiceVersion.all(reply.getBackendsList()),
                 reply.getBackendsList().stream().map(BackendServer::of).toList(),
                 reply.getRoutersList().stream().map(Router::of).toList(),
                 reply.getDrainedDataCentresList().stream().map(DrainedDataCentre::of).toList(),
@@ -187,6 +192,7 @@
         List.of(
                         controlTable(),
                         serviceTable(),
+                        versionTable(),
                         backendTable(),
                         routerTable(),
                         drainedDataCentreTable(),
@@ -214,11 +220,26 @@
         return t;
     }
 
+    private Table versionTable() {
+        Table t = new Table(Texts.VERSION_COLUMNS);
+        versions.forEach(v -> t.add(v.service(), v.version(), v.serving(), v.draining()));
+        return t;
+    }
+
     private Table backendTable() {
         Table t = new Table(Texts.BACKEND_COLUMNS);
         for (BackendServer b : backends) {
             String state = b.state + (b.drainOrdered ? Texts.DRAIN_MARK : "");
-            t.add(b.id, b.service, b.dataCentre, b.address, state, b.running, b.waiting, b.work);
+            t.add(
+                    b.id,
+                    b.service,
+                    b.version,
+                    b.dataCentre,
+                    b.address,
+                    state,
+                    b.running,
+                    b.waiting,
+                    b.work);
         }
         return t;
     }
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -272,6 +272,7 @@
                     Backend.newBuilder()
                             .setRef(BackendRef.newBuilder().setId(BACKEND))
                             .setService("seilhjerne")
+                            .setVersion("v1.2")
                             .setAddress(address(mSidecar))
                             .setState(BackendState.SERVING);
             RouterReport.Builder router =
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -290,6 +290,18 @@
         assertThat(mOut.toString()).contains("seilhjerne", "SERVING");
     }
 
+    // Guards against a rollout of which an operator can't see how far it is.
+    @Test
+    void statusCountsTheVersionsOfEachService() throws IOException {
+        assertThat(run("status", "--json")).isZero();
+        assertThat(json().at("/versions/0/version").asText()).isEqualTo("v1.2");
+        assertThat(json().at("/versions/0/serving").asInt()).isEqualTo(1);
+        assertThat(json().at("/versions/0/draining").asInt()).isZero();
+        assertThat(json().at("/backends/0/version").asText()).isEqualTo("v1.2");
+        assertThat(run("status")).isZero();
+        assertThat(mOut.toString()).contains("SERVICE     VERSION  SERVING  DRAINING");
+    }
+
     // Guards against a status that hides that the log can't bear another loss.
     @Test
     void statusTellsHowManyLossesTheLogCanBear() throws IOException {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/HttpDialect.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/HttpDialect.java
@@ -19,6 +19,8 @@
  * @param load header with a backend server's running and waiting requests and its slots, as N,N,N
  * @param seal header that every genuine successful answer has, or empty for no such header
  * @param resumeAfter header with the id of the last event that the receiver of a stream got
+ * @param resumes header with the id of the request that brought a stream's first event, sent by a
+ *     caller that goes on with that stream
  * @param fetchFrom header with the address of another engine, from which the receiver fetches the
  *     cached prompt parts that it lacks
  * @param reserved lower-case names of headers that only the router may set; it drops a caller's
@@ -37,6 +39,7 @@
         String load,
         String seal,
         String resumeAfter,
+        String resumes,
         String fetchFrom,
         Set<String> reserved,
         boolean exactRetryAfter) {
@@ -55,6 +58,7 @@
                     "X-Server-Load",
                     "",
                     "Last-Event-ID",
+                    "X-Resumes",
                     "X-Fetch-From",
                     Set.of("x-fetch-from"),
                     false);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -12,6 +12,7 @@
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.AllowedRegions;
 import org.laurelweir.direct.Prompt;
+import org.laurelweir.direct.Resumption;
 import org.laurelweir.direct.Route;
 import org.laurelweir.direct.RouteTable;
 import org.laurelweir.direct.RoutedRequest;
@@ -132,7 +133,17 @@
                         call.body(),
                         route.streamed()),
                 prompt(call),
-                route.allowedRegions().and(allowedRegions(tree, account)));
+                route.allowedRegions().and(allowedRegions(tree, account)),
+                resumption(route, call));
+    }
+
+    private Resumption resumption(Route route, HttpCall call) {
+        if (!route.streamed()) {
+            return Resumption.NONE;
+        }
+        String firstRequest = call.header(mDialect.resumes()).strip();
+        String lastEvent = call.header(mDialect.resumeAfter()).strip();
+        return new Resumption(firstRequest, lastEvent);
     }
 
     private static AllowedRegions allowedRegions(SettingsTree tree, String account) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -51,6 +51,7 @@
                 d.load(),
                 "X-Seal",
                 d.resumeAfter(),
+                d.resumes(),
                 d.fetchFrom(),
                 d.reserved(),
                 d.exactRetryAfter());
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/log/DecisionLog.java
@@ -19,6 +19,7 @@
     private static final MetadataKey<String> CANDIDATES = stringKey("candidates");
     private static final MetadataKey<String> CHOICE = stringKey("choice");
     private static final MetadataKey<String> REASON = stringKey("reason");
+    private static final MetadataKey<String> VERSION = stringKey("version");
     private static final MetadataKey<Double> LOAD = MetadataKey.single("load", Double.class);
     private static final MetadataKey<Double> BOUND = MetadataKey.single("bound", Double.class);
     private static final MetadataKey<Double> LOAD_AGE =
@@ -63,6 +64,7 @@
                 .with(CANDIDATES, joinOrNull(decision.candidates()))
                 .with(CHOICE, nullIfEmpty(decision.choice()))
                 .with(REASON, nullIfEmpty(decision.reason()))
+                .with(VERSION, nullIfEmpty(decision.version()))
                 .with(LOAD, nullIfNaN(decision.load()))
                 .with(BOUND, nullIfNaN(decision.bound()))
                 .with(LOAD_AGE, nullIfNaN(decision.loadAgeMillis()))
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/DecisionCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/DecisionCodec.java
@@ -20,6 +20,7 @@
                 .setReason(d.reason())
                 .setLoad(d.load())
                 .setBound(d.bound())
+                .setVersion(d.version())
                 .build();
     }
 }
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
@@ -26,6 +26,7 @@
                 .setWeight(b.weight())
                 .setSession(b.session())
                 .setSlowStart(b.slowStart())
+                .setVersion(b.version())
                 .build();
     }
 
@@ -40,7 +41,8 @@
                 toCore(b.getState()),
                 b.getWeight(),
                 b.getSession(),
-                b.getSlowStart());
+                b.getSlowStart(),
+                b.getVersion());
     }
 
     /** Returns the message of an announcement. */
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionLogger.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionLogger.java
@@ -50,9 +50,14 @@
 
     void backendChanged(
             Instant now, Backend b, String reason, Consumer<? super ControlEffect> effects) {
-        String id = b.ref().id();
-        String choice = b.state().name();
-        log(now, new Subject("", "", b.service()), List.of(id), choice, reason, effects);
+        effects.accept(
+                new ControlEffect.LogDecision(
+                        Decision.builder(now, PROGRAM)
+                                .service(b.service())
+                                .candidates(List.of(b.ref().id()))
+                                .choice(b.state().name(), reason)
+                                .version(b.version())
+                                .build()));
     }
 
     /** Logs that a peer reports a backend server that takes no new requests. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -137,6 +137,9 @@
         ActiveRequest r = new ActiveRequest(e.caller(), e.request(), service, mNow);
         mByCaller.put(e.caller(), r);
         mBudget.onRequest(service, mNow);
+        if (e.request().resumption().isRequested()) {
+            emit(mDecisions.resumptionRequested(r, mNow));
+        }
         if (mCrashGuard.shouldReject(r, mNow)) {
             end(r, mErrorAnswers::quarantined);
         } else if (!mAttempts.startNext(r)) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
@@ -19,9 +19,17 @@
                         .choice(c.server().id(), reason)
                         .load(c.load(), c.bound())
                         .loadAgeMillis(c.loadAgeMillis())
+                        .version(c.version())
                         .build());
     }
 
+    /** Returns the entry of a request that goes on with a stream. */
+    DirectEffect.LogDecision resumptionRequested(ActiveRequest r, Instant now) {
+        Resumption resumption = r.mRequest.resumption();
+        String reason = "resumes after event " + resumption.lastEvent();
+        return decision(r, now, List.of(), resumption.firstRequest(), reason);
+    }
+
     DirectEffect.LogDecision withReason(ActiveRequest r, String reason, Instant now) {
         return decision(r, now, List.of(), r.mBackend.id(), reason);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
@@ -14,6 +14,7 @@
  * @param call the HTTP request to send to the backend server
  * @param prompt the caller's description of the prompt, or {@link Prompt#NONE}
  * @param allowedRegions the regions whose backend servers may run the request
+ * @param resumption the stream that the caller goes on with, or {@link Resumption#NONE}
  */
 public record RoutedRequest(
         String id,
@@ -23,8 +24,9 @@
         Duration timeLeft,
         AttemptRequest.Call call,
         Prompt prompt,
-        AllowedRegions allowedRegions) {
-    /** Creates a request that may be served in every region. */
+        AllowedRegions allowedRegions,
+        Resumption resumption) {
+    /** Creates a request that may be served in every region and resumes no stream. */
     public RoutedRequest(
             String id,
             Route route,
@@ -33,6 +35,29 @@
             Duration timeLeft,
             AttemptRequest.Call call,
             Prompt prompt) {
-        this(id, route, account, priority, timeLeft, call, prompt, AllowedRegions.ALL);
+        this(
+                id,
+                route,
+                account,
+                priority,
+                timeLeft,
+                call,
+                prompt,
+                AllowedRegions.ALL,
+                Resumption.NONE);
+    }
+
+    /** Returns a copy of this request that goes on with a stream. */
+    public RoutedRequest withResumption(Resumption newResumption) {
+        return new RoutedRequest(
+                id,
+                route,
+                account,
+                priority,
+                timeLeft,
+                call,
+                prompt,
+                allowedRegions,
+                newResumption);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.laurelweir.load.LoadEstimator;
+import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.Candidate;
 
 /**
@@ -16,6 +17,7 @@
  * CandidateFilter} says which servers may be among them.
  */
 final class ServerChoice {
+    private final BackendSource mBackends;
     private final ServerTable mServers;
     private final LoadEstimator mLoads;
     private final SplittableRandom mRandom;
@@ -27,6 +29,7 @@
             LoadEstimator loads,
             SlowStartLimiter slowStarts,
             long seed) {
+        mBackends = backends;
         mServers = servers;
         mLoads = loads;
         mRandom = new SplittableRandom(seed);
@@ -43,6 +46,7 @@
      * @param load the estimated load of the chosen server, in requests
      * @param bound the load above which a server is not chosen by its rank; NaN if no bound applies
      * @param loadAgeMillis the age of the load in milliseconds; NaN if no recent load is known
+     * @param version the software version of the chosen server, or empty if it is unknown
      */
     record Choice(
             Candidate server,
@@ -50,7 +54,8 @@
             List<String> candidates,
             double load,
             double bound,
-            double loadAgeMillis) {}
+            double loadAgeMillis,
+            String version) {}
 
     /** A candidate with the estimate of its load. */
     private record CandidateLoad(Candidate server, LoadEstimator.Estimate estimate) {
@@ -105,10 +110,21 @@
                 .map(c -> choice(c, reason, all, bound));
     }
 
-    private static Choice choice(
-            CandidateLoad c, String reason, List<CandidateLoad> all, double bound) {
+    private Choice choice(CandidateLoad c, String reason, List<CandidateLoad> all, double bound) {
         List<String> ids = all.stream().map(o -> o.server().id()).toList();
-        return new Choice(c.server(), reason, ids, c.load(), bound, c.estimate().ageMillis());
+        return new Choice(
+                c.server(),
+                reason,
+                ids,
+                c.load(),
+                bound,
+                c.estimate().ageMillis(),
+                version(c.server()));
+    }
+
+    private String version(Candidate c) {
+        Backend b = mBackends.backend(c.id());
+        return b != null && b.ref().equals(c.ref()) ? b.version() : "";
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/lib/Decision.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/lib/Decision.java
@@ -20,6 +20,7 @@
  * @param bound the load above which the backend server is not chosen; NaN if there is none
  * @param loadAgeMillis age of the load in milliseconds; NaN if it is the program's own load or was
  *     not reported
+ * @param version the software version of the chosen backend server, or empty if it is unknown
  */
 public record Decision(
         Instant time,
@@ -33,7 +34,8 @@
         String reason,
         double load,
         double bound,
-        double loadAgeMillis) {
+        double loadAgeMillis,
+        String version) {
     /**
      * Returns a builder of a decision that concerns no request and depends on no load.
      *
@@ -58,6 +60,7 @@
         private double mLoad = Double.NaN;
         private double mBound = Double.NaN;
         private double mLoadAgeMillis = Double.NaN;
+        private String mVersion = "";
 
         private Builder(Instant time, String program) {
             mTime = time;
@@ -114,6 +117,12 @@
             return this;
         }
 
+        /** Sets the software version of the chosen backend server. */
+        public Builder version(String version) {
+            mVersion = version;
+            return this;
+        }
+
         /** Returns the decision. */
         public Decision build() {
             return new Decision(
@@ -128,7 +137,8 @@
                     mReason,
                     mLoad,
                     mBound,
-                    mLoadAgeMillis);
+                    mLoadAgeMillis,
+                    mVersion);
         }
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Backend.java
@@ -15,6 +15,7 @@
  * @param weight its capacity relative to the service's other backend servers
  * @param session the number of the announcement session, counted within one incarnation
  * @param slowStart whether it has lately started and takes few requests for some time
+ * @param version the version of its software, or empty if it does not announce one
  */
 public record Backend(
         BackendRef ref,
@@ -25,9 +26,13 @@
         State state,
         double weight,
         int session,
-        boolean slowStart) {
+        boolean slowStart,
+        String version) {
 
-    /** Creates an announcement of a backend server that is not in slow start. */
+    /**
+     * Creates an announcement of a backend server that is not in slow start and does not announce
+     * its version.
+     */
     public Backend(
             BackendRef ref,
             String service,
@@ -37,7 +42,7 @@
             State state,
             double weight,
             int session) {
-        this(ref, service, dataCentre, region, address, state, weight, session, false);
+        this(ref, service, dataCentre, region, address, state, weight, session, false, "");
     }
 
     /** Whether a backend server accepts new work. */
@@ -49,32 +54,36 @@
 
     /** Returns a copy in another state. */
     public Backend withState(State newState) {
-        return new Backend(
-                ref, service, dataCentre, region, address, newState, weight, session, slowStart);
+        return toBuilder().state(newState).build();
     }
 
     /** Returns a copy with another name and incarnation. */
     public Backend withRef(BackendRef newRef) {
-        return new Backend(
-                newRef, service, dataCentre, region, address, state, weight, session, slowStart);
+        return toBuilder().ref(newRef).build();
     }
 
     /** Returns a copy with another session number. */
     public Backend withSession(int newSession) {
-        return new Backend(
-                ref, service, dataCentre, region, address, state, weight, newSession, slowStart);
+        return toBuilder().session(newSession).build();
     }
 
     /** Returns a copy in another region. */
     public Backend withRegion(String newRegion) {
-        return new Backend(
-                ref, service, dataCentre, newRegion, address, state, weight, session, slowStart);
+        return toBuilder().region(newRegion).build();
     }
 
     /** Returns a copy that is in slow start or not. */
     public Backend withSlowStart(boolean newSlowStart) {
-        return new Backend(
-                ref, service, dataCentre, region, address, state, weight, session, newSlowStart);
+        return toBuilder().slowStart(newSlowStart).build();
+    }
+
+    /** Returns a copy with another software version. */
+    public Backend withVersion(String newVersion) {
+        return toBuilder().version(newVersion).build();
+    }
+
+    private Builder toBuilder() {
+        return new Builder(this);
     }
 
     /** Returns whether both announcements have the same name, incarnation and session. */
@@ -96,4 +105,69 @@
         }
         return state.compareTo(other.state) > 0;
     }
+
+    /** Builds a copy with some parts changed. */
+    private static final class Builder {
+        private final Backend mOriginal;
+        private BackendRef mRef;
+        private String mRegion;
+        private State mState;
+        private int mSession;
+        private boolean mSlowStart;
+        private String mVersion;
+
+        Builder(Backend original) {
+            mOriginal = original;
+            mRef = original.ref;
+            mRegion = original.region;
+            mState = original.state;
+            mSession = original.session;
+            mSlowStart = original.slowStart;
+            mVersion = original.version;
+        }
+
+        Builder ref(BackendRef ref) {
+            mRef = ref;
+            return this;
+        }
+
+        Builder region(String region) {
+            mRegion = region;
+            return this;
+        }
+
+        Builder state(State state) {
+            mState = state;
+            return this;
+        }
+
+        Builder session(int session) {
+            mSession = session;
+            return this;
+        }
+
+        Builder slowStart(boolean slowStart) {
+            mSlowStart = slowStart;
+            return this;
+        }
+
+        Builder version(String version) {
+            mVersion = version;
+            return this;
+        }
+
+        Backend build() {
+            return new Backend(
+                    mRef,
+                    mOriginal.service,
+                    mOriginal.dataCentre,
+                    mRegion,
+                    mOriginal.address,
+                    mState,
+                    mOriginal.weight,
+                    mSession,
+                    mSlowStart,
+                    mVersion);
+        }
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectAnnouncements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectAnnouncements.java
@@ -13,10 +13,11 @@
  * the incarnation: a backend server that restarts under its name is another incarnation, and
  * everything known of the previous one is void.
  *
- * <p>When the state, the slow start or the receiving instance changes, the announcement's number
- * becomes the session. A late announcement then has a lower session than the change that it would
- * revert, on every instance, so a draining backend server does not count as serving again. While
- * nothing changes, the session stays the same and nothing has to be sent to the peers.
+ * <p>When the state, the slow start, the version or the receiving instance changes, the
+ * announcement's number becomes the session. A late announcement then has a lower session than the
+ * change that it would revert, on every instance, so a draining backend server does not count as
+ * serving again. While nothing changes, the session stays the same and nothing has to be sent to
+ * the peers.
  */
 public final class DirectAnnouncements {
     /** The session of an incarnation that has left; only a later incarnation supersedes it. */
@@ -140,7 +141,8 @@
     private static boolean isUnchanged(Backend known, Backend b) {
         return known.ref().equals(b.ref())
                 && known.state() == b.state()
-                && known.slowStart() == b.slowStart();
+                && known.slowStart() == b.slowStart()
+                && known.version().equals(b.version());
     }
 
     /**
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/SlowStartPermitsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/SlowStartPermitsTest.java
@@ -27,16 +27,9 @@
     }
 
     private static Backend server(String id, boolean slowStart) {
-        return new Backend(
-                new BackendRef(id, 0),
-                "s",
-                "dc",
-                "",
-                "1.2.3.4:80",
-                Backend.State.SERVING,
-                6,
-                1,
-                slowStart);
+        BackendRef ref = new BackendRef(id, 0);
+        return new Backend(ref, "s", "dc", "", "1.2.3.4:80", Backend.State.SERVING, 6, 1)
+                .withSlowStart(slowStart);
     }
 
     private static Set<String> holders(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/AllowedRegionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/AllowedRegionsTest.java
@@ -42,7 +42,8 @@
                                 Duration.ofSeconds(1),
                                 call,
                                 Prompt.NONE,
-                                allowed)));
+                                allowed,
+                                Resumption.NONE)));
     }
 
     // Guards against a request that reaches a region where its account must not be served, on a
--- a/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/load/FleetEngines.java
@@ -151,15 +151,15 @@
         mControls.announce(
                 () ->
                         new Backend(
-                                e.mRef,
-                                SERVICE,
-                                "dc" + e.mDataCentre,
-                                "rg",
-                                e.mAddress,
-                                Backend.State.SERVING,
-                                WEIGHT,
-                                ++e.mAnnouncements,
-                                isInSlowStart(e)));
+                                        e.mRef,
+                                        SERVICE,
+                                        "dc" + e.mDataCentre,
+                                        "rg",
+                                        e.mAddress,
+                                        Backend.State.SERVING,
+                                        WEIGHT,
+                                        ++e.mAnnouncements)
+                                .withSlowStart(isInSlowStart(e)));
     }
 
     private boolean isInSlowStart(Engine e) {
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectAnnouncementsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectAnnouncementsTest.java
@@ -110,6 +110,17 @@
         assertThat(mMembershipA.backend("new").state()).isEqualTo(Backend.State.SERVING);
     }
 
+    // Guards against routers that take a server for one of the version that it had before.
+    @Test
+    void changedVersionReachesTheOtherInstances() {
+        mDirectA.receive(NOW, announcement(Backend.State.SERVING, 4).withVersion("v1"));
+        exchangeUpdates();
+        mDirectA.receive(NOW, announcement(Backend.State.SERVING, 5).withVersion("v2"));
+        exchangeUpdates();
+        assertThat(mMembershipA.backend("w").version()).isEqualTo("v2");
+        assertThat(mMembershipB.backend("w").version()).isEqualTo("v2");
+    }
+
     // Guards against an instance that acknowledges a departure and drops it because it knows an
     // earlier server at the address. Routers would continue to send requests to the server.
     @Test
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipChangeLoggerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipChangeLoggerTest.java
@@ -43,6 +43,16 @@
         assertThat(lines.get(0).reason()).isEqualTo("1 changed, told by c at version 7");
     }
 
+    // Guards against a rollout of which the log does not tell which server has which version.
+    @Test
+    void versionsAreLoggedSeparately() {
+        Backend first = backend(1, Backend.State.SERVING).withVersion("v1");
+        Backend second = backend(2, Backend.State.SERVING).withVersion("v2");
+        List<Decision> lines = applyAndFlush(true, 1, List.of(second, first));
+        assertThat(lines).extracting(Decision::version).containsExactly("v1", "v2");
+        assertThat(lines.get(1).candidates()).containsExactly("w2");
+    }
+
     @Test
     void fullViewIsLoggedInOneLine() {
         List<Backend> all = new ArrayList<>();
