--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEffect.AnswerExchange;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.direct.DirectEffect;
@@ -29,12 +32,14 @@
     private final FleetControls mControls;
     private final FleetBackends mBackends;
     private final String mName;
-    private final Map<Long, Consumer<ResultCode>> mCallers = new HashMap<>();
+    private final Map<Long, FleetCaller> mCallers = new HashMap<>();
     private Consumer<DirectEvent> mCallEvents;
     private RouterReducer mReducer;
     private int mStarts;
     private int mControlIndex;
     private long mLastCaller;
+    private boolean mIsCutOff;
+    private int mMaxHearingDelayMillis;
 
     /**
      * Creates a router and starts it.
@@ -52,6 +57,23 @@
         time.every(TICK_MILLIS, () -> step(new RouterEvent.Tick()));
     }
 
+    /** Kills the router and starts it anew at once. Its callers lose their connections. */
+    public void restart() {
+        List<FleetCaller> callers = List.copyOf(mCallers.values());
+        start();
+        callers.forEach(c -> c.onEnd(ResultCode.ANSWER_CUT));
+    }
+
+    /** Cuts the router off from control, or ends that. Callers and backend servers reach it. */
+    public void setCutOff(boolean isCutOff) {
+        mIsCutOff = isCutOff;
+    }
+
+    /** Delays the answers of control by up to a number of milliseconds from now on. */
+    public void setMaxHearingDelayMillis(int millis) {
+        mMaxHearingDelayMillis = millis;
+    }
+
     /** Starts or restarts the router. A restart loses its state and the requests in flight. */
     public void start() {
         mStarts++;
@@ -79,6 +101,11 @@
      * failed.
      */
     public void submit(RoutedRequest request, Consumer<ResultCode> caller) {
+        submitStream(request, caller::accept);
+    }
+
+    /** Submits a caller's request whose answer is a stream. */
+    public void submitStream(RoutedRequest request, FleetCaller caller) {
         mCallers.put(++mLastCaller, caller);
         step(new RouterEvent.Direct(new DirectEvent.RequestArrived(mLastCaller, request)));
     }
@@ -110,6 +137,11 @@
             mBackends.check(e, mCallEvents);
         } else if (effect instanceof DirectEffect.CancelCall e) {
             mBackends.cancel(e.call(), mCallEvents);
+        } else if (effect instanceof DirectEffect.AnswerData e) {
+            FleetCaller caller = mCallers.get(e.caller());
+            if (caller != null) {
+                caller.onData(e.bytes());
+            }
         } else if (effect instanceof DirectEffect.AnswerComplete e) {
             answerCaller(e.caller(), ResultCode.OK);
         } else if (effect instanceof DirectEffect.AnswerEnd e) {
@@ -120,9 +152,9 @@
     }
 
     private void answerCaller(long caller, ResultCode code) {
-        Consumer<ResultCode> receiver = mCallers.remove(caller);
+        FleetCaller receiver = mCallers.remove(caller);
         if (receiver != null) {
-            receiver.accept(code);
+            receiver.onEnd(code);
         }
     }
 
@@ -130,7 +162,7 @@
         int run = mStarts;
         boolean[] ended = {false};
         RouterReport report = new RouterReport(mName, mStarts, "dc", "rg", mName, mName);
-        mControls.call(
+        callControl(
                 mControlIndex,
                 call ->
                         new ControlEvent.RouterExchanged(
@@ -152,6 +184,23 @@
                 });
     }
 
+    /** Calls a control instance; a router that is cut off gets no answer. */
+    private void callControl(
+            int control, LongFunction<ControlEvent> event, Consumer<ControlEffect.Answer> answer) {
+        if (mIsCutOff) {
+            return;
+        }
+        int delay =
+                mMaxHearingDelayMillis == 0 ? 0 : mTime.random().nextInt(mMaxHearingDelayMillis);
+        mControls.call(control, event, a -> mTime.after(delay, () -> deliver(answer, a)));
+    }
+
+    private void deliver(Consumer<ControlEffect.Answer> receiver, ControlEffect.Answer answer) {
+        if (!mIsCutOff) {
+            receiver.accept(answer);
+        }
+    }
+
     private static RouterEvent exchangeAnswered(AnswerExchange a) {
         return new RouterEvent.ExchangeAnswered(
                 a.membership(), a.crashes(), a.digest(), a.loads(), a.routerCount(), a.rules());
