--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -12,6 +12,7 @@
 import org.laurelweir.answer.EventFramer;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.Backend;
 import org.laurelweir.quarantine.RequestKey;
 
 /** State of a caller's request from its arrival to its final answer, with the current call. */
@@ -24,6 +25,15 @@
     final Instant mDeadline;
     final EventFramer mFramer = new EventFramer();
 
+    /**
+     * The software version that the stream has to go on at, or null while any may serve it: until
+     * the first event, or if the answer is no stream.
+     */
+    String mRequiredVersion;
+
+    /** The software version of the current or last call's backend server, as announced. */
+    String mCallVersion = "";
+
     /** Ids of the backend servers that were called, including the current one. */
     final Set<String> mTriedServers = new HashSet<>();
 
@@ -158,11 +168,12 @@
     }
 
     /** Records the start of a call and resets the state of the previous answer. */
-    void startCall(long call, BackendRef backend, Instant now) {
+    void startCall(long call, Backend backend, Instant now) {
         mCall = call;
-        mBackend = backend;
+        mBackend = backend.ref();
+        mCallVersion = backend.version();
         mCallStart = now;
-        mTriedServers.add(backend.id());
+        mTriedServers.add(mBackend.id());
         mLastActivity = now;
         mHeadReceived = false;
         mIsResumed = mHeadSent;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -90,7 +90,7 @@
     }
 
     private void start(ActiveRequest r, Backend backend, ServerChoice.Choice choice) {
-        r.startCall(++mLastCall, backend.ref(), mNow);
+        r.startCall(++mLastCall, backend, mNow);
         r.mAttemptCount++;
         mByCall.put(r.mCall, r);
         mLoads.onRequestSent(backend.ref(), r.sharedPartId());
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
@@ -19,14 +19,32 @@
         mSlowStarts = slowStarts;
     }
 
-    /** Returns whether a server may be a candidate for a request. */
-    boolean isEligible(ActiveRequest r, Candidate c, Instant now) {
+    /**
+     * Returns whether a server may be a candidate for a request.
+     *
+     * @param withEjected whether servers that failed lately may be candidates too
+     */
+    boolean isEligible(ActiveRequest r, Candidate c, Instant now, boolean withEjected) {
+        boolean isPassedOver =
+                withEjected
+                        ? mServers.isPaused(c.ref(), now)
+                        : mServers.isPassedOver(r.mService, c.ref(), now);
         return !r.mTriedServers.contains(c.id())
-                && !mServers.isPassedOver(r.mService, c.ref(), now)
+                && !isPassedOver
+                && hasRequiredVersion(r, c)
                 && isWarmOrPermitted(c, now)
                 && isInAllowedRegion(r, c);
     }
 
+    /** Returns whether a server may go on with the stream of a request. */
+    private boolean hasRequiredVersion(ActiveRequest r, Candidate c) {
+        if (r.mRequiredVersion == null) {
+            return true;
+        }
+        Backend b = mBackends.backend(c.id());
+        return b != null && b.ref().equals(c.ref()) && b.version().equals(r.mRequiredVersion);
+    }
+
     /** Returns whether a server is not in slow start, or takes a request of this router even so. */
     private boolean isWarmOrPermitted(Candidate c, Instant now) {
         return !mBackends.isInSlowStart(c.id(), now) || mSlowStarts.permits(now, c.ref());
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
@@ -53,8 +53,24 @@
         return serving(service).mCandidates.size();
     }
 
-    /** Returns the candidates for a request, those by rank before the random ones. */
+    /** Returns whether a serving backend server has the version that a stream has to go on at. */
+    boolean hasVersion(String service, String version) {
+        return serving(service).mCandidates.stream()
+                .map(c -> mBackends.backend(c.id()))
+                .anyMatch(b -> b != null && b.version().equals(version));
+    }
+
+    /**
+     * Returns the candidates for a request, those by rank before the random ones. A stream that has
+     * to go on at one version may have few servers left: if all of them failed lately, they are
+     * tried even so.
+     */
     Collection<Candidate> find(ActiveRequest r, Instant now) {
+        Collection<Candidate> found = find(r, now, false);
+        return found.isEmpty() && r.mRequiredVersion != null ? find(r, now, true) : found;
+    }
+
+    private Collection<Candidate> find(ActiveRequest r, Instant now, boolean withEjected) {
         Map<String, Candidate> found = new LinkedHashMap<>();
         ServiceView view = mBackends.view(r.mService);
         if (r.mRequest.prompt().isPresent()) {
@@ -63,12 +79,12 @@
             int ranked = Math.max(MIN_RANKED_CANDIDATES, homes);
             List<Candidate> top =
                     view.ranking().top(key, ranked + r.mTriedServers.size()).stream()
-                            .filter(c -> mFilter.isEligible(r, c, now))
+                            .filter(c -> mFilter.isEligible(r, c, now, withEjected))
                             .limit(ranked)
                             .toList();
             startAtRandomHome(top, homes).forEach(c -> found.put(c.id(), c));
         }
-        addRandom(r, now, found);
+        addRandom(r, now, withEjected, found);
         return found.values();
     }
 
@@ -97,13 +113,14 @@
         return rotated;
     }
 
-    private void addRandom(ActiveRequest r, Instant now, Map<String, Candidate> found) {
+    private void addRandom(
+            ActiveRequest r, Instant now, boolean withEjected, Map<String, Candidate> found) {
         List<Candidate> serving = serving(r.mService).mCandidates;
         int maxSize = found.size() + RANDOM_CANDIDATES;
         int start = serving.isEmpty() ? 0 : mRandom.nextInt(serving.size());
         for (int i = 0; i < serving.size() && found.size() < maxSize; i++) {
             Candidate c = serving.get((start + i * stride(serving.size())) % serving.size());
-            if (mFilter.isEligible(r, c, now)) {
+            if (mFilter.isEligible(r, c, now, withEjected)) {
                 found.putIfAbsent(c.id(), c);
             }
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -243,6 +243,9 @@
             return;
         }
         byte[] events = r.mFramer.add(bytes);
+        if (events.length > 0 && r.mRequiredVersion == null) {
+            r.mRequiredVersion = r.mCallVersion;
+        }
         if (events.length > 0 && !r.mDetached) {
             emit(new DirectEffect.AnswerData(r.mCaller, events));
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -69,6 +69,11 @@
         return mCandidates.servingCount(service);
     }
 
+    /** Returns whether a serving backend server has the version that a stream has to go on at. */
+    boolean hasVersion(String service, String version) {
+        return mCandidates.hasVersion(service, version);
+    }
+
     /** Chooses a server that has not been tried for the request, or none if no server has room. */
     Optional<Choice> choose(ActiveRequest r, Instant now) {
         List<CandidateLoad> all =
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -89,8 +89,12 @@
 
     /** Returns whether a server is ejected, or paused because it was full or replaced. */
     boolean isPassedOver(String service, BackendRef ref, Instant now) {
-        Server s = server(ref);
-        return now.isBefore(s.mPausedUntil) || outliers(service).isEjected(ref.id(), now);
+        return isPaused(ref, now) || outliers(service).isEjected(ref.id(), now);
+    }
+
+    /** Returns whether a server is paused because it was full or replaced. */
+    boolean isPaused(BackendRef ref, Instant now) {
+        return now.isBefore(server(ref).mPausedUntil);
     }
 
     /** Returns whether a server is passed over, or failed recently without a success since. */
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -63,6 +63,12 @@
         join(new BackendRef(id, mBackends.get(id).ref().incarnation() + 1));
     }
 
+    /** Adds a server of a software version. */
+    void joinVersion(String id, String version) {
+        join(new BackendRef(id, 0));
+        mBackends.computeIfPresent(id, (i, b) -> b.withVersion(version));
+    }
+
     /** Adds a server of a region. */
     void join(String id, String region) {
         join(new BackendRef(id, 0));
