--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -18,6 +18,7 @@
 import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.settings.NodePath;
 import org.laurelweir.wire.CrashCodec;
+import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.LoadCodec;
 import org.laurelweir.wire.MembershipCodec;
 import org.laurelweir.wire.ReplicaCodec;
@@ -275,9 +276,10 @@
     public void recordStream(RecordStreamRequest r, StreamObserver<RecordStreamReply> out) {
         mEvents.accept(
                 new ControlEvent.StreamOriginRecorded(
-                        mCalls.open(out, answer -> RecordStreamReply.getDefaultInstance()),
+                        mCalls.open(out, Replies::streamRecorded),
                         r.getStream(),
                         StreamCodec.toCore(r.getOrigin()),
+                        IdCodec.toCore(r.getServer()),
                         Duration.ofMillis(r.getRetentionMillis())));
     }
 
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
@@ -14,6 +14,7 @@
 import org.laurelweir.coordination.ControlEffect.AnswerMembership;
 import org.laurelweir.coordination.ControlEffect.AnswerSettings;
 import org.laurelweir.coordination.ControlEffect.AnswerStreamOrigin;
+import org.laurelweir.coordination.ControlEffect.AnswerStreamRecorded;
 import org.laurelweir.settings.NodeFault;
 import org.laurelweir.settings.SettingsAnswer;
 import org.laurelweir.wire.CrashCodec;
@@ -34,6 +35,7 @@
 import org.laurelweir.wire.v1.HistoryReply;
 import org.laurelweir.wire.v1.IssueFenceReply;
 import org.laurelweir.wire.v1.ReadSettingsReply;
+import org.laurelweir.wire.v1.RecordStreamReply;
 import org.laurelweir.wire.v1.ReleaseReply;
 import org.laurelweir.wire.v1.SettleClaimReply;
 
@@ -140,6 +142,10 @@
         return IssueFenceReply.newBuilder().setCode(f.code().number()).setFence(f.fence()).build();
     }
 
+    static RecordStreamReply streamRecorded(Answer answer) {
+        return StreamCodec.toWire(((AnswerStreamRecorded) answer).laterRun());
+    }
+
     static FindStreamReply streamOrigin(Answer answer) {
         return StreamCodec.toWire(((AnswerStreamOrigin) answer).report());
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/OriginCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/OriginCalls.java
@@ -10,12 +10,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
+import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginAnswer;
 import org.laurelweir.resumption.OriginReport;
 import org.laurelweir.runtime.rpc.Channels;
@@ -145,12 +147,13 @@
 
         RecordCall(DirectEffect.RecordStream e, List<String> holders) {
             mRecord = e;
-            mRequest = StreamCodec.recordRequest(e.stream(), e.origin(), e.retention());
+            mRequest = StreamCodec.recordRequest(e.stream(), e.origin(), e.server(), e.retention());
             mHolders = holders;
         }
 
         void begin() {
-            for (int i = 0; i < COPIES; i++) {
+            int copies = mRecord.isVoid() ? mHolders.size() : COPIES;
+            for (int i = 0; i < copies; i++) {
                 sendNext();
             }
         }
@@ -169,7 +172,8 @@
 
         private synchronized void onReply(RecordStreamReply reply) {
             mPending--;
-            report(true);
+            Optional<BackendRun> laterRun = StreamCodec.toCore(reply);
+            report(laterRun.isEmpty(), laterRun);
         }
 
         private void onFailure() {
@@ -182,14 +186,14 @@
 
         private synchronized void reportIfNoneIsLeft() {
             if (mPending == 0) {
-                report(false);
+                report(false, Optional.empty());
             }
         }
 
-        private void report(boolean stored) {
+        private void report(boolean stored, Optional<BackendRun> laterRun) {
             if (!mIsReported) {
                 mIsReported = true;
-                mEvents.accept(new DirectEvent.StreamRecorded(mRecord.record(), stored));
+                mEvents.accept(new DirectEvent.StreamRecorded(mRecord.record(), stored, laterRun));
             }
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -1,6 +1,7 @@
 package org.laurelweir.coordination;
 
 import java.util.List;
+import java.util.Optional;
 import org.laurelweir.consensus.ConsensusEffect;
 import org.laurelweir.consensus.Membership;
 import org.laurelweir.lib.Decision;
@@ -15,6 +16,7 @@
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.quarantine.CrashRecord;
+import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginReport;
 import org.laurelweir.settings.HistoryEntry;
 import org.laurelweir.settings.SettingsDelta;
@@ -107,8 +109,13 @@
     /** Acknowledges an announcement or a withdrawal of a backend server. */
     record AnswerAnnounced(long call) implements Answer {}
 
-    /** Confirms that the origin of a stream is recorded. */
-    record AnswerStreamRecorded(long call) implements Answer {}
+    /**
+     * Confirms that the origin of a stream is recorded.
+     *
+     * @param laterRun a later run of the backend server; the origin may be wrong then and is not
+     *     recorded
+     */
+    record AnswerStreamRecorded(long call, Optional<BackendRun> laterRun) implements Answer {}
 
     /** Answers a request for the origin of a stream. */
     record AnswerStreamOrigin(long call, OriginReport report) implements Answer {}
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -71,9 +71,11 @@
      * A router records what began a stream.
      *
      * @param stream the stream's {@link org.laurelweir.resumption.StreamKey}
+     * @param server the run of the backend server that the router called
      * @param retention how long the record is kept
      */
-    record StreamOriginRecorded(long call, long stream, StreamOrigin origin, Duration retention)
+    record StreamOriginRecorded(
+            long call, long stream, StreamOrigin origin, BackendRef server, Duration retention)
             implements ControlEvent {}
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -189,11 +189,27 @@
 
     private void onAnnounced(BackendAnnounced e) {
         Backend b = withRegion(withoutNeedlessSlowStart(e.backend()));
+        Backend before = mMembership.backend(b.ref().id());
         DirectAnnouncements.Outcome outcome = mDirectAnnouncements.receive(mNow, b);
+        if (outcome == DirectAnnouncements.Outcome.TAKEN) {
+            mStreamRecords.onAnnounced(b);
+            announceRestart(before);
+        }
         mIgnoredAnnouncementLogger.log(mNow, b, outcome, mEffects);
         mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
     }
 
+    /**
+     * Tells the peers at once of a backend server that started anew under its name. Until they know
+     * they take what it answers for that of its earlier version.
+     */
+    private void announceRestart(Backend before) {
+        Backend now = before == null ? null : mMembership.backend(before.ref().id());
+        if (now != null && now.ref().incarnation() > before.ref().incarnation()) {
+            mPeerSharing.announce(now);
+        }
+    }
+
     /**
      * Returns the announcement without its slow start if the settings set no limit for that. While
      * settings are unknown, there may be one.
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/StreamRecords.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/StreamRecords.java
@@ -3,12 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.laurelweir.coordination.ControlEvent.StreamOriginRecorded;
 import org.laurelweir.coordination.ControlEvent.StreamOriginRequested;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.SharedMembership;
+import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginReport;
 import org.laurelweir.resumption.StreamOrigins;
 import org.laurelweir.resumption.VersionHistory;
@@ -28,6 +32,7 @@
     private final ControlPeers mPeers;
     private final StreamOrigins mOrigins = new StreamOrigins(MAX_RECORDS);
     private final VersionHistory mVersions = new VersionHistory(VERSION_RETENTION);
+    private final Map<String, BackendRun> mLatestRuns = new HashMap<>();
     private Instant mStarted;
 
     StreamRecords(ControlConfig config, SharedMembership membership, ControlPeers peers) {
@@ -45,11 +50,25 @@
 
     void onBackendChanged(Instant now, Backend b) {
         mVersions.onChanged(now, b);
+        onAnnounced(b);
+    }
+
+    /** Notes the run of a backend server, also while the membership holds it back. */
+    void onAnnounced(Backend b) {
+        BackendRun known = mLatestRuns.get(b.ref().id());
+        if (known == null || known.ref().incarnation() <= b.ref().incarnation()) {
+            mLatestRuns.put(b.ref().id(), new BackendRun(b.ref(), b.version()));
+        }
     }
 
     void record(Instant now, StreamOriginRecorded e, Consumer<? super ControlEffect> effects) {
-        mOrigins.put(now, e.stream(), e.origin(), e.retention());
-        effects.accept(new ControlEffect.AnswerStreamRecorded(e.call()));
+        Optional<BackendRun> laterRun =
+                Optional.ofNullable(mLatestRuns.get(e.server().id()))
+                        .filter(run -> run.ref().incarnation() > e.server().incarnation());
+        if (laterRun.isEmpty()) {
+            mOrigins.put(now, e.stream(), e.origin(), e.retention());
+        }
+        effects.accept(new ControlEffect.AnswerStreamRecorded(e.call(), laterRun));
     }
 
     void answer(Instant now, StreamOriginRequested e, Consumer<? super ControlEffect> effects) {
@@ -71,6 +90,7 @@
     void prune(Instant now) {
         mOrigins.expire(now);
         mVersions.prune(now, mMembership::knows);
+        mLatestRuns.keySet().removeIf(id -> !mMembership.knows(id));
     }
 
     /** Returns the number of services whose backend servers have several versions now. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -36,13 +36,28 @@
     /** The software version of the current or last call's backend server, as announced. */
     String mCallVersion = "";
 
-    /** The record of the stream's origin that its first events wait for, or 0. */
+    /** The run of the current or last call's backend server that answers, as far as is known. */
+    BackendRef mCallRun = NO_BACKEND;
+
+    /** The call that brought the first event of the stream, or 0 if another request did. */
+    long mOriginCall;
+
+    /** The last call whose server was confirmed, or is being confirmed, to have the version. */
+    long mConfirmedCall;
+
+    /** The record of the stream's origin that is not confirmed yet, or 0. */
     long mRecord;
 
+    /** Whether the first events of a call wait for the record. */
+    boolean mIsHolding;
+
     /** Until when the first events wait for the record. */
-    Instant mRecordDeadline = Instant.MIN;
+    Instant mHoldDeadline = Instant.MIN;
+
+    /** Whether the version of the events that the caller has is certain. */
+    boolean mMayGoOn = true;
 
-    /** The first events, while they wait for the record. */
+    /** The first events of a call, while they wait for the record. */
     final ByteArrayOutputStream mHeldEvents = new ByteArrayOutputStream();
 
     /** The lookup of the stream's origin that the request waits for, or 0. */
@@ -124,7 +139,7 @@
      * of which the caller has a part can go on after that part.
      */
     boolean isRepeatable() {
-        return route().isRepeatable() && (!mHeadSent || mFramer.isIdentified());
+        return route().isRepeatable() && (!mHeadSent || mFramer.isIdentified() && mMayGoOn);
     }
 
     RequestSummary summary() {
@@ -185,6 +200,7 @@
     void startCall(long call, Backend backend, Instant now) {
         mCall = call;
         mBackend = backend.ref();
+        mCallRun = mBackend;
         mCallVersion = backend.version();
         mCallStart = now;
         mTriedServers.add(mBackend.id());
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
@@ -47,13 +47,22 @@
     record CheckBackend(long check, BackendRef backend, String address) implements DirectEffect {}
 
     /**
-     * Record at control instances what began a stream.
+     * Record at control instances what began a stream, or make the record void by one that differs.
      *
      * @param record the number of the record in the event with its result
      * @param stream the stream's {@link org.laurelweir.resumption.StreamKey}
+     * @param server the run of the backend server that was called
      * @param retention how long the record is kept
+     * @param isVoid whether it makes earlier records void, and so has to reach all control
+     *     instances
      */
-    record RecordStream(long record, long stream, StreamOrigin origin, Duration retention)
+    record RecordStream(
+            long record,
+            long stream,
+            StreamOrigin origin,
+            BackendRef server,
+            Duration retention,
+            boolean isVoid)
             implements DirectEffect {}
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -1,7 +1,9 @@
 package org.laurelweir.direct;
 
 import java.util.List;
+import java.util.Optional;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginAnswer;
 
 /** An input of {@link DirectRouting}, which assigns the numbers of calls. */
@@ -57,8 +59,11 @@
      * The result of a {@link DirectEffect.RecordStream}.
      *
      * @param stored whether at least one control instance has the record
+     * @param laterRun a later run of the backend server, which answers in place of the one meant;
+     *     nothing is recorded then
      */
-    record StreamRecorded(long record, boolean stored) implements DirectEvent {}
+    record StreamRecorded(long record, boolean stored, Optional<BackendRun> laterRun)
+            implements DirectEvent {}
 
     /** The result of a {@link DirectEffect.FindStream}. */
     record StreamFound(long lookup, OriginAnswer answer) implements DirectEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -94,7 +93,7 @@
                 new Attempts(backends, loads, slowStarts, choice, fetchSource, mBudget, mDecisions);
         mErrorAnswers = new ErrorAnswers(choice, mAttempts, mDecisions, new RetryDelays(seed + 2));
         StreamOrigins origins = new StreamOrigins(MAX_OWN_ORIGINS);
-        mOriginRecorder = new OriginRecorder(origins, mDecisions);
+        mOriginRecorder = new OriginRecorder(backends, origins, mDecisions, this::onWrongVersion);
         mOriginLookup = new OriginLookup(origins, mDecisions, this::onOrigin);
     }
 
@@ -310,8 +309,11 @@
             onBrokenOff(r);
             return;
         }
+        if (!mOriginRecorder.release(r)) {
+            onWrongVersion(r);
+            return;
+        }
         mAttempts.end(r);
-        mOriginRecorder.release(r);
         if (r.isStreaming()) {
             byte[] rest = r.mFramer.takeIncomplete();
             if (rest.length > 0) {
@@ -355,8 +357,11 @@
     }
 
     private void onFailed(ActiveRequest r, DirectEvent.Failed e) {
+        if (!mOriginRecorder.release(r)) {
+            onWrongVersion(r);
+            return;
+        }
         mAttempts.end(r);
-        mOriginRecorder.release(r);
         if (e.failure() != DirectEvent.Failure.NOT_SENT) {
             mOutcomes.onFailure(r);
             boolean connectionLost = e.failure() == DirectEvent.Failure.CONNECTION_LOST;
@@ -393,6 +398,7 @@
     /** Ends a request with an error answer. */
     private void end(ActiveRequest r, Consumer<ActiveRequest> errorAnswer) {
         mOriginRecorder.release(r);
+        mOriginRecorder.forget(r);
         mOriginLookup.cancel(r);
         errorAnswer.accept(r);
         mByCaller.remove(r.mCaller);
@@ -419,8 +425,8 @@
             return;
         }
         mNextScan = mNow.plus(SCAN_INTERVAL);
-        List<ActiveRequest> all = new ArrayList<>(mByCaller.values());
-        all.forEach(this::checkTimeouts);
+        new ArrayList<>(mByCaller.values()).forEach(mOriginRecorder::checkRun);
+        new ArrayList<>(mByCaller.values()).forEach(this::checkTimeouts);
         mInvalidAnswers.cancelExpired();
         mUnconfirmedEnds.onTick();
         mOriginRecorder.onTick();
@@ -431,6 +437,15 @@
         }
     }
 
+    /** Handles a stream that goes on at another version than the one that began it. */
+    private void onWrongVersion(ActiveRequest r) {
+        if (mByCaller.get(r.mCaller) != r) {
+            return;
+        }
+        mAttempts.cancel(r);
+        end(r, c -> mErrorAnswers.failed(c, "the backend server may have another version now"));
+    }
+
     private void checkTimeouts(ActiveRequest r) {
         if (!mNow.isBefore(r.mDeadline)) {
             expire(r);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
@@ -58,6 +58,15 @@
                         .build());
     }
 
+    /**
+     * Returns the entry of a server that has started anew, with another version, under its name.
+     */
+    DirectEffect.LogDecision laterRunAnswers(ActiveRequest r, Instant now) {
+        String reason = "started_anew, the stream is of version " + r.mRequiredVersion;
+        return new DirectEffect.LogDecision(
+                builder(r, now).choice(r.mCallRun.id(), reason).version(r.mCallVersion).build());
+    }
+
     DirectEffect.LogDecision withReason(ActiveRequest r, String reason, Instant now) {
         return decision(r, now, List.of(), r.mBackend.id(), reason);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectAnnouncements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectAnnouncements.java
@@ -23,8 +23,8 @@
     /** The session of an incarnation that has left; only a later incarnation supersedes it. */
     private static final int FINAL_SESSION = Integer.MAX_VALUE;
 
-    /** The incarnation of an announcement without a start time. */
-    static final long NO_START_TIME = 0;
+    /** The incarnation of a backend server that does not tell when it started. */
+    public static final long NO_START_TIME = 0;
 
     private final SharedMembership mMembership;
     private final Predicate<String> mIsKnownService;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -63,6 +63,12 @@
         join(new BackendRef(id, mBackends.get(id).ref().incarnation() + 1));
     }
 
+    /** Starts a server anew, with a higher incarnation and another software version. */
+    void restart(String id, String version) {
+        restart(id);
+        mBackends.computeIfPresent(id, (i, b) -> b.withVersion(version));
+    }
+
     /** Adds a server of a software version. */
     void joinVersion(String id, String version) {
         join(new BackendRef(id, 0));
