--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarFile.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarFile.java
@@ -27,6 +27,7 @@
  * @param refusalStatuses the backend server's HTTP statuses that are documented to mean that it
  *     rejected a call before running it
  * @param ordersPath the backend server's HTTP path for orders
+ * @param version the version of the backend server's software, for {@code status}
  * @param weight the backend server's capacity relative to the others of its service
  * @param controls the control instances' addresses, the nearest first
  * @param threads the number of event loop threads for connections
@@ -47,6 +48,7 @@
         @Required Endpoint backend,
         @Range(min = "400", max = "599") List<Integer> refusalStatuses,
         @Default("/engine/orders") String ordersPath,
+        Optional<String> version,
         @Default("1") @Range(min = "0.125", max = "1000") double weight,
         @Required List<Endpoint> controls,
         @Default("2") @Range(min = "1", max = "64") int threads,
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/SidecarProgram.java
@@ -160,7 +160,8 @@
                 mFile.dataCentre(),
                 mFile.region(),
                 mFile.announce().orElseGet(this::endpoint).toString(),
-                mFile.weight());
+                mFile.weight(),
+                mFile.version().orElse(""));
     }
 
     /**
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarControlTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarControlTest.java
@@ -60,6 +60,15 @@
         return ResultCode.of(sidecar.stub().order(order).getCode());
     }
 
+    // Guards against a rollout of which status can't tell how far it is.
+    @Test
+    void announcesTheVersionOfItsSettingsFile() throws IOException, InterruptedException {
+        try (SidecarFixture sidecar = sidecar(FIRST_BACKEND)) {
+            Backend known = mControl.awaitBackend(FIRST_BACKEND, Backend.State.SERVING);
+            assertThat(known.version()).isEqualTo("v1.2");
+        }
+    }
+
     // Guards against an old order that undoes a newer one. A control leader issues an order and
     // loses its leadership; the order arrives after one of the new leader. The engine doesn't check
     // fencing tokens, so the sidecar has to reject the old order.
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarFixture.java
@@ -39,6 +39,7 @@
             """
             program: sidecar
             name: %s
+            version: v1.2
             service: seilhjerne
             region: vestkyst
             data-centre: bergen
