--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/SessionCounter.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/SessionCounter.java
@@ -19,16 +19,7 @@
             mSession++;
         }
         mLastState = b.state();
-        Backend stamped =
-                new Backend(
-                        b.ref(),
-                        b.service(),
-                        b.dataCentre(),
-                        b.region(),
-                        b.address(),
-                        b.state(),
-                        b.weight(),
-                        mSession);
+        Backend stamped = b.withSession(mSession);
         return new SidecarReport(stamped, r.runningWork(), r.running(), r.waiting());
     }
 
