--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -455,6 +455,10 @@
     }
 
     private void expire(ActiveRequest r) {
+        if (r.mLookup != 0) {
+            end(r, c -> mErrorAnswers.unknownStream(c, "control did not answer in time"));
+            return;
+        }
         if (!r.mHeadReceived && r.mCall != 0) {
             mOutcomes.onFailure(r);
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/resumption/StreamKey.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/resumption/StreamKey.java
@@ -2,8 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import org.laurelweir.lib.Sha256;
 
 /**
  * Identifies the streams of callers in records. The client account is part of the key, so that no
@@ -23,15 +22,6 @@
      */
     public static long of(String account, String requestId) {
         byte[] text = (account + SEPARATOR + requestId).getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.wrap(newSha256().digest(text)).getLong();
-    }
-
-    private static MessageDigest newSha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(
-                    "SHA-256 is not available, although every Java platform has to provide it", e);
-        }
+        return ByteBuffer.wrap(Sha256.newDigest().digest(text)).getLong();
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -43,7 +43,7 @@
     /**
      * Creates an empty membership.
      *
-     * @param onChange receives each backend server that is new or changed its state
+     * @param onChange receives each backend server that is new or changed its state or version
      */
     Memberships(Consumer<Backend> onChange) {
         mOnChange = onChange;
@@ -239,7 +239,9 @@
         }
         mDeparted.remove(id);
         mBackends.put(id, b);
-        if (known == null || known.state() != b.state()) {
+        boolean isLogged =
+                known == null || known.state() != b.state() || !known.version().equals(b.version());
+        if (isLogged) {
             mOnChange.accept(b);
         }
         addToView(b, changes);
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/ChangeDigest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/ChangeDigest.java
@@ -7,10 +7,11 @@
 import java.util.List;
 import java.util.TreeMap;
 import org.laurelweir.coordination.Command.NodeChange;
+import org.laurelweir.lib.Sha256;
 
 /** Computes a digest of a change, so that two changes can be compared without storing them. */
 final class ChangeDigest {
-    private final MessageDigest mDigest = KeyDigest.newSha256();
+    private final MessageDigest mDigest = Sha256.newDigest();
 
     private ChangeDigest() {}
 
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
@@ -262,6 +262,15 @@
         assertThat(mDriver.isIdle()).isTrue();
     }
 
+    // Guards against a request that passes for one which may have run, although it was never sent.
+    @Test
+    void lookupWithoutAnAnswerEndsAsNotRun() {
+        mDriver.resume(2, RESUMABLE, AFTER_FIRST);
+        mDriver.advance(Duration.ofSeconds(1));
+        assertThat(lastError()).isEqualTo(ResultCode.STREAM_UNKNOWN);
+        assertThat(mDriver.isIdle()).isTrue();
+    }
+
     // Guards against a record of one caller without ids that passes for that of another one.
     @Test
     void streamWithoutANameIsNeverTakenForARecordedOne() {
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipChangeLoggerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/MembershipChangeLoggerTest.java
@@ -53,6 +53,18 @@
         assertThat(lines.get(1).candidates()).containsExactly("w2");
     }
 
+    // Guards against a server that returns with another version, of which the log tells nothing.
+    @Test
+    void changedVersionIsLogged() {
+        applyAndFlush(true, 1, List.of(backend(1, Backend.State.SERVING).withVersion("v1")));
+        Backend restarted =
+                backend(1, Backend.State.SERVING)
+                        .withRef(new BackendRef("w1", 1))
+                        .withVersion("v2");
+        List<Decision> lines = applyAndFlush(false, 2, List.of(restarted));
+        assertThat(lines).extracting(Decision::version).containsExactly("v2");
+    }
+
     @Test
     void fullViewIsLoggedInOneLine() {
         List<Backend> all = new ArrayList<>();
