--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -357,10 +357,7 @@
     }
 
     private void onFailed(ActiveRequest r, DirectEvent.Failed e) {
-        if (!mOriginRecorder.release(r)) {
-            onWrongVersion(r);
-            return;
-        }
+        mOriginRecorder.release(r);
         mAttempts.end(r);
         if (e.failure() != DirectEvent.Failure.NOT_SENT) {
             mOutcomes.onFailure(r);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/OriginRecorder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/OriginRecorder.java
@@ -180,7 +180,7 @@
      * Sends the events that wait, if any, since the call or the wait is over.
      *
      * @return whether the request may be answered further; false if its events may be of another
-     *     version than the stream, and are dropped
+     *     version than the stream, and are dropped. The request is not repeatable then
      */
     boolean release(ActiveRequest r) {
         if (!r.mIsHolding) {
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ReturningServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ReturningServerTest.java
@@ -141,6 +141,16 @@
         assertCut();
     }
 
+    // Guards against a request that ends servers and is never quarantined, since the ends under its
+    // unconfirmed answers do not count.
+    @Test
+    void crashWithinAnUnconfirmedAnswerCounts() {
+        goOn();
+        breakOff();
+        assertCut();
+        assertThat(mDriver.mCrashes.isEmpty()).isFalse();
+    }
+
     // Guards against a router that is cut off and goes on at the version that it believes in.
     @Test
     void newStreamThatNobodyConfirmsDoesNotGoOn() {
