--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -152,18 +152,12 @@
         ClaimCalls claims = new ClaimCalls(mChannels, controls(), CONTROL_TIMEOUT, this::offer);
         OriginCalls origins = newOriginCalls();
         mExchange =
-                new ControlExchange(
-                        mExchangeClient,
-                        this::report,
-                        mSettings,
-                        this::offer,
+                newExchange(
                         controls -> {
                             claims.setControls(controls);
                             origins.setControls(controls);
                             mExchangeClient.setLearnedAddresses(controls);
-                        },
-                        clock,
-                        mLease);
+                        });
         BackendCalls calls =
                 new BackendCalls(mLoops, mDialect, e -> offer(new RouterEvent.Direct(e)));
         mEffects =
@@ -179,6 +173,11 @@
         mLoop = newLoop(sidecars);
     }
 
+    private ControlExchange newExchange(Consumer<List<String>> onControls) {
+        return new ControlExchange(
+                mExchangeClient, this::report, mSettings, this::offer, onControls, mClock, mLease);
+    }
+
     private OriginCalls newOriginCalls() {
         return new OriginCalls(
                 mChannels,
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -476,8 +476,9 @@
                             .defaultsTo("no")
                             .defines(Level.ROUTE)
                             .doc(
-                                    "Whether a stream may go on at another backend server, of the"
-                                            + " same software version, after its last whole event."));
+                                    "Whether a stream may go on at another backend server,"
+                                            + " of the same software version, after its last whole"
+                                            + " event."));
 
     public static final SettingKey<Boolean> ROUTE_PUBLIC =
             add(
