--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/OriginCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/OriginCalls.java
@@ -5,6 +5,7 @@
 import com.google.common.util.concurrent.ListenableFuture;
 import com.google.common.util.concurrent.MoreExecutors;
 import io.grpc.ManagedChannel;
+import io.grpc.Status;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -129,13 +130,22 @@
 
                     @Override
                     public void onFailure(Throwable failure) {
-                        mChannels.reconnect(address, channel);
+                        if (mayBeSilent(failure)) {
+                            mChannels.reconnect(address, channel);
+                        }
                         onFailure.run();
                     }
                 };
         Futures.addCallback(send.apply(stub), callback, MoreExecutors.directExecutor());
     }
 
+    /**
+     * Returns whether a new connection may help. An instance that refused the call has answered.
+     */
+    private static boolean mayBeSilent(Throwable failure) {
+        return Status.fromThrowable(failure).getCode() != Status.Code.UNIMPLEMENTED;
+    }
+
     /** One record on its way to several control instances. */
     private final class RecordCall {
         private final DirectEffect.RecordStream mRecord;
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/rpc/OriginCallsTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/rpc/OriginCallsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import io.grpc.ManagedChannel;
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
@@ -188,6 +189,28 @@
                 .isEqualTo(new DirectEvent.StreamRecorded(7, false, Optional.empty()));
     }
 
+    // Guards against a new connection for each stream while control is of a version that keeps no
+    // records, as in an update of routers before control.
+    @Test
+    void connectionIsKeptIfTheInstanceDoesNotKnowTheCall() throws Exception {
+        Server old =
+                NettyServerBuilder.forAddress(new InetSocketAddress(ELSEWHERE, 0))
+                        .addService(new ControlServiceImplBase() {})
+                        .build()
+                        .start();
+        try {
+            String address = ELSEWHERE + ":" + old.getPort();
+            ManagedChannel channel = mChannels.get(address);
+            new OriginCalls(mChannels, List.of(address), HERE, 0, TIMEOUT, mEvents::add)
+                    .record(record());
+            assertThat(nextEvent())
+                    .isEqualTo(new DirectEvent.StreamRecorded(7, false, Optional.empty()));
+            assertThat(mChannels.get(address)).isSameAs(channel);
+        } finally {
+            old.shutdownNow();
+        }
+    }
+
     // Guards against a lookup that waits for a silent instance although another one knows.
     @Test
     void lookupEndsWithTheFirstInstanceThatKnows() throws Exception {
