--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -182,7 +182,7 @@
         if (!mNow.isBefore(mNextReport)) {
             mNextReport = mNow.plus(REPORT_INTERVAL);
             mDirectAnnouncements.prune();
-            mStreamRecords.prune(mNow);
+            mStreamRecords.update(mNow);
             mEffects.accept(mQueries.statusReport(mNow, mPeers.addresses()));
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/StreamRecords.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/StreamRecords.java
@@ -24,15 +24,22 @@
 final class StreamRecords {
     private static final int MAX_RECORDS = 50_000;
 
-    /** How long versions are remembered; longer than any stream can be taken up. */
-    private static final Duration VERSION_RETENTION = Duration.ofMinutes(10);
+    /**
+     * How long versions, and the control instances that may have told a router of one, are
+     * remembered. An instance that is cut off still tells the routers on its side.
+     */
+    private static final Duration RETENTION = Duration.ofMinutes(10);
+
+    /** Peers that were in contact within this time are in contact now. */
+    private static final Duration CONTACT_TIME = Duration.ofSeconds(5);
 
     private final ControlConfig mConfig;
     private final SharedMembership mMembership;
     private final ControlPeers mPeers;
     private final StreamOrigins mOrigins = new StreamOrigins(MAX_RECORDS);
-    private final VersionHistory mVersions = new VersionHistory(VERSION_RETENTION);
+    private final VersionHistory mVersions = new VersionHistory(RETENTION);
     private final Map<String, BackendRun> mLatestRuns = new HashMap<>();
+    private final Map<String, Instant> mPeersHeard = new HashMap<>();
     private Instant mStarted;
 
     StreamRecords(ControlConfig config, SharedMembership membership, ControlPeers peers) {
@@ -77,17 +84,20 @@
                         mOrigins.find(now, e.stream()),
                         mVersions.versions(now, e.service(), e.window()),
                         Duration.between(mStarted, now),
-                        controlsWithin(now, e.window()));
+                        controls());
         effects.accept(new ControlEffect.AnswerStreamOrigin(e.call(), report));
     }
 
-    private List<String> controlsWithin(Instant now, Duration window) {
-        List<String> controls = new ArrayList<>(mPeers.addressesHeardSince(now.minus(window)));
+    private List<String> controls() {
+        List<String> controls = new ArrayList<>(mPeersHeard.keySet());
         controls.add(mConfig.addresses().getOrDefault(mConfig.name(), mConfig.name()));
         return controls;
     }
 
-    void prune(Instant now) {
+    /** Notes the peers in contact, and removes what is out of date. To be called regularly. */
+    void update(Instant now) {
+        mPeers.addressesHeardSince(now.minus(CONTACT_TIME)).forEach(p -> mPeersHeard.put(p, now));
+        mPeersHeard.values().removeIf(t -> t.plus(RETENTION).isBefore(now));
         mOrigins.expire(now);
         mVersions.prune(now, mMembership::knows);
         mLatestRuns.keySet().removeIf(id -> !mMembership.knows(id));
--- a/org.laurelweir/src/test/java/org/laurelweir/resumption/StreamRecordsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/resumption/ControlRecordsTest.java
@@ -15,7 +15,7 @@
 import org.laurelweir.membership.Backend;
 
 /** Tests what control instances keep and tell of streams. */
-class StreamRecordsTest {
+class ControlRecordsTest {
     private static final int CONTROLS = 3;
     private static final long STREAM = 99;
     private static final Duration WINDOW = Duration.ofSeconds(30);
