Name the shared parts of a prompt in the line of a lost connection

Where servers end one after the other under requests of which no two are alike, nobody can tell from the lines which part they share, nor tell a part at fault from a session at fault. The line outcome_unknown lists the ids of the shared parts now, 16 at most.

Shown by CrashGuardTest.decisionLogNamesTheSharedPartsOfAnUnknownOutcome, which needs the new text. No routing decision changes.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Prompt.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Prompt.java
@@ -52,6 +52,15 @@
         return parts.stream().limit(Math.max(1, parts.size() - 1)).mapToInt(Part::tokens).sum();
     }
 
+    /**
+     * Returns the ids of the parts that other prompts may share, each once and in order: all but
+     * the last.
+     */
+    List<Long> sharedIds() {
+        int count = Math.max(0, parts.size() - 1);
+        return parts.stream().limit(count).map(Part::id).distinct().toList();
+    }
+
     /**
      * Returns the part that determines the engine for the prompt: the last one that other prompts
      * may share, or the only one.
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.resumption.StreamOrigin;
@@ -12,6 +13,9 @@
     private static final String PROGRAM = "router";
     private static final String ORIGIN_UNKNOWN = "unknown";
 
+    /** Maximum number of prompt parts in a log entry. */
+    private static final int MAX_LISTED_PARTS = 16;
+
     DirectEffect.LogDecision serverChosen(
             ActiveRequest r, ServerChoice.Choice c, String fetchFrom, Instant now) {
         String placement = r.mAttemptCount > 1 ? "retry_" + c.reason() : c.reason();
@@ -73,12 +77,26 @@
 
     /**
      * Returns the entry of a call whose outcome is unknown. The fingerprint in it identifies the
-     * request in other servers' crashes too.
+     * request in other servers' crashes too, and so do the shared parts of its prompt.
      *
      * @param why what the router observed: a lost connection, or an answer that it cannot accept
      */
     DirectEffect.LogDecision outcomeUnknown(ActiveRequest r, String why, Instant now) {
-        return withReason(r, "outcome_unknown of " + r.key().fingerprintText() + ": " + why, now);
+        String reason = "outcome_unknown of " + r.key().fingerprintText() + ": " + why;
+        return withReason(r, reason + sharedParts(r), now);
+    }
+
+    private static String sharedParts(ActiveRequest r) {
+        List<Long> ids = r.mRequest.prompt().sharedIds();
+        if (ids.isEmpty()) {
+            return "";
+        }
+        String listed =
+                ids.stream()
+                        .limit(MAX_LISTED_PARTS)
+                        .map(Long::toHexString)
+                        .collect(Collectors.joining(","));
+        return "; prompt parts " + listed + (ids.size() > MAX_LISTED_PARTS ? ",..." : "");
     }
 
     /**
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
@@ -7,6 +7,7 @@
 import static org.laurelweir.direct.DirectRoutingDriver.route;
 
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.direct.DirectEffect.AnswerComplete;
 import org.laurelweir.direct.DirectEffect.AnswerError;
@@ -155,6 +156,24 @@
                 .hasSize(2);
     }
 
+    // Guards against log entries that do not tell which part of prompts several crashes share.
+    @Test
+    void decisionLogNamesTheSharedPartsOfAnUnknownOutcome() {
+        Prompt prompt =
+                new Prompt(
+                        List.of(
+                                new Prompt.Part(0xba5e, 10),
+                                new Prompt.Part(0xbad, 10),
+                                new Prompt.Part(0x1, 10)),
+                        30,
+                        10);
+        mDriver.arrive(++mLastCaller, NON_IDEMPOTENT, prompt, BODY);
+        failCall(Failure.CONNECTION_LOST);
+        assertThat(mDriver.all(LogDecision.class))
+                .extracting(d -> d.decision().reason())
+                .anyMatch(reason -> reason.endsWith("; prompt parts ba5e,bad"));
+    }
+
     // Guards against stalled calls without a log entry that identifies the request.
     @Test
     void decisionLogNamesTheRequestOfAStalledCall() {
