Add failing tests of a part of prompts that ends one server after the other

What callers saw: requests with one part in their prompts, no two alike, end whichever server begins to answer them, and cut all others there, for as long as they come.

--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/FleetServers.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,9 @@
     /** Body of the request that crashes servers. */
     static final String CRASHING_BODY = "crash";
 
+    /** Id of the part of a prompt that crashes servers, whatever else the request holds. */
+    static final long CRASHING_PART = 0xbadL;
+
     /** Body of a request to which servers send invalid answers without crashing. */
     static final String INVALID_ANSWER_BODY = "spoil";
 
@@ -61,6 +65,7 @@
     private final Map<String, Server> mByAddress = new HashMap<>();
     private final List<Long> mCrashes = new ArrayList<>();
     private final List<Long> mCrashingArrivals = new ArrayList<>();
+    private final Set<String> mBegunBodies = new HashSet<>();
     private int mStarts;
     private boolean mRepaired;
     private AnswerMetadata mCrashingMetadata = GENUINE;
@@ -119,6 +124,11 @@
         return mCrashingArrivals;
     }
 
+    /** Returns the bodies of the requests that a server has begun to run. */
+    Set<String> begunBodies() {
+        return mBegunBodies;
+    }
+
     /** Crashes a random server independent of its requests. */
     void crashOne() {
         List<Server> all = List.copyOf(mByAddress.values());
@@ -206,6 +216,7 @@
 
     private void run(Server s, DirectEffect.BeginCall call, CallId id) {
         s.mCalls.add(id);
+        mBegunBodies.add(body(call));
         boolean crashing = isCrashing(call);
         if (crashing) {
             mCrashingArrivals.add(mTime.millis());
@@ -221,11 +232,19 @@
     }
 
     private static boolean isCrashing(DirectEffect.BeginCall call) {
-        return hasBody(call, CRASHING_BODY);
+        return hasBody(call, CRASHING_BODY) || hasPart(call, CRASHING_PART);
+    }
+
+    private static boolean hasPart(DirectEffect.BeginCall call, long part) {
+        return call.request().prompt().parts().stream().anyMatch(p -> p.id() == part);
     }
 
     private static boolean hasBody(DirectEffect.BeginCall call, String body) {
-        return new String(call.request().call().body(), StandardCharsets.UTF_8).equals(body);
+        return body(call).equals(body);
+    }
+
+    private static String body(DirectEffect.BeginCall call) {
+        return new String(call.request().call().body(), StandardCharsets.UTF_8);
     }
 
     private void finish(Server s, CallId id) {
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/RoutedFleet.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/RoutedFleet.java
@@ -19,7 +19,12 @@
 final class RoutedFleet {
     static final int ROUTER_COUNT = 9;
     static final int CONTROL_COUNT = 3;
-    private static final String ACCOUNT = "acme";
+    static final String ACCOUNT = "acme";
+    private static final int PART_TOKENS = 100;
+
+    /** The ids of the last parts, which no other prompt has. */
+    private static final long FIRST_OWN_PART = 1L << 40;
+
     private static final int SERVER_COUNT = 6;
     private static final int START_MILLIS = 2000;
     private static final int MIN_RETRY_MILLIS = 20;
@@ -33,10 +38,14 @@
     private int mRequests;
 
     RoutedFleet(long seed) {
+        this(seed, ROUTER_COUNT, SERVER_COUNT);
+    }
+
+    RoutedFleet(long seed, int routers, int servers) {
         mTime = new VirtualTime(seed);
         mControls = new FleetControls(mTime, CONTROL_COUNT);
-        mServers = new FleetServers(mTime, mControls, SERVER_COUNT);
-        for (int i = 0; i < ROUTER_COUNT; i++) {
+        mServers = new FleetServers(mTime, mControls, servers);
+        for (int i = 0; i < routers; i++) {
             mRouters.add(new FleetRouter(mTime, mControls, mServers, i));
         }
         mTime.advance(START_MILLIS);
@@ -72,16 +81,38 @@
 
     /** Sends a request to a random router. */
     void submit(Route route, String body, Consumer<ResultCode> result) {
+        submit(route, ACCOUNT, body, Prompt.NONE, result);
+    }
+
+    /**
+     * Sends a request with a prompt and a unique body to a random router.
+     *
+     * @param sharedParts the ids of the parts before the last one, which is unique
+     * @return the body
+     */
+    String submitPrompt(
+            Route route, String account, List<Long> sharedParts, Consumer<ResultCode> result) {
+        String body = "prompt " + mRequests;
+        List<Prompt.Part> parts = new ArrayList<>();
+        sharedParts.forEach(id -> parts.add(new Prompt.Part(id, PART_TOKENS)));
+        parts.add(new Prompt.Part(FIRST_OWN_PART + mRequests, PART_TOKENS));
+        Prompt prompt = new Prompt(parts, parts.size() * PART_TOKENS, PART_TOKENS);
+        submit(route, account, body, prompt, result);
+        return body;
+    }
+
+    private void submit(
+            Route route, String account, String body, Prompt prompt, Consumer<ResultCode> result) {
         RoutedRequest request =
                 new RoutedRequest(
                         "q" + ++mRequests,
                         route,
-                        ACCOUNT,
+                        account,
                         5,
                         TIMEOUT,
                         call(route, body),
-                        Prompt.NONE);
-        mRouters.get(mTime.random().nextInt(ROUTER_COUNT)).submit(request, result);
+                        prompt);
+        mRouters.get(mTime.random().nextInt(mRouters.size())).submit(request, result);
     }
 
     /** Sends a request with a unique body, and sends it again once if it fails. */
