Tell requests with the same path and body apart by their prompts

A sound request was refused with 2015, for a fingerprint that three other requests had: the same account, method, path and body, and another prompt. Where prompts are described in headers, bodies may all be alike.

Cause: the key of a whole request held all of it but its prompt.

Change: the parts of the prompt are in the digest, in their order.

The rule by itself is in CrashGuardTest.requestWithAnotherPromptIsAnotherRequest.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -127,10 +127,14 @@
         return mRequest.route();
     }
 
-    /** Returns the key that identifies the request when a caller sends it again. */
+    /**
+     * Returns the key that identifies the request when a caller sends it again. The description of
+     * the prompt is part of it: two prompts may have the same path and body.
+     */
     SuspectKey key() {
         if (mKey == null) {
-            mKey = SuspectKey.request(mRequest.account(), mRequest.call().fingerprint());
+            long fingerprint = mRequest.prompt().addTo(mRequest.call().fingerprint());
+            mKey = SuspectKey.request(mRequest.account(), fingerprint);
         }
         return mKey;
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Prompt.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Prompt.java
@@ -37,6 +37,15 @@
         return new ChatKey(mix(sharedPart().id()));
     }
 
+    /** Returns a digest of a request and of the parts of its prompt, in their order. */
+    long addTo(long requestDigest) {
+        long digest = requestDigest;
+        for (Part p : parts) {
+            digest = mix(digest + p.id());
+        }
+        return digest;
+    }
+
     /** Spreads part ids over 64 bits, because they may be small or close to each other. */
     private static long mix(long id) {
         long x = id * 0x9E3779B97F4A7C15L;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/CrashGuardTest.java
@@ -163,6 +163,23 @@
         return new Prompt(all, 10 * parts.length, 10);
     }
 
+    // Guards against the refusal of a sound request whose method, path and body are those of a
+    // crashing one with another prompt.
+    @Test
+    void requestWithAnotherPromptIsAnotherRequest() {
+        for (int i = 0; i < 6; i++) {
+            mDriver.arrive(++mLastCaller, NON_IDEMPOTENT, prompt(1, 2, 3), BODY);
+            failCall(Failure.CONNECTION_LOST);
+            mDriver.restart(mDriver.lastCall().backend().id());
+        }
+        mDriver.arrive(++mLastCaller, NON_IDEMPOTENT, prompt(1, 4, 5), BODY);
+        finishCall(200);
+        assertThat(mDriver.last(AnswerComplete.class).caller()).isEqualTo(mLastCaller);
+        mDriver.arrive(++mLastCaller, NON_IDEMPOTENT, prompt(1, 2, 3), BODY);
+        assertThat(mDriver.last(AnswerError.class).code())
+                .isEqualTo(ResultCode.REQUEST_QUARANTINED);
+    }
+
     // Guards against log entries that do not tell which part of prompts several crashes share.
     @Test
     void decisionLogNamesTheSharedPartsOfAnUnknownOutcome() {
