Bound what a router holds of an answer, and of all answers together

What callers saw: a faulty server that sends bytes without end ended the whole router (66, heap) with all its streams, within 2 s and a handful of requests.

Cause: a body that is no stream was held whole until its deadline, an event until its end, whatever their size; a stream was read as fast as its server sent it, also where its caller read nothing, and events waited for the decision loop without a bound in bytes. Only heads, chunk sizes and trailers had bounds, those of the codec.

Change: max-answer, max-event and answer-memory in the router's file (AnswerLimits, AnswerMemory). Beyond them the call is ended as one whose answer is not valid: of all answers together the largest, so that the one at fault is hit and not the newcomer. A caller with 256 KiB unread pauses its call, and received bytes that the loop has not processed stop the reading.

Not done: whole answers that a slow caller has not taken yet are bounded each, and by the time to take a piece, but not together. Sidecars not looked at.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -43,6 +43,9 @@
      */
     private static final int RETRY_AFTER_DIVISOR = 4;
 
+    /** Number of bytes sent to a caller and not taken by its connection that block its answer. */
+    private static final long MAX_WAITING_BYTES = 256 << 10;
+
     private final RouteResolver mRoutes;
     private final RequestResolver mResolver;
     private final ModelList mModels;
@@ -132,12 +135,25 @@
         if (c != null) {
             c.mConsumedBytes = offset;
             if (c.mDirect) {
+                updateBlocked(caller, c);
                 return;
             }
             mEvents.accept(new RouterEvent.OutputConsumed(caller, offset));
         }
     }
 
+    /** Stops reading the answer for a caller that does not read it, and reads on once it does. */
+    private void updateBlocked(long caller, Caller c) {
+        synchronized (c) {
+            long waiting = c.mSentBytes - c.mConsumedBytes;
+            boolean blocked = waiting > (c.mBlocked ? MAX_WAITING_BYTES / 2 : MAX_WAITING_BYTES);
+            if (blocked != c.mBlocked) {
+                c.mBlocked = blocked;
+                mEvents.accept(toRouterEvent(new DirectEvent.CallerBlocked(caller, blocked)));
+            }
+        }
+    }
+
     private static RouterEvent toRouterEvent(DirectEvent event) {
         return new RouterEvent.Direct(event);
     }
@@ -162,6 +178,9 @@
         if (c != null) {
             c.mSentBytes += e.bytes().length;
             c.mAnswer.data(e.bytes());
+            if (c.mDirect) {
+                updateBlocked(e.caller(), c);
+            }
         }
     }
 
@@ -198,6 +217,7 @@
         private final boolean mDirect;
         private volatile long mSentBytes;
         private volatile long mConsumedBytes;
+        private boolean mBlocked;
 
         Caller(CallerAnswer answer, boolean direct) {
             mAnswer = answer;
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
@@ -36,6 +36,9 @@
         } else if (effect instanceof DirectEffect.CancelCall e) {
             mMetrics.countAction("cancel_call");
             mCalls.cancel(e);
+        } else if (effect instanceof DirectEffect.PauseCall e) {
+            mMetrics.countAction(e.paused() ? "pause_call" : "continue_call");
+            mCalls.pause(e);
         } else if (effect instanceof DirectEffect.CheckBackend e) {
             mMetrics.countAction("check_backend");
             mCalls.check(e);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -10,6 +10,7 @@
 import org.laurelweir.runtime.config.Range;
 import org.laurelweir.runtime.config.Required;
 import org.laurelweir.runtime.log.LogSettings;
+import org.laurelweir.settings.ByteSize;
 
 /**
  * A router's own settings file. Settings that concern callers come from control's settings tree.
@@ -47,6 +48,11 @@
  *     routes, as a share of the service's requests
  * @param retryReserve number of retries allowed in addition to that share, in each window
  * @param retryWindow time window of {@code retryShare} and {@code retryReserve}
+ * @param maxAnswer maximum size of an answer of a service that is reached by routes, unless it is a
+ *     stream
+ * @param maxEvent maximum size of an event of such a service's stream
+ * @param answerMemory maximum of all incomplete answers and events that the router holds together;
+ *     a quarter of the heap at most
  * @param log logging settings
  */
 @ProgramName("router")
@@ -75,6 +81,9 @@
         @Default("0.1") @Range(min = "0", max = "10") double retryShare,
         @Default("32") @Range(min = "0", max = "1000000") double retryReserve,
         @Default("10s") @Range(min = "100ms", max = "10m") Duration retryWindow,
+        @Default("8MiB") @Range(min = "64KiB", max = "1GiB") ByteSize maxAnswer,
+        @Default("256KiB") @Range(min = "4KiB", max = "1GiB") ByteSize maxEvent,
+        @Default("16MiB") @Range(min = "1MiB", max = "64GiB") ByteSize answerMemory,
         LogSettings log) {
     /** The order in which control instances are asked. */
     public enum Order {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.laurelweir.direct.AnswerLimits;
 import org.laurelweir.direct.RetryLimits;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.Decision;
@@ -170,7 +171,7 @@
                         origins,
                         this::logDecision,
                         mMetrics);
-        mLoop = newLoop(sidecars);
+        mLoop = newLoop(sidecars, calls);
     }
 
     private ControlExchange newExchange(Consumer<List<String>> onControls) {
@@ -188,13 +189,15 @@
                 e -> offer(new RouterEvent.Direct(e)));
     }
 
-    private ReducerLoop<RouterEvent, RouterEffect> newLoop(SidecarCalls sidecars) {
+    private ReducerLoop<RouterEvent, RouterEffect> newLoop(
+            SidecarCalls sidecars, BackendCalls calls) {
         RouterReducer reducer = new RouterReducer(mConfig);
         return new ReducerLoop<>(
                 "router-decide",
                 (now, event, effects) -> {
                     reducer.step(now, event, effects);
                     sidecars.closeStreamAfter(event);
+                    calls.onProcessed(event);
                 },
                 mClock,
                 new RouterEvent.Tick(),
@@ -212,7 +215,11 @@
                 seed,
                 file.exchangeInterval(),
                 file.chatSeats(),
-                retryLimits(file));
+                retryLimits(file),
+                new AnswerLimits(
+                        file.maxAnswer().bytes(),
+                        file.maxEvent().bytes(),
+                        file.answerMemory().bytes()));
     }
 
     private static RetryLimits retryLimits(RouterFile file) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
@@ -5,13 +5,14 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import java.net.ConnectException;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectEvent.Reachability;
 import org.laurelweir.router.http.HttpDialect;
+import org.laurelweir.routing.RouterEvent;
 import org.laurelweir.runtime.config.Endpoint;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.HttpConnector;
@@ -34,7 +35,7 @@
     private final AnswerReader mReader;
     private final Consumer<DirectEvent> mEvents;
     private final IdleConnections mIdle = new IdleConnections();
-    private final Map<Long, HttpExchange> mExchanges = new HashMap<>();
+    private final Map<Long, HttpExchange> mExchanges = new ConcurrentHashMap<>();
 
     /**
      * Creates the calls.
@@ -67,6 +68,28 @@
                 });
     }
 
+    /** Stops reading a call's answer for a while, or reads on. */
+    public void pause(DirectEffect.PauseCall pause) {
+        mLoop.execute(
+                () -> {
+                    HttpExchange x = mExchanges.get(pause.call());
+                    if (x != null) {
+                        x.setPaused(pause.paused());
+                    }
+                });
+    }
+
+    /** Called on the decision loop when it has processed an event. */
+    public void onProcessed(RouterEvent event) {
+        if (event instanceof RouterEvent.Direct d
+                && d.event() instanceof DirectEvent.DataReceived e) {
+            HttpExchange x = mExchanges.get(e.call());
+            if (x != null) {
+                x.onProcessed(e.bytes().length);
+            }
+        }
+    }
+
     /** Opens a connection to a backend server, closes it, and reports whether it was accepted. */
     public void check(DirectEffect.CheckBackend check) {
         Endpoint address = Endpoint.parse(check.address());
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -143,6 +143,7 @@
         mExchange = null;
         boolean reusable = !mNotReusable && !mIdleTime.isZero() && mWrite.isSuccess();
         if (reusable && !ended.isEnded() && mChannel.isActive()) {
+            mChannel.config().setAutoRead(true);
             mIdle.put(this, mIdleTime);
         } else {
             mChannel.close();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.direct.AnswerMetadata;
@@ -17,10 +18,18 @@
  * cancelled.
  */
 final class HttpExchange {
+    /**
+     * Number of received bytes that the decision loop has not processed yet, from which on no more
+     * are read. A server may send faster than the loop takes.
+     */
+    private static final int MAX_UNPROCESSED_BYTES = 256 << 10;
+
     private final DirectEffect.BeginCall mCall;
     private final AnswerReader mReader;
     private final Consumer<DirectEvent> mEvents;
-    private Channel mChannel;
+    private volatile Channel mChannel;
+    private final AtomicInteger mUnprocessedBytes = new AtomicInteger();
+    private boolean mIsPaused;
     private boolean mPossiblySent;
     private boolean mEnded;
 
@@ -38,6 +47,7 @@
     void onSending(Channel channel) {
         mChannel = channel;
         mPossiblySent = true;
+        updateReading();
     }
 
     boolean isEnded() {
@@ -66,12 +76,38 @@
 
     void onContent(HttpContent content) {
         if (!mEnded && content.content().isReadable()) {
+            mUnprocessedBytes.addAndGet(content.content().readableBytes());
+            updateReading();
             mEvents.accept(
                     new DirectEvent.DataReceived(
                             mCall.call(), ByteBufUtil.getBytes(content.content())));
         }
     }
 
+    /** Stops reading the answer for a while, or reads on. */
+    void setPaused(boolean paused) {
+        mIsPaused = paused;
+        updateReading();
+    }
+
+    /** Called on another thread when received bytes have been processed. */
+    void onProcessed(int bytes) {
+        int before = mUnprocessedBytes.getAndAdd(-bytes);
+        boolean continues =
+                before >= MAX_UNPROCESSED_BYTES && before - bytes < MAX_UNPROCESSED_BYTES;
+        Channel channel = mChannel;
+        if (continues && channel != null) {
+            channel.eventLoop().execute(this::updateReading);
+        }
+    }
+
+    private void updateReading() {
+        if (mChannel != null && !mEnded) {
+            boolean reads = !mIsPaused && mUnprocessedBytes.get() < MAX_UNPROCESSED_BYTES;
+            mChannel.config().setAutoRead(reads);
+        }
+    }
+
     void finish() {
         if (!mEnded) {
             mEnded = true;
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -21,6 +21,7 @@
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.RpcServer;
 import org.laurelweir.runtime.rpc.TrafficCounters;
+import org.laurelweir.settings.ByteSize;
 import org.laurelweir.settings.KeyDigest;
 
 /** A complete router in this process, with a fake control instance and a fake sidecar over gRPC. */
@@ -95,6 +96,9 @@
                 0.1,
                 32,
                 Duration.ofSeconds(10),
+                ByteSize.parse("8MiB"),
+                ByteSize.parse("256KiB"),
+                ByteSize.parse("16MiB"),
                 LogSettings.defaults());
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/answer/EventFramer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/answer/EventFramer.java
@@ -141,6 +141,11 @@
         return mIsIdentified;
     }
 
+    /** Returns the number of bytes after the last complete block. */
+    public int incompleteLength() {
+        return mIncomplete.length;
+    }
+
     /** Returns the number of complete events so far. */
     public int eventCount() {
         return mEventCount;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -101,6 +101,9 @@
     /** Whether the current call goes on after a part of the answer that the caller has. */
     private boolean mIsResumed;
 
+    /** Whether the caller does not read what it was sent, so that the answer is not read either. */
+    boolean mCallerBlocked;
+
     /** Whether the caller has disconnected while the call continues; its answer is dropped. */
     boolean mDetached;
 
@@ -165,6 +168,11 @@
         return prompt.isPresent() ? prompt.sharedPart().id() : 0;
     }
 
+    /** Returns the number of bytes of the answer that are held and not forwarded yet. */
+    long heldBytes() {
+        return (long) mBody.size() + mFramer.incompleteLength() + mHeldEvents.size();
+    }
+
     Duration timeLeft(Instant now) {
         return Duration.between(now, mDeadline);
     }
@@ -209,6 +217,12 @@
         mBodyType = BodyType.of(headers);
     }
 
+    /** Drops what is held of the answer of a call that was given up. */
+    void dropAnswer() {
+        mBody.reset();
+        mFramer.takeIncomplete();
+    }
+
     /** Records the start of a call and resets the state of the previous answer. */
     void startCall(long call, Backend backend, Instant now) {
         mCall = call;
@@ -223,7 +237,6 @@
         mMisdirected = false;
         mStatus = 0;
         mFraming = BodyFraming.LENGTH;
-        mBody.reset();
-        mFramer.takeIncomplete();
+        dropAnswer();
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -112,6 +112,9 @@
                         r.timeLeft(mNow),
                         r.mHeadSent ? r.mFramer.lastId() : "",
                         fetchFrom));
+        if (r.mCallerBlocked) {
+            mEffects.accept(new DirectEffect.PauseCall(r.mCall, true));
+        }
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
@@ -39,6 +39,9 @@
      */
     record CancelCall(long call) implements DirectEffect {}
 
+    /** Stop reading a call's answer for a while, or read on. */
+    record PauseCall(long call, boolean paused) implements DirectEffect {}
+
     /**
      * Open a connection to a backend server and close it, to find out whether the server listens.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -14,6 +14,9 @@
     /** The caller closed its connection. */
     record CallerGone(long caller) implements DirectEvent {}
 
+    /** The caller stopped reading its answer, with much of it sent, or reads again. */
+    record CallerBlocked(long caller, boolean blocked) implements DirectEvent {}
+
     /** The head of a backend server's answer has arrived. */
     record HeadReceived(long call, int status, List<Header> headers, AnswerMetadata metadata)
             implements DirectEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -43,6 +43,7 @@
     private final UnconfirmedEnds mUnconfirmedEnds;
     private final InvalidAnswerCalls mInvalidAnswers;
     private final Outcomes mOutcomes;
+    private final AnswerMemory mAnswerMemory;
     private final OriginRecorder mOriginRecorder;
     private final OriginLookup mOriginLookup;
     private final SplittableRandom mRandom;
@@ -61,6 +62,7 @@
      * @param crashes the crashes of backend servers and the requests that were running then
      * @param loads the estimated loads of the backend servers
      * @param slowStarts limits the requests to backend servers in slow start
+     * @param answerLimits limits of the answers that the router holds
      * @param seed seed of the random choices
      */
     public DirectRouting(
@@ -70,8 +72,10 @@
             CrashTable crashes,
             LoadEstimator loads,
             SlowStartLimiter slowStarts,
+            AnswerLimits answerLimits,
             long seed) {
         mBackends = backends;
+        mAnswerMemory = new AnswerMemory(answerLimits);
         mCrashGuard = new CrashGuard(crashes);
         ServerChoice choice = new ServerChoice(backends, mServers, loads, slowStarts, seed);
         mBudget = new FleetRetryBudget(limits, routerCount);
@@ -128,6 +132,8 @@
             onArrived(e);
         } else if (event instanceof DirectEvent.CallerGone e) {
             withRequest(mByCaller.get(e.caller()), this::onCallerGone);
+        } else if (event instanceof DirectEvent.CallerBlocked e) {
+            withRequest(mByCaller.get(e.caller()), r -> onCallerBlocked(r, e.blocked()));
         } else if (event instanceof DirectEvent.HeadReceived e) {
             withRequest(mAttempts.requestOf(e.call()), r -> onHeadReceived(r, e));
         } else if (event instanceof DirectEvent.DataReceived e) {
@@ -304,13 +310,32 @@
 
     private void onDataReceived(ActiveRequest r, byte[] bytes) {
         r.mLastActivity = mNow;
-        if (!r.isStreaming()) {
+        if (r.isStreaming()) {
+            byte[] events = r.mFramer.add(bytes);
+            if (events.length > 0) {
+                mOriginRecorder.forward(r, events);
+            }
+        } else {
             r.mBody.writeBytes(bytes);
-            return;
         }
-        byte[] events = r.mFramer.add(bytes);
-        if (events.length > 0) {
-            mOriginRecorder.forward(r, events);
+        mAnswerMemory.onGrown(r).ifPresent(e -> onTooLarge(e.request(), e.message()));
+    }
+
+    /** Ends the call of an answer that exceeds a limit, as one that is no valid answer. */
+    private void onTooLarge(ActiveRequest r, String message) {
+        mAnswerMemory.onEnded(r);
+        mOriginRecorder.release(r);
+        mAttempts.cancel(r);
+        r.dropAnswer();
+        mOutcomes.onFailure(r);
+        onUnknownOutcome(r, true, message);
+    }
+
+    private void onCallerBlocked(ActiveRequest r, boolean blocked) {
+        r.mCallerBlocked = blocked;
+        r.mLastActivity = mNow;
+        if (r.mCall != 0) {
+            emit(new DirectEffect.PauseCall(r.mCall, blocked));
         }
     }
 
@@ -343,7 +368,7 @@
         if (!isFailure(r.mStatus)) {
             mOutcomes.onSuccess(r);
         }
-        mByCaller.remove(r.mCaller);
+        remove(r);
     }
 
     private void emitUnlessDetached(ActiveRequest r, DirectEffect effect) {
@@ -402,13 +427,18 @@
         end(r, c -> mErrorAnswers.failed(c, message));
     }
 
+    private void remove(ActiveRequest r) {
+        mByCaller.remove(r.mCaller);
+        mAnswerMemory.onEnded(r);
+    }
+
     /** Ends a request with an error answer. */
     private void end(ActiveRequest r, Consumer<ActiveRequest> errorAnswer) {
         mOriginRecorder.release(r);
         mOriginRecorder.forget(r);
         mOriginLookup.cancel(r);
         errorAnswer.accept(r);
-        mByCaller.remove(r.mCaller);
+        remove(r);
     }
 
     /**
@@ -424,7 +454,7 @@
         mAttempts.cancel(r);
         mOriginRecorder.forget(r);
         mOriginLookup.cancel(r);
-        mByCaller.remove(r.mCaller);
+        remove(r);
     }
 
     private void onTick() {
@@ -456,7 +486,7 @@
     private void checkTimeouts(ActiveRequest r) {
         if (!mNow.isBefore(r.mDeadline)) {
             expire(r);
-        } else if (mStallDetector.isStalled(r, mNow) && !r.mDetached) {
+        } else if (mStallDetector.isStalled(r, mNow) && !r.mDetached && !r.mCallerBlocked) {
             onStalled(r);
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
@@ -1,6 +1,7 @@
 package org.laurelweir.routing;
 
 import java.time.Duration;
+import org.laurelweir.direct.AnswerLimits;
 import org.laurelweir.direct.RetryLimits;
 
 /**
@@ -12,6 +13,7 @@
  * @param exchangeInterval interval between exchanges with control
  * @param maxChatLocations maximum number of chats whose last backend server the router remembers
  * @param retryLimits retry limits of all routers together for services without sidecars
+ * @param answerLimits limits of the answers of such services that the router holds
  */
 public record RouterConfig(
         String name,
@@ -19,8 +21,27 @@
         long seed,
         Duration exchangeInterval,
         int maxChatLocations,
-        RetryLimits retryLimits) {
-    /** Creates a configuration with the default retry limits. */
+        RetryLimits retryLimits,
+        AnswerLimits answerLimits) {
+    /** Creates a configuration with the default limits of answers. */
+    public RouterConfig(
+            String name,
+            long incarnation,
+            long seed,
+            Duration exchangeInterval,
+            int maxChatLocations,
+            RetryLimits retryLimits) {
+        this(
+                name,
+                incarnation,
+                seed,
+                exchangeInterval,
+                maxChatLocations,
+                retryLimits,
+                AnswerLimits.DEFAULT);
+    }
+
+    /** Creates a configuration with the default limits. */
     public RouterConfig(
             String name,
             long incarnation,
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -58,6 +58,7 @@
                         mCrashes,
                         mLoads,
                         mSlowStarts,
+                        config.answerLimits(),
                         config.seed());
         DecisionLogger decisionLogger = new DecisionLogger(config, mPlacements);
         Claims claims = new Claims();
