--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingPartTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashingPartTest.java
@@ -240,4 +240,69 @@
             t.assertOnlyBadIsKeptAway();
         }
     }
+
+    // Guards against missing the crashes of servers whose answers end with their connection, inside
+    // an event or where nothing in the answer shows the crash: the part would count as served.
+    @ParameterizedTest
+    @ValueSource(longs = {261, 262, 263, 264, 265})
+    void partWithAnswersThatEndWithTheirConnectionIsQuarantined(long seed) {
+        for (String body : List.of("id: 1\ndata: a\n\nid: 2\nda", FleetServers.WHOLE_STREAM)) {
+            Traffic t = traffic(seed, STREAM, COMMON_FIRST);
+            t.mFleet.mServers.endCrashingAnswersWithTheirConnection(body);
+            t.sendBad(() -> List.of(COMMON_FIRST, BAD));
+            t.mFleet.mTime.advance(RUN_MILLIS);
+            t.assertOnlyBadIsKeptAway();
+        }
+    }
+
+    // As above, after the head of an answer that belongs to another request.
+    @ParameterizedTest
+    @ValueSource(longs = {271, 272, 273, 274, 275})
+    void partWithInvalidHeadsIsQuarantined(long seed) {
+        for (Route route : ROUTES) {
+            Traffic t = traffic(seed, route, COMMON_FIRST);
+            t.mFleet.mServers.invalidateCrashingAnswers();
+            t.sendBad(() -> List.of(COMMON_FIRST, BAD));
+            t.mFleet.mTime.advance(RUN_MILLIS);
+            t.assertOnlyBadIsKeptAway();
+        }
+    }
+
+    // Guards against routers and control instances that start anew, or are cut off, and send the
+    // part again.
+    @ParameterizedTest
+    @ValueSource(longs = {281, 282, 283, 284, 285})
+    void quarantineOfAPartOutlivesControlAndRouters(long seed) {
+        Traffic t = traffic(seed, STREAM, COMMON_FIRST);
+        t.sendBad(() -> List.of(COMMON_FIRST, BAD));
+        t.mFleet.mTime.advance(10_000);
+        for (int i = 0; i < RoutedFleet.CONTROL_COUNT; i++) {
+            t.mFleet.mControls.stop(i);
+        }
+        t.mFleet.mTime.advance(300);
+        for (int i = 0; i < RoutedFleet.CONTROL_COUNT; i++) {
+            t.mFleet.mControls.start(i);
+        }
+        t.mFleet.mTime.advance(5_000);
+        t.mFleet.mTime.every(400, () -> randomRouter(t).restart());
+        t.mFleet.mTime.advance(RUN_MILLIS);
+        t.assertOnlyBadIsKeptAway();
+    }
+
+    // As above, where routers are cut off from control in turn.
+    @ParameterizedTest
+    @ValueSource(longs = {291, 292, 293, 294, 295})
+    void partIsQuarantinedWhileRoutersAreCutOff(long seed) {
+        Traffic t = traffic(seed, IDEMPOTENT, COMMON_FIRST);
+        t.sendBad(() -> List.of(COMMON_FIRST, BAD));
+        t.mFleet.mTime.every(
+                4_000,
+                () -> {
+                    FleetRouter r = randomRouter(t);
+                    r.setCutOff(true);
+                    t.mFleet.mTime.after(1_500, () -> r.setCutOff(false));
+                });
+        t.mFleet.mTime.advance(RUN_MILLIS);
+        t.assertOnlyBadIsKeptAway();
+    }
 }
