--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -16,6 +16,7 @@
 import org.laurelweir.lib.Service;
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.router.direct.BackendCalls;
+import org.laurelweir.router.http.Acceptance;
 import org.laurelweir.router.http.CallerServer;
 import org.laurelweir.router.http.HttpDialect;
 import org.laurelweir.router.http.Limits;
@@ -149,9 +150,7 @@
                         this::limits,
                         this::requestName,
                         dialect,
-                        mLag,
-                        clock,
-                        mMetrics::countClosedUnread);
+                        new Acceptance(mLag, clock, mMetrics::countClosedUnread));
         mDecisions = new DecisionRing(file.decisions());
         mExplainServer =
                 RpcServer.builder(mLoops, traffic)
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Acceptance.java
@@ -0,0 +1,12 @@
+package org.laurelweir.router.http;
+
+import java.time.InstantSource;
+
+/**
+ * What the server for callers needs to decide on new connections.
+ *
+ * @param lag measures how far the router lags behind its work
+ * @param clock the current time
+ * @param onClosedUnread called for each connection that is closed before anything is read
+ */
+public record Acceptance(RequestLag lag, InstantSource clock, Runnable onClosedUnread) {}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -23,7 +23,6 @@
     private final Supplier<Limits> mLimits;
     private final RequestNames mNames;
     private final HttpDialect mDialect;
-    private final Runnable mOnClosedUnread;
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Queue<UnreadConnection> mUnread = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mCount = new AtomicInteger();
@@ -32,12 +31,7 @@
     private volatile boolean mStopping;
 
     CallerConnections(
-            CallHandler handler,
-            Supplier<Limits> limits,
-            RequestNames names,
-            HttpDialect dialect,
-            Runnable onClosedUnread) {
-        mOnClosedUnread = onClosedUnread;
+            CallHandler handler, Supplier<Limits> limits, RequestNames names, HttpDialect dialect) {
         mDialect = dialect;
         mHandler = handler;
         mLimits = limits;
@@ -100,11 +94,6 @@
         return mCount.get();
     }
 
-    /** Counts a connection that was closed before anything was read from it. */
-    void onClosedUnread() {
-        mOnClosedUnread.run();
-    }
-
     /** Returns whether connections are closed after their next answer. */
     boolean closesAfterAnswers() {
         return mCloseAfterAnswers || mStopping;
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -8,7 +8,6 @@
 import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -37,9 +36,7 @@
      * @param limits returns the limits for a new connection
      * @param names returns the request ids in answers
      * @param dialect the names of headers
-     * @param lag measures how far the router lags behind its work
-     * @param clock the current time
-     * @param onClosedUnread called for each connection that is closed before anything is read
+     * @param acceptance what is needed to decide on new connections
      */
     public CallerServer(
             EventLoops loops,
@@ -49,14 +46,12 @@
             Supplier<Limits> limits,
             RequestNames names,
             HttpDialect dialect,
-            RequestLag lag,
-            InstantSource clock,
-            Runnable onClosedUnread) {
+            Acceptance acceptance) {
         mLoops = loops;
         mListen = listen;
         mSocket = socket;
-        mConnections = new CallerConnections(handler, limits, names, dialect, onClosedUnread);
-        mAcceptor = new ConnectionAcceptor(lag, mConnections, clock);
+        mConnections = new CallerConnections(handler, limits, names, dialect);
+        mAcceptor = new ConnectionAcceptor(acceptance, mConnections);
     }
 
     /**
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ConnectionAcceptor.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ConnectionAcceptor.java
@@ -23,14 +23,16 @@
     private final ConnectionAdmission mAdmission = new ConnectionAdmission();
     private final List<SocketChannel> mWaiting = new ArrayList<>();
     private final RequestLag mLag;
-    private final CallerConnections mConnections;
     private final InstantSource mClock;
+    private final Runnable mOnClosedUnread;
+    private final CallerConnections mConnections;
     private long mClosedCount;
 
-    ConnectionAcceptor(RequestLag lag, CallerConnections connections, InstantSource clock) {
-        mLag = lag;
+    ConnectionAcceptor(Acceptance acceptance, CallerConnections connections) {
+        mLag = acceptance.lag();
+        mClock = acceptance.clock();
+        mOnClosedUnread = acceptance.onClosedUnread();
         mConnections = connections;
-        mClock = clock;
     }
 
     @Override
@@ -58,10 +60,10 @@
     }
 
     private void closeUnread(SocketChannel connection, Duration lag) {
-        mConnections.onClosedUnread();
+        mOnClosedUnread.run();
         mClosedCount++;
         sLogger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-                "%d connections closed unread since the start; %d open, limit in hand %d, lag %d ms",
+                "%d connections closed unread since the start; %d open, limit %d, lag %d ms",
                 mClosedCount, mConnections.count(), mAdmission.limit(), lag.toMillis());
         connection.config().setSoLinger(0);
         connection.unsafe().closeForcibly();
