Ignore records of old crashes only, and tell a release once

Found by reading the change once more, seen by no caller.

A process that has just started can be told such a record within the second before its sender forgets it. It is ignored now.

A blamed part that was forgotten or evicted was told as released twice: once by itself, once among the parts whose blame may have changed.

CrashTableTest: recordWithOldCrashesOnlyIsIgnored ended with NoSuchElementException and forgottenPartIsReleasedOnce saw two releases on the code before; both pass.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -53,8 +53,8 @@
  * @param maxAnswer maximum size of an answer of a service that is reached by routes, unless it is a
  *     stream
  * @param maxEvent maximum size of an event of such a service's stream
- * @param answerMemory maximum of all incomplete answers and events that the router holds together;
- *     a quarter of the heap at most
+ * @param answerMemory maximum of all incomplete answers and events that the router holds together,
+ *     which should be a quarter of the heap or less
  * @param log logging settings
  */
 @ProgramName("router")
--- a/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/quarantine/CrashTable.java
@@ -234,7 +234,7 @@
         CrashEntry e = known == null ? new CrashEntry(r.key(), r.service()) : known;
         boolean adds = e.add(now, r.crashes());
         adds |= r.servedBefore() && e.setServedBefore();
-        if (!adds) {
+        if (!adds || e.crashCount() == 0) {
             return false;
         }
         if (r.key().isPromptPart()) {
@@ -305,10 +305,11 @@
     private void remove(Instant now, CrashEntry e) {
         mEntries.remove(e.key());
         mChanges.remove(e.mVersion);
+        mBlamedParts.remove(e).forEach(part -> tellIfChanged(now, part));
         if (e.mIsToldQuarantined) {
+            e.mIsToldQuarantined = false;
             mListener.changed(e.toRecord(now), false);
         }
-        mBlamedParts.remove(e).forEach(part -> tellIfChanged(now, part));
     }
 
     /** Returns the version of the table, which increases with every change. */
--- a/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/quarantine/CrashTableTest.java
@@ -399,4 +399,27 @@
         }
         assertThat(reader.findBlamedPart("acme", "svc", List.of(PART))).isPresent();
     }
+
+    // Guards against a record of which all crashes are too old: an entry without a crash would end
+    // the process when it looks for the last one.
+    @Test
+    void recordWithOldCrashesOnlyIsIgnored() {
+        Crash.Owner owner = new Crash.Owner("svc", "acme", false);
+        Crash old = new Crash(server(1), "r2", Duration.ofDays(2), false, owner);
+        SuspectKey key = SuspectKey.promptPart(PART);
+        mTable.merge(mNow, List.of(new CrashRecord(key, "svc", true, List.of(old))));
+        mTable.expire(mNow.plusSeconds(2));
+        assertThat(mTable.isEmpty()).isTrue();
+    }
+
+    // Guards against telling twice that a part is released.
+    @Test
+    void forgottenPartIsReleasedOnce() {
+        for (int i = 1; i <= 4; i++) {
+            crashUnderPart(mTable, PART, "acme", i);
+        }
+        mTable.expire(mNow.plus(Duration.ofHours(25)));
+        assertThat(mTable.isEmpty()).isTrue();
+        assertThat(mQuarantineChanges).containsExactly(true, false);
+    }
 }
