Add the interfaces of contended deployments

Two deployments have engines that run out of memory before they run out of slots. The parts that place, order and hedge their requests are built side by side, so their interfaces come first: the messages between routers and control, the terms of a request, the switch in the router's file, and the fourth figure of the load header. Nothing uses them yet, so every deployment decides as before. Not measured.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -55,6 +55,11 @@
  * @param maxEvent maximum size of an event of such a service's stream
  * @param answerMemory maximum of all incomplete answers and events that the router holds together,
  *     which should be a quarter of the heap or less
+ * @param contendedSlotTokens a deployment with engines that have fewer tokens of memory for each
+ *     slot counts as contended, and its requests are placed and ordered by the tokens that they
+ *     hold; 0 for never
+ * @param hedgeShare hedged requests that all routers together may send to a service of a contended
+ *     deployment, as a share of the service's requests; 0 for none
  * @param log logging settings
  */
 @ProgramName("router")
@@ -87,6 +92,8 @@
         @Default("8MiB") @Range(min = "64KiB", max = "1GiB") ByteSize maxAnswer,
         @Default("256KiB") @Range(min = "4KiB", max = "1GiB") ByteSize maxEvent,
         @Default("16MiB") @Range(min = "1MiB", max = "64GiB") ByteSize answerMemory,
+        @Default("0") @Range(min = "0", max = "1000000") int contendedSlotTokens,
+        @Default("0") @Range(min = "0", max = "1") double hedgeShare,
         LogSettings log) {
     /** The order in which control instances are asked. */
     public enum Order {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -127,7 +127,8 @@
         mExchangeClient = new ExchangeClient(controls(), file.controlTimeout(), controlOrder());
         traffic.registerExternal(
                 "ControlExchange", mExchangeClient::bytesReceived, mExchangeClient::bytesSent);
-        RouteResolver routes = new RouteResolver(mSettings, dialect, mLease, clock);
+        RouteResolver routes =
+                new RouteResolver(mSettings, dialect, mLease, clock, file.contendedSlotTokens());
         mCallers =
                 new Callers(
                         routes,
@@ -228,7 +229,8 @@
                 new AnswerLimits(
                         file.maxAnswer().bytes(),
                         file.maxEvent().bytes(),
-                        file.answerMemory().bytes()));
+                        file.answerMemory().bytes()),
+                file.hedgeShare());
     }
 
     private static RetryLimits retryLimits(RouterFile file) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/HttpDialect.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/HttpDialect.java
@@ -15,8 +15,10 @@
  * @param promptTokens header with the prompt's tokens and the maximum of tokens to generate, as N,M
  * @param promptParts header with a prompt's parts in order, as ID:TOKENS elements with the id in
  *     hexadecimal
+ * @param lengthHint header with the number of tokens that the caller expects to be generated
  * @param notRun header that is present if the backend server did not run the request
- * @param load header with a backend server's running and waiting requests and its slots, as N,N,N
+ * @param load header with a backend server's running and waiting requests and its slots, as N,N,N,
+ *     and how long work takes on its machine, in percent of the usual time, as a fourth number
  * @param seal header that every genuine successful answer has, or empty for no such header
  * @param resumeAfter header with the id of the last event that the receiver of a stream got
  * @param resumes header with the id of the request that brought a stream's first event, sent by a
@@ -35,6 +37,7 @@
         String priority,
         String promptTokens,
         String promptParts,
+        String lengthHint,
         String notRun,
         String load,
         String seal,
@@ -54,6 +57,7 @@
                     "X-Engine-Priority",
                     "X-Prompt-Tokens",
                     "X-Prompt-Parts",
+                    "X-Expected-Tokens",
                     "X-Not-Run",
                     "X-Server-Load",
                     "",
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -12,7 +12,9 @@
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.direct.AllowedRegions;
+import org.laurelweir.direct.Contention;
 import org.laurelweir.direct.Prompt;
+import org.laurelweir.direct.RequestTerms;
 import org.laurelweir.direct.Resumption;
 import org.laurelweir.direct.Route;
 import org.laurelweir.direct.RouteTable;
@@ -43,7 +45,9 @@
     private final HttpDialect mDialect;
     private final SettingsLease mLease;
     private final InstantSource mClock;
+    private final int mContendedSlotTokens;
     private volatile RouteTable mRoutes = RouteTable.empty();
+    private volatile Contention mContention = Contention.NONE;
 
     /**
      * Creates a resolver.
@@ -52,13 +56,17 @@
      * @param dialect the names of headers
      * @param lease tells whether the settings are confirmed recently enough
      * @param clock the time of decisions in the log
+     * @param contendedSlotTokens the tokens of memory for each slot of an engine below which a
+     *     deployment counts as contended; 0 for never
      */
     public RouteResolver(
             SettingsLookup settings,
             HttpDialect dialect,
             SettingsLease lease,
-            InstantSource clock) {
+            InstantSource clock,
+            int contendedSlotTokens) {
         mClock = clock;
+        mContendedSlotTokens = contendedSlotTokens;
         mSettings = settings;
         mDialect = dialect;
         mLease = lease;
@@ -115,6 +123,7 @@
         SettingsTree tree = mSettings.tree();
         if (routes.tree() != tree) {
             routes = routes.withTree(tree);
+            mContention = Contention.of(tree, mContendedSlotTokens);
             mRoutes = routes;
         }
         return routes;
@@ -136,7 +145,41 @@
                         route.streamed()),
                 prompt(call),
                 route.allowedRegions().and(allowedRegions(tree, account)),
-                resumption(route, call));
+                resumption(route, call),
+                terms(tree, account, call));
+    }
+
+    private RequestTerms terms(SettingsTree tree, String account, HttpCall call) {
+        Contention contention = mContention;
+        return contention.isContended()
+                ? contention.terms(accountWeight(tree, account), lengthHint(call))
+                : RequestTerms.NONE;
+    }
+
+    private static double accountWeight(SettingsTree tree, String account) {
+        double usual = SettingKeys.ACCOUNT_WEIGHT.defaultValue();
+        if (account.isEmpty()) {
+            return usual;
+        }
+        return tree.node(NodePath.ofAccount(account))
+                .map(n -> n.value(SettingKeys.ACCOUNT_WEIGHT))
+                .orElse(usual);
+    }
+
+    /** Returns the number of tokens that the caller expects to be generated, or 0 without any. */
+    private int lengthHint(HttpCall call) {
+        String value = call.header(mDialect.lengthHint()).strip();
+        if (value.isEmpty()) {
+            return 0;
+        }
+        try {
+            return Math.max(0, Integer.parseInt(value));
+        } catch (NumberFormatException e) {
+            sLogger.atInfo().atMostEvery(1, TimeUnit.MINUTES).log(
+                    "ignored malformed %s \"%s\", expected a whole number",
+                    mDialect.lengthHint(), value);
+            return 0;
+        }
     }
 
     /**
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -47,6 +47,7 @@
                 d.priority(),
                 d.promptTokens(),
                 d.promptParts(),
+                d.lengthHint(),
                 d.notRun(),
                 d.load(),
                 "X-Seal",
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionDigest.java
@@ -0,0 +1,40 @@
+package org.laurelweir.contention;
+
+import java.util.List;
+
+/**
+ * The demand of all routers, as control sends it to a router. Every digest is complete, so that
+ * neither side has to record what the other already knows.
+ *
+ * @param routers the number of routers whose demand is included
+ * @param means the mean demand of each service
+ * @param servers backend servers above the mean of their service or with many failures; the most
+ *     remarkable ones if there are more than {@link #MAX_SERVERS}
+ * @param accounts the client accounts with the most tokens under way
+ * @param accountTokens tokens under way of all client accounts, also those that are not listed
+ * @param accountCount number of client accounts with any tokens under way
+ */
+public record ContentionDigest(
+        int routers,
+        List<MeanDemand> means,
+        List<ServerDemand> servers,
+        List<AccountDemand> accounts,
+        long accountTokens,
+        int accountCount) {
+    /** Maximum number of backend servers in a digest, which bounds the size of an exchange. */
+    public static final int MAX_SERVERS = 128;
+
+    /** Maximum number of client accounts in a digest. */
+    public static final int MAX_ACCOUNTS = 64;
+
+    /** A digest without any demand, from a process that knows none. */
+    public static final ContentionDigest NONE =
+            new ContentionDigest(0, List.of(), List.of(), List.of(), 0, 0);
+
+    /** Creates a digest with immutable copies of the lists. */
+    public ContentionDigest {
+        means = List.copyOf(means);
+        servers = List.copyOf(servers);
+        accounts = List.copyOf(accounts);
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/AnswerMetadata.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/AnswerMetadata.java
@@ -25,6 +25,16 @@
      * @param running requests that it runs, possibly including the answered one
      * @param waiting requests in its queue
      * @param slots maximum number of requests that it runs concurrently
+     * @param workTimePercent how long work takes on its machine at this moment, in percent of the
+     *     usual time, or {@link #UNKNOWN_WORK_TIME}
      */
-    public record ReportedLoad(int running, int waiting, int slots) {}
+    public record ReportedLoad(int running, int waiting, int slots, int workTimePercent) {
+        /** The work time of a backend server that does not report any. */
+        public static final int UNKNOWN_WORK_TIME = 0;
+
+        /** Creates the load of a backend server that reports no work time. */
+        public ReportedLoad(int running, int waiting, int slots) {
+            this(running, waiting, slots, UNKNOWN_WORK_TIME);
+        }
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -9,6 +9,7 @@
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.answer.BodyFraming;
+import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.quarantine.CrashTable;
@@ -54,7 +55,7 @@
     private Consumer<? super DirectEffect> mEffects;
 
     /**
-     * Creates the routing without any request.
+     * Creates the routing without any request, for a deployment without contention.
      *
      * @param backends the backend servers that the router knows
      * @param routerCount supplies the number of routers in the fleet, 1 if unknown
@@ -74,6 +75,44 @@
             SlowStartLimiter slowStarts,
             AnswerLimits answerLimits,
             long seed) {
+        this(
+                backends,
+                routerCount,
+                limits,
+                crashes,
+                loads,
+                slowStarts,
+                answerLimits,
+                seed,
+                new FleetDemand(),
+                0);
+    }
+
+    /**
+     * Creates the routing without any request.
+     *
+     * @param backends the backend servers that the router knows
+     * @param routerCount supplies the number of routers in the fleet, 1 if unknown
+     * @param limits limits of the retries of all routers
+     * @param crashes the crashes of backend servers and the requests that were running then
+     * @param loads the estimated loads of the backend servers
+     * @param slowStarts limits the requests to backend servers in slow start
+     * @param answerLimits limits of the answers that the router holds
+     * @param seed seed of the random choices
+     * @param demand the demand of all routers, for deployments with contention
+     * @param hedgeShare maximum number of hedged requests, as a share of a service's requests
+     */
+    public DirectRouting(
+            BackendSource backends,
+            IntSupplier routerCount,
+            RetryLimits limits,
+            CrashTable crashes,
+            LoadEstimator loads,
+            SlowStartLimiter slowStarts,
+            AnswerLimits answerLimits,
+            long seed,
+            FleetDemand demand,
+            double hedgeShare) {
         mBackends = backends;
         mAnswerMemory = new AnswerMemory(answerLimits);
         mCrashGuard = new CrashGuard(crashes);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
@@ -15,6 +15,7 @@
  * @param prompt the caller's description of the prompt, or {@link Prompt#NONE}
  * @param allowedRegions the regions whose backend servers may run the request
  * @param resumption the stream that the caller goes on with, or {@link Resumption#NONE}
+ * @param terms the request's competition with others for room, or {@link RequestTerms#NONE}
  */
 public record RoutedRequest(
         String id,
@@ -25,7 +26,8 @@
         AttemptRequest.Call call,
         Prompt prompt,
         AllowedRegions allowedRegions,
-        Resumption resumption) {
+        Resumption resumption,
+        RequestTerms terms) {
     /** Creates a request that may be served in every region and resumes no stream. */
     public RoutedRequest(
             String id,
@@ -44,7 +46,8 @@
                 call,
                 prompt,
                 AllowedRegions.ALL,
-                Resumption.NONE);
+                Resumption.NONE,
+                RequestTerms.NONE);
     }
 
     /** Returns a copy of this request that goes on with a stream. */
@@ -58,6 +61,22 @@
                 call,
                 prompt,
                 allowedRegions,
-                newResumption);
+                newResumption,
+                terms);
+    }
+
+    /** Returns a copy of this request with other terms. */
+    public RoutedRequest withTerms(RequestTerms newTerms) {
+        return new RoutedRequest(
+                id,
+                route,
+                account,
+                priority,
+                timeLeft,
+                call,
+                prompt,
+                allowedRegions,
+                resumption,
+                newTerms);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterConfig.java
@@ -14,6 +14,7 @@
  * @param maxChatLocations maximum number of chats whose last backend server the router remembers
  * @param retryLimits retry limits of all routers together for services without sidecars
  * @param answerLimits limits of the answers of such services that the router holds
+ * @param hedgeShare maximum number of hedged requests, as a share of a service's requests
  */
 public record RouterConfig(
         String name,
@@ -22,7 +23,8 @@
         Duration exchangeInterval,
         int maxChatLocations,
         RetryLimits retryLimits,
-        AnswerLimits answerLimits) {
+        AnswerLimits answerLimits,
+        double hedgeShare) {
     /** Creates a configuration with the default limits of answers. */
     public RouterConfig(
             String name,
@@ -38,7 +40,8 @@
                 exchangeInterval,
                 maxChatLocations,
                 retryLimits,
-                AnswerLimits.DEFAULT);
+                AnswerLimits.DEFAULT,
+                0);
     }
 
     /** Creates a configuration with the default limits. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Consumer;
+import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectRouting;
 import org.laurelweir.direct.SlowStartLimiter;
@@ -38,6 +39,7 @@
     private final LoadEstimator mLoads = new LoadEstimator();
     private final SlowStartLimiter mSlowStarts = new SlowStartLimiter();
     private final LoadDigestLogger mLoadDigestLogger = new LoadDigestLogger(mLoads);
+    private final FleetDemand mDemand = new FleetDemand();
     private boolean mStopping;
 
     /**
@@ -59,7 +61,9 @@
                         mLoads,
                         mSlowStarts,
                         config.answerLimits(),
-                        config.seed());
+                        config.seed(),
+                        mDemand,
+                        config.hedgeShare());
         DecisionLogger decisionLogger = new DecisionLogger(config, mPlacements);
         Claims claims = new Claims();
         Attempts attempts = new Attempts(mRequests);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/AllowedRegionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/AllowedRegionsTest.java
@@ -43,7 +43,8 @@
                                 call,
                                 Prompt.NONE,
                                 allowed,
-                                Resumption.NONE)));
+                                Resumption.NONE,
+                                RequestTerms.NONE)));
     }
 
     // Guards against a request that reaches a region where its account must not be served, on a
