Ask likely holders of prompt parts only, in contended deployments

A router now knows since when, or until when, it saw each server accept requests. It asks the first in rank that served for 1 s or was drained within 10 s; where the chosen server has ranked first for long, it asks a server that holds the parts before the document. Ruled out: a directory at control (700 documents in use do not fit the digest).

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ChatKey;
 
 /**
@@ -22,14 +23,22 @@
     /** Number of servers considered by rank: the former home, and others in case it has failed. */
     private static final int MAX_RANKED_SERVERS = 3;
 
+    /**
+     * Number of servers by rank among which servers that may hold parts are searched. While a third
+     * of the servers are drained or new, this many hardly ever all are.
+     */
+    private static final int MAX_SEARCHED_SERVERS = 8;
+
     private final BackendSource mBackends;
     private final ServerTable mServers;
     private final PartHolders mHolders;
+    private final ServingHistory mHistory;
 
     FetchSource(BackendSource backends, ServerTable servers, PartHolders holders) {
         mBackends = backends;
         mServers = servers;
         mHolders = holders;
+        mHistory = new ServingHistory(backends);
     }
 
     /**
@@ -47,7 +56,11 @@
         if (holders.contains(chosen)) {
             return "";
         }
-        for (BackendRef holder : possibleHolders(r, holders)) {
+        List<BackendRef> possible =
+                r.mRequest.terms().contended()
+                        ? likelyHolders(r, chosen, holders, now)
+                        : possibleHolders(r, holders);
+        for (BackendRef holder : possible) {
             if (!holder.id().equals(chosen.id()) && isUsable(r, holder, now)) {
                 return mBackends.backend(holder.id()).address();
             }
@@ -73,6 +86,51 @@
         return possible;
     }
 
+    /**
+     * Returns the servers that may hold the shared parts, the most likely ones first, with regard
+     * to when each server accepted requests. If the chosen server has ranked first for long, it
+     * holds the last shared part, or nobody does; a server that holds the parts before it is asked
+     * then.
+     */
+    private List<BackendRef> likelyHolders(
+            ActiveRequest r, BackendRef chosen, PartHolders.Holders holders, Instant now) {
+        List<BackendRef> likely = new ArrayList<>(holders.servers());
+        List<BackendRef> ranked = rankedHolders(r, now);
+        boolean isSettledHome =
+                !ranked.isEmpty()
+                        && ranked.get(0).equals(chosen)
+                        && mHistory.isSettled(r.mService, chosen, now);
+        if (isSettledHome) {
+            likely.addAll(holdersOfEarlierParts(r));
+        }
+        likely.addAll(ranked);
+        return likely;
+    }
+
+    private List<BackendRef> rankedHolders(ActiveRequest r, Instant now) {
+        return mBackends
+                .view(r.mService)
+                .rankingWithDraining()
+                .top(r.mRequest.prompt().key(), MAX_SEARCHED_SERVERS)
+                .stream()
+                .map(Candidate::ref)
+                .filter(ref -> mHistory.mayHoldParts(r.mService, ref, now))
+                .limit(MAX_RANKED_SERVERS)
+                .toList();
+    }
+
+    /** Returns the holders of the longest prefix of shared parts of which this router knows any. */
+    private List<BackendRef> holdersOfEarlierParts(ActiveRequest r) {
+        List<Long> ids = r.sharedPartIds();
+        for (int i = ids.size() - 2; i >= 0; i--) {
+            List<BackendRef> known = mHolders.of(ids.get(i)).servers();
+            if (!known.isEmpty()) {
+                return known;
+            }
+        }
+        return List.of();
+    }
+
     /**
      * Returns whether a server is known, is in a region that may have the request's prompt, has not
      * been restarted since and has not failed recently. A fetch from an unreachable server would
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
@@ -54,8 +54,12 @@
 
     /** Records that the server has read the prompt of a request. */
     void onPromptRead(ActiveRequest r) {
-        if (r.mRequest.prompt().isPresent()) {
-            mHolders.recordHolder(r.mRequest.prompt().sharedPart().id(), r.mBackend);
+        if (!r.mRequest.prompt().isPresent()) {
+            return;
+        }
+        mHolders.recordHolder(r.sharedPartId(), r.mBackend);
+        if (r.mRequest.terms().contended()) {
+            r.sharedPartIds().forEach(id -> mHolders.recordHolder(id, r.mBackend));
         }
     }
 
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -166,6 +166,18 @@
         arrive(caller, route, prompt, "body of " + caller);
     }
 
+    /** Sends a request whose deployment is contended. */
+    void arriveContended(long caller, Route route, Prompt prompt) {
+        RequestTerms terms =
+                new RequestTerms(true, 1, 0, Map.of(SERVICE, new EngineCapacity(6, 12_000)));
+        AttemptRequest.Call call =
+                new AttemptRequest.Call("POST", "/" + caller, List.of(), new byte[0], true);
+        RoutedRequest request =
+                new RoutedRequest(
+                        "id" + caller, route, "acc", 5, Duration.ofSeconds(1), call, prompt);
+        step(new DirectEvent.RequestArrived(caller, request.withTerms(terms)));
+    }
+
     /** Sends a request with the given body; requests with equal bodies have the same key. */
     void arrive(long caller, Route route, Prompt prompt, String body) {
         AttemptRequest.Call call =
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.laurelweir.direct.DirectRoutingDriver.GENUINE;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -100,6 +101,58 @@
         assertThat(moved).isPositive();
     }
 
+    // Guards against a part that all prompts begin with, such as instructions, being read by each
+    // engine anew: a settled home is sent to a server that holds it, and not to one by rank.
+    @Test
+    void newDocumentFetchesItsFirstPartFromAServerThatHoldsIt() {
+        Prompt.Part instructions = new Prompt.Part(42, 2500);
+        BeginCall first = null;
+        for (long d = 0; d < DOCUMENT_COUNT; d++) {
+            Prompt.Part document = new Prompt.Part(1000 + d, 6000);
+            Prompt.Part own = new Prompt.Part(5000 + d, 10);
+            Prompt prompt = new Prompt(List.of(instructions, document, own), 8510, 5);
+            mDriver.arriveContended(++mLastCaller, STREAM, prompt);
+            BeginCall call = mDriver.lastCall();
+            if (first == null) {
+                first = call;
+                mDriver.answer(call.call(), 200, GENUINE);
+                mDriver.step(new DirectEvent.Finished(call.call()));
+            } else {
+                boolean isHolder = call.backend().equals(first.backend());
+                assertThat(isHolder || call.fetchFrom().equals(first.address())).isTrue();
+                mDriver.step(new DirectEvent.CallerGone(mLastCaller));
+            }
+        }
+    }
+
+    // Guards against prompts that are read again, since each server that relieves the home asks one
+    // that ranked first until its data centre was emptied, and that holds nothing any more.
+    @Test
+    void serverThatWasEmptiedLongAgoIsNotAskedInPlaceOfTheHome() {
+        mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(1, 9000));
+        mDriver.drain("s1");
+        mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(1, 9000));
+        mDriver.advance(Duration.ofSeconds(11));
+        DirectRoutingDriver other = new DirectRoutingDriver(4);
+        other.drain("s1");
+        int asked = 0;
+        for (long d = 100; d < 100 + DOCUMENT_COUNT; d++) {
+            other.arrive(d, STREAM, promptAbout(d, 9000));
+            mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(d, 9000));
+            BeginCall call = mDriver.lastCall();
+            asked += call.fetchFrom().isEmpty() ? 0 : 1;
+            assertThat(call.fetchFrom()).isNotEqualTo("s1:80");
+            if (!call.backend().equals(other.lastCall().backend())) {
+                assertThat(call.fetchFrom()).isEqualTo(other.lastCall().address());
+            }
+            mDriver.answer(call.call(), 200, GENUINE);
+            mDriver.step(new DirectEvent.Finished(call.call()));
+            other.answer(other.lastCall().call(), 200, GENUINE);
+            other.step(new DirectEvent.Finished(other.lastCall().call()));
+        }
+        assertThat(asked).isPositive();
+    }
+
     @Test
     void failedOrDepartedServerIsNoFetchSource() {
         // The holder becomes unreachable. A fetch from it would delay the retried request.
