Never forward 408, 421, 429 or 503 that proves nothing

A backend server's 503 was forwarded as it was if the request may not be repeated, or if no other server took it; 408 and 429 always were. Callers take these statuses as the promise that the request has not run, and send it again: a payment whose server answered 503 after it had begun ran twice.

Without the not-run header these statuses now count as failures of the server, like a 5xx: a repeatable request goes to another server, and any other caller gets 3004 with 502 at the end of the answer. The answer is still read to its end, so that its connection can be used again and a crash within it is observed.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -283,7 +283,7 @@
         }
         mOutcomes.onHead(r);
         r.acceptHead(e.status(), e.headers(), e.metadata().framing());
-        if (isFailure(e.status())) {
+        if (AnswerStatus.isFailure(e.status())) {
             onFailureStatus(r);
         } else {
             mOutcomes.onPromptRead(r);
@@ -315,13 +315,10 @@
         }
     }
 
-    private static boolean isFailure(int status) {
-        return status >= 500;
-    }
-
     /**
-     * Handles a 5xx answer: the server ran the request and failed. A repeatable request is sent to
-     * another server. If none accepts it, the 5xx answer is forwarded.
+     * Handles the status of a failure: the server ran the request, or may have. A repeatable
+     * request is sent to another server. If none accepts it, the answer is forwarded at its end
+     * unless {@link AnswerStatus} forbids that.
      */
     private void onFailureStatus(ActiveRequest r) {
         mOutcomes.onFailure(r);
@@ -397,6 +394,9 @@
         } else if (r.mHeadSent) {
             end(r, c -> mErrorAnswers.failed(c, "the stream could not be resumed"));
             return;
+        } else if (AnswerStatus.promisesNotRun(r.mStatus)) {
+            end(r, c -> mErrorAnswers.failed(c, AnswerStatus.unprovenMessage(c.mStatus)));
+            return;
         } else {
             emitUnlessDetached(
                     r,
@@ -404,7 +404,7 @@
                             r.mCaller, r.mStatus, r.mHeaders, r.mBody.toByteArray()));
         }
         emit(mDecisions.answered(r, mNow));
-        if (!isFailure(r.mStatus)) {
+        if (!AnswerStatus.isFailure(r.mStatus)) {
             mOutcomes.onSuccess(r);
         }
         remove(r);
