--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFailureTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFailureTest.java
@@ -107,6 +107,24 @@
         }
     }
 
+    // Guards against a 408, which promises "not run", for a request that is run once it is
+    // complete.
+    @Test
+    void requestThatIsCompletedAfterA408IsNotRun() throws Exception {
+        String request = RouterFixture.rawChat("slow");
+        try (Socket socket = mFixture.socket()) {
+            int sent = request.length() - 1;
+            socket.getOutputStream()
+                    .write(request.substring(0, sent).getBytes(StandardCharsets.UTF_8));
+            assertThat((char) socket.getInputStream().read()).isEqualTo('H');
+            socket.getOutputStream()
+                    .write(request.substring(sent).getBytes(StandardCharsets.UTF_8));
+            assertThat("H" + readUntilClosed(socket)).startsWith("HTTP/1.1 408");
+        }
+        mFixture.chat(RouterFixture.chatBody("next"));
+        assertThat(mFixture.mSidecar.mStartedSessions).hasSize(1);
+    }
+
     // Guards against connections over the limit that take descriptors and work of the router while
     // they are refused, and keep their callers from trying another router.
     @Test
