--- a/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
@@ -8,10 +8,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.sums.ReportSources;
 
 /**
  * Adds up the requests in flight of all routers at one control instance, from the routers that
@@ -19,40 +19,20 @@
  * server is the sum over all routers.
  */
 public final class LoadTable {
-    /** A peer expires after this silence; a live control instance sends an update every second. */
-    static final Duration PEER_TIMEOUT = Duration.ofMillis(1500);
-
-    /** A count of a peer expires after this time, in which the peer sends three full updates. */
-    static final Duration PEER_COUNT_TIMEOUT = Duration.ofMillis(3500);
+    static final Duration PEER_TIMEOUT = ReportSources.PEER_TIMEOUT;
 
     /** Interval of the full updates for the peers. */
     private static final Duration FULL_UPDATE_INTERVAL = Duration.ofSeconds(1);
 
-    /**
-     * Number of exchange intervals after which a silent router expires: it has ended, or reports to
-     * another control instance.
-     */
-    private static final int ROUTER_TIMEOUT_INTERVALS = 5;
-
     /** Minimum number of requests that makes a prompt part hot; a single home handles fewer. */
     private static final int MIN_HOT_REQUESTS = 3;
 
     private final String mSelf;
-    private final Duration mRouterTimeout;
-    private final Map<String, Instant> mRouters = new HashMap<>();
-    private final Map<String, Peer> mPeers = new HashMap<>();
+    private final ReportSources mSources;
     private final SharedCounts<BackendRef> mServers = new SharedCounts<>();
     private final SharedCounts<Long> mParts = new SharedCounts<>();
     private Instant mNextFullUpdate = Instant.MIN;
 
-    /**
-     * Another control instance that sends the loads of its routers.
-     *
-     * @param routers the number of routers that report to it; 0 until its first full update
-     * @param lastUpdate the time of its last update
-     */
-    private record Peer(int routers, Instant lastUpdate) {}
-
     /**
      * Creates an empty table.
      *
@@ -61,7 +41,7 @@
      */
     public LoadTable(String self, Duration exchangeInterval) {
         mSelf = self;
-        mRouterTimeout = exchangeInterval.multipliedBy(ROUTER_TIMEOUT_INTERVALS);
+        mSources = new ReportSources(exchangeInterval);
     }
 
     /**
@@ -70,10 +50,9 @@
      * report next.
      */
     public void onRouterReport(Instant now, String router, LoadReport report) {
-        if (!report.full() && !mRouters.containsKey(router)) {
+        if (!mSources.acceptRouter(now, router, report.full())) {
             return;
         }
-        mRouters.put(router, now);
         Map<BackendRef, Integer> servers = new HashMap<>();
         report.servers().forEach(l -> servers.put(l.server(), l.requests()));
         Map<Long, Integer> parts = new HashMap<>();
@@ -90,10 +69,7 @@
     /** Applies the update of a peer. */
     public void onPeerLoads(Instant now, PeerLoads update) {
         String peer = update.control();
-        boolean isKnown =
-                update.sums().full()
-                        || (mPeers.containsKey(peer) && mPeers.get(peer).routers() > 0);
-        mPeers.put(peer, new Peer(isKnown ? update.routers() : 0, now));
+        mSources.onPeerUpdate(now, peer, update.routers(), update.sums().full());
         update.sums()
                 .servers()
                 .forEach(l -> mServers.putPeerCount(now, peer, l.server(), l.requests()));
@@ -105,7 +81,7 @@
      * changed and no full update is due.
      */
     public PeerLoads takePeerUpdate(Instant now) {
-        boolean isFull = !now.isBefore(mNextFullUpdate) && !mRouters.isEmpty();
+        boolean isFull = !now.isBefore(mNextFullUpdate) && mSources.localRouters() > 0;
         if (isFull) {
             mNextFullUpdate = now.plus(FULL_UPDATE_INTERVAL);
             mServers.markAllPending();
@@ -117,44 +93,30 @@
         mServers.takePending((ref, n) -> servers.add(new BackendLoad(ref, n)));
         List<PartLoad> parts = new ArrayList<>();
         mParts.takePending((part, n) -> parts.add(new PartLoad(part, n)));
-        return new PeerLoads(mSelf, mRouters.size(), new LoadReport(isFull, servers, parts));
+        return new PeerLoads(
+                mSelf, mSources.localRouters(), new LoadReport(isFull, servers, parts));
     }
 
     /** Removes the routers and peers that are silent, and the counts that peers do not repeat. */
     public void expire(Instant now) {
-        timedOut(mRouters, now, at -> at, mRouterTimeout).forEach(this::removeRouter);
-        timedOut(mPeers, now, Peer::lastUpdate, PEER_TIMEOUT).forEach(this::removePeer);
-        mServers.expire(now, PEER_COUNT_TIMEOUT);
-        mParts.expire(now, PEER_COUNT_TIMEOUT);
-    }
-
-    private static <S> List<String> timedOut(
-            Map<String, S> sources, Instant now, Function<S, Instant> lastHeard, Duration timeout) {
-        return sources.entrySet().stream()
-                .filter(e -> hasElapsed(now, lastHeard.apply(e.getValue()), timeout))
-                .map(Map.Entry::getKey)
-                .toList();
+        mSources.expire(now, this::removeRouter, this::removePeer);
+        mServers.expire(now, ReportSources.PEER_SUM_TIMEOUT);
+        mParts.expire(now, ReportSources.PEER_SUM_TIMEOUT);
     }
 
     private void removeRouter(String router) {
-        mRouters.remove(router);
         mServers.removeSource(router);
         mParts.removeSource(router);
     }
 
     private void removePeer(String peer) {
-        mPeers.remove(peer);
         mServers.removePeer(peer);
         mParts.removePeer(peer);
     }
 
-    private static boolean hasElapsed(Instant now, Instant since, Duration time) {
-        return !now.isBefore(since.plus(time));
-    }
-
     /** Returns the number of routers whose requests are known. */
     public int routers() {
-        return mRouters.size() + mPeers.values().stream().mapToInt(Peer::routers).sum();
+        return mSources.routers();
     }
 
     /** Returns the number of requests that are known to be in flight. */
