--- a/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionDigest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionDigest.java
@@ -21,11 +21,15 @@
         List<AccountDemand> accounts,
         long accountTokens,
         int accountCount) {
-    /** Maximum number of backend servers in a digest, which bounds the size of an exchange. */
-    public static final int MAX_SERVERS = 128;
+    /**
+     * Maximum number of backend servers in a digest. Together with the largest load digest, 128
+     * servers and 64 accounts made an answer of 11,256 bytes, above the 8,100 bytes that a router
+     * may receive in one exchange interval.
+     */
+    public static final int MAX_SERVERS = 48;
 
-    /** Maximum number of client accounts in a digest. */
-    public static final int MAX_ACCOUNTS = 64;
+    /** Maximum number of client accounts in a digest, for the same reason. */
+    public static final int MAX_ACCOUNTS = 32;
 
     /** A digest without any demand, from a process that knows none. */
     public static final ContentionDigest NONE =
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionTable.java
@@ -120,6 +120,11 @@
         mAccounts.removePeer(peer);
     }
 
+    /** Returns the number of routers that report here. */
+    public int localRouters() {
+        return mSources.localRouters();
+    }
+
     /** Returns the number of backend servers and client accounts with a sum. */
     public int size() {
         return mServers.size() + mAccounts.size();
@@ -132,7 +137,9 @@
      */
     public ContentionDigest digest(Collection<Backend> backends) {
         Map<String, List<ServerDemand>> byService = new HashMap<>();
+        Set<String> knownIds = new HashSet<>();
         for (Backend b : backends) {
+            knownIds.add(b.ref().id());
             if (b.state() == Backend.State.SERVING) {
                 byService.computeIfAbsent(b.service(), s -> new ArrayList<>()).add(server(b.ref()));
             }
@@ -151,7 +158,7 @@
                 means.entrySet().stream()
                         .map(e -> new MeanDemand(e.getKey(), e.getValue()))
                         .toList(),
-                notable(byService, means),
+                notable(byService, means, unknown(knownIds)),
                 accounts.list().stream().map(this::account).toList(),
                 accountTokens[0],
                 mAccounts.size());
@@ -161,9 +168,27 @@
         return all.stream().mapToLong(ServerDemand::tokens).average().orElse(0);
     }
 
-    /** Returns the backend servers above the mean or with many failures. */
+    /**
+     * Returns the demand at backend servers that are not in the membership. A control instance that
+     * has just started knows the demand at many servers before their announcements. They are
+     * listed, since the mean of the others says nothing about them.
+     */
+    private List<ServerDemand> unknown(Set<String> knownIds) {
+        List<ServerDemand> unknown = new ArrayList<>();
+        mServers.forEach(
+                (ref, sum) -> {
+                    if (!knownIds.contains(ref.id())) {
+                        unknown.add(sum.at(ref));
+                    }
+                });
+        return unknown;
+    }
+
+    /** Returns the backend servers above the mean, with many failures, or not in the membership. */
     private static List<ServerDemand> notable(
-            Map<String, List<ServerDemand>> byService, Map<String, Double> means) {
+            Map<String, List<ServerDemand>> byService,
+            Map<String, Double> means,
+            List<ServerDemand> unknown) {
         Largest<ServerDemand> failing = new Largest<>(MAX_FAILING);
         byService
                 .values()
@@ -185,6 +210,8 @@
                         }
                     }
                 });
+        double meanOfAll = mean(byService.values().stream().flatMap(List::stream).toList());
+        unknown.forEach(d -> full.add(d.tokens() / (meanOfAll + 1), d));
         notable.addAll(full.list());
         return notable;
     }
