Exchange the demand of contended deployments

Routers sent control no demand, and got none. The report now goes with the exchange, the digest with its answer, and the sums of control instances with the loads for their peers. A full update of the loads carries all sums too, so that both count the same routers; a router that lacks in one of them, after a restart of control, does not count. LoadDigestLogger becomes DigestLogger, which also logs DEMAND_TOLD and DEMAND_NOT_TOLD.

A router that never recorded demand adds no byte to a request, and gets no digest; neither do messages between control instances grow (ContentionCodecTest, ContentionFleetTest, DemandExchangeTest).

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlRpc.java
@@ -16,6 +16,7 @@
 import org.laurelweir.quarantine.CrashReport;
 import org.laurelweir.runtime.process.ElapsedClock;
 import org.laurelweir.settings.NodePath;
+import org.laurelweir.wire.ContentionCodec;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.LoadCodec;
@@ -134,7 +135,8 @@
                                         new CrashReport(
                                                 r.getCrashesSeen(),
                                                 CrashCodec.toCore(r.getCrashesList())),
-                                        LoadCodec.toCore(r.getLoads())));
+                                        LoadCodec.toCore(r.getLoads()),
+                                        ContentionCodec.toCore(r.getContention())));
         if (cursor.equals(MembershipCursor.NONE)) {
             answer.run();
         } else {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/Replies.java
@@ -17,6 +17,7 @@
 import org.laurelweir.coordination.ControlEffect.AnswerStreamRecorded;
 import org.laurelweir.settings.NodeFault;
 import org.laurelweir.settings.SettingsAnswer;
+import org.laurelweir.wire.ContentionCodec;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.IdCodec;
 import org.laurelweir.wire.LoadCodec;
@@ -55,6 +56,7 @@
                         .setCrashesVersion(a.crashes().version())
                         .addAllCrashes(CrashCodec.toWire(a.crashes().records()))
                         .setLoadDigest(LoadCodec.toWire(a.digest()));
+        ContentionCodec.addTo(reply, a.contention());
         PlacementRulesCodec.addTo(reply, a.rules());
         a.loads().forEach(l -> reply.addLoads(MembershipCodec.toWire(l)));
         if (a.orders() != null) {
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/WireBytesMeasurement.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/WireBytesMeasurement.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.laurelweir.contention.ContentionReport;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.load.LoadReport;
 import org.laurelweir.membership.Backend;
@@ -91,7 +92,14 @@
         if (id < 0) {
             RouterReport report =
                     new RouterReport("router-1", 1, "bergen", "vestkyst", "10.0.1.1:80", "");
-            return client.exchange(report, cursor, 0, CrashReport.NONE, LoadReport.NONE).get();
+            return client.exchange(
+                            report,
+                            cursor,
+                            0,
+                            CrashReport.NONE,
+                            LoadReport.NONE,
+                            ContentionReport.NONE)
+                    .get();
         }
         Backend b =
                 new Backend(
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/ExchangeReplies.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/rpc/ExchangeReplies.java
@@ -4,6 +4,7 @@
 import org.laurelweir.coordination.ControlEffect.AnswerExchange;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.quarantine.CrashReport;
+import org.laurelweir.wire.ContentionCodec;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.LoadCodec;
 import org.laurelweir.wire.MembershipCodec;
@@ -31,7 +32,8 @@
                             r.getSettingsPosition(),
                             new CrashReport(
                                     r.getCrashesSeen(), CrashCodec.toCore(r.getCrashesList())),
-                            LoadCodec.toCore(r.getLoads()));
+                            LoadCodec.toCore(r.getLoads()),
+                            ContentionCodec.toCore(r.getContention()));
         } catch (InvalidProtocolBufferException e) {
             throw new IllegalArgumentException(e);
         }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/rpc/ControlExchange.java
@@ -76,7 +76,8 @@
                         exchange.cursor(),
                         position(),
                         exchange.crashes(),
-                        exchange.loads())
+                        exchange.loads(),
+                        exchange.contention())
                 .whenComplete((answer, failure) -> onAnswer(requestedAt, answer, failure));
     }
 
@@ -110,7 +111,8 @@
                         answer.digest(),
                         answer.loads(),
                         answer.routers(),
-                        answer.rules()));
+                        answer.rules(),
+                        answer.contention()));
         // Last, so that the first request served under the lease finds the backend servers.
         answer.settingsAge().ifPresent(age -> mLease.confirm(requestedAt, age));
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeAnswer.java
@@ -3,12 +3,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.laurelweir.contention.ContentionDigest;
 import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.MembershipDelta;
 import org.laurelweir.membership.PlacementRules;
 import org.laurelweir.membership.ServiceLoad;
 import org.laurelweir.quarantine.CrashDelta;
 import org.laurelweir.settings.SettingsDelta;
+import org.laurelweir.wire.ContentionCodec;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.LoadCodec;
 import org.laurelweir.wire.MembershipCodec;
@@ -34,6 +36,7 @@
  * @param settingsAge maximum age, when the answer was made, of the confirmation that the settings
  *     are the newest; empty if they are not confirmed
  * @param rules rules for where requests may go; for routers
+ * @param contention the demand of all routers; for routers that have reported demand
  */
 public record ExchangeAnswer(
         MembershipDelta membership,
@@ -48,7 +51,8 @@
         List<String> controls,
         int routers,
         Optional<Duration> settingsAge,
-        PlacementRules rules) {
+        PlacementRules rules,
+        ContentionDigest contention) {
 
     static ExchangeAnswer of(ExchangeReply reply) {
         return new ExchangeAnswer(
@@ -69,6 +73,7 @@
                                 Duration.ofMillis(
                                         Integer.toUnsignedLong(reply.getSettingsAgeMillis())))
                         : Optional.empty(),
-                PlacementRulesCodec.toCore(reply));
+                PlacementRulesCodec.toCore(reply),
+                ContentionCodec.toCore(reply.getContention()));
     }
 }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ExchangeClient.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.laurelweir.contention.ContentionReport;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
@@ -25,6 +26,7 @@
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.membership.SidecarReport;
 import org.laurelweir.quarantine.CrashReport;
+import org.laurelweir.wire.ContentionCodec;
 import org.laurelweir.wire.CrashCodec;
 import org.laurelweir.wire.LoadCodec;
 import org.laurelweir.wire.MembershipCodec;
@@ -127,6 +129,8 @@
      * @param settingsPosition the log position of the sender's settings
      * @param crashes crashes of backend servers under requests that control does not know yet
      * @param loads the router's requests in flight at backend servers without sidecars
+     * @param contention the demand of the router's requests; {@link ContentionReport#NONE} if it
+     *     never had any
      * @return the answer; fails with a LaurelweirException UNREACHABLE if no instance answers
      */
     public CompletableFuture<ExchangeAnswer> exchange(
@@ -134,14 +138,17 @@
             MembershipCursor cursor,
             long settingsPosition,
             CrashReport crashes,
-            LoadReport loads) {
+            LoadReport loads,
+            ContentionReport contention) {
         return exchange(
                 () ->
-                        request(cursor, settingsPosition)
-                                .setRouter(MembershipCodec.toWire(report))
-                                .setCrashesSeen(crashes.seen())
-                                .addAllCrashes(CrashCodec.toWire(crashes.records()))
-                                .setLoads(LoadCodec.toWire(loads)));
+                        ContentionCodec.addTo(
+                                request(cursor, settingsPosition)
+                                        .setRouter(MembershipCodec.toWire(report))
+                                        .setCrashesSeen(crashes.seen())
+                                        .addAllCrashes(CrashCodec.toWire(crashes.records()))
+                                        .setLoads(LoadCodec.toWire(loads)),
+                                contention));
     }
 
     /**
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.contention.ContentionReport;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.load.LoadReport;
 import org.laurelweir.membership.MembershipCursor;
@@ -80,7 +81,13 @@
     }
 
     private static ExchangeAnswer exchange(ExchangeClient client) throws Exception {
-        return client.exchange(REPORT, MembershipCursor.NONE, 0, CrashReport.NONE, LoadReport.NONE)
+        return client.exchange(
+                        REPORT,
+                        MembershipCursor.NONE,
+                        0,
+                        CrashReport.NONE,
+                        LoadReport.NONE,
+                        ContentionReport.NONE)
                 .get(30, TimeUnit.SECONDS);
     }
 
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/LoadCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/LoadCodec.java
@@ -48,16 +48,21 @@
 
     /** Returns the message of the loads that a control instance shares with its peers. */
     public static org.laurelweir.wire.v1.PeerLoads toWire(PeerLoads l) {
-        return org.laurelweir.wire.v1.PeerLoads.newBuilder()
-                .setControl(l.control())
-                .setRouters(l.routers())
-                .setSums(toWire(l.sums()))
-                .build();
+        org.laurelweir.wire.v1.PeerLoads.Builder loads =
+                org.laurelweir.wire.v1.PeerLoads.newBuilder()
+                        .setControl(l.control())
+                        .setRouters(l.routers())
+                        .setSums(toWire(l.sums()));
+        return ContentionCodec.addTo(loads, l.contention()).build();
     }
 
     /** Returns the loads of a peer that a message holds. */
     public static PeerLoads toCore(org.laurelweir.wire.v1.PeerLoads l) {
-        return new PeerLoads(l.getControl(), l.getRouters(), toCore(l.getSums()));
+        return new PeerLoads(
+                l.getControl(),
+                l.getRouters(),
+                toCore(l.getSums()),
+                ContentionCodec.toCore(l.getContention()));
     }
 
     private static org.laurelweir.wire.v1.BackendLoad toWire(BackendLoad l) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.laurelweir.consensus.ConsensusEffect;
 import org.laurelweir.consensus.Membership;
+import org.laurelweir.contention.ContentionDigest;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.load.LoadDigest;
@@ -60,6 +61,8 @@
      * @param orders orders to the sidecar; null for a router
      * @param routerCount number of routers that serve; 0 for a sidecar
      * @param rules rules for where the router sends requests; empty for a sidecar
+     * @param contention the demand of all routers; empty for a sidecar, and for a router whose
+     *     report had none or could not be applied
      */
     record AnswerExchange(
             long call,
@@ -71,7 +74,8 @@
             boolean possiblyStale,
             SidecarOrders orders,
             int routerCount,
-            PlacementRules rules)
+            PlacementRules rules,
+            ContentionDigest contention)
             implements Answer {}
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.laurelweir.consensus.ConsensusEvent;
 import org.laurelweir.consensus.MembershipChange;
+import org.laurelweir.contention.ContentionReport;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.load.LoadReport;
 import org.laurelweir.load.PeerLoads;
@@ -40,6 +41,8 @@
      * A router reports its state and requests the changes since its last exchange.
      *
      * @param loads the load that the router has at backend servers without sidecars
+     * @param contention the demand of the router's requests; {@link ContentionReport#NONE} if it
+     *     never had any
      */
     record RouterExchanged(
             long call,
@@ -47,8 +50,20 @@
             MembershipCursor cursor,
             long settingsPosition,
             CrashReport crashes,
-            LoadReport loads)
-            implements ControlEvent {}
+            LoadReport loads,
+            ContentionReport contention)
+            implements ControlEvent {
+        /** Creates the exchange of a router that never had any demand. */
+        public RouterExchanged(
+                long call,
+                RouterReport report,
+                MembershipCursor cursor,
+                long settingsPosition,
+                CrashReport crashes,
+                LoadReport loads) {
+            this(call, report, cursor, settingsPosition, crashes, loads, ContentionReport.NONE);
+        }
+    }
 
     /**
      * A backend server without a sidecar announces itself.
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -55,6 +55,7 @@
     private final IgnoredAnnouncementLogger mIgnoredAnnouncementLogger;
     private final CrashSharing mCrashSharing;
     private final LoadSharing mLoadSharing;
+    private final ContentionSharing mContentionSharing;
     private final StreamRecords mStreamRecords;
     private Instant mNextReport = Instant.MIN;
     private Instant mNow;
@@ -82,6 +83,7 @@
         mQuorumMonitor = new QuorumMonitor(config, mReplica, peerStatuses);
         mCrashSharing = new CrashSharing(config);
         mLoadSharing = new LoadSharing(config, mMembership);
+        mContentionSharing = new ContentionSharing(config, mMembership);
         mExchanges =
                 new ExchangeHandler(
                         mMembership,
@@ -89,6 +91,7 @@
                         mRouters,
                         mCrashSharing,
                         mLoadSharing,
+                        mContentionSharing,
                         new SlowStartPermits(this::slowStartRate),
                         mDecisionLogger);
         mQueries =
@@ -113,7 +116,8 @@
                         mQuorumMonitor,
                         mPeers,
                         mCrashSharing,
-                        mLoadSharing);
+                        mLoadSharing,
+                        mContentionSharing);
     }
 
     @Override
@@ -151,6 +155,7 @@
             mMembership.mergeAnnouncements(mNow, e.announcements());
             mCrashSharing.onPeerAnnouncement(mNow, e.crashes());
             mLoadSharing.onPeerLoads(mNow, e.loads());
+            mContentionSharing.onPeerLoads(mNow, e.loads());
         } else if (event instanceof StreamOriginRecorded e) {
             mStreamRecords.record(mNow, e, mEffects);
         } else if (event instanceof StreamOriginRequested e) {
@@ -176,6 +181,7 @@
         mRouters.expire(mNow);
         mCrashSharing.expire(mNow);
         mLoadSharing.expire(mNow);
+        mContentionSharing.expire(mNow);
         mPeerSharing.tick(mNow, mEffects);
         mReplicaRepair.tick(mNow, mEffects);
         mQuorumMonitor.tick(mNow, mEffects);
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ExchangeHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ExchangeHandler.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.function.Consumer;
+import org.laurelweir.contention.ContentionDigest;
 import org.laurelweir.coordination.ControlEffect.AnswerExchange;
 import org.laurelweir.coordination.ControlEffect.SidecarOrders;
 import org.laurelweir.coordination.ControlEvent.RouterExchanged;
@@ -28,6 +29,7 @@
     private final RouterTable mRouters;
     private final CrashSharing mCrashSharing;
     private final LoadSharing mLoadSharing;
+    private final ContentionSharing mContentionSharing;
     private final SlowStartPermits mSlowStartPermits;
     private final DecisionLogger mDecisionLogger;
 
@@ -37,11 +39,13 @@
             RouterTable routers,
             CrashSharing crashSharing,
             LoadSharing loadSharing,
+            ContentionSharing contentionSharing,
             SlowStartPermits slowStartPermits,
             DecisionLogger decisionLogger) {
         mSlowStartPermits = slowStartPermits;
         mCrashSharing = crashSharing;
         mLoadSharing = loadSharing;
+        mContentionSharing = contentionSharing;
         mDecisionLogger = decisionLogger;
         mMembership = membership;
         mReplica = replica;
@@ -65,12 +69,15 @@
                         isPossiblyStale(now, e.settingsPosition()),
                         orders,
                         0,
-                        PlacementRules.NONE));
+                        PlacementRules.NONE,
+                        ContentionDigest.NONE));
     }
 
     void answer(Instant now, RouterExchanged e, Consumer<? super ControlEffect> effects) {
         mCrashSharing.onRouterReport(now, e.crashes().records());
         mLoadSharing.onRouterReport(now, e.report().name(), e.loads());
+        ContentionDigest contention =
+                mContentionSharing.onRouterReport(now, e.report().name(), e.contention());
         mRouters.put(new RouterInstanceStatus(e.report(), e.settingsPosition(), now));
         SettingsDelta settings = settings(e.settingsPosition());
         if (settings.full()) {
@@ -87,7 +94,8 @@
                         isPossiblyStale(now, e.settingsPosition()),
                         null,
                         mRouters.count(),
-                        rules(now, e.report().name())));
+                        rules(now, e.report().name()),
+                        contention));
     }
 
     private boolean isDrainOrdered(Backend b) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LoadSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LoadSharing.java
@@ -71,6 +71,11 @@
         return mLoads.takePeerUpdate(now);
     }
 
+    /** Returns the number of routers that report here. */
+    int localRouters() {
+        return mLoads.localRouters();
+    }
+
     /** Returns the number of requests that routers have reported as running at backend servers. */
     int requestCount() {
         return mLoads.requests();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/PeerSharing.java
@@ -32,6 +32,7 @@
     private final ControlPeers mPeers;
     private final CrashSharing mCrashSharing;
     private final LoadSharing mLoadSharing;
+    private final ContentionSharing mContentionSharing;
     private final List<Announcement> mPendingAnnouncements = new ArrayList<>();
     private Instant mNextRound = Instant.MIN;
     private int mRound;
@@ -45,9 +46,11 @@
             QuorumMonitor quorumMonitor,
             ControlPeers peers,
             CrashSharing crashSharing,
-            LoadSharing loadSharing) {
+            LoadSharing loadSharing,
+            ContentionSharing contentionSharing) {
         mCrashSharing = crashSharing;
         mLoadSharing = loadSharing;
+        mContentionSharing = contentionSharing;
         mConfig = config;
         mMembership = membership;
         mReplica = replica;
@@ -65,7 +68,9 @@
     /** Sends the changes that do not wait for the next update. */
     void flush(Instant now, Consumer<? super ControlEffect> effects) {
         List<CrashRecord> crashes = mCrashSharing.takePeerUpdate();
-        PeerLoads loads = mLoadSharing.takePeerUpdate(now);
+        PeerLoads loads =
+                mContentionSharing.addTo(
+                        now, mLoadSharing.takePeerUpdate(now), mLoadSharing.localRouters());
         if (mPendingAnnouncements.isEmpty() && crashes.isEmpty() && loads.isEmpty()) {
             return;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/load/LoadTable.java
@@ -114,6 +114,11 @@
         mParts.removePeer(peer);
     }
 
+    /** Returns the number of routers that report here. */
+    public int localRouters() {
+        return mSources.localRouters();
+    }
+
     /** Returns the number of routers whose requests are known. */
     public int routers() {
         return mSources.routers();
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/ExchangeScheduler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/ExchangeScheduler.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.membership.MembershipCursor;
 
@@ -31,7 +32,12 @@
      * answers the older could arrive last and move the cursor back. Unsent crash records don't wait
      * for the interval to end.
      */
-    void onTick(Step s, MembershipCursor cursor, CrashSharing crashes, LoadEstimator loads) {
+    void onTick(
+            Step s,
+            MembershipCursor cursor,
+            CrashSharing crashes,
+            LoadEstimator loads,
+            FleetDemand demand) {
         Instant due = mLastAnswered && crashes.hasUnacknowledgedRecords() ? mNextUrgentAt : mNextAt;
         if (mInFlight || s.now().isBefore(due)) {
             return;
@@ -41,7 +47,10 @@
         mNextUrgentAt = s.now().plus(MIN_INTERVAL);
         s.emit(
                 new RouterEffect.SendExchange(
-                        cursor, crashes.report(s.now()), loads.report(s.now())));
+                        cursor,
+                        crashes.report(s.now()),
+                        loads.report(s.now()),
+                        demand.report(s.now())));
     }
 
     /** Handles the end of the exchange in flight, which was answered or failed. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEffect.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.contention.ContentionReport;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
@@ -88,8 +89,17 @@
     /** Carry out an effect for a request that is routed without sidecars. */
     record Direct(DirectEffect effect) implements RouterEffect {}
 
-    /** Exchange with a control instance. */
-    record SendExchange(MembershipCursor cursor, CrashReport crashes, LoadReport loads)
+    /**
+     * Exchange with a control instance.
+     *
+     * @param contention the demand of this router's requests; {@link ContentionReport#NONE} if it
+     *     never had any
+     */
+    record SendExchange(
+            MembershipCursor cursor,
+            CrashReport crashes,
+            LoadReport loads,
+            ContentionReport contention)
             implements RouterEffect {}
 
     /** Log a decision and keep it for {@code explain}. */
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.laurelweir.attempt.AttemptFrame;
 import org.laurelweir.attempt.AttemptState;
+import org.laurelweir.contention.ContentionDigest;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
@@ -71,6 +72,8 @@
      * @param loads the mean work of services with sidecars
      * @param routers the number of routers that serve, this one included, or 0 if unknown
      * @param rules rules for where requests may go
+     * @param contention the demand of all routers; {@link ContentionDigest#NONE} if this router has
+     *     reported none
      */
     record ExchangeAnswered(
             MembershipDelta membership,
@@ -78,8 +81,20 @@
             LoadDigest digest,
             List<ServiceLoad> loads,
             int routers,
-            PlacementRules rules)
-            implements RouterEvent {}
+            PlacementRules rules,
+            ContentionDigest contention)
+            implements RouterEvent {
+        /** Creates the answer to a router that has reported no demand. */
+        public ExchangeAnswered(
+                MembershipDelta membership,
+                CrashDelta crashes,
+                LoadDigest digest,
+                List<ServiceLoad> loads,
+                int routers,
+                PlacementRules rules) {
+            this(membership, crashes, digest, loads, routers, rules, ContentionDigest.NONE);
+        }
+    }
 
     /** An event of a request that is routed without sidecars. */
     record Direct(DirectEvent event) implements RouterEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -38,8 +38,9 @@
     private final CrashSharing mCrashSharing;
     private final LoadEstimator mLoads = new LoadEstimator();
     private final SlowStartLimiter mSlowStarts = new SlowStartLimiter();
-    private final LoadDigestLogger mLoadDigestLogger = new LoadDigestLogger(mLoads);
+    private final DigestLogger mLoadDigestLogger = DigestLogger.ofLoads(mLoads);
     private final FleetDemand mDemand = new FleetDemand();
+    private final DigestLogger mDemandDigestLogger = DigestLogger.ofDemand(mDemand);
     private boolean mStopping;
 
     /**
@@ -90,6 +91,7 @@
         } else if (event instanceof RouterEvent.ExchangeFailed) {
             mExchanges.onEnded(false);
             mLoads.requestFullReport();
+            mDemand.requestFullReport();
         } else if (event instanceof RouterEvent.Direct e) {
             stepDirect(s, e.event());
         } else if (event instanceof RouterEvent.StopRequested) {
@@ -112,6 +114,7 @@
         mExchanges.onEnded(answer.membership().full() || mMemberships.hasFullView());
         if (!answer.membership().cursor().isSameIncarnation(mMemberships.cursor())) {
             mLoads.requestFullReport();
+            mDemand.requestFullReport();
         }
         applyRules(s, answer.rules());
         mMemberships.apply(s.now(), answer.membership());
@@ -123,6 +126,7 @@
         mPlacements.onMeanLoads(answer.loads());
         mLimits.onRouterCount(s.now(), answer.routers());
         mLoads.onDigest(answer.digest(), mLimits.routerCount(), this::serviceOf);
+        mDemand.onDigest(answer.contention(), mLimits.routerCount());
     }
 
     /** Applies control's rules, before the membership, so that new backend servers obey them. */
@@ -147,7 +151,8 @@
         stepDirect(s, new DirectEvent.Tick());
         mCrashes.expire(s.now());
         mLoadDigestLogger.onTick(s, mMemberships.cursor());
-        mExchanges.onTick(s, mMemberships.cursor(), mCrashSharing, mLoads);
+        mDemandDigestLogger.onTick(s, mMemberships.cursor());
+        mExchanges.onTick(s, mMemberships.cursor(), mCrashSharing, mLoads, mDemand);
     }
 
     private void onRequestEvent(Step s, RouterEvent event) {
--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetRouter.java
@@ -172,7 +172,13 @@
                 mControlIndex,
                 call ->
                         new ControlEvent.RouterExchanged(
-                                call, report, e.cursor(), 0, e.crashes(), e.loads()),
+                                call,
+                                report,
+                                e.cursor(),
+                                0,
+                                e.crashes(),
+                                e.loads(),
+                                e.contention()),
                 answer -> {
                     if (run == mStarts && !ended[0]) {
                         ended[0] = true;
@@ -209,6 +215,12 @@
 
     private static RouterEvent exchangeAnswered(AnswerExchange a) {
         return new RouterEvent.ExchangeAnswered(
-                a.membership(), a.crashes(), a.digest(), a.loads(), a.routerCount(), a.rules());
+                a.membership(),
+                a.crashes(),
+                a.digest(),
+                a.loads(),
+                a.routerCount(),
+                a.rules(),
+                a.contention());
     }
 }
