Read the work time in the load header of backend servers

The load header has a fourth number: how long work currently takes on the server's machine, in percent of the usual. It was dropped. AnswerReader now reads it if it is within 10 to 10,000; otherwise the work time is unknown, which is logged at most once a minute, and the other three numbers are kept. AnswerReaderTest passes.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -19,6 +19,8 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final int MISDIRECTED = 421;
     private static final int LOAD_FIELDS = 3;
+    private static final int MIN_WORK_TIME_PERCENT = 10;
+    private static final int MAX_WORK_TIME_PERCENT = 10_000;
 
     private final HttpDialect mDialect;
 
@@ -67,7 +69,10 @@
                     new AnswerMetadata.ReportedLoad(
                             Integer.parseInt(numbers[0].strip()),
                             Integer.parseInt(numbers[1].strip()),
-                            Integer.parseInt(numbers[2].strip())));
+                            Integer.parseInt(numbers[2].strip()),
+                            numbers.length > LOAD_FIELDS
+                                    ? workTimePercent(numbers[LOAD_FIELDS].strip())
+                                    : AnswerMetadata.ReportedLoad.UNKNOWN_WORK_TIME));
         } catch (NumberFormatException e) {
             // The router then relies on its own counts, as it does without the header.
             sLogger.atInfo().atMostEvery(1, TimeUnit.MINUTES).log(
@@ -75,4 +80,20 @@
             return Optional.empty();
         }
     }
+
+    /** Reads the work time, without which the router relies on the speed that it has learned. */
+    private static int workTimePercent(String value) {
+        try {
+            int percent = Integer.parseInt(value);
+            if (percent >= MIN_WORK_TIME_PERCENT && percent <= MAX_WORK_TIME_PERCENT) {
+                return percent;
+            }
+        } catch (NumberFormatException e) {
+            // Logged below, as an implausible value is.
+        }
+        sLogger.atInfo().atMostEvery(1, TimeUnit.MINUTES).log(
+                "ignored work time \"%s\" in the load of a backend server, expected %d to %d",
+                value, MIN_WORK_TIME_PERCENT, MAX_WORK_TIME_PERCENT);
+        return AnswerMetadata.ReportedLoad.UNKNOWN_WORK_TIME;
+    }
 }
--- /dev/null
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/AnswerReaderTest.java
@@ -0,0 +1,55 @@
+package org.laurelweir.router.direct;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.laurelweir.answer.BodyFraming;
+import org.laurelweir.direct.AnswerMetadata.ReportedLoad;
+import org.laurelweir.router.http.HttpDialect;
+
+/** Tests the load header of backend servers. */
+class AnswerReaderTest {
+    private static final HttpDialect DIALECT = HttpDialect.DEFAULT;
+
+    private static Optional<ReportedLoad> load(String header) {
+        HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers().set(DIALECT.load(), header);
+        return new AnswerReader(DIALECT).metadata("id", response, BodyFraming.LENGTH).load();
+    }
+
+    @Test
+    void fourthNumberIsTheWorkTime() {
+        assertThat(load("3, 1, 6, 250")).contains(new ReportedLoad(3, 1, 6, 250));
+        assertThat(load("3,1,6,10")).contains(new ReportedLoad(3, 1, 6, 10));
+        assertThat(load("3,1,6,10000")).contains(new ReportedLoad(3, 1, 6, 10_000));
+    }
+
+    // Guards against a wrong figure that steers requests, and against losing the other three.
+    @Test
+    void missingMalformedOrImplausibleWorkTimeIsUnknown() {
+        List<String> headers =
+                List.of(
+                        "3,1,6",
+                        "3,1,6,",
+                        "3,1,6, ",
+                        "3,1,6,x",
+                        "3,1,6,9",
+                        "3,1,6,10001",
+                        "3,1,6,-250",
+                        "3,1,6,99999999999");
+        assertThat(headers).allMatch(h -> load(h).equals(Optional.of(new ReportedLoad(3, 1, 6))));
+    }
+
+    @Test
+    void loadWithLessThanThreeNumbersIsIgnored() {
+        assertThat(load("3,1")).isEmpty();
+        assertThat(load("3,x,6,250")).isEmpty();
+    }
+}
