Choose servers of contended requests by predicted time, memory and failures

Where requests compete for the engines' memory, the choice by rank and load alone sends prompts to engines that have no memory for them, or whose prefill is far behind, and requests that may run once to servers that fail.

The new package demand estimates the demand of a request, its output by route, and the speeds of services and of server incarnations, from this router's own calls and from reported work times. ContendedChoice uses them for requests of contended deployments only: engines by memory, predicted time to the first event and failure rate, plain servers by failure class and by load in proportion to speed. ContendedCalls records the tokens and outcomes of such calls in FleetDemand. PartHolders keeps the time at which a server had a part.

--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/RequestDemand.java
@@ -0,0 +1,30 @@
+package org.laurelweir.demand;
+
+/**
+ * What a request demands of an engine.
+ *
+ * @param sharedTokens tokens of the prompt's parts that other prompts may share
+ * @param ownTokens tokens of the rest of the prompt
+ * @param outputTokens number of tokens that the engine is expected to generate
+ */
+public record RequestDemand(int sharedTokens, int ownTokens, int outputTokens) {
+    /** The demand of a request without a prompt. */
+    public static final RequestDemand NONE = new RequestDemand(0, 0, 0);
+
+    /**
+     * Returns the number of tokens that the engine has to prefill.
+     *
+     * @param isCached whether the engine has the shared parts cached
+     */
+    public long prefillTokens(boolean isCached) {
+        return isCached ? ownTokens : (long) sharedTokens + ownTokens;
+    }
+
+    /**
+     * Returns the number of tokens of the engine's memory that the request takes by its end, beside
+     * the shared parts that the engine has cached.
+     */
+    public long heldTokens(boolean isCached) {
+        return prefillTokens(isCached) + outputTokens;
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -31,6 +31,7 @@
     private final FleetRetryBudget mBudget;
     private final CrashGuard mCrashGuard;
     private final RequestDecisions mDecisions;
+    private final ContendedCalls mContended;
     private final Long2ObjectHashMap<ActiveRequest> mByCall = new Long2ObjectHashMap<>();
     private long mLastCall;
     private Instant mNow;
@@ -44,7 +45,8 @@
             FetchSource fetchSource,
             FleetRetryBudget budget,
             CrashGuard crashGuard,
-            RequestDecisions decisions) {
+            RequestDecisions decisions,
+            ContendedCalls contended) {
         mBackends = backends;
         mLoads = loads;
         mSlowStarts = slowStarts;
@@ -53,6 +55,7 @@
         mBudget = budget;
         mCrashGuard = crashGuard;
         mDecisions = decisions;
+        mContended = contended;
     }
 
     /** Sets the time and the receiver of effects for one step of the reducer. */
@@ -101,6 +104,7 @@
         mByCall.put(r.mCall, r);
         mLoads.onRequestSent(backend.ref(), r.sharedPartId());
         mSlowStarts.onRequestSent(mNow, backend.ref());
+        mContended.onSent(r, choice, mNow);
         String fetchFrom = mFetchSource.addressFor(r, backend.ref(), mNow);
         mEffects.accept(mDecisions.serverChosen(r, choice, fetchFrom, mNow));
         mEffects.accept(
@@ -133,6 +137,7 @@
         r.mCall = call;
         mByCall.put(call, r);
         mLoads.onRequestSent(r.mBackend, r.sharedPartId());
+        mContended.onContinued(r, mNow);
         return false;
     }
 
@@ -141,6 +146,7 @@
         if (r.mCall != 0) {
             mByCall.remove(r.mCall);
             mLoads.onRequestEnded(r.mBackend, r.sharedPartId());
+            mContended.onEnded(r, mNow);
             r.mCall = 0;
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
@@ -31,6 +31,12 @@
     /** Number of random candidates; two bring the load of the fullest server close to the mean. */
     private static final int RANDOM_CANDIDATES = 2;
 
+    /**
+     * The same for plain servers of a contended deployment. These services have three or four
+     * servers, and two of them may fail at the same time.
+     */
+    private static final int CONTENDED_PLAIN_CANDIDATES = 4;
+
     private final BackendSource mBackends;
     private final LoadEstimator mLoads;
     private final CandidateFilter mFilter;
@@ -116,7 +122,7 @@
     private void addRandom(
             ActiveRequest r, Instant now, boolean withEjected, Map<String, Candidate> found) {
         List<Candidate> serving = serving(r.mService).mCandidates;
-        int maxSize = found.size() + RANDOM_CANDIDATES;
+        int maxSize = found.size() + randomCount(r);
         int start = serving.isEmpty() ? 0 : mRandom.nextInt(serving.size());
         for (int i = 0; i < serving.size() && found.size() < maxSize; i++) {
             Candidate c = serving.get((start + i * stride(serving.size())) % serving.size());
@@ -126,6 +132,13 @@
         }
     }
 
+    private static int randomCount(ActiveRequest r) {
+        boolean isPlain = !r.mRequest.prompt().isPresent();
+        return isPlain && r.mRequest.terms().contended()
+                ? CONTENDED_PLAIN_CANDIDATES
+                : RANDOM_CANDIDATES;
+    }
+
     /**
      * Returns a stride that has no common divisor with the size, and so visits every server once.
      */
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
@@ -0,0 +1,238 @@
+package org.laurelweir.direct;
+
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.laurelweir.direct.ServerChoice.CandidateLoad;
+import org.laurelweir.direct.ServerChoice.Choice;
+import org.laurelweir.placement.Candidate;
+
+/**
+ * Chooses among the candidates of a request whose deployment is contended: by the memory of the
+ * engines, the predicted time to the first event, and the failure rate over all routers.
+ */
+final class ContendedChoice {
+    /**
+     * Share of the objective up to which a server is taken by its rank. Predictions lack the
+     * requests of the last exchange interval; the rest of the objective is for those.
+     */
+    private static final double SAFE_SHARE = 0.5;
+
+    /** Step of the failure rate; smaller differences are chance, at a few requests a second. */
+    private static final double FAILURE_RATE_STEP = 0.05;
+
+    /** Keeps a rate that is a multiple of the step from falling below it by rounding. */
+    private static final double ROUNDING = 1e-9;
+
+    /** Time lost with a failed run of a plain server, in runs: the run itself. */
+    private static final double FAILED_RUN_COST = 1;
+
+    /**
+     * Number of plain servers that are compared by load. If all routers took the least loaded one
+     * of all, they would all take the same one until the next exchange.
+     */
+    private static final int COMPARED_PLAIN_SERVERS = 2;
+
+    private final ServerChoice mChoice;
+    private final ServerTable mServers;
+    private final ContendedCalls mCalls;
+    private final SplittableRandom mRandom;
+
+    ContendedChoice(
+            ServerChoice choice,
+            ServerTable servers,
+            ContendedCalls calls,
+            SplittableRandom random) {
+        mChoice = choice;
+        mServers = servers;
+        mCalls = calls;
+        mRandom = random;
+    }
+
+    /**
+     * An engine that has room for a request.
+     *
+     * @param failureClass lower is better; 0 for all if the request can be repeated
+     * @param millis the predicted time to the first event, with the expected time lost by a
+     *     failure; NaN if it can't be predicted
+     */
+    private record Option(CandidateLoad candidate, int failureClass, double millis) {
+        boolean isWithin(double limitMillis) {
+            return Double.isNaN(millis) || millis <= limitMillis;
+        }
+
+        boolean isPredicted() {
+            return !Double.isNaN(millis);
+        }
+    }
+
+    /**
+     * Chooses a server, or none for now if none has room.
+     *
+     * @param all the candidates by rank, the random ones last
+     */
+    Optional<Choice> choose(ActiveRequest r, List<CandidateLoad> all, Instant now) {
+        SpillBound bound = new SpillBound(mChoice.mean(r, all, now));
+        return r.mRequest.prompt().isPresent()
+                ? chooseEngine(r, all, bound, now)
+                : choosePlain(r, all, bound, now);
+    }
+
+    private Optional<Choice> chooseEngine(
+            ActiveRequest r, List<CandidateLoad> all, SpillBound bound, Instant now) {
+        List<CandidateLoad> withMemory = all.stream().filter(c -> hasMemory(r, c, now)).toList();
+        List<Option> options =
+                withMemory.stream()
+                        .filter(mChoice::hasRoom)
+                        .map(c -> option(r, c, now))
+                        .sorted(Comparator.comparingInt(Option::failureClass))
+                        .toList();
+        boolean lacksMemory = !all.isEmpty() && !withMemory.contains(all.get(0));
+        return find(r, options, bound).map(o -> choice(r, o, all, bound, lacksMemory));
+    }
+
+    private Choice choice(
+            ActiveRequest r,
+            Option o,
+            List<CandidateLoad> all,
+            SpillBound bound,
+            boolean lacksMemory) {
+        return mChoice.choice(
+                o.candidate(), reason(r, o, all, bound, lacksMemory), all, bound.upper());
+    }
+
+    /** Returns the reason; without a prediction it is one that other deployments have as well. */
+    private static String reason(
+            ActiveRequest r,
+            Option o,
+            List<CandidateLoad> all,
+            SpillBound bound,
+            boolean lacksMemory) {
+        if (o.candidate().load() > bound.upper()) {
+            return "all_over_bound";
+        }
+        if (lacksMemory) {
+            return "no_memory";
+        }
+        if (!o.isPredicted()) {
+            return o.candidate() == all.get(0) ? "home" : "next";
+        }
+        return o.isWithin(SAFE_SHARE * objectiveMillis(r)) ? "within_target" : "earliest";
+    }
+
+    /**
+     * Returns the first option by failure class and rank whose time is safe; else the earliest in
+     * the lowest class that meets the objective; else the earliest of all. Those above the bound
+     * are the last resort, and then the load decides.
+     */
+    private Optional<Option> find(ActiveRequest r, List<Option> options, SpillBound bound) {
+        double objective = objectiveMillis(r);
+        List<Option> inBound =
+                options.stream().filter(o -> o.candidate().load() <= bound.upper()).toList();
+        int[] classes = options.stream().mapToInt(Option::failureClass).distinct().toArray();
+        for (int failureClass : classes) {
+            Optional<Option> found =
+                    firstSafe(ofClass(options, failureClass), SAFE_SHARE * objective, bound)
+                            .or(
+                                    () ->
+                                            earliest(ofClass(inBound, failureClass))
+                                                    .filter(o -> o.isWithin(objective)));
+            if (found.isPresent()) {
+                return found;
+            }
+        }
+        return earliest(inBound).or(() -> leastLoaded(options));
+    }
+
+    private static List<Option> ofClass(List<Option> options, int failureClass) {
+        return options.stream().filter(o -> o.failureClass() == failureClass).toList();
+    }
+
+    private static Optional<Option> leastLoaded(List<Option> options) {
+        return options.stream().min(Comparator.comparingDouble(o -> o.candidate().load()));
+    }
+
+    private Optional<Option> firstSafe(List<Option> options, double millis, SpillBound bound) {
+        return options.stream()
+                .filter(o -> o.isWithin(millis))
+                .filter(o -> bound.admits(o.candidate().load(), mRandom.nextDouble()))
+                .findFirst();
+    }
+
+    /** Returns the option with the earliest prediction or, without predictions, the least load. */
+    private static Optional<Option> earliest(List<Option> options) {
+        return options.stream()
+                .min(
+                        Comparator.comparingDouble(Option::millis)
+                                .thenComparingDouble(o -> o.candidate().load()));
+    }
+
+    private Option option(ActiveRequest r, CandidateLoad c, Instant now) {
+        double millis = mCalls.predict(r, c.server().ref(), now).firstEventMillis();
+        if (isLostOnFailure(r)) {
+            return new Option(c, failureClass(r, c.server(), now), millis);
+        }
+        // A failure often shows late, as a broken-off or stalled answer: when the objective passed.
+        double lost = failureRate(c.server(), now) * (millis + objectiveMillis(r));
+        return new Option(c, 0, millis + lost);
+    }
+
+    /** Returns whether the memory of a server would hold a request in addition to those there. */
+    private boolean hasMemory(ActiveRequest r, CandidateLoad c, Instant now) {
+        int memory = r.mRequest.terms().engine(r.mService).memoryTokens();
+        if (memory <= 0) {
+            return true;
+        }
+        long held = mCalls.predict(r, c.server().ref(), now).heldTokens();
+        return mCalls.fleet().tokens(now, r.mService, c.server().ref()) + held <= memory;
+    }
+
+    private Optional<Choice> choosePlain(
+            ActiveRequest r, List<CandidateLoad> all, SpillBound bound, Instant now) {
+        List<CandidateLoad> open = all.stream().filter(c -> mChoice.canAccept(r, c)).toList();
+        int best = open.stream().mapToInt(c -> plainClass(r, c, bound, now)).min().orElse(0);
+        return open.stream()
+                .filter(c -> plainClass(r, c, bound, now) == best)
+                .limit(COMPARED_PLAIN_SERVERS)
+                .min(Comparator.comparingDouble(c -> plainCost(r, c, now)))
+                .map(c -> mChoice.choice(c, "least_loaded", all, bound.upper()));
+    }
+
+    /** Returns the class of a plain server; a server above the bound is in a class after all. */
+    private int plainClass(ActiveRequest r, CandidateLoad c, SpillBound bound, Instant now) {
+        if (c.load() > bound.upper()) {
+            return Integer.MAX_VALUE;
+        }
+        return isLostOnFailure(r) ? failureClass(r, c.server(), now) : 0;
+    }
+
+    private double plainCost(ActiveRequest r, CandidateLoad c, Instant now) {
+        int slots = Math.max(1, mChoice.slots(c.server()));
+        double work = (c.load() + 1) * mCalls.slowness(c.server().ref(), now) / slots;
+        return isLostOnFailure(r) ? work : work + failureRate(c.server(), now) * FAILED_RUN_COST;
+    }
+
+    /** Returns whether a failure of the next server loses the request. */
+    private static boolean isLostOnFailure(ActiveRequest r) {
+        return !r.isRepeatable() || r.mAttemptCount + 1 >= r.route().maxAttempts();
+    }
+
+    /**
+     * Returns the class of a server for a request that its failure would lose: by the failure rate
+     * over all routers, then by whether it has failed a request of this router recently.
+     */
+    private int failureClass(ActiveRequest r, Candidate c, Instant now) {
+        int steps = (int) Math.floor(failureRate(c, now) / FAILURE_RATE_STEP + ROUNDING);
+        return 2 * steps + (mServers.isUnreliable(r.mService, c.ref(), now) ? 1 : 0);
+    }
+
+    private double failureRate(Candidate c, Instant now) {
+        return mCalls.fleet().failureRate(now, c.ref());
+    }
+
+    private static double objectiveMillis(ActiveRequest r) {
+        return r.route().objective().toMillis();
+    }
+}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -116,13 +116,15 @@
         mBackends = backends;
         mAnswerMemory = new AnswerMemory(answerLimits);
         mCrashGuard = new CrashGuard(crashes);
-        ServerChoice choice = new ServerChoice(backends, mServers, loads, slowStarts, seed);
+        PartHolders holders = new PartHolders();
+        ContendedCalls contended = new ContendedCalls(backends, mServers, holders, demand);
+        ServerChoice choice =
+                new ServerChoice(backends, mServers, loads, slowStarts, contended, seed);
         mBudget = new FleetRetryBudget(limits, routerCount);
         mRandom = new SplittableRandom(seed + 1);
         mDecisions = new RequestDecisions();
         mUnconfirmedEnds = new UnconfirmedEnds(backends, mServers, mCrashGuard, mDecisions);
         mInvalidAnswers = new InvalidAnswerCalls(loads, mCrashGuard, mUnconfirmedEnds, mDecisions);
-        PartHolders holders = new PartHolders();
         mOutcomes =
                 new Outcomes(
                         mServers,
@@ -131,7 +133,8 @@
                         holders,
                         mCrashGuard,
                         mUnconfirmedEnds,
-                        mInvalidAnswers);
+                        mInvalidAnswers,
+                        contended);
         FetchSource fetchSource = new FetchSource(backends, mServers, holders);
         mAttempts =
                 new Attempts(
@@ -142,7 +145,8 @@
                         fetchSource,
                         mBudget,
                         mCrashGuard,
-                        mDecisions);
+                        mDecisions,
+                        contended);
         mErrorAnswers = new ErrorAnswers(choice, mAttempts, mDecisions, new RetryDelays(seed + 2));
         StreamOrigins origins = new StreamOrigins(MAX_OWN_ORIGINS);
         mOriginRecorder = new OriginRecorder(backends, origins, mDecisions, this::onWrongVersion);
@@ -357,6 +361,7 @@
         } else {
             r.mBody.writeBytes(bytes);
         }
+        mOutcomes.onData(r);
         mAnswerMemory.onGrown(r).ifPresent(e -> onTooLarge(e.request(), e.message()));
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
@@ -17,6 +17,7 @@
     private final CrashGuard mCrashGuard;
     private final UnconfirmedEnds mUnconfirmedEnds;
     private final InvalidAnswerCalls mInvalidAnswers;
+    private final ContendedCalls mContended;
     private Instant mNow;
 
     Outcomes(
@@ -26,7 +27,8 @@
             PartHolders holders,
             CrashGuard crashGuard,
             UnconfirmedEnds unconfirmedEnds,
-            InvalidAnswerCalls invalidAnswers) {
+            InvalidAnswerCalls invalidAnswers,
+            ContendedCalls contended) {
         mServers = servers;
         mChoice = choice;
         mLoads = loads;
@@ -34,6 +36,7 @@
         mCrashGuard = crashGuard;
         mUnconfirmedEnds = unconfirmedEnds;
         mInvalidAnswers = invalidAnswers;
+        mContended = contended;
     }
 
     /** Sets the time for one step of the reducer. */
@@ -44,6 +47,7 @@
     void onReportedLoad(BackendRef backend, AnswerMetadata.ReportedLoad load) {
         mServers.onReportedSlots(backend, load.slots());
         mLoads.onReportedLoad(mNow, backend, load.running() + load.waiting());
+        mContended.onWorkTime(backend, load.workTimePercent(), mNow);
     }
 
     /** Records the head of an answer that belongs to its request: the server lives. */
@@ -55,12 +59,18 @@
     /** Records that the server has read the prompt of a request. */
     void onPromptRead(ActiveRequest r) {
         if (r.mRequest.prompt().isPresent()) {
-            mHolders.recordHolder(r.mRequest.prompt().sharedPart().id(), r.mBackend);
+            mHolders.recordHolder(r.mRequest.prompt().sharedPart().id(), r.mBackend, mNow);
         }
     }
 
+    /** Records that data of the answer has arrived, and may have completed an event. */
+    void onData(ActiveRequest r) {
+        mContended.onData(r, mNow);
+    }
+
     /** Records a successful answer that ended and is not known to be cut. */
     void onSuccess(ActiveRequest r) {
+        mContended.onSuccess(r, mNow);
         if (r.mFraming.provesEnd()) {
             mServers.onSuccess(r.mService, r.mBackend);
             mCrashGuard.onServed(r.summary(), mNow);
@@ -73,11 +83,13 @@
     /** Records that the server failed, broke off or stayed silent. */
     void onFailure(ActiveRequest r) {
         mServers.onFailure(r.mService, r.mBackend, servingCount(r), mNow);
+        mContended.onFailure(r, mNow);
     }
 
     /** Records that no connection to the server could be opened. */
     void onUnreachable(ActiveRequest r) {
         mServers.onUnreachable(r.mService, r.mBackend, servingCount(r), mNow);
+        mContended.onFailure(r, mNow);
     }
 
     /** Records that the server is full, or that another server answered at its address. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/PartHolders.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/PartHolders.java
@@ -1,5 +1,7 @@
 package org.laurelweir.direct;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +24,12 @@
      */
     private static final int MAX_PARTS = 4096;
 
+    /**
+     * How long an engine is expected to keep a part that it has read. An engine at full load reads
+     * as many tokens as its memory holds in some 15 seconds, about half of them cached.
+     */
+    private static final Duration KEPT_TIME = Duration.ofSeconds(20);
+
     private final Map<Long, Holders> mByPart =
             new LinkedHashMap<>(16, 0.75f, true) {
                 @Override
@@ -35,15 +43,26 @@
      *
      * @param latest the server of the latest request, or null if there is none
      * @param previous another server, of an earlier request, or null if there is none
+     * @param latestTime time of the latest request
+     * @param previousTime time of the last request of the other server
      */
-    record Holders(BackendRef latest, BackendRef previous) {
-        static final Holders NONE = new Holders(null, null);
+    record Holders(
+            BackendRef latest, BackendRef previous, Instant latestTime, Instant previousTime) {
+        static final Holders NONE = new Holders(null, null, Instant.MIN, Instant.MIN);
 
-        Holders with(BackendRef backend) {
+        Holders with(BackendRef backend, Instant now) {
             if (backend.equals(latest)) {
-                return this;
+                return new Holders(latest, previous, now, previousTime);
             }
-            return new Holders(backend, latest);
+            return new Holders(backend, latest, now, latestTime);
+        }
+
+        /** Returns the time of the last request at a server, or {@code Instant.MIN}. */
+        private Instant lastTime(BackendRef backend) {
+            if (backend.equals(latest)) {
+                return latestTime;
+            }
+            return backend.equals(previous) ? previousTime : Instant.MIN;
         }
 
         boolean contains(BackendRef backend) {
@@ -57,8 +76,15 @@
     }
 
     /** Records that a backend server began to answer a prompt with a part, and so has read it. */
-    void recordHolder(long part, BackendRef backend) {
-        mByPart.merge(part, new Holders(backend, null), (known, n) -> known.with(backend));
+    void recordHolder(long part, BackendRef backend, Instant now) {
+        mByPart.merge(
+                part, Holders.NONE.with(backend, now), (known, first) -> known.with(backend, now));
+    }
+
+    /** Returns whether a backend server read a part so lately that it likely still has it. */
+    boolean likelyHolds(long part, BackendRef backend, Instant now) {
+        Instant last = of(part).lastTime(backend);
+        return !last.equals(Instant.MIN) && now.isBefore(last.plus(KEPT_TIME));
     }
 
     /** Returns the backend servers that are recorded as holders of a part. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -22,12 +22,14 @@
     private final LoadEstimator mLoads;
     private final SplittableRandom mRandom;
     private final CandidateFinder mCandidates;
+    private final ContendedChoice mContended;
 
     ServerChoice(
             BackendSource backends,
             ServerTable servers,
             LoadEstimator loads,
             SlowStartLimiter slowStarts,
+            ContendedCalls contended,
             long seed) {
         mBackends = backends;
         mServers = servers;
@@ -35,6 +37,7 @@
         mRandom = new SplittableRandom(seed);
         CandidateFilter filter = new CandidateFilter(backends, servers, slowStarts);
         mCandidates = new CandidateFinder(backends, loads, filter, mRandom);
+        mContended = new ContendedChoice(this, servers, contended, mRandom);
     }
 
     /**
@@ -58,7 +61,7 @@
             String version) {}
 
     /** A candidate with the estimate of its load. */
-    private record CandidateLoad(Candidate server, LoadEstimator.Estimate estimate) {
+    record CandidateLoad(Candidate server, LoadEstimator.Estimate estimate) {
         double load() {
             return estimate.requests();
         }
@@ -78,6 +81,9 @@
     Optional<Choice> choose(ActiveRequest r, Instant now) {
         List<CandidateLoad> all =
                 mCandidates.find(r, now).stream().map(c -> withLoad(r, c, now)).toList();
+        if (r.mRequest.terms().contended()) {
+            return mContended.choose(r, all, now);
+        }
         if (!r.mRequest.prompt().isPresent()) {
             return leastLoaded(r, all, "least_loaded", Double.NaN, now);
         }
@@ -91,7 +97,7 @@
     }
 
     /** Returns the mean load of the service or, if it is unknown, of the candidates. */
-    private double mean(ActiveRequest r, List<CandidateLoad> all, Instant now) {
+    double mean(ActiveRequest r, List<CandidateLoad> all, Instant now) {
         double mean = mLoads.mean(now, r.mService);
         return Double.isNaN(mean)
                 ? all.stream().mapToDouble(CandidateLoad::load).average().orElse(0)
@@ -115,7 +121,7 @@
                 .map(c -> choice(c, reason, all, bound));
     }
 
-    private Choice choice(CandidateLoad c, String reason, List<CandidateLoad> all, double bound) {
+    Choice choice(CandidateLoad c, String reason, List<CandidateLoad> all, double bound) {
         List<String> ids = all.stream().map(o -> o.server().id()).toList();
         return new Choice(
                 c.server(),
@@ -149,7 +155,7 @@
      * full server rejects such a request at once and is then passed over for a moment. A request
      * with a prompt would wait in the engine's queue instead.
      */
-    private boolean canAccept(ActiveRequest r, CandidateLoad c) {
+    boolean canAccept(ActiveRequest r, CandidateLoad c) {
         return r.mRequest.prompt().isPresent()
                 ? hasRoom(c)
                 : isBelowSlots(c.server(), mLoads.ownRequests(c.server().ref()));
@@ -160,7 +166,7 @@
      * mean of the other servers is no reason to reject: if the load of this server is unknown, only
      * this router's own requests count.
      */
-    private boolean hasRoom(CandidateLoad c) {
+    boolean hasRoom(CandidateLoad c) {
         boolean isKnown = !Double.isNaN(c.estimate().ageMillis());
         return isBelowSlots(c.server(), isKnown ? c.load() : mLoads.ownRequests(c.server().ref()));
     }
@@ -170,7 +176,7 @@
         return slots <= 0 || load < slots;
     }
 
-    private int slots(Candidate c) {
+    int slots(Candidate c) {
         int reported = mServers.slots(c.ref());
         return reported > 0 ? reported : (int) c.weight();
     }
