Tell cache hits of other routers from fast engines

A router sees few of the requests that make an engine cache a shared part, so most cache hits come unexpected. They were learned as a high prefill rate and as a fast server, and predictions for prompts that are not cached became too early. The time to the first event now decides which of the two explanations counts: the one whose prediction is nearer. A request's demand and its predictions are computed once per choice.

--- a/org.laurelweir/src/main/java/org/laurelweir/demand/ServiceSpeed.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/ServiceSpeed.java
@@ -14,8 +14,8 @@
 
     private static final Duration DECAY = Duration.ofSeconds(60);
 
-    /** Prefill rate before any observation, in tokens per millisecond; engines do 30 and more. */
-    private static final double PRIOR_RATE = 20;
+    /** Prefill rate before any observation, in tokens per millisecond; engines do 32 and more. */
+    private static final double PRIOR_RATE = 30;
 
     /** Weight of that rate: as much as ten observations of 1,000 tokens. */
     private static final double PRIOR_SQUARES = 10 * 1000 * 1000;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
@@ -55,28 +55,23 @@
         private final long mId;
         private final ActiveRequest mRequest;
         private final BackendRef mServer;
-        private final long mPrefillTokens;
-        private final long mHeldTokens;
+        private final Prediction mPrediction;
 
-        /** Tokens that the server had to prefill until the first event, as estimated. */
-        private final double mTokensBefore;
-
-        /**
-         * The part of the time to a plain answer that the load of the server explains, 1 if none.
-         */
+        /** How much longer the load of a plain server makes the answer take; 1 if no longer. */
         private final double mLoadFactor;
 
         private final int mEventsBefore;
         private Instant mFirstEvent;
         private Instant mLastEvent;
 
+        /** Whether the time to the first event shows that the shared parts were cached. */
+        private boolean mWasCached;
+
         Call(ActiveRequest r, Prediction p, double loadFactor) {
             mId = r.mCall;
             mRequest = r;
             mServer = r.mBackend;
-            mPrefillTokens = p.prefillTokens();
-            mHeldTokens = p.heldTokens();
-            mTokensBefore = p.tokensBefore();
+            mPrediction = p;
             mLoadFactor = loadFactor;
             mEventsBefore = r.mFramer.eventCount();
         }
@@ -86,7 +81,11 @@
         }
 
         long toPrefill() {
-            return mFirstEvent == null ? mPrefillTokens : 0;
+            return mFirstEvent == null ? mPrediction.prefillTokens() : 0;
+        }
+
+        long heldTokens() {
+            return mPrediction.heldTokens();
         }
     }
 
@@ -94,12 +93,17 @@
      * What is expected of a request at a backend server.
      *
      * @param prefillTokens tokens of the request to be prefilled there
+     * @param sharedTokens those of them that are of shared parts, and may be cached after all
      * @param heldTokens tokens that it will hold there
      * @param tokensBefore tokens to be prefilled before its first event, its own included
      * @param firstEventMillis time to the first event; NaN if too little has been observed
      */
     record Prediction(
-            long prefillTokens, long heldTokens, double tokensBefore, double firstEventMillis) {}
+            long prefillTokens,
+            long sharedTokens,
+            long heldTokens,
+            double tokensBefore,
+            double firstEventMillis) {}
 
     ContendedCalls(
             BackendSource backends, ServerTable servers, PartHolders holders, FleetDemand demand) {
@@ -131,9 +135,8 @@
     }
 
     /** Returns what is expected of a request at a backend server. */
-    Prediction predict(ActiveRequest r, BackendRef server, Instant now) {
+    Prediction predict(ActiveRequest r, RequestDemand demand, BackendRef server, Instant now) {
         boolean isCached = isCached(r, server, now);
-        RequestDemand demand = demand(r);
         long prefill = demand.prefillTokens(isCached);
         double tokens = waitingTokens(r.mService, server, now) + prefill;
         ServiceSpeed service = mServices.get(r.mService);
@@ -141,10 +144,16 @@
                 service != null && service.isLearned(now)
                         ? service.firstEventMillis(now, tokens * slowness(server, now))
                         : Double.NaN;
-        return new Prediction(prefill, demand.heldTokens(isCached), tokens, millis);
+        return new Prediction(
+                prefill,
+                isCached ? 0 : demand.sharedTokens(),
+                demand.heldTokens(isCached),
+                tokens,
+                millis);
     }
 
-    private RequestDemand demand(ActiveRequest r) {
+    /** Returns the demand of a request, as expected from its prompt and earlier outputs. */
+    RequestDemand demand(ActiveRequest r) {
         Prompt prompt = r.mRequest.prompt();
         if (!prompt.isPresent()) {
             return RequestDemand.NONE;
@@ -185,7 +194,7 @@
         prune(now);
         int slots = mServers.slots(r.mBackend);
         double loadFactor = slots <= 0 ? 1 : Math.max(1, (choice.load() + 1) / slots);
-        add(new Call(r, predict(r, r.mBackend, now), loadFactor), now);
+        add(new Call(r, predict(r, demand(r), r.mBackend, now), loadFactor), now);
     }
 
     /** Records that the call which ended last goes on, since no other server takes the request. */
@@ -198,9 +207,9 @@
 
     private void add(Call c, Instant now) {
         mCalls.put(c.mId, c);
-        addOwn(c.mServer, c.mHeldTokens, c.toPrefill());
-        if (c.mHeldTokens > 0) {
-            mDemand.onSent(now, c.mServer, c.mRequest.mRequest.account(), c.mHeldTokens);
+        addOwn(c.mServer, c.heldTokens(), c.toPrefill());
+        if (c.heldTokens() > 0) {
+            mDemand.onSent(now, c.mServer, c.mRequest.mRequest.account(), c.heldTokens());
         }
     }
 
@@ -221,9 +230,9 @@
             return;
         }
         mLastEnded = c;
-        addOwn(c.mServer, -c.mHeldTokens, -c.toPrefill());
-        if (c.mHeldTokens > 0) {
-            mDemand.onReleased(now, c.mServer, r.mRequest.account(), c.mHeldTokens);
+        addOwn(c.mServer, -c.heldTokens(), -c.toPrefill());
+        if (c.heldTokens() > 0) {
+            mDemand.onReleased(now, c.mServer, r.mRequest.account(), c.heldTokens());
         }
     }
 
@@ -247,11 +256,24 @@
         }
         ServiceSpeed service = service(c);
         double millis = millis(c.mRequest.mCallStart, now);
+        double slowness = slowness(c.mServer, now);
+        double tokens = c.mPrediction.tokensBefore();
+        double withoutShared = tokens - c.mPrediction.sharedTokens();
+        // Most parts were read for other routers, so only the time tells whether they were cached.
+        c.mWasCached =
+                distance(service, now, withoutShared * slowness, millis)
+                        < distance(service, now, tokens * slowness, millis);
+        double prefilled = c.mWasCached ? withoutShared : tokens;
         if (service.isLearned(now)) {
-            double usual = service.firstEventMillis(now, c.mTokensBefore);
+            double usual = service.firstEventMillis(now, prefilled);
             mSpeeds.of(c.mServer).onTime(now, millis / Math.max(1, usual), 1);
         }
-        service.onFirstEvent(now, c.mTokensBefore * slowness(c.mServer, now), millis);
+        service.onFirstEvent(now, prefilled * slowness, millis);
+    }
+
+    private static double distance(
+            ServiceSpeed service, Instant now, double tokens, double millis) {
+        return Math.abs(millis - service.firstEventMillis(now, tokens));
     }
 
     /** Records the work time that a backend server reports. */
@@ -293,11 +315,13 @@
             mOutputs.onCompleted(r.route().name(), tokens);
         }
         ServiceSpeed service = service(c);
+        long prefilled =
+                c.mPrediction.prefillTokens() - (c.mWasCached ? c.mPrediction.sharedTokens() : 0);
         service.onEnded(
                 now,
-                c.mPrefillTokens,
+                prefilled,
                 millis(r.mCallStart, c.mFirstEvent),
-                c.mHeldTokens,
+                c.heldTokens(),
                 millis(r.mCallStart, now));
         int gaps = c.events() - 1;
         if (gaps >= MIN_GAPS) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.laurelweir.demand.RequestDemand;
+import org.laurelweir.direct.ContendedCalls.Prediction;
 import org.laurelweir.direct.ServerChoice.CandidateLoad;
 import org.laurelweir.direct.ServerChoice.Choice;
 import org.laurelweir.placement.Candidate;
@@ -52,13 +54,15 @@
     }
 
     /**
-     * An engine that has room for a request.
+     * An engine that may be taken for a request.
      *
+     * @param hasMemory whether its memory would hold the request in addition to those there
      * @param failureClass lower is better; 0 for all if the request can be repeated
      * @param millis the predicted time to the first event, with the expected time lost by a
      *     failure; NaN if it can't be predicted
      */
-    private record Option(CandidateLoad candidate, int failureClass, double millis) {
+    private record Option(
+            CandidateLoad candidate, boolean hasMemory, int failureClass, double millis) {
         boolean isWithin(double limitMillis) {
             return Double.isNaN(millis) || millis <= limitMillis;
         }
@@ -82,42 +86,33 @@
 
     private Optional<Choice> chooseEngine(
             ActiveRequest r, List<CandidateLoad> all, SpillBound bound, Instant now) {
-        List<CandidateLoad> withMemory = all.stream().filter(c -> hasMemory(r, c, now)).toList();
+        RequestDemand demand = mCalls.demand(r);
+        List<Option> every = all.stream().map(c -> option(r, demand, c, now)).toList();
         List<Option> options =
-                withMemory.stream()
-                        .filter(mChoice::hasRoom)
-                        .map(c -> option(r, c, now))
+                every.stream()
+                        .filter(o -> o.hasMemory() && mChoice.hasRoom(o.candidate()))
                         .sorted(Comparator.comparingInt(Option::failureClass))
                         .toList();
-        boolean lacksMemory = !all.isEmpty() && !withMemory.contains(all.get(0));
-        return find(r, options, bound).map(o -> choice(r, o, all, bound, lacksMemory));
-    }
-
-    private Choice choice(
-            ActiveRequest r,
-            Option o,
-            List<CandidateLoad> all,
-            SpillBound bound,
-            boolean lacksMemory) {
-        return mChoice.choice(
-                o.candidate(), reason(r, o, all, bound, lacksMemory), all, bound.upper());
+        return find(r, options, bound)
+                .map(
+                        o ->
+                                mChoice.choice(
+                                        o.candidate(),
+                                        reason(r, o, every.get(0), bound),
+                                        all,
+                                        bound.upper()));
     }
 
     /** Returns the reason; without a prediction it is one that other deployments have as well. */
-    private static String reason(
-            ActiveRequest r,
-            Option o,
-            List<CandidateLoad> all,
-            SpillBound bound,
-            boolean lacksMemory) {
+    private static String reason(ActiveRequest r, Option o, Option first, SpillBound bound) {
         if (o.candidate().load() > bound.upper()) {
             return "all_over_bound";
         }
-        if (lacksMemory) {
+        if (!first.hasMemory()) {
             return "no_memory";
         }
         if (!o.isPredicted()) {
-            return o.candidate() == all.get(0) ? "home" : "next";
+            return o == first ? "home" : "next";
         }
         return o.isWithin(SAFE_SHARE * objectiveMillis(r)) ? "within_target" : "earliest";
     }
@@ -169,24 +164,23 @@
                                 .thenComparingDouble(o -> o.candidate().load()));
     }
 
-    private Option option(ActiveRequest r, CandidateLoad c, Instant now) {
-        double millis = mCalls.predict(r, c.server().ref(), now).firstEventMillis();
+    private Option option(ActiveRequest r, RequestDemand demand, CandidateLoad c, Instant now) {
+        Prediction p = mCalls.predict(r, demand, c.server().ref(), now);
+        boolean hasMemory = hasMemory(r, c, p, now);
+        double millis = p.firstEventMillis();
         if (isLostOnFailure(r)) {
-            return new Option(c, failureClass(r, c.server(), now), millis);
+            return new Option(c, hasMemory, failureClass(r, c.server(), now), millis);
         }
         // A failure often shows late, as a broken-off or stalled answer: when the objective passed.
         double lost = failureRate(c.server(), now) * (millis + objectiveMillis(r));
-        return new Option(c, 0, millis + lost);
+        return new Option(c, hasMemory, 0, millis + lost);
     }
 
     /** Returns whether the memory of a server would hold a request in addition to those there. */
-    private boolean hasMemory(ActiveRequest r, CandidateLoad c, Instant now) {
+    private boolean hasMemory(ActiveRequest r, CandidateLoad c, Prediction p, Instant now) {
         int memory = r.mRequest.terms().engine(r.mService).memoryTokens();
-        if (memory <= 0) {
-            return true;
-        }
-        long held = mCalls.predict(r, c.server().ref(), now).heldTokens();
-        return mCalls.fleet().tokens(now, r.mService, c.server().ref()) + held <= memory;
+        double held = mCalls.fleet().tokens(now, r.mService, c.server().ref());
+        return memory <= 0 || held + p.heldTokens() <= memory;
     }
 
     private Optional<Choice> choosePlain(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedEngineChoiceTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedEngineChoiceTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.lib.BackendRef;
 
 /** Tests the choice of engines in a contended deployment. */
 class ContendedEngineChoiceTest {
@@ -91,14 +92,22 @@
         ActiveRequest r = mFleet.request(LOOSE, LARGE, ContendedFixture.TERMS);
         assertThat(
                         mFleet.mCalls
-                                .predict(r, mFleet.backend(home).ref(), mFleet.mNow)
+                                .predict(
+                                        r,
+                                        mFleet.mCalls.demand(r),
+                                        mFleet.backend(home).ref(),
+                                        mFleet.mNow)
                                 .prefillTokens())
                 .isEqualTo(580);
         mFleet.restart(home);
         assertThat(mFleet.mCalls.slowness(mFleet.backend(home).ref(), mFleet.mNow)).isEqualTo(1);
         assertThat(
                         mFleet.mCalls
-                                .predict(r, mFleet.backend(home).ref(), mFleet.mNow)
+                                .predict(
+                                        r,
+                                        mFleet.mCalls.demand(r),
+                                        mFleet.backend(home).ref(),
+                                        mFleet.mNow)
                                 .prefillTokens())
                 .isEqualTo(9200);
     }
@@ -154,4 +163,24 @@
         mFleet.mFailureRates.put(home, 0.1);
         assertThat(mFleet.chosen(LOOSE, LARGE).server().id()).isEqualTo(home);
     }
+
+    // Guards against taking an engine for fast, and the prefill rate for high, because other
+    // routers made it cache the parts of this router's prompts.
+    @Test
+    void cacheHitsOfOtherRoutersDoNotChangeTheLearnedSpeed() {
+        mFleet.learn(Map.of());
+        String home = mFleet.home(LARGE);
+        for (int i = 0; i < 20; i++) {
+            mFleet.serve(home, 9000, 0);
+        }
+        mFleet.learn(Map.of());
+        ActiveRequest r = mFleet.request(LOOSE, LARGE, ContendedFixture.TERMS);
+        BackendRef ref = mFleet.backend(home).ref();
+        double millis =
+                mFleet.mCalls
+                        .predict(r, mFleet.mCalls.demand(r), ref, mFleet.mNow)
+                        .firstEventMillis();
+        assertThat(millis).isBetween(200.0, 300.0);
+        assertThat(mFleet.mCalls.slowness(ref, mFleet.mNow)).isBetween(0.9, 1.1);
+    }
 }
