Let contended requests wait at the router for room

A request that found no server with room was refused at once, although a request of its service often ends a few milliseconds later, and it made no difference how urgent it was or how much its account had in flight.

Callers that are refused get a time to return, and keep the place of their first arrival if they return as told. The virtual time and the eviction rule of the sidecar's queue move into classes that both queues use. Requests that are not contended take the same path as before.

Tests: WaitingDirectRoutingTest, DirectRouting*Test, ResumptionTest and FairQueueTest pass.

--- a/org.laurelweir/src/main/java/org/laurelweir/admission/FairQueue.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/FairQueue.java
@@ -3,9 +3,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import org.laurelweir.waiting.FairEntry;
+import org.laurelweir.waiting.VirtualTime;
 
 /**
  * The queue of attempts that wait until their work fits under the bound. Its count and bytes are
@@ -23,19 +23,21 @@
  */
 final class FairQueue {
     private static final int OLDEST_PRIORITY_INTERVAL = 8;
-    private static final int MAX_ACCOUNT_TAGS = 1024;
 
-    private record Entry(Attempt attempt, Instant enqueueTime, double tag, long sequence) {
-        int priority() {
+    private record Entry(Attempt attempt, Instant enqueueTime, double tag, long sequence)
+            implements FairEntry {
+        @Override
+        public int priority() {
             return attempt.request().priority();
         }
 
-        String account() {
+        @Override
+        public String account() {
             return attempt.request().account();
         }
 
-        /** Returns the work in proportion to the account's weight. */
-        double weightedWork() {
+        @Override
+        public double weightedWork() {
             return weightedWorkOf(attempt);
         }
     }
@@ -46,8 +48,7 @@
                     .thenComparingLong(Entry::sequence);
 
     private final List<Entry> mEntries = new ArrayList<>();
-    private final Map<String, Double> mNextTags = new HashMap<>();
-    private double mVirtualTime;
+    private final VirtualTime mVirtualTime = new VirtualTime();
     private long mBytes;
     private long mNextSequence;
     private long mTurnCount;
@@ -58,8 +59,7 @@
      */
     void add(Instant now, Attempt attempt) {
         String account = attempt.request().account();
-        double tag = Math.max(mVirtualTime, mNextTags.getOrDefault(account, 0.0));
-        mNextTags.put(account, tag + weightedWorkOf(attempt));
+        double tag = mVirtualTime.takeTag(account, weightedWorkOf(attempt));
         mEntries.add(new Entry(attempt, now, tag, mNextSequence++));
         mBytes += bodyBytes(attempt);
     }
@@ -74,11 +74,8 @@
     Attempt take() {
         Entry e = peekEntry();
         mTurnCount++;
-        mVirtualTime = Math.max(mVirtualTime, e.tag());
+        mVirtualTime.onServed(e.tag());
         remove(e);
-        if (mNextTags.size() > MAX_ACCOUNT_TAGS) {
-            mNextTags.values().removeIf(t -> t <= mVirtualTime);
-        }
         return e.attempt();
     }
 
@@ -97,20 +94,7 @@
         if (mEntries.size() <= limits.requests() && mBytes <= limits.bytes()) {
             return null;
         }
-        int lowestPriority = mEntries.stream().mapToInt(Entry::priority).min().orElseThrow();
-        Map<String, Double> workByAccount = new HashMap<>();
-        for (Entry e : mEntries) {
-            if (e.priority() == lowestPriority) {
-                workByAccount.merge(e.account(), e.weightedWork(), Double::sum);
-            }
-        }
-        return mEntries.stream()
-                .filter(e -> e.priority() == lowestPriority)
-                .max(
-                        Comparator.comparingDouble((Entry e) -> workByAccount.get(e.account()))
-                                .thenComparingLong(Entry::sequence))
-                .orElseThrow()
-                .attempt();
+        return FairEntry.toEvict(mEntries).attempt();
     }
 
     /** Returns the attempts that were added at or before a time, in the order of arrival. */
@@ -156,8 +140,7 @@
     }
 
     private static double weightedWorkOf(Attempt attempt) {
-        double weight = attempt.request().accountWeight();
-        return attempt.work() / (weight > 0 ? weight : 1);
+        return FairEntry.weighted(attempt.work(), attempt.request().accountWeight());
     }
 
     private static long bodyBytes(Attempt attempt) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -14,6 +14,7 @@
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.quarantine.SuspectKey;
+import org.laurelweir.waiting.Place;
 
 /** State of a caller's request from its arrival to its final answer, with the current call. */
 final class ActiveRequest {
@@ -63,6 +64,12 @@
     /** The lookup of the stream's origin that the request waits for, or 0. */
     long mLookup;
 
+    /** Whether the request is quarantined and was accepted as a trial, which happens once. */
+    boolean mOnTrial;
+
+    /** The place in the queue that a contended request keeps if its caller returns as told. */
+    Place mPlace = Place.NONE;
+
     /** Ids of the backend servers that were called, including the current one. */
     final Set<String> mTriedServers = new HashSet<>();
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -38,6 +38,7 @@
     private final FleetRetryBudget mBudget;
     private final Attempts mAttempts;
     private final RequestDecisions mDecisions;
+    private final WaitingRequests mWaiting;
     private final ErrorAnswers mErrorAnswers;
     private final StallDetector mStallDetector = new StallDetector();
     private final CrashGuard mCrashGuard;
@@ -143,7 +144,16 @@
                         mBudget,
                         mCrashGuard,
                         mDecisions);
-        mErrorAnswers = new ErrorAnswers(choice, mAttempts, mDecisions, new RetryDelays(seed + 2));
+        mWaiting =
+                new WaitingRequests(
+                        demand, choice, mDecisions, this::startContended, this::refuse, seed + 3);
+        mErrorAnswers =
+                new ErrorAnswers(
+                        choice,
+                        mAttempts,
+                        mDecisions,
+                        new RetryDelays(seed + 2),
+                        mWaiting::returnDelay);
         StreamOrigins origins = new StreamOrigins(MAX_OWN_ORIGINS);
         mOriginRecorder = new OriginRecorder(backends, origins, mDecisions, this::onWrongVersion);
         mOriginLookup = new OriginLookup(origins, mDecisions, this::onOrigin);
@@ -154,11 +164,27 @@
         return mByCaller.isEmpty();
     }
 
+    /** Returns the number of requests that wait until a backend server has room. */
+    public int waitingRequests() {
+        return mWaiting.size();
+    }
+
+    /** Returns the number of bytes of the bodies of the waiting requests. */
+    public long waitingBytes() {
+        return mWaiting.bytes();
+    }
+
+    /** Returns the number of requests that were evicted from the queue so far. */
+    public long evictedRequests() {
+        return mWaiting.evictedCount();
+    }
+
     @Override
     public void step(Instant now, DirectEvent event, Consumer<? super DirectEffect> effects) {
         mNow = now;
         mEffects = effects;
         mAttempts.beginStep(now, effects);
+        mWaiting.beginStep(now, effects);
         mErrorAnswers.beginStep(now, effects);
         mInvalidAnswers.beginStep(now, effects);
         mUnconfirmedEnds.beginStep(now, effects);
@@ -190,6 +216,7 @@
         } else if (event instanceof DirectEvent.StreamFound e) {
             mOriginLookup.onFound(e);
         }
+        mWaiting.endStep();
     }
 
     private static void withRequest(ActiveRequest r, Consumer<ActiveRequest> action) {
@@ -219,15 +246,32 @@
         Optional<SuspectKey> quarantined = mCrashGuard.findReasonToReject(r, mNow);
         if (quarantined.isPresent()) {
             end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
+        } else if (r.mRequest.terms().contended()) {
+            r.mOnTrial = mCrashGuard.isQuarantined(r);
+            mWaiting.startOrWait(r);
         } else if (!mAttempts.startNext(r)) {
-            end(r, c -> mErrorAnswers.rejected(c, noRoomMessage(c)));
+            refuse(r, WaitingRequests.noRoomMessage(r));
+        }
+    }
+
+    /**
+     * Sends a contended request to its first server, or rejects it if it was quarantined while it
+     * waited.
+     *
+     * @return whether the request no longer waits
+     */
+    private boolean startContended(ActiveRequest r) {
+        Optional<SuspectKey> quarantined =
+                r.mOnTrial ? Optional.empty() : mCrashGuard.findReasonToReject(r, mNow);
+        if (quarantined.isPresent()) {
+            end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
+            return true;
         }
+        return mAttempts.startNext(r);
     }
 
-    private static String noRoomMessage(ActiveRequest r) {
-        return r.mRequiredVersion == null
-                ? "no backend server has room"
-                : "no backend server of version " + r.mRequiredVersion + " has room";
+    private void refuse(ActiveRequest r, String message) {
+        end(r, c -> mErrorAnswers.rejected(c, message));
     }
 
     /** Handles a request that goes on with a stream which broke off. */
@@ -469,6 +513,7 @@
     private void remove(ActiveRequest r) {
         mByCaller.remove(r.mCaller);
         mAnswerMemory.onEnded(r);
+        mWaiting.onEnded(r);
     }
 
     /** Ends a request with an error answer. */
@@ -501,6 +546,7 @@
             return;
         }
         mNextScan = mNow.plus(SCAN_INTERVAL);
+        mWaiting.onTick();
         new ArrayList<>(mByCaller.values()).forEach(mOriginRecorder::checkRun);
         new ArrayList<>(mByCaller.values()).forEach(this::checkTimeouts);
         mInvalidAnswers.cancelExpired();
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.quarantine.SuspectKey;
 
@@ -15,6 +16,7 @@
     private final Attempts mAttempts;
     private final RequestDecisions mDecisions;
     private final RetryDelays mRetryDelays;
+    private final Function<ActiveRequest, Duration> mContendedDelays;
     private Instant mNow;
     private Consumer<? super DirectEffect> mEffects;
 
@@ -22,11 +24,13 @@
             ServerChoice choice,
             Attempts attempts,
             RequestDecisions decisions,
-            RetryDelays retryDelays) {
+            RetryDelays retryDelays,
+            Function<ActiveRequest, Duration> contendedDelays) {
         mChoice = choice;
         mAttempts = attempts;
         mDecisions = decisions;
         mRetryDelays = retryDelays;
+        mContendedDelays = contendedDelays;
     }
 
     /** Sets the time and the receiver of effects for one step of the reducer. */
@@ -48,13 +52,16 @@
 
     /** Answers that the request was not run and that the caller may retry. */
     void rejected(ActiveRequest r, String message) {
-        Duration retryAfter =
-                r.mMisdirected
-                        ? mRetryDelays.afterMisdirection()
-                        : mRetryDelays.afterOverload(r.timeLeft(mNow));
+        Duration retryAfter = r.mMisdirected ? mRetryDelays.afterMisdirection() : afterOverload(r);
         answer(r, rejectionCode(r), message, retryAfter);
     }
 
+    private Duration afterOverload(ActiveRequest r) {
+        return r.mRequest.terms().contended()
+                ? mContendedDelays.apply(r)
+                : mRetryDelays.afterOverload(r.timeLeft(mNow));
+    }
+
     private ResultCode rejectionCode(ActiveRequest r) {
         if (mChoice.servingCount(r.mService) == 0) {
             return ResultCode.NO_BACKEND_SERVER;
--- /dev/null
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/VirtualTime.java
@@ -0,0 +1,46 @@
+package org.laurelweir.waiting;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The virtual time of start-time fair queueing. Each request gets a start tag: the virtual time at
+ * which the share of its client account lets it begin. An account that surges only gets later tags
+ * for its own requests.
+ */
+public final class VirtualTime {
+    private static final int MAX_ACCOUNT_TAGS = 1024;
+
+    private final Map<String, Double> mNextTags = new HashMap<>();
+    private double mNow;
+
+    /**
+     * Returns the start tag of an account's next request, and moves the account's later tags back.
+     *
+     * @param weightedWork the work of the request in proportion to the account's weight
+     */
+    public double takeTag(String account, double weightedWork) {
+        double tag = Math.max(mNow, mNextTags.getOrDefault(account, 0.0));
+        mNextTags.put(account, tag + weightedWork);
+        return tag;
+    }
+
+    /** Takes back the work of a request that left without being served. */
+    void refund(String account, double weightedWork) {
+        mNextTags.computeIfPresent(
+                account, (a, t) -> t - weightedWork <= mNow ? null : t - weightedWork);
+    }
+
+    /** Advances the virtual time to the start tag of a request that is served. */
+    public void onServed(double tag) {
+        mNow = Math.max(mNow, tag);
+        if (mNextTags.size() > MAX_ACCOUNT_TAGS) {
+            mNextTags.values().removeIf(t -> t <= mNow);
+        }
+    }
+
+    /** Returns the current virtual time. */
+    public double now() {
+        return mNow;
+    }
+}
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -12,6 +12,7 @@
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.Decision;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.Candidate;
@@ -188,6 +189,23 @@
                                 prompt)));
     }
 
+    void arrive(long caller, RoutedRequest request) {
+        step(new DirectEvent.RequestArrived(caller, request));
+    }
+
+    /** Returns the reasons of the logged decisions about a request. */
+    List<String> reasons(long caller) {
+        return all(DirectEffect.LogDecision.class).stream()
+                .map(DirectEffect.LogDecision::decision)
+                .filter(d -> d.request().equals("id" + caller))
+                .map(Decision::reason)
+                .toList();
+    }
+
+    int waitingRequests() {
+        return mRouting.waitingRequests();
+    }
+
     void step(DirectEvent event) {
         mRouting.step(mNow, event, mEffects::add);
     }
