Search likely holders of prompt parts where their history is known

The search by rank moves from FetchSource to ServingHistory, and the test of an emptied server ends its first requests, so that the home does not count as failing under the choice of contended requests.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -118,6 +118,7 @@
         mAnswerMemory = new AnswerMemory(answerLimits);
         mCrashGuard = new CrashGuard(crashes);
         PartHolders holders = new PartHolders();
+        ServingHistory history = new ServingHistory(backends);
         ContendedCalls contended = new ContendedCalls(backends, mServers, holders, demand);
         ServerChoice choice =
                 new ServerChoice(backends, mServers, loads, slowStarts, contended, seed);
@@ -136,7 +137,7 @@
                         mUnconfirmedEnds,
                         mInvalidAnswers,
                         contended);
-        FetchSource fetchSource = new FetchSource(backends, mServers, holders);
+        FetchSource fetchSource = new FetchSource(backends, mServers, holders, history);
         mAttempts =
                 new Attempts(
                         backends,
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
-import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ChatKey;
 
 /**
@@ -23,22 +22,20 @@
     /** Number of servers considered by rank: the former home, and others in case it has failed. */
     private static final int MAX_RANKED_SERVERS = 3;
 
-    /**
-     * Number of servers by rank among which servers that may hold parts are searched. While a third
-     * of the servers are drained or new, this many hardly ever all are.
-     */
-    private static final int MAX_SEARCHED_SERVERS = 8;
-
     private final BackendSource mBackends;
     private final ServerTable mServers;
     private final PartHolders mHolders;
     private final ServingHistory mHistory;
 
-    FetchSource(BackendSource backends, ServerTable servers, PartHolders holders) {
+    FetchSource(
+            BackendSource backends,
+            ServerTable servers,
+            PartHolders holders,
+            ServingHistory history) {
         mBackends = backends;
         mServers = servers;
         mHolders = holders;
-        mHistory = new ServingHistory(backends);
+        mHistory = history;
     }
 
     /**
@@ -95,28 +92,14 @@
     private List<BackendRef> likelyHolders(
             ActiveRequest r, BackendRef chosen, PartHolders.Holders holders, Instant now) {
         List<BackendRef> likely = new ArrayList<>(holders.servers());
-        List<BackendRef> ranked = rankedHolders(r, now);
-        boolean isSettledHome =
-                !ranked.isEmpty()
-                        && ranked.get(0).equals(chosen)
-                        && mHistory.isSettled(r.mService, chosen, now);
-        if (isSettledHome) {
+        ChatKey key = r.mRequest.prompt().key();
+        if (mHistory.isSettledHome(r.mService, key, chosen, now)) {
             likely.addAll(holdersOfEarlierParts(r));
         }
-        likely.addAll(ranked);
-        return likely;
-    }
-
-    private List<BackendRef> rankedHolders(ActiveRequest r, Instant now) {
-        return mBackends
-                .view(r.mService)
-                .rankingWithDraining()
-                .top(r.mRequest.prompt().key(), MAX_SEARCHED_SERVERS)
-                .stream()
-                .map(Candidate::ref)
-                .filter(ref -> mHistory.mayHoldParts(r.mService, ref, now))
+        mHistory.likelyHolders(r.mService, key, now).stream()
                 .limit(MAX_RANKED_SERVERS)
-                .toList();
+                .forEach(likely::add);
+        return likely;
     }
 
     /** Returns the holders of the longest prefix of shared parts of which this router knows any. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServingHistory.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServingHistory.java
@@ -3,9 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.placement.Candidate;
+import org.laurelweir.placement.ChatKey;
+import org.laurelweir.placement.Ranking;
 import org.laurelweir.placement.ServiceView;
 
 /**
@@ -22,6 +25,12 @@
     /** After this time most parts in use have been read at the servers that took over. */
     private static final Duration HAND_OVER_TIME = Duration.ofSeconds(10);
 
+    /**
+     * Number of servers by rank among which likely holders are searched. While a third of the
+     * servers are drained or new, this many hardly ever all are.
+     */
+    private static final int MAX_SEARCHED_SERVERS = 8;
+
     private final BackendSource mBackends;
     private final Map<String, ServiceHistory> mServices = new HashMap<>();
 
@@ -35,6 +44,26 @@
         return period != null && period.ref().equals(ref) && period.mayHoldParts(now);
     }
 
+    /** Returns the servers that likely hold the parts of a key, the most likely ones first. */
+    List<BackendRef> likelyHolders(String service, ChatKey key, Instant now) {
+        Ranking ranking = mBackends.view(service).rankingWithDraining();
+        return ranking.top(key, MAX_SEARCHED_SERVERS).stream()
+                .map(Candidate::ref)
+                .filter(ref -> mayHoldParts(service, ref, now))
+                .toList();
+    }
+
+    /**
+     * Returns whether a server has ranked first for a key for so long that it holds the parts of
+     * the key, or no server does.
+     */
+    boolean isSettledHome(String service, ChatKey key, BackendRef server, Instant now) {
+        List<BackendRef> holders = likelyHolders(service, key, now);
+        return !holders.isEmpty()
+                && holders.get(0).equals(server)
+                && isSettled(service, server, now);
+    }
+
     /**
      * Returns whether a server has accepted requests for so long that it holds the parts in use
      * that it ranks first for.
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
@@ -43,6 +43,14 @@
         return call;
     }
 
+    private BeginCall sendContended(long document) {
+        mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(document, 9000));
+        BeginCall call = mDriver.lastCall();
+        mDriver.answer(call.call(), 200, GENUINE);
+        mDriver.step(new DirectEvent.Finished(call.call()));
+        return call;
+    }
+
     @Test
     void serverThatRelievesAFullOneFetchesFromIt() {
         BeginCall home = sendAndAnswer(7);
@@ -129,24 +137,21 @@
     // that ranked first until its data centre was emptied, and that holds nothing any more.
     @Test
     void serverThatWasEmptiedLongAgoIsNotAskedInPlaceOfTheHome() {
-        mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(1, 9000));
+        sendContended(1);
         mDriver.drain("s1");
-        mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(1, 9000));
+        sendContended(1);
         mDriver.advance(Duration.ofSeconds(11));
         DirectRoutingDriver other = new DirectRoutingDriver(4);
         other.drain("s1");
         int asked = 0;
         for (long d = 100; d < 100 + DOCUMENT_COUNT; d++) {
             other.arrive(d, STREAM, promptAbout(d, 9000));
-            mDriver.arriveContended(++mLastCaller, STREAM, promptAbout(d, 9000));
-            BeginCall call = mDriver.lastCall();
+            BeginCall call = sendContended(d);
             asked += call.fetchFrom().isEmpty() ? 0 : 1;
             assertThat(call.fetchFrom()).isNotEqualTo("s1:80");
             if (!call.backend().equals(other.lastCall().backend())) {
                 assertThat(call.fetchFrom()).isEqualTo(other.lastCall().address());
             }
-            mDriver.answer(call.call(), 200, GENUINE);
-            mDriver.step(new DirectEvent.Finished(call.call()));
             other.answer(other.lastCall().call(), 200, GENUINE);
             other.step(new DirectEvent.Finished(other.lastCall().call()));
         }
