Expect shared parts at the server that ranks first, as often as they were there

One of 31 routers sees few of the requests with a shared part, so it took nearly every part for not cached at its home. Under load the home's predicted time then exceeds the safe share, prompts leave the home for servers that have to prefill the whole part, and the load grows. The router now learns how often the first server by rank, and other servers, had parts cached that this router had not sent there, and expects so many of the tokens to be cached; none at a server that it has known for less than 20 s, which may be cold.

Work times are recorded only once the router has had a contended request, so that other deployments keep no state. ContendedEngineChoiceTest tests both a warm and a restarted home.

--- a/org.laurelweir/src/main/java/org/laurelweir/demand/RequestDemand.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/RequestDemand.java
@@ -10,21 +10,4 @@
 public record RequestDemand(int sharedTokens, int ownTokens, int outputTokens) {
     /** The demand of a request without a prompt. */
     public static final RequestDemand NONE = new RequestDemand(0, 0, 0);
-
-    /**
-     * Returns the number of tokens that the engine has to prefill.
-     *
-     * @param isCached whether the engine has the shared parts cached
-     */
-    public long prefillTokens(boolean isCached) {
-        return isCached ? ownTokens : (long) sharedTokens + ownTokens;
-    }
-
-    /**
-     * Returns the number of tokens of the engine's memory that the request takes by its end, beside
-     * the shared parts that the engine has cached.
-     */
-    public long heldTokens(boolean isCached) {
-        return prefillTokens(isCached) + outputTokens;
-    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/demand/ServerSpeeds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/ServerSpeeds.java
@@ -10,22 +10,45 @@
 public final class ServerSpeeds {
     private final Map<String, Entry> mServers = new HashMap<>();
 
-    private record Entry(BackendRef server, ServerSpeed speed) {}
+    private record Entry(BackendRef server, ServerSpeed speed, Seen seen) {}
+
+    /** When the router first sent a request to an incarnation. */
+    private static final class Seen {
+        private Instant mSince = Instant.MAX;
+    }
 
     /**
      * Returns the record of an incarnation to add to. That of a later incarnation replaces it; for
      * one that has been replaced, a record is returned that is not stored.
      */
     public ServerSpeed of(BackendRef server) {
+        return entry(server).speed();
+    }
+
+    private Entry entry(BackendRef server) {
         Entry known = mServers.get(server.id());
         if (known != null && known.server().incarnation() > server.incarnation()) {
-            return new ServerSpeed();
+            return new Entry(server, new ServerSpeed(), new Seen());
         }
         if (known == null || !known.server().equals(server)) {
-            known = new Entry(server, new ServerSpeed());
+            known = new Entry(server, new ServerSpeed(), new Seen());
             mServers.put(server.id(), known);
         }
-        return known.speed();
+        return known;
+    }
+
+    /** Records that the router sends a request to a backend server. */
+    public void onSeen(Instant now, BackendRef server) {
+        Seen seen = entry(server).seen();
+        if (seen.mSince.equals(Instant.MAX)) {
+            seen.mSince = now;
+        }
+    }
+
+    /** Returns whether the router sent a request to this incarnation at a time or before. */
+    public boolean isKnownSince(BackendRef server, Instant time) {
+        Entry known = mServers.get(server.id());
+        return known != null && known.server().equals(server) && !known.seen().mSince.isAfter(time);
     }
 
     /** Returns the slowness of a backend server, 1 if nothing is known of this incarnation. */
--- a/org.laurelweir/src/main/java/org/laurelweir/demand/ServiceSpeed.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/ServiceSpeed.java
@@ -31,6 +31,9 @@
     /** Weight of a prior that only keeps an empty mean from being undefined. */
     private static final double NO_PRIOR = 1e-6;
 
+    /** Several prompts have to find their parts cached before any is expected to. */
+    private static final double HIT_PRIOR_WEIGHT = 5;
+
     private final DecayingMean mTokens = new DecayingMean(0, NO_PRIOR, DECAY);
     private final DecayingMean mMillis = new DecayingMean(0, NO_PRIOR, DECAY);
     private final DecayingMean mTokensTimesMillis = new DecayingMean(0, NO_PRIOR, DECAY);
@@ -43,6 +46,9 @@
 
     private final DecayingMean mHeld = new DecayingMean(0, NO_PRIOR, DECAY);
 
+    private final DecayingMean mFirstHits = new DecayingMean(0, HIT_PRIOR_WEIGHT, DECAY);
+    private final DecayingMean mOtherHits = new DecayingMean(0, HIT_PRIOR_WEIGHT, DECAY);
+
     /** Returns whether enough has been observed to predict times to the first event. */
     public boolean isLearned(Instant now) {
         return mMillis.weight(now) >= MIN_OBSERVATIONS;
@@ -126,4 +132,18 @@
         double held = mHeld.value(now);
         return held <= 0 ? 0 : Math.min(1, mWaiting.value(now) / held);
     }
+
+    /**
+     * Records whether a server had shared parts cached that this router had not sent there.
+     *
+     * @param isFirst whether the server ranked first for them
+     */
+    public void onUncertainPart(Instant now, boolean isFirst, boolean wasCached) {
+        (isFirst ? mFirstHits : mOtherHits).add(now, wasCached ? 1 : 0, 1);
+    }
+
+    /** Returns how often servers had such parts cached, from 0 to 1; 0 without observations. */
+    public double hitShare(Instant now, boolean isFirst) {
+        return (isFirst ? mFirstHits : mOtherHits).value(now);
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
@@ -43,6 +43,7 @@
     /** The call that ended last; its request may still turn out to have been served. */
     private Call mLastEnded;
 
+    /** Time of the next removal of old records; {@code MIN} until the first contended request. */
     private Instant mNextPrune = Instant.MIN;
 
     /** The tokens of this router's calls at a backend server: held, and still to be prefilled. */
@@ -92,17 +93,21 @@
     /**
      * What is expected of a request at a backend server.
      *
-     * @param prefillTokens tokens of the request to be prefilled there
-     * @param sharedTokens those of them that are of shared parts, and may be cached after all
+     * @param isFirst whether the server is the first candidate by rank
+     * @param prefillTokens tokens of the request that are expected to be prefilled there
      * @param heldTokens tokens that it will hold there
-     * @param tokensBefore tokens to be prefilled before its first event, its own included
+     * @param tokensBefore tokens to be prefilled before its first event if all of its uncertain
+     *     ones are, which includes its own
+     * @param uncertainTokens tokens of shared parts of which it is not known whether the server has
+     *     them cached
      * @param firstEventMillis time to the first event; NaN if too little has been observed
      */
     record Prediction(
+            boolean isFirst,
             long prefillTokens,
-            long sharedTokens,
             long heldTokens,
             double tokensBefore,
+            double uncertainTokens,
             double firstEventMillis) {}
 
     ContendedCalls(
@@ -134,24 +139,47 @@
         return mSpeeds.slowness(now, server);
     }
 
-    /** Returns what is expected of a request at a backend server. */
-    Prediction predict(ActiveRequest r, RequestDemand demand, BackendRef server, Instant now) {
-        boolean isCached = isCached(r, server, now);
-        long prefill = demand.prefillTokens(isCached);
-        double tokens = waitingTokens(r.mService, server, now) + prefill;
+    /**
+     * Returns what is expected of a request at a backend server.
+     *
+     * @param isFirst whether the server is the first candidate by rank, where other routers send
+     *     prompts with the same shared part too
+     */
+    Prediction predict(
+            ActiveRequest r,
+            RequestDemand demand,
+            BackendRef server,
+            boolean isFirst,
+            Instant now) {
+        long uncertain = isCached(r, server, now) ? 0 : demand.sharedTokens();
+        long likelyCached = (long) (uncertain * hitShare(r.mService, server, isFirst, now));
+        long prefill = demand.ownTokens() + uncertain - likelyCached;
+        double waiting = waitingTokens(r.mService, server, now);
         ServiceSpeed service = mServices.get(r.mService);
         double millis =
                 service != null && service.isLearned(now)
-                        ? service.firstEventMillis(now, tokens * slowness(server, now))
+                        ? service.firstEventMillis(now, (waiting + prefill) * slowness(server, now))
                         : Double.NaN;
         return new Prediction(
+                isFirst,
                 prefill,
-                isCached ? 0 : demand.sharedTokens(),
-                demand.heldTokens(isCached),
-                tokens,
+                prefill + demand.outputTokens(),
+                waiting + demand.ownTokens() + uncertain,
+                uncertain,
                 millis);
     }
 
+    /**
+     * Returns the share of the shared parts that a server is expected to have cached without this
+     * router's knowledge; none if it may have started lately.
+     */
+    private double hitShare(String service, BackendRef server, boolean isFirst, Instant now) {
+        ServiceSpeed speed = mServices.get(service);
+        return speed == null || !mSpeeds.isKnownSince(server, now.minus(PartHolders.KEPT_TIME))
+                ? 0
+                : speed.hitShare(now, isFirst);
+    }
+
     /** Returns the demand of a request, as expected from its prompt and earlier outputs. */
     RequestDemand demand(ActiveRequest r) {
         Prompt prompt = r.mRequest.prompt();
@@ -194,7 +222,12 @@
         prune(now);
         int slots = mServers.slots(r.mBackend);
         double loadFactor = slots <= 0 ? 1 : Math.max(1, (choice.load() + 1) / slots);
-        add(new Call(r, predict(r, demand(r), r.mBackend, now), loadFactor), now);
+        mSpeeds.onSeen(now, r.mBackend);
+        boolean isFirst =
+                !choice.candidates().isEmpty()
+                        && choice.candidates().get(0).equals(r.mBackend.id());
+        Prediction p = predict(r, demand(r), r.mBackend, isFirst, now);
+        add(new Call(r, p, loadFactor), now);
     }
 
     /** Records that the call which ended last goes on, since no other server takes the request. */
@@ -258,12 +291,16 @@
         double millis = millis(c.mRequest.mCallStart, now);
         double slowness = slowness(c.mServer, now);
         double tokens = c.mPrediction.tokensBefore();
-        double withoutShared = tokens - c.mPrediction.sharedTokens();
+        double uncertain = c.mPrediction.uncertainTokens();
+        double withoutShared = tokens - uncertain;
         // Most parts were read for other routers, so only the time tells whether they were cached.
         c.mWasCached =
                 distance(service, now, withoutShared * slowness, millis)
                         < distance(service, now, tokens * slowness, millis);
         double prefilled = c.mWasCached ? withoutShared : tokens;
+        if (uncertain > 0) {
+            service.onUncertainPart(now, c.mPrediction.isFirst(), c.mWasCached);
+        }
         if (service.isLearned(now)) {
             double usual = service.firstEventMillis(now, prefilled);
             mSpeeds.of(c.mServer).onTime(now, millis / Math.max(1, usual), 1);
@@ -278,7 +315,8 @@
 
     /** Records the work time that a backend server reports. */
     void onWorkTime(BackendRef server, int percent, Instant now) {
-        if (percent != AnswerMetadata.ReportedLoad.UNKNOWN_WORK_TIME) {
+        boolean isUsed = !mNextPrune.equals(Instant.MIN);
+        if (isUsed && percent != AnswerMetadata.ReportedLoad.UNKNOWN_WORK_TIME) {
             mSpeeds.of(server).onWorkTime(now, percent);
         }
     }
@@ -315,11 +353,9 @@
             mOutputs.onCompleted(r.route().name(), tokens);
         }
         ServiceSpeed service = service(c);
-        long prefilled =
-                c.mPrediction.prefillTokens() - (c.mWasCached ? c.mPrediction.sharedTokens() : 0);
         service.onEnded(
                 now,
-                prefilled,
+                c.mPrediction.prefillTokens(),
                 millis(r.mCallStart, c.mFirstEvent),
                 c.heldTokens(),
                 millis(r.mCallStart, now));
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
@@ -87,7 +87,8 @@
     private Optional<Choice> chooseEngine(
             ActiveRequest r, List<CandidateLoad> all, SpillBound bound, Instant now) {
         RequestDemand demand = mCalls.demand(r);
-        List<Option> every = all.stream().map(c -> option(r, demand, c, now)).toList();
+        List<Option> every =
+                all.stream().map(c -> option(r, demand, c, c == all.get(0), now)).toList();
         List<Option> options =
                 every.stream()
                         .filter(o -> o.hasMemory() && mChoice.hasRoom(o.candidate()))
@@ -164,8 +165,9 @@
                                 .thenComparingDouble(o -> o.candidate().load()));
     }
 
-    private Option option(ActiveRequest r, RequestDemand demand, CandidateLoad c, Instant now) {
-        Prediction p = mCalls.predict(r, demand, c.server().ref(), now);
+    private Option option(
+            ActiveRequest r, RequestDemand demand, CandidateLoad c, boolean isFirst, Instant now) {
+        Prediction p = mCalls.predict(r, demand, c.server().ref(), isFirst, now);
         boolean hasMemory = hasMemory(r, c, p, now);
         double millis = p.firstEventMillis();
         if (isLostOnFailure(r)) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/PartHolders.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/PartHolders.java
@@ -28,7 +28,7 @@
      * How long an engine is expected to keep a part that it has read. An engine at full load reads
      * as many tokens as its memory holds in some 15 seconds, about half of them cached.
      */
-    private static final Duration KEPT_TIME = Duration.ofSeconds(20);
+    static final Duration KEPT_TIME = Duration.ofSeconds(20);
 
     private final Map<Long, Holders> mByPart =
             new LinkedHashMap<>(16, 0.75f, true) {
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedEngineChoiceTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedEngineChoiceTest.java
@@ -96,6 +96,7 @@
                                         r,
                                         mFleet.mCalls.demand(r),
                                         mFleet.backend(home).ref(),
+                                        true,
                                         mFleet.mNow)
                                 .prefillTokens())
                 .isEqualTo(580);
@@ -107,6 +108,7 @@
                                         r,
                                         mFleet.mCalls.demand(r),
                                         mFleet.backend(home).ref(),
+                                        true,
                                         mFleet.mNow)
                                 .prefillTokens())
                 .isEqualTo(9200);
@@ -178,9 +180,33 @@
         BackendRef ref = mFleet.backend(home).ref();
         double millis =
                 mFleet.mCalls
-                        .predict(r, mFleet.mCalls.demand(r), ref, mFleet.mNow)
+                        .predict(r, mFleet.mCalls.demand(r), ref, true, mFleet.mNow)
                         .firstEventMillis();
         assertThat(millis).isBetween(200.0, 300.0);
         assertThat(mFleet.mCalls.slowness(ref, mFleet.mNow)).isBetween(0.9, 1.1);
     }
+
+    // Guards against leaving the home, and so prefilling everywhere, since this router has not
+    // seen who made the home cache a part; and against expecting that of a cold engine.
+    @Test
+    void firstByRankIsExpectedToHavePartsCachedIfItUsuallyHas() {
+        mFleet.learn(Map.of());
+        for (int i = 0; i < 60; i++) {
+            mFleet.serveAtHome(9000 + i, 0);
+        }
+        mFleet.mNow = mFleet.mNow.plusSeconds(20);
+        ActiveRequest r = mFleet.request(LOOSE, LARGE, ContendedFixture.TERMS);
+        String home = mFleet.home(LARGE);
+        BackendRef ref = mFleet.backend(home).ref();
+        assertThat(prefillTokens(r, ref, true)).isLessThan(4000);
+        assertThat(prefillTokens(r, ref, false)).isGreaterThan(8000);
+        mFleet.restart(home);
+        assertThat(prefillTokens(r, mFleet.backend(home).ref(), true)).isEqualTo(9200);
+    }
+
+    private long prefillTokens(ActiveRequest r, BackendRef server, boolean isFirst) {
+        return mFleet.mCalls
+                .predict(r, mFleet.mCalls.demand(r), server, isFirst, mFleet.mNow)
+                .prefillTokens();
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedFixture.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedFixture.java
@@ -178,12 +178,21 @@
 
     /** Lets a server answer a stream in the time that its slowness makes it take. */
     void serve(String id, int tokens, double slowness) {
+        serve(id, tokens, slowness, List.of());
+    }
+
+    /** Lets a server answer a stream as the first candidate by rank. */
+    void serveAtHome(int tokens, double slowness) {
+        serve("s0", tokens, slowness, List.of("s0"));
+    }
+
+    private void serve(String id, int tokens, double slowness, List<String> candidates) {
         Backend b = backend(id);
         ActiveRequest r = request(stream(1000), prompt(1_000_000 + mLastCall, tokens, 0), TERMS);
         start(
                 r,
                 new ServerChoice.Choice(
-                        new Candidate(b.ref(), "dc", b.weight()), "", List.of(), 0, 0, 0, ""));
+                        new Candidate(b.ref(), "dc", b.weight()), "", candidates, 0, 0, 0, ""));
         mNow = mNow.plusMillis(Math.round(BASE_MILLIS + tokens * slowness / TOKENS_PER_MILLI));
         firstEvent(r);
         finish(r);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedPlainChoiceTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedPlainChoiceTest.java
@@ -56,6 +56,7 @@
     // A plain server on a machine at 250%: guards against sending it as much as the others.
     @Test
     void serverOnABusyMachineIsPassedOverWhileItsWorkTimeIsFresh() {
+        mFleet.finish(mFleet.send(ONCE, Prompt.NONE, ContendedFixture.TERMS));
         mFleet.mCalls.onWorkTime(mFleet.backend("s1").ref(), 250, mFleet.mNow);
         assertThat(chosen(ONCE, 300)).doesNotContainKey("s1");
         mFleet.mNow = mFleet.mNow.plusMillis(1100);
