--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -15,7 +15,7 @@
  */
 final class Attempts {
     /** An attempt needs at least this long for a round trip and some work. */
-    private static final Duration MIN_TIME_LEFT = Duration.ofMillis(40);
+    static final Duration MIN_TIME_LEFT = Duration.ofMillis(40);
 
     /**
      * Maximum number of misdirected calls after which a request is sent on. More in a row mean that
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
@@ -31,9 +31,6 @@
      */
     private static final long TOKENS_WITHOUT_PROMPT = 500;
 
-    /** A request with less time left can't be served; see {@link Attempts}. */
-    private static final Duration MIN_TIME_LEFT = Duration.ofMillis(40);
-
     /**
      * Number of failed tries after which a pass ends that a request's end or arrival has caused. It
      * bounds the cost of each event; the next regular pass tries all requests.
@@ -98,14 +95,14 @@
 
     /** Sends a new request, lets it wait, or refuses it if waiting is of no use. */
     void startOrWait(ActiveRequest r) {
-        Place place = mReturns.takePlace(mNow, r.key());
+        Place place = mReturns.size() == 0 ? Place.NONE : mReturns.takePlace(mNow, r.key());
         boolean isNew = place.equals(Place.NONE);
         r.mPlace = isNew ? new Place(mNow, mQueue.virtualTime(r.mService)) : place;
         WaitingRequest<ActiveRequest> w = waiting(r, place);
         if (startNow(w)) {
             return;
         }
-        if (r.timeLeft(mNow).compareTo(MIN_TIME_LEFT) < 0 || isVersionGone(r)) {
+        if (r.timeLeft(mNow).compareTo(Attempts.MIN_TIME_LEFT) < 0 || isVersionGone(r)) {
             mRefusal.refuse(r, noRoomMessage(r));
         } else if (isTooLate(w)) {
             mEffects.accept(mDecisions.withReason(r, "too_late", mNow));
--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/WaitingQueue.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/WaitingQueue.java
@@ -104,7 +104,7 @@
     /** Removes a request out of turn. Does nothing if it is not in the queue. */
     public void remove(T item) {
         for (Entry<T> e : mEntries) {
-            if (e.request().item() == item) {
+            if (e.request().item().equals(item)) {
                 drop(e);
                 return;
             }
@@ -249,7 +249,7 @@
 
     /** Returns whether a request waits. */
     public boolean contains(T item) {
-        return mEntries.stream().anyMatch(e -> e.request().item() == item);
+        return mEntries.stream().anyMatch(e -> e.request().item().equals(item));
     }
 
     /** Returns the virtual time of a service, which is the place of a request that arrives now. */
