Drop a demand digest when the clock is set back

Found by reading: a digest with a time in the future of the clock would count as recent until then, an hour for example, while control is silent. The router's next report drops it.

ExchangeClientTest checks that a request and its answer carry demand over the connection if there is any, and no part for it otherwise. FleetDemandTest, ContentionFleetTest and ExchangeClientTest pass.

--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ExchangeClientTest.java
@@ -11,16 +11,20 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.contention.ContentionDigest;
 import org.laurelweir.contention.ContentionReport;
+import org.laurelweir.contention.MeanDemand;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.load.LoadReport;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.quarantine.CrashReport;
+import org.laurelweir.wire.ContentionCodec;
 import org.laurelweir.wire.v1.ControlServiceGrpc;
 import org.laurelweir.wire.v1.ExchangeReply;
 import org.laurelweir.wire.v1.ExchangeRequest;
@@ -35,6 +39,7 @@
     private static final RouterReport REPORT = new RouterReport("r", 1, "dc", "region", "", "");
 
     private final List<Server> mServers = new ArrayList<>();
+    private final List<ExchangeRequest> mRequests = new CopyOnWriteArrayList<>();
 
     @AfterEach
     void stopServers() {
@@ -80,14 +85,42 @@
         }
     }
 
+    // Guards against demand that is lost between the router's decisions and the messages, and
+    // against messages with a part for it in deployments that are not contended.
+    @Test
+    void demandIsSentAndReceivedIfThereIsAny() throws Exception {
+        ContentionDigest digest =
+                new ContentionDigest(
+                        3, List.of(new MeanDemand("svc", 5)), List.of(), List.of(), 0, 0);
+        ContentionReport report = new ContentionReport(true, List.of(), List.of());
+        String control = serve(ContentionCodec.addTo(ExchangeReply.newBuilder(), digest).build());
+        try (ExchangeClient client = new ExchangeClient(List.of(control), LARGE_ANSWER_TIMEOUT)) {
+            assertThat(exchange(client, report).contention()).isEqualTo(digest);
+            exchange(client);
+        }
+        assertThat(mRequests)
+                .extracting(ExchangeRequest::hasContention)
+                .containsExactly(true, false);
+        assertThat(ContentionCodec.toCore(mRequests.get(0).getContention())).isEqualTo(report);
+        String other = serve(true, 0);
+        try (ExchangeClient client = new ExchangeClient(List.of(other), LARGE_ANSWER_TIMEOUT)) {
+            assertThat(exchange(client).contention()).isEqualTo(ContentionDigest.NONE);
+        }
+    }
+
     private static ExchangeAnswer exchange(ExchangeClient client) throws Exception {
+        return exchange(client, ContentionReport.NONE);
+    }
+
+    private static ExchangeAnswer exchange(ExchangeClient client, ContentionReport contention)
+            throws Exception {
         return client.exchange(
                         REPORT,
                         MembershipCursor.NONE,
                         0,
                         CrashReport.NONE,
                         LoadReport.NONE,
-                        ContentionReport.NONE)
+                        contention)
                 .get(30, TimeUnit.SECONDS);
     }
 
@@ -105,7 +138,7 @@
         return "127.0.0.1:" + server.getPort();
     }
 
-    private static final class FakeControl extends ControlServiceGrpc.ControlServiceImplBase {
+    private final class FakeControl extends ControlServiceGrpc.ControlServiceImplBase {
         private final ExchangeReply mReply;
 
         /** Creates a control instance that sends a reply, or never answers if the reply is null. */
@@ -115,6 +148,7 @@
 
         @Override
         public void exchange(ExchangeRequest request, StreamObserver<ExchangeReply> reply) {
+            mRequests.add(request);
             if (mReply != null) {
                 reply.onNext(mReply);
                 reply.onCompleted();
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/FleetDemand.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/FleetDemand.java
@@ -74,6 +74,11 @@
      * long as it has recorded none.
      */
     public ContentionReport report(Instant now) {
+        if (mReportTime.isAfter(now)) {
+            // After the clock is set back, a digest from its future would never be too old.
+            mDigestTime = Instant.MIN;
+            mServers.clear();
+        }
         mReportTime = now;
         mServers.values().removeIf(l -> !isRecent(now, l.time()));
         return mOwn.report(now);
--- a/org.laurelweir/src/test/java/org/laurelweir/contention/FleetDemandTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/contention/FleetDemandTest.java
@@ -20,6 +20,15 @@
     private static final BackendRef SERVER = new BackendRef("w", 1);
     private static final BackendRef RESTARTED = new BackendRef("w", 2);
 
+    private static final ContentionDigest ALL_LISTED =
+            new ContentionDigest(
+                    ROUTERS,
+                    List.of(new MeanDemand(SERVICE, 400)),
+                    List.of(),
+                    List.of(new AccountDemand(ACCOUNT, 900)),
+                    900,
+                    1);
+
     private final FleetDemand mDemand = new FleetDemand();
 
     private static ServerDemand server(long tokens) {
@@ -158,6 +167,18 @@
         assertThat(mDemand.meanAccountTokens(EXPIRED)).isEqualTo(100);
     }
 
+    // Guards against a digest that is used for an hour, since the clock was set back by as much.
+    @Test
+    void digestIsDroppedWhenTheClockIsSetBack() {
+        exchange(NOW, digest(400, server(1_200)));
+        Instant before = NOW.minusSeconds(3_600);
+        mDemand.report(before);
+        assertThat(mDemand.ageMillis(before)).isNaN();
+        assertThat(tokens(before)).isZero();
+        mDemand.onDigest(digest(400, server(1_200)), ROUTERS);
+        assertThat(tokens(before)).isEqualTo(1_200);
+    }
+
     // Guards against a late answer that counts as new.
     @Test
     void digestIsAsOldAsItsReport() {
@@ -261,12 +282,15 @@
         assertThat(mDemand.accountTokens(EXPIRED, "small")).isZero();
     }
 
-    // Guards against control with all servers in the membership but no router yet.
+    // Guards against taking the mean of the accounts for the tokens of an account without any.
     @Test
     void accountsAreKnownToHaveNothingElseIfAllAreListed() {
         exchange(NOW, digest(400));
         assertThat(mDemand.accountTokens(NOW, ACCOUNT)).isEqualTo(900);
-        assertThat(mDemand.accountTokens(NOW, "idle")).isBetween(0.0, 100.0);
+        assertThat(mDemand.accountTokens(NOW, "other")).isEqualTo(100);
+        exchange(NOW, ALL_LISTED);
+        assertThat(mDemand.accountTokens(NOW, "other")).isZero();
+        exchange(NOW, digest(400));
         assertThat(mDemand.meanAccountTokens(NOW)).isEqualTo(500);
     }
 
