--- a/org.laurelweir/src/test/java/org/laurelweir/direct/WaitingLoad.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/WaitingLoad.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.laurelweir.attempt.AttemptRequest;
+import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.contention.FleetView;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.load.LoadEstimator;
@@ -106,8 +107,10 @@
         DirectRoutingDriver backends = new DirectRoutingDriver(1);
         LoadEstimator loads = new LoadEstimator();
         ServerTable servers = new ServerTable();
+        ContendedCalls calls =
+                new ContendedCalls(backends, servers, new PartHolders(), new FleetDemand());
         ServerChoice choice =
-                new ServerChoice(backends, servers, loads, new SlowStartLimiter(), seed);
+                new ServerChoice(backends, servers, loads, new SlowStartLimiter(), calls, seed);
         mWaiting =
                 new WaitingRequests(
                         this, choice, new RequestDecisions(), this::start, this::refuse, seed);
