Hedge slow requests of contended deployments

A repeatable request whose server stalls or is slow waits for three times its target until the stall detector sends it elsewhere. Until then its caller loses the target, although other servers have free slots.

After the 0.95 quantile of the route's times to the first data, one copy goes to a second server, while nothing of an answer has arrived. The call that answers first is or becomes the current call, and the other is cancelled in the same step. A copy that fails is dropped, and is remembered as a possible run, so that no later answer says "not run" wrongly. If the first call fails or stalls while the copy is open, the copy takes its place. Every end of a request passes DirectRouting.remove, which cancels an open copy.

The copy counts as an attempt of the route, is taken from the retry budget, and from the share of the service's requests that hedge-share gives. It is withheld above 0.8 of the service's capacity, and where the load is unknown. Servers in slow start are no candidates for it.

The property test of any order of events runs with hedged requests too, and now also checks that no load stays counted after the last call has ended, with and without them.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -78,6 +78,15 @@
     /** Start of the time of silence after which the call counts as stalled. */
     Instant mLastActivity = Instant.MIN;
 
+    /** The copy that was sent to another backend server and has no answer yet, or null. */
+    SecondCall mSecond;
+
+    /** Whether it has been decided if the request is hedged, which happens once. */
+    boolean mIsHedgeDecided;
+
+    /** Whether backend servers in slow start are no candidates for the next call. */
+    boolean mIsWarmOnly;
+
     /** Number of calls that may have reached the intended backend server. */
     int mAttemptCount;
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.agrona.collections.Long2ObjectHashMap;
+import org.laurelweir.hedging.WithholdReason;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.membership.Backend;
 
@@ -31,6 +32,7 @@
     private final FleetRetryBudget mBudget;
     private final CrashGuard mCrashGuard;
     private final RequestDecisions mDecisions;
+    private final SecondCalls mSeconds;
     private final Long2ObjectHashMap<ActiveRequest> mByCall = new Long2ObjectHashMap<>();
     private long mLastCall;
     private Instant mNow;
@@ -44,7 +46,8 @@
             FetchSource fetchSource,
             FleetRetryBudget budget,
             CrashGuard crashGuard,
-            RequestDecisions decisions) {
+            RequestDecisions decisions,
+            SecondCalls seconds) {
         mBackends = backends;
         mLoads = loads;
         mSlowStarts = slowStarts;
@@ -53,6 +56,7 @@
         mBudget = budget;
         mCrashGuard = crashGuard;
         mDecisions = decisions;
+        mSeconds = seconds;
     }
 
     /** Sets the time and the receiver of effects for one step of the reducer. */
@@ -67,12 +71,16 @@
     }
 
     /**
-     * Sends the request to a backend server that has not been tried yet.
+     * Sends the request to a backend server that has not been tried yet. If a hedged request has a
+     * second call open, that becomes the current one instead.
      *
      * @return whether it was sent; false if too little time or no attempt is left, if no server is
      *     available, if the retry budget is used up, or if it was quarantined since its first call
      */
     boolean startNext(ActiveRequest r) {
+        if (continueWithSecond(r)) {
+            return true;
+        }
         boolean hasTime = r.timeLeft(mNow).compareTo(MIN_TIME_LEFT) >= 0;
         if (!hasTime
                 || r.mAttemptCount >= r.route().maxAttempts()
@@ -117,6 +125,56 @@
         }
     }
 
+    /**
+     * Sends a copy of the request to a second server, while the current call continues.
+     *
+     * @return why it was not sent, or empty if it was
+     */
+    Optional<WithholdReason> startSecond(ActiveRequest r) {
+        if (r.timeLeft(mNow).compareTo(MIN_TIME_LEFT) < 0) {
+            return Optional.of(WithholdReason.TOO_LATE);
+        }
+        r.mIsWarmOnly = true;
+        Optional<ServerChoice.Choice> choice = mChoice.choose(r, mNow);
+        r.mIsWarmOnly = false;
+        Backend backend = choice.map(c -> mBackends.backend(c.server().id())).orElse(null);
+        if (backend == null) {
+            return Optional.of(WithholdReason.NO_SERVER);
+        }
+        if (!mBudget.trySpend(r.mService, mNow)) {
+            return Optional.of(WithholdReason.RETRIES_USED);
+        }
+        SecondCall second = new SecondCall(++mLastCall, backend, mNow);
+        mEffects.accept(mDecisions.hedgeSent(r, choice.get(), mNow));
+        mSlowStarts.onRequestSent(mNow, backend.ref());
+        mSeconds.start(r, second, fetchSourceForSecond(r, backend));
+        return Optional.empty();
+    }
+
+    /** Returns where a copy fetches cached parts: not from the server that is slow to answer. */
+    private String fetchSourceForSecond(ActiveRequest r, Backend chosen) {
+        String address = mFetchSource.addressFor(r, chosen.ref(), mNow);
+        Backend first = mBackends.backend(r.mBackend.id());
+        return first != null && first.address().equals(address) ? "" : address;
+    }
+
+    /** Makes the second call of a request the current one, and cancels the first. */
+    void switchToSecond(ActiveRequest r) {
+        long first = r.mCall;
+        end(r);
+        continueWithSecond(r);
+        mEffects.accept(new DirectEffect.CancelCall(first));
+    }
+
+    /** Makes the second call of a request without a first one the current call, if it is open. */
+    private boolean continueWithSecond(ActiveRequest r) {
+        if (!mSeconds.makeCurrent(r)) {
+            return false;
+        }
+        mByCall.put(r.mCall, r);
+        return true;
+    }
+
     /**
      * Sends the request to another server and cancels the current call. The current call continues
      * if the request cannot be sent to another server.
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
@@ -32,7 +32,7 @@
         return !r.mTriedServers.contains(c.id())
                 && !isPassedOver
                 && hasRequiredVersion(r, c)
-                && isWarmOrPermitted(c, now)
+                && isWarmOrPermitted(r, c, now)
                 && isInAllowedRegion(r, c);
     }
 
@@ -46,8 +46,9 @@
     }
 
     /** Returns whether a server is not in slow start, or takes a request of this router even so. */
-    private boolean isWarmOrPermitted(Candidate c, Instant now) {
-        return !mBackends.isInSlowStart(c.id(), now) || mSlowStarts.permits(now, c.ref());
+    private boolean isWarmOrPermitted(ActiveRequest r, Candidate c, Instant now) {
+        return !mBackends.isInSlowStart(c.id(), now)
+                || !r.mIsWarmOnly && mSlowStarts.permits(now, c.ref());
     }
 
     private boolean isInAllowedRegion(ActiveRequest r, Candidate c) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
@@ -50,12 +50,17 @@
 
     /** Returns the number of backend servers of a service that accept new requests. */
     int servingCount(String service) {
-        return serving(service).mCandidates.size();
+        return serving(service).size();
+    }
+
+    /** Returns the backend servers of a service that accept new requests. */
+    List<Candidate> serving(String service) {
+        return servers(service).mCandidates;
     }
 
     /** Returns whether a serving backend server has the version that a stream has to go on at. */
     boolean hasVersion(String service, String version) {
-        return serving(service).mCandidates.stream()
+        return serving(service).stream()
                 .map(c -> mBackends.backend(c.id()))
                 .anyMatch(b -> b != null && b.version().equals(version));
     }
@@ -115,7 +120,7 @@
 
     private void addRandom(
             ActiveRequest r, Instant now, boolean withEjected, Map<String, Candidate> found) {
-        List<Candidate> serving = serving(r.mService).mCandidates;
+        List<Candidate> serving = serving(r.mService);
         int maxSize = found.size() + RANDOM_CANDIDATES;
         int start = serving.isEmpty() ? 0 : mRandom.nextInt(serving.size());
         for (int i = 0; i < serving.size() && found.size() < maxSize; i++) {
@@ -133,7 +138,7 @@
         return size % 7 == 0 ? 1 : 7;
     }
 
-    private ServingServers serving(String service) {
+    private ServingServers servers(String service) {
         ServiceView view = mBackends.view(service);
         ServingServers servers = mServing.get(service);
         if (servers == null || servers.mVersion != view.version()) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CrashGuard.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CrashGuard.java
@@ -67,9 +67,9 @@
         return !mCrashes.isEmpty() && mCrashes.isSuspect(r.key());
     }
 
-    /** Records that the current backend server answered, which may excuse a supposed crash. */
-    void onHeadReceived(ActiveRequest r, Instant now) {
-        mCrashes.onAnswer(now, r.mBackend, r.mCallStart);
+    /** Records that a backend server answered a call, which may excuse a supposed crash. */
+    void onHeadReceived(BackendRef server, Instant callStart, Instant now) {
+        mCrashes.onAnswer(now, server, callStart);
     }
 
     /** Records that a request was served successfully, which excuses it and its prompt's parts. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -10,6 +10,8 @@
 import org.agrona.collections.Long2ObjectHashMap;
 import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.contention.FleetDemand;
+import org.laurelweir.hedging.HedgeCounts;
+import org.laurelweir.hedging.WorkTimes;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.quarantine.CrashTable;
@@ -43,6 +45,7 @@
     private final CrashGuard mCrashGuard;
     private final UnconfirmedEnds mUnconfirmedEnds;
     private final InvalidAnswerCalls mInvalidAnswers;
+    private final Hedges mHedges;
     private final Outcomes mOutcomes;
     private final AnswerMemory mAnswerMemory;
     private final OriginRecorder mOriginRecorder;
@@ -133,6 +136,7 @@
                         mUnconfirmedEnds,
                         mInvalidAnswers);
         FetchSource fetchSource = new FetchSource(backends, mServers, holders);
+        SecondCalls seconds = new SecondCalls(loads, mDecisions);
         mAttempts =
                 new Attempts(
                         backends,
@@ -142,6 +146,20 @@
                         fetchSource,
                         mBudget,
                         mCrashGuard,
+                        mDecisions,
+                        seconds);
+        mHedges =
+                new Hedges(
+                        hedgeShare,
+                        WorkTimes.EQUAL,
+                        seconds,
+                        mAttempts,
+                        choice,
+                        loads,
+                        demand,
+                        mOutcomes,
+                        mCrashGuard,
+                        mInvalidAnswers,
                         mDecisions);
         mErrorAnswers = new ErrorAnswers(choice, mAttempts, mDecisions, new RetryDelays(seed + 2));
         StreamOrigins origins = new StreamOrigins(MAX_OWN_ORIGINS);
@@ -154,11 +172,17 @@
         return mByCaller.isEmpty();
     }
 
+    /** Returns the counts of hedged requests. */
+    public HedgeCounts hedgeCounts() {
+        return mHedges.counts();
+    }
+
     @Override
     public void step(Instant now, DirectEvent event, Consumer<? super DirectEffect> effects) {
         mNow = now;
         mEffects = effects;
         mAttempts.beginStep(now, effects);
+        mHedges.beginStep(now, effects);
         mErrorAnswers.beginStep(now, effects);
         mInvalidAnswers.beginStep(now, effects);
         mUnconfirmedEnds.beginStep(now, effects);
@@ -174,6 +198,7 @@
         } else if (event instanceof DirectEvent.CallerBlocked e) {
             withRequest(mByCaller.get(e.caller()), r -> onCallerBlocked(r, e.blocked()));
         } else if (event instanceof DirectEvent.HeadReceived e) {
+            mHedges.onHead(e);
             withRequest(mAttempts.requestOf(e.call()), r -> onHeadReceived(r, e));
         } else if (event instanceof DirectEvent.DataReceived e) {
             withRequest(mAttempts.requestOf(e.call()), r -> onDataReceived(r, e.bytes()));
@@ -182,6 +207,7 @@
             withRequest(mAttempts.requestOf(e.call()), this::onFinished);
         } else if (event instanceof DirectEvent.Failed e) {
             mInvalidAnswers.onFailed(e.call(), e.failure());
+            mHedges.onFailed(e);
             withRequest(mAttempts.requestOf(e.call()), r -> onFailed(r, e));
         } else if (event instanceof DirectEvent.BackendChecked e) {
             mUnconfirmedEnds.onChecked(e.check(), e.result());
@@ -216,6 +242,7 @@
 
     private void startFirst(ActiveRequest r) {
         mBudget.onRequest(r.mService, mNow);
+        mHedges.onRequest(r);
         Optional<SuspectKey> quarantined = mCrashGuard.findReasonToReject(r, mNow);
         if (quarantined.isPresent()) {
             end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
@@ -286,6 +313,7 @@
         if (isFailure(e.status())) {
             onFailureStatus(r);
         } else {
+            mHedges.onFirstAnswered(r);
             mOutcomes.onPromptRead(r);
             beginStream(r);
         }
@@ -300,7 +328,7 @@
         boolean mayRetry = !mInvalidAnswers.isWatched(r) && !mCrashGuard.isSuspect(r);
         long call = r.mCall;
         mAttempts.end(r);
-        mInvalidAnswers.watch(r, call, framing);
+        mInvalidAnswers.watch(r, call, r.mBackend, framing);
         mOutcomes.onFailure(r);
         onUnknownOutcome(r, mayRetry, "the answer belongs to another request, or to none");
     }
@@ -333,7 +361,7 @@
 
     /** Handles the statement of a server that it did not run the request and will not. */
     private void onNotRun(ActiveRequest r, DirectEvent.HeadReceived e) {
-        mOutcomes.onNotRun(r, e.metadata().misdirected());
+        mOutcomes.onNotRun(r.mBackend, e.metadata().misdirected());
         emit(mDecisions.withReason(r, "not_run_" + e.status(), mNow));
         mAttempts.cancel(r);
         r.mMisdirected = e.metadata().misdirected();
@@ -468,6 +496,7 @@
 
     private void remove(ActiveRequest r) {
         mByCaller.remove(r.mCaller);
+        mHedges.onEnded(r);
         mAnswerMemory.onEnded(r);
     }
 
@@ -503,6 +532,7 @@
         mNextScan = mNow.plus(SCAN_INTERVAL);
         new ArrayList<>(mByCaller.values()).forEach(mOriginRecorder::checkRun);
         new ArrayList<>(mByCaller.values()).forEach(this::checkTimeouts);
+        mHedges.onTick(mByCaller.values());
         mInvalidAnswers.cancelExpired();
         mUnconfirmedEnds.onTick();
         mOriginRecorder.onTick();
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/InvalidAnswerCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/InvalidAnswerCalls.java
@@ -56,9 +56,9 @@
     }
 
     /** Starts to watch a call that no longer belongs to its request. */
-    void watch(ActiveRequest r, long call, BodyFraming framing) {
-        mLoads.onRequestSent(r.mBackend, r.sharedPartId());
-        mCalls.put(call, new WatchedCall(call, r, r.mBackend, framing, mNow.plus(WATCH_TIME)));
+    void watch(ActiveRequest r, long call, BackendRef server, BodyFraming framing) {
+        mLoads.onRequestSent(server, r.sharedPartId());
+        mCalls.put(call, new WatchedCall(call, r, server, framing, mNow.plus(WATCH_TIME)));
     }
 
     /** Returns whether any call of a request is watched. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
@@ -48,8 +48,13 @@
 
     /** Records the head of an answer that belongs to its request: the server lives. */
     void onHead(ActiveRequest r) {
-        mCrashGuard.onHeadReceived(r, mNow);
-        mUnconfirmedEnds.onAnswer(r.mBackend, r.mCallStart);
+        onHead(r.mBackend, r.mCallStart);
+    }
+
+    /** Records the head of an answer to a call that was started at a time: the server lives. */
+    void onHead(BackendRef server, Instant callStart) {
+        mCrashGuard.onHeadReceived(server, callStart, mNow);
+        mUnconfirmedEnds.onAnswer(server, callStart);
     }
 
     /** Records that the server has read the prompt of a request. */
@@ -72,20 +77,30 @@
 
     /** Records that the server failed, broke off or stayed silent. */
     void onFailure(ActiveRequest r) {
-        mServers.onFailure(r.mService, r.mBackend, servingCount(r), mNow);
+        onFailure(r, r.mBackend);
+    }
+
+    /** Records that one of the servers of a request failed, broke off or stayed silent. */
+    void onFailure(ActiveRequest r, BackendRef server) {
+        mServers.onFailure(r.mService, server, servingCount(r), mNow);
     }
 
     /** Records that no connection to the server could be opened. */
     void onUnreachable(ActiveRequest r) {
-        mServers.onUnreachable(r.mService, r.mBackend, servingCount(r), mNow);
+        onUnreachable(r, r.mBackend);
+    }
+
+    /** Records that no connection to one of the servers of a request could be opened. */
+    void onUnreachable(ActiveRequest r, BackendRef server) {
+        mServers.onUnreachable(r.mService, server, servingCount(r), mNow);
     }
 
     /** Records that the server is full, or that another server answered at its address. */
-    void onNotRun(ActiveRequest r, boolean misdirected) {
+    void onNotRun(BackendRef server, boolean misdirected) {
         if (misdirected) {
-            mServers.onReplaced(r.mBackend, mNow);
+            mServers.onReplaced(server, mNow);
         } else {
-            mServers.onFull(r.mBackend, mNow);
+            mServers.onFull(server, mNow);
         }
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestDecisions.java
@@ -1,5 +1,6 @@
 package org.laurelweir.direct;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,26 @@
                         .build());
     }
 
+    /** Returns the entry of a copy that is sent to a second server. */
+    DirectEffect.LogDecision hedgeSent(ActiveRequest r, ServerChoice.Choice c, Instant now) {
+        long waited = Duration.between(r.mCallStart, now).toMillis();
+        String reason = "hedge_sent: " + c.reason() + ", after " + waited + " ms at ";
+        return new DirectEffect.LogDecision(
+                builder(r, now)
+                        .candidates(c.candidates())
+                        .choice(c.server().id(), reason + r.mBackend.id())
+                        .load(c.load(), c.bound())
+                        .loadAgeMillis(c.loadAgeMillis())
+                        .version(c.version())
+                        .build());
+    }
+
+    /** Returns the entry of a second call that ended or was cancelled. */
+    DirectEffect.LogDecision hedgeLost(
+            ActiveRequest r, BackendRef server, String why, Instant now) {
+        return decision(r, now, List.of(), server.id(), "hedge_lost: " + why);
+    }
+
     /** Returns the entry of a request that goes on with a stream. */
     DirectEffect.LogDecision resumptionRequested(ActiveRequest r, Instant now) {
         Resumption resumption = r.mRequest.resumption();
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -69,6 +69,11 @@
         return mCandidates.servingCount(service);
     }
 
+    /** Returns the backend servers of a service that accept new requests. */
+    List<Candidate> serving(String service) {
+        return mCandidates.serving(service);
+    }
+
     /** Returns whether a serving backend server has the version that a stream has to go on at. */
     boolean hasVersion(String service, String version) {
         return mCandidates.hasVersion(service, version);
@@ -170,7 +175,8 @@
         return slots <= 0 || load < slots;
     }
 
-    private int slots(Candidate c) {
+    /** Returns the number of slots of a server as reported or announced, or 0 if unknown. */
+    int slots(Candidate c) {
         int reported = mServers.slots(c.ref());
         return reported > 0 ? reported : (int) c.weight();
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -11,8 +11,11 @@
 import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.load.LoadDigest;
 import org.laurelweir.load.LoadEstimator;
+import org.laurelweir.load.MeanLoad;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ServiceView;
@@ -38,7 +41,11 @@
     final SlowStartLimiter mSlowStarts = new SlowStartLimiter();
     final LoadEstimator mLoads = new LoadEstimator();
     private final Map<String, Backend> mBackends = new HashMap<>();
-    private final DirectRouting mRouting;
+    final DirectRouting mRouting;
+
+    /** The terms of the requests that arrive. */
+    RequestTerms mTerms = RequestTerms.NONE;
+
     private ServiceView mView = ServiceView.empty(SERVICE);
     private Instant mNow = Instant.EPOCH;
     private long mVersion;
@@ -48,6 +55,10 @@
     }
 
     DirectRoutingDriver(int servers, RetryLimits limits, long seed) {
+        this(servers, limits, seed, 0);
+    }
+
+    DirectRoutingDriver(int servers, RetryLimits limits, long seed, double hedgeShare) {
         for (int i = 0; i < servers; i++) {
             join("s" + i);
         }
@@ -60,7 +71,9 @@
                         mLoads,
                         mSlowStarts,
                         AnswerLimits.DEFAULT,
-                        seed);
+                        seed,
+                        new FleetDemand(),
+                        hedgeShare);
     }
 
     void join(String id) {
@@ -97,6 +110,13 @@
         apply(new ViewChange.Join(new Candidate(ref, "dc", 6)));
     }
 
+    /** Tells the router the mean load of the service, which it uses for some seconds. */
+    void setMeanLoad(double requests) {
+        List<MeanLoad> means = List.of(new MeanLoad(SERVICE, requests));
+        mLoads.report(mNow);
+        mLoads.onDigest(new LoadDigest(1, means, List.of(), List.of()), 1, ref -> SERVICE);
+    }
+
     /** Makes a server drain; it still answers requests. */
     void drain(String id) {
         mBackends.computeIfPresent(id, (i, b) -> b.withState(Backend.State.DRAINING));
@@ -179,13 +199,14 @@
                 new DirectEvent.RequestArrived(
                         caller,
                         new RoutedRequest(
-                                "id" + caller,
-                                route,
-                                "acc",
-                                5,
-                                Duration.ofSeconds(1),
-                                call,
-                                prompt)));
+                                        "id" + caller,
+                                        route,
+                                        "acc",
+                                        5,
+                                        Duration.ofSeconds(1),
+                                        call,
+                                        prompt)
+                                .withTerms(mTerms)));
     }
 
     void step(DirectEvent event) {
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingPropertyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingPropertyTest.java
@@ -17,6 +17,7 @@
 import org.laurelweir.direct.DirectEffect.AnswerEnd;
 import org.laurelweir.direct.DirectEffect.AnswerError;
 import org.laurelweir.direct.DirectEffect.BeginCall;
+import org.laurelweir.lib.BackendRef;
 
 /**
  * Tests the guarantees that hold for any order of events of backend servers and callers: a request
@@ -35,15 +36,32 @@
 
     @Property(tries = 400, seed = "81")
     void guaranteesHoldForAnyOrderOfEvents(@ForAll long seed) {
+        run(seed, 0);
+    }
+
+    // Guards against a second run or a wrong "not run" by copies of slow requests.
+    @Property(tries = 400, seed = "82")
+    void guaranteesHoldForHedgedRequests(@ForAll long seed) {
+        run(seed, 1);
+    }
+
+    private void run(long seed, double hedgeShare) {
         mRoutes.clear();
         mGoneCallers.clear();
         mPossibleRuns.clear();
         SplittableRandom random = new SplittableRandom(seed);
         DirectRoutingDriver driver =
-                new DirectRoutingDriver(1 + random.nextInt(5), DirectRoutingDriver.LIMITS, seed);
+                new DirectRoutingDriver(
+                        1 + random.nextInt(5), DirectRoutingDriver.LIMITS, seed, hedgeShare);
+        if (hedgeShare > 0) {
+            driver.mTerms = new RequestTerms(true, 1, 0, Map.of());
+        }
         List<BeginCall> openCalls = new ArrayList<>();
         int seen = 0;
         for (int i = 0; i < STEPS; i++) {
+            if (hedgeShare > 0) {
+                driver.setMeanLoad(1);
+            }
             step(driver, random, openCalls);
             for (DirectEffect e : driver.mEffects.subList(seen, driver.mEffects.size())) {
                 if (e instanceof BeginCall b) {
@@ -54,6 +72,14 @@
         }
         driver.advance(Duration.ofSeconds(2));
         checkGuarantees(driver);
+        checkLoads(driver);
+    }
+
+    // Guards against loads that stay counted after their calls have ended.
+    private static void checkLoads(DirectRoutingDriver driver) {
+        for (int i = 0; i < 5; i++) {
+            assertThat(driver.mLoads.ownRequests(new BackendRef("s" + i, 0))).isZero();
+        }
     }
 
     private void step(
