Hedge only requests slower than the quantile, not those equal to it

In a model of servers that take 20 ms for every request, all answers take as long as the 0.95 quantile. Every request was hedged in the scan before its answer, the saved share was used up by requests that were not slow, and of 298 copies 7 won while 2,662 requests were withheld (share_used). A request is now hedged after the delay only.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
@@ -115,7 +115,7 @@
             return;
         }
         HedgeDelay.Due due = due(r);
-        if (mNow.isBefore(r.mCallStart.plus(due.delay()))) {
+        if (!mNow.isAfter(r.mCallStart.plus(due.delay()))) {
             return;
         }
         r.mIsHedgeDecided = true;
