--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -4,6 +4,8 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
 import java.util.function.Supplier;
+import org.laurelweir.hedging.HedgeCounts;
+import org.laurelweir.hedging.WithholdReason;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.runtime.metrics.MetricNames;
 
@@ -41,4 +43,20 @@
         mRegistry.register("router.requests.in.flight", requests);
         mRegistry.register("router.answer.bytes.waiting", bytes);
     }
+
+    /** Registers the gauges of hedged requests since the start of the router. */
+    void registerHedges(HedgeCounts counts) {
+        registerGauge("hedges.sent", counts::sent);
+        registerGauge("hedges.won", counts::won);
+        registerGauge("hedges.cancelled", counts::cancelled);
+        registerGauge("hedges.failed", counts::failed);
+        for (WithholdReason reason : WithholdReason.values()) {
+            String name = MetricNames.labelled("hedges.withheld", "reason", reason.word());
+            registerGauge(name, () -> counts.withheld(reason));
+        }
+    }
+
+    private void registerGauge(String name, Gauge<Long> gauge) {
+        mRegistry.register(name, gauge);
+    }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -201,6 +201,7 @@
     private ReducerLoop<RouterEvent, RouterEffect> newLoop(
             SidecarCalls sidecars, BackendCalls calls) {
         RouterReducer reducer = new RouterReducer(mConfig);
+        mMetrics.registerHedges(reducer.hedgeCounts());
         return new ReducerLoop<>(
                 "router-decide",
                 (now, event, effects) -> {
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -7,6 +7,7 @@
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectRouting;
 import org.laurelweir.direct.SlowStartLimiter;
+import org.laurelweir.hedging.HedgeCounts;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
@@ -76,6 +77,11 @@
         mTimers = new Timers(mRequests, mStreams, mRetries, mRecovery, mClaimAnswers, mOutcomes);
     }
 
+    /** Returns the counts of hedged requests, which other threads may read. */
+    public HedgeCounts hedgeCounts() {
+        return mDirect.hedgeCounts();
+    }
+
     @Override
     public void step(Instant now, RouterEvent event, Consumer<? super RouterEffect> effects) {
         Step s = new Step(now, effects);
