Test copies at servers in slow start, engines and resumed streams

These rules had no test of their own: without the exclusion of servers in slow start the new test sees a copy at one. The others pin that an engine whose memory use is unknown gets no copy, that a copy in the place of the first call is retried while attempts are left, and that a stream which goes on is not hedged.

--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -17,6 +17,7 @@
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.load.MeanLoad;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.SlowStartPermit;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ServiceView;
 import org.laurelweir.placement.ViewChange;
@@ -117,6 +118,13 @@
         mLoads.onDigest(new LoadDigest(1, means, List.of(), List.of()), 1, ref -> SERVICE);
     }
 
+    /** Puts a server into slow start, with a permit for many requests a second. */
+    void startSlowly(String id) {
+        Backend b = mBackends.get(id);
+        mBackends.put(id, b.withSlowStart(true));
+        mSlowStarts.onPermits(mNow, List.of(new SlowStartPermit(b.ref(), 1000)));
+    }
+
     /** Makes a server drain; it still answers requests. */
     void drain(String id) {
         mBackends.computeIfPresent(id, (i, b) -> b.withState(Backend.State.DRAINING));
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
@@ -6,10 +6,12 @@
 import static org.laurelweir.direct.DirectRoutingDriver.LIMITS;
 import static org.laurelweir.direct.DirectRoutingDriver.MISDIRECTED;
 import static org.laurelweir.direct.DirectRoutingDriver.NOT_RUN;
+import static org.laurelweir.direct.DirectRoutingDriver.SERVICE;
 import static org.laurelweir.direct.DirectRoutingDriver.route;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -394,6 +396,63 @@
         checkWithheld(WithholdReason.NO_SERVER);
     }
 
+    // Guards against a copy to a server with cold caches, although a permit allows requests there.
+    @Test
+    void copyIsNotSentToAServerInSlowStart() {
+        saveUp();
+        mDriver.arrive(1, READ);
+        String first = mDriver.lastCall().backend().id();
+        List<String> others =
+                List.of("s0", "s1", "s2", "s3").stream().filter(s -> !s.equals(first)).toList();
+        mDriver.leave(others.get(0));
+        mDriver.leave(others.get(1));
+        mDriver.startSlowly(others.get(2));
+        mDriver.advance(DELAY);
+        checkWithheld(WithholdReason.NO_SERVER);
+        assertThat(
+                        mDriver.mSlowStarts.permits(
+                                Instant.EPOCH.plus(DELAY), new BackendRef(others.get(2), 0)))
+                .isTrue();
+    }
+
+    // Guards against copies to engines whose memory may be full, although they have free slots.
+    @Test
+    void engineOfUnknownMemoryUseGetsNoCopy() {
+        EngineCapacity engine = new EngineCapacity(128, 100_000);
+        mDriver.mTerms = new RequestTerms(true, 1, 0, Map.of(SERVICE, engine));
+        saveUp();
+        mDriver.arrive(1, STREAM);
+        mDriver.advance(DELAY);
+        checkWithheld(WithholdReason.LOAD_UNKNOWN);
+    }
+
+    // Guards against giving up while the route permits one more server after both calls.
+    @Test
+    void copyInThePlaceOfTheFirstCallIsRetried() {
+        hedge(route(true, false, false, 3));
+        mDriver.answer(mFirst.call(), 500, GENUINE);
+        mDriver.answer(mSecond.call(), 500, GENUINE);
+        assertThat(mDriver.callCount()).isEqualTo(3);
+        finish(answered(mDriver.lastCall()), "third");
+        assertThat(mDriver.last(AnswerComplete.class).status()).isEqualTo(200);
+        checkNoLoadIsLeft();
+    }
+
+    // Guards against a copy of another version, or of a stream that has an origin.
+    @Test
+    void streamThatIsResumedIsNotHedged() {
+        saveUp();
+        mDriver.arrive(1, route(false, true, true, 3));
+        BeginCall begun = answered(mDriver.lastCall());
+        data(begun, "id: 1\ndata: a\n\n");
+        fail(begun, Failure.CONNECTION_LOST);
+        int calls = mDriver.callCount();
+        mDriver.advance(Duration.ofMillis(200));
+        assertThat(calls).isEqualTo(2);
+        assertThat(mDriver.callCount()).isEqualTo(2);
+        assertThat(logged("hedge")).isZero();
+    }
+
     // Guards against a change, or a random draw, in deployments that don't ask for hedging.
     @Test
     void withoutAShareOrContentionNothingChanges() {
