Predict the wait by the requests that really go first

The predicted wait counted all waiting requests of at least the same priority. So a caller that returned as told was refused as too late before its earlier place counted, and so was a request of an account with little in flight behind a surge of another. The requests before it in the order are counted now.

Tests: Waiting*Test, HeadroomTest, ReturnTimesTest, UncontendedDecisionsTest, DirectRouting*Test, FairQueueTest, ResumptionTest and CrashGuardTest pass.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
@@ -163,7 +163,7 @@
 
     /** Returns whether the requests before a request take longer than it may wait. */
     private boolean isTooLate(WaitingRequest<ActiveRequest> w) {
-        int ahead = mQueue.countAhead(w.service(), w.priority());
+        int ahead = mQueue.countBefore(mNow, w);
         Duration predicted = mEnds.timeFor(mNow, w.service(), ahead);
         return !mNow.plus(predicted).isBefore(w.waitEnd());
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/WaitingQueue.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/WaitingQueue.java
@@ -224,6 +224,18 @@
         return mEntries.stream().anyMatch(e -> e.request().service().equals(service));
     }
 
+    /**
+     * Returns the number of waiting requests that would go before a request that does not wait yet.
+     */
+    public int countBefore(Instant now, WaitingRequest<T> r) {
+        add(r);
+        Entry<T> added = mEntries.get(mEntries.size() - 1);
+        List<Entry<T>> order = order(now, r.service());
+        drop(added);
+        int index = order.indexOf(added);
+        return index < 0 ? order.size() : index;
+    }
+
     /** Returns the number of requests of at least a priority that wait for a service. */
     public int countAhead(String service, int priority) {
         int count = 0;
