Explain a request that is not sent, on the decision loop

Operators could only ask about requests that had been sent. The event ExplanationRequested is answered by RequestExplainer, which asks ServerChoice for its candidates and its choice and reads loads, demand, failures and quarantine. Nothing changes: the random generator is restored after it, which SplittableRandom does not permit, so RestorableRandom yields the same numbers; and ServerTable answers without replacing the records of earlier incarnations.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -73,8 +73,7 @@
      *     available, if the retry budget is used up, or if it was quarantined since its first call
      */
     boolean startNext(ActiveRequest r) {
-        boolean hasTime = r.timeLeft(mNow).compareTo(MIN_TIME_LEFT) >= 0;
-        if (!hasTime
+        if (!hasTime(r, mNow)
                 || r.mAttemptCount >= r.route().maxAttempts()
                 || r.mMisdirectedCount > MAX_MISDIRECTED) {
             return false;
@@ -95,6 +94,11 @@
         return true;
     }
 
+    /** Returns whether enough time is left for an attempt. */
+    static boolean hasTime(ActiveRequest r, Instant now) {
+        return r.timeLeft(now).compareTo(MIN_TIME_LEFT) >= 0;
+    }
+
     private void start(ActiveRequest r, Backend backend, ServerChoice.Choice choice) {
         r.startCall(++mLastCall, backend, mNow);
         r.mAttemptCount++;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
@@ -8,7 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.placement.ChatKey;
@@ -34,14 +34,14 @@
     private final BackendSource mBackends;
     private final LoadEstimator mLoads;
     private final CandidateFilter mFilter;
-    private final SplittableRandom mRandom;
+    private final RandomGenerator mRandom;
     private final Map<String, ServingServers> mServing = new HashMap<>();
 
     CandidateFinder(
             BackendSource backends,
             LoadEstimator loads,
             CandidateFilter filter,
-            SplittableRandom random) {
+            RandomGenerator random) {
         mBackends = backends;
         mLoads = loads;
         mFilter = filter;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CrashGuard.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CrashGuard.java
@@ -32,7 +32,8 @@
         return findQuarantined(r).isPresent();
     }
 
-    private Optional<SuspectKey> findQuarantined(ActiveRequest r) {
+    /** Returns the reason why a request is quarantined, if it is; uses up no trial. */
+    Optional<SuspectKey> findQuarantined(ActiveRequest r) {
         if (mCrashes.isEmpty()) {
             return Optional.empty();
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
@@ -101,6 +101,9 @@
     record AnswerError(long caller, ResultCode code, String message, Duration retryAfter)
             implements DirectEffect {}
 
+    /** Tell an operator what would happen to a request. */
+    record Explain(long query, RequestExplanation explanation) implements DirectEffect {}
+
     /** Write a decision to the log and keep it for the {@code explain} command. */
     record LogDecision(Decision decision) implements DirectEffect {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -11,6 +11,13 @@
     /** A caller's request has been received completely. */
     record RequestArrived(long caller, RoutedRequest request) implements DirectEvent {}
 
+    /**
+     * An operator asks what would happen to a request now. Nothing is sent, and nothing changes.
+     *
+     * @param query the number of the query in the effect with its result
+     */
+    record ExplanationRequested(long query, RoutedRequest request) implements DirectEvent {}
+
     /** The caller closed its connection. */
     record CallerGone(long caller) implements DirectEvent {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -47,6 +47,7 @@
     private final AnswerMemory mAnswerMemory;
     private final OriginRecorder mOriginRecorder;
     private final OriginLookup mOriginLookup;
+    private final RequestExplainer mExplainer;
     private final SplittableRandom mRandom;
     private final Long2ObjectHashMap<ActiveRequest> mByCaller = new Long2ObjectHashMap<>();
     private Instant mNextScan = Instant.MIN;
@@ -118,6 +119,7 @@
         mCrashGuard = new CrashGuard(crashes);
         ServerChoice choice = new ServerChoice(backends, mServers, loads, slowStarts, seed);
         mBudget = new FleetRetryBudget(limits, routerCount);
+        mExplainer = new RequestExplainer(backends, mServers, loads, choice, mCrashGuard, demand);
         mRandom = new SplittableRandom(seed + 1);
         mDecisions = new RequestDecisions();
         mUnconfirmedEnds = new UnconfirmedEnds(backends, mServers, mCrashGuard, mDecisions);
@@ -189,6 +191,8 @@
             mOriginRecorder.onRecorded(e);
         } else if (event instanceof DirectEvent.StreamFound e) {
             mOriginLookup.onFound(e);
+        } else if (event instanceof DirectEvent.ExplanationRequested e) {
+            emit(new DirectEffect.Explain(e.query(), mExplainer.explain(e.request(), mNow)));
         }
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
@@ -72,9 +72,13 @@
 
     /** Answers that the request, or a part of its prompt, is quarantined. */
     void quarantined(ActiveRequest r, SuspectKey cause) {
+        Duration retryAfter = mRetryDelays.afterQuarantine();
+        answer(r, ResultCode.REQUEST_QUARANTINED, quarantineMessage(cause), retryAfter);
+    }
+
+    static String quarantineMessage(SuspectKey cause) {
         String suspect = cause.isPromptPart() ? "a part of this prompt: " : "this request: ";
-        String message = "backend servers ended under " + suspect + cause.idText();
-        answer(r, ResultCode.REQUEST_QUARANTINED, message, mRetryDelays.afterQuarantine());
+        return "backend servers ended under " + suspect + cause.idText();
     }
 
     /** Answers that the request may have run and that its answer is lost. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RetryDelays.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RetryDelays.java
@@ -18,7 +18,7 @@
     private static final int TIME_LEFT_DIVISOR = 4;
 
     /** An earlier retry of a quarantined request is useless: the quarantine lasts longer. */
-    private static final Duration QUARANTINE_DELAY = Duration.ofMinutes(1);
+    static final Duration QUARANTINE_DELAY = Duration.ofMinutes(1);
 
     private final SplittableRandom mRandom;
 
@@ -43,6 +43,15 @@
     /** Returns the delay after a request for which no server has room. */
     Duration afterOverload(Duration timeLeft) {
         long delay = MIN_OVERLOAD_MILLIS + mRandom.nextInt(OVERLOAD_JITTER_MILLIS);
+        return limited(delay, timeLeft);
+    }
+
+    /** Returns the longest delay after a request for which no server has room. */
+    static Duration longestAfterOverload(Duration timeLeft) {
+        return limited(MIN_OVERLOAD_MILLIS + OVERLOAD_JITTER_MILLIS - 1, timeLeft);
+    }
+
+    private static Duration limited(long delay, Duration timeLeft) {
         long max = Math.max(1, timeLeft.toMillis() / TIME_LEFT_DIVISOR);
         return Duration.ofMillis(Math.min(delay, max));
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.Candidate;
@@ -20,7 +19,7 @@
     private final BackendSource mBackends;
     private final ServerTable mServers;
     private final LoadEstimator mLoads;
-    private final SplittableRandom mRandom;
+    private final RestorableRandom mRandom;
     private final CandidateFinder mCandidates;
 
     ServerChoice(
@@ -32,7 +31,7 @@
         mBackends = backends;
         mServers = servers;
         mLoads = loads;
-        mRandom = new SplittableRandom(seed);
+        mRandom = new RestorableRandom(seed);
         CandidateFilter filter = new CandidateFilter(backends, servers, slowStarts);
         mCandidates = new CandidateFinder(backends, loads, filter, mRandom);
     }
@@ -74,6 +73,26 @@
         return mCandidates.hasVersion(service, version);
     }
 
+    /**
+     * What would be chosen for a request now.
+     *
+     * @param candidates the servers that would be compared, best by rank first
+     * @param choice the choice, or none if no server has room
+     */
+    record Preview(List<Candidate> candidates, Optional<Choice> choice) {}
+
+    /** Returns what would be chosen, without using up random numbers. */
+    Preview preview(ActiveRequest r, Instant now) {
+        long state = mRandom.state();
+        try {
+            List<Candidate> candidates = List.copyOf(mCandidates.find(r, now));
+            mRandom.restore(state);
+            return new Preview(candidates, choose(r, now));
+        } finally {
+            mRandom.restore(state);
+        }
+    }
+
     /** Chooses a server that has not been tried for the request, or none if no server has room. */
     Optional<Choice> choose(ActiveRequest r, Instant now) {
         List<CandidateLoad> all =
@@ -170,7 +189,8 @@
         return slots <= 0 || load < slots;
     }
 
-    private int slots(Candidate c) {
+    /** Returns the number of slots of a server, or 0 if it is unknown. */
+    int slots(Candidate c) {
         int reported = mServers.slots(c.ref());
         return reported > 0 ? reported : (int) c.weight();
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -46,6 +46,17 @@
     private final Map<String, Server> mServers = new HashMap<>();
     private final Map<String, Outliers> mOutliers = new HashMap<>();
 
+    /** Whether questions about a server leave the records as they are. */
+    private boolean mIsFrozen;
+
+    /**
+     * Sets whether questions about a server leave the records as they are. Otherwise a question
+     * about a later incarnation removes what is recorded of the earlier one.
+     */
+    void setFrozen(boolean frozen) {
+        mIsFrozen = frozen;
+    }
+
     /** Records the number of slots that a server reports. */
     void onReportedSlots(BackendRef ref, int slots) {
         server(ref).mSlots = slots;
@@ -89,7 +100,7 @@
 
     /** Returns whether a server is ejected, or paused because it was full or replaced. */
     boolean isPassedOver(String service, BackendRef ref, Instant now) {
-        return isPaused(ref, now) || outliers(service).isEjected(ref.id(), now);
+        return isPaused(ref, now) || isRecorded(ref) && outliers(service).isEjected(ref.id(), now);
     }
 
     /** Returns whether a server is paused because it was full or replaced. */
@@ -104,6 +115,12 @@
                 || (failedRecently && outliers(service).hasFailed(ref.id()));
     }
 
+    /** Returns whether failures that are recorded under a server's id are not of an earlier run. */
+    private boolean isRecorded(BackendRef ref) {
+        Server known = mServers.get(ref.id());
+        return known == null || known.mIncarnation >= ref.incarnation();
+    }
+
     /** Returns the number of slots that a server reported, or 0 if it reported none. */
     int slots(BackendRef ref) {
         return server(ref).mSlots;
@@ -131,7 +148,11 @@
         if (known != null && known.mIncarnation > ref.incarnation()) {
             return new Server(ref.incarnation());
         }
-        if (known == null || known.mIncarnation < ref.incarnation()) {
+        boolean isOutdated = known == null || known.mIncarnation < ref.incarnation();
+        if (isOutdated && mIsFrozen) {
+            return new Server(ref.incarnation());
+        }
+        if (isOutdated) {
             remove(ref.id());
             known = new Server(ref.incarnation());
             mServers.put(ref.id(), known);
