Add explain of unsent requests, bound whole answers that nobody reads

The route is found on the calling thread, with the client account by its name; the rest comes from the decision loop.

Whole answers left the limits of AnswerMemory once they were complete, and were neither bounded nor counted while their callers did not read them: each connection could hold 8 MiB. UnreadAnswers counts those of 64 KiB and more, closes the connections that have waited longest beyond answer-memory, and adds them to router.answer.bytes.waiting. Both are in one commit since both change how RouterProgram builds its parts.

--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -116,6 +116,29 @@
     public static final String NO_LEADER = "no control instance leads now";
     public static final String MEMBERS = "voters: %s; learners: %s";
     public static final String SILENT_PROGRAM = "no answer from %s at %s: %s";
+    public static final String OPTION_HOST =
+            "Host of a request that is not sent: shows where it would go now.";
+    public static final String OPTION_REQUEST_PATH = "Path of that request.";
+    public static final String OPTION_REQUEST_ACCOUNT = "Client account of that request.";
+    public static final String OPTION_PARTS = "Parts of its prompt, ID:TOKENS by commas.";
+    public static final String OPTION_TOKENS =
+            "Tokens of its prompt and the most to generate; the sum of the parts and 0 if absent.";
+    public static final String OPTION_ROUTER =
+            "Router to ask, as in status; the first that answers if absent.";
+    public static final String OPTION_FORMAT = "text or json; json is the same as --json.";
+    public static final String UNKNOWN_FORMAT = "--format is text or json";
+    public static final String HOST_AND_PATH = "--host and --path, which begins with /, are needed";
+    public static final String NO_ROUTER = "no router answers, or none has that name";
+    public static final String UNSENT_ROUTE =
+            "at %s: route %s, account %s, priority %d, %d ms left, objective %d ms, attempts %d,"
+                    + " %s";
+    public static final String UNSENT_SERVICE = "service %s, weight %.2f: %d serving, mean load %s";
+    public static final String UNSENT_CHOICE = "  sent to %s, %s, bound %s";
+    public static final String UNSENT_REFUSAL =
+            "%srefused with %d %s: %s; retry after at most %d ms";
+    public static final String UNSENT_COLUMNS =
+            "SERVER,DATA CENTRE,VERSION,LOAD,AGE MS,OWN,SLOTS,TOKENS,MEMORY,FAILED,STATE";
+
     public static final String NO_DECISION = "no decision found";
     public static final String DEFAULT_ORIGIN = "default";
 
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Explain.java
@@ -7,6 +7,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Locale;
+import org.laurelweir.errors.LaurelweirException;
+import org.laurelweir.lib.ResultCode;
 import org.laurelweir.pgm.Console;
 import org.laurelweir.pgm.PgmCommand;
 import org.laurelweir.pgm.Texts;
@@ -15,6 +17,7 @@
 import org.laurelweir.pgm.fleet.FleetConnection;
 import org.laurelweir.wire.v1.Decision;
 import org.laurelweir.wire.v1.ExplainRequest;
+import org.laurelweir.wire.v1.ExplainUnsentRequest;
 
 /** Shows the decisions of routers and sidecars for a request or a chat. */
 @Command(name = "explain", description = Texts.EXPLAIN)
@@ -25,6 +28,27 @@
     @Option(name = "--limit", title = "COUNT", description = Texts.OPTION_LIMIT)
     private int mLimit = 20;
 
+    @Option(name = "--host", title = "HOST", description = Texts.OPTION_HOST)
+    private String mHost = "";
+
+    @Option(name = "--path", title = "PATH", description = Texts.OPTION_REQUEST_PATH)
+    private String mPath = "";
+
+    @Option(name = "--account", title = "ACCOUNT", description = Texts.OPTION_REQUEST_ACCOUNT)
+    private String mAccount = "";
+
+    @Option(name = "--parts", title = "ID:N,...", description = Texts.OPTION_PARTS)
+    private String mParts = "";
+
+    @Option(name = "--tokens", title = "N,M", description = Texts.OPTION_TOKENS)
+    private String mTokens = "";
+
+    @Option(name = "--router", title = "NAME", description = Texts.OPTION_ROUTER)
+    private String mRouter = "";
+
+    @Option(name = "--format", title = "FORMAT", description = Texts.OPTION_FORMAT)
+    private String mFormat = "";
+
     @Arguments(title = "SUBJECT", description = Texts.ARGUMENT_SUBJECT)
     private String mSubject = "";
 
@@ -79,10 +103,29 @@
 
     @Override
     public int run(Console console) {
-        return mFleet.withFleet(console, f -> show(f, console));
+        boolean isJson = mFleet.isJson() || mFormat.equals("json");
+        if (!mFormat.isEmpty() && !isJson && !mFormat.equals("text")) {
+            throw new LaurelweirException(ResultCode.USAGE, Texts.UNKNOWN_FORMAT);
+        }
+        if (mHost.isEmpty() && mPath.isEmpty()) {
+            return mFleet.withFleet(console, f -> show(f, console, isJson));
+        }
+        if (mHost.isEmpty() || !mPath.startsWith("/")) {
+            throw new LaurelweirException(ResultCode.USAGE, Texts.HOST_AND_PATH);
+        }
+        ExplainUnsentRequest request =
+                ExplainUnsentRequest.newBuilder()
+                        .setHost(mHost)
+                        .setPath(mPath)
+                        .setAccount(mAccount)
+                        .setPromptParts(mParts)
+                        .setPromptTokens(mTokens)
+                        .build();
+        return mFleet.withFleet(
+                console, f -> new UnsentRequest(f, mRouter).show(request, console, isJson));
     }
 
-    private int show(FleetConnection fleet, Console console) {
+    private int show(FleetConnection fleet, Console console, boolean isJson) {
         ExplainRequest request =
                 ExplainRequest.newBuilder().setSubject(mSubject).setLimit(mLimit).build();
         DecisionReader reader = fleet.decisions();
@@ -90,7 +133,7 @@
                 reader.read(fleet.control().status(), request).stream()
                         .map(DecisionView::of)
                         .toList();
-        if (mFleet.isJson()) {
+        if (isJson) {
             console.printJson(new Decisions(decisions, reader.silentPrograms()));
         } else {
             decisions.forEach(d -> console.print(d.lines()));
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/FakeFleet.java
@@ -33,6 +33,8 @@
 import org.laurelweir.wire.v1.DrainRequest;
 import org.laurelweir.wire.v1.ExplainReply;
 import org.laurelweir.wire.v1.ExplainRequest;
+import org.laurelweir.wire.v1.ExplainUnsentReply;
+import org.laurelweir.wire.v1.ExplainUnsentRequest;
 import org.laurelweir.wire.v1.HistoryReply;
 import org.laurelweir.wire.v1.HistoryRequest;
 import org.laurelweir.wire.v1.IssueFenceReply;
@@ -53,6 +55,9 @@
 import org.laurelweir.wire.v1.StatusReply;
 import org.laurelweir.wire.v1.StatusRequest;
 import org.laurelweir.wire.v1.SuspectKind;
+import org.laurelweir.wire.v1.UnsentRefusal;
+import org.laurelweir.wire.v1.UnsentServer;
+import org.laurelweir.wire.v1.UnsentService;
 
 /** A control leader and follower, a router and a sidecar on loopback, without a replicated log. */
 final class FakeFleet implements Service {
@@ -335,6 +340,36 @@
         public void explain(ExplainRequest request, StreamObserver<ExplainReply> observer) {
             answer(observer, FakeFleet.decision("router", request, 1));
         }
+
+        @Override
+        public void explainUnsent(
+                ExplainUnsentRequest request, StreamObserver<ExplainUnsentReply> observer) {
+            ExplainUnsentReply.Builder reply =
+                    ExplainUnsentReply.newBuilder().setRouter("r1").setFleetAgeMillis(Double.NaN);
+            if (request.getAccount().isEmpty()) {
+                UnsentRefusal.Builder refusal =
+                        UnsentRefusal.newBuilder().setCode(1002).setName("UNAUTHENTICATED");
+                answer(observer, reply.setRefusal(refusal).build());
+                return;
+            }
+            UnsentServer.Builder server =
+                    UnsentServer.newBuilder()
+                            .setRef(BackendRef.newBuilder().setId(BACKEND))
+                            .setLoadAgeMillis(Double.NaN);
+            UnsentService.Builder service =
+                    UnsentService.newBuilder()
+                            .setService(request.getPromptParts())
+                            .setMeanLoad(Double.NaN)
+                            .setBound(Double.NaN)
+                            .setChoice(BACKEND)
+                            .setReason("home")
+                            .addServers(server);
+            answer(
+                    observer,
+                    reply.setRoute(request.getHost() + request.getPath())
+                            .addServices(service)
+                            .build());
+        }
     }
 
     private final class Sidecar extends SidecarServiceGrpc.SidecarServiceImplBase {
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -279,6 +280,30 @@
         assertThat(json().at("/silent/0/name").asText()).isEqualTo("r2");
     }
 
+    // Guards against a figure that nobody knows and that is shown as a number, which JSON lacks.
+    @Test
+    void explainsARequestThatIsNotSent() throws IOException {
+        String[] command = {
+            "explain", "--host", "h", "--path", "/p", "--account", "a", "--parts", "7:1"
+        };
+        assertThat(run(command)).isZero();
+        assertThat(mOut.toString())
+                .contains("route h/p", "sent to " + FakeFleet.BACKEND, "unknown");
+        String[] asJson = Arrays.copyOf(command, command.length + 2);
+        asJson[command.length] = "--format";
+        asJson[command.length + 1] = "json";
+        assertThat(run(asJson)).isZero();
+        assertThat(json().at("/services/0/service").asText()).isEqualTo("7:1");
+        assertThat(json().at("/services/0/servers/0/loadAgeMillis").isMissingNode()).isTrue();
+    }
+
+    @Test
+    void explainsWhyARequestWouldBeRefused() {
+        assertThat(run("explain", "--host", "h", "--path", "/p")).isEqualTo(1);
+        assertThat(mOut.toString()).contains("refused with 1002 UNAUTHENTICATED");
+        assertThat(run("explain", "--host", "h")).isEqualTo(Program.exitCode(ResultCode.USAGE));
+    }
+
     @Test
     void replacesLostReplicaOnceNewOneHasCaughtUp() {
         // Guards against a quorum that includes an empty disk, and against a voter more or less in
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
@@ -5,6 +5,7 @@
 import org.laurelweir.lib.Decision;
 import org.laurelweir.router.direct.BackendCalls;
 import org.laurelweir.router.rpc.OriginCalls;
+import org.laurelweir.router.rpc.UnsentRequests;
 import org.laurelweir.routing.RouterEffect;
 
 /** Carries out the effects for requests that the router sends directly to backend servers. */
@@ -12,6 +13,7 @@
     private final Callers mCallers;
     private final BackendCalls mCalls;
     private final OriginCalls mOrigins;
+    private final UnsentRequests mUnsent;
     private final Consumer<Decision> mDecisions;
     private final RouterMetrics mMetrics;
 
@@ -19,11 +21,13 @@
             Callers callers,
             BackendCalls calls,
             OriginCalls origins,
+            UnsentRequests unsent,
             Consumer<Decision> decisions,
             RouterMetrics metrics) {
         mCallers = callers;
         mCalls = calls;
         mOrigins = origins;
+        mUnsent = unsent;
         mDecisions = decisions;
         mMetrics = metrics;
     }
@@ -62,6 +66,8 @@
                             e.caller(), e.code(), e.message(), e.retryAfter()));
         } else if (effect instanceof DirectEffect.LogDecision e) {
             mDecisions.accept(e.decision());
+        } else if (effect instanceof DirectEffect.Explain e) {
+            mUnsent.onExplained(e);
         }
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Effects.java
@@ -8,6 +8,7 @@
 import org.laurelweir.router.rpc.ControlExchange;
 import org.laurelweir.router.rpc.OriginCalls;
 import org.laurelweir.router.rpc.SidecarCalls;
+import org.laurelweir.router.rpc.UnsentRequests;
 import org.laurelweir.routing.RouterEffect;
 
 /** Carries out the effects of the decision loop. Only the loop's thread calls it. */
@@ -28,6 +29,7 @@
             ControlExchange exchange,
             BackendCalls calls,
             OriginCalls origins,
+            UnsentRequests unsent,
             Consumer<Decision> decisions,
             RouterMetrics metrics) {
         mCallers = callers;
@@ -36,7 +38,7 @@
         mExchange = exchange;
         mDecisions = decisions;
         mMetrics = metrics;
-        mDirect = new DirectEffects(callers, calls, origins, decisions, metrics);
+        mDirect = new DirectEffects(callers, calls, origins, unsent, decisions, metrics);
     }
 
     /** Returns a latch that opens when a stop was requested and no request is in flight. */
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -21,6 +21,7 @@
 import org.laurelweir.router.http.HttpDialect;
 import org.laurelweir.router.http.Limits;
 import org.laurelweir.router.http.RequestLag;
+import org.laurelweir.router.http.UnreadAnswers;
 import org.laurelweir.router.request.ModelList;
 import org.laurelweir.router.request.RequestResolver;
 import org.laurelweir.router.request.RouteResolver;
@@ -30,6 +31,7 @@
 import org.laurelweir.router.rpc.OriginCalls;
 import org.laurelweir.router.rpc.SettingsLease;
 import org.laurelweir.router.rpc.SidecarCalls;
+import org.laurelweir.router.rpc.UnsentRequests;
 import org.laurelweir.routing.RouterConfig;
 import org.laurelweir.routing.RouterEffect;
 import org.laurelweir.routing.RouterEvent;
@@ -75,6 +77,7 @@
     private final SettingsLookup mSettings;
     private final RouterConfig mConfig;
     private final RequestLag mLag = new RequestLag();
+    private final UnreadAnswers mUnreadAnswers;
     private final EventLoops mLoops;
     private final Channels mChannels;
     private final ExchangeClient mExchangeClient;
@@ -121,6 +124,7 @@
         mLogging = new Logging(file.log());
         mSettings = new SettingsLookup(file.region(), file.dataCentre());
         mConfig = config(file, clock.instant());
+        mUnreadAnswers = new UnreadAnswers(file.answerMemory().bytes());
         mLoops = new EventLoops("router-io", file.threads());
         TrafficCounters traffic = new TrafficCounters(mRegistry);
         mChannels = Channels.builder(mLoops, traffic).build();
@@ -142,21 +146,17 @@
                         mLoops,
                         file.listen(),
                         socket,
-                        new EarlyCallHandler(
-                                mCallers,
-                                routes::isReady,
-                                routes::callerTimeout,
-                                mLoops.group(),
-                                clock),
+                        earlyCallHandler(routes),
                         this::limits,
                         this::requestName,
                         dialect,
-                        new Acceptance(mLag, clock, mMetrics::countClosedUnread));
+                        acceptance());
         mDecisions = new DecisionRing(file.decisions());
+        UnsentRequests unsent = newUnsentRequests(routes);
         mExplainServer =
                 RpcServer.builder(mLoops, traffic)
                         .listen(file.explainListen().host(), file.explainListen().port())
-                        .service(new ExplainService(mDecisions))
+                        .service(new ExplainService(mDecisions, unsent))
                         .build();
         SidecarCalls sidecars = new SidecarCalls(mChannels, REVOKE_TIMEOUT, this::offer);
         ClaimCalls claims = new ClaimCalls(mChannels, controls(), CONTROL_TIMEOUT, this::offer);
@@ -178,6 +178,7 @@
                         mExchange,
                         calls,
                         origins,
+                        unsent,
                         this::logDecision,
                         mMetrics);
         mLoop = newLoop(sidecars, calls);
@@ -188,6 +189,19 @@
                 mExchangeClient, this::report, mSettings, this::offer, onControls, mClock, mLease);
     }
 
+    private EarlyCallHandler earlyCallHandler(RouteResolver routes) {
+        return new EarlyCallHandler(
+                mCallers, routes::isReady, routes::callerTimeout, mLoops.group(), mClock);
+    }
+
+    private Acceptance acceptance() {
+        return new Acceptance(mLag, mClock, mMetrics::countClosedUnread, mUnreadAnswers);
+    }
+
+    private UnsentRequests newUnsentRequests(RouteResolver routes) {
+        return new UnsentRequests(mFile.name(), routes, e -> offer(new RouterEvent.Direct(e)));
+    }
+
     private OriginCalls newOriginCalls() {
         return new OriginCalls(
                 mChannels,
@@ -326,7 +340,8 @@
     }
 
     private void startMetrics() {
-        mMetrics.registerInFlight(mCallers::count, mCallers::waitingBytes);
+        mMetrics.registerInFlight(
+                mCallers::count, () -> mCallers.waitingBytes() + mUnreadAnswers.bytes());
         mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mExchange);
         mMetricsServer.start();
         int port = mMetricsServer.endpoint().port();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Acceptance.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Acceptance.java
@@ -3,10 +3,16 @@
 import java.time.InstantSource;
 
 /**
- * What the server for callers needs to decide on new connections.
+ * What the server for callers needs to decide on new connections, and on those whose callers do not
+ * read.
  *
  * @param lag measures how far the router lags behind its work
  * @param clock the current time
  * @param onClosedUnread called for each connection that is closed before anything is read
+ * @param unreadAnswers bounds the whole answers that callers have not taken yet
  */
-public record Acceptance(RequestLag lag, InstantSource clock, Runnable onClosedUnread) {}
+public record Acceptance(
+        RequestLag lag,
+        InstantSource clock,
+        Runnable onClosedUnread,
+        UnreadAnswers unreadAnswers) {}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -23,6 +23,7 @@
     private final Supplier<Limits> mLimits;
     private final RequestNames mNames;
     private final HttpDialect mDialect;
+    private final UnreadAnswers mUnreadAnswers;
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Queue<UnreadConnection> mUnread = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mCount = new AtomicInteger();
@@ -31,7 +32,12 @@
     private volatile boolean mStopping;
 
     CallerConnections(
-            CallHandler handler, Supplier<Limits> limits, RequestNames names, HttpDialect dialect) {
+            CallHandler handler,
+            Supplier<Limits> limits,
+            RequestNames names,
+            HttpDialect dialect,
+            UnreadAnswers unreadAnswers) {
+        mUnreadAnswers = unreadAnswers;
         mDialect = dialect;
         mHandler = handler;
         mLimits = limits;
@@ -49,6 +55,10 @@
         return mLimits.get();
     }
 
+    UnreadAnswers unreadAnswers() {
+        return mUnreadAnswers;
+    }
+
     HttpDialect dialect() {
         return mDialect;
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -50,7 +50,8 @@
         mLoops = loops;
         mListen = listen;
         mSocket = socket;
-        mConnections = new CallerConnections(handler, limits, names, dialect);
+        mConnections =
+                new CallerConnections(handler, limits, names, dialect, acceptance.unreadAnswers());
         mAcceptor = new ConnectionAcceptor(acceptance, mConnections);
     }
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
@@ -90,12 +90,12 @@
 
     @Override
     public void whole(int status, String contentType, byte[] body) {
-        mChannel.eventLoop().execute(() -> writeLast(newResponse(status, contentType, body)));
+        mChannel.eventLoop().execute(() -> writeWhole(newResponse(status, contentType, body)));
     }
 
     @Override
     public void whole(int status, List<Header> headers, byte[] body) {
-        mChannel.eventLoop().execute(() -> writeLast(forwardedResponse(status, headers, body)));
+        mChannel.eventLoop().execute(() -> writeWhole(forwardedResponse(status, headers, body)));
     }
 
     private FullHttpResponse forwardedResponse(int status, List<Header> headers, byte[] body) {
@@ -166,9 +166,19 @@
                 Math.max(1, (wait.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND));
     }
 
+    private void writeWhole(FullHttpResponse response) {
+        mConnections.unreadAnswers().add(mChannel, response.content().readableBytes());
+        writeLast(response);
+    }
+
     private void writeLast(Object last) {
         mDone = true;
-        mChannel.writeAndFlush(last).addListener(f -> mOnWritten.run());
+        mChannel.writeAndFlush(last).addListener(f -> onWritten());
+    }
+
+    private void onWritten() {
+        mConnections.unreadAnswers().remove(mChannel);
+        mOnWritten.run();
     }
 
     private FullHttpResponse newResponse(int status, String contentType, byte[] body) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/request/RouteResolver.java
@@ -1,6 +1,7 @@
 package org.laurelweir.router.request;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -94,6 +95,63 @@
         return route.map(r -> newRequest(routes.tree(), r, call));
     }
 
+    /**
+     * Resolves a request that is not sent, of a client account that is named without its key.
+     *
+     * @param account the client account, or empty
+     * @param parts the value of the header with the prompt's parts, or empty
+     * @param tokens the value of the header with the prompt's tokens; empty for the sum of the
+     *     parts
+     * @throws LaurelweirException with the code with which the request would be refused
+     */
+    public RoutedRequest resolveUnsent(
+            String host, String path, String account, String parts, String tokens) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders(false);
+        headers.set("Host", host);
+        headers.set(mDialect.promptParts(), parts);
+        headers.set(mDialect.promptTokens(), tokens.isEmpty() ? "0,0" : tokens);
+        HttpCall call = new HttpCall("POST", path, headers, new byte[0]);
+        RouteTable routes = routes();
+        if (!isReady(routes)) {
+            throw new LaurelweirException(
+                    ResultCode.SETTINGS_UNKNOWN, "this router has no confirmed settings yet");
+        }
+        Route route =
+                routes.find(host, call.path())
+                        .orElseThrow(
+                                () ->
+                                        denial(
+                                                ResultCode.UNKNOWN_SERVICE,
+                                                "no route matches this host and path"));
+        boolean isKnown =
+                !account.isEmpty() && routes.tree().node(NodePath.ofAccount(account)).isPresent();
+        if (!isKnown && !(route.isPublic() && account.isEmpty())) {
+            throw denial(ResultCode.UNAUTHENTICATED, "no such client account: " + account);
+        }
+        RoutedRequest r = newRequest(routes.tree(), route, route.isPublic() ? "" : account, call);
+        if (!parts.isBlank() && !r.prompt().isPresent()) {
+            throw new LaurelweirException(
+                    ResultCode.BAD_REQUEST,
+                    "malformed parts or tokens, expected ID:N,... with ID in hexadecimal, and N,M");
+        }
+        return tokens.isEmpty() ? withSummedTokens(r) : r;
+    }
+
+    private static RoutedRequest withSummedTokens(RoutedRequest r) {
+        int sum = r.prompt().parts().stream().mapToInt(Prompt.Part::tokens).sum();
+        return new RoutedRequest(
+                r.id(),
+                r.route(),
+                r.account(),
+                r.priority(),
+                r.timeLeft(),
+                r.call(),
+                new Prompt(r.prompt().parts(), sum, 0),
+                r.allowedRegions(),
+                r.resumption(),
+                r.terms());
+    }
+
     /** Returns whether the router has settings that it may use. */
     public boolean isReady() {
         return isReady(routes());
@@ -130,7 +188,11 @@
     }
 
     private RoutedRequest newRequest(SettingsTree tree, Route route, HttpCall call) {
-        String account = route.isPublic() ? "" : accountOf(tree, call);
+        return newRequest(tree, route, route.isPublic() ? "" : accountOf(tree, call), call);
+    }
+
+    private RoutedRequest newRequest(
+            SettingsTree tree, Route route, String account, HttpCall call) {
         return new RoutedRequest(
                 call.header(mDialect.requestId()),
                 route,
