--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import org.laurelweir.demand.RequestDemand;
 import org.laurelweir.direct.ContendedCalls.Prediction;
 import org.laurelweir.direct.ServerChoice.CandidateLoad;
@@ -40,13 +39,13 @@
     private final ServerChoice mChoice;
     private final ServerTable mServers;
     private final ContendedCalls mCalls;
-    private final SplittableRandom mRandom;
+    private final RestorableRandom mRandom;
 
     ContendedChoice(
             ServerChoice choice,
             ServerTable servers,
             ContendedCalls calls,
-            SplittableRandom random) {
+            RestorableRandom random) {
         mChoice = choice;
         mServers = servers;
         mCalls = calls;
