--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -8,6 +8,7 @@
 import org.laurelweir.hedging.WithholdReason;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.runtime.metrics.MetricNames;
+import org.laurelweir.waiting.WaitingCounts;
 
 /** The router's counters and gauges. */
 final class RouterMetrics {
@@ -56,6 +57,13 @@
         }
     }
 
+    /** Registers the gauges of requests that wait until a backend server has room. */
+    void registerWaiting(WaitingCounts counts) {
+        registerGauge("waiting.requests", counts::requests);
+        registerGauge("waiting.bytes", counts::bytes);
+        registerGauge("waiting.evicted", counts::evicted);
+    }
+
     private void registerGauge(String name, Gauge<Long> gauge) {
         mRegistry.register(name, gauge);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -17,6 +17,7 @@
 import org.laurelweir.quarantine.SuspectKey;
 import org.laurelweir.resumption.StreamOrigin;
 import org.laurelweir.resumption.StreamOrigins;
+import org.laurelweir.waiting.WaitingCounts;
 
 /**
  * Routes requests to backend servers that have no sidecar: the router chooses the backend server,
@@ -188,19 +189,9 @@
         return mByCaller.isEmpty();
     }
 
-    /** Returns the number of requests that wait until a backend server has room. */
-    public int waitingRequests() {
-        return mWaiting.size();
-    }
-
-    /** Returns the number of bytes of the bodies of the waiting requests. */
-    public long waitingBytes() {
-        return mWaiting.bytes();
-    }
-
-    /** Returns the number of requests that were evicted from the queue so far. */
-    public long evictedRequests() {
-        return mWaiting.evictedCount();
+    /** Returns the numbers of requests that wait until a backend server has room. */
+    public WaitingCounts waitingCounts() {
+        return mWaiting.counts();
     }
 
     /** Returns the counts of hedged requests. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
@@ -16,6 +16,7 @@
 import org.laurelweir.waiting.ReturnTable;
 import org.laurelweir.waiting.ReturnTimes;
 import org.laurelweir.waiting.WaitLimits;
+import org.laurelweir.waiting.WaitingCounts;
 import org.laurelweir.waiting.WaitingQueue;
 import org.laurelweir.waiting.WaitingRequest;
 
@@ -60,6 +61,7 @@
     private final ReturnTimes mReturnTimes;
     private final ReturnTable<SuspectKey> mReturns = new ReturnTable<>(MAX_RETURNING);
     private final Set<String> mFreedServices = new HashSet<>();
+    private final WaitingCounts mCounts = new WaitingCounts();
     private Instant mNow;
     private Consumer<? super DirectEffect> mEffects;
 
@@ -209,6 +211,11 @@
 
     /** Tries the waiting requests of services at which requests have ended in this step. */
     void endStep() {
+        tryFreed();
+        mCounts.update(mQueue);
+    }
+
+    private void tryFreed() {
         if (mFreedServices.isEmpty()) {
             return;
         }
@@ -290,8 +297,8 @@
         return mQueue.bytes();
     }
 
-    /** Returns the number of requests that were evicted so far. */
-    long evictedCount() {
-        return mQueue.evictedCount();
+    /** Returns the numbers of waiting requests, which any thread may read. */
+    WaitingCounts counts() {
+        return mCounts;
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -17,6 +17,7 @@
 import org.laurelweir.placement.ChatKey;
 import org.laurelweir.quarantine.CrashTable;
 import org.laurelweir.quarantine.QuarantineLogger;
+import org.laurelweir.waiting.WaitingCounts;
 
 /** The decision logic of one router. Passes each event to the class that handles it. */
 public final class RouterReducer implements Reducer<RouterEvent, RouterEffect> {
@@ -83,6 +84,11 @@
         return mDirect.hedgeCounts();
     }
 
+    /** Returns the numbers of requests that wait until a backend server has room. */
+    public WaitingCounts waitingCounts() {
+        return mDirect.waitingCounts();
+    }
+
     @Override
     public void step(Instant now, RouterEvent event, Consumer<? super RouterEffect> effects) {
         Step s = new Step(now, effects);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -236,8 +236,8 @@
                 .toList();
     }
 
-    int waitingRequests() {
-        return mRouting.waitingRequests();
+    long waitingRequests() {
+        return mRouting.waitingCounts().requests();
     }
 
     void step(DirectEvent event) {
