Keep contended prompts at the server that holds their parts

The first in rank is now kept up to 0.9 of the target and in the lower part of the bound's range, and where no server meets the target; only a failure rate of a quarter makes a prompt leave its engine.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
@@ -16,14 +16,35 @@
  */
 final class ContendedChoice {
     /**
-     * Share of the objective up to which a server is taken by its rank. Predictions lack the
-     * requests of the last exchange interval; the rest of the objective is for those.
+     * Share of the objective up to which a server that does not rank first is taken by its rank.
+     * Predictions lack the requests of the last exchange interval; the rest of the objective is for
+     * those.
      */
     private static final double SAFE_SHARE = 0.5;
 
-    /** Step of the failure rate; smaller differences are chance, at a few requests a second. */
+    /**
+     * The same share for the server that ranks first. It holds the shared parts of the prompt; any
+     * other server has to read them, which delays the requests that it runs.
+     */
+    private static final double HOME_SHARE = 0.9;
+
+    /**
+     * Requests leave the server that ranks first in the upper part of the bound's range only, for
+     * the same reason.
+     */
+    private static final double SPILL_DRAW_SHARE = 0.5;
+
+    /**
+     * Step of the failure rate of plain servers; smaller differences are chance, at a few requests
+     * a second.
+     */
     private static final double FAILURE_RATE_STEP = 0.05;
 
+    /**
+     * The same step for engines, which run fewer requests and have cached some of their prompts.
+     */
+    private static final double ENGINE_FAILURE_RATE_STEP = 0.25;
+
     /** Keeps a rate that is a multiple of the step from falling below it by rounding. */
     private static final double ROUNDING = 1e-9;
 
@@ -55,13 +76,22 @@
     /**
      * An engine that may be taken for a request.
      *
+     * @param isHome whether it ranks first
      * @param hasMemory whether its memory would hold the request in addition to those there
-     * @param failureClass lower is better; 0 for all if the request can be repeated
+     * @param failureClass lower is better
      * @param millis the predicted time to the first event, with the expected time lost by a
      *     failure; NaN if it can't be predicted
      */
     private record Option(
-            CandidateLoad candidate, boolean hasMemory, int failureClass, double millis) {
+            CandidateLoad candidate,
+            boolean isHome,
+            boolean hasMemory,
+            int failureClass,
+            double millis) {
+        double safeShare() {
+            return isHome ? HOME_SHARE : SAFE_SHARE;
+        }
+
         boolean isWithin(double limitMillis) {
             return Double.isNaN(millis) || millis <= limitMillis;
         }
@@ -114,13 +144,14 @@
         if (!o.isPredicted()) {
             return o == first ? "home" : "next";
         }
-        return o.isWithin(SAFE_SHARE * objectiveMillis(r)) ? "within_target" : "earliest";
+        return o.isWithin(o.safeShare() * objectiveMillis(r)) ? "within_target" : "earliest";
     }
 
     /**
      * Returns the first option by failure class and rank whose time is safe; else the earliest in
-     * the lowest class that meets the objective; else the earliest of all. Those above the bound
-     * are the last resort, and then the load decides.
+     * the lowest class that meets the objective; else the first by rank, since a server that would
+     * miss the objective as well would read the shared parts in vain. Those above the bound are the
+     * last resort, and then the load decides.
      */
     private Optional<Option> find(ActiveRequest r, List<Option> options, SpillBound bound) {
         double objective = objectiveMillis(r);
@@ -129,7 +160,7 @@
         int[] classes = options.stream().mapToInt(Option::failureClass).distinct().toArray();
         for (int failureClass : classes) {
             Optional<Option> found =
-                    firstSafe(ofClass(options, failureClass), SAFE_SHARE * objective, bound)
+                    firstSafe(ofClass(options, failureClass), objective, bound)
                             .or(
                                     () ->
                                             earliest(ofClass(inBound, failureClass))
@@ -138,7 +169,7 @@
                 return found;
             }
         }
-        return earliest(inBound).or(() -> leastLoaded(options));
+        return inBound.stream().findFirst().or(() -> leastLoaded(options));
     }
 
     private static List<Option> ofClass(List<Option> options, int failureClass) {
@@ -149,13 +180,20 @@
         return options.stream().min(Comparator.comparingDouble(o -> o.candidate().load()));
     }
 
-    private Optional<Option> firstSafe(List<Option> options, double millis, SpillBound bound) {
+    private Optional<Option> firstSafe(
+            List<Option> options, double objectiveMillis, SpillBound bound) {
         return options.stream()
-                .filter(o -> o.isWithin(millis))
-                .filter(o -> bound.admits(o.candidate().load(), mRandom.nextDouble()))
+                .filter(o -> o.isWithin(o.safeShare() * objectiveMillis))
+                .filter(o -> isAdmitted(o, bound))
                 .findFirst();
     }
 
+    private boolean isAdmitted(Option o, SpillBound bound) {
+        double draw = mRandom.nextDouble();
+        boolean isKnownHome = o.isHome() && o.isPredicted();
+        return bound.admits(o.candidate().load(), isKnownHome ? SPILL_DRAW_SHARE * draw : draw);
+    }
+
     /** Returns the option with the earliest prediction or, without predictions, the least load. */
     private static Optional<Option> earliest(List<Option> options) {
         return options.stream()
@@ -169,12 +207,13 @@
         Prediction p = mCalls.predict(r, demand, c.server().ref(), isFirst, now);
         boolean hasMemory = hasMemory(r, c, p, now);
         double millis = p.firstEventMillis();
+        int engineClass = engineClass(c.server(), now);
         if (isLostOnFailure(r)) {
-            return new Option(c, hasMemory, failureClass(r, c.server(), now), millis);
+            return new Option(c, isFirst, hasMemory, engineClass, millis);
         }
         // A failure often shows late, as a broken-off or stalled answer: when the objective passed.
         double lost = failureRate(c.server(), now) * (millis + objectiveMillis(r));
-        return new Option(c, hasMemory, 0, millis + lost);
+        return new Option(c, isFirst, hasMemory, engineClass, millis + lost);
     }
 
     /** Returns whether the memory of a server would hold a request in addition to those there. */
@@ -219,10 +258,19 @@
      * over all routers, then by whether it has failed a request of this router recently.
      */
     private int failureClass(ActiveRequest r, Candidate c, Instant now) {
-        int steps = (int) Math.floor(failureRate(c, now) / FAILURE_RATE_STEP + ROUNDING);
+        int steps = steps(c, FAILURE_RATE_STEP, now);
         return 2 * steps + (mServers.isUnreliable(r.mService, c.ref(), now) ? 1 : 0);
     }
 
+    /** Returns the class of an engine, by the failure rate over all routers. */
+    private int engineClass(Candidate c, Instant now) {
+        return steps(c, ENGINE_FAILURE_RATE_STEP, now);
+    }
+
+    private int steps(Candidate c, double step, Instant now) {
+        return (int) Math.floor(failureRate(c, now) / step + ROUNDING);
+    }
+
     private double failureRate(Candidate c, Instant now) {
         return mCalls.fleet().failureRate(now, c.ref());
     }
