Require a service's own memory setting for a contended deployment

A service with slots but without service.cache-tokens had the default of 1,000,000 tokens, so that a deployment with 489 or more slots per engine counted as contended although its settings name no memory.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Contention.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Contention.java
@@ -41,9 +41,7 @@
                     .filter(EngineCapacity::isPresent)
                     .ifPresent(c -> engines.put(service, c));
         }
-        boolean isContended =
-                engines.values().stream()
-                        .anyMatch(c -> c.memoryTokens() < (long) c.slots() * slotTokens);
+        boolean isContended = engines.values().stream().anyMatch(c -> isContended(c, slotTokens));
         return isContended ? new Contention(true, engines) : NONE;
     }
 
@@ -53,9 +51,15 @@
                 value(node, SettingKeys.SERVICE_CACHE_TOKENS));
     }
 
+    /** Returns the value that a service's own settings name, or 0. */
     private static int value(SettingsNode node, SettingKey<Integer> key) {
         Integer value = node.value(key);
-        return value == null ? key.defaultValue() : value;
+        return value == null ? 0 : value;
+    }
+
+    /** A service that does not name its memory is no reason: the default says nothing about it. */
+    private static boolean isContended(EngineCapacity c, int slotTokens) {
+        return c.memoryTokens() > 0 && c.memoryTokens() < (long) c.slots() * slotTokens;
     }
 
     /** Returns whether requests of the deployment compete for room. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/EngineCapacity.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/EngineCapacity.java
@@ -6,7 +6,7 @@
  * @param slots maximum number of requests that an engine runs concurrently; 0 for a service without
  *     engines
  * @param memoryTokens number of tokens that an engine's memory holds, for running requests and
- *     cached prompt parts together
+ *     cached prompt parts together; 0 if the settings do not name it
  */
 public record EngineCapacity(int slots, int memoryTokens) {
     /** The capacity of a service without engines. */
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContentionTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContentionTest.java
@@ -46,4 +46,19 @@
                         Contention.of(tree(128, 256_578), 0));
         assertThat(others).allMatch(c -> c.terms(2, 80) == RequestTerms.NONE);
     }
+
+    // Guards against a deployment that counts as contended by the default of service.cache-tokens,
+    // which is fewer than 2048 tokens for each of 512 slots.
+    @Test
+    void aServiceThatDoesNotNameItsMemoryMakesNoDeploymentContended() {
+        Map<String, String> values =
+                Map.of(
+                        SettingKeys.SERVICE_KIND.name(),
+                        "routed",
+                        SettingKeys.SERVICE_SLOTS.name(),
+                        "512");
+        SettingsNode service = new SettingsNode(NodePath.ofService("svc"), 1, values, false);
+        Contention contention = Contention.of(SettingsTree.of(1, List.of(service)), SLOT_TOKENS);
+        assertThat(contention.isContended()).isFalse();
+    }
 }
