Bound the cost of forgetting passed tags in VirtualTime

Above 1024 client accounts, each served request scanned all tags if none had passed. The threshold now doubles with the number of tags that stay; which tags count does not change.

--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/VirtualTime.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/VirtualTime.java
@@ -9,11 +9,15 @@
  * for its own requests.
  */
 public final class VirtualTime {
-    private static final int MAX_ACCOUNT_TAGS = 1024;
+    /** Number of accounts up to which tags that have passed are kept. */
+    private static final int MIN_CLEANUP_SIZE = 1024;
 
     private final Map<String, Double> mNextTags = new HashMap<>();
     private double mNow;
 
+    /** Number of accounts above which tags that have passed are removed. */
+    private int mCleanupSize = MIN_CLEANUP_SIZE;
+
     /**
      * Returns the start tag of an account's next request, and moves the account's later tags back.
      *
@@ -34,8 +38,10 @@
     /** Advances the virtual time to the start tag of a request that is served. */
     public void onServed(double tag) {
         mNow = Math.max(mNow, tag);
-        if (mNextTags.size() > MAX_ACCOUNT_TAGS) {
+        if (mNextTags.size() > mCleanupSize) {
             mNextTags.values().removeIf(t -> t <= mNow);
+            // Not with each request: the tags of many accounts may all be still to come.
+            mCleanupSize = Math.max(MIN_CLEANUP_SIZE, 2 * mNextTags.size());
         }
     }
 
