--- a/org.laurelweir/src/main/java/org/laurelweir/contention/AccountDemand.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/AccountDemand.java
@@ -1,7 +1,7 @@
 package org.laurelweir.contention;
 
 /**
- * What a client account has under way.
+ * The tokens in flight of a client account.
  *
  * @param account the client account
  * @param tokens tokens that its requests hold at backend servers
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionDigest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionDigest.java
@@ -8,11 +8,11 @@
  *
  * @param routers the number of routers whose demand is included
  * @param means the mean demand of each service
- * @param servers backend servers above the mean of their service or with many failures; the most
- *     remarkable ones if there are more than {@link #MAX_SERVERS}
- * @param accounts the client accounts with the most tokens under way
- * @param accountTokens tokens under way of all client accounts, also those that are not listed
- * @param accountCount number of client accounts with any tokens under way
+ * @param servers backend servers above the mean of their service or with many failures; those with
+ *     the highest failure rates and the most tokens if there are more than {@link #MAX_SERVERS}
+ * @param accounts the client accounts with the most tokens in flight
+ * @param accountTokens tokens in flight of all client accounts, also those that are not listed
+ * @param accountCount number of client accounts with any tokens in flight
  */
 public record ContentionDigest(
         int routers,
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/ContentionTable.java
@@ -42,7 +42,7 @@
 
     /**
      * Applies the report of a router. {@link ContentionReport#NONE} says that the router has no
-     * demand; an earlier run under its name may have had some.
+     * demand, and removes what an earlier run under its name has reported.
      *
      * @return whether the report was applied. An incremental report of an unknown router is not.
      */
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/FleetView.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/FleetView.java
@@ -18,15 +18,15 @@
      */
     double failureRate(Instant now, BackendRef ref);
 
-    /** Returns the tokens that a client account has under way at all routers. */
+    /** Returns the tokens that a client account has in flight at all routers. */
     double accountTokens(Instant now, String account);
 
-    /** Returns the mean tokens under way of the client accounts that have any; 0 if none has. */
+    /** Returns the mean tokens in flight of the client accounts that have any; 0 if none has. */
     double meanAccountTokens(Instant now);
 
     /**
-     * Returns the age in milliseconds of what control told about all routers; NaN if that is too
-     * old, and only this router's own requests are known.
+     * Returns the age in milliseconds of the demand of all routers that control has sent; NaN if it
+     * is too old, so that only this router's own requests are known.
      */
     double ageMillis(Instant now);
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/OwnDemand.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/OwnDemand.java
@@ -10,7 +10,7 @@
 
 /**
  * The demand of one router's own requests, and what of it the router has reported to control. Holds
- * only backend servers and client accounts with requests in flight or lately ended.
+ * only backend servers and client accounts with requests that are in flight or ended lately.
  */
 final class OwnDemand {
     /** Number of incremental reports between full ones; a full report repairs any loss. */
@@ -26,8 +26,8 @@
     private int mReportsUntilFull;
 
     /**
-     * What the last report contained, what the last acknowledged one did, and what the one did that
-     * the digest in use answers. Control may be silent after that digest.
+     * The contents of three reports: the last one, the last acknowledged one, and the one that the
+     * digest in use answers. These differ if control answers late or with a digest that is ignored.
      */
     private static final class Reported<K, V> {
         private final V mZero;
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/ServerDemand.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/ServerDemand.java
@@ -3,7 +3,7 @@
 import org.laurelweir.lib.BackendRef;
 
 /**
- * What one or more routers have at a backend server.
+ * The demand of one or more routers at a backend server.
  *
  * @param server the incarnation of the backend server
  * @param tokens tokens that their requests hold in its memory
@@ -13,7 +13,7 @@
 public record ServerDemand(BackendRef server, long tokens, int ended, int failed) {
     /**
      * Minimum number of ended requests for a failure rate. Of fewer, a single failure would make a
-     * rate of over a fifth, which no deployment's servers keep up.
+     * rate of over a fifth, although the server may work.
      */
     static final int MIN_ENDED = 5;
 
--- a/org.laurelweir/src/main/java/org/laurelweir/contention/package-info.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/contention/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What competes for room in a deployment whose engines run out of memory before they run out of
- * slots: the demand of all routers at each backend server and of each client account.
+ * The demand of all routers at each backend server and of each client account, in a deployment
+ * whose engines run out of memory before they run out of slots.
  */
 package org.laurelweir.contention;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/AnswerStatus.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/AnswerStatus.java
@@ -35,7 +35,7 @@
         return status >= FIRST_SERVER_ERROR || promisesNotRun(status);
     }
 
-    /** Returns the message of the error that a caller gets in place of such an answer. */
+    /** Returns the message of the error that replaces an answer which may not be forwarded. */
     static String unprovenMessage(int status) {
         return "the backend server answered "
                 + status
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplanation.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplanation.java
@@ -39,11 +39,15 @@
     /**
      * A backend server that is compared with others.
      *
+     * @param ref its incarnation
+     * @param address its address, or empty if it is not in the membership
+     * @param dataCentre its data centre, or empty
+     * @param version its software version, or empty
      * @param load estimated load in requests
      * @param loadAgeMillis age of the load; NaN if no recent load is known
      * @param ownRequests number of this router's requests there
      * @param slots number of requests that it runs concurrently, or 0 if unknown
-     * @param tokens tokens that the requests of all routers hold there, as of the explanation's age
+     * @param tokens tokens that the requests of all routers hold there, of the explanation's age
      * @param memoryTokens tokens that its memory holds, or 0 if it is no engine or not known
      * @param failureRate share of its latest requests that failed, from 0 to 1
      * @param isUnreliable whether it failed lately, so that requests which may run once avoid it
@@ -67,6 +71,8 @@
     /**
      * The backend server that would get the request.
      *
+     * @param server the id of the backend server
+     * @param reason why it was chosen, as in decision lines
      * @param bound the load above which a server is not chosen by its rank; NaN if no bound applies
      */
     public record Choice(String server, String reason, double bound) {}
@@ -74,6 +80,8 @@
     /**
      * Why the request would be refused.
      *
+     * @param code the code of the error that the caller would get
+     * @param message its message
      * @param maxRetryAfter the longest delay that the caller would be told; the delay itself is
      *     random
      */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
@@ -38,10 +38,10 @@
      */
     private static final int MAX_FAILURES = 8;
 
-    /** Number of refused callers whose return is remembered, some seconds of refusals. */
+    /** Number of refused callers whose return is remembered, those of some seconds of refusals. */
     private static final int MAX_RETURNING = 1024;
 
-    /** A server that no demand is known of; its figure is the mean of the service. */
+    /** A server of unknown demand, for which the demand is the mean of the service. */
     private static final BackendRef UNKNOWN_SERVER = new BackendRef("", 0);
 
     /** Ends a request with an answer that says "not run". */
--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/ReturnTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/ReturnTable.java
@@ -19,7 +19,7 @@
     private final int mCapacity;
     private final Map<K, Told> mByKey = new LinkedHashMap<>();
 
-    /** What a caller was told. */
+    /** When a caller was told to return, and the place that it then has. */
     private record Told(String service, int priority, Instant returnTime, Place place) {}
 
     /**
@@ -44,7 +44,10 @@
         }
     }
 
-    /** Removes and returns the place of a request that arrives; NONE unless it returns as told. */
+    /**
+     * Removes and returns the place of a request that arrives; {@link Place#NONE} unless it returns
+     * as told.
+     */
     public Place takePlace(Instant now, K key) {
         Told told = mByKey.remove(key);
         boolean asTold =
@@ -55,14 +58,14 @@
     }
 
     /**
-     * Returns the number of requests of at least a priority that are to return to a service.
-     * Capacity goes to them first.
+     * Returns the number of requests of at least a priority whose time to return to a service is
+     * still to come. They get capacity before a request that is refused now.
      */
     public int countReturning(Instant now, String service, int priority) {
         int count = 0;
         for (Told t : mByKey.values()) {
-            boolean isDue = now.isBefore(t.returnTime());
-            if (isDue && t.priority() >= priority && t.service().equals(service)) {
+            boolean isAwaited = now.isBefore(t.returnTime());
+            if (isAwaited && t.priority() >= priority && t.service().equals(service)) {
                 count++;
             }
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/VirtualTime.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/VirtualTime.java
@@ -19,7 +19,7 @@
     private int mCleanupSize = MIN_CLEANUP_SIZE;
 
     /**
-     * Returns the start tag of an account's next request, and moves the account's later tags back.
+     * Returns the start tag of an account's next request, and adds its work to later tags.
      *
      * @param weightedWork the work of the request in proportion to the account's weight
      */
--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/WaitingRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/WaitingRequest.java
@@ -3,7 +3,7 @@
 import java.time.Instant;
 
 /**
- * What the queue knows of a request.
+ * A waiting request with what its place in the queue depends on.
  *
  * @param item the request itself
  * @param service the service that the request waits for
