--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplainer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplainer.java
@@ -12,6 +12,7 @@
 import org.laurelweir.placement.Candidate;
 import org.laurelweir.quarantine.SuspectKey;
 import org.laurelweir.settings.RouteShare;
+import org.laurelweir.waiting.ReturnTimes;
 
 /**
  * Says what would happen to a request that arrives now. It asks the same classes as a request that
@@ -96,8 +97,14 @@
                         : ResultCode.OVERLOADED;
         String message =
                 hasTime ? "no backend server has room" : "too little time is left for an attempt";
-        Duration delay = RetryDelays.longestAfterOverload(r.timeLeft(now));
-        return Optional.of(new RequestExplanation.Refusal(code, message, delay));
+        return Optional.of(new RequestExplanation.Refusal(code, message, longestDelay(r, now)));
+    }
+
+    private static Duration longestDelay(ActiveRequest r, Instant now) {
+        Duration timeLeft = r.timeLeft(now);
+        return r.mRequest.terms().contended()
+                ? ReturnTimes.longest(timeLeft)
+                : RetryDelays.longestAfterOverload(timeLeft);
     }
 
     private RequestExplanation.Server server(ActiveRequest r, Candidate c, Instant now) {
--- a/org.laurelweir/src/main/java/org/laurelweir/waiting/ReturnTimes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/waiting/ReturnTimes.java
@@ -33,8 +33,12 @@
     public Duration delay(Duration expected, double shareRatio, Duration timeLeft) {
         double factor = Math.max(1, Math.min(MAX_SHARE_FACTOR, shareRatio));
         long likely = (long) (factor * Math.max(MIN_DELAY_MILLIS, expected.toMillis()));
-        long max = Math.max(2, timeLeft.toMillis() / TIME_LEFT_DIVISOR);
-        long base = Math.min(likely, max / 2);
+        long base = Math.min(likely, longest(timeLeft).toMillis() / 2);
         return Duration.ofMillis(base + mRandom.nextLong(base + 1));
     }
+
+    /** Returns the longest delay of a request, whenever capacity is likely. */
+    public static Duration longest(Duration timeLeft) {
+        return Duration.ofMillis(Math.max(2, timeLeft.toMillis() / TIME_LEFT_DIVISOR));
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/RequestExplainerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/RequestExplainerTest.java
@@ -141,6 +141,31 @@
         assertThat(late.refusal().orElseThrow().code()).isEqualTo(ResultCode.OVERLOADED);
     }
 
+    // Guards against an explanation of a contended request by the delays of other deployments,
+    // which are never longer than 499 ms.
+    @Example
+    void contendedRefusalIsExplainedWithTheLongestReturnTime() {
+        RoutedRequest plain = request(PROMPT, Duration.ofSeconds(10));
+        RoutedRequest contended =
+                new RoutedRequest(
+                        plain.id(),
+                        plain.route(),
+                        plain.account(),
+                        plain.priority(),
+                        plain.timeLeft(),
+                        plain.call(),
+                        plain.prompt(),
+                        plain.allowedRegions(),
+                        plain.resumption(),
+                        ContendedFixture.TERMS);
+        DirectRoutingDriver driver = new DirectRoutingDriver(0);
+        driver.step(new DirectEvent.ExplanationRequested(1, contended));
+        RequestExplanation.Service explained =
+                driver.last(Explain.class).explanation().services().get(0);
+        assertThat(explained.refusal().orElseThrow().maxRetryAfter())
+                .isEqualTo(Duration.ofMillis(2_500));
+    }
+
     // Guards against an explanation that names a server for a request which is sent to none.
     @Example
     void quarantineIsExplained() {
--- a/org.laurelweir/src/test/java/org/laurelweir/waiting/ReturnTimesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/waiting/ReturnTimesTest.java
@@ -29,6 +29,7 @@
             for (int i = 0; i < 100; i++) {
                 Duration d = mTimes.delay(Duration.ofMillis(300), 0, Duration.ofMillis(timeLeft));
                 assertThat(d).isBetween(Duration.ofMillis(1), Duration.ofMillis(timeLeft / 4));
+                assertThat(d).isLessThanOrEqualTo(ReturnTimes.longest(Duration.ofMillis(timeLeft)));
                 delays.add(d);
             }
             assertThat(delays).hasSizeGreaterThan(25);
