Record the tokens of hedged copies

Only the current call of a request was recorded in ContendedCalls. The tokens of a copy were missing from this router's demand, and so from the sums of all routers, both while the copy was open and after it had become the current call. An engine could get more requests than its memory holds. After a copy won, the record of the first call was the last one that ended, so that the time of the copy was learned as the speed of the first server.

A copy is now recorded from its start to its end, under its own call number and server.

Before: ContendedCallsTest.tokensOfACopyAreRecordedFromItsStartToItsEnd failed, 2150 tokens in place of 4300.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -155,7 +155,7 @@
         SecondCall second = new SecondCall(++mLastCall, backend, mNow);
         mEffects.accept(mDecisions.hedgeSent(r, choice.get(), mNow));
         mSlowStarts.onRequestSent(mNow, backend.ref());
-        mSeconds.start(r, second, fetchSourceForSecond(r, backend));
+        mSeconds.start(r, second, choice.get(), fetchSourceForSecond(r, backend));
         return Optional.empty();
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
@@ -68,10 +68,10 @@
         /** Whether the time to the first event shows that the shared parts were cached. */
         private boolean mWasCached;
 
-        Call(ActiveRequest r, Prediction p, double loadFactor) {
-            mId = r.mCall;
+        Call(ActiveRequest r, long id, BackendRef server, Prediction p, double loadFactor) {
+            mId = id;
             mRequest = r;
-            mServer = r.mBackend;
+            mServer = server;
             mPrediction = p;
             mLoadFactor = loadFactor;
             mEventsBefore = r.mFramer.eventCount();
@@ -214,20 +214,29 @@
         return own.toPrefill() + others * speed.waitingShare(now);
     }
 
-    /** Records the start of a request's call. */
+    /** Records the start of a request's current call. */
     void onSent(ActiveRequest r, ServerChoice.Choice choice, Instant now) {
+        onSent(r, r.mCall, r.mBackend, choice, now);
+    }
+
+    /** Records the start of a call of a request: its current one, or a hedged copy. */
+    void onSent(
+            ActiveRequest r,
+            long call,
+            BackendRef server,
+            ServerChoice.Choice choice,
+            Instant now) {
         if (!r.mRequest.terms().contended()) {
             return;
         }
         prune(now);
-        int slots = mServers.slots(r.mBackend);
+        int slots = mServers.slots(server);
         double loadFactor = slots <= 0 ? 1 : Math.max(1, (choice.load() + 1) / slots);
-        mSpeeds.onSeen(now, r.mBackend);
+        mSpeeds.onSeen(now, server);
         boolean isFirst =
-                !choice.candidates().isEmpty()
-                        && choice.candidates().get(0).equals(r.mBackend.id());
-        Prediction p = predict(r, demand(r), r.mBackend, isFirst, now);
-        add(new Call(r, p, loadFactor), now);
+                !choice.candidates().isEmpty() && choice.candidates().get(0).equals(server.id());
+        Prediction p = predict(r, demand(r), server, isFirst, now);
+        add(new Call(r, call, server, p, loadFactor), now);
     }
 
     /** Records that the call which ended last goes on, since no other server takes the request. */
@@ -256,9 +265,14 @@
         }
     }
 
-    /** Records the end of a request's call, however it ended. */
+    /** Records the end of a request's current call, however it ended. */
     void onEnded(ActiveRequest r, Instant now) {
-        Call c = mCalls.remove(r.mCall);
+        onEnded(r, r.mCall, now);
+    }
+
+    /** Records the end of a call of a request, however it ended. */
+    void onEnded(ActiveRequest r, long call, Instant now) {
+        Call c = mCalls.remove(call);
         if (c == null) {
             return;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -143,7 +143,7 @@
                         mInvalidAnswers,
                         contended);
         FetchSource fetchSource = new FetchSource(backends, mServers, holders, history);
-        SecondCalls seconds = new SecondCalls(loads, mDecisions);
+        SecondCalls seconds = new SecondCalls(loads, mDecisions, contended);
         mAttempts =
                 new Attempts(
                         backends,
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/SecondCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/SecondCalls.java
@@ -8,20 +8,22 @@
 
 /**
  * Starts and ends the second calls of hedged requests. A request has at most one, and only until
- * the head of an answer. Like every call, it counts in the load estimates from its start to its
- * end.
+ * the head of an answer. Like every call, it counts in the load estimates and in the demand from
+ * its start to its end.
  */
 final class SecondCalls {
     private final LoadEstimator mLoads;
     private final RequestDecisions mDecisions;
+    private final ContendedCalls mContended;
     private final HedgeCounts mCounts = new HedgeCounts();
     private final Long2ObjectHashMap<ActiveRequest> mByCall = new Long2ObjectHashMap<>();
     private Instant mNow;
     private Consumer<? super DirectEffect> mEffects;
 
-    SecondCalls(LoadEstimator loads, RequestDecisions decisions) {
+    SecondCalls(LoadEstimator loads, RequestDecisions decisions, ContendedCalls contended) {
         mLoads = loads;
         mDecisions = decisions;
+        mContended = contended;
     }
 
     /** Sets the time and the receiver of effects for one step of the reducer. */
@@ -42,14 +44,16 @@
     /**
      * Sends a copy of a request.
      *
+     * @param choice the choice of its backend server
      * @param fetchFrom address of a backend server that holds parts of the prompt, or empty
      */
-    void start(ActiveRequest r, SecondCall second, String fetchFrom) {
+    void start(ActiveRequest r, SecondCall second, ServerChoice.Choice choice, String fetchFrom) {
         r.mSecond = second;
         r.mTriedServers.add(second.backend().ref().id());
         r.mAttemptCount++;
         mByCall.put(second.call(), r);
         mLoads.onRequestSent(second.backend().ref(), r.sharedPartId());
+        mContended.onSent(r, second.call(), second.backend().ref(), choice, mNow);
         mCounts.onSent();
         mEffects.accept(
                 new DirectEffect.BeginCall(
@@ -100,6 +104,7 @@
     private void end(ActiveRequest r, String why) {
         mEffects.accept(mDecisions.hedgeLost(r, r.mSecond.backend().ref(), why, mNow));
         mLoads.onRequestEnded(r.mSecond.backend().ref(), r.sharedPartId());
+        mContended.onEnded(r, r.mSecond.call(), mNow);
         remove(r);
     }
 
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedCallsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedCallsTest.java
@@ -9,10 +9,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.direct.DirectEffect.BeginCall;
+import org.laurelweir.load.LoadDigest;
+import org.laurelweir.load.MeanLoad;
 import org.laurelweir.quarantine.CrashTable;
 
 /** Tests the demand that a router records over the calls of its requests. */
@@ -23,18 +26,21 @@
     private final ContendedFixture mFleet = new ContendedFixture(5, 16, SEED);
     private final List<DirectEffect> mEffects = new ArrayList<>();
     private final SplittableRandom mRandom = new SplittableRandom(SEED);
-    private final DirectRouting mRouting =
-            new DirectRouting(
-                    mFleet,
-                    () -> 1,
-                    DirectRoutingDriver.LIMITS,
-                    new CrashTable("r", (record, quarantined) -> {}),
-                    mFleet.mLoads,
-                    new SlowStartLimiter(),
-                    AnswerLimits.DEFAULT,
-                    SEED,
-                    mFleet.mDemand,
-                    0);
+    private final DirectRouting mRouting = routing(0);
+
+    private DirectRouting routing(double hedgeShare) {
+        return new DirectRouting(
+                mFleet,
+                () -> 1,
+                DirectRoutingDriver.LIMITS,
+                new CrashTable("r", (record, quarantined) -> {}),
+                mFleet.mLoads,
+                new SlowStartLimiter(),
+                AnswerLimits.DEFAULT,
+                SEED,
+                mFleet.mDemand,
+                hedgeShare);
+    }
 
     private void step(DirectEvent event) {
         mRouting.step(mFleet.mNow, event, mEffects::add);
@@ -107,6 +113,45 @@
         }
     }
 
+    // Guards against copies whose tokens no router knows of, and that stay recorded after their
+    // end.
+    @Test
+    void tokensOfACopyAreRecordedFromItsStartToItsEnd() {
+        MeanLoad mean = new MeanLoad(ContendedFixture.SERVICE, 1);
+        mFleet.mLoads.report(mFleet.mNow);
+        mFleet.mLoads.onDigest(
+                new LoadDigest(1, List.of(mean), List.of(), List.of()),
+                1,
+                ref -> ContendedFixture.SERVICE);
+        DirectRouting routing = routing(1);
+        RequestTerms terms = new RequestTerms(true, 1, 0, Map.of());
+        RoutedRequest request =
+                mFleet.request(
+                                ContendedFixture.stream(100),
+                                ContendedFixture.prompt(1, 2000, 100),
+                                terms)
+                        .mRequest;
+        routing.step(mFleet.mNow, new DirectEvent.RequestArrived(1, request), mEffects::add);
+        double single = accountTokens();
+        assertThat(single).isGreaterThan(2000);
+        mFleet.mNow = mFleet.mNow.plusMillis(51);
+        routing.step(mFleet.mNow, new DirectEvent.Tick(), mEffects::add);
+        assertThat(calls()).hasSize(2);
+        assertThat(accountTokens()).isEqualTo(2 * single);
+        BeginCall copy = calls().get(1);
+        DirectEvent head = new DirectEvent.HeadReceived(copy.call(), 200, List.of(), GENUINE);
+        routing.step(mFleet.mNow, head, mEffects::add);
+        assertThat(accountTokens()).isEqualTo(single);
+        assertThat(mFleet.mDemand.tokens(mFleet.mNow, ContendedFixture.SERVICE, copy.backend()))
+                .isEqualTo(single);
+        routing.step(mFleet.mNow, new DirectEvent.CallerGone(1), mEffects::add);
+        assertThat(accountTokens()).isZero();
+    }
+
+    private double accountTokens() {
+        return mFleet.mDemand.accountTokens(mFleet.mNow, "acc");
+    }
+
     private List<BeginCall> calls() {
         return mEffects.stream()
                 .filter(BeginCall.class::isInstance)
