Count an unproven refusal of a copy as a failure of its server

A 408, 421 or 429 without the not-run header is a failure of the server (AnswerStatus.isFailure) if it answers the current call, but it was none if it answered a hedged copy: only statuses from 500 counted. Requests that may run once went on to that server.

Before: HedgesTest.unprovenRefusalOfACopyIsAFailureOfItsServer failed.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
@@ -228,7 +228,7 @@
     private void onErrorStatus(ActiveRequest r, int status) {
         SecondCall second = r.mSecond;
         mOutcomes.onHead(second.backend().ref(), second.start());
-        if (status >= 500) {
+        if (AnswerStatus.isFailure(status)) {
             mOutcomes.onFailure(r, second.backend().ref());
         }
         r.mMayHaveRun = true;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
@@ -243,6 +243,23 @@
         checkNoLoadIsLeft();
     }
 
+    // Guards against a server whose unproven refusal of a copy leaves no trace: requests that may
+    // run
+    // once would go there.
+    @Test
+    void unprovenRefusalOfACopyIsAFailureOfItsServer() {
+        hedge(READ);
+        mDriver.answer(mSecond.call(), 429, GENUINE);
+        mDriver.mEffects.clear();
+        for (long caller = 201; caller <= 220; caller++) {
+            mDriver.arrive(caller, route(false, false, false, 1));
+            assertThat(mDriver.lastCall().backend()).isNotEqualTo(mSecond.backend());
+            long call = mDriver.lastCall().call();
+            mDriver.answer(call, 200, GENUINE);
+            mDriver.step(new DirectEvent.Finished(call));
+        }
+    }
+
     // Guards against closing the connection that tells whether a server ends under the request.
     @Test
     void copyWithAnInvalidAnswerIsWatchedForACrash() {
