Drop hedge delays and work times when the clock is set back

Quantiles of times to the first data, and the work time that a server reported, counted as recent until the clock had caught up with the time at which they were recorded.

Before: HedgeDelayTest.quantilesAreComputedAgainAfterTheClockIsSetBack and LearnedDemandTest.workTimeFromBeforeTheClockIsSetBackIsNotUsed failed.

--- a/org.laurelweir/src/main/java/org/laurelweir/demand/ServerSpeed.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/ServerSpeed.java
@@ -70,7 +70,9 @@
     }
 
     private boolean isWorkTimeFresh(Instant now) {
+        // A time after now is from before the clock was set back.
         return !mWorkTimeSince.equals(Instant.MIN)
+                && !mWorkTimeSince.isAfter(now)
                 && now.isBefore(mWorkTimeSince.plus(WORK_TIME_VALIDITY));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/hedging/HedgeDelay.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/hedging/HedgeDelay.java
@@ -106,18 +106,25 @@
 
         /** Computes the quantiles if they are not recent; returns the number of times in them. */
         int computedCount(Instant now) {
-            if (mComputedAt != Instant.MIN && now.isBefore(mComputedAt.plus(QUANTILE_LIFETIME))) {
+            if (isComputedLately(now)) {
                 return mComputedCount;
             }
             mComputedAt = now;
             Instant oldest = now.minus(WINDOW);
-            while (mCount > 0 && mTimes[mStart].isBefore(oldest)) {
+            // Times after now are from before the clock was set back.
+            while (mCount > 0 && (mTimes[mStart].isBefore(oldest) || mTimes[mStart].isAfter(now))) {
                 removeFirst();
             }
             computeQuantiles();
             return mComputedCount;
         }
 
+        private boolean isComputedLately(Instant now) {
+            return !mComputedAt.equals(Instant.MIN)
+                    && !mComputedAt.isAfter(now)
+                    && now.isBefore(mComputedAt.plus(QUANTILE_LIFETIME));
+        }
+
         private void removeFirst() {
             mTimes[mStart] = null;
             mStart = (mStart + 1) % MAX_SAMPLES;
--- a/org.laurelweir/src/test/java/org/laurelweir/demand/LearnedDemandTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/demand/LearnedDemandTest.java
@@ -55,6 +55,14 @@
         assertThat(speed.slowness(START.plusSeconds(2))).isGreaterThan(2);
     }
 
+    // Guards against a work time that stays in use until a clock set back catches up.
+    @Test
+    void workTimeFromBeforeTheClockIsSetBackIsNotUsed() {
+        ServerSpeed speed = mSpeeds.of(new BackendRef("s", 1));
+        speed.onWorkTime(START.plusSeconds(3600), 1000);
+        assertThat(speed.slowness(START.plusSeconds(2))).isEqualTo(1);
+    }
+
     // Guards against speeds of an earlier run, and against records that stay for ever.
     @Test
     void speedsAreForgottenWithTheIncarnation() {
--- a/org.laurelweir/src/test/java/org/laurelweir/hedging/HedgeDelayTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/hedging/HedgeDelayTest.java
@@ -65,4 +65,14 @@
         record(256, 30, later);
         assertThat(due(0, 1, later.plusMillis(100))).isEqualTo(dueAfter(30, true));
     }
+
+    // Guards against quantiles that stay in use, however old, until a clock set back catches up.
+    @Test
+    void quantilesAreComputedAgainAfterTheClockIsSetBack() {
+        Instant ahead = Instant.EPOCH.plusSeconds(3600);
+        record(256, 60, ahead);
+        assertThat(due(0, 1, ahead)).isEqualTo(dueAfter(60, true));
+        record(256, 10, Instant.EPOCH);
+        assertThat(due(0, 1, Instant.EPOCH)).isEqualTo(dueAfter(10, true));
+    }
 }
