Reword comments on contended choice, hedging and their benchmark

Constants say what they bound and in which unit, comments that had to be read twice or used figures of speech are reworded, and the time that a route aims at is called its objective everywhere in the hedging package.

--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/hedging/ServiceModel.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/hedging/ServiceModel.java
@@ -22,14 +22,17 @@
     private static final int QUEUE = 24;
     private static final int REQUESTS = 100_000;
     private static final int MAX_ATTEMPTS = 2;
-    private static final double MEAN_WORK = 42_900;
+    private static final double MEAN_WORK_MICROS = 42_900;
+
+    /** Standard deviation of the logarithm of the work. */
     private static final double WORK_DEVIATION = 0.3;
+
     private static final double PAUSE_SHARE = 0.01;
-    private static final long PAUSE = 200_000;
-    private static final long LINK = 1_400;
-    private static final long SCAN_INTERVAL = 10_000;
+    private static final long PAUSE_MICROS = 200_000;
+    private static final long LINK_MICROS = 1_400;
+    private static final long SCAN_INTERVAL_MICROS = 10_000;
     private static final Duration OBJECTIVE = Duration.ofMillis(199);
-    private static final long SURGE_PERIOD = 12_000_000;
+    private static final long SURGE_PERIOD_MICROS = 12_000_000;
     private static final double SURGE_START = 0.75;
     private static final String NAME = "read";
 
@@ -80,10 +83,10 @@
         private long mStarted = -1;
         private boolean mFinished;
 
-        /** Whether the router is done with it. */
+        /** Whether its answer or refusal has arrived, or the router has cancelled it. */
         private boolean mEnded;
 
-        /** Whether the server has been told that it is cancelled. */
+        /** Whether the cancellation has reached the server. */
         private boolean mCancelled;
 
         Call(Request request, Server server, long sent) {
@@ -98,7 +101,7 @@
         private final double mFactor;
         private int mRunning;
 
-        /** The router's calls that have not ended. */
+        /** Number of the router's calls that have not ended. */
         private int mOpen;
 
         Server(double factor) {
@@ -143,10 +146,10 @@
         double deviation = WORK_DEVIATION * mArrivals.nextGaussian();
         // The mean of the scatter is 1, so that the load is as stated.
         double scatter = Math.exp(deviation - WORK_DEVIATION * WORK_DEVIATION / 2);
-        Request r = new Request(MEAN_WORK * scatter, mNow);
-        double phase = (double) (mNow % SURGE_PERIOD) / SURGE_PERIOD;
+        Request r = new Request(MEAN_WORK_MICROS * scatter, mNow);
+        double phase = (double) (mNow % SURGE_PERIOD_MICROS) / SURGE_PERIOD_MICROS;
         double load = phase >= SURGE_START ? mScenario.surgeLoad() : mScenario.load();
-        double meanCall = MEAN_WORK + PAUSE_SHARE * PAUSE;
+        double meanCall = MEAN_WORK_MICROS + PAUSE_SHARE * PAUSE_MICROS;
         double interval = meanCall / (load * SERVERS * SLOTS);
         if (++mArrived < REQUESTS) {
             after((long) (-interval * Math.log(1 - mArrivals.nextDouble())), this::arrive);
@@ -155,9 +158,9 @@
         send(r);
         if (mWay == Way.TIED) {
             // The first server, if idle, can tell the second before the copy arrives there.
-            after(2 * LINK, () -> send(r));
+            after(2 * LINK_MICROS, () -> send(r));
         } else if (mWay != Way.NONE) {
-            after(SCAN_INTERVAL, () -> checkDue(r));
+            after(SCAN_INTERVAL_MICROS, () -> checkDue(r));
         }
     }
 
@@ -170,7 +173,7 @@
         Call c = new Call(r, a.mOpen <= b.mOpen ? a : b, mNow);
         r.mCalls.add(c);
         c.mServer.mOpen++;
-        after(LINK, () -> onCall(c));
+        after(LINK_MICROS, () -> onCall(c));
     }
 
     private void checkDue(Request r) {
@@ -180,7 +183,7 @@
         HedgeDelay.Due due = mDelay.due(NAME, OBJECTIVE, Duration.ZERO, 1, now());
         long delay = mWay == Way.FIXED ? OBJECTIVE.toNanos() / 2000 : due.delay().toNanos() / 1000;
         if (mNow <= r.mArrival + delay) {
-            after(SCAN_INTERVAL, () -> checkDue(r));
+            after(SCAN_INTERVAL_MICROS, () -> checkDue(r));
         } else if (mWay != Way.LIMITED || isPermitted(due)) {
             mBudget.onHedged(NAME);
             send(r);
@@ -190,45 +193,46 @@
     private boolean isPermitted(HedgeDelay.Due due) {
         double mean = mServers.stream().mapToInt(s -> s.mOpen).average().orElse(0);
         ServiceUse use = new ServiceUse(mean, SLOTS, Double.NaN, 0);
-        HedgeRule.SlowRequest slow = new HedgeRule.SlowRequest(NAME, 1, false, due.canMeetTarget());
+        HedgeRule.SlowRequest slow =
+                new HedgeRule.SlowRequest(NAME, 1, false, due.canMeetObjective());
         return mRule.check(slow, () -> use).isEmpty();
     }
 
     private void onCall(Call c) {
-        if (mWay == Way.TIED && hasHeardOfStart(c)) {
+        if (mWay == Way.TIED && knowsOfOtherStart(c)) {
             untie(c);
         } else if (c.mServer.mRunning < SLOTS) {
             start(c);
         } else if (c.mServer.mQueue.size() < QUEUE) {
             c.mServer.mQueue.add(c);
         } else {
-            after(LINK, () -> onRefused(c));
+            after(LINK_MICROS, () -> onRefused(c));
         }
     }
 
     private void start(Call c) {
         c.mServer.mRunning++;
         c.mStarted = mNow;
-        long pause = mChoices.nextDouble() < PAUSE_SHARE ? PAUSE : 0;
+        long pause = mChoices.nextDouble() < PAUSE_SHARE ? PAUSE_MICROS : 0;
         after((long) (c.mRequest.mWork * c.mServer.mFactor) + pause, () -> onFinished(c));
         if (mWay == Way.TIED) {
             c.mRequest.mCalls.stream()
                     .filter(o -> o != c)
-                    .forEach(o -> after(LINK, () -> untie(o)));
+                    .forEach(o -> after(LINK_MICROS, () -> untie(o)));
         }
     }
 
-    /** Returns whether the server has been told that the other server runs the request. */
-    private boolean hasHeardOfStart(Call c) {
+    /** Returns whether the message that the other server runs the request has arrived. */
+    private boolean knowsOfOtherStart(Call c) {
         return c.mRequest.mCalls.stream()
-                .anyMatch(o -> o != c && o.mStarted >= 0 && o.mStarted + LINK <= mNow);
+                .anyMatch(o -> o != c && o.mStarted >= 0 && o.mStarted + LINK_MICROS <= mNow);
     }
 
-    /** Drops a tied copy that has not started when it hears that the other one has. */
+    /** Drops a tied copy that has not started once the message of the other's start arrives. */
     private void untie(Call c) {
         if (c.mStarted < 0) {
             c.mServer.mQueue.remove(c);
-            after(LINK, () -> end(c));
+            after(LINK_MICROS, () -> end(c));
         }
     }
 
@@ -236,7 +240,7 @@
         if (!c.mCancelled) {
             c.mFinished = true;
             release(c);
-            after(LINK, () -> onAnswer(c));
+            after(LINK_MICROS, () -> onAnswer(c));
         }
     }
 
@@ -256,14 +260,14 @@
         }
         r.mAnswered = true;
         mTimes.add(mNow - r.mArrival);
-        mUseful += mNow - LINK - c.mStarted;
+        mUseful += mNow - LINK_MICROS - c.mStarted;
         for (Call o : r.mCalls) {
             if (o == c || !o.mEnded && o.mSent < c.mSent) {
                 mDelay.onFirstData(NAME, Duration.ofNanos(1000 * (mNow - o.mSent)), now());
             }
             if (!o.mEnded) {
                 end(o);
-                after(LINK, () -> onCancel(o));
+                after(LINK_MICROS, () -> onCancel(o));
             }
         }
     }
@@ -298,9 +302,9 @@
     }
 
     /**
-     * What callers and servers saw.
+     * The results of a run.
      *
-     * @param times times to the answer, ascending
+     * @param times times to the answer in microseconds, ascending
      * @param extraWork work on calls whose answers were not used, relative to that on the others
      * @param refused share of the requests that were refused
      */
--- a/org.laurelweir/src/main/java/org/laurelweir/demand/OutputEstimator.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/OutputEstimator.java
@@ -15,12 +15,12 @@
     /** Number of latest outputs per route; at a few requests a second they span some seconds. */
     private static final int MAX_OUTPUTS = 64;
 
-    /** With fewer outputs, their 0.9 quantile is only the longest one. */
+    /** Minimum number of outputs to estimate from; the 0.9 quantile of fewer is the longest one. */
     private static final int MIN_OUTPUTS = 10;
 
     private static final double HIGH_QUANTILE = 0.9;
 
-    /** A hint below this share of the median is more often wrong than the route is unusual. */
+    /** Hints below this share of the route's median are raised to it; most of them are wrong. */
     private static final double MIN_HINT_SHARE = 0.5;
 
     private final Map<String, Outputs> mByRoute =
--- a/org.laurelweir/src/main/java/org/laurelweir/demand/ServerSpeed.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/ServerSpeed.java
@@ -9,7 +9,7 @@
  * that the server reports. Without observations it returns to 1.
  */
 public final class ServerSpeed {
-    /** How long a reported work time is used; neighbours on a machine change within a second. */
+    /** How long a reported work time is used; other load on the instance changes in a second. */
     static final Duration WORK_TIME_VALIDITY = Duration.ofSeconds(1);
 
     /** A router calls one of many engines every few seconds; this spans some of its calls. */
@@ -28,10 +28,10 @@
 
     private static final double PERCENT = 100;
 
-    /** The ratio of observed to usual times, whatever the work time was. */
+    /** The ratio of observed to usual times, which includes the effect of the work time. */
     private final DecayingMean mOverall = new DecayingMean(1, PRIOR_WEIGHT, DECAY);
 
-    /** The same ratio without the reported work time: what the server's own speed explains. */
+    /** The same ratio divided by the reported work time: the speed of the server itself. */
     private final DecayingMean mAtUsualWorkTime = new DecayingMean(1, PRIOR_WEIGHT, DECAY);
 
     private double mWorkTime = 1;
@@ -48,7 +48,7 @@
      *
      * @param ratio the observed time relative to that of a server of slowness 1; ignored if it is
      *     NaN
-     * @param weight 1 for a time that is as telling as one to the first event
+     * @param weight weight of the time, relative to that of a time to the first event
      */
     public void onTime(Instant now, double ratio, double weight) {
         if (Double.isNaN(ratio)) {
--- a/org.laurelweir/src/main/java/org/laurelweir/demand/ServiceSpeed.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/demand/ServiceSpeed.java
@@ -9,7 +9,7 @@
  * gap between events; for a plain server the time to the answer. All are of a server of slowness 1.
  */
 public final class ServiceSpeed {
-    /** Fewer observations tell too little; until then the router decides without predictions. */
+    /** Minimum weight of the observations for predictions; 1 for each that has not decayed. */
     private static final double MIN_OBSERVATIONS = 10;
 
     private static final Duration DECAY = Duration.ofSeconds(60);
@@ -25,7 +25,7 @@
 
     private static final double MAX_RATE = 1000;
 
-    /** A longer time tells of a stall, not of the speed. */
+    /** Longer times count as this one: they are due to a stall, not to the speed. */
     private static final double MAX_MILLIS = 10_000;
 
     /** Weight of a prior that only keeps an empty mean from being undefined. */
@@ -41,7 +41,7 @@
     private final DecayingMean mGap = new DecayingMean(0, NO_PRIOR, DECAY);
     private final DecayingMean mAnswer = new DecayingMean(0, NO_PRIOR, DECAY);
 
-    /** Products of tokens and time: of tokens while they are to be prefilled, and while held. */
+    /** Products of tokens and milliseconds: of tokens to be prefilled, and of tokens held. */
     private final DecayingMean mWaiting = new DecayingMean(0, NO_PRIOR, DECAY);
 
     private final DecayingMean mHeld = new DecayingMean(0, NO_PRIOR, DECAY);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedCalls.java
@@ -24,7 +24,7 @@
     /** Weight of the gaps of one stream: they depend on the number of requests at the server. */
     private static final double GAP_WEIGHT = 0.3;
 
-    /** Fewer gaps tell too little of a server. */
+    /** Minimum number of gaps in a stream from which the speed of a server is learned. */
     private static final int MIN_GAPS = 3;
 
     private final BackendSource mBackends;
@@ -336,8 +336,8 @@
     }
 
     /**
-     * Learns from a successful answer that ended. It counts as a success of the server only if the
-     * server told that end.
+     * Learns from a successful answer that ended. It counts as a success of the server only if its
+     * framing proves that end.
      */
     void onSuccess(ActiveRequest r, Instant now) {
         if (!r.mRequest.terms().contended()) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ContendedChoice.java
@@ -150,8 +150,8 @@
     /**
      * Returns the first option by failure class and rank whose time is safe; else the earliest in
      * the lowest class that meets the objective; else the first by rank, since a server that would
-     * miss the objective as well would read the shared parts in vain. Those above the bound are the
-     * last resort, and then the load decides.
+     * miss the objective too should not read the shared parts. Those above the bound are the last
+     * resort, and then the load decides.
      */
     private Optional<Option> find(ActiveRequest r, List<Option> options, SpillBound bound) {
         double objective = objectiveMillis(r);
@@ -234,7 +234,7 @@
                 .map(c -> mChoice.choice(c, "least_loaded", all, bound.upper()));
     }
 
-    /** Returns the class of a plain server; a server above the bound is in a class after all. */
+    /** Returns the class of a plain server; servers above the bound are in the last class. */
     private int plainClass(ActiveRequest r, CandidateLoad c, SpillBound bound, Instant now) {
         if (c.load() > bound.upper()) {
             return Integer.MAX_VALUE;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/FetchSource.java
@@ -86,8 +86,8 @@
     /**
      * Returns the servers that may hold the shared parts, the most likely ones first, with regard
      * to when each server accepted requests. If the chosen server has ranked first for long, it
-     * holds the last shared part, or nobody does; a server that holds the parts before it is asked
-     * then.
+     * holds the last shared part, or no server does; then a server that holds the parts before it
+     * is asked.
      */
     private List<BackendRef> likelyHolders(
             ActiveRequest r, BackendRef chosen, PartHolders.Holders holders, Instant now) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
@@ -157,7 +157,8 @@
                         || mCrashGuard.isQuarantined(r)
                         || mInvalidAnswers.isWatched(r);
         int attemptsLeft = r.route().maxAttempts() - r.mAttemptCount;
-        return new HedgeRule.SlowRequest(r.mService, attemptsLeft, isSuspect, due.canMeetTarget());
+        return new HedgeRule.SlowRequest(
+                r.mService, attemptsLeft, isSuspect, due.canMeetObjective());
     }
 
     private ServiceUse use(ActiveRequest r) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -46,12 +46,12 @@
     private final Map<String, Server> mServers = new HashMap<>();
     private final Map<String, Outliers> mOutliers = new HashMap<>();
 
-    /** Whether questions about a server leave the records as they are. */
+    /** Whether lookups leave the records unchanged. */
     private boolean mIsFrozen;
 
     /**
-     * Sets whether questions about a server leave the records as they are. Otherwise a question
-     * about a later incarnation removes what is recorded of the earlier one.
+     * Sets whether lookups leave the records unchanged. Otherwise the lookup of a later incarnation
+     * removes the record of the earlier one.
      */
     void setFrozen(boolean frozen) {
         mIsFrozen = frozen;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServingHistory.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServingHistory.java
@@ -14,12 +14,10 @@
 /**
  * Records since when, or until when, each backend server of a service has accepted new requests. A
  * server only caches prompt parts of requests that it was sent, so a server that has just joined,
- * or that has been draining for some time, is a poor guess for a holder of a part.
+ * or that has been draining for some time, is unlikely to hold a part.
  */
 final class ServingHistory {
-    /**
-     * Within this time a server is unlikely to be sent most of the parts that it ranks first for.
-     */
+    /** Time after which a server has likely been sent many of the parts that it ranks first for. */
     private static final Duration MIN_SERVING_TIME = Duration.ofSeconds(1);
 
     /** After this time most parts in use have been read at the servers that took over. */
--- a/org.laurelweir/src/main/java/org/laurelweir/hedging/HedgeDelay.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/hedging/HedgeDelay.java
@@ -19,7 +19,7 @@
     /** Age after which a time is no longer used; loads change within some seconds. */
     private static final Duration WINDOW = Duration.ofSeconds(30);
 
-    /** With fewer times the quantile is the slowest of them, and says little. */
+    /** Minimum number of times to take quantiles of; the 0.95 quantile of fewer is the longest. */
     private static final int MIN_SAMPLES = 20;
 
     /** Maximum number of recorded times of a route, the latest ones. */
@@ -43,9 +43,9 @@
      * When to hedge a call.
      *
      * @param delay time since the start of the call
-     * @param canMeetTarget whether a copy sent then is likely to meet the route's target
+     * @param canMeetObjective whether a copy sent then is likely to meet the route's objective
      */
-    public record Due(Duration delay, boolean canMeetTarget) {}
+    public record Due(Duration delay, boolean canMeetObjective) {}
 
     /**
      * Records the time from the start of a call to its first data. For a call that was cancelled
@@ -59,7 +59,7 @@
     /**
      * Returns when to hedge a call.
      *
-     * @param objective the route's target time to the first data
+     * @param objective the time to the first data that the route aims at
      * @param waited time from the request's arrival to the start of the call
      * @param workTimeFactor how long the server takes for its work, relative to its service; below
      *     1 it has no effect
@@ -79,8 +79,8 @@
             return new Due(slow, true);
         }
         // Half of all requests are answered by the median: a copy before that is mostly wasted.
-        boolean canMeetTarget = latest.compareTo(median) >= 0;
-        return new Due(canMeetTarget ? latest : slow, canMeetTarget);
+        boolean canMeetObjective = latest.compareTo(median) >= 0;
+        return new Due(canMeetObjective ? latest : slow, canMeetObjective);
     }
 
     /** The latest times of one route in the order of their arrival, in a ring. */
--- a/org.laurelweir/src/main/java/org/laurelweir/hedging/HedgeRule.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/hedging/HedgeRule.java
@@ -28,10 +28,10 @@
      * @param service the service that runs it
      * @param attemptsLeft number of further backend servers that the route permits
      * @param isSuspect whether it, or a part of its prompt, may have ended a backend server
-     * @param canMeetTarget whether a copy is likely to meet the target
+     * @param canMeetObjective whether a copy is likely to meet the objective
      */
     public record SlowRequest(
-            String service, int attemptsLeft, boolean isSuspect, boolean canMeetTarget) {}
+            String service, int attemptsLeft, boolean isSuspect, boolean canMeetObjective) {}
 
     /**
      * Returns why a request is not hedged, or empty if it should be.
@@ -45,7 +45,7 @@
         if (r.isSuspect()) {
             return Optional.of(WithholdReason.SUSPECT);
         }
-        if (!r.canMeetTarget()) {
+        if (!r.canMeetObjective()) {
             return Optional.of(WithholdReason.TOO_LATE);
         }
         if (!mBudget.permits(r.service())) {
--- a/org.laurelweir/src/main/java/org/laurelweir/hedging/WithholdReason.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/hedging/WithholdReason.java
@@ -8,7 +8,9 @@
     ATTEMPTS_USED,
     /** The request, or a part of its prompt, may have ended a backend server. */
     SUSPECT,
-    /** A copy is not likely to meet the target, or too little time is left until the deadline. */
+    /**
+     * A copy is not likely to meet the objective, or too little time is left until the deadline.
+     */
     TOO_LATE,
     /** No recent figure tells how much of the service's capacity is in use. */
     LOAD_UNKNOWN,
--- a/org.laurelweir/src/test/java/org/laurelweir/hedging/HedgeDelayTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/hedging/HedgeDelayTest.java
@@ -22,8 +22,8 @@
         return mDelay.due("r", OBJECTIVE, Duration.ofMillis(waitedMillis), factor, now);
     }
 
-    private static HedgeDelay.Due dueAfter(long millis, boolean canMeetTarget) {
-        return new HedgeDelay.Due(Duration.ofMillis(millis), canMeetTarget);
+    private static HedgeDelay.Due dueAfter(long millis, boolean canMeetObjective) {
+        return new HedgeDelay.Due(Duration.ofMillis(millis), canMeetObjective);
     }
 
     // Guards against a quantile of a few times, which is their maximum.
