--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
@@ -157,7 +157,8 @@
                         || mCrashGuard.isQuarantined(r)
                         || mInvalidAnswers.isWatched(r);
         int attemptsLeft = r.route().maxAttempts() - r.mAttemptCount;
-        return new HedgeRule.SlowRequest(r.mService, attemptsLeft, isSuspect, due.canMeetTarget());
+        return new HedgeRule.SlowRequest(
+                r.mService, attemptsLeft, isSuspect, due.canMeetObjective());
     }
 
     private ServiceUse use(ActiveRequest r) {
@@ -228,7 +229,7 @@
     private void onErrorStatus(ActiveRequest r, int status) {
         SecondCall second = r.mSecond;
         mOutcomes.onHead(second.backend().ref(), second.start());
-        if (status >= 500) {
+        if (AnswerStatus.isFailure(status)) {
             mOutcomes.onFailure(r, second.backend().ref());
         }
         r.mMayHaveRun = true;
