--- a/org.laurelweir/src/test/java/org/laurelweir/direct/UncontendedDecisionsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/UncontendedDecisionsTest.java
@@ -19,7 +19,7 @@
     private static final int REQUEST_COUNT = 4000;
     private static final long SEED = 11;
 
-    /** The digest of the decisions of commit 1d3f9c36, the last one without contended choices. */
+    /** The digest of the decisions of a router without contended choices. */
     private static final long EXPECTED_DIGEST = 1_786_181_326L;
 
     private final DirectRoutingDriver mDriver =
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/UncontendedWaitingTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/UncontendedWaitingTest.java
@@ -15,12 +15,12 @@
 import org.laurelweir.direct.DirectEffect.BeginCall;
 import org.laurelweir.direct.DirectEffect.LogDecision;
 
-/** Tests that requests without contention are decided as before contended requests could wait. */
+/** Tests that requests without contention are decided as by a router that has no waiting queue. */
 class UncontendedWaitingTest {
     private static final int STEPS = 4000;
 
-    /** The checksum of the decisions at the commit before, 1d3f9c36. */
-    private static final long CHECKSUM_BEFORE = 1_518_121_942L;
+    /** The checksum of the decisions of a router without a waiting queue. */
+    private static final long CHECKSUM_WITHOUT_QUEUE = 1_518_121_942L;
 
     private final CRC32 mChecksum = new CRC32();
     private final List<BeginCall> mOpen = new ArrayList<>();
@@ -31,7 +31,7 @@
     // Guards against another server, retry or delay for requests of deployments that do not ask
     // for any of this. Random arrivals at five servers, which are full for a part of the time.
     @Test
-    void decisionsAndRandomDrawsAreThoseOfTheCommitBefore() {
+    void decisionsAndRandomDrawsAreThoseWithoutAQueue() {
         DirectRoutingDriver driver =
                 new DirectRoutingDriver(5, DirectRoutingDriver.LIMITS, 20261204);
         SplittableRandom random = new SplittableRandom(7);
@@ -41,7 +41,7 @@
             mSeen = driver.mEffects.size();
         }
         assertThat(mRefused).isBetween(200, 2000);
-        assertThat(mChecksum.getValue()).isEqualTo(CHECKSUM_BEFORE);
+        assertThat(mChecksum.getValue()).isEqualTo(CHECKSUM_WITHOUT_QUEUE);
     }
 
     private void step(DirectRoutingDriver driver, SplittableRandom random) {
