Log and count the requests of backend servers for rest

What could not be told: the line not_run_503 does not say whether the server asked for rest, nor for how long, so a router that heard it looks like one that did not.

Change, without any effect on a decision: each head that a connection to a backend server brings is read for what the server says of itself, whichever call it belongs to, and reported as an event of its own. The router writes a line RESTING and counts the answers and the servers that rest.

Measured: unit tests of the reader and of the connection (late answers, answers that nobody waits for, another server at the address).

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
 import java.util.function.Supplier;
+import org.laurelweir.direct.NoticeCounts;
 import org.laurelweir.hedging.HedgeCounts;
 import org.laurelweir.hedging.WithholdReason;
 import org.laurelweir.lib.ResultCode;
@@ -57,6 +58,12 @@
         }
     }
 
+    /** Registers the gauges of what backend servers said of themselves in answers. */
+    void registerNotices(NoticeCounts counts) {
+        registerGauge("servers.resting", counts::resting);
+        registerGauge("servers.rests", counts::rests);
+    }
+
     /** Registers the gauges of requests that wait until a backend server has room. */
     void registerWaiting(WaitingCounts counts) {
         registerGauge("waiting.requests", counts::requests);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -216,6 +216,7 @@
             SidecarCalls sidecars, BackendCalls calls) {
         RouterReducer reducer = new RouterReducer(mConfig);
         mMetrics.registerHedges(reducer.hedgeCounts());
+        mMetrics.registerNotices(reducer.noticeCounts());
         mMetrics.registerWaiting(reducer.waitingCounts());
         return new ReducerLoop<>(
                 "router-decide",
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
@@ -16,6 +16,7 @@
 import org.laurelweir.runtime.config.Endpoint;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.HttpConnector;
+import org.laurelweir.runtime.rpc.ServerNoticeReader;
 
 /**
  * Sends requests directly to backend servers and reports their answers and failures as events. All
@@ -33,6 +34,7 @@
     private final HttpConnector mConnector;
     private final RequestWriter mWriter;
     private final AnswerReader mReader;
+    private final ServerNotices mNotices;
     private final Consumer<DirectEvent> mEvents;
     private final IdleConnections mIdle = new IdleConnections();
     private final Map<Long, HttpExchange> mExchanges = new ConcurrentHashMap<>();
@@ -49,6 +51,7 @@
         mConnector = new HttpConnector(loops, mLoop, CONNECT_TIMEOUT_MILLIS);
         mWriter = new RequestWriter(dialect);
         mReader = new AnswerReader(dialect);
+        mNotices = new ServerNotices(new ServerNoticeReader(dialect.leaving()), events);
         mEvents = events;
     }
 
@@ -124,7 +127,7 @@
     }
 
     private void connect(DirectEffect.BeginCall call, HttpExchange x) {
-        BackendConnection connection = new BackendConnection(call.backend(), mIdle);
+        BackendConnection connection = new BackendConnection(call.backend(), mIdle, mNotices);
         ChannelFuture connect = mConnector.connect(Endpoint.parse(call.address()), connection);
         x.onConnecting(connect.channel());
         connect.addListener(
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -27,6 +27,7 @@
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     private final BackendRef mBackend;
     private final IdleConnections mIdle;
+    private final ServerNotices mNotices;
     private Channel mChannel;
     private HttpExchange mExchange;
     private ChannelFuture mWrite;
@@ -35,9 +36,10 @@
     private boolean mNotReusable;
     private Duration mIdleTime = Duration.ZERO;
 
-    BackendConnection(BackendRef backend, IdleConnections idle) {
+    BackendConnection(BackendRef backend, IdleConnections idle, ServerNotices notices) {
         mBackend = backend;
         mIdle = idle;
+        mNotices = notices;
     }
 
     @Override
@@ -74,6 +76,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            reportNotice(message);
             if (mExchange == null) {
                 // Unsolicited bytes: the beginning of the next answer can't be determined.
                 context.close();
@@ -85,6 +88,12 @@
         }
     }
 
+    private void reportNotice(Object message) {
+        if (message instanceof HttpResponse r && r.decoderResult().isSuccess()) {
+            mNotices.onHead(mBackend, r);
+        }
+    }
+
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
             onBadMessage(message.decoderResult().cause());
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/HttpDialect.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/HttpDialect.java
@@ -1,6 +1,7 @@
 package org.laurelweir.router.http;
 
 import java.util.Set;
+import org.laurelweir.runtime.rpc.ServerNoticeReader;
 
 /**
  * The names of the headers that callers and backend servers without sidecars exchange with the
@@ -19,6 +20,7 @@
  * @param notRun header that is present if the backend server did not run the request
  * @param load header with a backend server's running and waiting requests and its slots, as N,N,N,
  *     and how long work takes on its machine, in percent of the usual time, as a fourth number
+ * @param leaving header with which a backend server says in an answer that it is about to stop
  * @param seal header that every genuine successful answer has, or empty for no such header
  * @param resumeAfter header with the id of the last event that the receiver of a stream got
  * @param resumes header with the id of the request that brought a stream's first event, sent by a
@@ -40,6 +42,7 @@
         String lengthHint,
         String notRun,
         String load,
+        String leaving,
         String seal,
         String resumeAfter,
         String resumes,
@@ -60,6 +63,7 @@
                     "X-Expected-Tokens",
                     "X-Not-Run",
                     "X-Server-Load",
+                    ServerNoticeReader.DEFAULT_LEAVING_HEADER,
                     "",
                     "Last-Event-ID",
                     "X-Resumes",
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
@@ -23,6 +24,7 @@
 import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.router.http.HttpDialect;
+import org.laurelweir.runtime.rpc.ServerNoticeReader;
 import org.laurelweir.settings.RouteShare;
 
 /** Tests how a connection reports backend servers that crash or that send invalid answers. */
@@ -50,6 +52,7 @@
                 d.lengthHint(),
                 d.notRun(),
                 d.load(),
+                d.leaving(),
                 "X-Seal",
                 d.resumeAfter(),
                 d.resumes(),
@@ -83,7 +86,11 @@
 
     @BeforeEach
     void send() {
-        BackendConnection connection = new BackendConnection(SERVER, mIdle);
+        BackendConnection connection =
+                new BackendConnection(
+                        SERVER,
+                        mIdle,
+                        new ServerNotices(new ServerNoticeReader(SEALED.leaving()), mEvents::add));
         mChannel = new EmbeddedChannel(new HttpClientCodec(), connection);
         AnswerReader reader = new AnswerReader(SEALED);
         connection.send(
@@ -136,4 +143,37 @@
         closeByServer();
         assertThat(failure()).isEqualTo(Failure.ABANDONED);
     }
+
+    /** Guards against a request for rest that is dropped with an answer that nobody waits for. */
+    @Test
+    void noticeOfALateAnswerToAnotherRequestIsReported() {
+        receive(
+                "HTTP/1.1 503 X\r\nX-Request-Id: earlier\r\nRetry-After: 3\r\n"
+                        + "Content-Length: 0\r\n\r\n");
+        assertThat(mEvents)
+                .containsExactly(
+                        new DirectEvent.ServerNoticed(
+                                SERVER, new ServerNotice(Duration.ofSeconds(3), false)));
+    }
+
+    /** Guards against the word of a server that is dropped since its request has been cancelled. */
+    @Test
+    void noticeOfAnUnaskedAnswerIsReported() {
+        receive("HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n");
+        mEvents.clear();
+        receive("HTTP/1.1 408 X\r\nX-Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(mEvents)
+                .containsExactly(
+                        new DirectEvent.ServerNoticed(
+                                SERVER, new ServerNotice(Duration.ZERO, true)));
+    }
+
+    /** Guards against taking the word of the server that has the address now for another's. */
+    @Test
+    void noticeOfAnotherServerAtTheAddressIsIgnored() {
+        receive(
+                "HTTP/1.1 421 X\r\nX-Server-Leaving: 1\r\nRetry-After: 3\r\n"
+                        + "Content-Length: 0\r\n\r\n");
+        assertThat(mEvents).noneMatch(DirectEvent.ServerNoticed.class::isInstance);
+    }
 }
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/IdleConnectionsTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/IdleConnectionsTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.runtime.rpc.ServerNoticeReader;
 
 /** Tests the idle connections to a backend server that restarts under the same id. */
 class IdleConnectionsTest {
@@ -16,7 +17,11 @@
     private final IdleConnections mIdle = new IdleConnections();
 
     private BackendConnection open(BackendRef backend) {
-        BackendConnection connection = new BackendConnection(backend, mIdle);
+        BackendConnection connection =
+                new BackendConnection(
+                        backend,
+                        mIdle,
+                        new ServerNotices(new ServerNoticeReader("X-Leaving"), e -> {}));
         new EmbeddedChannel(connection);
         return connection;
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginAnswer;
 
@@ -24,6 +26,12 @@
     /** The caller stopped reading its answer, with much of it sent, or reads again. */
     record CallerBlocked(long caller, boolean blocked) implements DirectEvent {}
 
+    /**
+     * A backend server said something of itself in the head of an answer, whichever call that
+     * belongs to.
+     */
+    record ServerNoticed(BackendRef server, ServerNotice notice) implements DirectEvent {}
+
     /** The head of a backend server's answer has arrived. */
     record HeadReceived(long call, int status, List<Header> headers, AnswerMetadata metadata)
             implements DirectEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -48,6 +48,7 @@
     private final InvalidAnswerCalls mInvalidAnswers;
     private final Hedges mHedges;
     private final Outcomes mOutcomes;
+    private final NoticeHandler mNotices;
     private final AnswerMemory mAnswerMemory;
     private final OriginRecorder mOriginRecorder;
     private final OriginLookup mOriginLookup;
@@ -119,6 +120,7 @@
             FleetDemand demand,
             double hedgeShare) {
         mBackends = backends;
+        mNotices = new NoticeHandler(backends, mServers);
         mAnswerMemory = new AnswerMemory(answerLimits);
         mCrashGuard = new CrashGuard(crashes);
         PartHolders holders = new PartHolders();
@@ -199,6 +201,11 @@
         return mHedges.counts();
     }
 
+    /** Returns the counts of what backend servers said of themselves in answers. */
+    public NoticeCounts noticeCounts() {
+        return mNotices.counts();
+    }
+
     @Override
     public void step(Instant now, DirectEvent event, Consumer<? super DirectEffect> effects) {
         mNow = now;
@@ -210,6 +217,7 @@
         mInvalidAnswers.beginStep(now, effects);
         mUnconfirmedEnds.beginStep(now, effects);
         mOutcomes.beginStep(now);
+        mNotices.beginStep(now, effects);
         mOriginRecorder.beginStep(now, effects);
         mOriginLookup.beginStep(now, effects);
         if (event instanceof DirectEvent.Tick) {
@@ -220,6 +228,8 @@
             withRequest(mByCaller.get(e.caller()), this::onCallerGone);
         } else if (event instanceof DirectEvent.CallerBlocked e) {
             withRequest(mByCaller.get(e.caller()), r -> onCallerBlocked(r, e.blocked()));
+        } else if (event instanceof DirectEvent.ServerNoticed e) {
+            mNotices.onNoticed(e);
         } else if (event instanceof DirectEvent.HeadReceived e) {
             mHedges.onHead(e);
             withRequest(mAttempts.requestOf(e.call()), r -> onHeadReceived(r, e));
@@ -575,6 +585,7 @@
             return;
         }
         mNextScan = mNow.plus(SCAN_INTERVAL);
+        mNotices.onTick();
         mWaiting.onTick();
         new ArrayList<>(mByCaller.values()).forEach(mOriginRecorder::checkRun);
         new ArrayList<>(mByCaller.values()).forEach(this::checkTimeouts);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.placement.Outliers;
@@ -44,6 +45,7 @@
     private static final Duration RECENT_FAILURE_TIME = Duration.ofSeconds(2);
 
     private final Map<String, Server> mServers = new HashMap<>();
+    private final Map<String, Server> mResting = new HashMap<>();
     private final Map<String, Outliers> mOutliers = new HashMap<>();
 
     /** Whether lookups leave the records unchanged. */
@@ -72,6 +74,29 @@
         server(ref).mPausedUntil = now.plus(REPLACED_PAUSE);
     }
 
+    /** Records that a server wants no request until a time. A rest that ends later remains. */
+    void onRest(BackendRef ref, Instant end) {
+        Server s = server(ref);
+        if (end.isAfter(s.mRestEnd)) {
+            s.mRestEnd = end;
+        }
+        if (isLatest(ref)) {
+            mResting.put(ref.id(), s);
+        }
+    }
+
+    /** Returns when the rest of a server ends, or empty if it does not rest. */
+    Optional<Instant> restEnd(BackendRef ref, Instant now) {
+        Instant end = server(ref).mRestEnd;
+        return now.isBefore(end) ? Optional.of(end) : Optional.empty();
+    }
+
+    /** Returns the number of servers that rest. */
+    int restingCount(Instant now) {
+        mResting.values().removeIf(s -> !now.isBefore(s.mRestEnd));
+        return mResting.size();
+    }
+
     /** Records that a server answered a request of a service without a failure. */
     void onSuccess(String service, BackendRef ref) {
         if (isLatest(ref)) {
@@ -136,6 +161,7 @@
     /** Removes a server with its failures, so that they do not count towards the share ejected. */
     private void remove(String id) {
         mServers.remove(id);
+        mResting.remove(id);
         mOutliers.values().forEach(o -> o.onLeave(id));
     }
 
@@ -181,6 +207,7 @@
         private final long mIncarnation;
         private int mSlots;
         private Instant mPausedUntil = Instant.EPOCH;
+        private Instant mRestEnd = Instant.EPOCH;
         private Instant mLastFailure = Instant.EPOCH;
 
         Server(long incarnation) {
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/RouterReducer.java
@@ -6,6 +6,7 @@
 import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectRouting;
+import org.laurelweir.direct.NoticeCounts;
 import org.laurelweir.direct.SlowStartLimiter;
 import org.laurelweir.hedging.HedgeCounts;
 import org.laurelweir.lib.BackendRef;
@@ -84,6 +85,11 @@
         return mDirect.hedgeCounts();
     }
 
+    /** Returns the counts of what backend servers said of themselves in answers. */
+    public NoticeCounts noticeCounts() {
+        return mDirect.noticeCounts();
+    }
+
     /** Returns the numbers of requests that wait until a backend server has room. */
     public WaitingCounts waitingCounts() {
         return mDirect.waitingCounts();
