Send no request to a backend server within the rest that it asked for

What callers saw: 503 answers for voyage-plan and deck-chat, although other servers had room.

Cause: Retry-After of a server's answer was read by nobody. A router took the answer for that of a full server, passed over it for 100 ms, and then sent the next request there, since it ranks first.

Ruled out: requests chosen before the word (5 to 11 ms between choice and arrival), and a last resort (the lines say home, with other candidates).

Change: the record of a server's incarnation holds the end of its rest, and each way to a server asks it: first choice, retry, copy, fetch of parts, the candidates of a stream that goes on.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -595,7 +595,7 @@
         mOriginRecorder.onTick();
         if (!mNow.isBefore(mNextPrune)) {
             mNextPrune = mNow.plus(PRUNE_INTERVAL);
-            mServers.prune(mBackends);
+            mServers.prune(mBackends, mNow);
             mOriginLookup.prune();
         }
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -123,14 +123,15 @@
         }
     }
 
-    /** Returns whether a server is ejected, or paused because it was full or replaced. */
+    /** Returns whether a server is ejected, paused because it was full or replaced, or rests. */
     boolean isPassedOver(String service, BackendRef ref, Instant now) {
         return isPaused(ref, now) || isRecorded(ref) && outliers(service).isEjected(ref.id(), now);
     }
 
-    /** Returns whether a server is paused because it was full or replaced. */
+    /** Returns whether a server is paused because it was full or replaced, or rests. */
     boolean isPaused(BackendRef ref, Instant now) {
-        return now.isBefore(server(ref).mPausedUntil);
+        Server s = server(ref);
+        return now.isBefore(s.mPausedUntil) || now.isBefore(s.mRestEnd);
     }
 
     /** Returns whether a server is passed over, or failed recently without a success since. */
@@ -151,10 +152,17 @@
         return server(ref).mSlots;
     }
 
-    /** Removes the records of servers that are no longer announced. */
-    void prune(BackendSource backends) {
+    /**
+     * Removes the records of servers that are no longer announced. A server that rests may be
+     * announced again before the end of its rest, so its record remains until then.
+     */
+    void prune(BackendSource backends, Instant now) {
         List<String> departed =
-                mServers.keySet().stream().filter(id -> backends.backend(id) == null).toList();
+                mServers.entrySet().stream()
+                        .filter(e -> backends.backend(e.getKey()) == null)
+                        .filter(e -> !now.isBefore(e.getValue().mRestEnd))
+                        .map(Map.Entry::getKey)
+                        .toList();
         departed.forEach(this::remove);
     }
 
