Send no new request to a backend server that said it is leaving

Cause: the header with which a server says that it leaves was read by nobody. A router learned of a drain from control alone, seconds later or never.

Change: such a server is draining in this router's view of the membership, so that every way that passes over a drained server passes over it: candidates, copies, streams that go on, checks after unconfirmed ends. What control says does not undo it; a later incarnation does. A word that comes before control has named the server counts too. It is forgotten ten minutes after control last named the server, when no cut off control instance can name it any more.

Four further tests of the same class pass.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -62,6 +62,7 @@
     void registerNotices(NoticeCounts counts) {
         registerGauge("servers.resting", counts::resting);
         registerGauge("servers.rests", counts::rests);
+        registerGauge("servers.leaving", counts::leaving);
     }
 
     /** Registers the gauges of requests that wait until a backend server has room. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/BackendSource.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/BackendSource.java
@@ -1,10 +1,11 @@
 package org.laurelweir.direct;
 
 import java.time.Instant;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.ServiceView;
 
-/** Supplies the backend servers that the router knows from announcements. */
+/** The backend servers that the router knows from announcements and from their own answers. */
 public interface BackendSource {
     /** Returns the backend servers of a service; empty if the service is unknown. */
     ServiceView view(String service);
@@ -20,4 +21,12 @@
 
     /** Returns the latest announcement of a backend server, or null if it is unknown. */
     Backend backend(String id);
+
+    /**
+     * Records that a backend server told this router that it is about to stop. From now on it is
+     * draining, whatever control says, until it starts again.
+     *
+     * @return whether this was unknown
+     */
+    boolean onLeaving(Instant now, BackendRef ref);
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeCounts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeCounts.java
@@ -8,6 +8,7 @@
  */
 public final class NoticeCounts {
     private final AtomicLong mRests = new AtomicLong();
+    private final AtomicLong mLeaving = new AtomicLong();
     private volatile int mResting;
 
     /** Counts an answer in which a server asked for rest. */
@@ -15,6 +16,11 @@
         mRests.incrementAndGet();
     }
 
+    /** Counts a server that said for the first time that it is about to stop. */
+    void onLeaving() {
+        mLeaving.incrementAndGet();
+    }
+
     /** Sets the number of servers that rest now. */
     void setResting(int servers) {
         mResting = servers;
@@ -25,6 +31,11 @@
         return mRests.get();
     }
 
+    /** Returns the number of servers that said that they are about to stop. */
+    public long leaving() {
+        return mLeaving.get();
+    }
+
     /** Returns the number of servers that rest now. */
     public long resting() {
         return mResting;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeHandler.java
@@ -48,6 +48,10 @@
         if (e.notice().asksForRest()) {
             onRest(e.server(), e.notice().rest());
         }
+        if (e.notice().leaving() && mBackends.onLeaving(mNow, e.server())) {
+            mCounts.onLeaving();
+            log(e.server(), "DRAINING", "said in an answer that it is leaving");
+        }
     }
 
     private void onRest(BackendRef server, Duration rest) {
--- a/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/routing/Memberships.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.laurelweir.direct.BackendSource;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.DrainedDataCentres;
 import org.laurelweir.membership.MembershipCursor;
@@ -20,7 +21,10 @@
 import org.laurelweir.placement.ServiceView;
 import org.laurelweir.placement.ViewChange;
 
-/** The backend servers that this router knows, built from control's membership deltas. */
+/**
+ * The backend servers that this router knows, built from control's membership deltas and from what
+ * they tell the router themselves.
+ */
 final class Memberships implements BackendSource {
     /**
      * How long the backend servers of an undrained data centre are taken to be in slow start. An
@@ -33,6 +37,7 @@
     private final Map<String, ServiceView> mViews = new HashMap<>();
     private final MissingBackends mMissing = new MissingBackends();
     private final DepartedBackends mDeparted = new DepartedBackends();
+    private final LeavingBackends mLeaving = new LeavingBackends();
     private final Consumer<Backend> mOnChange;
     private final Map<String, Instant> mUndrainedAt = new HashMap<>();
     private Collection<String> mSlowStartServices = Set.of();
@@ -60,7 +65,24 @@
 
     @Override
     public Backend backend(String id) {
-        return mBackends.get(id);
+        Backend b = mBackends.get(id);
+        boolean isLeaving = b != null && mLeaving.contains(b.ref());
+        return isLeaving ? b.withState(Backend.State.DRAINING) : b;
+    }
+
+    @Override
+    public boolean onLeaving(Instant now, BackendRef ref) {
+        Backend b = mBackends.get(ref.id());
+        boolean isOutdated = b != null && b.ref().incarnation() > ref.incarnation();
+        if (isOutdated || !mLeaving.add(now, ref)) {
+            return false;
+        }
+        if (b != null && b.ref().equals(ref)) {
+            Map<String, List<ViewChange>> changes = new HashMap<>();
+            changesOf(b, changes).add(new ViewChange.Drain(ref.id()));
+            applyToViews(changes);
+        }
+        return true;
     }
 
     @Override
@@ -144,6 +166,7 @@
      */
     void onTick(Instant now) {
         mDeparted.expire(now);
+        mLeaving.expire(now, mBackends::containsKey);
         if (mMissing.isEmpty()) {
             return;
         }
@@ -201,7 +224,10 @@
         String id = b.ref().id();
         List<ViewChange> serviceChanges = changesOf(b, changes);
         serviceChanges.add(joinOf(b));
-        boolean isDraining = b.state() == Backend.State.DRAINING || mMissing.isSuspended(id);
+        boolean isDraining =
+                b.state() == Backend.State.DRAINING
+                        || mMissing.isSuspended(id)
+                        || mLeaving.contains(b.ref());
         if (isDraining || mDrained.contains(b.dataCentre())) {
             serviceChanges.add(new ViewChange.Drain(id));
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedFixture.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ContendedFixture.java
@@ -75,6 +75,11 @@
         return mBackends.get(id);
     }
 
+    @Override
+    public boolean onLeaving(Instant now, BackendRef ref) {
+        throw new UnsupportedOperationException("no server of this fixture leaves");
+    }
+
     @Override
     public double tokens(Instant now, String service, BackendRef ref) {
         return Math.max(mTokens.getOrDefault(ref.id(), 0.0), mDemand.tokens(now, service, ref));
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DirectRoutingDriver.java
@@ -151,6 +151,13 @@
         return mBackends.get(id);
     }
 
+    @Override
+    public boolean onLeaving(Instant now, BackendRef ref) {
+        boolean isServing = mBackends.get(ref.id()).state() == Backend.State.SERVING;
+        drain(ref.id());
+        return isServing;
+    }
+
     /**
      * Returns a route with three attempts, a timeout of one second, and 100 ms as objective and as
      * maximum pause.
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/LeavingServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/LeavingServerTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.answer.ServerNotice;
@@ -129,11 +128,54 @@
 
     /** Guards against requests to a server that leaves, while control does not know of it. */
     @Test
-    @Tag("known-red")
     void serverThatSaidItLeavesGetsNoNewRequest() {
         receiveAll("c");
         assertThat(requestsToLeavingServer()).isPositive();
         sayLeaving(0);
         assertThat(requestsToLeavingServer()).isZero();
     }
+
+    /** Guards against control's word, seconds old, that undoes what the server said since. */
+    @Test
+    void laterAnnouncementDoesNotMakeALeavingServerServe() {
+        receiveAll("c");
+        sayLeaving(0);
+        receive("c", false, backend(LEAVING, 0, 2));
+        assertThat(requestsToLeavingServer()).isZero();
+        receiveAll("other");
+        assertThat(requestsToLeavingServer()).isZero();
+    }
+
+    /** Guards against a server that is forgotten while control, started anew, does not name it. */
+    @Test
+    void leavingServerThatControlNamesAgainGetsNoRequest() {
+        receiveAll("c");
+        sayLeaving(0);
+        receive("started anew", true, backend("s1", 0, 1), backend("s2", 0, 1));
+        assertThat(requestsToLeavingServer()).isZero();
+        mNow = mNow.plusSeconds(20);
+        step(new RouterEvent.Tick());
+        receive("c", false, backend(LEAVING, 0, 3));
+        assertThat(requestsToLeavingServer()).isZero();
+    }
+
+    /** Guards against a word that is dropped since control has not named the server yet. */
+    @Test
+    void serverThatControlNamesAfterItsWordGetsNoRequest() {
+        receive("c", true, backend("s1", 0, 1), backend("s2", 0, 1));
+        sayLeaving(0);
+        receive("c", false, backend(LEAVING, 0, 1));
+        assertThat(requestsToLeavingServer()).isZero();
+    }
+
+    /** Guards against a server started anew that never gets a request. */
+    @Test
+    void serverStartedAnewGetsRequests() {
+        receiveAll("c");
+        sayLeaving(0);
+        receive("c", false, backend(LEAVING, 1, 1));
+        assertThat(requestsToLeavingServer()).isPositive();
+        sayLeaving(0);
+        assertThat(requestsToLeavingServer()).isPositive();
+    }
 }
