Refuse at once, with the end of the rest, when all servers of a request rest

What callers see: a request that no server takes is refused with a time to come back of 0.15 to 0.5 s, or waits at the router where the deployment is contended, although each server has asked for seconds without requests. Who comes back as told is refused again.

Cause: the end of a rest was not known to those who answer callers.

Change: the time to come back is the earliest end of a rest and a random part behind it, so that not all return in one moment; a contended request waits only if a rest ends within its wait, and keeps its place for the time that it was told. Only servers that may run the request count, by its version and its regions. The scan ends at the first server that does not rest. The preview of an unsent request names the same time.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
@@ -1,6 +1,7 @@
 package org.laurelweir.direct;
 
 import java.time.Instant;
+import java.util.Optional;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.placement.Candidate;
 
@@ -31,9 +32,18 @@
                         : mServers.isPassedOver(r.mService, c.ref(), now);
         return !r.mTriedServers.contains(c.id())
                 && !isPassedOver
-                && hasRequiredVersion(r, c)
-                && isWarmOrPermitted(r, c, now)
-                && isInAllowedRegion(r, c);
+                && mayRun(r, c)
+                && isWarmOrPermitted(r, c, now);
+    }
+
+    /** Returns whether a server may run a request, whatever its state. */
+    boolean mayRun(ActiveRequest r, Candidate c) {
+        return hasRequiredVersion(r, c) && isInAllowedRegion(r, c);
+    }
+
+    /** Returns when the rest of a server ends, or empty if it does not rest. */
+    Optional<Instant> restEnd(Candidate c, Instant now) {
+        return mServers.restEnd(c.ref(), now);
     }
 
     /** Returns whether a server may go on with the stream of a request. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.placement.Candidate;
@@ -71,6 +72,25 @@
                 .anyMatch(b -> b != null && b.version().equals(version));
     }
 
+    /**
+     * Returns when the first of the servers that may run a request ends its rest, or empty if there
+     * is one that does not rest, or none at all.
+     */
+    Optional<Instant> earliestRestEnd(ActiveRequest r, Instant now) {
+        Instant earliest = null;
+        for (Candidate c : serving(r.mService)) {
+            if (!mFilter.mayRun(r, c)) {
+                continue;
+            }
+            Optional<Instant> end = mFilter.restEnd(c, now);
+            if (end.isEmpty()) {
+                return Optional.empty();
+            }
+            earliest = earliest == null || end.get().isBefore(earliest) ? end.get() : earliest;
+        }
+        return Optional.ofNullable(earliest);
+    }
+
     /**
      * Returns the candidates for a request, those by rank before the random ones. A stream that has
      * to go on at one version may have few servers left: if all of them failed lately, they are
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
@@ -52,14 +52,20 @@
 
     /** Answers that the request was not run and that the caller may retry. */
     void rejected(ActiveRequest r, String message) {
-        Duration retryAfter = r.mMisdirected ? mRetryDelays.afterMisdirection() : afterOverload(r);
-        answer(r, rejectionCode(r), message, retryAfter);
+        answer(r, rejectionCode(r), message, retryDelay(r));
     }
 
-    private Duration afterOverload(ActiveRequest r) {
-        return r.mRequest.terms().contended()
-                ? mContendedDelays.apply(r)
-                : mRetryDelays.afterOverload(r.timeLeft(mNow));
+    private Duration retryDelay(ActiveRequest r) {
+        Duration rest = mChoice.timeUntilRested(r, mNow);
+        if (rest.isZero() && r.mMisdirected) {
+            return mRetryDelays.afterMisdirection();
+        }
+        if (r.mRequest.terms().contended()) {
+            return mContendedDelays.apply(r);
+        }
+        return rest.isZero()
+                ? mRetryDelays.afterOverload(r.timeLeft(mNow))
+                : mRetryDelays.afterRest(rest);
     }
 
     private ResultCode rejectionCode(ActiveRequest r) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplainer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplainer.java
@@ -100,11 +100,15 @@
         return Optional.of(new RequestExplanation.Refusal(code, message, longestDelay(r, now)));
     }
 
-    private static Duration longestDelay(ActiveRequest r, Instant now) {
+    private Duration longestDelay(ActiveRequest r, Instant now) {
         Duration timeLeft = r.timeLeft(now);
-        return r.mRequest.terms().contended()
-                ? ReturnTimes.longest(timeLeft)
-                : RetryDelays.longestAfterOverload(timeLeft);
+        Duration rest = mChoice.timeUntilRested(r, now);
+        if (r.mRequest.terms().contended()) {
+            return rest.plus(ReturnTimes.longest(timeLeft));
+        }
+        return rest.isZero()
+                ? RetryDelays.longestAfterOverload(timeLeft)
+                : RetryDelays.longestAfterRest(rest);
     }
 
     private RequestExplanation.Server server(ActiveRequest r, Candidate c, Instant now) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RetryDelays.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RetryDelays.java
@@ -40,6 +40,21 @@
         return QUARANTINE_DELAY;
     }
 
+    /**
+     * Returns the delay after a request whose servers all rest. It is not limited by the time left:
+     * an earlier retry at this router would be rejected again.
+     *
+     * @param rest time until the first of the servers ends its rest
+     */
+    Duration afterRest(Duration rest) {
+        return rest.plusMillis(1 + mRandom.nextInt(OVERLOAD_JITTER_MILLIS));
+    }
+
+    /** Returns the longest delay after a request whose servers all rest. */
+    static Duration longestAfterRest(Duration rest) {
+        return rest.plusMillis(OVERLOAD_JITTER_MILLIS);
+    }
+
     /** Returns the delay after a request for which no server has room. */
     Duration afterOverload(Duration timeLeft) {
         long delay = MIN_OVERLOAD_MILLIS + mRandom.nextInt(OVERLOAD_JITTER_MILLIS);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -1,5 +1,6 @@
 package org.laurelweir.direct;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.List;
@@ -81,6 +82,17 @@
         return mCandidates.hasVersion(service, version);
     }
 
+    /**
+     * Returns the time until the first of the servers that may run a request ends its rest, or zero
+     * if there is one that does not rest, or none at all.
+     */
+    Duration timeUntilRested(ActiveRequest r, Instant now) {
+        return mCandidates
+                .earliestRestEnd(r, now)
+                .map(end -> Duration.between(now, end))
+                .orElse(Duration.ZERO);
+    }
+
     /**
      * What would be chosen for a request now.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
@@ -106,6 +106,8 @@
         }
         if (r.timeLeft(mNow).compareTo(Attempts.MIN_TIME_LEFT) < 0 || isVersionGone(r)) {
             mRefusal.refuse(r, noRoomMessage(r));
+        } else if (isRestTooLong(w)) {
+            mRefusal.refuse(r, "all backend servers asked for rest");
         } else if (isTooLate(w)) {
             mEffects.accept(mDecisions.withReason(r, "too_late", mNow));
             mRefusal.refuse(r, "too many requests wait for a backend server with room");
@@ -163,6 +165,12 @@
         return r.mRequiredVersion != null && !mChoice.hasVersion(r.mService, r.mRequiredVersion);
     }
 
+    /** Returns whether all servers rest for longer than a request may wait. */
+    private boolean isRestTooLong(WaitingRequest<ActiveRequest> w) {
+        Duration rest = mChoice.timeUntilRested(w.item(), mNow);
+        return !rest.isZero() && !mNow.plus(rest).isBefore(w.waitEnd());
+    }
+
     /** Returns whether the requests before a request take longer than it may wait. */
     private boolean isTooLate(WaitingRequest<ActiveRequest> w) {
         int ahead = mQueue.countBefore(mNow, w);
@@ -282,7 +290,9 @@
         Duration expected = mEnds.timeFor(mNow, r.mService, before + 1);
         double weight = r.mRequest.terms().accountWeight();
         double ratio = mShares.ratio(mNow, r.mRequest.account(), weight);
-        Duration delay = mReturnTimes.delay(expected, ratio, r.timeLeft(mNow));
+        Duration delay =
+                mChoice.timeUntilRested(r, mNow)
+                        .plus(mReturnTimes.delay(expected, ratio, r.timeLeft(mNow)));
         mReturns.onRefused(mNow, r.key(), r.mService, priority, mNow.plus(delay), r.mPlace);
         return delay;
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/RestingServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/RestingServerTest.java
@@ -8,23 +8,33 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.answer.ServerNotice;
+import org.laurelweir.direct.DirectEffect.AnswerError;
 import org.laurelweir.direct.DirectEffect.BeginCall;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.lib.ResultCode;
 
 /** Tests that a backend server which asked for rest gets it, and requests again afterwards. */
 class RestingServerTest {
+    private static final int SERVERS = 4;
     private static final Route IDEMPOTENT = route(true, false, false);
     private static final Route NON_IDEMPOTENT = route(false, false, false);
     private static final Duration REST = Duration.ofSeconds(3);
     private static final BackendRef RESTING = new BackendRef("s0", 0);
 
-    private final DirectRoutingDriver mDriver = new DirectRoutingDriver(4);
+    private final DirectRoutingDriver mDriver = new DirectRoutingDriver(SERVERS);
     private long mLastCaller;
 
     private void askForRest(Duration rest) {
         mDriver.step(new DirectEvent.ServerNoticed(RESTING, new ServerNotice(rest, false)));
     }
 
+    private void letAllRest(Duration rest) {
+        for (int i = 0; i < SERVERS; i++) {
+            BackendRef server = new BackendRef("s" + i, 0);
+            mDriver.step(new DirectEvent.ServerNoticed(server, new ServerNotice(rest, false)));
+        }
+    }
+
     private long callsToRestingServer() {
         return mDriver.all(BeginCall.class).stream()
                 .filter(c -> c.backend().id().equals(RESTING.id()))
@@ -115,4 +125,66 @@
         serveFor(Duration.ofSeconds(2), IDEMPOTENT);
         assertThat(callsToRestingServer()).isPositive();
     }
+
+    /** Guards against a caller that is told to return while all servers still rest. */
+    @Test
+    void callerIsToldToReturnAfterTheFirstRestWhenAllServersRest() {
+        letAllRest(REST);
+        askForRest(REST.plusSeconds(1));
+        mDriver.advance(Duration.ofMillis(500));
+        mDriver.arrive(++mLastCaller, IDEMPOTENT);
+        AnswerError error = mDriver.last(AnswerError.class);
+        assertThat(mDriver.callCount()).isZero();
+        assertThat(error.code()).isEqualTo(ResultCode.OVERLOADED);
+        assertThat(error.retryAfter()).isBetween(REST.minusMillis(500), REST);
+        mDriver.advance(error.retryAfter());
+        mDriver.arrive(++mLastCaller, IDEMPOTENT);
+        assertThat(mDriver.callCount()).isEqualTo(1);
+    }
+
+    /** Guards against callers that all return in the same moment, when the rest ends. */
+    @Test
+    void callersReturnSpreadOut() {
+        letAllRest(REST);
+        for (int i = 0; i < 50; i++) {
+            mDriver.arrive(++mLastCaller, IDEMPOTENT);
+        }
+        long times =
+                mDriver.all(AnswerError.class).stream()
+                        .map(AnswerError::retryAfter)
+                        .distinct()
+                        .count();
+        assertThat(times).isGreaterThan(25);
+    }
+
+    /** Guards against a long delay although a server has room that does not rest. */
+    @Test
+    void delayIsShortWhileOneServerDoesNotRest() {
+        askForRest(Duration.ofMinutes(1));
+        mDriver.arrive(++mLastCaller, IDEMPOTENT);
+        for (int attempt = 0; attempt < 3; attempt++) {
+            mDriver.answer(mDriver.lastCall().call(), 503, NOT_RUN);
+        }
+        assertThat(mDriver.last(AnswerError.class).retryAfter()).isLessThan(Duration.ofSeconds(1));
+    }
+
+    /** Guards against a contended request that is held although no server can take it in time. */
+    @Test
+    void contendedRequestIsRefusedAtOnceWhenAllServersRest() {
+        letAllRest(REST);
+        mDriver.arriveContended(++mLastCaller, IDEMPOTENT, Prompt.NONE);
+        assertThat(mDriver.waitingRequests()).isZero();
+        assertThat(mDriver.last(AnswerError.class).retryAfter()).isGreaterThanOrEqualTo(REST);
+    }
+
+    /** Guards against a contended request that is refused although a rest is about to end. */
+    @Test
+    void contendedRequestWaitsForTheEndOfAShortRest() {
+        letAllRest(Duration.ofMillis(15));
+        mDriver.arriveContended(++mLastCaller, IDEMPOTENT, Prompt.NONE);
+        assertThat(mDriver.callCount()).isZero();
+        assertThat(mDriver.waitingRequests()).isEqualTo(1);
+        mDriver.advance(Duration.ofMillis(20));
+        assertThat(mDriver.callCount()).isEqualTo(1);
+    }
 }
