Hold back a request whose server asks for rest before it is sent

What callers see: nothing; the server gets a request within its rest.

Cause: between a choice on the decision loop and the first byte on a connection lie a queue and up to 350 ms for the connection. A rest that is heard in that time changes later choices only. On a router that is short of processor time the queue alone can take longer than the half second that a server grants.

Change: the event loop of the connections knows which servers rest. A call that finds its server at rest, at its start or once it is connected, ends as WITHHELD: nothing was sent, it is no attempt and no failure of the server, and the request goes on to the next one.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
@@ -118,6 +118,10 @@
     private void start(DirectEffect.BeginCall call) {
         HttpExchange x = new HttpExchange(call, mReader, this::report);
         mExchanges.put(call.call(), x);
+        if (mNotices.isResting(call.backend())) {
+            x.withhold();
+            return;
+        }
         BackendConnection idle = mIdle.take(call.backend());
         if (idle == null) {
             connect(call, x);
@@ -136,6 +140,9 @@
                         x.onConnectFailed("can't connect: " + f.cause().getMessage());
                     } else if (x.isEnded()) {
                         connect.channel().close();
+                    } else if (mNotices.isResting(call.backend())) {
+                        connect.channel().close();
+                        x.withhold();
                     } else {
                         connection.send(mWriter.write(call), x);
                     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -130,6 +130,11 @@
         fail(Failure.NOT_SENT, message);
     }
 
+    /** Reports that the request was not sent since the backend server rests. */
+    void withhold() {
+        fail(Failure.WITHHELD, "the backend server asked for rest before the request was sent");
+    }
+
     private void fail(Failure failure, String message) {
         if (!mEnded) {
             mEnded = true;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -46,12 +46,19 @@
     enum Failure {
         /** No byte of the request was sent to the backend server. */
         NOT_SENT,
+        /** The same: the backend server asked for rest after it had been chosen. */
+        WITHHELD,
         /** The backend server closed the connection after it may have received the request. */
         CONNECTION_LOST,
         /** The backend server told the end of an answer that is not complete. */
         INCOMPLETE,
         /** This router aborted the call after the backend server may have received the request. */
-        ABANDONED
+        ABANDONED;
+
+        /** Returns whether the backend server may have received the request. */
+        boolean isPossiblySent() {
+            return this != NOT_SENT && this != WITHHELD;
+        }
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -515,7 +515,7 @@
     private void onFailed(ActiveRequest r, DirectEvent.Failed e) {
         mOriginRecorder.release(r);
         mAttempts.end(r);
-        if (e.failure() != DirectEvent.Failure.NOT_SENT) {
+        if (e.failure().isPossiblySent()) {
             mOutcomes.onFailure(r);
             boolean connectionLost = e.failure() == DirectEvent.Failure.CONNECTION_LOST;
             onUnknownOutcome(
@@ -524,10 +524,13 @@
                     e.message());
             return;
         }
-        mOutcomes.onUnreachable(r);
+        boolean isWithheld = e.failure() == DirectEvent.Failure.WITHHELD;
+        if (!isWithheld) {
+            mOutcomes.onUnreachable(r);
+        }
         // The request never reached the server and does not count as an attempt.
         r.mAttemptCount--;
-        emit(mDecisions.withReason(r, "not_sent", mNow));
+        emit(mDecisions.withReason(r, isWithheld ? "withheld" : "not_sent", mNow));
         if (!mAttempts.startNext(r)) {
             end(r, c -> mErrorAnswers.noServerAccepts(c, e.message()));
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Hedges.java
@@ -254,11 +254,8 @@
             return;
         }
         BackendRef server = r.mSecond.backend().ref();
-        if (e.failure() == DirectEvent.Failure.NOT_SENT) {
-            // It never reached the server and does not count as an attempt, as for the first call.
-            r.mAttemptCount--;
-            mOutcomes.onUnreachable(r, server);
-            mSeconds.fail(r, "not_sent");
+        if (!e.failure().isPossiblySent()) {
+            onNotSent(r, server, e.failure());
             return;
         }
         r.mMayHaveRun = true;
@@ -269,6 +266,16 @@
         mSeconds.fail(r, "outcome_unknown of " + r.key().idText() + ": " + e.message());
     }
 
+    private void onNotSent(ActiveRequest r, BackendRef server, DirectEvent.Failure failure) {
+        boolean isWithheld = failure == DirectEvent.Failure.WITHHELD;
+        if (!isWithheld) {
+            mOutcomes.onUnreachable(r, server);
+        }
+        // It never reached the server and does not count as an attempt, as for the first call.
+        r.mAttemptCount--;
+        mSeconds.fail(r, isWithheld ? "withheld" : "not_sent");
+    }
+
     /** Handles the head of an answer to the current call that is forwarded to the caller. */
     void onFirstAnswered(ActiveRequest r) {
         if (!isEnabledFor(r)) {
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
@@ -198,7 +198,7 @@
         mDriver.advance(Duration.ofMillis(20));
         assertThat(mDriver.callCount()).isEqualTo(2);
         assertThat(counts().failed()).isEqualTo(1);
-        if (failure == Failure.NOT_SENT) {
+        if (failure == Failure.NOT_SENT || failure == Failure.WITHHELD) {
             finish(answered(mFirst), "first");
             assertThat(mDriver.all(AnswerComplete.class)).hasSize(1);
         } else {
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/RestingServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/RestingServerTest.java
@@ -187,4 +187,21 @@
         mDriver.advance(Duration.ofMillis(20));
         assertThat(mDriver.callCount()).isEqualTo(1);
     }
+
+    /**
+     * Guards against a request that is lost, or a server ejected, since its request was withheld.
+     */
+    @Test
+    void withheldRequestGoesToAnotherServer() {
+        mDriver.arrive(++mLastCaller, NON_IDEMPOTENT);
+        BeginCall first = mDriver.lastCall();
+        mDriver.step(
+                new DirectEvent.Failed(first.call(), DirectEvent.Failure.WITHHELD, "it rests"));
+        assertThat(mDriver.callCount()).isEqualTo(2);
+        assertThat(mDriver.lastCall().backend()).isNotEqualTo(first.backend());
+        assertThat(mDriver.reasons(mLastCaller)).contains("withheld");
+        serveFor(Duration.ofSeconds(1), IDEMPOTENT);
+        assertThat(mDriver.all(BeginCall.class).stream().skip(2).map(BeginCall::backend))
+                .contains(first.backend());
+    }
 }
