Credit no load to a server at whose address another one answers

Found while looking for what else is taken from an answer's head for the wrong server: an answer 421 comes from the server that has the address now, and its load was recorded for the intended one, which steered requests of this router for up to 3 s, and slots with it.

Change: the load of such an answer is not read.

Measured: AnswerReaderTest.loadOfAnotherServerAtTheAddressIsIgnored failed, and passes.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -48,7 +48,10 @@
         boolean misdirected = status == MISDIRECTED;
         boolean notRun = misdirected || r.headers().contains(mDialect.notRun());
         boolean genuine = !isForOtherRequest(id, r) && (status / 100 != 2 || isSealed(r.headers()));
-        return new AnswerMetadata(notRun, misdirected, genuine, framing, reportedLoad(r.headers()));
+        // Another server that has the address now tells its own load, not that of the intended one.
+        Optional<AnswerMetadata.ReportedLoad> load =
+                misdirected ? Optional.empty() : reportedLoad(r.headers());
+        return new AnswerMetadata(notRun, misdirected, genuine, framing, load);
     }
 
     private boolean isSealed(HttpHeaders headers) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/AnswerReaderTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/AnswerReaderTest.java
@@ -18,8 +18,11 @@
     private static final HttpDialect DIALECT = HttpDialect.DEFAULT;
 
     private static Optional<ReportedLoad> load(String header) {
-        HttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        return load(HttpResponseStatus.OK, header);
+    }
+
+    private static Optional<ReportedLoad> load(HttpResponseStatus status, String header) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         response.headers().set(DIALECT.load(), header);
         return new AnswerReader(DIALECT).metadata("id", response, BodyFraming.LENGTH).load();
     }
@@ -52,4 +55,12 @@
         assertThat(load("3,1")).isEmpty();
         assertThat(load("3,x,6,250")).isEmpty();
     }
+
+    /** Guards against the load of the server that has the address now, taken for another's. */
+    @Test
+    void loadOfAnotherServerAtTheAddressIsIgnored() {
+        assertThat(load(HttpResponseStatus.MISDIRECTED_REQUEST, "3,1,6")).isEmpty();
+        assertThat(load(HttpResponseStatus.SERVICE_UNAVAILABLE, "3,1,6"))
+                .contains(new ReportedLoad(3, 1, 6));
+    }
 }
