Let no shorter pause of a server end a longer one

A server that was replaced at its address is passed over for 10 s; a 503 of a call that was still open set that back to 100 ms.

Change: the later end counts.

Measured: ServerTableTest.shorterPauseDoesNotEndALongerOne failed, and passes.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -66,20 +66,27 @@
 
     /** Passes over, for a moment, a server that rejected a request because it is full. */
     void onFull(BackendRef ref, Instant now) {
-        server(ref).mPausedUntil = now.plus(FULL_PAUSE);
+        pause(ref, now.plus(FULL_PAUSE));
     }
 
     /** Passes over a server at whose address another server answered. */
     void onReplaced(BackendRef ref, Instant now) {
-        server(ref).mPausedUntil = now.plus(REPLACED_PAUSE);
+        pause(ref, now.plus(REPLACED_PAUSE));
+    }
+
+    private void pause(BackendRef ref, Instant end) {
+        Server s = server(ref);
+        s.mPausedUntil = later(s.mPausedUntil, end);
+    }
+
+    private static Instant later(Instant a, Instant b) {
+        return a.isAfter(b) ? a : b;
     }
 
     /** Records that a server wants no request until a time. A rest that ends later remains. */
     void onRest(BackendRef ref, Instant end) {
         Server s = server(ref);
-        if (end.isAfter(s.mRestEnd)) {
-            s.mRestEnd = end;
-        }
+        s.mRestEnd = later(s.mRestEnd, end);
         if (isLatest(ref)) {
             mResting.put(ref.id(), s);
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ServerTableTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ServerTableTest.java
@@ -35,4 +35,12 @@
         assertThat(mTable.slots(SECOND_INCARNATION)).isEqualTo(16);
         assertThat(mTable.isPassedOver(SERVICE, SECOND_INCARNATION, NOW)).isFalse();
     }
+
+    /** Guards against requests to a replaced server after a full one at its address refused one. */
+    @Test
+    void shorterPauseDoesNotEndALongerOne() {
+        mTable.onReplaced(FIRST_INCARNATION, NOW);
+        mTable.onFull(FIRST_INCARNATION, NOW);
+        assertThat(mTable.isPassedOver(SERVICE, FIRST_INCARNATION, NOW.plusSeconds(5))).isTrue();
+    }
 }
