Obey a backend server behind a sidecar that asks for rest or leaves

What callers see: attempts that a sidecar sends to an engine which has just answered 503 with Retry-After, and new work at an engine that says it leaves, until its connections are refused.

The sidecar passed the headers of an answer on and read nothing for itself.

Change: a sidecar reads each head, also of an operator's order. While the engine rests, new, waiting and looked-up attempts are refused as not run with the next server in rank or the end of the rest, and frames tell routers to avoid the server; it stays in the ranking, since chats would move away and back. An engine that leaves is drained and announced so. A restart that the check of reachability sees ends both.

Test replaced: documentedRefusalCountsAsNotRunForIdempotentCallsOnly sent a second call to the engine in the rest that the first answer had asked for. Two tests, each with an engine of its own, check the same two answers.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -29,6 +29,7 @@
     private final FullHttpRequest mRequest;
     private final boolean mStreamRequested;
     private final CallListener mListener;
+    private final NoticeListener mNotices;
     private final AnswerTail mTail = new AnswerTail();
     private boolean mPossiblySent;
     private boolean mHeadReceived;
@@ -45,11 +46,17 @@
      * @param request the message to send
      * @param streamed whether the caller asked for a stream of events
      * @param listener receives the answer and the end of the call
+     * @param notices receives the heads of answers, for what they say of the backend server
      */
-    BackendCall(FullHttpRequest request, boolean streamed, CallListener listener) {
+    BackendCall(
+            FullHttpRequest request,
+            boolean streamed,
+            CallListener listener,
+            NoticeListener notices) {
         mRequest = request;
         mStreamRequested = streamed;
         mListener = listener;
+        mNotices = notices;
     }
 
     /** Sends the request, or fails the call if the connection could not be opened. */
@@ -89,8 +96,11 @@
             context.close();
             return;
         }
-        if (message instanceof HttpResponse r && !isInformational(r)) {
-            onHead(r);
+        if (message instanceof HttpResponse r) {
+            mNotices.onHead(r);
+            if (!isInformational(r)) {
+                onHead(r);
+            }
         }
         if (mHeadReceived && message instanceof HttpContent c) {
             onContent(c.content());
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendClient.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendClient.java
@@ -5,15 +5,18 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.laurelweir.admission.SidecarEvent;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.runtime.config.Endpoint;
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.runtime.rpc.HttpConnector;
+import org.laurelweir.runtime.rpc.ServerNoticeReader;
 
 /**
  * Calls the backend server, with a connection for each call. Closing the connection cancels this
@@ -27,6 +30,8 @@
     private final HttpConnector mConnector;
     private final Endpoint mBackend;
     private final Consumer<SidecarEvent> mEvents;
+    private final ServerNoticeReader mNotices =
+            new ServerNoticeReader(ServerNoticeReader.DEFAULT_LEAVING_HEADER);
     private final Map<AttemptId, Channel> mChannels = new ConcurrentHashMap<>();
 
     /**
@@ -47,7 +52,8 @@
         FullHttpRequest message = RequestMessage.of(request, mBackend.toString());
         AttemptListener listener =
                 new AttemptListener(request.id(), mEvents, () -> mChannels.remove(request.id()));
-        BackendCall call = new BackendCall(message, request.call().streamed(), listener);
+        BackendCall call =
+                new BackendCall(message, request.call().streamed(), listener, this::reportNotice);
         ChannelFuture connect = connect(call);
         mChannels.put(request.id(), connect.channel());
         // The call's end removes the entry, so the entry is put before the call can end.
@@ -56,11 +62,18 @@
 
     /** Starts a call that belongs to no attempt. */
     void start(FullHttpRequest message, CallListener listener) {
-        BackendCall call = new BackendCall(message, false, listener);
+        BackendCall call = new BackendCall(message, false, listener, this::reportNotice);
         ChannelFuture connect = connect(call);
         connect.addListener(f -> call.onConnected(connect));
     }
 
+    private void reportNotice(HttpResponse head) {
+        ServerNotice notice = mNotices.read(head);
+        if (!notice.equals(ServerNotice.NONE)) {
+            mEvents.accept(new SidecarEvent.EngineNoticed(notice));
+        }
+    }
+
     /** Opens and closes a connection, and reports whether it could be opened. */
     void checkReachable(Consumer<Boolean> reachable) {
         ChannelFuture connect = connect(new ChannelInboundHandlerAdapter());
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarProgramTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/SidecarProgramTest.java
@@ -130,19 +130,25 @@
     }
 
     // The engine answers with a status that is documented to mean "rejected before execution". An
-    // idempotent call then counts as not run. For a call that is not idempotent, the status is
-    // passed on as the answer: if the documentation were wrong, a retry would run the call twice.
+    // idempotent call then counts as not run.
     @Test
-    void documentedRefusalCountsAsNotRunForIdempotentCallsOnly()
+    void documentedRefusalCountsAsNotRunForAnIdempotentCall()
             throws IOException, InterruptedException {
-        mFixture.injectFault("{\"kind\": \"refuse\", \"count\": 2}");
+        mFixture.injectFault("{\"kind\": \"refuse\", \"count\": 1}");
         mFixture.open(mReader, mFixture.begin(1, false, 16));
         assertThat(mReader.await(Frame.Refused.class).code()).isEqualTo(ResultCode.BACKEND_REFUSED);
+    }
 
-        AttemptReader order = new AttemptReader();
-        mFixture.open(order, mFixture.begin(2, false, 16, false));
-        assertThat(order.await(Frame.Head.class).status()).isEqualTo(503);
-        order.await(Frame.End.class);
+    // For a call that is not idempotent, the status is passed on as the answer: if the
+    // documentation
+    // were wrong, a retry would run the call twice.
+    @Test
+    void documentedRefusalIsPassedOnForACallThatIsNotIdempotent()
+            throws IOException, InterruptedException {
+        mFixture.injectFault("{\"kind\": \"refuse\", \"count\": 1}");
+        mFixture.open(mReader, mFixture.begin(1, false, 16, false));
+        assertThat(mReader.await(Frame.Head.class).status()).isEqualTo(503);
+        mReader.await(Frame.End.class);
     }
 
     // SIGTERM arrives in the middle of an answer. The sidecar rejects new attempts and exits only
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.attempt.Frame;
@@ -56,7 +57,7 @@
         EndRecorder end = new EndRecorder();
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
-        BackendCall call = new BackendCall(request, chat, end);
+        BackendCall call = new BackendCall(request, chat, end, head -> {});
         EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), call);
         call.onConnected(channel.newSucceededFuture());
         String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + type + framing + "\r\n\r\n" + body;
@@ -115,4 +116,22 @@
     void answerThatTellsNothingOfItsEndIsComplete() {
         assertThat(endOfUnframed("text/plain", "half a sen")).isEqualTo(End.FINISHED);
     }
+
+    /**
+     * Guards against a word of the backend server that is lost with the call that it belongs to.
+     */
+    @Test
+    void everyHeadIsReportedForWhatItSaysOfTheServer() {
+        List<Integer> statuses = new ArrayList<>();
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+        BackendCall call =
+                new BackendCall(
+                        request, false, new EndRecorder(), h -> statuses.add(h.status().code()));
+        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), call);
+        call.onConnected(channel.newSucceededFuture());
+        String heads = "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+        channel.writeInbound(Unpooled.copiedBuffer(heads, StandardCharsets.US_ASCII));
+        assertThat(statuses).containsExactly(103, 503);
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
@@ -29,6 +29,7 @@
     private final AttemptFinisher mFinisher;
     private final Execution mExecution;
     private final FrameSender mFrameSender;
+    private final EngineNotices mNotices;
     private SidecarSettings mSettings;
     private BoundPolicy mPolicy;
 
@@ -39,7 +40,8 @@
             RedirectRanking redirectRanking,
             AttemptFinisher finisher,
             Execution execution,
-            FrameSender frameSender) {
+            FrameSender frameSender,
+            EngineNotices notices) {
         mSelf = self;
         mLoad = load;
         mRunTimes = runTimes;
@@ -48,6 +50,7 @@
         mFinisher = finisher;
         mExecution = execution;
         mFrameSender = frameSender;
+        mNotices = notices;
     }
 
     void setSettings(SidecarSettings settings) {
@@ -214,7 +217,7 @@
     private void refuse(
             Step step, Attempt attempt, ResultCode code, AdmissionReason reason, String target) {
         logDecision(step, attempt, target.isEmpty() ? code.name() : target, reason);
-        Duration retryAfter = target.isEmpty() ? retryAfter(attempt) : Duration.ZERO;
+        Duration retryAfter = target.isEmpty() ? retryAfter(step, attempt) : Duration.ZERO;
         mFinisher.refuse(step, attempt, new Frame.Refused(code, reason.text(), target, retryAfter));
     }
 
@@ -239,13 +242,15 @@
     /**
      * Returns after which time the caller should retry: the expected time until enough attempts
      * have ended for all that wait now and one more. A part that depends on the attempt's id, up to
-     * the same time again, spreads the retries of callers that are refused together.
+     * the same time again, spreads the retries of callers that are refused together. While the
+     * backend server rests, this time begins at the end of its rest.
      */
-    private Duration retryAfter(Attempt attempt) {
+    private Duration retryAfter(Step step, Attempt attempt) {
         Duration untilFree = mRunTimes.timeUntilEnded(mQueue.size() + 1, mLoad.running());
         Duration base = untilFree.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : untilFree;
         long spread = Math.floorMod(attempt.id().hashCode(), base.toMillis());
         Duration total = base.plusMillis(spread);
-        return total.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : total;
+        Duration limited = total.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : total;
+        return mNotices.restLeft(step.now()).plus(limited);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Drain.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Drain.java
@@ -5,7 +5,8 @@
 import org.laurelweir.lib.ResultCode;
 
 /**
- * Drains the backend server on an operator's order or because the sidecar stops.
+ * Drains the backend server on an operator's order, because it says that it leaves, or because the
+ * sidecar stops.
  *
  * <p>While it drains, nothing new starts, waiting attempts are refused as not run, and running
  * attempts complete. The chat directory goes to the servers that become the chats' homes. An
@@ -18,6 +19,7 @@
     private final ChatLocations mChatLocations;
     private final Execution mExecution;
     private boolean mOrdered;
+    private boolean mLeaving;
     private Instant mStopRequestTime;
     private boolean mStopped;
 
@@ -44,6 +46,13 @@
         onDrainingChanged(step, wasDraining);
     }
 
+    /** Sets whether the backend server says that it leaves. */
+    void setLeaving(Step step, boolean leaving) {
+        boolean wasDraining = isDraining();
+        mLeaving = leaving;
+        onDrainingChanged(step, wasDraining);
+    }
+
     /** Starts the drain before the process stops. */
     void requestStop(Step step) {
         boolean wasDraining = isDraining();
@@ -71,7 +80,7 @@
     }
 
     boolean isDraining() {
-        return mOrdered || mStopRequestTime != null;
+        return mOrdered || mLeaving || mStopRequestTime != null;
     }
 
     boolean isStopped() {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Execution.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Execution.java
@@ -1,6 +1,5 @@
 package org.laurelweir.admission;
 
-import java.time.Duration;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.ResultCode;
 
@@ -15,6 +14,7 @@
     private final FrameSender mFrameSender;
     private final RunningLoad mLoad;
     private final OutputLimiter mOutputLimiter;
+    private final EngineNotices mNotices;
 
     Execution(
             AttemptTable table,
@@ -22,13 +22,15 @@
             FollowingStreams streams,
             FrameSender frameSender,
             RunningLoad load,
-            OutputLimiter outputLimiter) {
+            OutputLimiter outputLimiter,
+            EngineNotices notices) {
         mTable = table;
         mFinisher = finisher;
         mStreams = streams;
         mFrameSender = frameSender;
         mLoad = load;
         mOutputLimiter = outputLimiter;
+        mNotices = notices;
     }
 
     /** Sends a waiting attempt to the backend server. */
@@ -48,7 +50,7 @@
         if (isRefusal(a, event.status(), settings)) {
             step.emit(new SidecarEffect.CancelEngineCall(a.id()));
             String message = "the backend server answered " + event.status();
-            mFinisher.refuse(step, a, refusal(message));
+            mFinisher.refuse(step, a, refusal(step, message));
             return;
         }
         mStreams.sendHead(step, a, event.status(), event.headers());
@@ -91,7 +93,7 @@
             return;
         }
         if (!event.possiblySent() && a.head() == null) {
-            mFinisher.refuse(step, a, refusal(event.message()));
+            mFinisher.refuse(step, a, refusal(step, event.message()));
             return;
         }
         ResultCode code = a.head() == null ? ResultCode.BACKEND_FAILED : ResultCode.ANSWER_CUT;
@@ -108,7 +110,8 @@
         mFinisher.finish(step, attempt, new Frame.Failed(code, message));
     }
 
-    private static Frame.Refused refusal(String message) {
-        return new Frame.Refused(ResultCode.BACKEND_REFUSED, message, "", Duration.ZERO);
+    private Frame.Refused refusal(Step step, String message) {
+        return new Frame.Refused(
+                ResultCode.BACKEND_REFUSED, message, "", mNotices.restLeft(step.now()));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.attempt.Header;
@@ -37,6 +38,9 @@
     record AttemptRevoked(long call, AttemptId attempt, BackendRef target)
             implements SidecarEvent {}
 
+    /** The backend server said something of itself in the head of an answer. */
+    record EngineNoticed(ServerNotice notice) implements SidecarEvent {}
+
     /** The status and the headers of the backend server's answer have arrived. */
     record EngineHeadReceived(AttemptId attempt, int status, List<Header> headers)
             implements SidecarEvent {}
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Consumer;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
@@ -40,9 +41,11 @@
     private final Admission mAdmission;
     private final ChatRedirector mRedirector;
     private final Drain mDrain;
+    private final EngineNotices mNotices = new EngineNotices();
     private SidecarSettings mSettings = SidecarSettings.DEFAULT;
     private boolean mReachable = true;
     private boolean mStarted;
+    private Instant mNow = Instant.MIN;
 
     /**
      * Creates the reducer of an idle sidecar.
@@ -66,7 +69,9 @@
                 new AttemptFinisher(mTable, mMemory, mLoad, frameSender, runTimes, mChatLocations);
         mStreams = new FollowingStreams(mTable, mFinisher, frameSender);
         mOutputLimiter = new OutputLimiter(mTable, mFinisher, outputTotal);
-        mExecution = new Execution(mTable, mFinisher, mStreams, frameSender, mLoad, mOutputLimiter);
+        mExecution =
+                new Execution(
+                        mTable, mFinisher, mStreams, frameSender, mLoad, mOutputLimiter, mNotices);
         mTimeouts = new Timeouts(mTable, mFinisher, mExecution, mStreams);
         mDeduplicator =
                 new AttemptDeduplicator(
@@ -74,7 +79,14 @@
         RedirectRanking redirectRanking = new RedirectRanking(name, mMembers);
         mAdmission =
                 new Admission(
-                        name, mLoad, runTimes, redirectRanking, mFinisher, mExecution, frameSender);
+                        name,
+                        mLoad,
+                        runTimes,
+                        redirectRanking,
+                        mFinisher,
+                        mExecution,
+                        frameSender,
+                        mNotices);
         mAdmission.setSettings(mSettings);
         mRedirector = new ChatRedirector(mChatLocations, mLookups, mMembers, mAdmission);
         mDrain = new Drain(mTable, mAdmission, mLookups, mChatLocations, mExecution);
@@ -83,6 +95,7 @@
     @Override
     public void step(Instant now, SidecarEvent event, Consumer<? super SidecarEffect> effects) {
         Step step = new Step(now, effects);
+        mNow = now;
         if (!mStarted) {
             mStarted = true;
             mChatLocations.onJoined(now);
@@ -115,7 +128,9 @@
     }
 
     private boolean handleEngineEvent(Step step, SidecarEvent event) {
-        if (event instanceof SidecarEvent.EngineHeadReceived e) {
+        if (event instanceof SidecarEvent.EngineNoticed e) {
+            onNoticed(step, e.notice());
+        } else if (event instanceof SidecarEvent.EngineHeadReceived e) {
             mExecution.onHead(step, e, mSettings);
         } else if (event instanceof SidecarEvent.EngineDataReceived e) {
             mExecution.onData(step, e, mSettings);
@@ -133,11 +148,27 @@
 
     private void setReachable(Step step, boolean reachable) {
         if (reachable && !mReachable) {
+            mNotices.onRestarted();
+            mDrain.setLeaving(step, false);
             mChatLocations.onJoined(step.now());
         }
         mReachable = reachable;
     }
 
+    private void onNoticed(Step step, ServerNotice notice) {
+        mNotices.onNotice(step.now(), notice);
+        mDrain.setLeaving(step, mNotices.isLeaving(step.now()));
+        if (notice.asksForRest() && !mDrain.isDraining()) {
+            mLookups.waitingAttempts().forEach(a -> refuseToRest(step, a));
+            mAdmission.refuseAllWaiting(step, ResultCode.OVERLOADED, AdmissionReason.RESTING);
+        }
+    }
+
+    private void refuseToRest(Step step, Attempt attempt) {
+        mLookups.remove(attempt);
+        mAdmission.refuseNewWork(step, attempt, ResultCode.OVERLOADED, AdmissionReason.RESTING);
+    }
+
     private void handleOtherEvent(Step step, SidecarEvent event) {
         if (event instanceof SidecarEvent.Tick) {
             onTick(step);
@@ -162,6 +193,7 @@
 
     private void onTick(Step step) {
         mMemory.expire(step.now());
+        mDrain.setLeaving(step, mNotices.isLeaving(step.now()));
         mRedirector.expire(step);
         mAdmission.refuseExpired(step);
         mTimeouts.checkDue(step, mSettings);
@@ -178,6 +210,8 @@
         } else if (!mReachable) {
             mAdmission.refuseNewWork(
                     step, attempt, ResultCode.BACKEND_REFUSED, AdmissionReason.UNREACHABLE);
+        } else if (mNotices.isResting(step.now())) {
+            refuseToRest(step, attempt);
         } else {
             mRedirector.locateAndPlace(step, attempt);
         }
@@ -251,8 +285,16 @@
         }
     }
 
-    /** Returns whether this sidecar takes no new work. */
+    /** Returns whether this sidecar takes no new work now. */
     private boolean refusesNewWork() {
+        return isUnavailable() || mNotices.isResting(mNow);
+    }
+
+    /**
+     * Returns whether other programs are told to take this server out of the ranking. A rest is too
+     * short for that: chats would move away and back.
+     */
+    private boolean isUnavailable() {
         return mDrain.isDraining() || !mReachable;
     }
 
@@ -260,6 +302,6 @@
         if (mDrain.isStopped()) {
             return Backend.State.LEFT;
         }
-        return refusesNewWork() ? Backend.State.DRAINING : Backend.State.SERVING;
+        return isUnavailable() ? Backend.State.DRAINING : Backend.State.SERVING;
     }
 }
