Open no connection to a server at rest to check whether it lives

Found while looking for ways past a rest: after an answer that ends with its connection, a router opens a connection to see whether the server still listens. A server that asked for rest got these too; each takes one of its places.

Change: no check within the rest. An end that stays unconfirmed counts neither as a service nor as a crash, as before.

Measured: UnconfirmedEndsTest.serverThatAskedForRestIsNotChecked failed, and passes.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
@@ -146,6 +146,10 @@
             remove(w, e -> true);
             return;
         }
+        if (mServers.restEnd(w.mServer, mNow).isPresent()) {
+            // A connection would take one of its places; what can't be told stays unconfirmed.
+            return;
+        }
         w.mCheck = ++mLastCheck;
         w.mCheckStart = mNow;
         mByCheck.put(w.mCheck, w);
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/UnconfirmedEndsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/UnconfirmedEndsTest.java
@@ -8,9 +8,11 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.laurelweir.answer.BodyFraming;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.direct.DirectEffect.CheckBackend;
 import org.laurelweir.direct.DirectEffect.LogDecision;
 import org.laurelweir.direct.DirectEvent.Reachability;
+import org.laurelweir.lib.BackendRef;
 
 /** Tests what is learnt from answers that end with their connection and may be complete. */
 class UnconfirmedEndsTest {
@@ -130,4 +132,21 @@
         reportCheck(Reachability.REFUSES);
         assertThat(isCrashRecorded()).isTrue();
     }
+
+    /** Guards against a connection to a server that wants none of this router. */
+    @Test
+    void serverThatAskedForRestIsNotChecked() {
+        answerUnframed();
+        BackendRef server = mDriver.lastCall().backend();
+        mDriver.step(
+                new DirectEvent.ServerNoticed(
+                        server, new ServerNotice(Duration.ofSeconds(3), false)));
+        waitForCheck();
+        mDriver.advance(Duration.ofSeconds(4));
+        assertThat(mDriver.all(CheckBackend.class)).isEmpty();
+        assertThat(isCrashRecorded()).isFalse();
+        answerUnframed();
+        waitForCheck();
+        assertThat(mDriver.all(CheckBackend.class)).hasSize(1);
+    }
 }
