Test that copies, fetches and streams that go on spare a resting server

Guards of the ways past a rest that the mend covers without code of their own: a copy is withheld, what a copy's answer says is obeyed, parts are not fetched from a resting server, and a stream whose servers all rest is refused with the end of the rest, not sent as a last resort.

Measured: the four new tests pass; they were not run on the code before.

--- a/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.direct.DirectEffect.AnswerComplete;
 import org.laurelweir.direct.DirectEffect.AnswerData;
 import org.laurelweir.direct.DirectEffect.AnswerEnd;
@@ -500,4 +501,37 @@
         String text = effect.toString().replace(terms.toString(), "");
         return text.replaceAll("\\[B@[0-9a-f]+", "");
     }
+
+    /** Guards against a copy that goes to a server which asked for rest. */
+    @Test
+    void noCopyGoesToARestingServer() {
+        saveUp();
+        mDriver.arrive(1, READ);
+        mFirst = mDriver.lastCall();
+        for (int i = 0; i < 4; i++) {
+            BackendRef server = new BackendRef("s" + i, 0);
+            ServerNotice rest = new ServerNotice(Duration.ofSeconds(3), false);
+            mDriver.step(new DirectEvent.ServerNoticed(server, rest));
+        }
+        mDriver.advance(DELAY);
+        assertThat(mDriver.callCount()).isEqualTo(1);
+        checkWithheld(WithholdReason.NO_SERVER);
+    }
+
+    /** Guards against the word of a server that is dropped with a copy's answer. */
+    @Test
+    void restThatACopyIsToldIsObeyed() {
+        hedge(READ);
+        mDriver.step(
+                new DirectEvent.ServerNoticed(
+                        mSecond.backend(), new ServerNotice(Duration.ofSeconds(3), false)));
+        mDriver.answer(mSecond.call(), 503, NOT_RUN);
+        finish(answered(mFirst), "first");
+        for (long caller = 2; caller < 50; caller++) {
+            mDriver.arrive(caller, READ);
+            assertThat(mDriver.lastCall().backend()).isNotEqualTo(mSecond.backend());
+            finish(answered(mDriver.lastCall()), "x");
+            mDriver.advance(Duration.ofMillis(20));
+        }
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.direct.DirectEffect.BeginCall;
 
 /**
@@ -191,4 +192,16 @@
             assertThat(mDriver.lastCall().fetchFrom()).isEmpty();
         }
     }
+
+    /** Guards against a server that has to send parts of prompts within its rest. */
+    @Test
+    void nothingIsFetchedFromARestingServer() {
+        BeginCall home = sendAndAnswer(7);
+        mDriver.step(
+                new DirectEvent.ServerNoticed(
+                        home.backend(), new ServerNotice(Duration.ofSeconds(3), false)));
+        BeginCall next = sendAndAnswer(7);
+        assertThat(next.backend()).isNotEqualTo(home.backend());
+        assertThat(next.fetchFrom()).isNotEqualTo(home.address());
+    }
 }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.direct.DirectEffect.AnswerData;
 import org.laurelweir.direct.DirectEffect.AnswerEnd;
 import org.laurelweir.direct.DirectEffect.AnswerError;
@@ -19,6 +20,7 @@
 import org.laurelweir.direct.DirectEffect.LogDecision;
 import org.laurelweir.direct.DirectEffect.RecordStream;
 import org.laurelweir.direct.DirectEvent.Failure;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.resumption.OriginAnswer;
 import org.laurelweir.resumption.StreamKey;
@@ -364,4 +366,21 @@
                         "stream_origin recorded, 2 of 3 control instances answered");
         assertThat(mDriver.all(LogDecision.class).get(1).decision().version()).isEqualTo("v1");
     }
+
+    /** Guards against a stream that goes on at a resting server since no other has its version. */
+    @Test
+    void streamWhoseServersRestIsRefused() {
+        for (int i = 0; i < 3; i++) {
+            BackendRef server = new BackendRef("a" + i, 0);
+            mDriver.step(
+                    new DirectEvent.ServerNoticed(
+                            server, new ServerNotice(Duration.ofSeconds(3), false)));
+        }
+        mDriver.resume(2, RESUMABLE, AFTER_FIRST);
+        answerLookup(found(V1));
+        assertThat(mDriver.callCount()).isZero();
+        assertThat(lastError()).isEqualTo(ResultCode.OVERLOADED);
+        assertThat(mDriver.last(AnswerError.class).retryAfter())
+                .isGreaterThanOrEqualTo(Duration.ofSeconds(3));
+    }
 }
