--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -60,8 +60,8 @@
 
     /** Registers the gauges of what backend servers said of themselves in answers. */
     void registerNotices(NoticeCounts counts) {
-        registerGauge("servers.resting", counts::resting);
-        registerGauge("servers.rests", counts::rests);
+        registerGauge("servers.in.backoff", counts::inBackoff);
+        registerGauge("servers.backoffs", counts::backoffs);
         registerGauge("servers.leaving", counts::leaving);
     }
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendCalls.java
@@ -118,7 +118,7 @@
     private void start(DirectEffect.BeginCall call) {
         HttpExchange x = new HttpExchange(call, mReader, this::report);
         mExchanges.put(call.call(), x);
-        if (mNotices.isResting(call.backend())) {
+        if (mNotices.isInBackoff(call.backend())) {
             x.withhold();
             return;
         }
@@ -140,7 +140,7 @@
                         x.onConnectFailed("can't connect: " + f.cause().getMessage());
                     } else if (x.isEnded()) {
                         connect.channel().close();
-                    } else if (mNotices.isResting(call.backend())) {
+                    } else if (mNotices.isInBackoff(call.backend())) {
                         connect.channel().close();
                         x.withhold();
                     } else {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -130,9 +130,9 @@
         fail(Failure.NOT_SENT, message);
     }
 
-    /** Reports that the request was not sent since the backend server rests. */
+    /** Reports that the request was not sent since the backend server is in backoff. */
     void withhold() {
-        fail(Failure.WITHHELD, "the backend server asked for rest before the request was sent");
+        fail(Failure.WITHHELD, "the backend server asked for backoff before the request was sent");
     }
 
     private void fail(Failure failure, String message) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/ServerNotices.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/ServerNotices.java
@@ -15,14 +15,14 @@
  * Reports what backend servers say of themselves in the heads of answers. Every head on a
  * connection counts, also one that answers a request which has ended, or none.
  *
- * <p>The decision loop learns of a rest from its queue, and a request that it has sent to the
- * server meanwhile may still wait for a connection. So this class also knows which servers rest.
- * Not thread-safe: confined to the event loop of the connections.
+ * <p>The decision loop learns of a backoff from its queue, and a request that it has sent to the
+ * server meanwhile may still wait for a connection. So this class also knows which servers are in
+ * backoff. Not thread-safe: confined to the event loop of the connections.
  */
 final class ServerNotices {
     private final ServerNoticeReader mReader;
     private final Consumer<DirectEvent> mEvents;
-    private final Map<BackendRef, Long> mRestEndNanos = new HashMap<>();
+    private final Map<BackendRef, Long> mBackoffEndNanos = new HashMap<>();
 
     ServerNotices(ServerNoticeReader reader, Consumer<DirectEvent> events) {
         mReader = reader;
@@ -36,23 +36,23 @@
             return;
         }
         ServerNotice notice = mReader.read(head);
-        if (notice.asksForRest()) {
-            addRest(server, notice.rest());
+        if (notice.asksForBackoff()) {
+            addBackoff(server, notice.backoff());
         }
         if (!notice.equals(ServerNotice.NONE)) {
             mEvents.accept(new DirectEvent.ServerNoticed(server, notice));
         }
     }
 
-    private void addRest(BackendRef server, Duration rest) {
+    private void addBackoff(BackendRef server, Duration backoff) {
         long now = System.nanoTime();
-        mRestEndNanos.values().removeIf(end -> end - now <= 0);
-        mRestEndNanos.merge(server, now + rest.toNanos(), (a, b) -> a - b >= 0 ? a : b);
+        mBackoffEndNanos.values().removeIf(end -> end - now <= 0);
+        mBackoffEndNanos.merge(server, now + backoff.toNanos(), (a, b) -> a - b >= 0 ? a : b);
     }
 
-    /** Returns whether a server asked for rest that has not ended. */
-    boolean isResting(BackendRef server) {
-        Long end = mRestEndNanos.get(server);
+    /** Returns whether a server asked for backoff that has not ended. */
+    boolean isInBackoff(BackendRef server) {
+        Long end = mBackoffEndNanos.get(server);
         return end != null && end - System.nanoTime() > 0;
     }
 }
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendCallsTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendCallsTest.java
@@ -28,12 +28,12 @@
 import org.laurelweir.runtime.rpc.EventLoops;
 import org.laurelweir.settings.RouteShare;
 
-/** Tests calls to a backend server that asks for rest, over real connections. */
+/** Tests calls to a backend server that asks for backoff, over real connections. */
 class BackendCallsTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final BackendRef FIRST_RUN = new BackendRef("w", 1000);
     private static final BackendRef SECOND_RUN = new BackendRef("w", 2000);
-    private static final String RESTING_ANSWER =
+    private static final String BACKOFF_ANSWER =
             "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nRetry-After: 600\r\nContent-Length: 0\r\n\r\n";
 
     private final BlockingQueue<DirectEvent> mEvents = new LinkedBlockingQueue<>();
@@ -45,7 +45,7 @@
     @BeforeEach
     void listen() throws IOException {
         mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread thread = new Thread(this::serve, "resting-server");
+        Thread thread = new Thread(this::serve, "refusing-server");
         thread.setDaemon(true);
         thread.start();
     }
@@ -62,7 +62,7 @@
             try (Socket socket = mServer.accept()) {
                 readHead(socket.getInputStream());
                 mRequests.incrementAndGet();
-                socket.getOutputStream().write(RESTING_ANSWER.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().write(BACKOFF_ANSWER.getBytes(StandardCharsets.US_ASCII));
             } catch (IOException e) {
                 // The server was closed at the end of the test.
                 return;
@@ -115,9 +115,11 @@
         }
     }
 
-    /** Guards against a request that was chosen before a server asked for rest and sent after. */
+    /**
+     * Guards against a request that was chosen before a server asked for backoff and sent after.
+     */
     @Test
-    void requestThatWasChosenBeforeTheRestIsNotSent() throws InterruptedException {
+    void requestThatWasChosenBeforeTheBackoffIsNotSent() throws InterruptedException {
         begin(1, FIRST_RUN);
         await(DirectEvent.Finished.class);
         begin(2, FIRST_RUN);
@@ -127,7 +129,7 @@
         assertThat(mRequests.get()).isEqualTo(1);
     }
 
-    /** Guards against a rest that outlives the server that asked for it. */
+    /** Guards against a backoff that outlives the server that asked for it. */
     @Test
     void requestToTheServerStartedAnewIsSent() throws InterruptedException {
         begin(1, FIRST_RUN);
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -144,7 +144,9 @@
         assertThat(failure()).isEqualTo(Failure.ABANDONED);
     }
 
-    /** Guards against a request for rest that is dropped with an answer that nobody waits for. */
+    /**
+     * Guards against a request for backoff that is dropped with an answer that nobody waits for.
+     */
     @Test
     void noticeOfALateAnswerToAnotherRequestIsReported() {
         receive(
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ServerNoticeReader.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/ServerNoticeReader.java
@@ -20,10 +20,10 @@
     public static final String DEFAULT_LEAVING_HEADER = "X-Server-Leaving";
 
     /**
-     * Maximum rest. A server that wants a longer one asks again in answer to the next request. The
-     * maximum keeps a wrong number from excluding a server for good.
+     * Maximum backoff. A server that wants a longer one asks again in answer to the next request.
+     * The maximum keeps a wrong number from excluding a server for good.
      */
-    public static final Duration MAX_REST = Duration.ofMinutes(10);
+    public static final Duration MAX_BACKOFF = Duration.ofMinutes(10);
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final Pattern SECONDS = Pattern.compile("\\d+(\\.\\d+)?");
@@ -45,26 +45,28 @@
         String leaving = head.headers().get(mLeavingHeader);
         boolean isLeaving =
                 leaving != null && !NOT_LEAVING.contains(leaving.strip().toLowerCase(Locale.ROOT));
-        Duration rest = rest(head);
-        return rest.isZero() && !isLeaving ? ServerNotice.NONE : new ServerNotice(rest, isLeaving);
+        Duration backoff = backoff(head);
+        return backoff.isZero() && !isLeaving
+                ? ServerNotice.NONE
+                : new ServerNotice(backoff, isLeaving);
     }
 
-    /** Returns the longest rest that the head asks for, if it rejects the request with 503. */
-    private static Duration rest(HttpResponse head) {
+    /** Returns the longest backoff that the head asks for, if it rejects the request with 503. */
+    private static Duration backoff(HttpResponse head) {
         if (head.status().code() != HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
             return Duration.ZERO;
         }
         Duration longest = Duration.ZERO;
         for (String value : head.headers().getAll(HttpHeaderNames.RETRY_AFTER)) {
-            Duration rest = parse(value.strip(), head.headers());
-            longest = rest.compareTo(longest) > 0 ? rest : longest;
+            Duration backoff = parse(value.strip(), head.headers());
+            longest = backoff.compareTo(longest) > 0 ? backoff : longest;
         }
         return longest;
     }
 
     private static Duration parse(String value, HttpHeaders headers) {
         if (SECONDS.matcher(value).matches()) {
-            double seconds = Math.min(Double.parseDouble(value), MAX_REST.toSeconds());
+            double seconds = Math.min(Double.parseDouble(value), MAX_BACKOFF.toSeconds());
             return Duration.ofNanos((long) (seconds * TimeUnit.SECONDS.toNanos(1)));
         }
         Date end = DateFormatter.parseHttpDate(value);
@@ -78,7 +80,7 @@
         }
         // Both dates are by the server's clock, so that its difference to ours has no effect.
         long millis = Math.max(0, end.getTime() - sent.getTime());
-        return Duration.ofMillis(Math.min(millis, MAX_REST.toMillis()));
+        return Duration.ofMillis(Math.min(millis, MAX_BACKOFF.toMillis()));
     }
 
     private static Date parseDate(String value) {
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ServerNoticeReaderTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/rpc/ServerNoticeReaderTest.java
@@ -26,20 +26,20 @@
         return mReader.read(head);
     }
 
-    private Duration rest(String retryAfter) {
-        return read(503, "Retry-After", retryAfter).rest();
+    private Duration backoff(String retryAfter) {
+        return read(503, "Retry-After", retryAfter).backoff();
     }
 
     @Test
-    void restIsReadInSecondsWithFractions() {
-        assertThat(rest("3")).isEqualTo(Duration.ofSeconds(3));
-        assertThat(rest("0.25")).isEqualTo(Duration.ofMillis(250));
+    void backoffIsReadInSecondsWithFractions() {
+        assertThat(backoff("3")).isEqualTo(Duration.ofSeconds(3));
+        assertThat(backoff("0.25")).isEqualTo(Duration.ofMillis(250));
     }
 
     @Test
-    void restIsTheTimeBetweenTheDatesOfTheServer() {
+    void backoffIsTheTimeBetweenTheDatesOfTheServer() {
         String end = "Fri, 04 Dec 2026 10:00:07 GMT";
-        assertThat(read(503, "Date", SENT, "Retry-After", end).rest())
+        assertThat(read(503, "Date", SENT, "Retry-After", end).backoff())
                 .isEqualTo(Duration.ofSeconds(7));
         assertThat(read(503, "Retry-After", end)).isEqualTo(ServerNotice.NONE);
         assertThat(read(503, "Date", end, "Retry-After", SENT)).isEqualTo(ServerNotice.NONE);
@@ -47,28 +47,30 @@
 
     /** Guards against a server that is excluded for good by a wrong number. */
     @Test
-    void endlessRestIsLimited() {
-        assertThat(rest("99999999999999999999")).isEqualTo(ServerNoticeReader.MAX_REST);
-        assertThat(rest("9".repeat(400))).isEqualTo(ServerNoticeReader.MAX_REST);
-        assertThat(read(503, "Date", SENT, "Retry-After", "Sat, 04 Dec 2027 10:00:00 GMT").rest())
-                .isEqualTo(ServerNoticeReader.MAX_REST);
+    void endlessBackoffIsLimited() {
+        assertThat(backoff("99999999999999999999")).isEqualTo(ServerNoticeReader.MAX_BACKOFF);
+        assertThat(backoff("9".repeat(400))).isEqualTo(ServerNoticeReader.MAX_BACKOFF);
+        assertThat(
+                        read(503, "Date", SENT, "Retry-After", "Sat, 04 Dec 2027 10:00:00 GMT")
+                                .backoff())
+                .isEqualTo(ServerNoticeReader.MAX_BACKOFF);
     }
 
     @Test
-    void malformedRestIsIgnored() {
+    void malformedBackoffIsIgnored() {
         for (String value : new String[] {"", "soon", "-5", "NaN", "1e9", "0x10", "3 s"}) {
             assertThat(read(503, "Retry-After", value)).isEqualTo(ServerNotice.NONE);
         }
     }
 
     @Test
-    void longestOfSeveralRestsCounts() {
-        assertThat(read(503, "Retry-After", "2", "Retry-After", "5", "Retry-After", "x").rest())
+    void longestOfSeveralBackoffsCounts() {
+        assertThat(read(503, "Retry-After", "2", "Retry-After", "5", "Retry-After", "x").backoff())
                 .isEqualTo(Duration.ofSeconds(5));
     }
 
     @Test
-    void otherStatusAsksForNoRest() {
+    void otherStatusAsksForNoBackoff() {
         assertThat(read(200, "Retry-After", "3")).isEqualTo(ServerNotice.NONE);
         assertThat(read(429, "Retry-After", "3")).isEqualTo(ServerNotice.NONE);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Admission.java
@@ -243,7 +243,7 @@
      * Returns after which time the caller should retry: the expected time until enough attempts
      * have ended for all that wait now and one more. A part that depends on the attempt's id, up to
      * the same time again, spreads the retries of callers that are refused together. While the
-     * backend server rests, this time begins at the end of its rest.
+     * backend server is in backoff, this time begins at the end of its backoff.
      */
     private Duration retryAfter(Step step, Attempt attempt) {
         Duration untilFree = mRunTimes.timeUntilEnded(mQueue.size() + 1, mLoad.running());
@@ -251,6 +251,6 @@
         long spread = Math.floorMod(attempt.id().hashCode(), base.toMillis());
         Duration total = base.plusMillis(spread);
         Duration limited = total.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : total;
-        return mNotices.restLeft(step.now()).plus(limited);
+        return mNotices.backoffLeft(step.now()).plus(limited);
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/AdmissionReason.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/AdmissionReason.java
@@ -23,8 +23,8 @@
     DEADLINE,
     /** The backend server drains or its sidecar stops. */
     DRAINING,
-    /** The backend server asked for rest. */
-    RESTING,
+    /** The backend server asked for backoff. */
+    BACKOFF,
     /** The sidecar can't reach the backend server. */
     UNREACHABLE,
     /** The chat's history is on another backend server. */
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/EngineNotices.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/EngineNotices.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import org.laurelweir.answer.ServerNotice;
 
-/** What the backend server said of itself in its answers: that it wants rest, or that it leaves. */
+/**
+ * What the backend server said of itself in its answers: that it wants no request for a while, or
+ * that it leaves.
+ */
 final class EngineNotices {
     /**
      * How long a server counts as leaving. It stops within this time; one that still answers has
@@ -12,14 +15,14 @@
      */
     static final Duration MAX_LEAVING_TIME = Duration.ofMinutes(10);
 
-    private Instant mRestEnd = Instant.MIN;
+    private Instant mBackoffEnd = Instant.MIN;
     private Instant mLeavingEnd = Instant.MIN;
 
-    /** Records what an answer said. A shorter rest does not end a longer one. */
+    /** Records what an answer said. A shorter backoff does not end a longer one. */
     void onNotice(Instant now, ServerNotice notice) {
-        Instant end = now.plus(notice.rest());
-        if (end.isAfter(mRestEnd)) {
-            mRestEnd = end;
+        Instant end = now.plus(notice.backoff());
+        if (end.isAfter(mBackoffEnd)) {
+            mBackoffEnd = end;
         }
         if (notice.leaving()) {
             mLeavingEnd = now.plus(MAX_LEAVING_TIME);
@@ -28,17 +31,17 @@
 
     /** Forgets what an earlier run of the backend server said. */
     void onRestarted() {
-        mRestEnd = Instant.MIN;
+        mBackoffEnd = Instant.MIN;
         mLeavingEnd = Instant.MIN;
     }
 
-    /** Returns the time until the rest ends, or zero if the server does not rest. */
-    Duration restLeft(Instant now) {
-        return now.isBefore(mRestEnd) ? Duration.between(now, mRestEnd) : Duration.ZERO;
+    /** Returns the time until the backoff ends, or zero if the server is not in backoff. */
+    Duration backoffLeft(Instant now) {
+        return now.isBefore(mBackoffEnd) ? Duration.between(now, mBackoffEnd) : Duration.ZERO;
     }
 
-    boolean isResting(Instant now) {
-        return now.isBefore(mRestEnd);
+    boolean isInBackoff(Instant now) {
+        return now.isBefore(mBackoffEnd);
     }
 
     boolean isLeaving(Instant now) {
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/Execution.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/Execution.java
@@ -112,6 +112,6 @@
 
     private Frame.Refused refusal(Step step, String message) {
         return new Frame.Refused(
-                ResultCode.BACKEND_REFUSED, message, "", mNotices.restLeft(step.now()));
+                ResultCode.BACKEND_REFUSED, message, "", mNotices.backoffLeft(step.now()));
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/admission/SidecarReducer.java
@@ -158,15 +158,15 @@
     private void onNoticed(Step step, ServerNotice notice) {
         mNotices.onNotice(step.now(), notice);
         mDrain.setLeaving(step, mNotices.isLeaving(step.now()));
-        if (notice.asksForRest() && !mDrain.isDraining()) {
-            mLookups.waitingAttempts().forEach(a -> refuseToRest(step, a));
-            mAdmission.refuseAllWaiting(step, ResultCode.OVERLOADED, AdmissionReason.RESTING);
+        if (notice.asksForBackoff() && !mDrain.isDraining()) {
+            mLookups.waitingAttempts().forEach(a -> refuseInBackoff(step, a));
+            mAdmission.refuseAllWaiting(step, ResultCode.OVERLOADED, AdmissionReason.BACKOFF);
         }
     }
 
-    private void refuseToRest(Step step, Attempt attempt) {
+    private void refuseInBackoff(Step step, Attempt attempt) {
         mLookups.remove(attempt);
-        mAdmission.refuseNewWork(step, attempt, ResultCode.OVERLOADED, AdmissionReason.RESTING);
+        mAdmission.refuseNewWork(step, attempt, ResultCode.OVERLOADED, AdmissionReason.BACKOFF);
     }
 
     private void handleOtherEvent(Step step, SidecarEvent event) {
@@ -210,8 +210,8 @@
         } else if (!mReachable) {
             mAdmission.refuseNewWork(
                     step, attempt, ResultCode.BACKEND_REFUSED, AdmissionReason.UNREACHABLE);
-        } else if (mNotices.isResting(step.now())) {
-            refuseToRest(step, attempt);
+        } else if (mNotices.isInBackoff(step.now())) {
+            refuseInBackoff(step, attempt);
         } else {
             mRedirector.locateAndPlace(step, attempt);
         }
@@ -287,12 +287,12 @@
 
     /** Returns whether this sidecar takes no new work now. */
     private boolean refusesNewWork() {
-        return isUnavailable() || mNotices.isResting(mNow);
+        return isUnavailable() || mNotices.isInBackoff(mNow);
     }
 
     /**
-     * Returns whether other programs are told to take this server out of the ranking. A rest is too
-     * short for that: chats would move away and back.
+     * Returns whether other programs are told to take this server out of the ranking. A backoff is
+     * too short for that: chats would move away and back.
      */
     private boolean isUnavailable() {
         return mDrain.isDraining() || !mReachable;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
@@ -41,9 +41,9 @@
         return hasRequiredVersion(r, c) && isInAllowedRegion(r, c);
     }
 
-    /** Returns when the rest of a server ends, or empty if it does not rest. */
-    Optional<Instant> restEnd(Candidate c, Instant now) {
-        return mServers.restEnd(c.ref(), now);
+    /** Returns when the backoff of a server ends, or empty if it is not in backoff. */
+    Optional<Instant> backoffEnd(Candidate c, Instant now) {
+        return mServers.backoffEnd(c.ref(), now);
     }
 
     /** Returns whether a server may go on with the stream of a request. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFinder.java
@@ -73,16 +73,16 @@
     }
 
     /**
-     * Returns when the first of the servers that may run a request ends its rest, or empty if there
-     * is one that does not rest, or none at all.
+     * Returns when the first of the servers that may run a request ends its backoff, or empty if
+     * there is one that is not in backoff, or none at all.
      */
-    Optional<Instant> earliestRestEnd(ActiveRequest r, Instant now) {
+    Optional<Instant> earliestBackoffEnd(ActiveRequest r, Instant now) {
         Instant earliest = null;
         for (Candidate c : serving(r.mService)) {
             if (!mFilter.mayRun(r, c)) {
                 continue;
             }
-            Optional<Instant> end = mFilter.restEnd(c, now);
+            Optional<Instant> end = mFilter.backoffEnd(c, now);
             if (end.isEmpty()) {
                 return Optional.empty();
             }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEvent.java
@@ -46,7 +46,7 @@
     enum Failure {
         /** No byte of the request was sent to the backend server. */
         NOT_SENT,
-        /** The same: the backend server asked for rest after it had been chosen. */
+        /** The same: the backend server asked for backoff after it had been chosen. */
         WITHHELD,
         /** The backend server closed the connection after it may have received the request. */
         CONNECTION_LOST,
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ErrorAnswers.java
@@ -56,16 +56,16 @@
     }
 
     private Duration retryDelay(ActiveRequest r) {
-        Duration rest = mChoice.timeUntilRested(r, mNow);
-        if (rest.isZero() && r.mMisdirected) {
+        Duration backoff = mChoice.timeUntilBackoffEnds(r, mNow);
+        if (backoff.isZero() && r.mMisdirected) {
             return mRetryDelays.afterMisdirection();
         }
         if (r.mRequest.terms().contended()) {
             return mContendedDelays.apply(r);
         }
-        return rest.isZero()
+        return backoff.isZero()
                 ? mRetryDelays.afterOverload(r.timeLeft(mNow))
-                : mRetryDelays.afterRest(rest);
+                : mRetryDelays.afterBackoff(backoff);
     }
 
     private ResultCode rejectionCode(ActiveRequest r) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeCounts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeCounts.java
@@ -7,13 +7,13 @@
  * thread of the reducer, read by that of the metrics.
  */
 public final class NoticeCounts {
-    private final AtomicLong mRests = new AtomicLong();
+    private final AtomicLong mBackoffs = new AtomicLong();
     private final AtomicLong mLeaving = new AtomicLong();
-    private volatile int mResting;
+    private volatile int mInBackoff;
 
-    /** Counts an answer in which a server asked for rest. */
-    void onRest() {
-        mRests.incrementAndGet();
+    /** Counts an answer in which a server asked for backoff. */
+    void onBackoff() {
+        mBackoffs.incrementAndGet();
     }
 
     /** Counts a server that said for the first time that it is about to stop. */
@@ -21,14 +21,14 @@
         mLeaving.incrementAndGet();
     }
 
-    /** Sets the number of servers that rest now. */
-    void setResting(int servers) {
-        mResting = servers;
+    /** Sets the number of servers in backoff now. */
+    void setInBackoff(int servers) {
+        mInBackoff = servers;
     }
 
-    /** Returns the number of answers in which a server asked for rest. */
-    public long rests() {
-        return mRests.get();
+    /** Returns the number of answers in which a server asked for backoff. */
+    public long backoffs() {
+        return mBackoffs.get();
     }
 
     /** Returns the number of servers that said that they are about to stop. */
@@ -36,8 +36,8 @@
         return mLeaving.get();
     }
 
-    /** Returns the number of servers that rest now. */
-    public long resting() {
-        return mResting;
+    /** Returns the number of servers in backoff now. */
+    public long inBackoff() {
+        return mInBackoff;
     }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeHandler.java
@@ -15,7 +15,7 @@
 final class NoticeHandler {
     private static final String PROGRAM = "router";
 
-    /** Minimum extension of a rest that is logged, so that not every answer in it has a line. */
+    /** Minimum extension of a backoff that is logged, so that not every answer in it has a line. */
     private static final Duration MIN_LOGGED_EXTENSION = Duration.ofSeconds(1);
 
     private final BackendSource mBackends;
@@ -39,14 +39,14 @@
         return mCounts;
     }
 
-    /** Updates the number of servers that rest. */
+    /** Updates the number of servers in backoff. */
     void onTick() {
-        mCounts.setResting(mServers.restingCount(mNow));
+        mCounts.setInBackoff(mServers.backoffCount(mNow));
     }
 
     void onNoticed(DirectEvent.ServerNoticed e) {
-        if (e.notice().asksForRest()) {
-            onRest(e.server(), e.notice().rest());
+        if (e.notice().asksForBackoff()) {
+            onBackoff(e.server(), e.notice().backoff());
         }
         if (e.notice().leaving() && mBackends.onLeaving(mNow, e.server())) {
             mCounts.onLeaving();
@@ -54,13 +54,13 @@
         }
     }
 
-    private void onRest(BackendRef server, Duration rest) {
-        mCounts.onRest();
-        Instant before = mServers.restEnd(server, mNow).orElse(mNow);
-        Instant end = mNow.plus(rest);
-        mServers.onRest(server, end);
+    private void onBackoff(BackendRef server, Duration backoff) {
+        mCounts.onBackoff();
+        Instant before = mServers.backoffEnd(server, mNow).orElse(mNow);
+        Instant end = mNow.plus(backoff);
+        mServers.onBackoff(server, end);
         if (!end.isBefore(before.plus(MIN_LOGGED_EXTENSION)) || before.equals(mNow)) {
-            log(server, "RESTING", "asked for " + rest.toMillis() + " ms without requests");
+            log(server, "BACKOFF", "asked for " + backoff.toMillis() + " ms without requests");
         }
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplainer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RequestExplainer.java
@@ -102,13 +102,13 @@
 
     private Duration longestDelay(ActiveRequest r, Instant now) {
         Duration timeLeft = r.timeLeft(now);
-        Duration rest = mChoice.timeUntilRested(r, now);
+        Duration backoff = mChoice.timeUntilBackoffEnds(r, now);
         if (r.mRequest.terms().contended()) {
-            return rest.plus(ReturnTimes.longest(timeLeft));
+            return backoff.plus(ReturnTimes.longest(timeLeft));
         }
-        return rest.isZero()
+        return backoff.isZero()
                 ? RetryDelays.longestAfterOverload(timeLeft)
-                : RetryDelays.longestAfterRest(rest);
+                : RetryDelays.longestAfterBackoff(backoff);
     }
 
     private RequestExplanation.Server server(ActiveRequest r, Candidate c, Instant now) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RetryDelays.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RetryDelays.java
@@ -41,18 +41,18 @@
     }
 
     /**
-     * Returns the delay after a request whose servers all rest. It is not limited by the time left:
-     * an earlier retry at this router would be rejected again.
+     * Returns the delay after a request whose servers are all in backoff. It is not limited by the
+     * time left: an earlier retry at this router would be rejected again.
      *
-     * @param rest time until the first of the servers ends its rest
+     * @param backoff time until the first of the servers ends its backoff
      */
-    Duration afterRest(Duration rest) {
-        return rest.plusMillis(1 + mRandom.nextInt(OVERLOAD_JITTER_MILLIS));
+    Duration afterBackoff(Duration backoff) {
+        return backoff.plusMillis(1 + mRandom.nextInt(OVERLOAD_JITTER_MILLIS));
     }
 
-    /** Returns the longest delay after a request whose servers all rest. */
-    static Duration longestAfterRest(Duration rest) {
-        return rest.plusMillis(OVERLOAD_JITTER_MILLIS);
+    /** Returns the longest delay after a request whose servers are all in backoff. */
+    static Duration longestAfterBackoff(Duration backoff) {
+        return backoff.plusMillis(OVERLOAD_JITTER_MILLIS);
     }
 
     /** Returns the delay after a request for which no server has room. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerChoice.java
@@ -83,12 +83,12 @@
     }
 
     /**
-     * Returns the time until the first of the servers that may run a request ends its rest, or zero
-     * if there is one that does not rest, or none at all.
+     * Returns the time until the first of the servers that may run a request ends its backoff, or
+     * zero if there is one that is not in backoff, or none at all.
      */
-    Duration timeUntilRested(ActiveRequest r, Instant now) {
+    Duration timeUntilBackoffEnds(ActiveRequest r, Instant now) {
         return mCandidates
-                .earliestRestEnd(r, now)
+                .earliestBackoffEnd(r, now)
                 .map(end -> Duration.between(now, end))
                 .orElse(Duration.ZERO);
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -45,7 +45,7 @@
     private static final Duration RECENT_FAILURE_TIME = Duration.ofSeconds(2);
 
     private final Map<String, Server> mServers = new HashMap<>();
-    private final Map<String, Server> mResting = new HashMap<>();
+    private final Map<String, Server> mInBackoff = new HashMap<>();
     private final Map<String, Outliers> mOutliers = new HashMap<>();
 
     /** Whether lookups leave the records unchanged. */
@@ -83,25 +83,25 @@
         return a.isAfter(b) ? a : b;
     }
 
-    /** Records that a server wants no request until a time. A rest that ends later remains. */
-    void onRest(BackendRef ref, Instant end) {
+    /** Records that a server wants no request until a time. A backoff that ends later remains. */
+    void onBackoff(BackendRef ref, Instant end) {
         Server s = server(ref);
-        s.mRestEnd = later(s.mRestEnd, end);
+        s.mBackoffEnd = later(s.mBackoffEnd, end);
         if (isLatest(ref)) {
-            mResting.put(ref.id(), s);
+            mInBackoff.put(ref.id(), s);
         }
     }
 
-    /** Returns when the rest of a server ends, or empty if it does not rest. */
-    Optional<Instant> restEnd(BackendRef ref, Instant now) {
-        Instant end = server(ref).mRestEnd;
+    /** Returns when the backoff of a server ends, or empty if it is not in backoff. */
+    Optional<Instant> backoffEnd(BackendRef ref, Instant now) {
+        Instant end = server(ref).mBackoffEnd;
         return now.isBefore(end) ? Optional.of(end) : Optional.empty();
     }
 
-    /** Returns the number of servers that rest. */
-    int restingCount(Instant now) {
-        mResting.values().removeIf(s -> !now.isBefore(s.mRestEnd));
-        return mResting.size();
+    /** Returns the number of servers in backoff. */
+    int backoffCount(Instant now) {
+        mInBackoff.values().removeIf(s -> !now.isBefore(s.mBackoffEnd));
+        return mInBackoff.size();
     }
 
     /** Records that a server answered a request of a service without a failure. */
@@ -130,15 +130,17 @@
         }
     }
 
-    /** Returns whether a server is ejected, paused because it was full or replaced, or rests. */
+    /**
+     * Returns whether a server is ejected, paused because it was full or replaced, or in backoff.
+     */
     boolean isPassedOver(String service, BackendRef ref, Instant now) {
         return isPaused(ref, now) || isRecorded(ref) && outliers(service).isEjected(ref.id(), now);
     }
 
-    /** Returns whether a server is paused because it was full or replaced, or rests. */
+    /** Returns whether a server is paused because it was full or replaced, or in backoff. */
     boolean isPaused(BackendRef ref, Instant now) {
         Server s = server(ref);
-        return now.isBefore(s.mPausedUntil) || now.isBefore(s.mRestEnd);
+        return now.isBefore(s.mPausedUntil) || now.isBefore(s.mBackoffEnd);
     }
 
     /** Returns whether a server is passed over, or failed recently without a success since. */
@@ -160,14 +162,14 @@
     }
 
     /**
-     * Removes the records of servers that are no longer announced. A server that rests may be
-     * announced again before the end of its rest, so its record remains until then.
+     * Removes the records of servers that are no longer announced. A server in backoff may be
+     * announced again before the end of its backoff, so its record remains until then.
      */
     void prune(BackendSource backends, Instant now) {
         List<String> departed =
                 mServers.entrySet().stream()
                         .filter(e -> backends.backend(e.getKey()) == null)
-                        .filter(e -> !now.isBefore(e.getValue().mRestEnd))
+                        .filter(e -> !now.isBefore(e.getValue().mBackoffEnd))
                         .map(Map.Entry::getKey)
                         .toList();
         departed.forEach(this::remove);
@@ -176,7 +178,7 @@
     /** Removes a server with its failures, so that they do not count towards the share ejected. */
     private void remove(String id) {
         mServers.remove(id);
-        mResting.remove(id);
+        mInBackoff.remove(id);
         mOutliers.values().forEach(o -> o.onLeave(id));
     }
 
@@ -222,7 +224,7 @@
         private final long mIncarnation;
         private int mSlots;
         private Instant mPausedUntil = Instant.EPOCH;
-        private Instant mRestEnd = Instant.EPOCH;
+        private Instant mBackoffEnd = Instant.EPOCH;
         private Instant mLastFailure = Instant.EPOCH;
 
         Server(long incarnation) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/UnconfirmedEnds.java
@@ -146,7 +146,7 @@
             remove(w, e -> true);
             return;
         }
-        if (mServers.restEnd(w.mServer, mNow).isPresent()) {
+        if (mServers.backoffEnd(w.mServer, mNow).isPresent()) {
             // A connection would take one of its places; what can't be told stays unconfirmed.
             return;
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/WaitingRequests.java
@@ -106,8 +106,8 @@
         }
         if (r.timeLeft(mNow).compareTo(Attempts.MIN_TIME_LEFT) < 0 || isVersionGone(r)) {
             mRefusal.refuse(r, noRoomMessage(r));
-        } else if (isRestTooLong(w)) {
-            mRefusal.refuse(r, "all backend servers asked for rest");
+        } else if (isBackoffTooLong(w)) {
+            mRefusal.refuse(r, "all backend servers asked for backoff");
         } else if (isTooLate(w)) {
             mEffects.accept(mDecisions.withReason(r, "too_late", mNow));
             mRefusal.refuse(r, "too many requests wait for a backend server with room");
@@ -165,10 +165,10 @@
         return r.mRequiredVersion != null && !mChoice.hasVersion(r.mService, r.mRequiredVersion);
     }
 
-    /** Returns whether all servers rest for longer than a request may wait. */
-    private boolean isRestTooLong(WaitingRequest<ActiveRequest> w) {
-        Duration rest = mChoice.timeUntilRested(w.item(), mNow);
-        return !rest.isZero() && !mNow.plus(rest).isBefore(w.waitEnd());
+    /** Returns whether all servers are in backoff for longer than a request may wait. */
+    private boolean isBackoffTooLong(WaitingRequest<ActiveRequest> w) {
+        Duration backoff = mChoice.timeUntilBackoffEnds(w.item(), mNow);
+        return !backoff.isZero() && !mNow.plus(backoff).isBefore(w.waitEnd());
     }
 
     /** Returns whether the requests before a request take longer than it may wait. */
@@ -291,7 +291,7 @@
         double weight = r.mRequest.terms().accountWeight();
         double ratio = mShares.ratio(mNow, r.mRequest.account(), weight);
         Duration delay =
-                mChoice.timeUntilRested(r, mNow)
+                mChoice.timeUntilBackoffEnds(r, mNow)
                         .plus(mReturnTimes.delay(expected, ratio, r.timeLeft(mNow)));
         mReturns.onRefused(mNow, r.key(), r.mService, priority, mNow.plus(delay), r.mPlace);
         return delay;
--- a/org.laurelweir/src/test/java/org/laurelweir/admission/EngineNoticesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/admission/EngineNoticesTest.java
@@ -11,9 +11,9 @@
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.Backend;
 
-/** Tests that a sidecar obeys a backend server that asks for rest or says that it leaves. */
+/** Tests that a sidecar obeys a backend server that asks for backoff or says that it leaves. */
 class EngineNoticesTest {
-    private static final Duration REST = Duration.ofSeconds(3);
+    private static final Duration BACKOFF = Duration.ofSeconds(3);
 
     private final SidecarDriver mSidecar = new SidecarDriver();
 
@@ -22,8 +22,8 @@
         mSidecar.exchange(SidecarDriver.members(1), 0, false, 0);
     }
 
-    private void askForRest(Duration rest) {
-        mSidecar.step(new SidecarEvent.EngineNoticed(new ServerNotice(rest, false)));
+    private void askForBackoff(Duration backoff) {
+        mSidecar.step(new SidecarEvent.EngineNoticed(new ServerNotice(backoff, false)));
     }
 
     private void sayLeaving() {
@@ -45,42 +45,42 @@
         return !mSidecar.take(SidecarEffect.StartEngineCall.class).isEmpty();
     }
 
-    /** Guards against attempts that reach an engine within the rest that it asked for. */
+    /** Guards against attempts that reach an engine within the backoff that it asked for. */
     @Test
-    void restingEngineGetsNoAttemptUntilTheEndOfItsRest() {
-        askForRest(REST);
-        mSidecar.advance(REST.minusMillis(1));
+    void engineInBackoffGetsNoAttempt() {
+        askForBackoff(BACKOFF);
+        mSidecar.advance(BACKOFF.minusMillis(1));
         assertThat(isStarted(1)).isFalse();
         mSidecar.advance(Duration.ofMillis(1));
         assertThat(isStarted(2)).isTrue();
     }
 
-    /** Guards against a caller that is told to return within the rest. */
+    /** Guards against a caller that is told to return within the backoff. */
     @Test
-    void refusalNamesTheEndOfTheRest() {
-        askForRest(REST);
+    void refusalNamesTheEndOfTheBackoff() {
+        askForBackoff(BACKOFF);
         Frame.Refused refused = refusal(1);
         assertThat(refused.code()).isEqualTo(ResultCode.OVERLOADED);
-        assertThat(refused.retryAfter()).isGreaterThanOrEqualTo(REST);
+        assertThat(refused.retryAfter()).isGreaterThanOrEqualTo(BACKOFF);
     }
 
-    /** Guards against an attempt that waits at the sidecar and starts within the rest. */
+    /** Guards against an attempt that waits at the sidecar and starts within the backoff. */
     @Test
-    void waitingAttemptIsRefusedWhenTheEngineAsksForRest() {
+    void waitingAttemptIsRefusedWhenTheEngineAsksForBackoff() {
         mSidecar.requestAttempt(Requests.request(1).cost(Requests.outputCost(9_000)));
         long waiting = mSidecar.requestAttempt(Requests.request(2).cost(Requests.outputCost(100)));
         assertThat(mSidecar.takeLastFrame(waiting)).isInstanceOf(Frame.Accepted.class);
-        askForRest(REST);
+        askForBackoff(BACKOFF);
         assertThat(mSidecar.takeLastFrame(waiting)).isInstanceOf(Frame.Refused.class);
         mSidecar.answerAttempt(Requests.id(1), new byte[3]);
         assertThat(mSidecar.take(SidecarEffect.StartEngineCall.class)).isEmpty();
     }
 
-    /** Guards against chats that move to other servers and back for a short rest. */
+    /** Guards against chats that move to other servers and back for a short backoff. */
     @Test
-    void restIsNotAnnouncedAsADrain() {
+    void backoffIsNotAnnouncedAsADrain() {
         mSidecar.take(SidecarEffect.class);
-        askForRest(REST);
+        askForBackoff(BACKOFF);
         mSidecar.advance(Duration.ofSeconds(2));
         assertThat(states()).isNotEmpty().containsOnly(Backend.State.SERVING);
     }
@@ -100,7 +100,7 @@
     @Test
     void engineStartedAnewGetsAttempts() {
         sayLeaving();
-        askForRest(Duration.ofMinutes(5));
+        askForBackoff(Duration.ofMinutes(5));
         setReachable(false);
         setReachable(true);
         assertThat(isStarted(1)).isTrue();
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/HedgesTest.java
@@ -502,16 +502,16 @@
         return text.replaceAll("\\[B@[0-9a-f]+", "");
     }
 
-    /** Guards against a copy that goes to a server which asked for rest. */
+    /** Guards against a copy that goes to a server which asked for backoff. */
     @Test
-    void noCopyGoesToARestingServer() {
+    void noCopyGoesToAServerInBackoff() {
         saveUp();
         mDriver.arrive(1, READ);
         mFirst = mDriver.lastCall();
         for (int i = 0; i < 4; i++) {
             BackendRef server = new BackendRef("s" + i, 0);
-            ServerNotice rest = new ServerNotice(Duration.ofSeconds(3), false);
-            mDriver.step(new DirectEvent.ServerNoticed(server, rest));
+            ServerNotice backoff = new ServerNotice(Duration.ofSeconds(3), false);
+            mDriver.step(new DirectEvent.ServerNoticed(server, backoff));
         }
         mDriver.advance(DELAY);
         assertThat(mDriver.callCount()).isEqualTo(1);
@@ -520,7 +520,7 @@
 
     /** Guards against the word of a server that is dropped with a copy's answer. */
     @Test
-    void restThatACopyIsToldIsObeyed() {
+    void backoffThatACopyIsToldIsObeyed() {
         hedge(READ);
         mDriver.step(
                 new DirectEvent.ServerNoticed(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/PartFetchTest.java
@@ -193,9 +193,9 @@
         }
     }
 
-    /** Guards against a server that has to send parts of prompts within its rest. */
+    /** Guards against a server that has to send parts of prompts within its backoff. */
     @Test
-    void nothingIsFetchedFromARestingServer() {
+    void nothingIsFetchedFromAServerInBackoff() {
         BeginCall home = sendAndAnswer(7);
         mDriver.step(
                 new DirectEvent.ServerNoticed(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
@@ -367,9 +367,11 @@
         assertThat(mDriver.all(LogDecision.class).get(1).decision().version()).isEqualTo("v1");
     }
 
-    /** Guards against a stream that goes on at a resting server since no other has its version. */
+    /**
+     * Guards against a stream that goes on at a server in backoff since no other has its version.
+     */
     @Test
-    void streamWhoseServersRestIsRefused() {
+    void streamWhoseServersAreInBackoffIsRefused() {
         for (int i = 0; i < 3; i++) {
             BackendRef server = new BackendRef("a" + i, 0);
             mDriver.step(
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/RestingServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ServerBackoffTest.java
@@ -13,31 +13,31 @@
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
 
-/** Tests that a backend server which asked for rest gets it, and requests again afterwards. */
-class RestingServerTest {
+/** Tests that a backend server which asked for backoff gets it, and requests again afterwards. */
+class ServerBackoffTest {
     private static final int SERVERS = 4;
     private static final Route IDEMPOTENT = route(true, false, false);
     private static final Route NON_IDEMPOTENT = route(false, false, false);
-    private static final Duration REST = Duration.ofSeconds(3);
-    private static final BackendRef RESTING = new BackendRef("s0", 0);
+    private static final Duration BACKOFF = Duration.ofSeconds(3);
+    private static final BackendRef SERVER = new BackendRef("s0", 0);
 
     private final DirectRoutingDriver mDriver = new DirectRoutingDriver(SERVERS);
     private long mLastCaller;
 
-    private void askForRest(Duration rest) {
-        mDriver.step(new DirectEvent.ServerNoticed(RESTING, new ServerNotice(rest, false)));
+    private void askForBackoff(Duration backoff) {
+        mDriver.step(new DirectEvent.ServerNoticed(SERVER, new ServerNotice(backoff, false)));
     }
 
-    private void letAllRest(Duration rest) {
+    private void letAllAskForBackoff(Duration backoff) {
         for (int i = 0; i < SERVERS; i++) {
             BackendRef server = new BackendRef("s" + i, 0);
-            mDriver.step(new DirectEvent.ServerNoticed(server, new ServerNotice(rest, false)));
+            mDriver.step(new DirectEvent.ServerNoticed(server, new ServerNotice(backoff, false)));
         }
     }
 
-    private long callsToRestingServer() {
+    private long callsToTheServer() {
         return mDriver.all(BeginCall.class).stream()
-                .filter(c -> c.backend().id().equals(RESTING.id()))
+                .filter(c -> c.backend().id().equals(SERVER.id()))
                 .count();
     }
 
@@ -54,98 +54,98 @@
 
     /** Guards against requests that reach a server within the time in which it wanted none. */
     @Test
-    void serverThatAskedForRestGetsNoRequestUntilItsEnd() {
+    void serverThatAskedForBackoffGetsNoRequestUntilItsEnd() {
         for (Route route : new Route[] {IDEMPOTENT, NON_IDEMPOTENT}) {
-            askForRest(REST);
-            long before = callsToRestingServer();
-            serveFor(REST, route);
-            assertThat(callsToRestingServer()).isEqualTo(before);
-            serveFor(REST, route);
-            assertThat(callsToRestingServer()).isGreaterThan(before);
+            askForBackoff(BACKOFF);
+            long before = callsToTheServer();
+            serveFor(BACKOFF, route);
+            assertThat(callsToTheServer()).isEqualTo(before);
+            serveFor(BACKOFF, route);
+            assertThat(callsToTheServer()).isGreaterThan(before);
         }
     }
 
-    /** Guards against a retry that goes to a server which asked for rest. */
+    /** Guards against a retry that goes to a server which asked for backoff. */
     @Test
-    void retryGoesToNoRestingServer() {
-        askForRest(REST);
+    void retrySparesAServerInBackoff() {
+        askForBackoff(BACKOFF);
         for (int i = 0; i < 20; i++) {
             mDriver.arrive(++mLastCaller, IDEMPOTENT);
             for (int attempt = 0; attempt < 3; attempt++) {
                 mDriver.answer(mDriver.lastCall().call(), 503, NOT_RUN);
             }
             mDriver.advance(Duration.ofMillis(150));
-            askForRest(REST);
+            askForBackoff(BACKOFF);
         }
         assertThat(mDriver.callCount()).isEqualTo(60);
-        assertThat(callsToRestingServer()).isZero();
+        assertThat(callsToTheServer()).isZero();
     }
 
-    /** Guards against a rest that a later and shorter one, or a mere refusal, ends too early. */
+    /** Guards against a backoff that a later and shorter one, or a mere refusal, ends too early. */
     @Test
-    void longerRestRemainsAfterAShorterOne() {
-        askForRest(REST);
-        askForRest(Duration.ofMillis(200));
+    void longerBackoffRemainsAfterAShorterOne() {
+        askForBackoff(BACKOFF);
+        askForBackoff(Duration.ofMillis(200));
         mDriver.advance(Duration.ofMillis(300));
         serveFor(Duration.ofSeconds(2), IDEMPOTENT);
-        assertThat(callsToRestingServer()).isZero();
+        assertThat(callsToTheServer()).isZero();
     }
 
-    /** Guards against a rest that outlives the server that asked for it. */
+    /** Guards against a backoff that outlives the server that asked for it. */
     @Test
     void restartedServerGetsRequestsAtOnce() {
-        askForRest(Duration.ofMinutes(1));
-        mDriver.restart(RESTING.id());
+        askForBackoff(Duration.ofMinutes(1));
+        mDriver.restart(SERVER.id());
         serveFor(Duration.ofSeconds(1), IDEMPOTENT);
-        assertThat(callsToRestingServer()).isPositive();
+        assertThat(callsToTheServer()).isPositive();
     }
 
     /** Guards against the word of an earlier run that excludes the server started anew. */
     @Test
     void lateWordOfAnEarlierRunIsIgnored() {
-        mDriver.restart(RESTING.id());
+        mDriver.restart(SERVER.id());
         serveFor(Duration.ofMillis(100), IDEMPOTENT);
-        askForRest(Duration.ofMinutes(1));
-        long before = callsToRestingServer();
+        askForBackoff(Duration.ofMinutes(1));
+        long before = callsToTheServer();
         serveFor(Duration.ofSeconds(1), IDEMPOTENT);
-        assertThat(callsToRestingServer()).isGreaterThan(before);
+        assertThat(callsToTheServer()).isGreaterThan(before);
     }
 
-    /** Guards against a rest that is forgotten while control does not name the server. */
+    /** Guards against a backoff that is forgotten while control does not name the server. */
     @Test
-    void restOutlastsAnAbsenceFromTheMembership() {
-        askForRest(Duration.ofMinutes(2));
-        mDriver.leave(RESTING.id());
+    void backoffOutlastsAnAbsenceFromTheMembership() {
+        askForBackoff(Duration.ofMinutes(2));
+        mDriver.leave(SERVER.id());
         mDriver.advance(Duration.ofSeconds(40));
         mDriver.advance(Duration.ofSeconds(40));
-        mDriver.join(RESTING.id());
+        mDriver.join(SERVER.id());
         serveFor(Duration.ofSeconds(2), IDEMPOTENT);
-        assertThat(callsToRestingServer()).isZero();
+        assertThat(callsToTheServer()).isZero();
         mDriver.advance(Duration.ofSeconds(40));
         serveFor(Duration.ofSeconds(2), IDEMPOTENT);
-        assertThat(callsToRestingServer()).isPositive();
+        assertThat(callsToTheServer()).isPositive();
     }
 
-    /** Guards against a caller that is told to return while all servers still rest. */
+    /** Guards against a caller that is told to return while all servers are still in backoff. */
     @Test
-    void callerIsToldToReturnAfterTheFirstRestWhenAllServersRest() {
-        letAllRest(REST);
-        askForRest(REST.plusSeconds(1));
+    void callerIsToldToReturnWhenTheFirstBackoffEnds() {
+        letAllAskForBackoff(BACKOFF);
+        askForBackoff(BACKOFF.plusSeconds(1));
         mDriver.advance(Duration.ofMillis(500));
         mDriver.arrive(++mLastCaller, IDEMPOTENT);
         AnswerError error = mDriver.last(AnswerError.class);
         assertThat(mDriver.callCount()).isZero();
         assertThat(error.code()).isEqualTo(ResultCode.OVERLOADED);
-        assertThat(error.retryAfter()).isBetween(REST.minusMillis(500), REST);
+        assertThat(error.retryAfter()).isBetween(BACKOFF.minusMillis(500), BACKOFF);
         mDriver.advance(error.retryAfter());
         mDriver.arrive(++mLastCaller, IDEMPOTENT);
         assertThat(mDriver.callCount()).isEqualTo(1);
     }
 
-    /** Guards against callers that all return in the same moment, when the rest ends. */
+    /** Guards against callers that all return in the same moment, when the backoff ends. */
     @Test
     void callersReturnSpreadOut() {
-        letAllRest(REST);
+        letAllAskForBackoff(BACKOFF);
         for (int i = 0; i < 50; i++) {
             mDriver.arrive(++mLastCaller, IDEMPOTENT);
         }
@@ -157,10 +157,10 @@
         assertThat(times).isGreaterThan(25);
     }
 
-    /** Guards against a long delay although a server has room that does not rest. */
+    /** Guards against a long delay although a server that is not in backoff has room. */
     @Test
-    void delayIsShortWhileOneServerDoesNotRest() {
-        askForRest(Duration.ofMinutes(1));
+    void delayIsShortWhileOneServerIsNotInBackoff() {
+        askForBackoff(Duration.ofMinutes(1));
         mDriver.arrive(++mLastCaller, IDEMPOTENT);
         for (int attempt = 0; attempt < 3; attempt++) {
             mDriver.answer(mDriver.lastCall().call(), 503, NOT_RUN);
@@ -170,17 +170,17 @@
 
     /** Guards against a contended request that is held although no server can take it in time. */
     @Test
-    void contendedRequestIsRefusedAtOnceWhenAllServersRest() {
-        letAllRest(REST);
+    void contendedRequestIsRefusedAtOnceWhenAllServersAreInBackoff() {
+        letAllAskForBackoff(BACKOFF);
         mDriver.arriveContended(++mLastCaller, IDEMPOTENT, Prompt.NONE);
         assertThat(mDriver.waitingRequests()).isZero();
-        assertThat(mDriver.last(AnswerError.class).retryAfter()).isGreaterThanOrEqualTo(REST);
+        assertThat(mDriver.last(AnswerError.class).retryAfter()).isGreaterThanOrEqualTo(BACKOFF);
     }
 
-    /** Guards against a contended request that is refused although a rest is about to end. */
+    /** Guards against a contended request that is refused although a backoff is about to end. */
     @Test
-    void contendedRequestWaitsForTheEndOfAShortRest() {
-        letAllRest(Duration.ofMillis(15));
+    void contendedRequestWaitsForTheEndOfAShortBackoff() {
+        letAllAskForBackoff(Duration.ofMillis(15));
         mDriver.arriveContended(++mLastCaller, IDEMPOTENT, Prompt.NONE);
         assertThat(mDriver.callCount()).isZero();
         assertThat(mDriver.waitingRequests()).isEqualTo(1);
@@ -196,7 +196,7 @@
         mDriver.arrive(++mLastCaller, NON_IDEMPOTENT);
         BeginCall first = mDriver.lastCall();
         mDriver.step(
-                new DirectEvent.Failed(first.call(), DirectEvent.Failure.WITHHELD, "it rests"));
+                new DirectEvent.Failed(first.call(), DirectEvent.Failure.WITHHELD, "in backoff"));
         assertThat(mDriver.callCount()).isEqualTo(2);
         assertThat(mDriver.lastCall().backend()).isNotEqualTo(first.backend());
         assertThat(mDriver.reasons(mLastCaller)).contains("withheld");
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/UnconfirmedEndsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/UnconfirmedEndsTest.java
@@ -135,7 +135,7 @@
 
     /** Guards against a connection to a server that wants none of this router. */
     @Test
-    void serverThatAskedForRestIsNotChecked() {
+    void serverThatAskedForBackoffIsNotChecked() {
         answerUnframed();
         BackendRef server = mDriver.lastCall().backend();
         mDriver.step(
