Move the arrival of requests out of DirectRouting

What happens to a request until its first call (service, origin of a stream that goes on, quarantine, wait, refusal) is a class of its own, Arrivals. No change of behaviour: the seeds of the random choices are as before.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
@@ -14,8 +12,6 @@
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.quarantine.CrashTable;
-import org.laurelweir.quarantine.SuspectKey;
-import org.laurelweir.resumption.StreamOrigin;
 import org.laurelweir.resumption.StreamOrigins;
 import org.laurelweir.waiting.WaitingCounts;
 
@@ -37,7 +33,6 @@
 
     private final BackendSource mBackends;
     private final ServerTable mServers = new ServerTable();
-    private final FleetRetryBudget mBudget;
     private final Attempts mAttempts;
     private final RequestDecisions mDecisions;
     private final WaitingRequests mWaiting;
@@ -53,7 +48,7 @@
     private final OriginRecorder mOriginRecorder;
     private final OriginLookup mOriginLookup;
     private final RequestExplainer mExplainer;
-    private final SplittableRandom mRandom;
+    private final Arrivals mArrivals;
     private final Long2ObjectHashMap<ActiveRequest> mByCaller = new Long2ObjectHashMap<>();
     private Instant mNextScan = Instant.MIN;
     private Instant mNextPrune = Instant.MIN;
@@ -128,9 +123,8 @@
         ContendedCalls contended = new ContendedCalls(backends, mServers, holders, demand);
         ServerChoice choice =
                 new ServerChoice(backends, mServers, loads, slowStarts, contended, seed);
-        mBudget = new FleetRetryBudget(limits, routerCount);
+        FleetRetryBudget budget = new FleetRetryBudget(limits, routerCount);
         mExplainer = new RequestExplainer(backends, mServers, loads, choice, mCrashGuard, demand);
-        mRandom = new SplittableRandom(seed + 1);
         mDecisions = new RequestDecisions();
         mUnconfirmedEnds = new UnconfirmedEnds(backends, mServers, mCrashGuard, mDecisions);
         mInvalidAnswers = new InvalidAnswerCalls(loads, mCrashGuard, mUnconfirmedEnds, mDecisions);
@@ -153,14 +147,19 @@
                         slowStarts,
                         choice,
                         fetchSource,
-                        mBudget,
+                        budget,
                         mCrashGuard,
                         mDecisions,
                         contended,
                         seconds);
         mWaiting =
                 new WaitingRequests(
-                        demand, choice, mDecisions, this::startContended, this::refuse, seed + 3);
+                        demand,
+                        choice,
+                        mDecisions,
+                        r -> arrivals().startContended(r),
+                        (r, message) -> arrivals().refuse(r, message),
+                        seed + 3);
         mErrorAnswers =
                 new ErrorAnswers(
                         choice,
@@ -183,7 +182,26 @@
                         mDecisions);
         StreamOrigins origins = new StreamOrigins(MAX_OWN_ORIGINS);
         mOriginRecorder = new OriginRecorder(backends, origins, mDecisions, this::onWrongVersion);
-        mOriginLookup = new OriginLookup(origins, mDecisions, this::onOrigin);
+        mOriginLookup =
+                new OriginLookup(
+                        origins, mDecisions, (r, origin) -> arrivals().onOrigin(r, origin));
+        mArrivals =
+                new Arrivals(
+                        budget,
+                        mAttempts,
+                        mDecisions,
+                        mCrashGuard,
+                        mErrorAnswers,
+                        mWaiting,
+                        mHedges,
+                        mOriginLookup,
+                        this::end,
+                        seed + 1);
+    }
+
+    /** Returns the arrivals, which refer to classes that call them back. */
+    private Arrivals arrivals() {
+        return mArrivals;
     }
 
     /** Returns whether no request is in flight. */
@@ -212,6 +230,7 @@
         mEffects = effects;
         mAttempts.beginStep(now, effects);
         mWaiting.beginStep(now, effects);
+        mArrivals.beginStep(now, effects);
         mHedges.beginStep(now, effects);
         mErrorAnswers.beginStep(now, effects);
         mInvalidAnswers.beginStep(now, effects);
@@ -265,89 +284,10 @@
     }
 
     private void onArrived(DirectEvent.RequestArrived e) {
-        String service = chooseService(e.request().route());
+        String service = mArrivals.chooseService(e.request().route());
         ActiveRequest r = new ActiveRequest(e.caller(), e.request(), service, mNow);
         mByCaller.put(e.caller(), r);
-        mOriginLookup.onRequest(r.route());
-        if (e.request().resumption().isRequested()) {
-            resume(r);
-        } else {
-            startFirst(r);
-        }
-    }
-
-    private void startFirst(ActiveRequest r) {
-        mBudget.onRequest(r.mService, mNow);
-        mHedges.onRequest(r);
-        Optional<SuspectKey> quarantined = mCrashGuard.findReasonToReject(r, mNow);
-        if (quarantined.isPresent()) {
-            end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
-        } else if (r.mRequest.terms().contended()) {
-            r.mOnTrial = mCrashGuard.isQuarantined(r);
-            mWaiting.startOrWait(r);
-        } else if (!mAttempts.startNext(r)) {
-            refuse(r, WaitingRequests.noRoomMessage(r));
-        }
-    }
-
-    /**
-     * Sends a contended request to its first server, or rejects it if it was quarantined while it
-     * waited.
-     *
-     * @return whether the request no longer waits
-     */
-    private boolean startContended(ActiveRequest r) {
-        Optional<SuspectKey> quarantined =
-                r.mOnTrial ? Optional.empty() : mCrashGuard.findReasonToReject(r, mNow);
-        if (quarantined.isPresent()) {
-            end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
-            return true;
-        }
-        return mAttempts.startNext(r);
-    }
-
-    private void refuse(ActiveRequest r, String message) {
-        end(r, c -> mErrorAnswers.rejected(c, message));
-    }
-
-    /** Handles a request that goes on with a stream which broke off. */
-    private void resume(ActiveRequest r) {
-        emit(mDecisions.resumptionRequested(r, mNow));
-        if (r.route().isRepeatable()) {
-            mOriginLookup.begin(r);
-        } else {
-            end(r, c -> mErrorAnswers.unknownStream(c, "streams of this route can't be resumed"));
-        }
-    }
-
-    /** Sends a request that goes on with a stream to where the stream began. */
-    private void onOrigin(ActiveRequest r, Optional<StreamOrigin> origin) {
-        if (origin.isEmpty()) {
-            String message = "it is not known which version began the stream";
-            end(r, c -> mErrorAnswers.unknownStream(c, message));
-            return;
-        }
-        String service = origin.get().service();
-        if (r.route().shares().stream().noneMatch(s -> s.service().equals(service))) {
-            String message = "the route no longer leads to service " + service;
-            end(r, c -> mErrorAnswers.unknownStream(c, message));
-            return;
-        }
-        r.mService = service;
-        r.mRequiredVersion = origin.get().version();
-        startFirst(r);
-    }
-
-    private String chooseService(Route route) {
-        double sum = route.shares().stream().mapToDouble(s -> s.weight()).sum();
-        double remaining = mRandom.nextDouble() * sum;
-        for (var share : route.shares()) {
-            remaining -= share.weight();
-            if (remaining < 0) {
-                return share.service();
-            }
-        }
-        return route.shares().get(route.shares().size() - 1).service();
+        mArrivals.onArrived(r);
     }
 
     private void onHeadReceived(ActiveRequest r, DirectEvent.HeadReceived e) {
