--- a/org.laurelweir/src/test/java/org/laurelweir/routing/LeavingServerTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/LeavingServerTest.java
@@ -1,106 +1,35 @@
 package org.laurelweir.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.laurelweir.routing.RoutedRequestDriver.backend;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.answer.ServerNotice;
-import org.laurelweir.attempt.AttemptRequest;
-import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.direct.DirectEffect.BeginCall;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.Prompt;
 import org.laurelweir.direct.RetryLimits;
-import org.laurelweir.direct.Route;
-import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.lib.BackendRef;
-import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
-import org.laurelweir.membership.MembershipDelta;
-import org.laurelweir.membership.PlacementRules;
-import org.laurelweir.quarantine.CrashDelta;
-import org.laurelweir.settings.RouteShare;
 
 /** Tests that a backend server which said in an answer that it leaves gets no new request. */
 class LeavingServerTest {
-    private static final String SERVICE = "svc";
     private static final String LEAVING = "s0";
     private static final RetryLimits LIMITS =
             new RetryLimits(0.2, 64, Duration.ofSeconds(10), 1, 1);
-    private static final AnswerMetadata GENUINE =
-            new AnswerMetadata(false, false, true, BodyFraming.LENGTH, Optional.empty());
 
-    private final RouterReducer mRouter =
-            new RouterReducer(new RouterConfig("r", 1, 1, Duration.ofSeconds(1), 16, LIMITS));
     private final List<BeginCall> mCalls = new ArrayList<>();
-    private Instant mNow = Instant.EPOCH;
+    private final RoutedRequestDriver mRouter =
+            new RoutedRequestDriver(
+                    new RouterConfig("r", 1, 1, Duration.ofSeconds(1), 16, LIMITS), mCalls::add);
     private long mLastCaller;
 
-    private static Backend backend(String id, long incarnation, int session) {
-        return new Backend(
-                new BackendRef(id, incarnation),
-                SERVICE,
-                "dc",
-                "rg",
-                id + ":80",
-                Backend.State.SERVING,
-                6,
-                session);
-    }
-
-    private static RoutedRequest request(long number) {
-        Route route =
-                new Route(
-                        "r",
-                        "h",
-                        "/",
-                        List.of(new RouteShare(SERVICE, 1)),
-                        true,
-                        false,
-                        false,
-                        false,
-                        3,
-                        Duration.ofSeconds(1),
-                        Duration.ofMillis(100),
-                        Duration.ofMillis(100),
-                        5);
-        AttemptRequest.Call call =
-                new AttemptRequest.Call("POST", "/x" + number, List.of(), new byte[0], false);
-        return new RoutedRequest(
-                "id" + number, route, "acc", 5, Duration.ofSeconds(1), call, Prompt.NONE);
-    }
-
-    private void step(RouterEvent event) {
-        mRouter.step(
-                mNow,
-                event,
-                e -> {
-                    if (e instanceof RouterEffect.Direct d && d.effect() instanceof BeginCall c) {
-                        mCalls.add(c);
-                    }
-                });
-    }
-
-    private void step(DirectEvent event) {
-        step(new RouterEvent.Direct(event));
-    }
-
     private void receive(String control, boolean full, Backend... backends) {
-        MembershipCursor cursor = new MembershipCursor(control, 1, 1);
-        step(
-                new RouterEvent.ExchangeAnswered(
-                        new MembershipDelta(cursor, full, List.of(backends)),
-                        CrashDelta.NONE,
-                        LoadDigest.NONE,
-                        List.of(),
-                        1,
-                        PlacementRules.NONE));
+        mRouter.receive(new MembershipCursor(control, 1, 1), full, 1, List.of(backends));
     }
 
     private void receiveAll(String control) {
@@ -109,19 +38,19 @@
 
     private void sayLeaving(long incarnation) {
         BackendRef server = new BackendRef(LEAVING, incarnation);
-        step(new DirectEvent.ServerNoticed(server, new ServerNotice(Duration.ZERO, true)));
+        mRouter.step(new DirectEvent.ServerNoticed(server, new ServerNotice(Duration.ZERO, true)));
     }
 
     /** Returns how many of 100 requests, which are answered at once, reach the server. */
     private long requestsToLeavingServer() {
         mCalls.clear();
         for (int i = 0; i < 100; i++) {
-            step(new DirectEvent.RequestArrived(++mLastCaller, request(mLastCaller)));
-            long call = mCalls.get(mCalls.size() - 1).call();
-            step(new DirectEvent.HeadReceived(call, 200, List.of(), GENUINE));
-            step(new DirectEvent.Finished(call));
-            mNow = mNow.plusMillis(10);
-            step(new RouterEvent.Tick());
+            long caller = ++mLastCaller;
+            mRouter.step(
+                    new DirectEvent.RequestArrived(
+                            caller, RoutedRequestDriver.request(caller, true, Prompt.NONE)));
+            mRouter.answer(mCalls.get(mCalls.size() - 1), 200, false);
+            mRouter.advance(Duration.ofMillis(10));
         }
         return mCalls.stream().filter(c -> c.backend().id().equals(LEAVING)).count();
     }
@@ -153,8 +82,7 @@
         sayLeaving(0);
         receive("started anew", true, backend("s1", 0, 1), backend("s2", 0, 1));
         assertThat(requestsToLeavingServer()).isZero();
-        mNow = mNow.plusSeconds(20);
-        step(new RouterEvent.Tick());
+        mRouter.advance(Duration.ofSeconds(20));
         receive("c", false, backend(LEAVING, 0, 3));
         assertThat(requestsToLeavingServer()).isZero();
     }
--- a/org.laurelweir/src/test/java/org/laurelweir/routing/ServerNoticePropertyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/routing/ServerNoticePropertyTest.java
@@ -9,38 +9,27 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.answer.ServerNotice;
-import org.laurelweir.attempt.AttemptRequest;
 import org.laurelweir.direct.AnswerLimits;
-import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.direct.DirectEffect.BeginCall;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.Prompt;
 import org.laurelweir.direct.RequestTerms;
 import org.laurelweir.direct.RetryLimits;
-import org.laurelweir.direct.Route;
 import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.lib.BackendRef;
-import org.laurelweir.load.LoadDigest;
 import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
-import org.laurelweir.membership.MembershipDelta;
-import org.laurelweir.membership.PlacementRules;
-import org.laurelweir.quarantine.CrashDelta;
-import org.laurelweir.settings.RouteShare;
 
 /**
  * Tests in any order of events that a router obeys servers which ask for backoff or say that they
  * leave: first calls, retries, copies, restarts of servers, and control instances that forget them.
  */
 class ServerNoticePropertyTest {
-    private static final String SERVICE = "svc";
     private static final int SERVERS = 5;
     private static final int EVENTS = 600;
     private static final Duration SECOND = Duration.ofSeconds(1);
@@ -61,13 +50,12 @@
     /** One router with servers of one service, and what the servers have said. */
     private static final class Run {
         private final SplittableRandom mRandom;
-        private final RouterReducer mRouter;
+        private final RoutedRequestDriver mRouter;
         private final Map<BackendRef, Instant> mBackoffEnds = new HashMap<>();
         private final Set<BackendRef> mLeaving = new HashSet<>();
         private final Set<String> mCalled = new HashSet<>();
         private final List<BeginCall> mOpen = new ArrayList<>();
         private final long[] mIncarnations = new long[SERVERS];
-        private Instant mNow = Instant.EPOCH;
         private int mSession;
         private int mControl;
         private long mLastCaller;
@@ -75,31 +63,16 @@
         Run(long seed) {
             mRandom = new SplittableRandom(seed);
             mRouter =
-                    new RouterReducer(
+                    new RoutedRequestDriver(
                             new RouterConfig(
-                                    "r", 1, seed, SECOND, 16, LIMITS, AnswerLimits.DEFAULT, 0.5));
-        }
-
-        private void step(RouterEvent event) {
-            mRouter.step(
-                    mNow,
-                    event,
-                    e -> {
-                        if (e instanceof RouterEffect.Direct d
-                                && d.effect() instanceof BeginCall c) {
-                            onCall(c);
-                        }
-                    });
-        }
-
-        private void step(DirectEvent event) {
-            step(new RouterEvent.Direct(event));
+                                    "r", 1, seed, SECOND, 16, LIMITS, AnswerLimits.DEFAULT, 0.5),
+                            this::onCall);
         }
 
         private void onCall(BeginCall call) {
             BackendRef server = call.backend();
             Instant end = mBackoffEnds.getOrDefault(server, Instant.MIN);
-            assertThat(mNow).as("call to %s", server).isAfterOrEqualTo(end);
+            assertThat(mRouter.now()).as("call to %s", server).isAfterOrEqualTo(end);
             assertThat(mLeaving).doesNotContain(server);
             mOpen.add(call);
             mCalled.add(server.id());
@@ -114,7 +87,7 @@
                     endCall(mOpen.remove(mRandom.nextInt(mOpen.size())));
                 }
             } else if (action < 94) {
-                advance(Duration.ofMillis(1 + mRandom.nextInt(150)));
+                mRouter.advance(Duration.ofMillis(1 + mRandom.nextInt(150)));
             } else if (action < 96) {
                 mIncarnations[mRandom.nextInt(SERVERS)]++;
                 receiveAll();
@@ -123,35 +96,12 @@
             }
         }
 
-        private void advance(Duration time) {
-            mNow = mNow.plus(time);
-            step(new RouterEvent.Tick());
-        }
-
         private void arrive() {
-            Route route =
-                    new Route(
-                            "r",
-                            "h",
-                            "/",
-                            List.of(new RouteShare(SERVICE, 1)),
-                            mRandom.nextBoolean(),
-                            false,
-                            false,
-                            false,
-                            3,
-                            SECOND,
-                            Duration.ofMillis(100),
-                            Duration.ofMillis(100),
-                            5);
             long caller = ++mLastCaller;
-            AttemptRequest.Call call =
-                    new AttemptRequest.Call("POST", "/x" + caller, List.of(), new byte[0], false);
+            boolean idempotent = mRandom.nextBoolean();
             RequestTerms terms = new RequestTerms(mRandom.nextBoolean(), 1, 0, Map.of());
-            RoutedRequest request =
-                    new RoutedRequest("id" + caller, route, "acc", 5, SECOND, call, prompt())
-                            .withTerms(terms);
-            step(new DirectEvent.RequestArrived(caller, request));
+            RoutedRequest request = RoutedRequestDriver.request(caller, idempotent, prompt());
+            mRouter.step(new DirectEvent.RequestArrived(caller, request.withTerms(terms)));
         }
 
         private Prompt prompt() {
@@ -170,18 +120,16 @@
             if (how < 3) {
                 Duration backoff = Duration.ofMillis(50 + mRandom.nextInt(4000));
                 notice(call.backend(), new ServerNotice(backoff, false));
-                answer(call, 503, mRandom.nextInt(4) > 0);
+                mRouter.answer(call, 503, mRandom.nextInt(4) > 0);
             } else if (how < 4) {
                 if (mRandom.nextInt(8) == 0) {
                     notice(call.backend(), new ServerNotice(Duration.ZERO, true));
                 }
-                answer(call, 200, false);
+                mRouter.answer(call, 200, false);
             } else if (how < 5) {
-                step(
-                        new DirectEvent.Failed(
-                                call.call(), DirectEvent.Failure.CONNECTION_LOST, "reset"));
+                mRouter.loseConnection(call);
             } else {
-                answer(call, 200, false);
+                mRouter.answer(call, 200, false);
             }
         }
 
@@ -189,21 +137,15 @@
             if (notice.leaving()) {
                 mLeaving.add(server);
             }
-            mBackoffEnds.merge(server, mNow.plus(notice.backoff()), (a, b) -> a.isAfter(b) ? a : b);
-            step(new DirectEvent.ServerNoticed(server, notice));
-        }
-
-        private void answer(BeginCall call, int status, boolean notRun) {
-            AnswerMetadata metadata =
-                    new AnswerMetadata(notRun, false, true, BodyFraming.LENGTH, Optional.empty());
-            step(new DirectEvent.HeadReceived(call.call(), status, List.of(), metadata));
-            step(new DirectEvent.Finished(call.call()));
+            mBackoffEnds.merge(
+                    server, mRouter.now().plus(notice.backoff()), (a, b) -> a.isAfter(b) ? a : b);
+            mRouter.step(new DirectEvent.ServerNoticed(server, notice));
         }
 
         /** Answers all calls; waiting requests that start then are answered too. */
         private void answerOpenCalls() {
             while (!mOpen.isEmpty()) {
-                answer(mOpen.remove(0), 200, false);
+                mRouter.answer(mOpen.remove(0), 200, false);
             }
         }
 
@@ -221,26 +163,11 @@
                 }
             }
             MembershipCursor cursor = new MembershipCursor("c" + mControl++ % 3, mSession, 1);
-            step(
-                    new RouterEvent.ExchangeAnswered(
-                            new MembershipDelta(cursor, true, named),
-                            CrashDelta.NONE,
-                            LoadDigest.NONE,
-                            List.of(),
-                            1,
-                            PlacementRules.NONE));
+            mRouter.receive(cursor, true, 1, named);
         }
 
         private Backend backend(int number) {
-            return new Backend(
-                    new BackendRef("s" + number, mIncarnations[number]),
-                    SERVICE,
-                    "dc",
-                    "rg",
-                    "s" + number + ":80",
-                    Backend.State.SERVING,
-                    6,
-                    mSession);
+            return RoutedRequestDriver.backend("s" + number, mIncarnations[number], mSession);
         }
 
         /** Checks that backoffs end, and that servers which started anew are used. */
@@ -252,12 +179,12 @@
             }
             answerOpenCalls();
             receiveAll();
-            advance(Duration.ofSeconds(20));
+            mRouter.advance(Duration.ofSeconds(20));
             mCalled.clear();
             for (int i = 0; i < 300; i++) {
                 arrive();
                 answerOpenCalls();
-                advance(Duration.ofMillis(10));
+                mRouter.advance(Duration.ofMillis(10));
             }
             assertThat(mCalled).hasSize(SERVERS);
         }
