Move the handling of answers out of DirectRouting

DirectRouting was 583 lines: it dispatches events, checks times and ends requests, and handled answers besides. Answers has the latter now, and RequestEnds is what both it and Arrivals need of it. 413 lines are left. No change of behaviour.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Arrivals.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Arrivals.java
@@ -20,16 +20,11 @@
     private final WaitingRequests mWaiting;
     private final Hedges mHedges;
     private final OriginLookup mOriginLookup;
-    private final RequestEnd mRequestEnd;
+    private final RequestEnds mEnds;
     private final SplittableRandom mRandom;
     private Instant mNow;
     private Consumer<? super DirectEffect> mEffects;
 
-    /** Ends a request with an error answer. */
-    interface RequestEnd {
-        void end(ActiveRequest r, Consumer<ActiveRequest> errorAnswer);
-    }
-
     Arrivals(
             FleetRetryBudget budget,
             Attempts attempts,
@@ -39,7 +34,7 @@
             WaitingRequests waiting,
             Hedges hedges,
             OriginLookup originLookup,
-            RequestEnd requestEnd,
+            RequestEnds ends,
             long seed) {
         mBudget = budget;
         mAttempts = attempts;
@@ -49,7 +44,7 @@
         mWaiting = waiting;
         mHedges = hedges;
         mOriginLookup = originLookup;
-        mRequestEnd = requestEnd;
+        mEnds = ends;
         mRandom = new SplittableRandom(seed);
     }
 
@@ -87,7 +82,7 @@
         mHedges.onRequest(r);
         Optional<SuspectKey> quarantined = mCrashGuard.findReasonToReject(r, mNow);
         if (quarantined.isPresent()) {
-            mRequestEnd.end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
+            mEnds.end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
         } else if (r.mRequest.terms().contended()) {
             r.mOnTrial = mCrashGuard.isQuarantined(r);
             mWaiting.startOrWait(r);
@@ -106,7 +101,7 @@
         Optional<SuspectKey> quarantined =
                 r.mOnTrial ? Optional.empty() : mCrashGuard.findReasonToReject(r, mNow);
         if (quarantined.isPresent()) {
-            mRequestEnd.end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
+            mEnds.end(r, c -> mErrorAnswers.quarantined(c, quarantined.get()));
             return true;
         }
         return mAttempts.startNext(r);
@@ -114,7 +109,7 @@
 
     /** Refuses a request that was not sent to any server. */
     void refuse(ActiveRequest r, String message) {
-        mRequestEnd.end(r, c -> mErrorAnswers.rejected(c, message));
+        mEnds.end(r, c -> mErrorAnswers.rejected(c, message));
     }
 
     /** Handles a request that goes on with a stream which broke off. */
@@ -124,7 +119,7 @@
             mOriginLookup.begin(r);
         } else {
             String message = "streams of this route can't be resumed";
-            mRequestEnd.end(r, c -> mErrorAnswers.unknownStream(c, message));
+            mEnds.end(r, c -> mErrorAnswers.unknownStream(c, message));
         }
     }
 
@@ -132,13 +127,13 @@
     void onOrigin(ActiveRequest r, Optional<StreamOrigin> origin) {
         if (origin.isEmpty()) {
             String message = "it is not known which version began the stream";
-            mRequestEnd.end(r, c -> mErrorAnswers.unknownStream(c, message));
+            mEnds.end(r, c -> mErrorAnswers.unknownStream(c, message));
             return;
         }
         String service = origin.get().service();
         if (r.route().shares().stream().noneMatch(s -> s.service().equals(service))) {
             String message = "the route no longer leads to service " + service;
-            mRequestEnd.end(r, c -> mErrorAnswers.unknownStream(c, message));
+            mEnds.end(r, c -> mErrorAnswers.unknownStream(c, message));
             return;
         }
         r.mService = service;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
-import org.laurelweir.answer.BodyFraming;
 import org.laurelweir.contention.FleetDemand;
 import org.laurelweir.hedging.HedgeCounts;
 import org.laurelweir.lib.Reducer;
@@ -49,6 +48,7 @@
     private final OriginLookup mOriginLookup;
     private final RequestExplainer mExplainer;
     private final Arrivals mArrivals;
+    private final Answers mAnswers;
     private final Long2ObjectHashMap<ActiveRequest> mByCaller = new Long2ObjectHashMap<>();
     private Instant mNextScan = Instant.MIN;
     private Instant mNextPrune = Instant.MIN;
@@ -185,6 +185,18 @@
         mOriginLookup =
                 new OriginLookup(
                         origins, mDecisions, (r, origin) -> arrivals().onOrigin(r, origin));
+        RequestEnds ends =
+                new RequestEnds() {
+                    @Override
+                    public void end(ActiveRequest r, Consumer<ActiveRequest> errorAnswer) {
+                        DirectRouting.this.end(r, errorAnswer);
+                    }
+
+                    @Override
+                    public void remove(ActiveRequest r) {
+                        DirectRouting.this.remove(r);
+                    }
+                };
         mArrivals =
                 new Arrivals(
                         budget,
@@ -195,8 +207,20 @@
                         mWaiting,
                         mHedges,
                         mOriginLookup,
-                        this::end,
+                        ends,
                         seed + 1);
+        mAnswers =
+                new Answers(
+                        mAttempts,
+                        mDecisions,
+                        mOutcomes,
+                        mErrorAnswers,
+                        mCrashGuard,
+                        mInvalidAnswers,
+                        mHedges,
+                        mAnswerMemory,
+                        mOriginRecorder,
+                        ends);
     }
 
     /** Returns the arrivals, which refer to classes that call them back. */
@@ -231,6 +255,7 @@
         mAttempts.beginStep(now, effects);
         mWaiting.beginStep(now, effects);
         mArrivals.beginStep(now, effects);
+        mAnswers.beginStep(now, effects);
         mHedges.beginStep(now, effects);
         mErrorAnswers.beginStep(now, effects);
         mInvalidAnswers.beginStep(now, effects);
@@ -251,16 +276,16 @@
             mNotices.onNoticed(e);
         } else if (event instanceof DirectEvent.HeadReceived e) {
             mHedges.onHead(e);
-            withRequest(mAttempts.requestOf(e.call()), r -> onHeadReceived(r, e));
+            withRequest(mAttempts.requestOf(e.call()), r -> mAnswers.onHeadReceived(r, e));
         } else if (event instanceof DirectEvent.DataReceived e) {
-            withRequest(mAttempts.requestOf(e.call()), r -> onDataReceived(r, e.bytes()));
+            withRequest(mAttempts.requestOf(e.call()), r -> mAnswers.onDataReceived(r, e.bytes()));
         } else if (event instanceof DirectEvent.Finished e) {
             mInvalidAnswers.onFinished(e.call());
-            withRequest(mAttempts.requestOf(e.call()), this::onFinished);
+            withRequest(mAttempts.requestOf(e.call()), mAnswers::onFinished);
         } else if (event instanceof DirectEvent.Failed e) {
             mInvalidAnswers.onFailed(e.call(), e.failure());
             mHedges.onFailed(e);
-            withRequest(mAttempts.requestOf(e.call()), r -> onFailed(r, e));
+            withRequest(mAttempts.requestOf(e.call()), r -> mAnswers.onFailed(r, e));
         } else if (event instanceof DirectEvent.BackendChecked e) {
             mUnconfirmedEnds.onChecked(e.check(), e.result());
         } else if (event instanceof DirectEvent.StreamRecorded e) {
@@ -290,105 +315,6 @@
         mArrivals.onArrived(r);
     }
 
-    private void onHeadReceived(ActiveRequest r, DirectEvent.HeadReceived e) {
-        r.mLastActivity = mNow;
-        e.metadata().load().ifPresent(l -> mOutcomes.onReportedLoad(r.mBackend, l));
-        if (e.metadata().notRun()) {
-            onNotRun(r, e);
-            return;
-        }
-        if (!e.metadata().genuine()) {
-            onInvalidAnswer(r, e.metadata().framing());
-            return;
-        }
-        mOutcomes.onHead(r);
-        r.acceptHead(e.status(), e.headers(), e.metadata().framing());
-        if (AnswerStatus.isFailure(e.status())) {
-            onFailureStatus(r);
-        } else {
-            mHedges.onFirstAnswered(r);
-            mOutcomes.onPromptRead(r);
-            beginStream(r);
-        }
-    }
-
-    /**
-     * Handles an answer that does not belong to the request. Its server may be about to crash under
-     * the request. The call stays open to find out, and until then at most one more server gets the
-     * request.
-     */
-    private void onInvalidAnswer(ActiveRequest r, BodyFraming framing) {
-        boolean mayRetry = !mInvalidAnswers.isWatched(r) && !mCrashGuard.isSuspect(r);
-        long call = r.mCall;
-        mAttempts.end(r);
-        mInvalidAnswers.watch(r, call, r.mBackend, framing);
-        mOutcomes.onFailure(r);
-        onUnknownOutcome(r, mayRetry, "the answer belongs to another request, or to none");
-    }
-
-    private void beginStream(ActiveRequest r) {
-        if (!r.isStreaming() || r.mHeadSent) {
-            return;
-        }
-        r.mHeadSent = true;
-        if (!r.mDetached) {
-            emit(new DirectEffect.AnswerHead(r.mCaller, r.mStatus, r.mHeaders));
-        }
-    }
-
-    /**
-     * Handles the status of a failure: the server ran the request, or may have. A repeatable
-     * request is sent to another server. If none accepts it, the answer is forwarded at its end
-     * unless {@link AnswerStatus} forbids that.
-     */
-    private void onFailureStatus(ActiveRequest r) {
-        mOutcomes.onFailure(r);
-        r.mMayHaveRun = true;
-        if (r.isRepeatable()) {
-            mAttempts.switchServer(r);
-        }
-    }
-
-    /** Handles the statement of a server that it did not run the request and will not. */
-    private void onNotRun(ActiveRequest r, DirectEvent.HeadReceived e) {
-        mOutcomes.onNotRun(r.mBackend, e.metadata().misdirected());
-        emit(mDecisions.withReason(r, "not_run_" + e.status(), mNow));
-        mAttempts.cancel(r);
-        r.mMisdirected = e.metadata().misdirected();
-        if (r.mMisdirected) {
-            // It is no attempt at the intended server, so the route's limit does not end it.
-            r.mAttemptCount--;
-            r.mMisdirectedCount++;
-        }
-        if (!mAttempts.startNext(r)) {
-            end(r, c -> mErrorAnswers.noServerAccepts(c, "no backend server accepted the request"));
-        }
-    }
-
-    private void onDataReceived(ActiveRequest r, byte[] bytes) {
-        r.mLastActivity = mNow;
-        if (r.isStreaming()) {
-            byte[] events = r.mFramer.add(bytes);
-            if (events.length > 0) {
-                mOriginRecorder.forward(r, events);
-            }
-        } else {
-            r.mBody.writeBytes(bytes);
-        }
-        mOutcomes.onData(r);
-        mAnswerMemory.onGrown(r).ifPresent(e -> onTooLarge(e.request(), e.message()));
-    }
-
-    /** Ends the call of an answer that exceeds a limit, as one that is no valid answer. */
-    private void onTooLarge(ActiveRequest r, String message) {
-        mAnswerMemory.onEnded(r);
-        mOriginRecorder.release(r);
-        mAttempts.cancel(r);
-        r.dropAnswer();
-        mOutcomes.onFailure(r);
-        onUnknownOutcome(r, true, message);
-    }
-
     private void onCallerBlocked(ActiveRequest r, boolean blocked) {
         r.mCallerBlocked = blocked;
         r.mLastActivity = mNow;
@@ -397,100 +323,6 @@
         }
     }
 
-    private void onFinished(ActiveRequest r) {
-        if (r.isBrokenOff()) {
-            onBrokenOff(r);
-            return;
-        }
-        if (!mOriginRecorder.release(r)) {
-            onWrongVersion(r);
-            return;
-        }
-        mAttempts.end(r);
-        if (r.isStreaming()) {
-            byte[] rest = r.mFramer.takeIncomplete();
-            if (rest.length > 0) {
-                emitUnlessDetached(r, new DirectEffect.AnswerData(r.mCaller, rest));
-            }
-            emitUnlessDetached(r, new DirectEffect.AnswerEnd(r.mCaller));
-        } else if (r.mHeadSent) {
-            end(r, c -> mErrorAnswers.failed(c, "the stream could not be resumed"));
-            return;
-        } else if (AnswerStatus.promisesNotRun(r.mStatus)) {
-            end(r, c -> mErrorAnswers.failed(c, AnswerStatus.unprovenMessage(c.mStatus)));
-            return;
-        } else {
-            emitUnlessDetached(
-                    r,
-                    new DirectEffect.AnswerComplete(
-                            r.mCaller, r.mStatus, r.mHeaders, r.mBody.toByteArray()));
-        }
-        emit(mDecisions.answered(r, mNow));
-        if (!AnswerStatus.isFailure(r.mStatus)) {
-            mOutcomes.onSuccess(r);
-        }
-        remove(r);
-    }
-
-    private void emitUnlessDetached(ActiveRequest r, DirectEffect effect) {
-        if (!r.mDetached) {
-            emit(effect);
-        }
-    }
-
-    /**
-     * Handles an answer that ended by the rules of HTTP and lacks a part. If its connection ended
-     * it, the server may have crashed, as with any connection that is lost within an answer.
-     */
-    private void onBrokenOff(ActiveRequest r) {
-        DirectEvent.Failure failure =
-                r.mFraming.provesEnd()
-                        ? DirectEvent.Failure.INCOMPLETE
-                        : DirectEvent.Failure.CONNECTION_LOST;
-        String how = r.mFraming.provesEnd() ? "told by the server" : "by its connection";
-        String message = "the answer ended within its content, " + how;
-        onFailed(r, new DirectEvent.Failed(r.mCall, failure, message));
-    }
-
-    private void onFailed(ActiveRequest r, DirectEvent.Failed e) {
-        mOriginRecorder.release(r);
-        mAttempts.end(r);
-        if (e.failure().isPossiblySent()) {
-            mOutcomes.onFailure(r);
-            boolean connectionLost = e.failure() == DirectEvent.Failure.CONNECTION_LOST;
-            onUnknownOutcome(
-                    r,
-                    !connectionLost || mCrashGuard.onConnectionLost(r, r.mBackend, mNow),
-                    e.message());
-            return;
-        }
-        boolean isWithheld = e.failure() == DirectEvent.Failure.WITHHELD;
-        if (!isWithheld) {
-            mOutcomes.onUnreachable(r);
-        }
-        // The request never reached the server and does not count as an attempt.
-        r.mAttemptCount--;
-        emit(mDecisions.withReason(r, isWithheld ? "withheld" : "not_sent", mNow));
-        if (!mAttempts.startNext(r)) {
-            end(r, c -> mErrorAnswers.noServerAccepts(c, e.message()));
-        }
-    }
-
-    /**
-     * Handles a call after which the server may have run the request. Only a repeatable request is
-     * sent to another server.
-     *
-     * @param mayRetry whether the crash guard permits a retry; the route has to permit it too
-     */
-    private void onUnknownOutcome(ActiveRequest r, boolean mayRetry, String message) {
-        r.mMayHaveRun = true;
-        emit(mDecisions.outcomeUnknown(r, message, mNow));
-        if (mayRetry && r.isRepeatable() && mAttempts.startNext(r)) {
-            return;
-        }
-        end(r, c -> mErrorAnswers.failed(c, message));
-    }
-
     private void remove(ActiveRequest r) {
         mByCaller.remove(r.mCaller);
         mHedges.onEnded(r);
@@ -545,11 +377,9 @@
 
     /** Handles a stream that goes on at another version than the one that began it. */
     private void onWrongVersion(ActiveRequest r) {
-        if (mByCaller.get(r.mCaller) != r) {
-            return;
+        if (mByCaller.get(r.mCaller) == r) {
+            mAnswers.onWrongVersion(r);
         }
-        mAttempts.cancel(r);
-        end(r, c -> mErrorAnswers.failed(c, "the backend server may have another version now"));
     }
 
     private void checkTimeouts(ActiveRequest r) {
