--- a/org.laurelweir/src/main/java/org/laurelweir/direct/OriginRecorder.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/OriginRecorder.java
@@ -67,7 +67,8 @@
 
     /** Forwards complete events of a stream, the first ones of a call once they are confirmed. */
     void forward(ActiveRequest r, byte[] events) {
-        if (r.mRequiredVersion == null) {
+        // Blocks of comments only are of no version.
+        if (r.mRequiredVersion == null && r.mFramer.eventCount() > 0) {
             r.mRequiredVersion = r.mCallVersion;
             r.mOriginCall = r.mCall;
         }
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ResumptionTest.java
@@ -385,4 +385,22 @@
         assertThat(mDriver.last(AnswerError.class).retryAfter())
                 .isGreaterThanOrEqualTo(Duration.ofSeconds(3));
     }
+
+    /** Guards against a stream that is refused although nothing of any version was forwarded. */
+    @Test
+    void streamWithoutAnEventGoesToAnyVersion() {
+        begin(1, RESUMABLE);
+        String first = lastCalledVersion();
+        receive(": no event yet\n\n");
+        for (int i = 0; i < 3; i++) {
+            mDriver.leave((first.equals("v1") ? "a" : "b") + i);
+        }
+        fail();
+        assertThat(mDriver.callCount()).isEqualTo(2);
+        assertThat(lastCalledVersion()).isNotEqualTo(first);
+        mDriver.answer(mDriver.lastCall().call(), 200, GENUINE);
+        receive(FIRST_EVENT);
+        assertThat(mDriver.last(RecordStream.class).origin())
+                .isEqualTo(new StreamOrigin(SERVICE, lastCalledVersion()));
+    }
 }
