--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
@@ -11,6 +12,7 @@
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.load.LoadEstimator;
 import org.laurelweir.quarantine.CrashTable;
+import org.laurelweir.resumption.StreamOrigin;
 import org.laurelweir.resumption.StreamOrigins;
 import org.laurelweir.waiting.WaitingCounts;
 
@@ -152,14 +154,7 @@
                         mDecisions,
                         contended,
                         seconds);
-        mWaiting =
-                new WaitingRequests(
-                        demand,
-                        choice,
-                        mDecisions,
-                        r -> arrivals().startContended(r),
-                        (r, message) -> arrivals().refuse(r, message),
-                        seed + 3);
+        mWaiting = waitingRequests(demand, choice, seed + 3);
         mErrorAnswers =
                 new ErrorAnswers(
                         choice,
@@ -182,50 +177,67 @@
                         mDecisions);
         StreamOrigins origins = new StreamOrigins(MAX_OWN_ORIGINS);
         mOriginRecorder = new OriginRecorder(backends, origins, mDecisions, this::onWrongVersion);
-        mOriginLookup =
-                new OriginLookup(
-                        origins, mDecisions, (r, origin) -> arrivals().onOrigin(r, origin));
-        RequestEnds ends =
-                new RequestEnds() {
-                    @Override
-                    public void end(ActiveRequest r, Consumer<ActiveRequest> errorAnswer) {
-                        DirectRouting.this.end(r, errorAnswer);
-                    }
+        mOriginLookup = new OriginLookup(origins, mDecisions, this::onOrigin);
+        RequestEnds ends = requestEnds();
+        mArrivals = arrivals(budget, ends, seed + 1);
+        mAnswers = answers(ends);
+    }
 
-                    @Override
-                    public void remove(ActiveRequest r) {
-                        DirectRouting.this.remove(r);
-                    }
-                };
-        mArrivals =
-                new Arrivals(
-                        budget,
-                        mAttempts,
-                        mDecisions,
-                        mCrashGuard,
-                        mErrorAnswers,
-                        mWaiting,
-                        mHedges,
-                        mOriginLookup,
-                        ends,
-                        seed + 1);
-        mAnswers =
-                new Answers(
-                        mAttempts,
-                        mDecisions,
-                        mOutcomes,
-                        mErrorAnswers,
-                        mCrashGuard,
-                        mInvalidAnswers,
-                        mHedges,
-                        mAnswerMemory,
-                        mOriginRecorder,
-                        ends);
+    /** Creates the waiting requests. They call the arrivals, which are created after them. */
+    private WaitingRequests waitingRequests(FleetDemand demand, ServerChoice choice, long seed) {
+        return new WaitingRequests(
+                demand,
+                choice,
+                mDecisions,
+                r -> mArrivals.startContended(r),
+                (r, message) -> mArrivals.refuse(r, message),
+                seed);
+    }
+
+    private Arrivals arrivals(FleetRetryBudget budget, RequestEnds ends, long seed) {
+        return new Arrivals(
+                budget,
+                mAttempts,
+                mDecisions,
+                mCrashGuard,
+                mErrorAnswers,
+                mWaiting,
+                mHedges,
+                mOriginLookup,
+                ends,
+                seed);
+    }
+
+    private Answers answers(RequestEnds ends) {
+        return new Answers(
+                mAttempts,
+                mDecisions,
+                mOutcomes,
+                mErrorAnswers,
+                mCrashGuard,
+                mInvalidAnswers,
+                mHedges,
+                mAnswerMemory,
+                mOriginRecorder,
+                ends);
+    }
+
+    private RequestEnds requestEnds() {
+        return new RequestEnds() {
+            @Override
+            public void end(ActiveRequest r, Consumer<ActiveRequest> errorAnswer) {
+                DirectRouting.this.end(r, errorAnswer);
+            }
+
+            @Override
+            public void remove(ActiveRequest r) {
+                DirectRouting.this.remove(r);
+            }
+        };
     }
 
-    /** Returns the arrivals, which refer to classes that call them back. */
-    private Arrivals arrivals() {
-        return mArrivals;
+    private void onOrigin(ActiveRequest r, Optional<StreamOrigin> origin) {
+        mArrivals.onOrigin(r, origin);
     }
 
     /** Returns whether no request is in flight. */
