Neither log nor count a backoff that an earlier run of a server asked for

Found when the whole change was read again. A late answer of an earlier run changes nothing, as it should, but the router wrote a line BACKOFF for each one, and counted it, so that its log said of the server started anew what does not hold.

Change: ServerTable tells whether it took the word; a word that it did not take leaves no line and no count. The line above one test named a case that the test does not have; its assertions are as before.

Measured: ServerBackoffTest.lateWordOfAnEarlierRunIsIgnored, with two more assertions, failed without the change and passes; 22 related tests pass.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeHandler.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/NoticeHandler.java
@@ -55,10 +55,12 @@
     }
 
     private void onBackoff(BackendRef server, Duration backoff) {
-        mCounts.onBackoff();
         Instant before = mServers.backoffEnd(server, mNow).orElse(mNow);
         Instant end = mNow.plus(backoff);
-        mServers.onBackoff(server, end);
+        if (!mServers.onBackoff(server, end)) {
+            return;
+        }
+        mCounts.onBackoff();
         if (!end.isBefore(before.plus(MIN_LOGGED_EXTENSION)) || before.equals(mNow)) {
             log(server, "BACKOFF", "asked for " + backoff.toMillis() + " ms without requests");
         }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -83,13 +83,19 @@
         return a.isAfter(b) ? a : b;
     }
 
-    /** Records that a server wants no request until a time. A backoff that ends later remains. */
-    void onBackoff(BackendRef ref, Instant end) {
+    /**
+     * Records that a server wants no request until a time. A backoff that ends later remains.
+     *
+     * @return whether it was recorded; false if an earlier incarnation of the server asked for it
+     */
+    boolean onBackoff(BackendRef ref, Instant end) {
+        if (!isLatest(ref)) {
+            return false;
+        }
         Server s = server(ref);
         s.mBackoffEnd = later(s.mBackoffEnd, end);
-        if (isLatest(ref)) {
-            mInBackoff.put(ref.id(), s);
-        }
+        mInBackoff.put(ref.id(), s);
+        return true;
     }
 
     /** Returns when the backoff of a server ends, or empty if it is not in backoff. */
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/ServerBackoffTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/ServerBackoffTest.java
@@ -10,6 +10,7 @@
 import org.laurelweir.answer.ServerNotice;
 import org.laurelweir.direct.DirectEffect.AnswerError;
 import org.laurelweir.direct.DirectEffect.BeginCall;
+import org.laurelweir.direct.DirectEffect.LogDecision;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
 
@@ -81,7 +82,7 @@
         assertThat(callsToTheServer()).isZero();
     }
 
-    /** Guards against a backoff that a later and shorter one, or a mere refusal, ends too early. */
+    /** Guards against a backoff that a later and shorter one ends too early. */
     @Test
     void longerBackoffRemainsAfterAShorterOne() {
         askForBackoff(BACKOFF);
@@ -109,6 +110,9 @@
         long before = callsToTheServer();
         serveFor(Duration.ofSeconds(1), IDEMPOTENT);
         assertThat(callsToTheServer()).isGreaterThan(before);
+        assertThat(mDriver.mRouting.noticeCounts().backoffs()).isZero();
+        assertThat(mDriver.all(LogDecision.class))
+                .noneMatch(l -> l.decision().choice().equals("BACKOFF"));
     }
 
     /** Guards against a backoff that is forgotten while control does not name the server. */
