review: 3, DRAIN broken by a late report after the core was killed

Seen: a worker's departure is acknowledged. All processes of the core machines are killed and are back. A status report that the worker had sent before it left arrives 4.4 s late and is accepted: 31 and 44 requests reach the worker later than drain_ms after the ack, from machines in touch. At fault: departures live in the memory of the control instances and routers only (SharedMembership, DirectAnnouncements), although they are acknowledged.

--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -97,13 +97,16 @@
 
     /** Sends one status report to a control instance. */
     public HttpResponse<String> report(int control, String newState) {
-        String body =
-                String.format(
+        return mFleet.call(control, "PUT", "/-/instances/" + id, reportBody(newState));
+    }
+
+    /** Returns the body of the next status report. */
+    public String reportBody(String newState) {
+        return String.format(
                         Locale.ROOT,
                         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
                                 + "\"slots\":%d,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":%d}",
                         service, address(), mZone, mSlots, newState, mSeq.incrementAndGet());
-        return mFleet.call(control, "PUT", "/-/instances/" + id, body);
     }
 
     private static void sleep(long ms) {
