review: 3, ORDER broken by a worker that returns as another version (known entry)

Seen: the last worker of version v1 crashes and returns under its id as v2; its first status report is 2 s late. 11 of 60 streams that clients take up meanwhile hold events of both versions; two are allowed. At fault: a router takes the announcement of the earlier run for the run that answers, although it has seen the connections of that run end (CandidateFilter, CandidateFinder, OriginRecorder).

--- a/review/standins/review/Http.java
+++ b/review/standins/review/Http.java
@@ -59,7 +59,10 @@
     }
 
     private static byte[] readChunks(InputStream in) throws IOException {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        return readChunks(in, new ByteArrayOutputStream());
+    }
+
+    private static byte[] readChunks(InputStream in, ByteArrayOutputStream body) throws IOException {
         while (true) {
             String size = readLine(in);
             if (size == null) {
@@ -110,9 +113,10 @@
         }
         int status = Integer.parseInt(line.split(" ")[1]);
         Map<String, String> headers = readHeaders(in);
+        ByteArrayOutputStream chunks = new ByteArrayOutputStream();
         try {
             if (headers.getOrDefault("transfer-encoding", "").contains("chunked")) {
-                return new Answer(status, headers, readChunks(in), true);
+                return new Answer(status, headers, readChunks(in, chunks), true);
             }
             if (headers.containsKey("content-length")) {
                 int n = Integer.parseInt(headers.get("content-length"));
@@ -121,7 +125,7 @@
             }
             return new Answer(status, headers, in.readAllBytes(), true);
         } catch (EOFException e) {
-            return new Answer(status, headers, new byte[0], false);
+            return new Answer(status, headers, chunks.toByteArray(), false);
         }
     }
 
--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -17,6 +17,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -49,7 +51,19 @@
     public volatile boolean beating = true;
     public volatile String state = "ready";
     private final Fleet mFleet;
-    private final ServerSocket mSocket;
+    private volatile ServerSocket mSocket;
+    private final int mPort;
+    private final Set<Socket> mChannels = ConcurrentHashMap.newKeySet();
+    private volatile boolean mDown;
+
+    /** The version of the worker's software. */
+    public volatile String version = "v1";
+
+    /** The time of the worker's start in Unix ms, or 0 if it does not tell it. */
+    public volatile long born;
+
+    /** How long a status report is under way. */
+    public volatile long reportDelayMs;
     private final Handler mHandler;
     private final String mZone;
     private final int mSlots;
@@ -63,13 +77,41 @@
         mZone = zone;
         mSlots = slots;
         mHandler = handler;
-        mSocket = new ServerSocket();
-        mSocket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 512);
-        id = "i-" + service + "-" + mSocket.getLocalPort();
+        mSocket = listen(0);
+        mPort = mSocket.getLocalPort();
+        id = "i-" + service + "-" + mPort;
         daemon(this::acceptAll);
         daemon(this::beat);
     }
 
+    private static ServerSocket listen(int port) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
+        return socket;
+    }
+
+    /** Crashes: all channels are reset, and nothing listens any more. */
+    public void crash() throws IOException {
+        mDown = true;
+        mSocket.close();
+        for (Socket s : mChannels) {
+            s.setSoLinger(true, 0);
+            s.close();
+        }
+        mChannels.clear();
+    }
+
+    /** Starts again under the same id and address, as another version. */
+    public void startAgain(String newVersion) throws IOException {
+        version = newVersion;
+        born = System.currentTimeMillis();
+        mSeq.set(0);
+        mSocket = listen(mPort);
+        mDown = false;
+        daemon(this::acceptAll);
+    }
+
     public static void daemon(Runnable r) {
         Thread t = new Thread(r);
         t.setDaemon(true);
@@ -77,14 +119,16 @@
     }
 
     public String address() {
-        return "127.0.0.1:" + mSocket.getLocalPort();
+        return "127.0.0.1:" + mPort;
     }
 
     private void beat() {
         int control = 0;
         while (!mClosed) {
-            if (beating) {
-                HttpResponse<String> r = report(control, state);
+            if (beating && !mDown) {
+                String body = reportBody(state);
+                sleep(reportDelayMs);
+                HttpResponse<String> r = mFleet.call(control, "PUT", "/-/instances/" + id, body);
                 if (r == null || r.statusCode() / 100 != 2) {
                     control = (control + 1) % mFleet.controls;
                     sleep(150);
@@ -104,9 +148,10 @@
     public String reportBody(String newState) {
         return String.format(
                         Locale.ROOT,
-                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
+                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",%s"
                                 + "\"slots\":%d,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":%d}",
-                        service, address(), mZone, mSlots, newState, mSeq.incrementAndGet());
+                        service, address(), mZone, version,
+                        born == 0 ? "" : "\"born\":" + born + ",", mSlots, newState, mSeq.incrementAndGet());
     }
 
     private static void sleep(long ms) {
@@ -118,10 +163,12 @@
     }
 
     private void acceptAll() {
+        ServerSocket socket = mSocket;
         while (!mClosed) {
             try {
-                Socket s = mSocket.accept();
+                Socket s = socket.accept();
                 s.setTcpNoDelay(true);
+                mChannels.add(s);
                 daemon(() -> serve(s));
             } catch (IOException e) {
                 return;
@@ -131,6 +178,7 @@
 
     private void serve(Socket s) {
         try (s) {
+            mChannels.removeIf(Socket::isClosed);
             InputStream in = new BufferedInputStream(s.getInputStream(), 64 << 10);
             OutputStream out = s.getOutputStream();
             s.setSoTimeout(30_000);
@@ -173,6 +221,13 @@
     /** Writes a complete sealed stream of events with rising ids. */
     public static void stream(OutputStream out, Request r, int events, int gapMs)
             throws IOException, InterruptedException {
+        stream(out, r, "v1", 1, events, gapMs);
+    }
+
+    /** Writes a stream of a version from its first event on. */
+    public static void stream(
+            OutputStream out, Request r, String version, int first, int last, int gapMs)
+            throws IOException, InterruptedException {
         String head =
                 "HTTP/1.1 200 OK\r\nX-Laurelweir-Request-Id: " + r.id()
                         + "\r\nX-Laurelweir-Response-Seal: seal-" + r.id()
@@ -180,8 +235,8 @@
                         + "\r\nContent-Type: text/event-stream"
                         + "\r\nKeep-Alive: timeout=15\r\nTransfer-Encoding: chunked\r\n\r\n";
         out.write(head.getBytes(StandardCharsets.ISO_8859_1));
-        for (int i = 1; i <= events; i++) {
-            String event = "id: " + i + "\ndata: piece " + i + " of " + r.id() + "\n\n";
+        for (int i = first; i <= last; i++) {
+            String event = "id: " + i + "\ndata: " + version + " piece " + i + " of " + r.id() + "\n\n";
             out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             out.flush();
             Thread.sleep(gapMs);
