--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -34,6 +34,11 @@
         return answered != null && !id.isEmpty() && !answered.equals(id);
     }
 
+    /** Returns whether an answer names the given request id. */
+    boolean isNamedIn(String id, HttpResponse r) {
+        return !id.isEmpty() && id.equals(r.headers().get(mDialect.requestId()));
+    }
+
     /** Returns the headers of an answer for its caller. */
     List<Header> headers(HttpResponse r, BodyFraming framing) {
         List<Header> headers = new ArrayList<>();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.laurelweir.router.direct;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,25 +16,35 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.runtime.process.Program;
+import org.laurelweir.runtime.rpc.AnswerCodec;
 
 /**
  * One connection to a backend server. It carries one request at a time. It is reused only if the
- * whole request was written, the answer's end was framed, and nothing followed the answer.
+ * whole request was written, the answer's end was framed, and nothing followed the answer. Bytes
+ * that follow it later, but before the next request, close the connection.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final BackendRef mBackend;
     private final IdleConnections mIdle;
     private final ServerNotices mNotices;
     private Channel mChannel;
+    private AnswerCodec mCodec;
     private HttpExchange mExchange;
     private ChannelFuture mWrite;
     private boolean mHeadReceived;
     private boolean mSkippingAnswer;
     private boolean mNotReusable;
+
+    /** Whether the server named the request in an earlier answer on this connection. */
+    private boolean mNamesRequests;
+
     private Duration mIdleTime = Duration.ZERO;
 
     BackendConnection(BackendRef backend, IdleConnections idle, ServerNotices notices) {
@@ -45,6 +56,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
+        mCodec = context.pipeline().get(AnswerCodec.class);
     }
 
     BackendRef backend() {
@@ -76,10 +88,13 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            if (message instanceof HttpResponse r && ForeignBytes.isIn(r)) {
+                onForeignBytes();
+                return;
+            }
             reportNotice(message);
             if (mExchange == null) {
-                // Unsolicited bytes: the beginning of the next answer can't be determined.
-                context.close();
+                closeAfterUnaskedBytes();
             } else {
                 read((HttpObject) message);
             }
@@ -88,6 +103,29 @@
         }
     }
 
+    /** Closes an idle connection in whose decoder the beginning of an unasked answer waits. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mExchange == null && mCodec.undecodedBytes() > 0) {
+            closeAfterUnaskedBytes();
+        }
+        context.fireChannelReadComplete();
+    }
+
+    /** The beginning of the next answer can't be determined any more. */
+    private void closeAfterUnaskedBytes() {
+        sLogger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "closed a connection to %s: bytes came after the end of an answer", mBackend.id());
+        mChannel.close();
+    }
+
+    private void onForeignBytes() {
+        sLogger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "closed a connection to %s: the head of an answer holds another one",
+                mBackend.id());
+        endExchange(x -> x.abandon("the head of the answer holds another one"));
+    }
+
     private void reportNotice(Object message) {
         if (message instanceof HttpResponse r && r.decoderResult().isSuccess()) {
             mNotices.onHead(mBackend, r);
@@ -129,6 +167,13 @@
             mNotReusable = true;
             return;
         }
+        boolean namesRequest = mExchange.isNamedIn(r);
+        if (mNamesRequests && !namesRequest) {
+            // Bytes of an unasked answer may have come before the real one.
+            endExchange(x -> x.abandon("the answer does not name its request"));
+            return;
+        }
+        mNamesRequests = namesRequest;
         mHeadReceived = true;
         AnswerMetadata metadata = mExchange.onHead(r);
         mIdleTime = idleTime(r);
@@ -150,12 +195,15 @@
     private void onEnd() {
         HttpExchange ended = mExchange;
         mExchange = null;
-        boolean reusable = !mNotReusable && !mIdleTime.isZero() && mWrite.isSuccess();
+        boolean isClean = mCodec.undecodedBytes() == 0;
+        boolean reusable = isClean && !mNotReusable && !mIdleTime.isZero() && mWrite.isSuccess();
         if (reusable && !ended.isEnded() && mChannel.isActive()) {
             mChannel.config().setAutoRead(true);
             mIdle.put(this, mIdleTime);
-        } else {
+        } else if (isClean) {
             mChannel.close();
+        } else {
+            closeAfterUnaskedBytes();
         }
         ended.finish();
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -59,6 +59,11 @@
         return mReader.isForOtherRequest(mCall.request().id(), response);
     }
 
+    /** Returns whether an answer names this request's id. */
+    boolean isNamedIn(HttpResponse response) {
+        return mReader.isNamedIn(mCall.request().id(), response);
+    }
+
     /** Reports the head of the answer, and returns what it says to the router. */
     AnswerMetadata onHead(HttpResponse response) {
         BodyFraming framing = AnswerFraming.of(mCall.request().call().method(), response);
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +23,7 @@
 import org.laurelweir.direct.RoutedRequest;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.router.http.HttpDialect;
+import org.laurelweir.runtime.rpc.AnswerCodec;
 import org.laurelweir.runtime.rpc.ServerNoticeReader;
 import org.laurelweir.settings.RouteShare;
 
@@ -91,7 +91,7 @@
                         SERVER,
                         mIdle,
                         new ServerNotices(new ServerNoticeReader(SEALED.leaving()), mEvents::add));
-        mChannel = new EmbeddedChannel(new HttpClientCodec(), connection);
+        mChannel = new EmbeddedChannel(new AnswerCodec(), connection);
         AnswerReader reader = new AnswerReader(SEALED);
         connection.send(
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x"),
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/HttpConnector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/HttpConnector.java
@@ -7,15 +7,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.HttpClientCodec;
 import org.laurelweir.runtime.config.Endpoint;
 
 /** Opens HTTP/1.1 connections to backend servers. */
 public final class HttpConnector {
-    private static final int MAX_LINE_BYTES = 16 << 10;
-    private static final int MAX_HEADER_BYTES = 64 << 10;
-    private static final int MAX_CHUNK_BYTES = 64 << 10;
-
     private final EventLoops mLoops;
     private final EventLoopGroup mGroup;
     private final int mConnectMillis;
@@ -58,10 +53,7 @@
 
         @Override
         protected void initChannel(Channel channel) {
-            channel.pipeline()
-                    .addLast(
-                            new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
-            channel.pipeline().addLast(mHandler);
+            channel.pipeline().addLast(new AnswerCodec()).addLast(mHandler);
         }
     }
 }
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.attempt.Header;
+import org.laurelweir.runtime.rpc.AnswerCodec;
 
 /** Tests which ends of a backend server's answer count as complete. */
 class BackendCallTest {
@@ -58,7 +58,7 @@
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
         BackendCall call = new BackendCall(request, chat, end, head -> {});
-        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), call);
+        EmbeddedChannel channel = new EmbeddedChannel(new AnswerCodec(), call);
         call.onConnected(channel.newSucceededFuture());
         String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + type + framing + "\r\n\r\n" + body;
         channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII));
@@ -128,7 +128,7 @@
         BackendCall call =
                 new BackendCall(
                         request, false, new EndRecorder(), h -> statuses.add(h.status().code()));
-        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), call);
+        EmbeddedChannel channel = new EmbeddedChannel(new AnswerCodec(), call);
         call.onConnected(channel.newSucceededFuture());
         String heads = "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
         channel.writeInbound(Unpooled.copiedBuffer(heads, StandardCharsets.US_ASCII));
