--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -166,6 +166,13 @@
         }
     }
 
+    void bodyDropped(DirectEffect.BodyDropped e) {
+        Caller c = mCallers.get(e.caller());
+        if (c != null) {
+            c.mAnswer.bodyDropped();
+        }
+    }
+
     void head(RouterEffect.AnswerHead e) {
         Caller c = mCallers.get(e.caller());
         if (c != null) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/DirectEffects.java
@@ -52,6 +52,8 @@
         } else if (effect instanceof DirectEffect.FindStream e) {
             mMetrics.countAction("find_stream");
             mOrigins.find(e);
+        } else if (effect instanceof DirectEffect.BodyDropped e) {
+            mCallers.bodyDropped(e);
         } else if (effect instanceof DirectEffect.AnswerComplete e) {
             mCallers.whole(e);
         } else if (effect instanceof DirectEffect.AnswerHead e) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -55,6 +55,8 @@
  * @param maxEvent maximum size of an event of such a service's stream
  * @param answerMemory maximum of all incomplete answers and events that the router holds together,
  *     which should be a quarter of the heap or less
+ * @param requestMemory maximum of the bodies of all requests that the router holds together; a
+ *     larger body than seven eighths of it is refused
  * @param contendedSlotTokens a deployment with engines that have fewer tokens of memory for each
  *     slot counts as contended, and its requests are placed and ordered by the tokens that they
  *     hold; 0 for never
@@ -92,6 +94,7 @@
         @Default("8MiB") @Range(min = "64KiB", max = "1GiB") ByteSize maxAnswer,
         @Default("256KiB") @Range(min = "4KiB", max = "1GiB") ByteSize maxEvent,
         @Default("16MiB") @Range(min = "1MiB", max = "64GiB") ByteSize answerMemory,
+        @Default("24MiB") @Range(min = "1MiB", max = "64GiB") ByteSize requestMemory,
         @Default("0") @Range(min = "0", max = "1000000") int contendedSlotTokens,
         @Default("0") @Range(min = "0", max = "1") double hedgeShare,
         LogSettings log) {
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -8,6 +8,7 @@
 import org.laurelweir.hedging.HedgeCounts;
 import org.laurelweir.hedging.WithholdReason;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.router.http.RequestMemory;
 import org.laurelweir.runtime.metrics.MetricNames;
 import org.laurelweir.waiting.WaitingCounts;
 
@@ -35,6 +36,16 @@
         mRegistry.counter(MetricNames.labelled("router.actions", "kind", kind)).inc();
     }
 
+    /** Registers the gauges of the memory for the bodies of requests. */
+    void registerRequestMemory(RequestMemory memory) {
+        Gauge<Long> bytes = memory::bytes;
+        Gauge<Integer> waiting = memory::waitingCount;
+        Gauge<Long> refused = memory::refusedCount;
+        mRegistry.register("router.requests.body.bytes", bytes);
+        mRegistry.register("router.requests.waiting.for.memory", waiting);
+        mRegistry.register("router.requests.refused.for.memory", refused);
+    }
+
     /**
      * Registers the gauges of requests in flight and of answer bytes that callers have not
      * consumed.
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -21,6 +21,7 @@
 import org.laurelweir.router.http.HttpDialect;
 import org.laurelweir.router.http.Limits;
 import org.laurelweir.router.http.RequestLag;
+import org.laurelweir.router.http.RequestMemory;
 import org.laurelweir.router.http.UnreadAnswers;
 import org.laurelweir.router.request.ModelList;
 import org.laurelweir.router.request.RequestResolver;
@@ -78,6 +79,7 @@
     private final RouterConfig mConfig;
     private final RequestLag mLag = new RequestLag();
     private final UnreadAnswers mUnreadAnswers;
+    private final RequestMemory mRequestMemory;
     private final EventLoops mLoops;
     private final Channels mChannels;
     private final ExchangeClient mExchangeClient;
@@ -116,6 +118,7 @@
             Consumer<String> out,
             HttpDialect dialect,
             Optional<EarlySocket> socket) {
+        MemoryCheck.check(file, Runtime.getRuntime().maxMemory());
         mFile = file;
         mDialect = dialect;
         mLease = new SettingsLease(new ElapsedClock(), file.keyLease(), file.denialLease());
@@ -125,6 +128,7 @@
         mSettings = new SettingsLookup(file.region(), file.dataCentre());
         mConfig = config(file, clock.instant());
         mUnreadAnswers = new UnreadAnswers(file.answerMemory().bytes());
+        mRequestMemory = new RequestMemory(file.requestMemory().bytes());
         mLoops = new EventLoops("router-io", file.threads());
         TrafficCounters traffic = new TrafficCounters(mRegistry);
         mChannels = Channels.builder(mLoops, traffic).build();
@@ -195,7 +199,8 @@
     }
 
     private Acceptance acceptance() {
-        return new Acceptance(mLag, mClock, mMetrics::countClosedUnread, mUnreadAnswers);
+        return new Acceptance(
+                mLag, mClock, mMetrics::countClosedUnread, mUnreadAnswers, mRequestMemory);
     }
 
     private UnsentRequests newUnsentRequests(RouteResolver routes) {
@@ -306,7 +311,8 @@
     private Limits limits() {
         EffectiveSettings s = mSettings.effective(null, null);
         return new Limits(
-                s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(),
+                Math.min(
+                        s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(), mRequestMemory.maxBodyBytes()),
                 (int) s.get(SettingKeys.LIMIT_HEADER_BYTES).bytes(),
                 Math.min(s.get(SettingKeys.LIMIT_CONNECTIONS), maxCallerConnections()),
                 s.get(SettingKeys.LIMIT_REQUEST_TIME),
@@ -345,6 +351,7 @@
     private void startMetrics() {
         mMetrics.registerInFlight(
                 mCallers::count, () -> mCallers.waitingBytes() + mUnreadAnswers.bytes());
+        mMetrics.registerRequestMemory(mRequestMemory);
         mMetricsServer = new MetricsServer(mFile.metricsListen(), mRegistry, mExchange);
         mMetricsServer.start();
         int port = mMetricsServer.endpoint().port();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -75,7 +75,7 @@
         mExchange = exchange;
         mHeadReceived = false;
         exchange.onSending(mChannel);
-        mWrite = mChannel.writeAndFlush(request);
+        mWrite = PiecewiseWriter.write(mChannel, request);
         mWrite.addListener(
                 f -> {
                     if (!f.isSuccess()) {
@@ -167,13 +167,12 @@
             mNotReusable = true;
             return;
         }
-        boolean namesRequest = mExchange.isNamedIn(r);
-        if (mNamesRequests && !namesRequest) {
+        if (mNamesRequests && mExchange.hasRequestId() && !mExchange.isNamedIn(r)) {
             // Bytes of an unasked answer may have come before the real one.
             endExchange(x -> x.abandon("the answer does not name its request"));
             return;
         }
-        mNamesRequests = namesRequest;
+        mNamesRequests |= mExchange.isNamedIn(r);
         mHeadReceived = true;
         AnswerMetadata metadata = mExchange.onHead(r);
         mIdleTime = idleTime(r);
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -24,7 +24,9 @@
      */
     private static final int MAX_UNPROCESSED_BYTES = 256 << 10;
 
-    private final DirectEffect.BeginCall mCall;
+    private final long mCall;
+    private final String mRequestId;
+    private final String mMethod;
     private final AnswerReader mReader;
     private final Consumer<DirectEvent> mEvents;
     private volatile Channel mChannel;
@@ -34,7 +36,10 @@
     private boolean mEnded;
 
     HttpExchange(DirectEffect.BeginCall call, AnswerReader reader, Consumer<DirectEvent> events) {
-        mCall = call;
+        // The body is not kept: the answer to a large request may take long.
+        mCall = call.call();
+        mRequestId = call.request().id();
+        mMethod = call.request().call().method();
         mReader = reader;
         mEvents = events;
     }
@@ -56,22 +61,27 @@
 
     /** Returns whether an answer names another request id. */
     boolean isForOtherRequest(HttpResponse response) {
-        return mReader.isForOtherRequest(mCall.request().id(), response);
+        return mReader.isForOtherRequest(mRequestId, response);
+    }
+
+    /** Returns whether the caller gave the request an id. */
+    boolean hasRequestId() {
+        return !mRequestId.isEmpty();
     }
 
     /** Returns whether an answer names this request's id. */
     boolean isNamedIn(HttpResponse response) {
-        return mReader.isNamedIn(mCall.request().id(), response);
+        return mReader.isNamedIn(mRequestId, response);
     }
 
     /** Reports the head of the answer, and returns what it says to the router. */
     AnswerMetadata onHead(HttpResponse response) {
-        BodyFraming framing = AnswerFraming.of(mCall.request().call().method(), response);
-        AnswerMetadata metadata = mReader.metadata(mCall.request().id(), response, framing);
+        BodyFraming framing = AnswerFraming.of(mMethod, response);
+        AnswerMetadata metadata = mReader.metadata(mRequestId, response, framing);
         if (!mEnded) {
             mEvents.accept(
                     new DirectEvent.HeadReceived(
-                            mCall.call(),
+                            mCall,
                             response.status().code(),
                             mReader.headers(response, framing),
                             metadata));
@@ -84,8 +94,7 @@
             mUnprocessedBytes.addAndGet(content.content().readableBytes());
             updateReading();
             mEvents.accept(
-                    new DirectEvent.DataReceived(
-                            mCall.call(), ByteBufUtil.getBytes(content.content())));
+                    new DirectEvent.DataReceived(mCall, ByteBufUtil.getBytes(content.content())));
         }
     }
 
@@ -116,7 +125,7 @@
     void finish() {
         if (!mEnded) {
             mEnded = true;
-            mEvents.accept(new DirectEvent.Finished(mCall.call()));
+            mEvents.accept(new DirectEvent.Finished(mCall));
         }
     }
 
@@ -143,7 +152,7 @@
     private void fail(Failure failure, String message) {
         if (!mEnded) {
             mEnded = true;
-            mEvents.accept(new DirectEvent.Failed(mCall.call(), failure, message));
+            mEvents.accept(new DirectEvent.Failed(mCall, failure, message));
         }
     }
 
--- /dev/null
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/BodyReservation.java
@@ -0,0 +1,85 @@
+package org.laurelweir.router.http;
+
+/**
+ * The part of the {@link RequestMemory} that the requests of one connection use, one after the
+ * other. Used on the connection's event loop only.
+ */
+final class BodyReservation {
+    private final RequestMemory mMemory;
+    private long mBytes;
+    private long mSinceNanos;
+    private RequestMemory.Waiter mWaiter;
+    private long mAwaitedBytes;
+
+    BodyReservation(RequestMemory memory) {
+        mMemory = memory;
+    }
+
+    /** Returns the size of the body for which memory is reserved. */
+    long bytes() {
+        return mBytes;
+    }
+
+    /** Returns whether the reservation waits for memory. */
+    boolean isWaiting() {
+        return mWaiter != null;
+    }
+
+    /** Enlarges the reservation at once, if there is memory. */
+    boolean tryGrow(long bytes) {
+        if (bytes <= mBytes) {
+            return true;
+        }
+        if (!mMemory.tryReserve(bytes - mBytes)) {
+            return false;
+        }
+        onGrown(bytes);
+        return true;
+    }
+
+    private void onGrown(long bytes) {
+        mBytes = bytes;
+        mSinceNanos = System.nanoTime();
+    }
+
+    /**
+     * Waits for memory.
+     *
+     * @param onReserved called on any thread once the memory is there; it has to call {@link
+     *     #onReserved} on the event loop
+     * @return whether the request may wait
+     */
+    boolean await(long bytes, Runnable onReserved) {
+        mAwaitedBytes = bytes;
+        mWaiter = mMemory.await(bytes - mBytes, onReserved);
+        return mWaiter != null;
+    }
+
+    /** Takes the memory that was waited for. Returns false if the wait was given up before. */
+    boolean onReserved() {
+        if (mWaiter == null) {
+            return false;
+        }
+        mWaiter = null;
+        onGrown(mAwaitedBytes);
+        return true;
+    }
+
+    /** Gives back what is reserved beyond a size. */
+    void shrinkTo(long bytes) {
+        if (bytes < mBytes) {
+            long excess = mBytes - bytes;
+            mBytes = bytes;
+            mMemory.release(excess, System.nanoTime() - mSinceNanos);
+        }
+    }
+
+    /** Gives everything back, and ends a wait. */
+    void release() {
+        if (mWaiter != null && !mMemory.cancel(mWaiter)) {
+            onGrown(mAwaitedBytes);
+        }
+        mWaiter = null;
+        shrinkTo(0);
+    }
+}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -9,13 +9,12 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.Queue;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
@@ -32,12 +31,23 @@
     private static final int MAX_PIPELINED_PARTS = 64;
     private static final long LINGER_SECONDS = 2;
 
+    /**
+     * Maximum time for which a request waits for memory for its body. A caller whose request is not
+     * read for a second may give up.
+     */
+    private static final Duration MAX_MEMORY_WAIT = Duration.ofMillis(800);
+
+    /** A request waits for memory at most its time divided by this; the rest is for a retry. */
+    private static final int MEMORY_WAIT_DIVISOR = 4;
+
     private final CallerConnections mConnections;
     private final Limits mLimits;
     private final RequestReader mReader;
-    private final Queue<HttpObject> mPipelined = new ArrayDeque<>();
+    private final BodyReservation mReservation;
+    private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
     private RequestTimer mTimer;
+    private RequestTimer mMemoryTimer;
     private ChannelAnswer mAnswer;
     private long mCaller;
     private boolean mRequestBegun;
@@ -48,12 +58,14 @@
         mConnections = connections;
         mLimits = connections.limits();
         mReader = new RequestReader(mLimits.bodyBytes());
+        mReservation = new BodyReservation(connections.requestMemory());
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
         mTimer = new RequestTimer(mChannel.eventLoop(), this::onRequestTooSlow);
+        mMemoryTimer = new RequestTimer(mChannel.eventLoop(), this::refuseForMemory);
     }
 
     @Override
@@ -80,7 +92,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (mAnswer == null) {
+        if (mAnswer == null && !mReservation.isWaiting()) {
             onPart((HttpObject) message);
             return;
         }
@@ -94,13 +106,15 @@
         try {
             if (part instanceof HttpRequest head) {
                 mReader.onHead(head);
-                sendContinue(head);
+                if (mReader.announcedBytes() > 0 && !reserve(mReader.announcedBytes())) {
+                    return;
+                }
+                if (mReader.isContinueExpected()) {
+                    sendContinue();
+                }
             }
             if (part instanceof HttpContent content && mReader.isReading()) {
-                mReader.onContent(content);
-                if (content instanceof LastHttpContent) {
-                    serve(mReader.finish());
-                }
+                onContent(content);
             }
         } catch (LaurelweirException e) {
             refuse(e.getCode(), e.getMessage(), Duration.ZERO);
@@ -109,11 +123,77 @@
         }
     }
 
-    private void sendContinue(HttpRequest head) {
-        if (HttpUtil.is100ContinueExpected(head)) {
-            mChannel.writeAndFlush(
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    private void onContent(HttpContent content) {
+        if (!reserve(mReader.neededBytes(content))) {
+            if (mReservation.isWaiting()) {
+                mPipelined.addFirst(content.retain());
+            }
+            return;
+        }
+        mReader.onContent(content);
+        if (content instanceof LastHttpContent) {
+            HttpCall call = mReader.finish();
+            mReservation.shrinkTo(call.body().length);
+            serve(call);
+        }
+    }
+
+    /**
+     * Reserves memory for the body. A large body waits for it and is not read meanwhile; a small
+     * one, for which there is no memory either, is refused.
+     *
+     * @return whether the memory is reserved
+     */
+    private boolean reserve(long bytes) {
+        if (mReservation.tryGrow(bytes)) {
+            return true;
+        }
+        Runnable onReserved = () -> mChannel.eventLoop().execute(this::onMemoryReserved);
+        if (bytes <= RequestMemory.SMALL_BODY_BYTES || !mReservation.await(bytes, onReserved)) {
+            refuseForMemory();
+            return false;
+        }
+        mTimer.stop();
+        mMemoryTimer.start(maxMemoryWait());
+        mChannel.config().setAutoRead(false);
+        return false;
+    }
+
+    private Duration maxMemoryWait() {
+        String millis = mReader.header(mConnections.dialect().timeLeft());
+        try {
+            Duration part =
+                    Duration.ofMillis(Long.parseLong(millis)).dividedBy(MEMORY_WAIT_DIVISOR);
+            return part.compareTo(MAX_MEMORY_WAIT) < 0 ? part : MAX_MEMORY_WAIT;
+        } catch (NumberFormatException e) {
+            // The caller set no deadline, or one that is refused when the request is resolved.
+            return MAX_MEMORY_WAIT;
+        }
+    }
+
+    private void onMemoryReserved() {
+        if (!mReservation.onReserved()) {
+            return;
+        }
+        mMemoryTimer.stop();
+        mTimer.start(mLimits.requestTime());
+        if (mReader.announcedBytes() > 0 && mReader.isContinueExpected()) {
+            sendContinue();
         }
+        servePipelined();
+    }
+
+    private void refuseForMemory() {
+        long bytes = Math.max(mReader.announcedBytes(), mReservation.bytes());
+        refuse(
+                ResultCode.OVERLOADED,
+                "the router has no memory for the request's body",
+                mConnections.requestMemory().refuse(bytes));
+    }
+
+    private void sendContinue() {
+        mChannel.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
 
     private void serve(HttpCall call) {
@@ -129,10 +209,13 @@
 
     private void newAnswer(boolean close, Runnable onWritten) {
         mCaller = mConnections.nextCaller();
-        mAnswer = new ChannelAnswer(mChannel, mCaller, mConnections, close, onWritten);
+        mAnswer =
+                new ChannelAnswer(
+                        mChannel, mCaller, mConnections, close, mReservation::release, onWritten);
     }
 
     private void onAnswered() {
+        mReservation.release();
         if (mAnswer.closesConnection() || mConnections.isStopping()) {
             closeGracefully();
             return;
@@ -140,15 +223,21 @@
         mAnswer = null;
         mRequestBegun = !mPipelined.isEmpty();
         mTimer.start(mRequestBegun ? mLimits.requestTime() : mLimits.idleTime());
-        while (mAnswer == null && !mClosing && !mPipelined.isEmpty()) {
+        servePipelined();
+    }
+
+    private void servePipelined() {
+        while (mAnswer == null && !mReservation.isWaiting() && !mClosing && !mPipelined.isEmpty()) {
             onPart(mPipelined.remove());
         }
-        mChannel.config().setAutoRead(mPipelined.size() < MAX_PIPELINED_PARTS);
+        boolean reads = !mReservation.isWaiting() && mPipelined.size() < MAX_PIPELINED_PARTS;
+        mChannel.config().setAutoRead(reads);
     }
 
     /** Sends an error and closes: the beginning of the next request can't be determined. */
     private void refuse(ResultCode code, String message, Duration retryAfter) {
         mTimer.stop();
+        releaseRequest();
         newAnswer(true, this::closeGracefully);
         mClosing = true;
         mAnswer.error(code, message, retryAfter);
@@ -162,6 +251,7 @@
     private void closeGracefully() {
         mClosing = true;
         mTimer.stop();
+        releaseRequest();
         releasePipelined();
         if (!mChannel.isActive()) {
             return;
@@ -191,6 +281,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mTimer.stop();
+        releaseRequest();
         releasePipelined();
         if (mAnswer != null && !mAnswer.isDone()) {
             mConnections.handler().onGone(mCaller);
@@ -205,6 +296,13 @@
         context.close();
     }
 
+    /** Drops what was read of a request, with its memory. */
+    private void releaseRequest() {
+        mMemoryTimer.stop();
+        mReader.reset();
+        mReservation.release();
+    }
+
     private void releasePipelined() {
         mPipelined.forEach(ReferenceCountUtil::release);
         mPipelined.clear();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -24,6 +24,7 @@
     private final RequestNames mNames;
     private final HttpDialect mDialect;
     private final UnreadAnswers mUnreadAnswers;
+    private final RequestMemory mRequestMemory;
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Queue<UnreadConnection> mUnread = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mCount = new AtomicInteger();
@@ -36,8 +37,9 @@
             Supplier<Limits> limits,
             RequestNames names,
             HttpDialect dialect,
-            UnreadAnswers unreadAnswers) {
-        mUnreadAnswers = unreadAnswers;
+            Acceptance acceptance) {
+        mUnreadAnswers = acceptance.unreadAnswers();
+        mRequestMemory = acceptance.requestMemory();
         mDialect = dialect;
         mHandler = handler;
         mLimits = limits;
@@ -59,6 +61,10 @@
         return mUnreadAnswers;
     }
 
+    RequestMemory requestMemory() {
+        return mRequestMemory;
+    }
+
     HttpDialect dialect() {
         return mDialect;
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -50,8 +50,7 @@
         mLoops = loops;
         mListen = listen;
         mSocket = socket;
-        mConnections =
-                new CallerConnections(handler, limits, names, dialect, acceptance.unreadAnswers());
+        mConnections = new CallerConnections(handler, limits, names, dialect, acceptance);
         mAcceptor = new ConnectionAcceptor(acceptance, mConnections);
     }
 
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
@@ -27,6 +27,7 @@
     private final Channel mChannel;
     private final long mCaller;
     private final CallerConnections mConnections;
+    private final Runnable mOnBodyDropped;
     private final Runnable mOnWritten;
     private boolean mCloseConnection;
     private boolean mHeadSent;
@@ -38,6 +39,7 @@
      *
      * @param caller id of the request
      * @param close whether the caller asked to close the connection after the answer
+     * @param onBodyDropped called on the event loop when the request's body is not held any more
      * @param onWritten called on the event loop when the socket has accepted the complete answer
      */
     ChannelAnswer(
@@ -45,11 +47,13 @@
             long caller,
             CallerConnections connections,
             boolean close,
+            Runnable onBodyDropped,
             Runnable onWritten) {
         mChannel = channel;
         mCaller = caller;
         mConnections = connections;
         mCloseConnection = close;
+        mOnBodyDropped = onBodyDropped;
         mOnWritten = onWritten;
     }
 
@@ -68,6 +72,18 @@
         mCloseConnection = true;
     }
 
+    @Override
+    public void bodyDropped() {
+        mChannel.eventLoop().execute(this::releaseBody);
+    }
+
+    private void releaseBody() {
+        // Once the answer is done, the connection may hold the body of the next request.
+        if (!mDone) {
+            mOnBodyDropped.run();
+        }
+    }
+
     @Override
     public void head(int status, List<Header> headers) {
         mChannel.eventLoop().execute(() -> writeHead(status, headers));
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestReader.java
@@ -8,9 +8,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 
@@ -18,7 +15,8 @@
 final class RequestReader {
     private final long mMaxBodyBytes;
     private HttpRequest mHead;
-    private ByteArrayOutputStream mBody;
+    private BodyBuffer mBody;
+    private long mAnnouncedBytes;
 
     RequestReader(long maxBodyBytes) {
         mMaxBodyBytes = maxBodyBytes;
@@ -42,11 +40,39 @@
         if (!head.headers().contains(HttpHeaderNames.HOST)) {
             throw new LaurelweirException(ResultCode.BAD_REQUEST, "the Host header is missing");
         }
-        if (HttpUtil.getContentLength(head, 0L) > mMaxBodyBytes) {
+        mAnnouncedBytes = HttpUtil.getContentLength(head, 0L);
+        if (mAnnouncedBytes > mMaxBodyBytes) {
             throw tooLarge();
         }
         mHead = head;
-        mBody = new ByteArrayOutputStream();
+        mBody = null;
+    }
+
+    /** Returns a header's first value, or an empty string if it is missing or no head was read. */
+    String header(String name) {
+        return mHead == null ? "" : mHead.headers().get(name, "");
+    }
+
+    /** Returns whether the caller waits for leave to send the body. */
+    boolean isContinueExpected() {
+        return mHead != null && HttpUtil.is100ContinueExpected(mHead);
+    }
+
+    /** Returns the size of the body that the head announces, or 0 if it announces none. */
+    long announcedBytes() {
+        return mAnnouncedBytes;
+    }
+
+    /**
+     * Returns the memory that the body needs with a further piece, in bytes. A body without an
+     * announced size may grow to the limit.
+     */
+    long neededBytes(HttpContent content) {
+        if (mAnnouncedBytes > 0) {
+            return mAnnouncedBytes;
+        }
+        int size = (mBody == null ? 0 : mBody.size()) + content.content().readableBytes();
+        return size <= RequestMemory.SMALL_BODY_BYTES ? size : Math.max(size, mMaxBodyBytes);
     }
 
     /**
@@ -57,24 +83,27 @@
     void onContent(HttpContent content) {
         checkDecoded(content.decoderResult().cause());
         ByteBuf bytes = content.content();
+        if (mBody == null) {
+            mBody = new BodyBuffer((int) mAnnouncedBytes);
+        }
         if (mBody.size() + (long) bytes.readableBytes() > mMaxBodyBytes) {
             throw tooLarge();
         }
-        try {
-            bytes.readBytes(mBody, bytes.readableBytes());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        mBody.add(bytes);
     }
 
     /** Returns the complete request and resets the reader for the next one. */
     HttpCall finish() {
         HttpCall call =
-                new HttpCall(
-                        mHead.method().name(), mHead.uri(), mHead.headers(), mBody.toByteArray());
+                new HttpCall(mHead.method().name(), mHead.uri(), mHead.headers(), mBody.toBytes());
+        reset();
+        return call;
+    }
+
+    /** Drops what was read of a request. */
+    void reset() {
         mHead = null;
         mBody = null;
-        return call;
     }
 
     private LaurelweirException tooLarge() {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/RouterFixture.java
@@ -100,6 +100,7 @@
                 ByteSize.parse("8MiB"),
                 ByteSize.parse("256KiB"),
                 ByteSize.parse("16MiB"),
+                ByteSize.parse("24MiB"),
                 0,
                 0,
                 LogSettings.defaults());
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/ExtraBytesTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/ExtraBytesTest.java
@@ -43,6 +43,10 @@
     private final EmbeddedChannel mChannel = new EmbeddedChannel(new AnswerCodec(), mConnection);
 
     private static DirectEffect.BeginCall call(long number) {
+        return call(number, "id" + number);
+    }
+
+    private static DirectEffect.BeginCall call(long number, String id) {
         Route route =
                 new Route(
                         "r",
@@ -60,15 +64,18 @@
                         5);
         AttemptRequest.Call call =
                 new AttemptRequest.Call("POST", "/x", List.of(), new byte[0], false);
-        RoutedRequest request =
-                new RoutedRequest("id" + number, route, "acc", 5, SECOND, call, Prompt.NONE);
+        RoutedRequest request = new RoutedRequest(id, route, "acc", 5, SECOND, call, Prompt.NONE);
         return new DirectEffect.BeginCall(number, SERVER, "a:1", request, SECOND, "", "");
     }
 
     private void send(long number) {
+        send(call(number));
+    }
+
+    private void send(DirectEffect.BeginCall call) {
         mConnection.send(
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x"),
-                new HttpExchange(call(number), new AnswerReader(DIALECT), mEvents::add));
+                new HttpExchange(call, new AnswerReader(DIALECT), mEvents::add));
         mChannel.releaseOutbound();
     }
 
@@ -163,4 +170,14 @@
         assertThat(mIdle.take(SERVER)).isSameAs(mConnection);
         assertThat(mEvents).filteredOn(DirectEvent.Finished.class::isInstance).hasSize(2);
     }
+
+    /** Guards against refusing answers to callers that give their requests no id. */
+    @Test
+    void answerToARequestWithoutAnIdNeedNotNameIt() {
+        send(1);
+        receive(answer(1, 200));
+        send(call(2, ""));
+        receive("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nhi");
+        assertThat(mEvents).filteredOn(DirectEvent.Finished.class::isInstance).hasSize(2);
+    }
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -21,7 +21,7 @@
     private static final BackendRef NO_BACKEND = new BackendRef("", 0);
 
     final long mCaller;
-    final RoutedRequest mRequest;
+    RoutedRequest mRequest;
     final Instant mDeadline;
     final EventFramer mFramer = new EventFramer();
 
@@ -123,6 +123,9 @@
     /** Whether the caller has disconnected while the call continues; its answer is dropped. */
     boolean mDetached;
 
+    /** Whether the body is not held any more, so that the request can't be sent again. */
+    boolean mBodyDropped;
+
     int mStatus;
 
     /** What tells the end of the current answer's body. */
@@ -166,6 +169,14 @@
         return route().isRepeatable() && (!mHeadSent || mFramer.isIdentified() && mMayGoOn);
     }
 
+    /** Drops the body of a request that will not be sent again. */
+    void dropBody() {
+        // The key depends on the body.
+        key();
+        mRequest = mRequest.withoutBody();
+        mBodyDropped = true;
+    }
+
     RequestSummary summary() {
         return new RequestSummary(mRequest.id(), sharedPartId(), sharedPartIds(), mService, key());
     }
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Answers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Answers.java
@@ -9,6 +9,9 @@
  * sends the request to another server where that is safe, or tells the caller what is known.
  */
 final class Answers {
+    /** Smaller bodies stay until the request ends: they are not worth a message to the process. */
+    private static final int MIN_DROPPED_BYTES = 64 << 10;
+
     private final Attempts mAttempts;
     private final RequestDecisions mDecisions;
     private final Outcomes mOutcomes;
@@ -72,6 +75,15 @@
             mOutcomes.onPromptRead(r);
             beginStream(r);
         }
+        dropBodyIfLastCall(r);
+    }
+
+    /** Drops the body once the request can't be sent again, since a server has begun to answer. */
+    private void dropBodyIfLastCall(ActiveRequest r) {
+        if (!r.isRepeatable() && r.mRequest.call().body().length >= MIN_DROPPED_BYTES) {
+            r.dropBody();
+            mEffects.accept(new DirectEffect.BodyDropped(r.mCaller));
+        }
     }
 
     /**
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Attempts.java
@@ -77,14 +77,16 @@
      * Sends the request to a backend server that has not been tried yet. If a hedged request has a
      * second call open, that becomes the current one instead.
      *
-     * @return whether it was sent; false if too little time or no attempt is left, if no server is
-     *     available, if the retry budget is used up, or if it was quarantined since its first call
+     * @return whether it was sent; false if its body was dropped, if too little time or no attempt
+     *     is left, if no server is available, if the retry budget is used up, or if it was
+     *     quarantined since its first call
      */
     boolean startNext(ActiveRequest r) {
         if (continueWithSecond(r)) {
             return true;
         }
-        if (!hasTime(r, mNow)
+        if (r.mBodyDropped
+                || !hasTime(r, mNow)
                 || r.mAttemptCount >= r.route().maxAttempts()
                 || r.mMisdirectedCount > MAX_MISDIRECTED) {
             return false;
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
@@ -79,6 +79,9 @@
     record FindStream(long lookup, long stream, String service, Duration window)
             implements DirectEffect {}
 
+    /** The body of a caller's request will not be sent again, and is not held any more. */
+    record BodyDropped(long caller) implements DirectEffect {}
+
     /** Send the caller a complete answer of a backend server. */
     record AnswerComplete(long caller, int status, List<Header> headers, byte[] body)
             implements DirectEffect {}
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectRouting.java
@@ -359,6 +359,7 @@
         emit(mDecisions.withReason(r, "caller_gone", mNow));
         if (r.mCall != 0 && !r.route().streamed() && !r.route().idempotent()) {
             r.mDetached = true;
+            r.dropBody();
             return;
         }
         mAttempts.cancel(r);
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
@@ -79,4 +79,22 @@
                 resumption,
                 newTerms);
     }
+
+    /** Returns a copy of this request without its body, which can't be sent any more. */
+    RoutedRequest withoutBody() {
+        AttemptRequest.Call withoutBody =
+                new AttemptRequest.Call(
+                        call.method(), call.path(), call.headers(), new byte[0], call.streamed());
+        return new RoutedRequest(
+                id,
+                route,
+                account,
+                priority,
+                timeLeft,
+                withoutBody,
+                prompt,
+                allowedRegions,
+                resumption,
+                terms);
+    }
 }
