--- a/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/SampleData.java
+++ b/org.laurelweir.benchmarks/src/main/java/org/laurelweir/benchmarks/steps/SampleData.java
@@ -170,7 +170,7 @@
         SettingsState settings =
                 new SettingsState(1, accountNodes(accounts), 1, List.of(), List.of(), 0, "");
         return new ControlState.Snapshot(
-                Instant.EPOCH, settings, List.of(), Map.of(), List.of(), 0, List.of());
+                Instant.EPOCH, settings, List.of(), Map.of(), List.of(), 0, List.of(), List.of());
     }
 
     /** Returns a change of one client account's weight. */
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/rpc/ControlGateway.java
@@ -33,7 +33,9 @@
      *
      * @param backend its session is the number of the announcement, its incarnation the time when
      *     it started
-     * @param answer receives the answer once the announcement is applied
+     * @param answer receives an AnswerAnnounced once the announcement is applied; of a backend
+     *     server that drains, an AnswerAnnounced or AnswerCommand once that is durable, or an
+     *     AnswerError; with the code NOT_LEADER it names the instance to ask
      */
     public void announce(Backend backend, Consumer<Answer> answer) {
         mEvents.accept(new ControlEvent.BackendAnnounced(mCalls.open(answer), backend));
@@ -43,8 +45,9 @@
      * Withdraws a backend server without a sidecar that leaves for good.
      *
      * @param backend its incarnation is the time when it started, 0 if unknown
-     * @param answer receives an AnswerAnnounced once the withdrawal is applied, or an AnswerError
-     *     if the backend server is unknown
+     * @param answer receives an AnswerAnnounced or AnswerCommand once the withdrawal is durable, or
+     *     an AnswerError, as if the backend server is unknown; with the code NOT_LEADER it names
+     *     the instance to ask
      */
     public void withdraw(BackendRef backend, Consumer<Answer> answer) {
         mEvents.accept(new ControlEvent.BackendWithdrawn(mCalls.open(answer), backend));
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/CommandCodec.java
@@ -35,6 +35,8 @@
             message.setDrain(RequestCodec.toWire(s));
         } else if (c instanceof Command.DrainDataCentre s) {
             message.setDrainDataCentre(RequestCodec.toWire(s));
+        } else if (c instanceof Command.RecordDeparture s) {
+            message.setRecordDeparture(DepartureCodec.toWire(s));
         } else if (c instanceof Command.IssueFence s) {
             message.setIssueFence(RequestCodec.toWire(s));
         }
@@ -61,6 +63,7 @@
             case SETTLE_CLAIM -> RequestCodec.toCore(m.getSettleClaim(), timestamp);
             case DRAIN -> RequestCodec.toCore(m.getDrain(), timestamp);
             case DRAIN_DATA_CENTRE -> RequestCodec.toCore(m.getDrainDataCentre(), timestamp);
+            case RECORD_DEPARTURE -> DepartureCodec.toCore(m.getRecordDeparture(), timestamp);
             case ISSUE_FENCE -> RequestCodec.toCore(m.getIssueFence(), timestamp);
             // If this replica skipped the entry, its state would differ from the other replicas'
             // state.
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/MembershipCodec.java
@@ -58,7 +58,7 @@
         return new Announcement(toCore(a.getBackend()), a.getControl());
     }
 
-    private static BackendState toWire(Backend.State state) {
+    static BackendState toWire(Backend.State state) {
         return switch (state) {
             case SERVING -> BackendState.SERVING;
             case DRAINING -> BackendState.DRAINING;
@@ -68,7 +68,7 @@
 
     // A state that this version does not know counts as draining: the backend server gets no new
     // work.
-    private static Backend.State toCore(BackendState state) {
+    static Backend.State toCore(BackendState state) {
         return switch (state) {
             case SERVING -> Backend.State.SERVING;
             case LEFT -> Backend.State.LEFT;
--- a/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
+++ b/org.laurelweir.wire/src/main/java/org/laurelweir/wire/SnapshotCodec.java
@@ -33,6 +33,7 @@
         s.drains().forEach(d -> message.addDrains(toWire(d)));
         message.setDataCentreDrainsPosition(s.dataCentreDrainsPosition());
         s.dataCentreDrains().forEach(d -> message.addDataCentreDrains(DrainCodec.toWire(d)));
+        s.departures().forEach(d -> message.addDepartures(DepartureCodec.toWire(d)));
         return message.build();
     }
 
@@ -44,7 +45,8 @@
                 Map.copyOf(m.getFencesMap()),
                 m.getDrainsList().stream().map(SnapshotCodec::toCore).toList(),
                 m.getDataCentreDrainsPosition(),
-                m.getDataCentreDrainsList().stream().map(DrainCodec::toCore).toList());
+                m.getDataCentreDrainsList().stream().map(DrainCodec::toCore).toList(),
+                m.getDeparturesList().stream().map(DepartureCodec::toCore).toList());
     }
 
     private static ClaimRecord toWire(Claim c) {
--- a/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
+++ b/org.laurelweir.wire/src/test/java/org/laurelweir/wire/CommandCodecTest.java
@@ -14,6 +14,8 @@
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.Departure;
 import org.laurelweir.settings.TextPatch;
 import org.laurelweir.settings.TreePatch;
 
@@ -57,6 +59,12 @@
                     new Command.Drain(TIMESTAMP, "w1", true, "operator"),
                     new Command.DrainDataCentre(TIMESTAMP, "bergen", true, "operator"),
                     new Command.IssueFence(TIMESTAMP, "w1"),
+                    new Command.RecordDeparture(
+                            TIMESTAMP,
+                            new BackendRef("w1", 7),
+                            Backend.State.DRAINING,
+                            Departure.FINAL_SESSION,
+                            Duration.ofMinutes(10)),
                     new Command.PatchSettings(
                             TIMESTAMP,
                             0,
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/Command.java
@@ -7,6 +7,8 @@
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.Departure;
 import org.laurelweir.settings.TextPatch;
 import org.laurelweir.settings.TreePatch;
 
@@ -154,6 +156,33 @@
         }
     }
 
+    /**
+     * Records that a backend server without a sidecar is draining or has left, before that is
+     * acknowledged.
+     *
+     * @param server the backend server with its incarnation
+     * @param state draining or left
+     * @param session the number of the announcement, see {@link Departure}
+     * @param retention how long late announcements have to be recognized
+     */
+    record RecordDeparture(
+            Instant timestamp,
+            BackendRef server,
+            Backend.State state,
+            int session,
+            Duration retention)
+            implements Command {
+        @Override
+        public RecordDeparture withTimestamp(Instant time) {
+            return new RecordDeparture(time, server, state, session, retention);
+        }
+
+        /** Returns the departure with its expiry. */
+        Departure departure() {
+            return new Departure(server, state, session, timestamp.plus(retention));
+        }
+    }
+
     /** Issues a new, higher fencing token for orders to a backend server. */
     record IssueFence(Instant timestamp, String backend) implements Command {
         @Override
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/CommandResult.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/CommandResult.java
@@ -45,6 +45,9 @@
     /** The result of an order to drain or undrain a backend server or a data centre. */
     record DrainResult(ResultCode code) implements CommandResult {}
 
+    /** The result of recording that a backend server is draining or has left. */
+    record DepartureResult(ResultCode code) implements CommandResult {}
+
     /**
      * The result of issuing a fencing token.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -23,9 +23,11 @@
 import org.laurelweir.coordination.ControlEvent.StatusRequested;
 import org.laurelweir.coordination.ControlEvent.StreamOriginRecorded;
 import org.laurelweir.coordination.ControlEvent.StreamOriginRequested;
+import org.laurelweir.lib.BackendRef;
 import org.laurelweir.lib.Reducer;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.membership.Backend;
+import org.laurelweir.membership.Departure;
 import org.laurelweir.membership.DirectAnnouncements;
 import org.laurelweir.membership.SharedMembership;
 import org.laurelweir.settings.NodePath;
@@ -34,7 +36,8 @@
 
 /**
  * Makes the decisions of a control instance. State that goes through the replicated log is durable.
- * The membership of backend servers is not; it is served without a quorum.
+ * The membership of backend servers is not; it is served without a quorum. That a backend server
+ * without a sidecar is draining or has left is acknowledged only once the log has it.
  */
 public final class ControlReducer implements Reducer<ControlEvent, ControlEffect> {
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
@@ -73,10 +76,15 @@
         mRegionCheck = new RegionCheck(config.regions().values());
         mDecisionLogger = new DecisionLogger(config.name());
         mIgnoredAnnouncementLogger = new IgnoredAnnouncementLogger(mDecisionLogger);
-        mReplica = new LogReplica(config, codec, seed, mDecisionLogger);
+        mReplica = new LogReplica(config, codec, seed, mDecisionLogger, this::onDeparture);
         List<String> peers = new ArrayList<>(config.addresses().keySet());
         peers.remove(config.name());
-        mMembership = new SharedMembership(config.membership(), peers, this::onBackendChanged);
+        mMembership =
+                new SharedMembership(
+                        config.membership(),
+                        peers,
+                        this::onBackendChanged,
+                        b -> mReplica.state().departures().isOutdated(b));
         mPeers = new ControlPeers(config, mMembership::expectPeer, mMembership::forgetPeer);
         mStreamRecords = new StreamRecords(config, mMembership, mPeers);
         PeerStatuses peerStatuses = new PeerStatuses();
@@ -202,7 +210,34 @@
             announceRestart(before);
         }
         mIgnoredAnnouncementLogger.log(mNow, b, outcome, mEffects);
-        mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+        boolean isKnown =
+                outcome == DirectAnnouncements.Outcome.TAKEN
+                        || outcome == DirectAnnouncements.Outcome.OVERTAKEN;
+        if (isKnown && b.state() != Backend.State.SERVING) {
+            acknowledge(e.call(), b.ref(), b.state(), b.session());
+        } else {
+            mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+        }
+    }
+
+    /** Acknowledges that a backend server is draining or has left, once the log has it. */
+    private void acknowledge(long call, BackendRef server, Backend.State state, int session) {
+        Departure recorded = mReplica.state().departures().get(server.id());
+        if (recorded != null && recorded.covers(server, state)) {
+            mEffects.accept(new ControlEffect.AnswerAnnounced(call));
+            return;
+        }
+        Duration retention = mConfig.membership().departedRetention();
+        mReplica.propose(
+                mNow,
+                call,
+                new Command.RecordDeparture(mNow, server, state, session, retention),
+                mEffects);
+    }
+
+    /** Applies a departure of the log to an announcement that was accepted before it was known. */
+    private void onDeparture(Departure departure) {
+        mDirectAnnouncements.onDeparture(mNow, departure);
     }
 
     /**
@@ -247,14 +282,26 @@
      * the departure; the caller can then report it to another instance.
      */
     private void onWithdrawn(BackendWithdrawn e) {
+        String id = e.backend().id();
+        Backend known = mMembership.backend(id);
         DirectAnnouncements.Outcome outcome = mDirectAnnouncements.withdraw(mNow, e.backend());
-        if (outcome == DirectAnnouncements.Outcome.UNKNOWN_SERVER) {
-            mEffects.accept(unknownBackendServer(e.call(), e.backend().id()));
-        } else {
+        if (outcome != DirectAnnouncements.Outcome.UNKNOWN_SERVER) {
+            boolean isAnyIncarnation =
+                    e.backend().incarnation() == DirectAnnouncements.NO_START_TIME;
+            BackendRef server = isAnyIncarnation ? known.ref() : e.backend();
+            acknowledge(e.call(), server, Backend.State.LEFT, Departure.FINAL_SESSION);
+        } else if (isRecorded(e.backend())) {
             mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
+        } else {
+            mEffects.accept(unknownBackendServer(e.call(), id));
         }
     }
 
+    private boolean isRecorded(BackendRef left) {
+        Departure d = mReplica.state().departures().get(left.id());
+        return d != null && d.covers(left, Backend.State.LEFT);
+    }
+
     private static ControlEffect.AnswerError unknownBackendServer(long call, String id) {
         String message = "no backend server " + id + " has announced itself";
         return new ControlEffect.AnswerError(call, ResultCode.UNKNOWN_BACKEND_SERVER, message, "");
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlState.java
@@ -5,25 +5,28 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.laurelweir.coordination.CommandResult.DepartureResult;
 import org.laurelweir.coordination.CommandResult.DrainResult;
 import org.laurelweir.coordination.CommandResult.FenceResult;
 import org.laurelweir.coordination.CommandResult.SettingsResult;
 import org.laurelweir.coordination.CommandResult.SettleResult;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Departure;
 import org.laurelweir.membership.DrainedDataCentres;
 import org.laurelweir.settings.SettingsState;
 import org.laurelweir.settings.SettingsStore;
 
 /**
- * The state machine of the replicated log: settings, claims, fencing tokens and drain orders of
- * backend servers and data centres. Replicas that apply the same commands at the same log positions
- * have equal states and return equal results.
+ * The state machine of the replicated log: settings, claims, fencing tokens, drain orders of
+ * backend servers and data centres, and departures of backend servers. Replicas that apply the same
+ * commands at the same log positions have equal states and return equal results.
  */
 public final class ControlState {
     private final Limits mLimits;
     private final ClaimTable mClaims;
     private final TreeMap<String, Long> mFences = new TreeMap<>();
     private final TreeMap<String, DrainOrder> mDrains = new TreeMap<>();
+    private final DepartureTable mDepartures = new DepartureTable();
     private final DataCentreDrains mDataCentreDrains = new DataCentreDrains();
     private SettingsStore mSettings;
     private Instant mLogTime = Instant.EPOCH;
@@ -89,6 +92,10 @@
             mDataCentreDrains.apply(index, s);
             return new DrainResult(ResultCode.OK);
         }
+        if (c instanceof Command.RecordDeparture s) {
+            mDepartures.apply(s);
+            return new DepartureResult(ResultCode.OK);
+        }
         return new FenceResult(
                 ResultCode.OK, mFences.merge(((Command.IssueFence) c).backend(), 1L, Long::sum));
     }
@@ -123,6 +130,11 @@
         return mDataCentreDrains.all();
     }
 
+    /** Returns the departures of backend servers that were acknowledged lately. */
+    DepartureTable departures() {
+        return mDepartures;
+    }
+
     /** Returns the highest fencing token issued for a backend server, or 0 if none was issued. */
     public long highestFence(String backend) {
         return mFences.getOrDefault(backend, 0L);
@@ -142,7 +154,8 @@
                 Map.copyOf(mFences),
                 List.copyOf(mDrains.values()),
                 mDataCentreDrains.current().position(),
-                mDataCentreDrains.all());
+                mDataCentreDrains.all(),
+                mDepartures.all());
     }
 
     /**
@@ -159,6 +172,7 @@
         mDrains.clear();
         snapshot.drains().forEach(d -> mDrains.put(d.backend(), d));
         mDataCentreDrains.restore(snapshot.dataCentreDrainsPosition(), snapshot.dataCentreDrains());
+        mDepartures.restore(snapshot.departures());
     }
 
     /**
@@ -172,6 +186,7 @@
      * @param dataCentreDrainsPosition the log position of the last change to the drained data
      *     centres
      * @param dataCentreDrains the drain orders of data centres in force
+     * @param departures the departures of backend servers in the order in which they were recorded
      */
     public record Snapshot(
             Instant time,
@@ -180,5 +195,6 @@
             Map<String, Long> fences,
             List<DrainOrder> drains,
             long dataCentreDrainsPosition,
-            List<DataCentreDrain> dataCentreDrains) {}
+            List<DataCentreDrain> dataCentreDrains,
+            List<Departure> departures) {}
 }
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionLogger.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DecisionLogger.java
@@ -100,6 +100,9 @@
             String order = d.drain() ? "drain data centre" : "undrain data centre";
             List<String> name = List.of(d.dataCentre());
             log(now, new Subject("", "", ""), name, order, "ordered by " + d.author(), out);
+        } else if (c instanceof Command.RecordDeparture d) {
+            List<String> server = List.of(d.server().toString());
+            log(now, new Subject("", "", ""), server, d.state().name(), "recorded in the log", out);
         } else if (c instanceof Command.IssueFence f) {
             String fence = Long.toString(((FenceResult) r).fence());
             List<String> backend = List.of(f.backend());
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/LogReplica.java
@@ -22,6 +22,7 @@
 import org.laurelweir.coordination.ControlEffect.AnswerMembership;
 import org.laurelweir.coordination.ControlEffect.EncodeSnapshot;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.membership.Departure;
 
 /**
  * This instance's replica of the log together with its state machine. It proposes commands and
@@ -34,6 +35,7 @@
     private final ConsensusReducer mConsensus;
     private final StalenessDetector mStaleness;
     private final DecisionLogger mDecisionLogger;
+    private final Consumer<Departure> mOnDeparture;
     private final Map<Long, Command> mPendingCommands = new HashMap<>();
     private final Set<Long> mPendingMembershipChanges = new HashSet<>();
     private final Map<Long, Runnable> mPendingReads = new HashMap<>();
@@ -49,7 +51,18 @@
     private Consumer<? super ControlEffect> mEffects;
     private CommandResult mLastResult;
 
-    LogReplica(ControlConfig config, LogCodec codec, long seed, DecisionLogger decisionLogger) {
+    /**
+     * Creates a replica.
+     *
+     * @param onDeparture receives each departure that is applied or restored
+     */
+    LogReplica(
+            ControlConfig config,
+            LogCodec codec,
+            long seed,
+            DecisionLogger decisionLogger,
+            Consumer<Departure> onDeparture) {
+        mOnDeparture = onDeparture;
         mConfig = config;
         mCodec = codec;
         mState = new ControlState(config.limits());
@@ -199,7 +212,7 @@
         } else if (e instanceof ConsensusEffect.MarkCommitted m) {
             mEffects.accept(new ControlEffect.MarkCommitted(m.index()));
         } else if (e instanceof ConsensusEffect.Apply a) {
-            mLastResult = mState.apply(a.index(), mCodec.decodeCommand(a.command()));
+            apply(a);
         } else if (e instanceof ConsensusEffect.ProposalAccepted a) {
             onAccepted(a.proposalId());
         } else if (e instanceof ConsensusEffect.ProposalRejected r) {
@@ -214,6 +227,14 @@
         }
     }
 
+    private void apply(ConsensusEffect.Apply a) {
+        Command command = mCodec.decodeCommand(a.command());
+        mLastResult = mState.apply(a.index(), command);
+        if (command instanceof Command.RecordDeparture d) {
+            mOnDeparture.accept(mState.departures().get(d.server().id()));
+        }
+    }
+
     private void onOtherEffect(ConsensusEffect e) {
         if (e instanceof ConsensusEffect.TakeSnapshot t) {
             mEffects.accept(new EncodeSnapshot(t.index(), mState.snapshot()));
@@ -233,6 +254,7 @@
 
     private void restore(Snapshot snapshot) {
         mState.restore(mCodec.decodeSnapshot(snapshot.state()));
+        mState.departures().all().forEach(mOnDeparture);
     }
 
     private void onAccepted(long call) {
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/DirectAnnouncements.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/DirectAnnouncements.java
@@ -20,9 +20,6 @@
  * the peers.
  */
 public final class DirectAnnouncements {
-    /** The session of an incarnation that has left; only a later incarnation supersedes it. */
-    private static final int FINAL_SESSION = Integer.MAX_VALUE;
-
     /** The incarnation of a backend server that does not tell when it started. */
     public static final long NO_START_TIME = 0;
 
@@ -87,6 +84,7 @@
         }
         AnnouncementVersion version = AnnouncementVersion.of(b);
         boolean isOutdated = known != null && !version.isAfter(AnnouncementVersion.of(known));
+        isOutdated |= mMembership.isOutdated(b);
         if (isOutdated || !version.isAfter(mLastAccepted.get(b.ref().id()))) {
             return Outcome.OVERTAKEN;
         }
@@ -166,10 +164,22 @@
     }
 
     private void reportDeparture(Instant now, Backend known) {
-        Backend left = known.withState(Backend.State.LEFT).withSession(FINAL_SESSION);
+        Backend left = known.withState(Backend.State.LEFT).withSession(Departure.FINAL_SESSION);
         report(now, left);
     }
 
+    /**
+     * Applies the departure of a backend server that reports to this instance and counts as
+     * serving: the instance accepted a late announcement before it knew of the departure.
+     */
+    public void onDeparture(Instant now, Departure d) {
+        Backend known = mMembership.backend(d.server().id());
+        if (known == null || !d.isLaterThan(known) || !mMembership.hasSession(known)) {
+            return;
+        }
+        report(now, known.withRef(d.server()).withState(d.state()).withSession(d.session()));
+    }
+
     /** Removes the backend servers that are not in the membership. */
     public void prune() {
         mLastAccepted.keySet().removeIf(id -> !mMembership.knows(id));
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/SharedMembership.java
@@ -30,18 +30,30 @@
     private final FlapGuard mFlaps;
     private final PeerTable mPeers;
     private final OrphanedBackends mOrphans;
+    private final Predicate<Backend> mIsOutdated;
     // IDs of backend servers that a peer announced as left although they report to this instance.
     private final Set<String> mDisputedDepartures = new HashSet<>();
 
+    /** Creates an empty membership of a deployment in which no departure is recorded. */
+    public SharedMembership(
+            MembershipConfig config, Collection<String> peers, MembershipListener listener) {
+        this(config, peers, listener, b -> false);
+    }
+
     /**
      * Creates an empty membership.
      *
      * @param config timeouts and limits
      * @param peers the names of the other control instances
      * @param listener receives each change
+     * @param isOutdated returns whether an announcement is older than a recorded {@link Departure}
      */
     public SharedMembership(
-            MembershipConfig config, Collection<String> peers, MembershipListener listener) {
+            MembershipConfig config,
+            Collection<String> peers,
+            MembershipListener listener,
+            Predicate<Backend> isOutdated) {
+        mIsOutdated = isOutdated;
         mListener = listener;
         mSelf = config.control();
         mLog =
@@ -245,6 +257,10 @@
             mDisputedDepartures.add(id);
             return;
         }
+        if (mIsOutdated.test(b)) {
+            // The peer does not know yet what the log has, and will take the announcement back.
+            return;
+        }
         Announcement known = mLog.get(id);
         if (!mergeIntoLog(now, a)) {
             return;
@@ -321,6 +337,11 @@
         return known == null ? null : known.backend();
     }
 
+    /** Returns whether an announcement is older than a recorded departure. */
+    boolean isOutdated(Backend b) {
+        return mIsOutdated.test(b);
+    }
+
     /** Returns whether this session of a backend server reports to this instance. */
     public boolean hasSession(Backend b) {
         return mSessions.hasSession(b);
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
@@ -39,6 +39,7 @@
     private final Queue<ControlEvent> mEvents = new ArrayDeque<>();
     private final List<Decision> mWarnings = new ArrayList<>();
     private final List<Decision> mDecisions = new ArrayList<>();
+    private final List<ControlEffect.Answer> mAnswers = new ArrayList<>();
     private final ControlReducer mReducer;
     private Instant mNow = Instant.EPOCH;
     private ControlInstanceStatus mStatus;
@@ -57,7 +58,7 @@
                         .consensus(consensus)
                         .toleratedLosses(toleratedLosses)
                         .build();
-        mReducer = new ControlReducer(config, new UnusedLogCodec(), 1);
+        mReducer = new ControlReducer(config, new ListLogCodec(), 1);
         offer(new ConsensusEvent.Recovered(HardState.INITIAL, Snapshot.NONE, List.of(), 0));
         offer(new ConsensusEvent.Bootstrapped(Membership.ofVoters(voters)));
     }
@@ -87,6 +88,17 @@
         }
     }
 
+    /** Handles an event, and what follows from it at once. */
+    void receive(ControlEvent event) {
+        mEvents.add(event);
+        run(TICK);
+    }
+
+    /** Returns the answers to calls so far. */
+    List<ControlEffect.Answer> answers() {
+        return mAnswers;
+    }
+
     /** Returns the last status that the instance reported. */
     ControlInstanceStatus status() {
         return mStatus;
@@ -113,6 +125,8 @@
                     .forEach(this::reportStatus);
         } else if (effect instanceof ControlEffect.ReportStatus r) {
             mStatus = r.self();
+        } else if (effect instanceof ControlEffect.Answer a) {
+            mAnswers.add(a);
         } else if (effect instanceof ControlEffect.LogWarning w) {
             mWarnings.add(w.decision());
         } else if (effect instanceof ControlEffect.LogDecision d) {
--- a/org.laurelweir/src/test/java/org/laurelweir/membership/DirectAnnouncementsTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/membership/DirectAnnouncementsTest.java
@@ -379,4 +379,36 @@
         exchangeUpdates();
         assertThat(mMembershipA.backend("w").slowStart()).isFalse();
     }
+
+    /** Guards against a late announcement that an instance took before it knew the log. */
+    @Test
+    void departureOfTheLogEndsAnAnnouncementTakenBefore() {
+        mDirectA.receive(NOW, announcement(Backend.State.SERVING, 5));
+        exchangeUpdates();
+        Departure departure =
+                new Departure(
+                        new BackendRef("w", 0), Backend.State.LEFT, Departure.FINAL_SESSION, NOW);
+        mDirectA.onDeparture(NOW, departure);
+        mDirectB.onDeparture(NOW, departure);
+        exchangeUpdates();
+        assertThat(mMembershipA.backend("w").state()).isEqualTo(Backend.State.LEFT);
+        assertThat(mMembershipB.backend("w").state()).isEqualTo(Backend.State.LEFT);
+    }
+
+    /** Guards against a peer that spreads a late announcement which the log has outdated. */
+    @Test
+    void outdatedAnnouncementOfAPeerIsNotMerged() {
+        SharedMembership informed =
+                new SharedMembership(
+                        MembershipConfig.builder("c", 1).build(),
+                        List.of("a"),
+                        (b, reason, isOwn) -> {},
+                        b -> b.session() < 6);
+        mDirectA.receive(NOW, announcement(Backend.State.SERVING, 5));
+        informed.merge(NOW, "a", mMembershipA.updateSince(MembershipCursor.NONE));
+        assertThat(informed.backend("w")).isNull();
+        mDirectA.receive(NOW, announcement(Backend.State.DRAINING, 6));
+        informed.merge(NOW, "a", mMembershipA.updateSince(MembershipCursor.NONE));
+        assertThat(informed.backend("w").state()).isEqualTo(Backend.State.DRAINING);
+    }
 }
