--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -56,6 +56,7 @@
 import org.laurelweir.settings.EffectiveSettings;
 import org.laurelweir.settings.SettingKeys;
 import org.laurelweir.settings.SettingsLookup;
+import org.laurelweir.settings.SettingsTree;
 
 /** A router process: creates, starts and stops all parts of the router. */
 public final class RouterProgram implements Service {
@@ -90,8 +91,12 @@
     private final ControlExchange mExchange;
     private final Effects mEffects;
     private final ReducerLoop<RouterEvent, RouterEffect> mLoop;
+    private volatile KnownLimits mLimits;
     private MetricsServer mMetricsServer;
 
+    /** The limits for callers by a tree of settings. */
+    private record KnownLimits(SettingsTree tree, Limits limits) {}
+
     /**
      * Creates a router with the default header names. It listens after {@link #start}.
      *
@@ -308,7 +313,18 @@
         return new AttemptId(mConfig.name(), mConfig.incarnation(), caller, 1).requestName();
     }
 
+    /** Returns the limits for callers, which are read for each request. */
     private Limits limits() {
+        KnownLimits known = mLimits;
+        SettingsTree tree = mSettings.tree();
+        if (known == null || known.tree() != tree) {
+            known = new KnownLimits(tree, newLimits());
+            mLimits = known;
+        }
+        return known.limits();
+    }
+
+    private Limits newLimits() {
         EffectiveSettings s = mSettings.effective(null, null);
         return new Limits(
                 Math.min(
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.WriteTimeoutHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -41,11 +42,14 @@
     private static final int MEMORY_WAIT_DIVISOR = 4;
 
     private final CallerConnections mConnections;
-    private final Limits mLimits;
-    private final RequestReader mReader;
+    private final RequestReader mReader = new RequestReader();
     private final BodyReservation mReservation;
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
+
+    /** The limits for the current request, or for the next one while the connection is idle. */
+    private Limits mLimits;
+
     private RequestTimer mTimer;
     private RequestTimer mMemoryTimer;
     private ChannelAnswer mAnswer;
@@ -57,7 +61,6 @@
     CallerConnection(CallerConnections connections) {
         mConnections = connections;
         mLimits = connections.limits();
-        mReader = new RequestReader(mLimits.bodyBytes());
         mReservation = new BodyReservation(connections.requestMemory());
     }
 
@@ -82,10 +85,20 @@
     void onBytesReceived() {
         if (!mRequestBegun && mAnswer == null && !mClosing) {
             mRequestBegun = true;
+            updateLimits();
             mTimer.start(mLimits.requestTime());
         }
     }
 
+    /** Takes over the limits in force: a connection may be kept for longer than settings are. */
+    private void updateLimits() {
+        Limits before = mLimits;
+        mLimits = mConnections.limits();
+        if (!mLimits.requestTime().equals(before.requestTime())) {
+            mChannel.pipeline().replace(WriteTimeoutHandler.class, null, mLimits.newWriteTimeout());
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (mClosing) {
@@ -105,7 +118,8 @@
     private void onPart(HttpObject part) {
         try {
             if (part instanceof HttpRequest head) {
-                mReader.onHead(head);
+                updateLimits();
+                mReader.onHead(head, mLimits);
                 if (mReader.announcedBytes() > 0 && !reserve(mReader.announcedBytes())) {
                     return;
                 }
@@ -221,6 +235,7 @@
             return;
         }
         mAnswer = null;
+        updateLimits();
         mRequestBegun = !mPipelined.isEmpty();
         mTimer.start(mRequestBegun ? mLimits.requestTime() : mLimits.idleTime());
         servePipelined();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -19,6 +18,12 @@
 
 /** The HTTP server for callers. */
 public final class CallerServer implements Service {
+    /**
+     * Size of a head that is decoded even where the limit is smaller. The limit in force is checked
+     * afterwards, so that one which is raised holds for kept connections too.
+     */
+    private static final int DECODER_HEAD_BYTES = 64 << 10;
+
     private final EventLoops mLoops;
     private final Endpoint mListen;
     private final Optional<EarlySocket> mSocket;
@@ -117,16 +122,15 @@
         protected void initChannel(SocketChannel channel) {
             Limits limits = mConnections.limits();
             CallerConnection connection = new CallerConnection(mConnections);
+            int headBytes = Math.max(limits.headerBytes(), DECODER_HEAD_BYTES);
             HttpDecoderConfig decoder =
                     new HttpDecoderConfig()
-                            .setMaxInitialLineLength(limits.headerBytes())
-                            .setMaxHeaderSize(limits.headerBytes());
+                            .setMaxInitialLineLength(headBytes)
+                            .setMaxHeaderSize(headBytes);
             channel.pipeline()
                     .addLast(new ArrivalHandler(connection::onBytesReceived))
                     .addLast(new HttpServerCodec(decoder))
-                    .addLast(
-                            new WriteTimeoutHandler(
-                                    limits.requestTime().toMillis(), TimeUnit.MILLISECONDS))
+                    .addLast(limits.newWriteTimeout())
                     .addLast(connection);
         }
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Limits.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/Limits.java
@@ -1,9 +1,12 @@
 package org.laurelweir.router.http;
 
+import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Limits for callers. Each connection uses the settings at the time it is opened.
+ * Limits for callers. Each request uses those in force when it begins, also on a connection that
+ * was opened before.
  *
  * @param bodyBytes maximum size of a request's body
  * @param headerBytes maximum total size of a request's headers
@@ -13,8 +16,9 @@
  * @param idleTime maximum time that a connection may stay without a request
  */
 public record Limits(
-        long bodyBytes,
-        int headerBytes,
-        int connections,
-        Duration requestTime,
-        Duration idleTime) {}
+        long bodyBytes, int headerBytes, int connections, Duration requestTime, Duration idleTime) {
+    /** Returns a handler that closes a connection whose caller does not accept its answer. */
+    WriteTimeoutHandler newWriteTimeout() {
+        return new WriteTimeoutHandler(requestTime.toMillis(), TimeUnit.MILLISECONDS);
+    }
+}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestReader.java
@@ -8,20 +8,20 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.Map;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 
 /** Assembles one request from its parts. Refuses an invalid request as early as possible. */
 final class RequestReader {
-    private final long mMaxBodyBytes;
+    /** Bytes around a header's name and value, and around the parts of the first line. */
+    private static final int SEPARATOR_BYTES = 4;
+
+    private long mMaxBodyBytes;
     private HttpRequest mHead;
     private BodyBuffer mBody;
     private long mAnnouncedBytes;
 
-    RequestReader(long maxBodyBytes) {
-        mMaxBodyBytes = maxBodyBytes;
-    }
-
     boolean isReading() {
         return mHead != null;
     }
@@ -29,10 +29,16 @@
     /**
      * Reads the request's head.
      *
-     * @throws LaurelweirException if the head is invalid or announces too large a body
+     * @param limits the limits in force, which hold for the whole request
+     * @throws LaurelweirException if the head is invalid or too large, or announces too large a
+     *     body
      */
-    void onHead(HttpRequest head) {
+    void onHead(HttpRequest head, Limits limits) {
+        mMaxBodyBytes = limits.bodyBytes();
         checkDecoded(head.decoderResult().cause());
+        if (headBytes(head) > limits.headerBytes()) {
+            throw headTooLarge();
+        }
         if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             // HTTP/1.0 may end a body by closing, so a truncated answer would look complete.
             throw new LaurelweirException(ResultCode.BAD_REQUEST, "HTTP/1.1 is needed");
@@ -111,14 +117,28 @@
         return new LaurelweirException(ResultCode.BODY_TOO_LARGE, message);
     }
 
+    private static LaurelweirException headTooLarge() {
+        return new LaurelweirException(
+                ResultCode.HEADERS_TOO_LARGE, "the request's headers are too large");
+    }
+
+    /** Returns the size of the first line or of all headers, whichever is larger. */
+    private static int headBytes(HttpRequest head) {
+        int headers = 0;
+        for (Map.Entry<String, String> h : head.headers()) {
+            headers += h.getKey().length() + h.getValue().length() + SEPARATOR_BYTES;
+        }
+        int line = head.method().name().length() + head.uri().length() + SEPARATOR_BYTES;
+        return Math.max(headers, line);
+    }
+
     private static void checkDecoded(Throwable cause) {
         if (cause == null) {
             return;
         }
         if (cause instanceof TooLongHttpHeaderException
                 || cause instanceof TooLongHttpLineException) {
-            String message = "the request's headers are too large";
-            throw new LaurelweirException(ResultCode.HEADERS_TOO_LARGE, message);
+            throw headTooLarge();
         }
         throw new LaurelweirException(ResultCode.BAD_REQUEST, "not an HTTP request");
     }
