--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Answers.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Answers.java
@@ -238,6 +238,9 @@
         if (e.failure().isPossiblySent()) {
             mOutcomes.onFailure(r);
             boolean connectionLost = e.failure() == DirectEvent.Failure.CONNECTION_LOST;
+            if (connectionLost) {
+                mOutcomes.onConnectionLost(r.mBackend);
+            }
             onUnknownOutcome(
                     r,
                     !connectionLost || mCrashGuard.onConnectionLost(r, r.mBackend, mNow),
@@ -246,6 +249,7 @@
         }
         boolean isWithheld = e.failure() == DirectEvent.Failure.WITHHELD;
         if (!isWithheld) {
+            mOutcomes.onConnectionLost(r.mBackend);
             mOutcomes.onUnreachable(r);
         }
         // The request never reached the server and does not count as an attempt.
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/CandidateFilter.java
@@ -33,6 +33,7 @@
         return !r.mTriedServers.contains(c.id())
                 && !isPassedOver
                 && mayRun(r, c)
+                && !mayBeOtherVersion(r, c, now)
                 && isWarmOrPermitted(r, c, now);
     }
 
@@ -55,6 +56,14 @@
         return b != null && b.ref().equals(c.ref()) && b.version().equals(r.mRequiredVersion);
     }
 
+    /**
+     * Returns whether a server may have started anew with another version than a stream has to go
+     * on at. Its version is that of its last announcement, and nothing in its answers tells.
+     */
+    private boolean mayBeOtherVersion(ActiveRequest r, Candidate c, Instant now) {
+        return r.mRequiredVersion != null && mServers.isRunInDoubt(c.ref(), now);
+    }
+
     /** Returns whether a server is not in slow start, or takes a request of this router even so. */
     private boolean isWarmOrPermitted(ActiveRequest r, Candidate c, Instant now) {
         return !mBackends.isInSlowStart(c.id(), now)
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
@@ -111,6 +111,13 @@
         mContended.onFailure(r, server, mNow);
     }
 
+    /**
+     * Records that a server closed the connection of a call, or accepted none: it may have crashed.
+     */
+    void onConnectionLost(BackendRef server) {
+        mServers.onConnectionLost(server, mNow);
+    }
+
     /** Records that the server is full, or that another server answered at its address. */
     void onNotRun(BackendRef server, boolean misdirected) {
         if (misdirected) {
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.membership.DirectAnnouncements;
 import org.laurelweir.placement.OutlierConfig;
 import org.laurelweir.placement.Outliers;
 
@@ -44,6 +45,13 @@
      */
     private static final Duration RECENT_FAILURE_TIME = Duration.ofSeconds(2);
 
+    /**
+     * How long after a lost connection another run may answer at a server's address without this
+     * router's knowledge: until the run has announced itself, and the announcement, which may be
+     * seconds late, has come here.
+     */
+    private static final Duration RUN_DOUBT_TIME = Duration.ofSeconds(3);
+
     private final Map<String, Server> mServers = new HashMap<>();
     private final Map<String, Server> mInBackoff = new HashMap<>();
     private final Map<String, Outliers> mOutliers = new HashMap<>();
@@ -136,6 +144,21 @@
         }
     }
 
+    /** Records that a server closed a connection within an answer, or accepts none. */
+    void onConnectionLost(BackendRef ref, Instant now) {
+        server(ref).mDoubtEnd = now.plus(RUN_DOUBT_TIME);
+    }
+
+    /**
+     * Returns whether a server may have started anew since it was announced, under the same name
+     * and perhaps with another version. Servers that tell no start time have a new name after each
+     * start.
+     */
+    boolean isRunInDoubt(BackendRef ref, Instant now) {
+        return ref.incarnation() != DirectAnnouncements.NO_START_TIME
+                && now.isBefore(server(ref).mDoubtEnd);
+    }
+
     /**
      * Returns whether a server is ejected, paused because it was full or replaced, or in backoff.
      */
@@ -232,6 +255,7 @@
         private Instant mPausedUntil = Instant.EPOCH;
         private Instant mBackoffEnd = Instant.EPOCH;
         private Instant mLastFailure = Instant.EPOCH;
+        private Instant mDoubtEnd = Instant.EPOCH;
 
         Server(long incarnation) {
             mIncarnation = incarnation;
--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/PresetState.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/PresetState.java
@@ -8,7 +8,10 @@
 import org.laurelweir.coordination.ControlState;
 import org.laurelweir.coordination.LogCodec;
 
-/** A codec that decodes every snapshot as the state with some settings, and no commands. */
+/**
+ * A codec that decodes every snapshot as the state with some settings, and no commands. Those that
+ * are proposed are never in a log, since no instance leads.
+ */
 final class PresetState implements LogCodec {
     /** A snapshot whose content is that state. */
     static final Snapshot SNAPSHOT = new Snapshot(1, 1, Membership.EMPTY, new byte[0]);
@@ -33,7 +36,7 @@
 
     @Override
     public byte[] encode(Command command) {
-        throw new UnsupportedOperationException();
+        return new byte[0];
     }
 
     @Override
--- a/org.laurelweir/src/test/java/org/laurelweir/resumption/StreamVersionsPropertyTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/resumption/StreamVersionsPropertyTest.java
@@ -7,7 +7,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import net.jqwik.api.Tag;
 import net.jqwik.api.constraints.LongRange;
 import org.laurelweir.fleet.FleetRouter;
 import org.laurelweir.resumption.VersionedServers.Server;
@@ -169,7 +168,6 @@
 
     // Guards against the same where a server tells seconds late that it has started again.
     @Property(tries = 8, seed = "5604", shrinking = ShrinkingMode.OFF)
-    @Tag("known-red")
     void streamsGoOnWhileServersReturnWithAnotherVersion(@ForAll @LongRange(min = 0) long seed) {
         startFleet(seed, 2);
         returnServers();
