Route a path that the router answers itself where a route covers it

Cause: the router answered /v1/models before it looked for a route.

Evidence: CoveredPathTest, 2 of 2 pass; on the code before, the request is answered by ModelList without a look at the routes (read, the test was not run there). RouterProgramTest and RouterFailureTest pass.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/Callers.java
@@ -72,11 +72,11 @@
     @Override
     public void onCall(long caller, HttpCall call, CallerAnswer answer) {
         try {
-            if (call.path().equals(ModelList.PATH)) {
+            Optional<RoutedRequest> routed = mRoutes.resolve(call);
+            if (routed.isEmpty() && call.path().equals(ModelList.PATH)) {
                 listModels(call, answer);
                 return;
             }
-            Optional<RoutedRequest> routed = mRoutes.resolve(call);
             RouterEvent event =
                     routed.isPresent()
                             ? toRouterEvent(new DirectEvent.RequestArrived(caller, routed.get()))
