End the doubt about a server's run when an earlier call goes on

What callers could see: after a server broke off one stream, no stream of its version was taken up there for 3 s, though the server lived.

Change: a call that was started before the connection was lost, and that goes on after, proves that the run has not ended, since its end closes all connections. Where data that came before the crash is read after the loss of another connection, that call's own loss follows and renews the doubt.

--- a/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/Outcomes.java
@@ -57,6 +57,7 @@
 
     /** Records the head of an answer to a call that was started at a time: the server lives. */
     void onHead(BackendRef server, Instant callStart) {
+        mServers.onAlive(server, callStart);
         mCrashGuard.onHeadReceived(server, callStart, mNow);
         mUnconfirmedEnds.onAnswer(server, callStart);
     }
@@ -74,6 +75,7 @@
 
     /** Records that data of the answer has arrived, and may have completed an event. */
     void onData(ActiveRequest r) {
+        mServers.onAlive(r.mBackend, r.mCallStart);
         mContended.onData(r, mNow);
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ServerTable.java
@@ -146,7 +146,18 @@
 
     /** Records that a server closed a connection within an answer, or accepts none. */
     void onConnectionLost(BackendRef ref, Instant now) {
-        server(ref).mDoubtEnd = now.plus(RUN_DOUBT_TIME);
+        server(ref).mConnectionLost = now;
+    }
+
+    /**
+     * Records that a server went on with a call. If the call was started before another one lost
+     * its connection, the run has not ended with that: its end closes all connections.
+     */
+    void onAlive(BackendRef ref, Instant callStart) {
+        Server s = server(ref);
+        if (callStart.isBefore(s.mConnectionLost)) {
+            s.mConnectionLost = Instant.MIN;
+        }
     }
 
     /**
@@ -156,7 +167,7 @@
      */
     boolean isRunInDoubt(BackendRef ref, Instant now) {
         return ref.incarnation() != DirectAnnouncements.NO_START_TIME
-                && now.isBefore(server(ref).mDoubtEnd);
+                && now.isBefore(server(ref).mConnectionLost.plus(RUN_DOUBT_TIME));
     }
 
     /**
@@ -255,7 +266,7 @@
         private Instant mPausedUntil = Instant.EPOCH;
         private Instant mBackoffEnd = Instant.EPOCH;
         private Instant mLastFailure = Instant.EPOCH;
-        private Instant mDoubtEnd = Instant.EPOCH;
+        private Instant mConnectionLost = Instant.MIN;
 
         Server(long incarnation) {
             mIncarnation = incarnation;
--- a/org.laurelweir/src/test/java/org/laurelweir/direct/DoubtfulRunTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/direct/DoubtfulRunTest.java
@@ -96,4 +96,28 @@
         mDriver.arrive(2, RESUMABLE);
         assertThat(mDriver.callCount()).isEqualTo(1);
     }
+
+    /** Guards against streams that don't go on at a server which only broke off one of them. */
+    @Test
+    void doubtEndsWhenAnEarlierCallGoesOn() {
+        mDriver.arrive(3, RESUMABLE);
+        long earlier = mDriver.lastCall().call();
+        mDriver.advance(Duration.ofMillis(50));
+        breakOff(Failure.CONNECTION_LOST);
+        mDriver.answer(earlier, 200, GENUINE);
+        takeUp(2);
+        assertThat(mDriver.callCount()).isEqualTo(1);
+    }
+
+    /** Guards against taking the answer of a later run for a sign that the earlier one lives. */
+    @Test
+    void doubtStaysWhenALaterCallIsAnswered() {
+        breakOff(Failure.CONNECTION_LOST);
+        mDriver.advance(Duration.ofMillis(50));
+        mDriver.arrive(3, RESUMABLE);
+        mDriver.answer(mDriver.lastCall().call(), 200, GENUINE);
+        mDriver.mEffects.clear();
+        takeUp(2);
+        assertThat(mDriver.callCount()).isZero();
+    }
 }
