Keep the records of streams on the disks of control instances

What callers saw: after a kill of all routers and control instances none of the streams that had broken off went on, although servers of their versions served: 30 of 30 were refused in the users' measures.

Cause: what began a stream was recorded in the memory of two control instances, which protects from the loss of a router, not from that of all.

Change: an instance with a disk writes each record to a file in its data folder and confirms it after the sync, with one sync for all that wait; it reads the files at its start. A damaged end of a file is passed over, and a disk that fails holds no stream back. A record never changes, so that one that is kept too long does no harm; no clock decides on its age.

Weighed: the replicated log (an entry for each stream), and the history of versions there (nothing for each stream, but of no use where two serve).

Not measured: the delay of the first event by the sync, the bytes at 11,000 streams a second.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlEffects.java
@@ -8,6 +8,7 @@
 import org.laurelweir.control.rpc.PeerCalls;
 import org.laurelweir.control.rpc.PendingCalls;
 import org.laurelweir.control.storage.LogWriter;
+import org.laurelweir.control.storage.StreamRecordWriter;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
 import org.laurelweir.coordination.LogCodec;
@@ -21,6 +22,7 @@
     private final PendingCalls mCalls;
     private final PeerCalls mPeers;
     private final LogWriter mLogWriter;
+    private final StreamRecordWriter mStreamRecords;
     private final LogCodec mCodec;
     private final Executor mBackground;
     private final Consumer<ControlEvent> mEvents;
@@ -33,6 +35,7 @@
             PendingCalls calls,
             PeerCalls peers,
             LogWriter log,
+            StreamRecordWriter streamRecords,
             LogCodec codec,
             Executor background,
             Consumer<ControlEvent> events,
@@ -40,6 +43,7 @@
         mCalls = calls;
         mPeers = peers;
         mLogWriter = log;
+        mStreamRecords = streamRecords;
         mCodec = codec;
         mBackground = background;
         mEvents = events;
@@ -78,6 +82,8 @@
             mLogWriter.persist(p.persist());
         } else if (e instanceof ControlEffect.MarkCommitted m) {
             mLogWriter.markCommitted(m.index());
+        } else if (e instanceof ControlEffect.KeepStreamRecord k) {
+            mStreamRecords.keep(k.call(), k.record());
         } else if (e instanceof ControlEffect.SendToReplica s) {
             mPeers.send(s.send());
         } else if (e instanceof ControlEffect.RequestPeerUpdate a) {
--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/ControlProgram.java
@@ -37,6 +37,7 @@
 import org.laurelweir.control.storage.LogStorage;
 import org.laurelweir.control.storage.LogWriter;
 import org.laurelweir.control.storage.StorageOpener;
+import org.laurelweir.control.storage.StreamRecordWriter;
 import org.laurelweir.coordination.ControlConfig;
 import org.laurelweir.coordination.ControlEffect;
 import org.laurelweir.coordination.ControlEvent;
@@ -87,6 +88,7 @@
             new CompletableFuture<>();
     private LogStorage mStorage;
     private LogWriter mLogWriter;
+    private StreamRecordWriter mStreamRecords;
     private RpcServer mServer;
     private ControlEffects mEffects;
     private MetricsServer mMetricsServer;
@@ -200,9 +202,21 @@
     private void startReducer(
             ReplicaId self, Map<String, String> others, PeerCalls peers, Recovered recovered) {
         mLogWriter = new LogWriter(mStorage, this::persisted, Program::halt);
+        mStreamRecords =
+                StreamRecordWriter.open(
+                        mFile.dataFolder(),
+                        mClock,
+                        call -> offer(new ControlEvent.StreamRecordKept(call)));
         mEffects =
                 new ControlEffects(
-                        mCalls, peers, mLogWriter, mCodec, mBackground, this::offer, mMetrics);
+                        mCalls,
+                        peers,
+                        mLogWriter,
+                        mStreamRecords,
+                        mCodec,
+                        mBackground,
+                        this::offer,
+                        mMetrics);
         Map<String, String> addresses = new TreeMap<>(others);
         addresses.put(mFile.name(), address().toString());
         long incarnation = mClock.instant().toEpochMilli();
@@ -220,7 +234,9 @@
                         Program::halt);
         // Must be the first event: it tells the replica its vote and its log.
         loop.offer(new ControlEvent.ReplicaEvent(recovered));
+        loop.offer(new ControlEvent.StreamRecordsRestored(mStreamRecords.takenOver()));
         mLogWriter.start();
+        mStreamRecords.start();
         loop.start();
         mLoop.complete(loop);
     }
@@ -318,6 +334,7 @@
         if (mLoop.isDone()) {
             mLoop.join().stop();
             mLogWriter.stop();
+            mStreamRecords.stop();
             mStorage.close();
         }
         mChannels.stop();
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEffect.java
@@ -19,6 +19,7 @@
 import org.laurelweir.quarantine.CrashRecord;
 import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginReport;
+import org.laurelweir.resumption.StreamRecord;
 import org.laurelweir.settings.HistoryEntry;
 import org.laurelweir.settings.SettingsDelta;
 import org.laurelweir.settings.SettingsNode;
@@ -121,6 +122,12 @@
      */
     record AnswerStreamRecorded(long call, Optional<BackendRun> laterRun) implements Answer {}
 
+    /**
+     * Write the record of a stream to the disk, if there is one, and report it as {@link
+     * ControlEvent.StreamRecordKept}.
+     */
+    record KeepStreamRecord(long call, StreamRecord record) implements ControlEffect {}
+
     /** Answers a request for the origin of a stream. */
     record AnswerStreamOrigin(long call, OriginReport report) implements Answer {}
 
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlEvent.java
@@ -19,6 +19,7 @@
 import org.laurelweir.quarantine.CrashReport;
 import org.laurelweir.quarantine.SuspectKey;
 import org.laurelweir.resumption.StreamOrigin;
+import org.laurelweir.resumption.StreamRecord;
 import org.laurelweir.settings.NodePath;
 
 /**
@@ -93,6 +94,12 @@
             long call, long stream, StreamOrigin origin, BackendRef server, Duration retention)
             implements ControlEvent {}
 
+    /** The record of a stream is on the disk, or will not be. */
+    record StreamRecordKept(long call) implements ControlEvent {}
+
+    /** The records of streams that the disk holds of earlier runs, the oldest first. */
+    record StreamRecordsRestored(List<StreamRecord> records) implements ControlEvent {}
+
     /**
      * A router requests what began a stream.
      *
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -166,6 +166,10 @@
             mContentionSharing.onPeerLoads(mNow, e.loads());
         } else if (event instanceof StreamOriginRecorded e) {
             mStreamRecords.record(mNow, e, mEffects);
+        } else if (event instanceof ControlEvent.StreamRecordKept e) {
+            mStreamRecords.onKept(e.call(), mEffects);
+        } else if (event instanceof ControlEvent.StreamRecordsRestored e) {
+            mStreamRecords.restore(mNow, e.records());
         } else if (event instanceof StreamOriginRequested e) {
             mStreamRecords.answer(mNow, e, mEffects);
         } else if (event instanceof SettingsRequested e) {
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/StreamRecords.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/StreamRecords.java
@@ -15,11 +15,13 @@
 import org.laurelweir.resumption.BackendRun;
 import org.laurelweir.resumption.OriginReport;
 import org.laurelweir.resumption.StreamOrigins;
+import org.laurelweir.resumption.StreamRecord;
 import org.laurelweir.resumption.VersionHistory;
 
 /**
  * Keeps for the routers which software version began each stream, so that a router that never saw a
- * stream can go on with it. A router that is killed takes only its own memory with it.
+ * stream can go on with it. A router that is killed takes only its own memory with it; an instance
+ * with a disk has its records again after a restart.
  */
 final class StreamRecords {
     private static final int MAX_RECORDS = 50_000;
@@ -72,10 +74,30 @@
         Optional<BackendRun> laterRun =
                 Optional.ofNullable(mLatestRuns.get(e.server().id()))
                         .filter(run -> run.ref().incarnation() > e.server().incarnation());
-        if (laterRun.isEmpty()) {
-            mOrigins.put(now, e.stream(), e.origin(), e.retention());
+        if (laterRun.isPresent()) {
+            effects.accept(new ControlEffect.AnswerStreamRecorded(e.call(), laterRun));
+            return;
         }
-        effects.accept(new ControlEffect.AnswerStreamRecorded(e.call(), laterRun));
+        StreamRecord record = new StreamRecord(e.stream(), e.origin(), e.retention());
+        put(now, record);
+        effects.accept(new ControlEffect.KeepStreamRecord(e.call(), record));
+    }
+
+    private void put(Instant now, StreamRecord r) {
+        mOrigins.put(now, r.stream(), r.origin(), r.retention());
+    }
+
+    /** Confirms a record once it is kept. */
+    void onKept(long call, Consumer<? super ControlEffect> effects) {
+        effects.accept(new ControlEffect.AnswerStreamRecorded(call, Optional.empty()));
+    }
+
+    /**
+     * Takes over the records of earlier runs. They are kept for their whole retention anew: how old
+     * they are can't be told by a clock that may have been set, and they never change.
+     */
+    void restore(Instant now, List<StreamRecord> records) {
+        records.forEach(r -> put(now, r));
     }
 
     void answer(Instant now, StreamOriginRequested e, Consumer<? super ControlEffect> effects) {
--- a/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/fleet/FleetControls.java
@@ -139,6 +139,8 @@
             if (effect instanceof ControlEffect.Answer a) {
                 Consumer<ControlEffect.Answer> receiver = mCalls.remove(a.call());
                 deliverAfterDelay(() -> receiver.accept(a));
+            } else if (effect instanceof ControlEffect.KeepStreamRecord e) {
+                confirmRecord(e.call());
             } else if (effect instanceof ControlEffect.RequestPeerUpdate e) {
                 requestPeerUpdate(e);
             } else if (effect instanceof ControlEffect.AnnounceToPeers e) {
@@ -148,6 +150,18 @@
             }
         }
 
+        /** Confirms a record at once, after the current step: the instances have no disk. */
+        private void confirmRecord(long call) {
+            ControlReducer asked = mReducer;
+            mTime.after(
+                    0,
+                    () -> {
+                        if (mReducer == asked) {
+                            step(new ControlEvent.StreamRecordKept(call));
+                        }
+                    });
+        }
+
         private void requestPeerUpdate(ControlEffect.RequestPeerUpdate e) {
             LongFunction<ControlEvent> request =
                     call ->
