Record a drain anew when the server has served in between

What callers could see: a server that drains, serves again and drains once more is acknowledged the second time on the record of the first. After a kill of everything a late announcement from between the two would bring it back.

Cause: the record was compared by state alone. Read while the change was read through; AcknowledgedDepartureTest.drainOfAServerThatServedAgainIsRecordedAnew and DepartureTableTest.laterDrainOutdatesAnnouncementsBetweenTheTwo show it. They were written with the change and not run without it.

Change: a record covers a drain only up to its session, which is the first announcement of the drain. One that continues still needs no entry.

Measured: these two tests, DirectAnnouncementsTest, DirectDeparturesTest, ControlStateTest and DepartedServerProcessesTest pass.

--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/ControlReducer.java
@@ -218,25 +218,48 @@
                 outcome == DirectAnnouncements.Outcome.TAKEN
                         || outcome == DirectAnnouncements.Outcome.OVERTAKEN;
         if (isKnown && b.state() != Backend.State.SERVING) {
-            acknowledge(e.call(), b.ref(), b.state(), b.session());
+            acknowledge(e.call(), currentDrain(b));
         } else {
             mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
         }
     }
 
+    /**
+     * Returns the membership's view of a server that announces that it drains, whose session is the
+     * first announcement of this drain; or the announcement, if the membership has something else.
+     */
+    private Backend currentDrain(Backend announced) {
+        Backend known = mMembership.backend(announced.ref().id());
+        boolean isSame =
+                known != null
+                        && known.ref().equals(announced.ref())
+                        && known.state() != Backend.State.SERVING;
+        return isSame ? known : announced;
+    }
+
     /** Acknowledges that a backend server is draining or has left, once the log has it. */
-    private void acknowledge(long call, BackendRef server, Backend.State state, int session) {
-        Departure recorded = mReplica.state().departures().get(server.id());
-        if (recorded != null && recorded.covers(server, state)) {
+    private void acknowledge(long call, Backend leaving) {
+        if (isRecorded(leaving)) {
             mEffects.accept(new ControlEffect.AnswerAnnounced(call));
             return;
         }
-        Duration retention = mConfig.membership().departedRetention();
-        mReplica.propose(
-                mNow,
-                call,
-                new Command.RecordDeparture(mNow, server, state, session, retention),
-                mEffects);
+        Command.RecordDeparture command =
+                new Command.RecordDeparture(
+                        mNow,
+                        leaving.ref(),
+                        leaving.state(),
+                        leaving.session(),
+                        mConfig.membership().departedRetention());
+        mReplica.propose(mNow, call, command, mEffects);
+    }
+
+    private boolean isRecorded(Backend leaving) {
+        return isRecorded(leaving.ref(), leaving.state(), leaving.session());
+    }
+
+    private boolean isRecorded(BackendRef server, Backend.State state, int session) {
+        Departure d = mReplica.state().departures().get(server.id());
+        return d != null && d.covers(server, state, session);
     }
 
     /** Applies a departure of the log to an announcement that was accepted before it was known. */
@@ -293,19 +316,18 @@
             boolean isAnyIncarnation =
                     e.backend().incarnation() == DirectAnnouncements.NO_START_TIME;
             BackendRef server = isAnyIncarnation ? known.ref() : e.backend();
-            acknowledge(e.call(), server, Backend.State.LEFT, Departure.FINAL_SESSION);
-        } else if (isRecorded(e.backend())) {
+            acknowledge(
+                    e.call(),
+                    known.withRef(server)
+                            .withState(Backend.State.LEFT)
+                            .withSession(Departure.FINAL_SESSION));
+        } else if (isRecorded(e.backend(), Backend.State.LEFT, Departure.FINAL_SESSION)) {
             mEffects.accept(new ControlEffect.AnswerAnnounced(e.call()));
         } else {
             mEffects.accept(unknownBackendServer(e.call(), id));
         }
     }
 
-    private boolean isRecorded(BackendRef left) {
-        Departure d = mReplica.state().departures().get(left.id());
-        return d != null && d.covers(left, Backend.State.LEFT);
-    }
-
     private static ControlEffect.AnswerError unknownBackendServer(long call, String id) {
         String message = "no backend server " + id + " has announced itself";
         return new ControlEffect.AnswerError(call, ResultCode.UNKNOWN_BACKEND_SERVER, message, "");
--- a/org.laurelweir/src/main/java/org/laurelweir/coordination/DepartureTable.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/coordination/DepartureTable.java
@@ -35,7 +35,7 @@
         removeExpired(c.timestamp());
         String id = c.server().id();
         Departure known = mDepartures.get(id);
-        if (known != null && known.covers(c.server(), c.state())) {
+        if (known != null && known.covers(c.server(), c.state(), c.session())) {
             return;
         }
         mDepartures.remove(id);
--- a/org.laurelweir/src/main/java/org/laurelweir/membership/Departure.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/membership/Departure.java
@@ -17,10 +17,15 @@
     /** The session of an incarnation that has left; only a later incarnation supersedes it. */
     public static final int FINAL_SESSION = Integer.MAX_VALUE;
 
-    /** Returns whether the backend server is known to be in the given state, or further gone. */
-    public boolean covers(BackendRef other, Backend.State otherState) {
-        return server.incarnation() > other.incarnation()
-                || server.incarnation() == other.incarnation() && state.compareTo(otherState) >= 0;
+    /**
+     * Returns whether another departure of this backend server adds nothing to this one. A server
+     * that serves again and then drains once more has a later session.
+     */
+    public boolean covers(BackendRef other, Backend.State otherState, int otherSession) {
+        if (server.incarnation() != other.incarnation()) {
+            return server.incarnation() > other.incarnation();
+        }
+        return state.compareTo(otherState) >= 0 && session >= otherSession;
     }
 
     /** Returns whether an announcement was sent before this word, or by an earlier incarnation. */
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/AcknowledgedDepartureTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/AcknowledgedDepartureTest.java
@@ -69,6 +69,36 @@
         assertThat(mControl.answers()).hasSize(3);
     }
 
+    /** Guards against a record of an earlier drain that is taken for that of a later one. */
+    @Test
+    void drainOfAServerThatServedAgainIsRecordedAnew() {
+        announce(Backend.State.DRAINING, 2);
+        announce(Backend.State.SERVING, 3);
+        mControl.stop(SECOND);
+        mControl.stop(THIRD);
+        announce(Backend.State.DRAINING, 4);
+        assertThat(mControl.answers()).hasSize(3);
+    }
+
+    /** Guards against recording a run that serves when an earlier run says late that it drains. */
+    @Test
+    void lateDrainOfAnEarlierRunDoesNotConcernTheLaterOne() {
+        Backend later =
+                new Backend(
+                        new BackendRef("w", 5),
+                        "s",
+                        "dc",
+                        "",
+                        "1.2.3.4:80",
+                        Backend.State.SERVING,
+                        6,
+                        1);
+        mControl.receive(new BackendAnnounced(++mCall, later));
+        announce(Backend.State.DRAINING, 2);
+        mControl.receive(new BackendAnnounced(++mCall, later.withSession(2)));
+        assertThat(mControl.state("w")).isEqualTo(Backend.State.SERVING);
+    }
+
     /** Guards against acknowledging that a server left because it was recorded as draining. */
     @Test
     void departureOfADrainingServerIsRecordedToo() {
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/ControlAmongVoters.java
@@ -22,6 +22,7 @@
 import org.laurelweir.consensus.ReplicaMessage;
 import org.laurelweir.consensus.Snapshot;
 import org.laurelweir.lib.Decision;
+import org.laurelweir.membership.Backend;
 import org.laurelweir.membership.MembershipCursor;
 import org.laurelweir.membership.PeerUpdate;
 import org.laurelweir.quarantine.CrashDelta;
@@ -94,6 +95,15 @@
         run(TICK);
     }
 
+    /** Returns the state of a backend server by the last decision about it. */
+    Backend.State state(String id) {
+        return mDecisions.stream()
+                .filter(d -> d.candidates().equals(List.of(id)))
+                .reduce((a, b) -> b)
+                .map(d -> Backend.State.valueOf(d.choice()))
+                .orElseThrow();
+    }
+
     /** Returns the answers to calls so far. */
     List<ControlEffect.Answer> answers() {
         return mAnswers;
--- a/org.laurelweir/src/test/java/org/laurelweir/coordination/DepartureTableTest.java
+++ b/org.laurelweir/src/test/java/org/laurelweir/coordination/DepartureTableTest.java
@@ -60,6 +60,14 @@
         assertThat(mState.departures().get("w").state()).isEqualTo(Backend.State.LEFT);
     }
 
+    /** Guards against a late announcement of the time between two drains. */
+    @Test
+    void laterDrainOutdatesAnnouncementsBetweenTheTwo() {
+        record(Instant.EPOCH, new BackendRef("w", 5), Backend.State.DRAINING, 7);
+        record(Instant.EPOCH, new BackendRef("w", 5), Backend.State.DRAINING, 20);
+        assertThat(isOutdated(5, 15)).isTrue();
+    }
+
     /** Guards against a table that grows with every server that ever left. */
     @Test
     void departuresExpireByTheTimeOfTheLog() {
