Begin a new file of stream records when taking over earlier ones fails

What callers could see: after a kill of all routers and control instances, streams are refused though their records were written: they stand behind a torn one, and nothing is read behind that.

Cause: a disk that is full at the first write after a start tears the records that are taken over; the file was used further, as only a failed append closed it. Found while the change was read once more.

Evidence: StreamRecordFilesTest.recordsAfterADiskThatIsFullAtTheStartAreRead without the change: record 1 is read, record 3 could not be found.

Change: a failure while a file is begun closes it too.

--- a/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/StreamRecordFiles.java
+++ b/org.laurelweir.control/src/main/java/org/laurelweir/control/storage/StreamRecordFiles.java
@@ -89,10 +89,10 @@
      *     since nothing can be read behind a damaged one
      */
     void append(List<StreamRecord> records) throws IOException {
-        if (mNewest == null || isFull()) {
-            rotate();
-        }
         try {
+            if (mNewest == null || isFull()) {
+                rotate();
+            }
             mDisk.write(mNewest, StreamRecordCodec.encode(records));
             mDisk.sync(mNewest);
         } catch (IOException e) {
--- a/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/StreamRecordFilesTest.java
+++ b/org.laurelweir.control/src/test/java/org/laurelweir/control/storage/StreamRecordFilesTest.java
@@ -92,6 +92,18 @@
         assertThat(open().takenOver()).containsExactly(record(1), record(3));
     }
 
+    /** Guards against the same where the disk is full when a process takes over earlier records. */
+    @Test
+    void recordsAfterADiskThatIsFullAtTheStartAreRead() throws IOException {
+        open().append(List.of(record(1)));
+        StreamRecordFiles files = open();
+        mIsFull = true;
+        assertThatThrownBy(() -> files.append(List.of(record(2)))).isInstanceOf(IOException.class);
+        mIsFull = false;
+        files.append(List.of(record(3)));
+        assertThat(open().takenOver()).containsExactly(record(1), record(3));
+    }
+
     /** Guards against files that fill the disk. */
     @Test
     void filesOlderThanTheOneBeforeAreRemoved() throws IOException {
