--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/JavaProcess.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/JavaProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** Runs a program of the test's class path in a process of its own, and sends signals to it. */
 public final class JavaProcess {
@@ -114,6 +115,28 @@
         return mProcess != null && mProcess.isAlive();
     }
 
+    /** Returns the most memory that the process has had resident, in bytes. */
+    public long peakResidentBytes() {
+        return read(procFolder().resolve("status"))
+                .lines()
+                .filter(l -> l.startsWith("VmHWM:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) << 10)
+                .sum();
+    }
+
+    /** Returns the number of descriptors that the process has open. */
+    public long openDescriptors() {
+        try (Stream<Path> descriptors = Files.list(procFolder().resolve("fd"))) {
+            return descriptors.count();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Path procFolder() {
+        return Path.of("/proc", Long.toString(mProcess.pid()));
+    }
+
     /** Sends SIGKILL, which ends the process at once, and waits for its end. */
     public void kill() {
         mProcess.destroyForcibly();
