--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterFile.java
@@ -55,8 +55,9 @@
  * @param maxEvent maximum size of an event of such a service's stream
  * @param answerMemory maximum of all incomplete answers and events that the router holds together,
  *     which should be a quarter of the heap or less
- * @param requestMemory maximum of the bodies of all requests that the router holds together; a
- *     larger body than seven eighths of it is refused
+ * @param requestMemory maximum memory of all requests that the router holds together, heads and
+ *     bodies; an eighth of it is for what is not begun, and a larger body than three quarters of it
+ *     is refused
  * @param contendedSlotTokens a deployment with engines that have fewer tokens of memory for each
  *     slot counts as contended, and its requests are placed and ordered by the tokens that they
  *     hold; 0 for never
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterMetrics.java
@@ -8,7 +8,7 @@
 import org.laurelweir.hedging.HedgeCounts;
 import org.laurelweir.hedging.WithholdReason;
 import org.laurelweir.lib.ResultCode;
-import org.laurelweir.router.http.RequestMemory;
+import org.laurelweir.runtime.http.RequestMemory;
 import org.laurelweir.runtime.metrics.MetricNames;
 import org.laurelweir.waiting.WaitingCounts;
 
@@ -36,7 +36,7 @@
         mRegistry.counter(MetricNames.labelled("router.actions", "kind", kind)).inc();
     }
 
-    /** Registers the gauges of the memory for the bodies of requests. */
+    /** Registers the gauges of the memory for requests. */
     void registerRequestMemory(RequestMemory memory) {
         Gauge<Long> bytes = memory::bytes;
         Gauge<Integer> waiting = memory::waitingCount;
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -17,11 +17,11 @@
 import org.laurelweir.membership.RouterReport;
 import org.laurelweir.router.direct.BackendCalls;
 import org.laurelweir.router.http.Acceptance;
+import org.laurelweir.router.http.CallHandler;
 import org.laurelweir.router.http.CallerServer;
 import org.laurelweir.router.http.HttpDialect;
 import org.laurelweir.router.http.Limits;
 import org.laurelweir.router.http.RequestLag;
-import org.laurelweir.router.http.RequestMemory;
 import org.laurelweir.router.http.UnreadAnswers;
 import org.laurelweir.router.request.ModelList;
 import org.laurelweir.router.request.RequestResolver;
@@ -38,6 +38,8 @@
 import org.laurelweir.routing.RouterEvent;
 import org.laurelweir.routing.RouterReducer;
 import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.http.PartialRequests;
+import org.laurelweir.runtime.http.RequestMemory;
 import org.laurelweir.runtime.log.DecisionLog;
 import org.laurelweir.runtime.log.DecisionRing;
 import org.laurelweir.runtime.log.Logging;
@@ -68,6 +70,9 @@
     /** Share of the descriptors for callers; each of their requests may need one more. */
     private static final double CALLERS_SHARE = 0.45;
 
+    /** Requests that are not begun may take this part of the memory for requests. */
+    private static final int PARTIAL_REQUESTS_DIVISOR = 8;
+
     private final RouterFile mFile;
     private final InstantSource mClock;
     private final Consumer<String> mOut;
@@ -81,6 +86,7 @@
     private final RequestLag mLag = new RequestLag();
     private final UnreadAnswers mUnreadAnswers;
     private final RequestMemory mRequestMemory;
+    private final PartialRequests mPartialRequests;
     private final EventLoops mLoops;
     private final Channels mChannels;
     private final ExchangeClient mExchangeClient;
@@ -133,7 +139,9 @@
         mSettings = new SettingsLookup(file.region(), file.dataCentre());
         mConfig = config(file, clock.instant());
         mUnreadAnswers = new UnreadAnswers(file.answerMemory().bytes());
-        mRequestMemory = new RequestMemory(file.requestMemory().bytes());
+        long partialBytes = file.requestMemory().bytes() / PARTIAL_REQUESTS_DIVISOR;
+        mPartialRequests = new PartialRequests(partialBytes);
+        mRequestMemory = new RequestMemory(file.requestMemory().bytes() - partialBytes);
         mLoops = new EventLoops("router-io", file.threads());
         TrafficCounters traffic = new TrafficCounters(mRegistry);
         mChannels = Channels.builder(mLoops, traffic).build();
@@ -150,16 +158,7 @@
                         this::offer,
                         mMetrics,
                         this::logDecision);
-        mCallerServer =
-                new CallerServer(
-                        mLoops,
-                        file.listen(),
-                        socket,
-                        earlyCallHandler(routes),
-                        this::limits,
-                        this::requestName,
-                        dialect,
-                        acceptance());
+        mCallerServer = newCallerServer(socket, earlyCallHandler(routes));
         mDecisions = new DecisionRing(file.decisions());
         UnsentRequests unsent = newUnsentRequests(routes);
         mExplainServer =
@@ -193,6 +192,18 @@
         mLoop = newLoop(sidecars, calls);
     }
 
+    private CallerServer newCallerServer(Optional<EarlySocket> socket, CallHandler handler) {
+        return new CallerServer(
+                mLoops,
+                mFile.listen(),
+                socket,
+                handler,
+                this::limits,
+                this::requestName,
+                mDialect,
+                acceptance());
+    }
+
     private ControlExchange newExchange(Consumer<List<String>> onControls) {
         return new ControlExchange(
                 mExchangeClient, this::report, mSettings, this::offer, onControls, mClock, mLease);
@@ -205,7 +216,12 @@
 
     private Acceptance acceptance() {
         return new Acceptance(
-                mLag, mClock, mMetrics::countClosedUnread, mUnreadAnswers, mRequestMemory);
+                mLag,
+                mClock,
+                mMetrics::countClosedUnread,
+                mUnreadAnswers,
+                mRequestMemory,
+                mPartialRequests);
     }
 
     private UnsentRequests newUnsentRequests(RouteResolver routes) {
@@ -328,7 +344,8 @@
         EffectiveSettings s = mSettings.effective(null, null);
         return new Limits(
                 Math.min(
-                        s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(), mRequestMemory.maxBodyBytes()),
+                        s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(),
+                        mRequestMemory.maxRequestBytes() - RequestMemory.SMALL_BYTES),
                 (int) s.get(SettingKeys.LIMIT_HEADER_BYTES).bytes(),
                 Math.min(s.get(SettingKeys.LIMIT_CONNECTIONS), maxCallerConnections()),
                 s.get(SettingKeys.LIMIT_REQUEST_TIME),
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerAnswer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerAnswer.java
@@ -7,7 +7,9 @@
 
 /** Sends the answer to one caller. Thread-safe; calls take effect in their order. */
 public interface CallerAnswer {
-    /** Tells that the body of the request is not held any more, so that its memory is free. */
+    /**
+     * Tells that headers and body of the request are not held any more, so that its memory is free.
+     */
     void bodyDropped();
 
     /** Sends the head of an answer whose body follows in pieces. */
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -1,40 +1,40 @@
 package org.laurelweir.router.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.WriteTimeoutHandler;
-import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.http.LingeringClose;
+import org.laurelweir.runtime.http.PartialRequests;
+import org.laurelweir.runtime.http.RequestDecoder;
+import org.laurelweir.runtime.http.RequestMemory;
+import org.laurelweir.runtime.http.RequestReservation;
+import org.laurelweir.runtime.http.RequestTimer;
 import org.laurelweir.runtime.process.Program;
 
 /**
  * One caller's connection. Reads requests one at a time and answers them in order.
  *
  * <p>The channel is also read while an answer is in progress. Otherwise a disconnect of the caller
- * would be noticed only at the next write. Pipelined requests that arrive meanwhile are queued up
- * to a bound, at which reading stops.
+ * would be noticed only at the next write. What arrives meanwhile of pipelined requests is held as
+ * it came, up to a bound, at which reading stops.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
-    private static final int MAX_PIPELINED_PARTS = 64;
-    private static final long LINGER_SECONDS = 2;
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements PartialRequests.Holder {
+    private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
     /**
-     * Maximum time for which a request waits for memory for its body. A caller whose request is not
-     * read for a second may give up.
+     * Maximum time for which a request waits for memory. A caller whose request is not read for a
+     * second may give up.
      */
     private static final Duration MAX_MEMORY_WAIT = Duration.ofMillis(800);
 
@@ -42,9 +42,10 @@
     private static final int MEMORY_WAIT_DIVISOR = 4;
 
     private final CallerConnections mConnections;
+    private final RequestDecoder mDecoder = new RequestDecoder();
     private final RequestReader mReader = new RequestReader();
-    private final BodyReservation mReservation;
-    private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
+    private final RequestReservation mReservation;
+    private final ResponseEncoder mEncoder;
     private Channel mChannel;
 
     /** The limits for the current request, or for the next one while the connection is idle. */
@@ -58,10 +59,17 @@
     private boolean mClosing;
     private boolean mHasServed;
 
-    CallerConnection(CallerConnections connections) {
+    /** The memory of the current request's head. */
+    private int mHeadMemory;
+
+    private boolean mDropsRest;
+    private LingeringClose mClose;
+
+    CallerConnection(CallerConnections connections, ResponseEncoder encoder) {
         mConnections = connections;
+        mEncoder = encoder;
         mLimits = connections.limits();
-        mReservation = new BodyReservation(connections.requestMemory());
+        mReservation = new RequestReservation(connections.requestMemory());
     }
 
     @Override
@@ -81,8 +89,8 @@
         }
     }
 
-    /** Called when bytes of a request arrive. The first bytes start the request's time limit. */
-    void onBytesReceived() {
+    /** The first bytes of a request start its time limit. */
+    private void onBytesReceived() {
         if (!mRequestBegun && mAnswer == null && !mClosing) {
             mRequestBegun = true;
             updateLimits();
@@ -101,59 +109,101 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (mClosing) {
-            ReferenceCountUtil.release(message);
+        ByteBuf bytes = (ByteBuf) message;
+        if (mClosing || mDropsRest) {
+            mClose.discard(bytes);
             return;
         }
-        if (mAnswer == null && !mReservation.isWaiting()) {
-            onPart((HttpObject) message);
-            return;
-        }
-        mPipelined.add((HttpObject) message);
-        if (mPipelined.size() >= MAX_PIPELINED_PARTS) {
-            mChannel.config().setAutoRead(false);
-        }
+        onBytesReceived();
+        mDecoder.add(bytes);
+        readParts();
     }
 
-    private void onPart(HttpObject part) {
+    /** Reads on as far as bytes have come, to the end of one request. */
+    private void readParts() {
         try {
-            if (part instanceof HttpRequest head) {
-                updateLimits();
-                mReader.onHead(head, mLimits);
-                if (mReader.announcedBytes() > 0 && !reserve(mReader.announcedBytes())) {
-                    return;
-                }
-                if (mReader.isContinueExpected()) {
-                    sendContinue();
-                }
-            }
-            if (part instanceof HttpContent content && mReader.isReading()) {
-                onContent(content);
+            boolean progress = true;
+            while (progress && mAnswer == null && !mReservation.isWaiting()) {
+                progress = mReader.isReading() ? readBody() : readHead();
             }
         } catch (LaurelweirException e) {
             refuse(e.getCode(), e.getMessage(), Duration.ZERO);
-        } finally {
-            ReferenceCountUtil.release(part);
         }
+        holdRest();
     }
 
-    private void onContent(HttpContent content) {
-        if (!reserve(mReader.neededBytes(content))) {
-            if (mReservation.isWaiting()) {
-                mPipelined.addFirst(content.retain());
-            }
+    private boolean readHead() {
+        updateLimits();
+        if (!mDecoder.findHead(mLimits.headerBytes())) {
+            return false;
+        }
+        if (!reserve(mDecoder.headMemory())) {
+            return false;
+        }
+        mHeadMemory = mDecoder.headMemory();
+        HttpRequest head = mDecoder.takeHead();
+        mEncoder.onRequest(head.method());
+        mReader.onHead(head, mLimits);
+        if (mReader.announcedBytes() > 0 && !reserve(mHeadMemory + mReader.announcedBytes())) {
+            return false;
+        }
+        sendContinueIfExpected();
+        return true;
+    }
+
+    private boolean readBody() {
+        if (!reserve(mHeadMemory + mReader.neededBytes(mDecoder.readableBytes()))) {
+            return false;
+        }
+        mReader.onContent(mDecoder.nextBody(mLimits.headerBytes()));
+        if (!mDecoder.isComplete()) {
+            return mDecoder.hasInput();
+        }
+        mDecoder.beginNext();
+        HttpCall call = mReader.finish();
+        mReservation.shrinkTo(mHeadMemory + call.body().length);
+        serve(call);
+        return true;
+    }
+
+    /** Holds what has come of a head, or of requests after the one that is being answered. */
+    private void holdRest() {
+        if (mClosing || !mChannel.isActive()) {
+            mDecoder.release();
+        } else {
+            mDecoder.compact();
+        }
+        int held = mDecoder.heldBytes();
+        mConnections.partialRequests().set(this, held);
+        boolean reads = mAnswer == null || mClosing || held < MAX_PIPELINED_BYTES;
+        mChannel.config().setAutoRead(reads && !mReservation.isWaiting());
+    }
+
+    @Override
+    public void giveUp() {
+        mChannel.eventLoop().execute(this::dropRest);
+    }
+
+    /**
+     * Drops an incomplete head, or the requests after the one that is being answered: these have
+     * not run, and their caller sees the connection close after the answer.
+     */
+    private void dropRest() {
+        if (mClosing) {
             return;
         }
-        mReader.onContent(content);
-        if (content instanceof LastHttpContent) {
-            HttpCall call = mReader.finish();
-            mReservation.shrinkTo(call.body().length);
-            serve(call);
+        if (mAnswer == null) {
+            refuseForMemory();
+            return;
         }
+        mDropsRest = true;
+        mClose = newClose();
+        mDecoder.release();
+        mAnswer.closeConnectionAfter();
     }
 
     /**
-     * Reserves memory for the body. A large body waits for it and is not read meanwhile; a small
+     * Reserves memory for the request. A large one waits for it and is not read meanwhile; a small
      * one, for which there is no memory either, is refused.
      *
      * @return whether the memory is reserved
@@ -163,7 +213,7 @@
             return true;
         }
         Runnable onReserved = () -> mChannel.eventLoop().execute(this::onMemoryReserved);
-        if (bytes <= RequestMemory.SMALL_BODY_BYTES || !mReservation.await(bytes, onReserved)) {
+        if (bytes <= RequestMemory.SMALL_BYTES || !mReservation.await(bytes, onReserved)) {
             refuseForMemory();
             return false;
         }
@@ -191,23 +241,25 @@
         }
         mMemoryTimer.stop();
         mTimer.start(mLimits.requestTime());
-        if (mReader.announcedBytes() > 0 && mReader.isContinueExpected()) {
-            sendContinue();
+        if (mReader.announcedBytes() > 0) {
+            sendContinueIfExpected();
         }
-        servePipelined();
+        readParts();
     }
 
     private void refuseForMemory() {
         long bytes = Math.max(mReader.announcedBytes(), mReservation.bytes());
         refuse(
                 ResultCode.OVERLOADED,
-                "the router has no memory for the request's body",
+                "the router has no memory for the request",
                 mConnections.requestMemory().refuse(bytes));
     }
 
-    private void sendContinue() {
-        mChannel.writeAndFlush(
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    private void sendContinueIfExpected() {
+        if (mReader.isContinueExpected()) {
+            mChannel.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
     }
 
     private void serve(HttpCall call) {
@@ -236,17 +288,9 @@
         }
         mAnswer = null;
         updateLimits();
-        mRequestBegun = !mPipelined.isEmpty();
+        mRequestBegun = mDecoder.hasInput();
         mTimer.start(mRequestBegun ? mLimits.requestTime() : mLimits.idleTime());
-        servePipelined();
-    }
-
-    private void servePipelined() {
-        while (mAnswer == null && !mReservation.isWaiting() && !mClosing && !mPipelined.isEmpty()) {
-            onPart(mPipelined.remove());
-        }
-        boolean reads = !mReservation.isWaiting() && mPipelined.size() < MAX_PIPELINED_PARTS;
-        mChannel.config().setAutoRead(reads);
+        readParts();
     }
 
     /** Sends an error and closes: the beginning of the next request can't be determined. */
@@ -255,25 +299,24 @@
         releaseRequest();
         newAnswer(true, this::closeGracefully);
         mClosing = true;
+        mClose = newClose();
         mAnswer.error(code, message, retryAfter);
     }
 
-    /**
-     * Shuts down the output first and discards input for some seconds before it closes the
-     * connection. Closing at once while the caller still sends would reset the connection, and the
-     * caller would lose its answer.
-     */
+    private LingeringClose newClose() {
+        long maxBytes = mLimits.bodyBytes() + 2L * mLimits.headerBytes();
+        return new LingeringClose((SocketChannel) mChannel, maxBytes);
+    }
+
     private void closeGracefully() {
         mClosing = true;
+        if (mClose == null) {
+            mClose = newClose();
+        }
         mTimer.stop();
         releaseRequest();
-        releasePipelined();
-        if (!mChannel.isActive()) {
-            return;
-        }
-        ((SocketChannel) mChannel).shutdownOutput();
-        mChannel.config().setAutoRead(true);
-        mChannel.eventLoop().schedule(() -> mChannel.close(), LINGER_SECONDS, TimeUnit.SECONDS);
+        releaseRest();
+        mClose.begin();
     }
 
     private void onRequestTooSlow() {
@@ -297,7 +340,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         mTimer.stop();
         releaseRequest();
-        releasePipelined();
+        releaseRest();
         if (mAnswer != null && !mAnswer.isDone()) {
             mConnections.handler().onGone(mCaller);
         }
@@ -318,8 +361,8 @@
         mReservation.release();
     }
 
-    private void releasePipelined() {
-        mPipelined.forEach(ReferenceCountUtil::release);
-        mPipelined.clear();
+    private void releaseRest() {
+        mDecoder.release();
+        mConnections.partialRequests().set(this, 0);
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.laurelweir.runtime.http.PartialRequests;
+import org.laurelweir.runtime.http.RequestMemory;
 
 /** State shared by all callers' connections: limits, counters and the progress of a stop. */
 final class CallerConnections {
@@ -25,6 +27,7 @@
     private final HttpDialect mDialect;
     private final UnreadAnswers mUnreadAnswers;
     private final RequestMemory mRequestMemory;
+    private final PartialRequests mPartialRequests;
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Queue<UnreadConnection> mUnread = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mCount = new AtomicInteger();
@@ -40,6 +43,7 @@
             Acceptance acceptance) {
         mUnreadAnswers = acceptance.unreadAnswers();
         mRequestMemory = acceptance.requestMemory();
+        mPartialRequests = acceptance.partialRequests();
         mDialect = dialect;
         mHandler = handler;
         mLimits = limits;
@@ -65,6 +69,10 @@
         return mRequestMemory;
     }
 
+    PartialRequests partialRequests() {
+        return mPartialRequests;
+    }
+
     HttpDialect dialect() {
         return mDialect;
     }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -3,8 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -18,12 +16,6 @@
 
 /** The HTTP server for callers. */
 public final class CallerServer implements Service {
-    /**
-     * Size of a head that is decoded even where the limit is smaller. The limit in force is checked
-     * afterwards, so that one which is raised holds for kept connections too.
-     */
-    private static final int DECODER_HEAD_BYTES = 64 << 10;
-
     private final EventLoops mLoops;
     private final Endpoint mListen;
     private final Optional<EarlySocket> mSocket;
@@ -120,18 +112,11 @@
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
-            Limits limits = mConnections.limits();
-            CallerConnection connection = new CallerConnection(mConnections);
-            int headBytes = Math.max(limits.headerBytes(), DECODER_HEAD_BYTES);
-            HttpDecoderConfig decoder =
-                    new HttpDecoderConfig()
-                            .setMaxInitialLineLength(headBytes)
-                            .setMaxHeaderSize(headBytes);
+            ResponseEncoder encoder = new ResponseEncoder();
             channel.pipeline()
-                    .addLast(new ArrivalHandler(connection::onBytesReceived))
-                    .addLast(new HttpServerCodec(decoder))
-                    .addLast(limits.newWriteTimeout())
-                    .addLast(connection);
+                    .addLast(encoder)
+                    .addLast(mConnections.limits().newWriteTimeout())
+                    .addLast(new CallerConnection(mConnections, encoder));
         }
     }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ChannelAnswer.java
@@ -39,7 +39,8 @@
      *
      * @param caller id of the request
      * @param close whether the caller asked to close the connection after the answer
-     * @param onBodyDropped called on the event loop when the request's body is not held any more
+     * @param onBodyDropped called on the event loop when the request's headers and body are not
+     *     held any more
      * @param onWritten called on the event loop when the socket has accepted the complete answer
      */
     ChannelAnswer(
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestReader.java
@@ -1,22 +1,16 @@
 package org.laurelweir.router.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
-import java.util.Map;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
+import org.laurelweir.runtime.http.BodyBuffer;
 
 /** Assembles one request from its parts. Refuses an invalid request as early as possible. */
 final class RequestReader {
-    /** Bytes around a header's name and value, and around the parts of the first line. */
-    private static final int SEPARATOR_BYTES = 4;
-
     private long mMaxBodyBytes;
     private HttpRequest mHead;
     private BodyBuffer mBody;
@@ -30,15 +24,10 @@
      * Reads the request's head.
      *
      * @param limits the limits in force, which hold for the whole request
-     * @throws LaurelweirException if the head is invalid or too large, or announces too large a
-     *     body
+     * @throws LaurelweirException if the head is invalid, or announces too large a body
      */
     void onHead(HttpRequest head, Limits limits) {
         mMaxBodyBytes = limits.bodyBytes();
-        checkDecoded(head.decoderResult().cause());
-        if (headBytes(head) > limits.headerBytes()) {
-            throw headTooLarge();
-        }
         if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             // HTTP/1.0 may end a body by closing, so a truncated answer would look complete.
             throw new LaurelweirException(ResultCode.BAD_REQUEST, "HTTP/1.1 is needed");
@@ -51,7 +40,7 @@
             throw tooLarge();
         }
         mHead = head;
-        mBody = null;
+        mBody = new BodyBuffer((int) mAnnouncedBytes);
     }
 
     /** Returns a header's first value, or an empty string if it is missing or no head was read. */
@@ -69,29 +58,17 @@
         return mAnnouncedBytes;
     }
 
-    /**
-     * Returns the memory that the body needs with a further piece, in bytes. A body without an
-     * announced size may grow to the limit.
-     */
-    long neededBytes(HttpContent content) {
-        if (mAnnouncedBytes > 0) {
-            return mAnnouncedBytes;
-        }
-        int size = (mBody == null ? 0 : mBody.size()) + content.content().readableBytes();
-        return size <= RequestMemory.SMALL_BODY_BYTES ? size : Math.max(size, mMaxBodyBytes);
+    /** Returns the memory that the body needs with a further piece, in bytes. */
+    long neededBytes(int pieceBytes) {
+        return mBody.memoryFor(mBody.size() + (long) pieceBytes, mMaxBodyBytes);
     }
 
     /**
      * Reads a piece of the body.
      *
-     * @throws LaurelweirException if the body is too large or malformed
+     * @throws LaurelweirException if the body is too large
      */
-    void onContent(HttpContent content) {
-        checkDecoded(content.decoderResult().cause());
-        ByteBuf bytes = content.content();
-        if (mBody == null) {
-            mBody = new BodyBuffer((int) mAnnouncedBytes);
-        }
+    void onContent(ByteBuf bytes) {
         if (mBody.size() + (long) bytes.readableBytes() > mMaxBodyBytes) {
             throw tooLarge();
         }
@@ -116,30 +93,4 @@
         String message = "the request's body exceeds " + mMaxBodyBytes + " bytes";
         return new LaurelweirException(ResultCode.BODY_TOO_LARGE, message);
     }
-
-    private static LaurelweirException headTooLarge() {
-        return new LaurelweirException(
-                ResultCode.HEADERS_TOO_LARGE, "the request's headers are too large");
-    }
-
-    /** Returns the size of the first line or of all headers, whichever is larger. */
-    private static int headBytes(HttpRequest head) {
-        int headers = 0;
-        for (Map.Entry<String, String> h : head.headers()) {
-            headers += h.getKey().length() + h.getValue().length() + SEPARATOR_BYTES;
-        }
-        int line = head.method().name().length() + head.uri().length() + SEPARATOR_BYTES;
-        return Math.max(headers, line);
-    }
-
-    private static void checkDecoded(Throwable cause) {
-        if (cause == null) {
-            return;
-        }
-        if (cause instanceof TooLongHttpHeaderException
-                || cause instanceof TooLongHttpLineException) {
-            throw headTooLarge();
-        }
-        throw new LaurelweirException(ResultCode.BAD_REQUEST, "not an HTTP request");
-    }
 }
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/RequestMemory.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestMemory.java
@@ -1,4 +1,4 @@
-package org.laurelweir.router.http;
+package org.laurelweir.runtime.http;
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
@@ -9,29 +9,30 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Bounds the bodies of all requests that a router holds: those that it reads, and those that it may
- * have to send again. Without a bound, a few callers whose bodies are within the limit for each
- * fill the heap, and the process ends with every request that it has in hand.
+ * Bounds the memory of all requests that a process holds, heads and bodies: those that it reads,
+ * and those that a router may have to send again. Without a bound, a few clients whose requests are
+ * each within the limits fill the heap, and the process ends with every request that it has in
+ * hand.
  *
- * <p>Large bodies reserve their memory before they are read, in the order of their arrival. A part
- * is left to small bodies, so that these are served beside them. Thread-safe.
+ * <p>Large requests reserve their memory before they are read, in the order of their arrival. A
+ * part is left to small ones, so that these are served beside them. Thread-safe.
  */
 public final class RequestMemory {
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    /** Bodies up to this size count as small. */
-    static final int SMALL_BODY_BYTES = 64 << 10;
+    /** What takes up to this much memory counts as small. */
+    public static final int SMALL_BYTES = 64 << 10;
 
-    /** Part of the memory that large bodies leave to small ones, as a divisor. */
+    /** Part of the memory that large requests leave to small ones, as a divisor. */
     private static final int SMALL_PART_DIVISOR = 8;
 
     /** Each request that waits for memory may hold as much as one read of its connection brings. */
     private static final int MAX_WAITING = 64;
 
-    /** How long a large body is held, as long as none was released yet. */
+    /** How long a large request is held, as long as none was released yet. */
     private static final Duration INITIAL_HOLD_TIME = Duration.ofSeconds(1);
 
-    /** Weight of the latest time in the mean of the times for which large bodies are held. */
+    /** Weight of the latest time in the mean of the times for which large requests are held. */
     private static final double HOLD_TIME_WEIGHT = 0.2;
 
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
@@ -57,14 +58,14 @@
     /**
      * Creates a bound without any request.
      *
-     * @param maxBytes maximum size of all bodies together
+     * @param maxBytes maximum memory of all requests together
      */
     public RequestMemory(long maxBytes) {
         mMaxBytes = maxBytes;
     }
 
-    /** Returns the size of the largest body that the memory has room for. */
-    public long maxBodyBytes() {
+    /** Returns the memory of the largest request that there is room for. */
+    public long maxRequestBytes() {
         return mMaxBytes - mMaxBytes / SMALL_PART_DIVISOR;
     }
 
@@ -85,7 +86,7 @@
 
     /** Reserves memory at once, unless it is short or earlier requests wait for it. */
     synchronized boolean tryReserve(long bytes) {
-        boolean isSmall = bytes <= SMALL_BODY_BYTES;
+        boolean isSmall = bytes <= SMALL_BYTES;
         if (!hasRoom(bytes) || !isSmall && !mWaiting.isEmpty()) {
             return false;
         }
@@ -94,7 +95,7 @@
     }
 
     private boolean hasRoom(long bytes) {
-        long limit = bytes <= SMALL_BODY_BYTES ? mMaxBytes : maxBodyBytes();
+        long limit = bytes <= SMALL_BYTES ? mMaxBytes : maxRequestBytes();
         return mReservedBytes + bytes <= limit;
     }
 
@@ -146,7 +147,7 @@
         List<Waiter> served;
         synchronized (this) {
             mReservedBytes -= bytes;
-            if (bytes > SMALL_BODY_BYTES) {
+            if (bytes > SMALL_BYTES) {
                 mHoldNanos += HOLD_TIME_WEIGHT * (heldNanos - mHoldNanos);
             }
             served = serveWaiting();
@@ -168,16 +169,16 @@
     /**
      * Counts a request that is refused for lack of memory.
      *
-     * @return when its caller may expect to find memory, if bodies are released as lately
+     * @return when its caller may expect to find memory, if memory is released as lately
      */
-    synchronized Duration refuse(long bytes) {
+    public synchronized Duration refuse(long bytes) {
         mRefusedCount++;
-        double turns = (mReservedBytes + mWaitingBytes + bytes) / (double) maxBodyBytes();
+        double turns = (mReservedBytes + mWaitingBytes + bytes) / (double) maxRequestBytes();
         long nanos = (long) Math.min(mHoldNanos * turns, MAX_RETRY_AFTER.toNanos());
         Duration retryAfter = Duration.ofNanos(nanos);
         sLogger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-                "%d requests refused since the start for lack of memory for their bodies; the last"
-                        + " of %d bytes, %d of %d reserved, %d wait, Retry-After %d ms",
+                "%d requests refused since the start for lack of memory; the last of %d bytes,"
+                        + " %d of %d reserved, %d wait, Retry-After %d ms",
                 mRefusedCount,
                 bytes,
                 mReservedBytes,
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/BodyReservation.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestReservation.java
@@ -1,32 +1,33 @@
-package org.laurelweir.router.http;
+package org.laurelweir.runtime.http;
 
 /**
  * The part of the {@link RequestMemory} that the requests of one connection use, one after the
  * other. Used on the connection's event loop only.
  */
-final class BodyReservation {
+public final class RequestReservation {
     private final RequestMemory mMemory;
     private long mBytes;
     private long mSinceNanos;
     private RequestMemory.Waiter mWaiter;
     private long mAwaitedBytes;
 
-    BodyReservation(RequestMemory memory) {
+    /** Creates a reservation of nothing. */
+    public RequestReservation(RequestMemory memory) {
         mMemory = memory;
     }
 
-    /** Returns the size of the body for which memory is reserved. */
-    long bytes() {
+    /** Returns the memory that is reserved, in bytes. */
+    public long bytes() {
         return mBytes;
     }
 
     /** Returns whether the reservation waits for memory. */
-    boolean isWaiting() {
+    public boolean isWaiting() {
         return mWaiter != null;
     }
 
     /** Enlarges the reservation at once, if there is memory. */
-    boolean tryGrow(long bytes) {
+    public boolean tryGrow(long bytes) {
         if (bytes <= mBytes) {
             return true;
         }
@@ -49,14 +50,14 @@
      *     #onReserved} on the event loop
      * @return whether the request may wait
      */
-    boolean await(long bytes, Runnable onReserved) {
+    public boolean await(long bytes, Runnable onReserved) {
         mAwaitedBytes = bytes;
         mWaiter = mMemory.await(bytes - mBytes, onReserved);
         return mWaiter != null;
     }
 
     /** Takes the memory that was waited for. Returns false if the wait was given up before. */
-    boolean onReserved() {
+    public boolean onReserved() {
         if (mWaiter == null) {
             return false;
         }
@@ -66,7 +67,7 @@
     }
 
     /** Gives back what is reserved beyond a size. */
-    void shrinkTo(long bytes) {
+    public void shrinkTo(long bytes) {
         if (bytes < mBytes) {
             long excess = mBytes - bytes;
             mBytes = bytes;
@@ -75,7 +76,7 @@
     }
 
     /** Gives everything back, and ends a wait. */
-    void release() {
+    public void release() {
         if (mWaiter != null && !mMemory.cancel(mWaiter)) {
             onGrown(mAwaitedBytes);
         }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/EventLoops.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/EventLoops.java
@@ -1,6 +1,7 @@
 package org.laurelweir.runtime.rpc;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -8,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
@@ -102,10 +104,16 @@
         return listeningChannel(register, socket.endpoint());
     }
 
+    /** Returns what limits each turn of a connection to one read, so that all have their turns. */
+    public static RecvByteBufAllocator oneReadATurn() {
+        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1);
+    }
+
     private ServerBootstrap bootstrap(ChannelInitializer<SocketChannel> connections) {
         return new ServerBootstrap()
                 .group(mGroup)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, oneReadATurn())
                 .childHandler(connections);
     }
 
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/http/RequestMemoryTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestMemoryTest.java
@@ -1,4 +1,4 @@
-package org.laurelweir.router.http;
+package org.laurelweir.runtime.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -34,9 +34,9 @@
     void smallBodiesHaveAPartOfTheirOwn() {
         fill();
         for (int i = 0; i < 16; i++) {
-            assertThat(mMemory.tryReserve(RequestMemory.SMALL_BODY_BYTES)).isTrue();
+            assertThat(mMemory.tryReserve(RequestMemory.SMALL_BYTES)).isTrue();
         }
-        assertThat(mMemory.tryReserve(RequestMemory.SMALL_BODY_BYTES)).isFalse();
+        assertThat(mMemory.tryReserve(RequestMemory.SMALL_BYTES)).isFalse();
     }
 
     /** Guards against a large request that later ones overtake until its caller gives up. */
@@ -47,7 +47,7 @@
         mMemory.await(LARGE, () -> mReserved.add("second"));
         mMemory.release(LARGE, SECOND);
         assertThat(mReserved).isEmpty();
-        assertThat(mMemory.tryReserve(2L * RequestMemory.SMALL_BODY_BYTES)).isFalse();
+        assertThat(mMemory.tryReserve(2L * RequestMemory.SMALL_BYTES)).isFalse();
         mMemory.release(3L * LARGE, SECOND);
         assertThat(mReserved).containsExactly("first", "second");
         assertThat(mMemory.bytes()).isEqualTo(7L * LARGE);
@@ -76,7 +76,7 @@
     @Test
     void reservationThatEndsBeforeItHearsOfItsMemoryGivesItBack() {
         fill();
-        BodyReservation reservation = new BodyReservation(mMemory);
+        RequestReservation reservation = new RequestReservation(mMemory);
         assertThat(reservation.await(LARGE, () -> mReserved.add("first"))).isTrue();
         mMemory.release(LARGE, SECOND);
         assertThat(mReserved).containsExactly("first");
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/ActiveRequest.java
@@ -169,11 +169,11 @@
         return route().isRepeatable() && (!mHeadSent || mFramer.isIdentified() && mMayGoOn);
     }
 
-    /** Drops the body of a request that will not be sent again. */
+    /** Drops the headers and the body of a request that will not be sent again. */
     void dropBody() {
         // The key depends on the body.
         key();
-        mRequest = mRequest.withoutBody();
+        mRequest = mRequest.withoutContent();
         mBodyDropped = true;
     }
 
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/DirectEffect.java
@@ -79,7 +79,7 @@
     record FindStream(long lookup, long stream, String service, Duration window)
             implements DirectEffect {}
 
-    /** The body of a caller's request will not be sent again, and is not held any more. */
+    /** A request will not be sent again; its headers and body are not held any more. */
     record BodyDropped(long caller) implements DirectEffect {}
 
     /** Send the caller a complete answer of a backend server. */
--- a/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/direct/RoutedRequest.java
@@ -1,6 +1,7 @@
 package org.laurelweir.direct;
 
 import java.time.Duration;
+import java.util.List;
 import org.laurelweir.attempt.AttemptRequest;
 
 /**
@@ -80,18 +81,20 @@
                 newTerms);
     }
 
-    /** Returns a copy of this request without its body, which can't be sent any more. */
-    RoutedRequest withoutBody() {
-        AttemptRequest.Call withoutBody =
+    /**
+     * Returns a copy of this request without its headers and body, which can't be sent any more.
+     */
+    RoutedRequest withoutContent() {
+        AttemptRequest.Call withoutContent =
                 new AttemptRequest.Call(
-                        call.method(), call.path(), call.headers(), new byte[0], call.streamed());
+                        call.method(), call.path(), List.of(), new byte[0], call.streamed());
         return new RoutedRequest(
                 id,
                 route,
                 account,
                 priority,
                 timeLeft,
-                withoutBody,
+                withoutContent,
                 prompt,
                 allowedRegions,
                 resumption,
--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -315,7 +315,8 @@
                             .defaultsTo("16KiB")
                             .range("1KiB", "1MiB")
                             .downTo(Level.DATA_CENTRE)
-                            .doc("Largest sum of a request's headers."));
+                            .doc(
+                                    "Largest sum of a request's header lines; bounds its first line and trailers too."));
 
     public static final SettingKey<Integer> LIMIT_CONNECTIONS =
             add(
