Bound what clients make a control instance hold before their requests are whole

What callers saw: a control instance ends (66) when a few clients announce settings documents of legal size and send them slowly, or pipeline requests. Operators and backend servers of that instance go without it, and a change is accepted later.

Cause: each document was collected up to 4 MiB in direct memory as it came, with nothing that bounds their sum; all requests of a read were decoded, and their answers held, while none of them was taken. Connections had no bound.

OpenConnections bounds the connections at 2,048 and closes the one that is idle longest.

Ruled out: a smaller maximum for documents; 4 MiB are accepted today.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -305,7 +304,7 @@
 
     private LingeringClose newClose() {
         long maxBytes = mLimits.bodyBytes() + 2L * mLimits.headerBytes();
-        return new LingeringClose((SocketChannel) mChannel, maxBytes);
+        return new LingeringClose(mChannel, maxBytes);
     }
 
     private void closeGracefully() {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/LingeringClose.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/LingeringClose.java
@@ -1,7 +1,8 @@
 package org.laurelweir.runtime.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.Channel;
+import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,7 +12,7 @@
 public final class LingeringClose {
     private static final long LINGER_SECONDS = 2;
 
-    private final SocketChannel mChannel;
+    private final Channel mChannel;
     private long mLeftBytes;
 
     /**
@@ -20,7 +21,7 @@
      * @param maxBytes what a client within the limits may still send, beyond which the connection
      *     is closed at once
      */
-    public LingeringClose(SocketChannel channel, long maxBytes) {
+    public LingeringClose(Channel channel, long maxBytes) {
         mChannel = channel;
         mLeftBytes = maxBytes;
     }
@@ -30,7 +31,9 @@
         if (!mChannel.isActive()) {
             return;
         }
-        mChannel.shutdownOutput();
+        if (mChannel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+        }
         mChannel.config().setAutoRead(true);
         mChannel.eventLoop().schedule(() -> mChannel.close(), LINGER_SECONDS, TimeUnit.SECONDS);
     }
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
@@ -0,0 +1,67 @@
+package org.laurelweir.runtime.http;
+
+import io.netty.channel.Channel;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Bounds the connections of a server. At the limit a new one takes the place of the one that has
+ * been without a whole request for longest, so that clients which only connect keep nobody out.
+ * Thread-safe.
+ */
+public final class OpenConnections {
+    private final int mMaxCount;
+
+    /** The connections without a whole request, those that have had none for longest first. */
+    private final Set<Channel> mIdle = new LinkedHashSet<>();
+
+    private int mCount;
+
+    /**
+     * Creates a bound without connections.
+     *
+     * @param maxCount maximum number of connections
+     */
+    public OpenConnections(int maxCount) {
+        mMaxCount = maxCount;
+    }
+
+    /** Returns the number of connections. */
+    public synchronized int count() {
+        return mCount;
+    }
+
+    /** Adds a new connection until it is closed, and closes another one if there are too many. */
+    void add(Channel connection) {
+        Channel closed = null;
+        synchronized (this) {
+            mCount++;
+            mIdle.add(connection);
+            if (mCount > mMaxCount) {
+                closed = mIdle.iterator().next();
+                mIdle.remove(closed);
+            }
+        }
+        connection.closeFuture().addListener(f -> remove(connection));
+        if (closed != null) {
+            closed.close();
+        }
+    }
+
+    private synchronized void remove(Channel connection) {
+        mCount--;
+        mIdle.remove(connection);
+    }
+
+    /** Called when a connection has a whole request. */
+    synchronized void onRequest(Channel connection) {
+        mIdle.remove(connection);
+    }
+
+    /** Called when that request is answered. */
+    synchronized void onAnswered(Channel connection) {
+        if (connection.isOpen()) {
+            mIdle.add(connection);
+        }
+    }
+}
