Bound what clients of gRPC servers hold together, and their metrics

What operators would see: a router or control instance without direct memory: connections of others are closed with it, and the process ends once a caller's connection is the one that needs some. With names that a client makes up, the metrics grow until the heap is full.

Cause: gRPC bounds one message and one connection's window, not their sum; a client that sends its message and never ends the call holds it. Of each call, before its service is looked up, the bytes were counted by service.

Evidence: routerOutlivesUnfinishedCalls and controlOutlivesUnfinishedCalls: with 25 clients of 6 MiB each, 22 of 50 calls ended with "Cannot reserve 2097152 bytes of direct buffer memory (limit:)" (2 of 2 runs fail). No process ended in these runs; that one would is by reading. callsOfUnknownServicesAreNotCounted failed: one counter for each name.

Change: RpcConnections counts what calls hold, by connection, and closes the one that has held something for longest; it bounds connections too. One read a turn here as well: with 16 a turn, 25 connections brought 25 MB before any was closed. gRPC's own close waits for the calls, so the channel is closed past it. TrafficCounters counts the server's own services only.

Measured: both process tests pass, RpcServerBoundsTest 3 of 3, the tests of the runtime, control and sidecar modules 220 of 220.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
@@ -32,7 +32,7 @@
     }
 
     /** Adds a new connection until it is closed, and closes another one if there are too many. */
-    void add(Channel connection) {
+    public void add(Channel connection) {
         Channel closed = null;
         synchronized (this) {
             mCount++;
@@ -54,12 +54,12 @@
     }
 
     /** Called when a connection has a whole request. */
-    synchronized void onRequest(Channel connection) {
+    public synchronized void onRequest(Channel connection) {
         mIdle.remove(connection);
     }
 
     /** Called when that request is answered. */
-    synchronized void onAnswered(Channel connection) {
+    public synchronized void onAnswered(Channel connection) {
         if (connection.isOpen()) {
             mIdle.add(connection);
         }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcServer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcServer.java
@@ -5,13 +5,17 @@
 import io.grpc.Server;
 import io.grpc.ServerCredentials;
 import io.grpc.netty.NettyServerBuilder;
+import io.netty.channel.ChannelOption;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.ResultCode;
 import org.laurelweir.lib.Service;
@@ -93,6 +97,11 @@
     /** Collects a server's settings. */
     public static final class Builder {
         private static final int MAX_MESSAGE_BYTES = 32 << 20;
+        private static final int MAX_CONNECTIONS = 2048;
+        private static final int MAX_CALLS_OF_A_CONNECTION = 1024;
+
+        /** Calls that are not taken yet may hold this part of the heap, or of direct memory. */
+        private static final int HELD_MEMORY_DIVISOR = 4;
 
         private final EventLoops mLoops;
         private final TrafficCounters mTraffic;
@@ -101,6 +110,7 @@
         private Executor mExecutor = Runnable::run;
         private Duration mGrace = Duration.ofSeconds(5);
         private int mMaxMessageBytes = MAX_MESSAGE_BYTES;
+        private long mMaxHeldBytes = memoryBytes() / HELD_MEMORY_DIVISOR;
         private ServerCredentials mCredentials = InsecureServerCredentials.create();
 
         private Builder(EventLoops loops, TrafficCounters traffic) {
@@ -143,6 +153,19 @@
             return this;
         }
 
+        /**
+         * Sets how much the calls of all clients that no method has taken yet may hold together; a
+         * quarter of the heap or of direct memory by default, whichever is smaller.
+         */
+        public Builder maxHeldBytes(long bytes) {
+            mMaxHeldBytes = bytes;
+            return this;
+        }
+
+        private static long memoryBytes() {
+            return Math.min(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory());
+        }
+
         /** Sets the transport's credentials; plaintext by default. */
         public Builder credentials(ServerCredentials credentials) {
             mCredentials = credentials;
@@ -154,18 +177,29 @@
             return new RpcServer(this);
         }
 
+        private Set<String> serviceNames() {
+            return mServices.stream()
+                    .map(s -> s.bindService().getServiceDescriptor().getName())
+                    .collect(Collectors.toSet());
+        }
+
         private Server newServer() {
+            RpcConnections connections = new RpcConnections(mMaxHeldBytes, MAX_CONNECTIONS);
             NettyServerBuilder b =
                     NettyServerBuilder.forAddress(mListen, mCredentials)
                             .bossEventLoopGroup(mLoops.group())
                             .workerEventLoopGroup(mLoops.group())
-                            .channelType(mLoops.serverType())
+                            .channelFactory(connections::newServerChannel)
+                            .withChildOption(
+                                    ChannelOption.RECVBUF_ALLOCATOR, EventLoops.oneReadATurn())
+                            .maxConcurrentCallsPerConnection(MAX_CALLS_OF_A_CONNECTION)
                             .executor(mExecutor)
                             .maxInboundMessageSize(mMaxMessageBytes)
                             .permitKeepAliveWithoutCalls(true)
                             .permitKeepAliveTime(
                                     MIN_KEEP_ALIVE_TIME.toMillis(), TimeUnit.MILLISECONDS)
-                            .addStreamTracerFactory(mTraffic.serverTracers());
+                            .addStreamTracerFactory(connections.tracers())
+                            .addStreamTracerFactory(mTraffic.serverTracers(serviceNames()));
             mServices.forEach(b::addService);
             return b.build();
         }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/TrafficCounters.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/TrafficCounters.java
@@ -12,6 +12,7 @@
 import io.grpc.Metadata;
 import io.grpc.MethodDescriptor;
 import io.grpc.ServerStreamTracer;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.laurelweir.runtime.metrics.MetricNames;
 
@@ -27,6 +28,8 @@
     private static final String PAYLOAD = "payload.bytes";
     private static final String PAYLOAD_METHOD = "laurelweir.v1.SidecarService/Attempt";
 
+    private static final ServerStreamTracer NOT_COUNTED = new ServerStreamTracer() {};
+
     private final MetricRegistry mRegistry;
 
     /**
@@ -51,10 +54,19 @@
         mRegistry.register(name(CONTROL, service, "out"), new ExternalCounter(out));
     }
 
-    ServerStreamTracer.Factory serverTracers() {
+    /**
+     * Returns what counts the bytes of a server's calls. Calls of services that the server does not
+     * have are not counted: their names come from clients, and each would stay in the registry.
+     *
+     * @param services full names of the server's services
+     */
+    ServerStreamTracer.Factory serverTracers(Set<String> services) {
         return new ServerStreamTracer.Factory() {
             @Override
             public ServerStreamTracer newServerStreamTracer(String method, Metadata headers) {
+                if (!services.contains(MethodDescriptor.extractFullServiceName(method))) {
+                    return NOT_COUNTED;
+                }
                 return new ServerBytes(counter(method, "in"), counter(method, "out"));
             }
         };
