Let requests that take long to arrive give up their memory for others

What callers saw: callers that announce large bodies and send them slowly hold request-memory for limit.request-time each, again and again; other large requests get 503 meanwhile, and small ones too once the small part is held by heads whose bodies do not come.

Cause: memory is reserved before a body is read, and only the time limit of a request ended that.

Evidence: by reading; RequestMemoryTest.slowestRequestGivesUpWhenMemoryIsShort has no counterpart in the code before.

Change: when memory is short, the request that has been read for longest, and for a second at least, is refused with 408. A request that is whole keeps its memory. Besides, a request without a body no longer asks for memory for what is pipelined behind it.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -68,7 +68,7 @@
         mConnections = connections;
         mEncoder = encoder;
         mLimits = connections.limits();
-        mReservation = new RequestReservation(connections.requestMemory());
+        mReservation = new RequestReservation(connections.requestMemory(), this::giveUpReading);
     }
 
     @Override
@@ -151,7 +151,8 @@
     }
 
     private boolean readBody() {
-        if (!reserve(mHeadMemory + mReader.neededBytes(mDecoder.readableBytes()))) {
+        long memory = mHeadMemory + mReader.neededBytes(mDecoder.readableBytes());
+        if (!mDecoder.isComplete() && !reserve(memory)) {
             return false;
         }
         mReader.onContent(mDecoder.nextBody(mLimits.headerBytes()));
@@ -159,6 +160,7 @@
             return mDecoder.hasInput();
         }
         mDecoder.beginNext();
+        mReservation.onWhole();
         HttpCall call = mReader.finish();
         mReservation.shrinkTo(mHeadMemory + call.body().length);
         serve(call);
@@ -246,12 +248,26 @@
         readParts();
     }
 
+    private void giveUpReading() {
+        mChannel.eventLoop().execute(this::refuseIfReading);
+    }
+
+    private void refuseIfReading() {
+        if (mReader.isReading() && !mClosing) {
+            refuseAsTooSlow();
+        }
+    }
+
+    private void refuseAsTooSlow() {
+        refuse(ResultCode.REQUEST_TOO_SLOW, "the request took too long to arrive", Duration.ZERO);
+    }
+
     private void refuseForMemory() {
         long bytes = Math.max(mReader.announcedBytes(), mReservation.bytes());
         refuse(
                 ResultCode.OVERLOADED,
                 "the router has no memory for the request",
-                mConnections.requestMemory().refuse(bytes));
+                mReservation.refuse(bytes));
     }
 
     private void sendContinueIfExpected() {
@@ -323,7 +339,7 @@
             mChannel.close();
             return;
         }
-        refuse(ResultCode.REQUEST_TOO_SLOW, "the request took too long to arrive", Duration.ZERO);
+        refuseAsTooSlow();
     }
 
     /** Closes an idle connection at once, and any other connection after its answer. */
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
@@ -50,7 +50,7 @@
      */
     public RequestCollector(ServerBounds bounds) {
         mBounds = bounds;
-        mReservation = new RequestReservation(bounds.memory());
+        mReservation = new RequestReservation(bounds.memory(), this::giveUpReading);
     }
 
     @Override
@@ -114,7 +114,8 @@
     /** Reserves memory for the body before the first of its bytes is taken. */
     private boolean readBody() {
         int size = mBody.size() + mDecoder.readableBytes();
-        if (!reserve(mHeadMemory + mBody.memoryFor(size, mBounds.bodyBytes()))) {
+        long bodyMemory = mBody.memoryFor(size, mBounds.bodyBytes());
+        if (!mDecoder.isComplete() && !reserve(mHeadMemory + bodyMemory)) {
             return false;
         }
         ByteBuf bytes = mDecoder.nextBody(mBounds.headBytes());
@@ -132,6 +133,7 @@
     private void handOn() {
         mTimer.stop();
         mDecoder.beginNext();
+        mReservation.onWhole();
         byte[] body = mBody.toBytes();
         mReservation.shrinkTo(mHeadMemory + body.length);
         HttpRequest head = mHead;
@@ -172,7 +174,7 @@
     }
 
     private void refuseForMemory() {
-        mBounds.memory().refuse(mReservation.bytes());
+        mReservation.refuse(mReservation.bytes());
         refuse(ResultCode.OVERLOADED, "there is no memory for the request");
     }
 
@@ -211,11 +213,25 @@
         readParts();
     }
 
+    private void giveUpReading() {
+        mContext.channel().eventLoop().execute(this::refuseIfReading);
+    }
+
+    private void refuseIfReading() {
+        if (mHead != null && mClose == null) {
+            refuseAsTooSlow();
+        }
+    }
+
     private void onTimeout() {
         if (!mRequestBegun || mAnswering) {
             mContext.close();
             return;
         }
+        refuseAsTooSlow();
+    }
+
+    private void refuseAsTooSlow() {
         refuse(ResultCode.REQUEST_TOO_SLOW, "the request took too long to arrive");
     }
 
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestMemory.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestMemory.java
@@ -5,8 +5,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Bounds the memory of all requests that a process holds, heads and bodies: those that it reads,
@@ -37,8 +41,16 @@
 
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
 
+    /** A request that has been read for longer gives way to others when memory is short. */
+    private static final Duration MIN_READ_TIME = Duration.ofSeconds(1);
+
     private final long mMaxBytes;
+    private final LongSupplier mNanoTime;
     private final Deque<Waiter> mWaiting = new ArrayDeque<>();
+
+    /** When the requests were begun that are still being read, the oldest first. */
+    private final Map<RequestReservation, Long> mReading = new LinkedHashMap<>();
+
     private long mReservedBytes;
     private long mWaitingBytes;
     private long mRefusedCount;
@@ -61,7 +73,52 @@
      * @param maxBytes maximum memory of all requests together
      */
     public RequestMemory(long maxBytes) {
+        this(maxBytes, System::nanoTime);
+    }
+
+    RequestMemory(long maxBytes, LongSupplier nanoTime) {
         mMaxBytes = maxBytes;
+        mNanoTime = nanoTime;
+    }
+
+    /** Returns the time in nanoseconds since some moment. */
+    long nanoTime() {
+        return mNanoTime.getAsLong();
+    }
+
+    /** Called when a request that is being read has its first memory. */
+    synchronized void beginReading(RequestReservation request) {
+        mReading.put(request, nanoTime());
+    }
+
+    /** Called when a request is whole or given up. */
+    synchronized void endReading(RequestReservation request) {
+        mReading.remove(request);
+    }
+
+    /**
+     * Lets the request that has been read for longest give up its memory, unless all are read only
+     * for a moment. A few clients that announce bodies and do not send them would otherwise hold
+     * the memory again and again, each for as long as a request may take.
+     *
+     * @param other does not give up for itself
+     */
+    void giveUpSlowest(RequestReservation other) {
+        RequestReservation slowest = null;
+        synchronized (this) {
+            Iterator<Map.Entry<RequestReservation, Long>> oldest = mReading.entrySet().iterator();
+            if (oldest.hasNext()) {
+                Map.Entry<RequestReservation, Long> e = oldest.next();
+                boolean isSlow = nanoTime() - e.getValue() >= MIN_READ_TIME.toNanos();
+                if (isSlow && e.getKey() != other) {
+                    slowest = e.getKey();
+                    oldest.remove();
+                }
+            }
+        }
+        if (slowest != null) {
+            slowest.giveUp();
+        }
     }
 
     /** Returns the memory of the largest request that there is room for. */
@@ -171,7 +228,7 @@
      *
      * @return when its caller may expect to find memory, if memory is released as lately
      */
-    public synchronized Duration refuse(long bytes) {
+    synchronized Duration refuse(long bytes) {
         mRefusedCount++;
         double turns = (mReservedBytes + mWaitingBytes + bytes) / (double) maxRequestBytes();
         long nanos = (long) Math.min(mHoldNanos * turns, MAX_RETRY_AFTER.toNanos());
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestReservation.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestReservation.java
@@ -1,19 +1,37 @@
 package org.laurelweir.runtime.http;
 
+import java.time.Duration;
+
 /**
  * The part of the {@link RequestMemory} that the requests of one connection use, one after the
  * other. Used on the connection's event loop only.
  */
 public final class RequestReservation {
     private final RequestMemory mMemory;
+    private final Runnable mOnGivenUp;
     private long mBytes;
     private long mSinceNanos;
     private RequestMemory.Waiter mWaiter;
     private long mAwaitedBytes;
 
-    /** Creates a reservation of nothing. */
-    public RequestReservation(RequestMemory memory) {
+    /**
+     * Creates a reservation of nothing.
+     *
+     * @param onGivenUp called on any thread if a request that is being read has to give up its
+     *     memory for others, since it takes too long
+     */
+    public RequestReservation(RequestMemory memory, Runnable onGivenUp) {
         mMemory = memory;
+        mOnGivenUp = onGivenUp;
+    }
+
+    void giveUp() {
+        mOnGivenUp.run();
+    }
+
+    /** Called when the request is whole. It keeps its memory until that is released. */
+    public void onWhole() {
+        mMemory.endReading(this);
     }
 
     /** Returns the memory that is reserved, in bytes. */
@@ -32,6 +50,7 @@
             return true;
         }
         if (!mMemory.tryReserve(bytes - mBytes)) {
+            mMemory.giveUpSlowest(this);
             return false;
         }
         onGrown(bytes);
@@ -39,8 +58,11 @@
     }
 
     private void onGrown(long bytes) {
+        if (mBytes == 0) {
+            mMemory.beginReading(this);
+        }
         mBytes = bytes;
-        mSinceNanos = System.nanoTime();
+        mSinceNanos = mMemory.nanoTime();
     }
 
     /**
@@ -66,12 +88,22 @@
         return true;
     }
 
+    /**
+     * Counts a request that is refused for lack of memory.
+     *
+     * @return when its client may expect to find memory
+     */
+    public Duration refuse(long bytes) {
+        mMemory.giveUpSlowest(this);
+        return mMemory.refuse(bytes);
+    }
+
     /** Gives back what is reserved beyond a size. */
     public void shrinkTo(long bytes) {
         if (bytes < mBytes) {
             long excess = mBytes - bytes;
             mBytes = bytes;
-            mMemory.release(excess, System.nanoTime() - mSinceNanos);
+            mMemory.release(excess, mMemory.nanoTime() - mSinceNanos);
         }
     }
 
@@ -81,6 +113,7 @@
             onGrown(mAwaitedBytes);
         }
         mWaiter = null;
+        mMemory.endReading(this);
         shrinkTo(0);
     }
 }
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestMemoryTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestMemoryTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
 /** Tests the bound of the bodies that a router holds. */
@@ -12,7 +13,8 @@
     private static final int LARGE = 1 << 20;
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-    private final RequestMemory mMemory = new RequestMemory(8L * LARGE);
+    private final AtomicLong mNanos = new AtomicLong();
+    private final RequestMemory mMemory = new RequestMemory(8L * LARGE, mNanos::get);
     private final List<String> mReserved = new ArrayList<>();
 
     private void fill() {
@@ -76,7 +78,7 @@
     @Test
     void reservationThatEndsBeforeItHearsOfItsMemoryGivesItBack() {
         fill();
-        RequestReservation reservation = new RequestReservation(mMemory);
+        RequestReservation reservation = new RequestReservation(mMemory, () -> {});
         assertThat(reservation.await(LARGE, () -> mReserved.add("first"))).isTrue();
         mMemory.release(LARGE, SECOND);
         assertThat(mReserved).containsExactly("first");
@@ -96,4 +98,34 @@
         assertThat(mMemory.refuse(LARGE)).isBetween(Duration.ofSeconds(2), Duration.ofMillis(2500));
         assertThat(mMemory.refusedCount()).isEqualTo(1);
     }
+
+    private RequestReservation reserve(String name, long bytes) {
+        RequestReservation r = new RequestReservation(mMemory, () -> mReserved.add(name));
+        assertThat(r.tryGrow(bytes)).isTrue();
+        return r;
+    }
+
+    /** Guards against clients that announce requests, do not send them, and keep others out. */
+    @Test
+    void slowestRequestGivesUpWhenMemoryIsShort() {
+        reserve("slowest", 3L * LARGE);
+        mNanos.addAndGet(SECOND / 2);
+        reserve("second", 4L * LARGE);
+        RequestReservation other = new RequestReservation(mMemory, () -> mReserved.add("other"));
+        assertThat(other.tryGrow(LARGE)).isFalse();
+        assertThat(mReserved).isEmpty();
+        mNanos.addAndGet(SECOND / 2);
+        assertThat(other.tryGrow(LARGE)).isFalse();
+        assertThat(other.tryGrow(LARGE)).isFalse();
+        assertThat(mReserved).containsExactly("slowest");
+    }
+
+    /** Guards against giving up a request that servers work on already. */
+    @Test
+    void wholeRequestDoesNotGiveUp() {
+        reserve("whole", 7L * LARGE).onWhole();
+        mNanos.addAndGet(SECOND);
+        assertThat(reserve("small", 1).tryGrow(LARGE)).isFalse();
+        assertThat(mReserved).isEmpty();
+    }
 }
