Let callers that only connect keep nobody out of a router

What callers saw: new connections are closed unread for as long as others that send nothing fill the limit, up to limit.idle-time.

Cause: at the limit the new connection was always the one to go.

Change: the router uses OpenConnections, too: the oldest connection that has not sent a request yet gives way. Kept connections of callers that have sent one do not.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -4,12 +4,13 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.laurelweir.runtime.http.OpenConnections;
 import org.laurelweir.runtime.http.PartialRequests;
 import org.laurelweir.runtime.http.RequestMemory;
 
@@ -30,7 +31,7 @@
     private final PartialRequests mPartialRequests;
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Queue<UnreadConnection> mUnread = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger mCount = new AtomicInteger();
+    private final OpenConnections mOpen;
     private final AtomicLong mLastCaller = new AtomicLong();
     private volatile boolean mCloseAfterAnswers;
     private volatile boolean mStopping;
@@ -45,6 +46,7 @@
         mRequestMemory = acceptance.requestMemory();
         mPartialRequests = acceptance.partialRequests();
         mDialect = dialect;
+        mOpen = new OpenConnections(() -> limits().connections());
         mHandler = handler;
         mLimits = limits;
         mNames = names;
@@ -85,13 +87,18 @@
         return mNames.nameOf(caller);
     }
 
-    /** Counts a new connection until it is closed; returns whether their limit permits it. */
+    /**
+     * Counts a new connection until it is closed. At their limit it takes the place of the oldest
+     * one that has not sent a request, if there is one.
+     *
+     * @return whether it may stay open
+     */
     boolean admit(Channel channel) {
-        if (mCount.incrementAndGet() > limits().connections()) {
-            mCount.decrementAndGet();
+        Optional<Channel> excess = mOpen.add(channel);
+        if (excess.isPresent() && excess.get() == channel) {
             return false;
         }
-        channel.closeFuture().addListener(f -> mCount.decrementAndGet());
+        excess.ifPresent(Channel::close);
         mUnread.add(new UnreadConnection(channel, System.nanoTime()));
         return true;
     }
@@ -106,6 +113,7 @@
     /** Called when the first request of a connection has been read. */
     void onFirstRequest(Channel channel) {
         mUnread.removeIf(u -> u.channel() == channel);
+        mOpen.onRequest(channel);
     }
 
     /** Registers a connection that has been accepted. */
@@ -115,7 +123,7 @@
 
     /** Returns the number of connections. */
     int count() {
-        return mCount.get();
+        return mOpen.count();
     }
 
     /** Returns whether connections are closed after their next answer. */
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.Channel;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /**
  * Bounds the connections of a server. At the limit a new one takes the place of the one that has
@@ -10,7 +12,7 @@
  * Thread-safe.
  */
 public final class OpenConnections {
-    private final int mMaxCount;
+    private final IntSupplier mMaxCount;
 
     /** The connections without a whole request, those that have had none for longest first. */
     private final Set<Channel> mIdle = new LinkedHashSet<>();
@@ -23,6 +25,15 @@
      * @param maxCount maximum number of connections
      */
     public OpenConnections(int maxCount) {
+        this(() -> maxCount);
+    }
+
+    /**
+     * Creates a bound without connections.
+     *
+     * @param maxCount returns the maximum number of connections in force
+     */
+    public OpenConnections(IntSupplier maxCount) {
         mMaxCount = maxCount;
     }
 
@@ -31,21 +42,24 @@
         return mCount;
     }
 
-    /** Adds a new connection until it is closed, and closes another one if there are too many. */
-    public void add(Channel connection) {
-        Channel closed = null;
+    /**
+     * Adds a new connection until it is closed.
+     *
+     * @return the connection to close for it, which is the new one if all others have requests;
+     *     empty if there are not too many
+     */
+    public Optional<Channel> add(Channel connection) {
+        Channel excess = null;
         synchronized (this) {
             mCount++;
             mIdle.add(connection);
-            if (mCount > mMaxCount) {
-                closed = mIdle.iterator().next();
-                mIdle.remove(closed);
+            if (mCount > mMaxCount.getAsInt()) {
+                excess = mIdle.iterator().next();
+                mIdle.remove(excess);
             }
         }
         connection.closeFuture().addListener(f -> remove(connection));
-        if (closed != null) {
-            closed.close();
-        }
+        return Optional.ofNullable(excess);
     }
 
     private synchronized void remove(Channel connection) {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -62,7 +63,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        mBounds.connections().add(context.channel());
+        mBounds.connections().add(context.channel()).ifPresent(Channel::close);
         mTimer.start(mBounds.idleTime());
         context.fireChannelActive();
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcConnections.java
@@ -62,7 +62,7 @@
         }
         mConnections.put(client, new Connection(channel));
         channel.closeFuture().addListener(f -> mConnections.remove(client));
-        mOpen.add(channel);
+        mOpen.add(channel).ifPresent(Channel::close);
     }
 
     /** Returns what counts the bytes of calls. */
