Keep new callers' connections from closing those opened just before

Cause: at the limit a new connection closed the oldest one without a request, however young it was, so that a burst of connections closed each other.

Change: a router's connection gives way only once it has had no request for 3 s. Control instances and metrics close the one that is idle longest at once, as before.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnections.java
@@ -4,6 +4,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -22,6 +23,9 @@
      */
     private static final long MAX_UNREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** A caller whose connection has had no request for longer gives way to new ones. */
+    private static final Duration MIN_IDLE_TIME = Duration.ofSeconds(3);
+
     private final CallHandler mHandler;
     private final Supplier<Limits> mLimits;
     private final RequestNames mNames;
@@ -46,7 +50,7 @@
         mRequestMemory = acceptance.requestMemory();
         mPartialRequests = acceptance.partialRequests();
         mDialect = dialect;
-        mOpen = new OpenConnections(() -> limits().connections());
+        mOpen = new OpenConnections(() -> limits().connections(), MIN_IDLE_TIME);
         mHandler = handler;
         mLimits = limits;
         mNames = names;
@@ -89,7 +93,7 @@
 
     /**
      * Counts a new connection until it is closed. At their limit it takes the place of the oldest
-     * one that has not sent a request, if there is one.
+     * one that has not sent a request for some time, if there is one.
      *
      * @return whether it may stay open
      */
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
@@ -1,9 +1,10 @@
 package org.laurelweir.runtime.http;
 
 import io.netty.channel.Channel;
-import java.util.LinkedHashSet;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.IntSupplier;
 
 /**
@@ -13,9 +14,10 @@
  */
 public final class OpenConnections {
     private final IntSupplier mMaxCount;
+    private final Duration mMinIdleTime;
 
-    /** The connections without a whole request, those that have had none for longest first. */
-    private final Set<Channel> mIdle = new LinkedHashSet<>();
+    /** Since when connections have had no whole request, in nanoseconds, the longest first. */
+    private final Map<Channel, Long> mIdle = new LinkedHashMap<>();
 
     private int mCount;
 
@@ -25,16 +27,18 @@
      * @param maxCount maximum number of connections
      */
     public OpenConnections(int maxCount) {
-        this(() -> maxCount);
+        this(() -> maxCount, Duration.ZERO);
     }
 
     /**
      * Creates a bound without connections.
      *
      * @param maxCount returns the maximum number of connections in force
+     * @param minIdleTime for how long a connection without a whole request does not give way
      */
-    public OpenConnections(IntSupplier maxCount) {
+    public OpenConnections(IntSupplier maxCount, Duration minIdleTime) {
         mMaxCount = maxCount;
+        mMinIdleTime = minIdleTime;
     }
 
     /** Returns the number of connections. */
@@ -45,16 +49,16 @@
     /**
      * Adds a new connection until it is closed.
      *
-     * @return the connection to close for it, which is the new one if all others have requests;
-     *     empty if there are not too many
+     * @return the connection to close for it, which is the new one if no other gives way; empty if
+     *     there are not too many
      */
     public Optional<Channel> add(Channel connection) {
         Channel excess = null;
         synchronized (this) {
             mCount++;
-            mIdle.add(connection);
+            mIdle.put(connection, System.nanoTime());
             if (mCount > mMaxCount.getAsInt()) {
-                excess = mIdle.iterator().next();
+                excess = longestIdle().orElse(connection);
                 mIdle.remove(excess);
             }
         }
@@ -62,6 +66,12 @@
         return Optional.ofNullable(excess);
     }
 
+    private Optional<Channel> longestIdle() {
+        Map.Entry<Channel, Long> first = mIdle.entrySet().iterator().next();
+        boolean givesWay = System.nanoTime() - first.getValue() >= mMinIdleTime.toNanos();
+        return givesWay ? Optional.of(first.getKey()) : Optional.empty();
+    }
+
     private synchronized void remove(Channel connection) {
         mCount--;
         mIdle.remove(connection);
@@ -75,7 +85,7 @@
     /** Called when that request is answered. */
     public synchronized void onAnswered(Channel connection) {
         if (connection.isOpen()) {
-            mIdle.add(connection);
+            mIdle.put(connection, System.nanoTime());
         }
     }
 }
