Count whole blocks for chunked bodies

What callers could see: a router whose heap is fuller than request-memory says, by 16 KiB for each connection that sends a chunk of one byte and waits.

Cause: such a body takes a block of 16 KiB, and reserved a byte. Found while the change was read once more; not shown by a run.

Change: memoryFor rounds up to blocks; BodyBufferTest has it. The tests of the runtime and router modules pass, 166 of 166.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/BodyBuffer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/BodyBuffer.java
@@ -12,8 +12,8 @@
     private static final int BLOCK_BYTES = 16 << 10;
 
     private final int mAnnouncedBytes;
-    private byte[] mAnnounced = {};
     private final List<byte[]> mBlocks = new ArrayList<>();
+    private byte[] mAnnounced = {};
     private int mSize;
 
     /**
@@ -31,8 +31,8 @@
     }
 
     /**
-     * Returns the memory that the body needs, in bytes. A body without an announced size may grow
-     * to the limit, once it is not small.
+     * Returns the memory that the body needs, in bytes. A body without an announced size needs
+     * whole blocks, and may grow to the limit once it is not small.
      *
      * @param size how much of the body has come
      * @param maxBytes the limit
@@ -41,7 +41,10 @@
         if (mAnnouncedBytes > 0) {
             return mAnnouncedBytes;
         }
-        return size <= RequestMemory.SMALL_BYTES ? size : Math.max(size, maxBytes);
+        if (size > RequestMemory.SMALL_BYTES) {
+            return Math.max(size, maxBytes);
+        }
+        return (size + BLOCK_BYTES - 1) / BLOCK_BYTES * BLOCK_BYTES;
     }
 
     /** Adds a piece of the body. The pieces must not exceed the announced length. */
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/BodyBufferTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/BodyBufferTest.java
@@ -32,7 +32,8 @@
     @Test
     void bodyThatMayGrowNeedsTheLimitOnceItIsNotSmall() {
         BodyBuffer chunked = new BodyBuffer(0);
-        assertThat(chunked.memoryFor(10, 1 << 20)).isEqualTo(10);
+        assertThat(chunked.memoryFor(0, 1 << 20)).isZero();
+        assertThat(chunked.memoryFor(10, 1 << 20)).isEqualTo(16 << 10);
         assertThat(chunked.memoryFor(RequestMemory.SMALL_BYTES + 1, 1 << 20)).isEqualTo(1 << 20);
         assertThat(new BodyBuffer(SIZE).memoryFor(10, 1 << 20)).isEqualTo(SIZE);
     }
