Take a head of the maximum size whose last line comes in two pieces

What callers could see: 431 for a head of just as many bytes as the settings allow, when the network cuts it within the empty line at its end.

Cause: the first byte of that line was counted as one of a header. Found while the change was read once more.

Evidence: headOfTheMaximumSizeIsTaken, byte by byte, failed before: "the request's headers are too large"; RequestDecoderTest 17 of 17 now.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/HeadScanner.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/HeadScanner.java
@@ -97,6 +97,10 @@
 
     private void checkSize(int maxBytes) {
         int unfinishedBytes = mScannedBytes - mLineStart;
+        if (unfinishedBytes == 1) {
+            // It may be the first byte of the empty line that ends the head.
+            unfinishedBytes = 0;
+        }
         int bytes = mFirstLineBytes == 0 ? unfinishedBytes : mHeaderBytes + unfinishedBytes;
         if (mFirstLineBytes > maxBytes || bytes > maxBytes) {
             throw RequestDecoder.headersTooLarge();
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestDecoderTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestDecoderTest.java
@@ -153,8 +153,11 @@
     void headOfTheMaximumSizeIsTaken() {
         String headers = HOST + "a:\r\n".repeat((MAX_HEAD_BYTES - HOST.length()) / 4);
         String filler = "b".repeat(MAX_HEAD_BYTES - headers.length());
-        send(LINE + headers.replaceFirst("h\r\n", "h" + filler + "\r\n") + "\r\n");
+        String head = LINE + headers.replaceFirst("h\r\n", "h" + filler + "\r\n") + "\r\n";
+        send(head);
         assertThat(mRequests).hasSize(1);
+        head.chars().forEach(c -> send(String.valueOf((char) c)));
+        assertThat(mRequests).hasSize(2);
     }
 
     // Guards against heads over the limit, whether they are complete or not.
