--- a/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
+++ b/org.laurelweir/src/main/java/org/laurelweir/settings/SettingKeys.java
@@ -316,7 +316,8 @@
                             .range("1KiB", "1MiB")
                             .downTo(Level.DATA_CENTRE)
                             .doc(
-                                    "Largest sum of a request's header lines; bounds its first line and trailers too."));
+                                    "Largest sum of a request's header lines; bounds its first"
+                                            + " line and trailers too."));
 
     public static final SettingKey<Integer> LIMIT_CONNECTIONS =
             add(
