Do not count connections that are refused

What callers saw: once a router, or a gRPC server, had refused as many connections as its limit allows, it refused all later ones for good.

Cause: a refused connection was counted until it is closed, and one that is closed before it is registered never tells of its end. With the server of gRPC, closing such a connection would have failed besides.

Change: a connection that is refused is not counted, and a gRPC server hands it to nobody.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/OpenConnections.java
@@ -49,24 +49,35 @@
     /**
      * Adds a new connection until it is closed.
      *
-     * @return the connection to close for it, which is the new one if no other gives way; empty if
-     *     there are not too many
+     * @return the connection to close for it, which is the new one if no other gives way, and then
+     *     it is not counted; empty if there are not too many
      */
     public Optional<Channel> add(Channel connection) {
-        Channel excess = null;
-        synchronized (this) {
-            mCount++;
-            mIdle.put(connection, System.nanoTime());
-            if (mCount > mMaxCount.getAsInt()) {
-                excess = longestIdle().orElse(connection);
-                mIdle.remove(excess);
+        Optional<Channel> excess = tryAdd(connection);
+        if (excess.isEmpty() || excess.get() != connection) {
+            connection.closeFuture().addListener(f -> remove(connection));
+        }
+        return excess;
+    }
+
+    private synchronized Optional<Channel> tryAdd(Channel connection) {
+        Optional<Channel> excess = Optional.empty();
+        if (mCount >= mMaxCount.getAsInt()) {
+            excess = longestIdle();
+            if (excess.isEmpty()) {
+                return Optional.of(connection);
             }
+            mIdle.remove(excess.get());
         }
-        connection.closeFuture().addListener(f -> remove(connection));
-        return Optional.ofNullable(excess);
+        mCount++;
+        mIdle.put(connection, System.nanoTime());
+        return excess;
     }
 
     private Optional<Channel> longestIdle() {
+        if (mIdle.isEmpty()) {
+            return Optional.empty();
+        }
         Map.Entry<Channel, Long> first = mIdle.entrySet().iterator().next();
         boolean givesWay = System.nanoTime() - first.getValue() >= mMinIdleTime.toNanos();
         return givesWay ? Optional.of(first.getKey()) : Optional.empty();
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcConnections.java
@@ -11,6 +11,7 @@
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.laurelweir.runtime.http.OpenConnections;
 import org.laurelweir.runtime.http.PartialRequests;
@@ -45,24 +46,31 @@
         return new NioServerSocketChannel() {
             @Override
             protected int doReadMessages(List<Object> accepted) throws Exception {
+                int before = accepted.size();
                 int count = super.doReadMessages(accepted);
-                for (int i = accepted.size() - count; i < accepted.size(); i++) {
-                    add((Channel) accepted.get(i));
-                }
+                accepted.subList(before, accepted.size()).removeIf(c -> !admit((Channel) c));
                 return count;
             }
         };
     }
 
-    private void add(Channel channel) {
+    /** Counts a new connection; closes it, or another one, if there are too many. */
+    private boolean admit(Channel channel) {
         SocketAddress client = channel.remoteAddress();
         if (client == null) {
-            // The client has disconnected already.
-            return;
+            // It has disconnected already.
+            channel.unsafe().closeForcibly();
+            return false;
         }
+        Optional<Channel> excess = mOpen.add(channel);
+        if (excess.isPresent() && excess.get() == channel) {
+            channel.unsafe().closeForcibly();
+            return false;
+        }
+        excess.ifPresent(Channel::close);
         mConnections.put(client, new Connection(channel));
         channel.closeFuture().addListener(f -> mConnections.remove(client));
-        mOpen.add(channel).ifPresent(Channel::close);
+        return true;
     }
 
     /** Returns what counts the bytes of calls. */
