Send no body in answers to HEAD at control instances and metrics

What clients could see: body bytes after the head of an answer to HEAD, which on a kept connection to a control instance are read as the next answer.

Change: these servers use the router's ResponseEncoder, which moves to the runtime module.

Evidence: RequestCollectorTest.answerToHeadHasNoBody failed without the encoder being told the method; 7 of 7 now. MetricsServerTest, the router's 17 program tests, MisbehavingClientsProcessesTest and PlatformPathTest (116) pass.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerConnection.java
@@ -18,6 +18,7 @@
 import org.laurelweir.runtime.http.RequestMemory;
 import org.laurelweir.runtime.http.RequestReservation;
 import org.laurelweir.runtime.http.RequestTimer;
+import org.laurelweir.runtime.http.ResponseEncoder;
 import org.laurelweir.runtime.process.Program;
 
 /**
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/http/CallerServer.java
@@ -11,6 +11,7 @@
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.lib.Service;
 import org.laurelweir.runtime.config.Endpoint;
+import org.laurelweir.runtime.http.ResponseEncoder;
 import org.laurelweir.runtime.rpc.EarlySocket;
 import org.laurelweir.runtime.rpc.EventLoops;
 
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
@@ -24,14 +24,15 @@
  * Collects the whole requests of one connection for the next handler, one at a time: the next one
  * is read once the answer is written. Answers those that exceed the server's bounds.
  *
- * <p>Stands between an {@code HttpResponseEncoder} and a handler of {@code FullHttpRequest}s that
- * writes one {@code FullHttpResponse} for each.
+ * <p>Stands between a {@link ResponseEncoder} and a handler of {@code FullHttpRequest}s that writes
+ * one {@code FullHttpResponse} for each.
  */
 public final class RequestCollector extends ChannelDuplexHandler implements PartialRequests.Holder {
     /** Maximum time for which a request waits for memory; its client may ask another instance. */
     private static final Duration MAX_MEMORY_WAIT = Duration.ofMillis(800);
 
     private final ServerBounds mBounds;
+    private final ResponseEncoder mEncoder;
     private final RequestDecoder mDecoder = new RequestDecoder();
     private final RequestReservation mReservation;
     private ChannelHandlerContext mContext;
@@ -48,9 +49,11 @@
      * Creates a handler for one connection.
      *
      * @param bounds the bounds of the server, which all its connections share
+     * @param encoder encodes the answers of the connection
      */
-    public RequestCollector(ServerBounds bounds) {
+    public RequestCollector(ServerBounds bounds, ResponseEncoder encoder) {
         mBounds = bounds;
+        mEncoder = encoder;
         mReservation = new RequestReservation(bounds.memory(), this::giveUpReading);
     }
 
@@ -101,6 +104,7 @@
         }
         mHeadMemory = mDecoder.headMemory();
         mHead = mDecoder.takeHead();
+        mEncoder.onRequest(mHead.method());
         long announced = HttpUtil.getContentLength(mHead, 0L);
         if (announced > mBounds.bodyBytes()) {
             throw tooLarge();
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/http/ResponseEncoder.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/ResponseEncoder.java
@@ -1,15 +1,15 @@
-package org.laurelweir.router.http;
+package org.laurelweir.runtime.http;
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /** Encodes the answers of a connection that serves one request at a time. */
-final class ResponseEncoder extends HttpResponseEncoder {
+public final class ResponseEncoder extends HttpResponseEncoder {
     private boolean mIsHead;
 
     /** Called with each request's method before its answer. The answer to HEAD has no body. */
-    void onRequest(HttpMethod method) {
+    public void onRequest(HttpMethod method) {
         mIsHead = method.equals(HttpMethod.HEAD);
     }
 
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/metrics/MetricsServer.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/metrics/MetricsServer.java
@@ -12,7 +12,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -25,6 +24,7 @@
 import org.laurelweir.runtime.http.PartialRequests;
 import org.laurelweir.runtime.http.RequestCollector;
 import org.laurelweir.runtime.http.RequestMemory;
+import org.laurelweir.runtime.http.ResponseEncoder;
 import org.laurelweir.runtime.http.ServerBounds;
 import org.laurelweir.runtime.rpc.EventLoops;
 
@@ -127,8 +127,9 @@
         protected void initChannel(SocketChannel channel) {
             ChannelPipeline pipeline = channel.pipeline();
             pipeline.addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS));
-            pipeline.addLast(new HttpResponseEncoder());
-            pipeline.addLast(new RequestCollector(mBounds));
+            ResponseEncoder encoder = new ResponseEncoder();
+            pipeline.addLast(encoder);
+            pipeline.addLast(new RequestCollector(mBounds, encoder));
             pipeline.addLast(new MetricsHandler(mRegistry, mReadiness));
         }
     }
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestCollectorTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestCollectorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -25,6 +26,7 @@
     private final RequestMemory mMemory = new RequestMemory(200 << 10);
     private final PartialRequests mPartial = new PartialRequests(2 << 10);
     private final OpenConnections mConnections = new OpenConnections(3);
+    private final ResponseEncoder mEncoder = new ResponseEncoder();
     private final List<EmbeddedChannel> mChannels = new ArrayList<>();
 
     private EmbeddedChannel connect() {
@@ -37,7 +39,7 @@
                         mMemory,
                         mPartial,
                         mConnections);
-        EmbeddedChannel channel = new EmbeddedChannel(new RequestCollector(bounds));
+        EmbeddedChannel channel = new EmbeddedChannel(new RequestCollector(bounds, mEncoder));
         mChannels.add(channel);
         return channel;
     }
@@ -90,6 +92,25 @@
         assertThat(channel.config().isAutoRead()).isTrue();
     }
 
+    // Guards against bytes after the answer to HEAD, which its client reads as the next answer.
+    @Test
+    void answerToHeadHasNoBody() {
+        EmbeddedChannel channel = connect();
+        channel.pipeline().addFirst(mEncoder);
+        send(channel, GET.replace("GET", "HEAD"));
+        channel.writeOutbound(
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.NOT_FOUND,
+                        Unpooled.copiedBuffer("body", StandardCharsets.ISO_8859_1)));
+        StringBuilder sent = new StringBuilder();
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            sent.append(b.toString(StandardCharsets.ISO_8859_1));
+            b.release();
+        }
+        assertThat(sent).startsWith("HTTP/1.1 404").endsWith("\r\n\r\n");
+    }
+
     // Guards against bodies that are each within the limit and together fill the memory.
     @Test
     void bodyWaitsForMemoryOfAnother() {
