Answer a control request though the next one on its connection is given up

What callers saw: a client of a control instance that sends the next request before it has the answer to the first one lost that answer when incomplete requests exceeded their bound: the connection was closed while the first request ran. The same could meet a client whose head was completed just as its connection was told to give it up.

Cause: RequestCollector.giveUp closed the connection in either state.

Change: while a request is being answered, only the bytes after it are dropped. Its answer says "Connection: close", and the connection lingers as after a refusal, so that unread input doesn't reset it.

Measured: RequestCollectorTest.requestIsAnsweredThoughTheNextIsGivenUp failed before (ClosedChannelException) and passes; the 18 tests of the collector, its bounds and the metrics server pass.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/http/RequestCollector.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -197,21 +198,49 @@
 
     @Override
     public void giveUp() {
-        mContext.channel().eventLoop().execute(() -> mContext.close());
+        mContext.channel().eventLoop().execute(this::dropRest);
+    }
+
+    /**
+     * Drops an incomplete head, or the requests after the one that is being answered: these have
+     * not run, and their client sees the connection close after the answer.
+     */
+    private void dropRest() {
+        if (mClose != null) {
+            return;
+        }
+        if (!mAnswering) {
+            mContext.close();
+            return;
+        }
+        mClose = newClose();
+        mDecoder.release();
     }
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-        context.write(message, promise);
         if (mAnswering) {
+            if (mClose != null) {
+                closeAfter((HttpMessage) message);
+            }
             mTimer.start(mBounds.requestTime());
             promise.addListener(f -> onAnswered());
         }
+        context.write(message, promise);
+    }
+
+    private static void closeAfter(HttpMessage message) {
+        message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
 
     private void onAnswered() {
         mReservation.release();
         mAnswering = false;
+        if (mClose != null) {
+            mTimer.stop();
+            mClose.begin();
+            return;
+        }
         mRequestBegun = mDecoder.hasInput();
         mBounds.connections().onAnswered(mContext.channel());
         mTimer.start(mRequestBegun ? mBounds.requestTime() : mBounds.idleTime());
@@ -247,15 +276,19 @@
     }
 
     private void refuse(ResultCode code, String message) {
-        long maxBytes = mBounds.bodyBytes() + 2L * mBounds.headBytes();
-        mClose = new LingeringClose(mContext.channel(), maxBytes);
+        mClose = newClose();
         releaseRequest();
         FullHttpResponse response =
                 response(HttpResponseStatus.valueOf(code.httpStatus()), message + "\n");
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        closeAfter(response);
         mContext.writeAndFlush(response).addListener(f -> mClose.begin());
     }
 
+    private LingeringClose newClose() {
+        long maxBytes = mBounds.bodyBytes() + 2L * mBounds.headBytes();
+        return new LingeringClose(mContext.channel(), maxBytes);
+    }
+
     private static FullHttpResponse response(HttpResponseStatus status, String body) {
         ByteBuf bytes = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8);
         FullHttpResponse response =
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestCollectorTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/http/RequestCollectorTest.java
@@ -70,11 +70,13 @@
         return response == null ? 0 : response.status().code();
     }
 
-    private static void answer(EmbeddedChannel channel) {
+    private static FullHttpResponse answer(EmbeddedChannel channel) {
         channel.writeOutbound(
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER));
-        assertThat(status(channel)).isEqualTo(200);
+        FullHttpResponse response = channel.readOutbound();
+        assertThat(response.status().code()).isEqualTo(200);
+        return response;
     }
 
     // Guards against requests that are all read while their answers are not.
@@ -163,6 +165,25 @@
         assertThat(bodySize(latest)).isZero();
     }
 
+    // Guards against the loss of an answer whose client has sent part of the next request.
+    @Test
+    void requestIsAnsweredThoughTheNextIsGivenUp() {
+        String part = "GET /x HTTP/1.1\r\n" + "a:\r\n".repeat(200);
+        EmbeddedChannel answering = connect();
+        send(answering, GET + part);
+        assertThat(bodySize(answering)).isZero();
+        send(connect(), part);
+        send(connect(), part);
+        answering.runPendingTasks();
+        send(answering, "a:\r\n".repeat(200));
+        assertThat(answering.isOpen()).isTrue();
+        FullHttpResponse response = answer(answering);
+        assertThat(response.headers().get("Connection")).isEqualTo("close");
+        send(answering, "\r\n" + GET);
+        assertThat(bodySize(answering)).isEqualTo(-1);
+        assertThat(mMemory.bytes()).isZero();
+    }
+
     // Guards against clients that only connect, and keep all others out.
     @Test
     void newConnectionTakesThePlaceOfTheOneThatIsIdleLongest() {
