--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcConnections.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/RpcConnections.java
@@ -17,13 +17,12 @@
 import org.laurelweir.runtime.http.PartialRequests;
 
 /**
- * Bounds what the clients of a gRPC server make it hold: connections, calls whose first message is
- * not complete, and messages that no method has taken. gRPC bounds a message and a connection's
- * window each, and not their sum. Beyond the bound the connections that have held something for
- * longest are closed.
+ * Bounds what the clients of a gRPC server make it hold: connections, open calls, and messages that
+ * no method has taken. gRPC bounds a message and a connection's window each, and not their sum.
+ * Beyond the bound the connections that have held something for longest are closed.
  */
 final class RpcConnections {
-    /** What a call takes before its first message is complete, an estimate. */
+    /** What an open call takes beside its messages, an estimate. */
     private static final int CALL_BYTES = 4 << 10;
 
     private final PartialRequests mHeld;
@@ -154,7 +153,7 @@
         @Override
         public synchronized void inboundMessageRead(int sequence, long wireBytes, long bytes) {
             if (!mTakesOneMessage) {
-                add(-mBytes);
+                add(CALL_BYTES - mBytes);
             }
         }
 
