--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/Await.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/Await.java
@@ -1,6 +1,7 @@
 package org.laurelweir.junit;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
@@ -25,4 +26,13 @@
             LockSupport.parkNanos(POLL_INTERVAL.toNanos());
         }
     }
+
+    /** Lets some time pass, for programs that do something by themselves meanwhile. */
+    public static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
