Close idle connections on which whole lines of an answer came

What callers saw: 502 for a request whose server had sent whole lines of another answer before the request was sent, such as "HTTP/1.1 200 OK" with its line end. Nothing of these lines reached a caller.

Cause: an idle connection is closed if its decoder holds bytes. A line that is complete leaves the decoder's buffer before the head is: none was left. The next answer then had another one in its head, and was rightly refused.

Change: AnswerCodec tells whether it is within an answer, from what it has consumed since the last end, and not only what its buffer holds.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -106,7 +106,7 @@
     /** Closes an idle connection in whose decoder the beginning of an unasked answer waits. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (mExchange == null && mCodec.undecodedBytes() > 0) {
+        if (mExchange == null && mCodec.hasPartialAnswer()) {
             closeAfterUnaskedBytes();
         }
         context.fireChannelReadComplete();
@@ -194,7 +194,7 @@
     private void onEnd() {
         HttpExchange ended = mExchange;
         mExchange = null;
-        boolean isClean = mCodec.undecodedBytes() == 0;
+        boolean isClean = !mCodec.hasPartialAnswer();
         boolean reusable = isClean && !mNotReusable && !mIdleTime.isZero() && mWrite.isSuccess();
         if (reusable && !ended.isEnded() && mChannel.isActive()) {
             mChannel.config().setAutoRead(true);
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/ExtraBytesTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/ExtraBytesTest.java
@@ -89,13 +89,14 @@
     }
 
     /** Guards against the same bytes when they arrive while the connection is idle. */
-    @Test
-    void idleConnectionIsClosedWhenBytesArrive() {
+    @ParameterizedTest
+    @ValueSource(strings = {"H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n"})
+    void idleConnectionIsClosedWhenBytesArrive(String extra) {
         send(1);
         receive(answer(1, 200));
         assertThat(mIdle.take(SERVER)).isSameAs(mConnection);
         mIdle.put(mConnection, SECOND);
-        receive("H");
+        receive(extra);
         assertThat(mIdle.take(SERVER)).isNull();
         assertThat(mChannel.isOpen()).isFalse();
     }
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/AnswerCodec.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/AnswerCodec.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
@@ -32,12 +33,12 @@
     }
 
     /**
-     * Returns the number of received bytes that are not decoded. After the end of an answer, and
-     * before the next request is sent, such bytes are the beginning of something that nobody asked
-     * for, and the decoder would put them before the next answer.
+     * Returns whether bytes of an incomplete answer were received, or bytes after a complete one.
+     * Between the end of an answer and the next request, such bytes are the beginning of something
+     * that nobody asked for, and the decoder would put them before the next answer.
      */
-    public int undecodedBytes() {
-        return mDecoder.undecodedBytes();
+    public boolean hasPartialAnswer() {
+        return mDecoder.hasPartialAnswer();
     }
 
     private final class Encoder extends HttpRequestEncoder {
@@ -52,6 +53,8 @@
     }
 
     private final class Decoder extends HttpResponseDecoder {
+        private boolean mIsWithinAnswer;
+
         Decoder() {
             super(
                     new HttpDecoderConfig()
@@ -68,9 +71,21 @@
             return isFinal && mIsHeadRequest || super.isContentAlwaysEmpty(message);
         }
 
-        int undecodedBytes() {
-            ByteBuf buffer = internalBuffer();
-            return buffer.readableBytes();
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out)
+                throws Exception {
+            int size = bytes.readableBytes();
+            int decoded = out.size();
+            super.decode(context, bytes, out);
+            // Whole lines of a head leave the buffer before the head is complete.
+            mIsWithinAnswer |= bytes.readableBytes() < size;
+            for (Object o : out.subList(decoded, out.size())) {
+                mIsWithinAnswer &= !(o instanceof LastHttpContent);
+            }
+        }
+
+        boolean hasPartialAnswer() {
+            return mIsWithinAnswer || internalBuffer().isReadable();
         }
     }
 }
