--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/RouterProgram.java
@@ -2,15 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.laurelweir.direct.AnswerLimits;
 import org.laurelweir.direct.DirectEvent;
-import org.laurelweir.direct.RetryLimits;
 import org.laurelweir.lib.AttemptId;
 import org.laurelweir.lib.Decision;
 import org.laurelweir.lib.Service;
@@ -20,7 +17,6 @@
 import org.laurelweir.router.http.CallHandler;
 import org.laurelweir.router.http.CallerServer;
 import org.laurelweir.router.http.HttpDialect;
-import org.laurelweir.router.http.Limits;
 import org.laurelweir.router.http.RequestLag;
 import org.laurelweir.router.http.UnreadAnswers;
 import org.laurelweir.router.request.ModelList;
@@ -55,10 +51,7 @@
 import org.laurelweir.runtime.rpc.PortFile;
 import org.laurelweir.runtime.rpc.RpcServer;
 import org.laurelweir.runtime.rpc.TrafficCounters;
-import org.laurelweir.settings.EffectiveSettings;
-import org.laurelweir.settings.SettingKeys;
 import org.laurelweir.settings.SettingsLookup;
-import org.laurelweir.settings.SettingsTree;
 
 /** A router process: creates, starts and stops all parts of the router. */
 public final class RouterProgram implements Service {
@@ -67,9 +60,6 @@
     private static final Duration ORIGIN_TIMEOUT = Duration.ofMillis(400);
     private static final Duration REVOKE_TIMEOUT = Duration.ofSeconds(1);
 
-    /** Share of the descriptors for callers; each of their requests may need one more. */
-    private static final double CALLERS_SHARE = 0.45;
-
     /** Requests that are not begun may take this part of the memory for requests. */
     private static final int PARTIAL_REQUESTS_DIVISOR = 8;
 
@@ -86,6 +76,7 @@
     private final RequestLag mLag = new RequestLag();
     private final UnreadAnswers mUnreadAnswers;
     private final RequestMemory mRequestMemory;
+    private final CallerLimits mLimits;
     private final PartialRequests mPartialRequests;
     private final EventLoops mLoops;
     private final Channels mChannels;
@@ -97,12 +88,8 @@
     private final ControlExchange mExchange;
     private final Effects mEffects;
     private final ReducerLoop<RouterEvent, RouterEffect> mLoop;
-    private volatile KnownLimits mLimits;
     private MetricsServer mMetricsServer;
 
-    /** The limits for callers by a tree of settings. */
-    private record KnownLimits(SettingsTree tree, Limits limits) {}
-
     /**
      * Creates a router with the default header names. It listens after {@link #start}.
      *
@@ -137,11 +124,12 @@
         mOut = out;
         mLogging = new Logging(file.log());
         mSettings = new SettingsLookup(file.region(), file.dataCentre());
-        mConfig = config(file, clock.instant());
+        mConfig = RouterConfigs.of(file, clock.instant());
         mUnreadAnswers = new UnreadAnswers(file.answerMemory().bytes());
         long partialBytes = file.requestMemory().bytes() / PARTIAL_REQUESTS_DIVISOR;
         mPartialRequests = new PartialRequests(partialBytes);
         mRequestMemory = new RequestMemory(file.requestMemory().bytes() - partialBytes);
+        mLimits = new CallerLimits(mSettings, mRequestMemory, file.maxDescriptors());
         mLoops = new EventLoops("router-io", file.threads());
         TrafficCounters traffic = new TrafficCounters(mRegistry);
         mChannels = Channels.builder(mLoops, traffic).build();
@@ -198,7 +186,7 @@
                 mFile.listen(),
                 socket,
                 handler,
-                this::limits,
+                mLimits::get,
                 this::requestName,
                 mDialect,
                 acceptance());
@@ -259,33 +247,6 @@
                 Program::halt);
     }
 
-    private static RouterConfig config(RouterFile file, Instant started) {
-        long incarnation = started.toEpochMilli();
-        long seed = file.seed() == 0 ? incarnation : file.seed();
-        return new RouterConfig(
-                file.name(),
-                incarnation,
-                seed,
-                file.exchangeInterval(),
-                file.chatSeats(),
-                retryLimits(file),
-                new AnswerLimits(
-                        file.maxAnswer().bytes(),
-                        file.maxEvent().bytes(),
-                        file.answerMemory().bytes()),
-                file.hedgeShare());
-    }
-
-    private static RetryLimits retryLimits(RouterFile file) {
-        RetryLimits d = RetryLimits.DEFAULT;
-        return new RetryLimits(
-                file.retryShare(),
-                file.retryReserve(),
-                file.retryWindow(),
-                d.minRouters(),
-                d.usableShare());
-    }
-
     private List<String> controls() {
         int port = mFile.controlPort();
         return mFile.controls().stream()
@@ -329,34 +290,6 @@
         return new AttemptId(mConfig.name(), mConfig.incarnation(), caller, 1).requestName();
     }
 
-    /** Returns the limits for callers, which are read for each request. */
-    private Limits limits() {
-        KnownLimits known = mLimits;
-        SettingsTree tree = mSettings.tree();
-        if (known == null || known.tree() != tree) {
-            known = new KnownLimits(tree, newLimits());
-            mLimits = known;
-        }
-        return known.limits();
-    }
-
-    private Limits newLimits() {
-        EffectiveSettings s = mSettings.effective(null, null);
-        return new Limits(
-                Math.min(
-                        s.get(SettingKeys.LIMIT_BODY_BYTES).bytes(),
-                        mRequestMemory.maxRequestBytes() - RequestMemory.SMALL_BYTES),
-                (int) s.get(SettingKeys.LIMIT_HEADER_BYTES).bytes(),
-                Math.min(s.get(SettingKeys.LIMIT_CONNECTIONS), maxCallerConnections()),
-                s.get(SettingKeys.LIMIT_REQUEST_TIME),
-                s.get(SettingKeys.LIMIT_IDLE_TIME));
-    }
-
-    private int maxCallerConnections() {
-        int descriptors = mFile.maxDescriptors();
-        return descriptors == 0 ? Integer.MAX_VALUE : (int) (descriptors * CALLERS_SHARE);
-    }
-
     @Override
     public void start() {
         mLogging.start();
