Name routes that cover the list of models in laurelweir check

What remained of the review's case was that no operator is told of the overlap.

Change: of a settings tree without faults, laurelweir check names each route whose prefix fits the path that routers answer themselves where no route does. It is no fault: the exit status stays 0.

--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/Texts.java
@@ -101,6 +101,9 @@
     public static final String NO_CHANGE = "nothing to change";
     public static final String CHANGED = "in force at position %d (change %s)";
     public static final String NO_FAULT = "%s: no fault";
+    public static final String OVERLAP =
+            "%s:%d: %s: the route of %s takes %s, which routers answer with their list of models"
+                    + " where no route does";
     public static final String DRAIN_ORDERED =
             "%s takes no new work; see status for what still runs";
     public static final String UNDRAIN_ORDERED = "%s takes work again";
--- a/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Check.java
+++ b/org.laurelweir.pgm/src/main/java/org/laurelweir/pgm/command/Check.java
@@ -12,8 +12,10 @@
 import org.laurelweir.pgm.PgmCommand;
 import org.laurelweir.pgm.SettingsFiles;
 import org.laurelweir.pgm.Texts;
+import org.laurelweir.router.request.ModelList;
 import org.laurelweir.runtime.config.SettingsFault;
 import org.laurelweir.runtime.config.SettingsFile;
+import org.laurelweir.runtime.config.TreeFile;
 
 /** Checks settings files of any program without starting the program. */
 @Command(name = "check", description = Texts.CHECK)
@@ -38,6 +40,7 @@
             faults.addAll(found);
             if (found.isEmpty() && !mJson) {
                 console.print(String.format(Texts.NO_FAULT, file));
+                printOverlaps(console, Path.of(file));
             }
         }
         if (mJson) {
@@ -47,4 +50,16 @@
         }
         return faults.isEmpty() ? SUCCESS : NEGATIVE;
     }
+
+    /** Names the routes that take requests which routers answer themselves elsewhere. */
+    private static void printOverlaps(Console console, Path file) {
+        if (!SettingsFile.isTree(file)) {
+            return;
+        }
+        for (TreeFile.CoveringRoute r : TreeFile.routesThatCover(file, ModelList.PATH)) {
+            console.print(
+                    String.format(
+                            Texts.OVERLAP, file, r.line(), r.node(), r.prefix(), ModelList.PATH));
+        }
+    }
 }
--- a/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
+++ b/org.laurelweir.pgm/src/test/java/org/laurelweir/pgm/MainTest.java
@@ -182,6 +182,30 @@
         assertThat(json().at("/entries/0/nodes/0/set/bound.factor").asText()).isEqualTo("1.30");
     }
 
+    // Guards against a list of models that an operator believes in place and a route covers.
+    @Test
+    void checkNamesARouteThatCoversTheListOfModels() throws IOException {
+        Path file = mFolder.resolve("tree.yaml");
+        Files.writeString(
+                file,
+                """
+                /service=s:
+                  service.kind: routed
+                /route=all:
+                  route.host: h
+                  route.path-prefix: /v1/
+                  route.shares: s:1
+                /route=other:
+                  route.host: h
+                  route.path-prefix: /v1/models2/
+                  route.shares: s:1
+                """);
+        assertThat(run("check", file.toString())).isZero();
+        assertThat(mOut.toString())
+                .contains(file + ": no fault", file + ":5: /route=all: ", "takes /v1/models,")
+                .doesNotContain("/route=other");
+    }
+
     @Test
     void rejectsFileMadeBeforeAnotherChange() throws IOException {
         // Guards against overwriting another operator's change. Two operators export the node at
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/SettingsFile.java
@@ -69,7 +69,7 @@
         if (top == null) {
             return faults.inFileOrder();
         }
-        if (top.entries().keySet().stream().findFirst().orElse("").startsWith("/")) {
+        if (isTree(top)) {
             return TreeFile.check(path);
         }
         Map<String, Class<? extends Record>> byProgram = new TreeMap<>();
@@ -82,6 +82,16 @@
         return check(spec, path);
     }
 
+    /** Returns whether a file holds a settings tree, and not the settings of a program. */
+    public static boolean isTree(Path path) {
+        YamlNode.Mapping top = parse(path, new FaultList(path.toString()));
+        return top != null && isTree(top);
+    }
+
+    private static boolean isTree(YamlNode.Mapping top) {
+        return top.entries().keySet().stream().findFirst().orElse("").startsWith("/");
+    }
+
     private static <T extends Record> T bind(Class<T> spec, Path path, FaultList faults) {
         YamlNode.Mapping top = parse(path, faults);
         if (top == null) {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/TreeFile.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/config/TreeFile.java
@@ -9,6 +9,7 @@
 import org.laurelweir.coordination.Command.NodeChange;
 import org.laurelweir.errors.LaurelweirException;
 import org.laurelweir.settings.NodeFault;
+import org.laurelweir.settings.SettingKeys;
 import org.laurelweir.settings.SettingsCheck;
 
 /**
@@ -17,6 +18,8 @@
  * commas.
  */
 public final class TreeFile {
+    private static final String PREFIX_KEY = SettingKeys.ROUTE_PATH_PREFIX.name();
+
     private final FaultList mFaults;
 
     /** Line numbers: of a node by its path, of a value by path, a space and the value's key. */
@@ -56,6 +59,31 @@
         return file.mFaults.inFileOrder();
     }
 
+    /**
+     * Returns the routes of a tree that take requests for a path.
+     *
+     * @param file a file without faults
+     * @param path the path of a request
+     * @return one place in the file for each route
+     */
+    public static List<CoveringRoute> routesThatCover(Path file, String path) {
+        TreeFile tree = new TreeFile(new FaultList(file.toString()));
+        tree.parse(SettingsFile.parse(file, tree.mFaults));
+        List<CoveringRoute> routes = new ArrayList<>();
+        tree.mNodes.forEach(
+                (node, values) -> {
+                    String prefix = values.get(PREFIX_KEY);
+                    if (prefix != null && path.startsWith(prefix)) {
+                        int line = tree.mLines.get(node + " " + PREFIX_KEY);
+                        routes.add(new CoveringRoute(line, node, prefix));
+                    }
+                });
+        return routes;
+    }
+
+    /** A route whose prefix fits a path. */
+    public record CoveringRoute(int line, String node, String prefix) {}
+
     private void parse(YamlNode.Mapping top) {
         if (top == null) {
             return;
