--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -51,14 +51,15 @@
         return result;
     }
 
-    /** Sends requests to all machines in turn at a rate, until {@link #end}. */
+    /** Sends requests to all machines in turn at a rate; an @ in the path is their number. */
     void startLoad(String path, String key, int perSecond) {
         Worker.daemon(
                 () -> {
                     long next = Worker.now();
                     for (int i = 0; !mEnds; i++) {
                         Fleet.Machine m = machines.get(i % machines.size());
-                        Worker.daemon(() -> send(m, path, key, "", mDeadlineMillis));
+                        String asked = path.replace("@", String.valueOf(i));
+                        Worker.daemon(() -> send(m, asked, key, "", mDeadlineMillis));
                         next += 1000 / perSecond;
                         Worker.sleep(next - Worker.now());
                     }
