--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-exec java -Xmx256m -cp target/review-2:target/platform/laurelweir.jar SlowReader "$here/record.txt"
+exec java -Xmx256m -cp target/review-2:target/platform/laurelweir.jar DepartedWorker "$here/record.txt"
