Take only status lines of HTTP/1 for answers

What callers saw: an answer with status 000, which a server in trouble had sent. The same went through with 001, 099, 0, 20, 2000, +200 (as 200), a reason with a control byte, HTTP/2.0, HTTP/0.9 or http/1.1 as version, and tabs or several blanks between the parts.

Cause: the library's decoder makes a status of whatever its integer parser takes, and looks at neither the version nor the reason. Router and sidecar read all answers through it (AnswerCodec), and nothing after it asks whether the status can be one.

Ruled out: a check of the status alone, after the decoder. By then the line is split, trimmed and its odd bytes are gone, and the fields of the head have the same fault.

Change: AnswerDecoder reads answers line by line. StatusLine takes what RFC 9112 calls a status line, with a status from 100 to 999; a reason or the blank before it may be missing, and a later minor version of HTTP/1 passes. What is none is reported once, as a malformed answer: the server's failure, outcome unknown, connection closed. A line is refused as soon as it has come, not only when the head is whole. AnswerCodec and AnswerFraming move into a package of their own with it. Fields, chunks and transfer encodings are read as leniently as before; their faults follow one by one.

Rare legal lines pass before and after.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -20,8 +19,8 @@
 import java.util.function.Consumer;
 import org.laurelweir.direct.AnswerMetadata;
 import org.laurelweir.lib.BackendRef;
+import org.laurelweir.runtime.answer.AnswerCodec;
 import org.laurelweir.runtime.process.Program;
-import org.laurelweir.runtime.rpc.AnswerCodec;
 
 /**
  * One connection to a backend server. It carries one request at a time. It is reused only if the
@@ -134,7 +133,8 @@
 
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            onBadMessage(message.decoderResult().cause());
+            String reason = message.decoderResult().cause().getMessage();
+            endExchange(x -> x.abandon("malformed HTTP answer: " + reason));
             return;
         }
         if (message instanceof HttpResponse r) {
@@ -145,17 +145,6 @@
         }
     }
 
-    private void onBadMessage(Throwable cause) {
-        if (cause instanceof PrematureChannelClosureException) {
-            endExchange(
-                    x ->
-                            x.onConnectionLost(
-                                    "the connection was closed within the head of the answer"));
-        } else {
-            endExchange(x -> x.abandon("malformed HTTP answer: " + cause.getMessage()));
-        }
-    }
-
     private void onHead(HttpResponse r) {
         if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingAnswer = true;
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/HttpExchange.java
@@ -11,7 +11,7 @@
 import org.laurelweir.direct.DirectEffect;
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.direct.DirectEvent.Failure;
-import org.laurelweir.runtime.rpc.AnswerFraming;
+import org.laurelweir.runtime.answer.AnswerFraming;
 
 /**
  * One request to a backend server and its answer. Reports exactly one final event, or none if it is
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -18,7 +18,7 @@
 import org.laurelweir.direct.DirectEvent.Failure;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.router.http.HttpDialect;
-import org.laurelweir.runtime.rpc.AnswerCodec;
+import org.laurelweir.runtime.answer.AnswerCodec;
 import org.laurelweir.runtime.rpc.ServerNoticeReader;
 
 /** Tests how a connection reports backend servers that crash or that send invalid answers. */
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/ExtraBytesTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/ExtraBytesTest.java
@@ -18,7 +18,7 @@
 import org.laurelweir.direct.DirectEvent;
 import org.laurelweir.lib.BackendRef;
 import org.laurelweir.router.http.HttpDialect;
-import org.laurelweir.runtime.rpc.AnswerCodec;
+import org.laurelweir.runtime.answer.AnswerCodec;
 import org.laurelweir.runtime.rpc.ServerNoticeReader;
 
 /** Tests a connection to a backend server that sends bytes after a complete answer. */
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
@@ -0,0 +1,89 @@
+package org.laurelweir.runtime.answer;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import org.laurelweir.answer.BodyFraming;
+
+/** Finds out from the head of an HTTP/1.1 answer what tells the end of its body. */
+public final class AnswerFraming {
+    private static final int MAX_LENGTH_DIGITS = 18;
+
+    private AnswerFraming() {}
+
+    /**
+     * Returns what tells the end of an answer's body.
+     *
+     * @param method the method of the request
+     */
+    public static BodyFraming of(String method, HttpResponse answer) {
+        if (hasNoBody(method, answer.status())) {
+            return BodyFraming.LENGTH;
+        }
+        if (HttpUtil.isTransferEncodingChunked(answer)) {
+            return BodyFraming.CHUNKS;
+        }
+        return answer.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                ? BodyFraming.LENGTH
+                : BodyFraming.CONNECTION;
+    }
+
+    private static boolean hasNoBody(String method, HttpResponseStatus status) {
+        return method.equals(HttpMethod.HEAD.name())
+                || status.codeClass() == HttpStatusClass.INFORMATIONAL
+                || status.code() == HttpResponseStatus.NO_CONTENT.code()
+                || status.code() == HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
+    /**
+     * Returns the length of a body that is framed by its length, in bytes.
+     *
+     * @param method the method of the request
+     */
+    static long length(String method, HttpResponse answer) {
+        return hasNoBody(method, answer.status()) ? 0 : parseLength(answer.headers());
+    }
+
+    /**
+     * Checks that a head tells the end of its body in one way.
+     *
+     * @throws MalformedAnswerException if it does not
+     */
+    static void check(HttpResponse answer) {
+        HttpHeaders fields = answer.headers();
+        boolean hasLength = fields.contains(HttpHeaderNames.CONTENT_LENGTH);
+        if (hasLength) {
+            parseLength(fields);
+        }
+        if (HttpUtil.isTransferEncodingChunked(answer)) {
+            checkChunked(answer, hasLength);
+        }
+    }
+
+    private static void checkChunked(HttpResponse answer, boolean hasLength) {
+        if (hasLength || answer.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            throw new MalformedAnswerException(
+                    "the transfer encoding of the answer contradicts its length or version");
+        }
+    }
+
+    private static long parseLength(HttpHeaders fields) {
+        List<String> lengths = fields.getAll(HttpHeaderNames.CONTENT_LENGTH);
+        String length = lengths.get(0);
+        boolean isNumber =
+                lengths.size() == 1
+                        && !length.isEmpty()
+                        && length.length() <= MAX_LENGTH_DIGITS
+                        && length.chars().allMatch(c -> c >= '0' && c <= '9');
+        if (!isNumber) {
+            throw new MalformedAnswerException("the length of the answer is not one number");
+        }
+        return Long.parseLong(length);
+    }
+}
--- /dev/null
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the HTTP answers of backend servers, and refuses bytes that are none. */
+package org.laurelweir.runtime.answer;
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/HttpConnector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/HttpConnector.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import org.laurelweir.runtime.answer.AnswerCodec;
 import org.laurelweir.runtime.config.Endpoint;
 
 /** Opens HTTP/1.1 connections to backend servers. */
--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/BackendCall.java
@@ -19,7 +19,7 @@
 import org.laurelweir.answer.BodyType;
 import org.laurelweir.answer.EndHeader;
 import org.laurelweir.attempt.Header;
-import org.laurelweir.runtime.rpc.AnswerFraming;
+import org.laurelweir.runtime.answer.AnswerFraming;
 
 /**
  * One call to the backend server over a connection of its own. Reports exactly one end: finished if
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -11,9 +11,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.laurelweir.attempt.Frame;
 import org.laurelweir.attempt.Header;
-import org.laurelweir.runtime.rpc.AnswerCodec;
+import org.laurelweir.runtime.answer.AnswerCodec;
 
 /** Tests which ends of a backend server's answer count as complete. */
 class BackendCallTest {
@@ -54,13 +56,16 @@
     }
 
     private static EndRecorder call(boolean chat, String type, String framing, String body) {
+        return call(chat, "HTTP/1.1 200 OK\r\nContent-Type: " + type + framing + "\r\n\r\n" + body);
+    }
+
+    private static EndRecorder call(boolean chat, String answer) {
         EndRecorder end = new EndRecorder();
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
         BackendCall call = new BackendCall(request, chat, end, head -> {});
         EmbeddedChannel channel = new EmbeddedChannel(new AnswerCodec(), call);
         call.onConnected(channel.newSucceededFuture());
-        String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + type + framing + "\r\n\r\n" + body;
         channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII));
         channel.finish();
         return end;
@@ -117,6 +122,20 @@
         assertThat(endOfUnframed("text/plain", "half a sen")).isEqualTo(End.FINISHED);
     }
 
+    /** Guards against bytes that are no answer, which a router gets as a head from its sidecar. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 2000 X\r\nContent-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 200 X\0\r\nContent-Length: 2\r\n\r\nhi"
+            })
+    void bytesThatAreNoAnswerFailTheCall(String bytes) {
+        EndRecorder call = call(false, bytes);
+        assertThat(call.mEnd).isEqualTo(End.FAILED);
+        assertThat(call.mHeaders).isNull();
+    }
+
     /**
      * Guards against a word of the backend server that is lost with the call that it belongs to.
      */
