Take only tokens for the names of fields in answers

What callers saw: an answer in whose head the name of a field held a blank or a tab ("A b: x", "A : x"). They got it as an answer, with a field "A" that the server had not sent in that form; "Content-Length : 3" was refused before. Where such a head said "not run" (X-Laurelweir-Not-Executed with 503, 421 or 429), that was believed.

Cause: the library ends a name at the first blank, and goes on at the colon. Whoever reads the line in another way sees another field, or another length.

Folded lines are still unfolded, and empty values, odd marks in names and bytes above 7F in values pass.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/FieldLines.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/FieldLines.java
@@ -54,16 +54,12 @@
         if (colon < 0) {
             throw new MalformedAnswerException("a line of the head or trailers has no colon");
         }
-        mName = beforeBlank(line.substring(0, colon));
+        mName = line.substring(0, colon);
         FieldSyntax.checkName(mName);
         mValue.setLength(0);
         appendToValue(line.substring(colon + 1));
     }
 
-    private static String beforeBlank(String name) {
-        return name.split("[ \t]", 2)[0];
-    }
-
     private void onFoldedLine(String line) {
         if (mName == null) {
             throw new MalformedAnswerException("the first field begins with a blank");
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
@@ -110,6 +110,13 @@
                 .map(b -> String.valueOf((char) b.intValue()));
     }
 
+    static Stream<String> bytesOutsideTokens() {
+        return IntStream.range(0, 0x100)
+                .filter(b -> "!#$%&'*+-.^_`|~:\n".indexOf(b) < 0)
+                .filter(b -> b > 0x7F || !Character.isLetterOrDigit(b))
+                .mapToObj(b -> String.valueOf((char) b));
+    }
+
     /** Guards against a status that no server can mean, in an answer that reaches its caller. */
     @ParameterizedTest
     @ValueSource(
@@ -202,6 +209,65 @@
         assertWhole("HTTP/1.1 " + status + " X\r\n" + BODY, status + " [Content-Length=2]", "hi");
     }
 
+    /** Guards against a name that others read in another way, as up to the byte or without it. */
+    @ParameterizedTest
+    @MethodSource("bytesOutsideTokens")
+    void nameWithAByteOutsideTokensIsNoAnswer(String b) {
+        assertNoAnswer(OK + "A" + b + "B: x\r\n" + BODY);
+        assertNoAnswer(OK + "A" + b + ": x\r\n" + BODY);
+        assertNoAnswer(OK + BODY.replace("Length", "Length" + b));
+    }
+
+    /** Guards against the same in the first line of a head, where a fold has nothing to go on. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "nothing",
+                ":",
+                ": x",
+                " A: x",
+                "\tA: x",
+                " ",
+                "\u0000",
+                "A",
+                "A=b",
+                "HTTP/1.1 200 OK"
+            })
+    void lineThatIsNoFieldIsNoAnswer(String line) {
+        assertNoAnswer(OK + line + "\r\n" + BODY);
+    }
+
+    @ParameterizedTest
+    @MethodSource("bytesOutsideTexts")
+    void controlByteInAValueIsNoAnswer(String b) {
+        assertNoAnswer(OK + "A: x" + b + "y\r\n" + BODY);
+        assertNoAnswer(OK + "A: " + b + "\r\n" + BODY);
+        assertNoAnswer(OK + "A: x\r\n y" + b + "\r\n" + BODY);
+    }
+
+    /** Guards against refusing fields that are legal and rare. */
+    @Test
+    void rareFieldsPass() {
+        assertWhole(
+                OK + "!#$%&'*+-.^_`|~09azAZ: x\r\n" + BODY,
+                "200 [!#$%&'*+-.^_`|~09azAZ=x, Content-Length=2]",
+                "hi");
+        assertWhole(OK + "A:\r\n" + BODY, "200 [A=, Content-Length=2]", "hi");
+        assertWhole(OK + "A: \t \r\n" + BODY, "200 [A=, Content-Length=2]", "hi");
+        assertWhole(OK + "A:x:y \t\r\n" + BODY, "200 [A=x:y, Content-Length=2]", "hi");
+        assertWhole(OK + "A: x\u00fc\ty\r\n" + BODY, "200 [A=x\u00fc\ty, Content-Length=2]", "hi");
+        assertWhole(OK + "A: x\r\nA: y\r\n" + BODY, "200 [A=x, A=y, Content-Length=2]", "hi");
+        assertWhole(OK + "content-LENGTH:2\r\n\r\nhi", "200 [content-LENGTH=2]", "hi");
+    }
+
+    /** Guards against refusing folded lines, which old servers send and which may be unfolded. */
+    @Test
+    void foldedLineIsUnfolded() {
+        Decoded decoded = decode(OK + "A: x\r\n y\r\n\tz\r\n" + BODY);
+        assertThat(decoded.isWhole()).isTrue();
+        assertThat(decoded.heads().get(0)).matches("200 \\[A=x[ \t]+y[ \t]+z, Content-Length=2]");
+    }
+
     /** Guards against an interim answer that counts as the answer, or that hides it. */
     @Test
     void interimAnswersComeBeforeTheAnswer() {
@@ -254,6 +320,7 @@
             strings = {
                 "HTTP/1.1 000 X\r\n",
                 "what is this\r\n",
+                "HTTP/1.1 200 OK\r\nA b: x\r\n",
             })
     void linesAreRefusedBeforeTheHeadIsWhole(String start) {
         EmbeddedChannel channel = new EmbeddedChannel(new AnswerCodec());
