Take only whole, well-formed chunks and trailers for the end of an answer

What callers saw: an answer counted as whole though its trailers were no fields ("A b: x", "A : x"), so that it was not the server's word that the body had ended. Chunk sizes with blanks before them, with other text after a blank ("2 2") or with a control byte went through, too.

Cause: the library parses trailers as leniently as it does fields, and drops what it can't read; of a chunk's size it reads up to the first byte that is no digit.

Change: Chunks takes a size of hexadecimal digits, blanks after it, and extensions behind a semicolon that hold no control byte; and it reads trailers as the fields of a head. An answer that breaks these rules did not end: it is never delivered as whole, a stream is cut or goes on at another server, the connection is closed. Trailers and extensions are dropped as before.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/Chunks.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/Chunks.java
@@ -5,14 +5,13 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Reads one chunked body (RFC 9112, 7.1). Drops chunk extensions and trailers. */
+/** Reads one chunked body (RFC 9112, 7.1). Checks chunk extensions and trailers, and drops them. */
 final class Chunks {
     private static final int MAX_SIZE_LINE_BYTES = 16 << 10;
-    private static final int MAX_TRAILER_BYTES = 64 << 10;
 
-    /** The size, which must not exceed the range of a long. Whatever follows it is dropped. */
+    /** The size, which must not exceed the range of a long, and extensions. */
     private static final Pattern SIZE_LINE =
-            Pattern.compile("[ \t]*0*([0-9A-Fa-f]{1,15})(?:[ \t;].*)?", Pattern.DOTALL);
+            Pattern.compile("0*([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?", Pattern.DOTALL);
 
     private static final int HEXADECIMAL_RADIX = 16;
 
@@ -25,7 +24,7 @@
     }
 
     private final LineReader mLines = new LineReader();
-    private int mTrailerBytes;
+    private final FieldLines mTrailers = new FieldLines(mLines);
     private State mState = State.SIZE;
     private long mRemainingBytes;
 
@@ -44,10 +43,7 @@
             return readData(input);
         }
         if (mState == State.TRAILERS) {
-            int before = input.readableBytes();
-            String line = mLines.read(input, MAX_TRAILER_BYTES - mTrailerBytes);
-            mTrailerBytes += before - input.readableBytes();
-            mState = "".equals(line) ? State.COMPLETE : State.TRAILERS;
+            mState = mTrailers.read(input) ? State.COMPLETE : State.TRAILERS;
             return Unpooled.EMPTY_BUFFER;
         }
         String line = mLines.read(input, MAX_SIZE_LINE_BYTES);
@@ -77,6 +73,7 @@
     }
 
     private static long size(String line) {
+        FieldSyntax.checkText(line);
         Matcher size = SIZE_LINE.matcher(line);
         if (!size.matches()) {
             throw new MalformedAnswerException("the size of a chunk is no number");
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -138,6 +138,17 @@
         assertThat(call.mHeaders).isNull();
     }
 
+    /** Guards against an answer that counts as whole though its end is malformed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"A b: x\r\n\r\n", "A : x\r\n\r\n", "A: x\0\r\n\r\n", "x\r\n\r\n"})
+    void malformedTrailersFailTheCall(String trailers) {
+        String chunked = "\r\nTransfer-Encoding: chunked";
+        assertThat(endOf(false, "text/plain", chunked, "2\r\nhi\r\n0\r\n" + trailers))
+                .isEqualTo(End.FAILED);
+        assertThat(endOf(false, "text/plain", chunked, "2\r\nhi\r\n0\r\nA: x\r\n\r\n"))
+                .isEqualTo(End.FINISHED);
+    }
+
     /**
      * Guards against a word of the backend server that is lost with the call that it belongs to.
      */
