Refuse answers whose heads do not tell one end of the body

What callers saw: a body that is not the server's. With "Transfer-Encoding: gzip", "xchunked", "chunked;x" or none at all they got the chunks' framing, or coded bytes, as a body that the end of the connection ended; with "gzip, chunked" the coded bytes; with "chunked" twice the body of one of two framings.

Cause: the library looks for the word chunked anywhere in the field. A transfer coding that it does not know leaves the answer to be read until its connection ends. The field concerns one connection, so that the caller is never told of the coding.

Change: the router and the sidecar ask for no transfer coding but chunks, so an answer may have that one alone, once, without a length, and not from HTTP/1.0. Any other head with a transfer encoding is no answer; the obsolete "identity" is among them.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
@@ -1,12 +1,12 @@
 package org.laurelweir.runtime.answer;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import org.laurelweir.answer.BodyFraming;
@@ -26,7 +26,7 @@
         if (hasNoBody(method, answer.status())) {
             return BodyFraming.LENGTH;
         }
-        if (HttpUtil.isTransferEncodingChunked(answer)) {
+        if (answer.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             return BodyFraming.CHUNKS;
         }
         return answer.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -61,15 +61,20 @@
         if (hasLength) {
             parseLength(fields);
         }
-        if (HttpUtil.isTransferEncodingChunked(answer)) {
+        if (fields.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             checkChunked(answer, hasLength);
         }
     }
 
     private static void checkChunked(HttpResponse answer, boolean hasLength) {
-        if (hasLength || answer.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+        List<String> encodings = answer.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean isChunked =
+                encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
+        if (!isChunked || hasLength || answer.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             throw new MalformedAnswerException(
-                    "the transfer encoding of the answer contradicts its length or version");
+                    "the head of the answer has a transfer encoding that is not chunked, or that"
+                            + " contradicts its length or version");
         }
     }
 
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
@@ -268,6 +268,44 @@
         assertThat(decoded.heads().get(0)).matches("200 \\[A=x[ \t]+y[ \t]+z, Content-Length=2]");
     }
 
+    /** Guards against a length that two programs read in two ways. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 2\r\nContent-Length: 3",
+                "Content-Length: 2, 3",
+                "Content-Length: +2",
+                "Content-Length: -2",
+                "Content-Length: 0x2",
+                "Content-Length: 2x",
+                "Content-Length: 2 2",
+                "Content-Length: 2.0",
+                "Content-Length: \u00b2",
+                "Content-Length: 99999999999999999999",
+                "Content-Length:",
+                "Content-Length: 2\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nContent-Length: 2",
+                "Transfer-Encoding: gzip",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked, gzip",
+                "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: xchunked",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: \"chunked\"",
+                "Transfer-Encoding: chunked;x",
+                "Transfer-Encoding:"
+            })
+    void headThatDoesNotTellOneLengthIsNoAnswer(String fields) {
+        assertNoAnswer(OK + fields + "\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    }
+
+    /** Guards against chunks from a server that by its version does not know them. */
+    @Test
+    void chunksOfAnOldVersionAreNoAnswer() {
+        assertNoAnswer(CHUNKED.replace("HTTP/1.1", "HTTP/1.0") + "2\r\nhi\r\n0\r\n\r\n");
+    }
+
     /** Guards against an interim answer that counts as the answer, or that hides it. */
     @Test
     void interimAnswersComeBeforeTheAnswer() {
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -130,7 +130,8 @@
                 "HTTP/1.1 2000 X\r\nContent-Length: 2\r\n\r\nhi",
                 "HTTP/1.1 200 X\0\r\nContent-Length: 2\r\n\r\nhi",
                 "HTTP/1.1 200 X\r\nA b: x\r\nContent-Length: 2\r\n\r\nhi",
-                "HTTP/1.1 200 X\r\nA : x\r\nContent-Length: 2\r\n\r\nhi"
+                "HTTP/1.1 200 X\r\nA : x\r\nContent-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n\r\nhi"
             })
     void bytesThatAreNoAnswerFailTheCall(String bytes) {
         EndRecorder call = call(false, bytes);
