Refuse answers with a body that their status forbids

What callers saw: an answer with status 205 or 204 and no body, though the server had sent one. Of a 101 that nobody asked for, what the server sends next is in another protocol.

Cause: an answer with status 205 is read with its body, and our own encoder writes it without one, as the standard asks of it. So the caller got a body that is not the server's. A 204 that announces a body was read as if it did not; the body was taken for bytes after the answer.

Change: a 1xx or 204 that announces a body, a 205 that announces one or has one after all, and a 101 are no answers. The head of a 205 is held back until its empty body has ended, since a stream would pass it on before. 204, 205 and 304 without a body pass, also with Content-Length: 0, in chunks, or, for 304, with the length of what it stands for.

--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerDecoder.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerDecoder.java
@@ -33,6 +33,10 @@
     private AnswerHead mHead = new AnswerHead();
     private Chunks mChunks;
     private long mRemainingBytes;
+
+    /** A head whose body has to be empty, until its end shows that it is. Otherwise null. */
+    private HttpResponse mWithheldHead;
+
     private boolean mIsWithinAnswer;
 
     /**
@@ -81,7 +85,11 @@
         }
         mHead = new AnswerHead();
         AnswerFraming.check(head);
-        out.add(head);
+        if (AnswerFraming.forbidsContent(head.status())) {
+            mWithheldHead = head;
+        } else {
+            out.add(head);
+        }
         beginBody(head, out);
     }
 
@@ -122,12 +130,20 @@
     }
 
     private void addContent(ByteBuf content, List<Object> out) {
+        if (content.isReadable() && mWithheldHead != null) {
+            content.release();
+            throw AnswerFraming.bodyForbidden();
+        }
         if (content.isReadable()) {
             out.add(new DefaultHttpContent(content));
         }
     }
 
     private void endBody(List<Object> out) {
+        if (mWithheldHead != null) {
+            out.add(mWithheldHead);
+            mWithheldHead = null;
+        }
         out.add(LastHttpContent.EMPTY_LAST_CONTENT);
         mState = State.HEAD;
         mIsWithinAnswer = false;
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
@@ -51,19 +51,20 @@
     }
 
     /**
-     * Checks that a head tells the end of its body in one way.
+     * Checks that a head tells the end of its body in one way, and that its status allows a body if
+     * it announces one.
      *
-     * @throws MalformedAnswerException if it does not
+     * @throws MalformedAnswerException if not
      */
     static void check(HttpResponse answer) {
         HttpHeaders fields = answer.headers();
         boolean hasLength = fields.contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (hasLength) {
-            parseLength(fields);
-        }
-        if (fields.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+        boolean isChunked = fields.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean isNotEmpty = hasLength && parseLength(fields) > 0;
+        if (isChunked) {
             checkChunked(answer, hasLength);
         }
+        checkStatus(answer.status(), isChunked, isNotEmpty);
     }
 
     private static void checkChunked(HttpResponse answer, boolean hasLength) {
@@ -78,6 +79,29 @@
         }
     }
 
+    private static void checkStatus(
+            HttpResponseStatus status, boolean isChunked, boolean isNotEmpty) {
+        if (status.code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            throw new MalformedAnswerException(
+                    "the server switches to a protocol nobody asked for");
+        }
+        boolean isInterim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean hasNoBody = isInterim || status.code() == HttpResponseStatus.NO_CONTENT.code();
+        if (hasNoBody && isChunked || (hasNoBody || forbidsContent(status)) && isNotEmpty) {
+            throw bodyForbidden();
+        }
+    }
+
+    /** Returns whether a body has to be empty, though it is framed as others are. */
+    static boolean forbidsContent(HttpResponseStatus status) {
+        return status.code() == HttpResponseStatus.RESET_CONTENT.code();
+    }
+
+    /** Returns the exception for an answer with a body that its status forbids. */
+    static MalformedAnswerException bodyForbidden() {
+        return new MalformedAnswerException("the answer has a body, which its status forbids");
+    }
+
     private static long parseLength(HttpHeaders fields) {
         List<String> lengths = fields.getAll(HttpHeaderNames.CONTENT_LENGTH);
         String length = lengths.get(0);
--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
@@ -306,6 +306,44 @@
         assertNoAnswer(CHUNKED.replace("HTTP/1.1", "HTTP/1.0") + "2\r\nhi\r\n0\r\n\r\n");
     }
 
+    /** Guards against a body that a status forbids, which our answer to the caller would lose. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "204 X\r\nContent-Length: 2\r\n\r\nhi",
+                "204 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+                "205 X\r\nContent-Length: 2\r\n\r\nhi",
+                "205 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+                "205 X\r\n\r\nhi",
+                "100 X\r\nContent-Length: 2\r\n\r\nhi",
+                "103 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+            })
+    void bodyThatTheStatusForbidsIsNotWhole(String answer) {
+        assertNotWhole("HTTP/1.1 " + answer);
+    }
+
+    /** Guards against refusing the heads without a body that are legal and rare. */
+    @Test
+    void answersWithoutABodyPass() {
+        assertWhole("HTTP/1.1 204 X\r\n\r\n", "204 []", "");
+        assertWhole("HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n", "204 [Content-Length=0]", "");
+        assertWhole("HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n", "304 [Content-Length=9]", "");
+        assertWhole(
+                "HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "304 [Transfer-Encoding=chunked]",
+                "");
+        assertWhole("HTTP/1.1 205 X\r\nContent-Length: 0\r\n\r\n", "205 [Content-Length=0]", "");
+        assertWhole(
+                "HTTP/1.1 205 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "205 [Transfer-Encoding=chunked]",
+                "");
+        assertWhole("HTTP/1.1 205 X\r\n\r\n", "205 []", "");
+        Decoded head = decode(HttpMethod.HEAD, OK + "Content-Length: 9\r\n\r\n", 1);
+        assertThat(head.isWhole()).isTrue();
+        head = decode(HttpMethod.HEAD, CHUNKED, 1);
+        assertThat(head.isWhole()).isTrue();
+    }
+
     /** Guards against an interim answer that counts as the answer, or that hides it. */
     @Test
     void interimAnswersComeBeforeTheAnswer() {
@@ -319,6 +357,12 @@
         }
     }
 
+    /** Guards against a change of the protocol that nobody asked for: what follows is no HTTP. */
+    @Test
+    void changeOfTheProtocolIsNoAnswer() {
+        assertNoAnswer("HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n");
+    }
+
     /** Guards against chunks whose size or end two programs read in two ways. */
     @ParameterizedTest
     @ValueSource(
