Deliver answers that are whole before their requests are sent whole

What callers saw: 502, though the server's answer had come whole and told its end, since the server had begun it before it had read the request's body. A request that is not idempotent counted as possibly run, without an answer.

Cause: at the end of such an answer the connection is closed, as the rest of the request is still being sent. Closing fails what is being sent, and the listener of that reported the connection as lost before the end of the answer was reported.

Change: the exchange ends first, and then its connection is closed or kept. Nothing else depends on the order: the end is an event for another thread, and the connection is kept or closed in the same turn of the event loop.

--- /dev/null
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
@@ -0,0 +1,154 @@
+package org.laurelweir.junit;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+/** A fake backend server that answers a request before it has read its body. */
+public final class OvertakingServer implements AutoCloseable {
+    /** What the server does with a connection after an answer. */
+    public enum Ending {
+        /** Reset it. */
+        RESET,
+        /** Close it. The system resets it, since bytes of the request are unread. */
+        CLOSE,
+        /** End the answer's direction, and close the connection a moment later. */
+        FIN_THEN_CLOSE,
+        /** End the answer's direction, and read the rest of the request. */
+        FIN_THEN_READ,
+        /** Read the rest of the request, and close the connection. */
+        READ_THEN_CLOSE
+    }
+
+    /**
+     * How requests are answered.
+     *
+     * @param bytes returns the bytes of the answer to a request with the given head
+     * @param readBytes how much of the request's body is read before the answer
+     * @param delayMillis time between the answer and the ending
+     */
+    public record Answer(
+            Function<String, String> bytes, Ending ending, int readBytes, long delayMillis) {}
+
+    private static final long PAUSE_MILLIS = 20;
+    private static final String HEAD_END = "\r\n\r\n";
+
+    private final ServerSocket mServer;
+    private final AtomicInteger mAnswered = new AtomicInteger();
+    private volatile Answer mAnswer;
+
+    /** Starts a server on a free port of the loopback address. */
+    public OvertakingServer(Answer answer) {
+        mAnswer = answer;
+        try {
+            mServer = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        daemon(this::accept);
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return mServer.getLocalPort();
+    }
+
+    /** Returns the number of requests whose answers were sent. */
+    public int answered() {
+        return mAnswered.get();
+    }
+
+    /** Sets how requests are answered from now on. */
+    public void setAnswer(Answer answer) {
+        mAnswer = answer;
+    }
+
+    /** Returns the value of a field in a head, or an empty text. */
+    public static String field(String head, String name) {
+        String prefix = name.toLowerCase(Locale.ROOT) + ":";
+        return head.lines()
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(prefix))
+                .map(l -> l.substring(prefix.length()).strip())
+                .findFirst()
+                .orElse("");
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "overtaking-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        while (!mServer.isClosed()) {
+            try {
+                Socket socket = mServer.accept();
+                daemon(() -> serve(socket));
+            } catch (IOException e) {
+                // The server was closed at the end of the test.
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            String head = readHead(in);
+            Answer answer = mAnswer;
+            in.readNBytes(answer.readBytes());
+            byte[] bytes = answer.bytes().apply(head).getBytes(StandardCharsets.ISO_8859_1);
+            socket.getOutputStream().write(bytes);
+            mAnswered.incrementAndGet();
+            Await.pause(answer.delayMillis());
+            int length = Integer.parseInt(field(head, "Content-Length"));
+            end(socket, answer.ending(), length - answer.readBytes());
+        } catch (IOException e) {
+            // The caller closed the connection.
+        }
+    }
+
+    private static void end(Socket socket, Ending ending, int unreadBytes) throws IOException {
+        if (ending == Ending.RESET) {
+            // Without a linger time, closing resets the connection.
+            socket.setSoLinger(true, 0);
+        }
+        if (ending == Ending.FIN_THEN_CLOSE || ending == Ending.FIN_THEN_READ) {
+            socket.shutdownOutput();
+        }
+        if (ending == Ending.FIN_THEN_CLOSE) {
+            Await.pause(PAUSE_MILLIS);
+        }
+        if (ending == Ending.FIN_THEN_READ || ending == Ending.READ_THEN_CLOSE) {
+            socket.getInputStream().readNBytes(unreadBytes);
+        }
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf(HEAD_END) < 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("the connection ended within a head");
+            }
+            head.append((char) b);
+        }
+        return head.toString();
+    }
+
+    @Override
+    public void close() {
+        try {
+            mServer.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -184,8 +184,15 @@
         HttpExchange ended = mExchange;
         mExchange = null;
         boolean isClean = !mCodec.hasPartialAnswer();
-        boolean reusable = isClean && !mNotReusable && !mIdleTime.isZero() && mWrite.isSuccess();
-        if (reusable && !ended.isEnded() && mChannel.isActive()) {
+        boolean reusable =
+                isClean
+                        && !mNotReusable
+                        && !mIdleTime.isZero()
+                        && mWrite.isSuccess()
+                        && !ended.isEnded();
+        // Closing a connection fails what is still being sent, which must not fail the exchange.
+        ended.finish();
+        if (reusable && mChannel.isActive()) {
             mChannel.config().setAutoRead(true);
             mIdle.put(this, mIdleTime);
         } else if (isClean) {
@@ -193,7 +200,6 @@
         } else {
             closeAfterUnaskedBytes();
         }
-        ended.finish();
     }
 
     /**
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/TestCalls.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/TestCalls.java
@@ -23,6 +23,17 @@
      * @param id the id that the caller gave the request, or empty
      */
     static DirectEffect.BeginCall call(long number, BackendRef server, String id) {
+        return call(number, server, "a:1", id, new byte[0]);
+    }
+
+    /** Returns a call of a non-idempotent request that has a body and no id. */
+    static DirectEffect.BeginCall upload(
+            long number, BackendRef server, String address, byte[] body) {
+        return call(number, server, address, "", body);
+    }
+
+    private static DirectEffect.BeginCall call(
+            long number, BackendRef server, String address, String id, byte[] body) {
         Route route =
                 new Route(
                         "r",
@@ -38,9 +49,8 @@
                         SECOND,
                         SECOND,
                         5);
-        AttemptRequest.Call call =
-                new AttemptRequest.Call("POST", "/x", List.of(), new byte[0], false);
+        AttemptRequest.Call call = new AttemptRequest.Call("POST", "/x", List.of(), body, false);
         RoutedRequest request = new RoutedRequest(id, route, "acc", 5, SECOND, call, Prompt.NONE);
-        return new DirectEffect.BeginCall(number, server, "a:1", request, SECOND, "", "");
+        return new DirectEffect.BeginCall(number, server, address, request, SECOND, "", "");
     }
 }
