Bound the send buffer of connections to backend servers

What callers saw: a part of an answer as a complete one. The server answered an upload at once without a length, sent a part of the body, and closed the connection while it had bytes of the upload unread.

Cause: the end of the connection ends such an answer, and an unfinished upload shows that the server gave up: what is still being sent fails, and the answer counts as lost. But the system takes 4 MB and more at once into its send buffer, so that an upload which the server has hardly begun to read counts as sent whole. Programs that close a socket often end their direction first, and the reset that follows comes after the end of the answer was read. A plain reset was told apart before.

Ruled out: to ask the socket for the reset after its end. Its reads go on to tell the end, and shutting down its output tells no error (tried over loopback). To refuse all answers that only their connection ends: servers may send them.

Change: SO_SNDBUF of 128 KiB on connections to backend servers.

An answer that began early, whose server reads the upload to its end, is served as before.

What remains: an upload that fits into these buffers, whose server ends its direction before it has read it, can't be told from one that was read.

--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/OvertakingAnswersTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/OvertakingAnswersTest.java
@@ -3,13 +3,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.laurelweir.direct.DirectEvent;
+import org.laurelweir.direct.DirectEvent.Failure;
 import org.laurelweir.junit.OvertakingServer;
 import org.laurelweir.junit.OvertakingServer.Ending;
 import org.laurelweir.lib.BackendRef;
@@ -24,7 +29,15 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
     private static final String WHOLE = HEAD + "Connection: close\r\nContent-Length: 2\r\n\r\nhi";
     private static final String CLOSED = HEAD + "Connection: close\r\n\r\nhalf of i";
+    private static final List<String> UNFINISHED =
+            List.of(
+                    HEAD + "\r\nhalf of i",
+                    CLOSED,
+                    HEAD + "Content-Length: 10\r\n\r\nhalf of i",
+                    HEAD + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf of i\r\n");
     private static final int[] UPLOAD_BYTES = {1_000_000, 4_000_000, 7_900_000};
+    private static final int[] READ_BYTES = {0, 100_000};
+    private static final long[] DELAYS_MILLIS = {0, 30};
 
     private final BlockingQueue<DirectEvent> mEvents = new LinkedBlockingQueue<>();
     private final EventLoops mLoops = new EventLoops("overtaking-answers-test", 1);
@@ -61,6 +74,33 @@
         }
     }
 
+    /** Guards against a part of an answer that counts as the whole when its server gives up. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Ending.class,
+            names = {"RESET", "CLOSE", "FIN_THEN_CLOSE"})
+    void answerThatEndsDuringItsUploadIsNotWhole(Ending ending) throws Exception {
+        List<String> wrong = new ArrayList<>();
+        for (int size : UPLOAD_BYTES) {
+            byte[] body = new byte[size];
+            for (int read : READ_BYTES) {
+                for (long delay : DELAYS_MILLIS) {
+                    for (String bytes : UNFINISHED) {
+                        mServer.setAnswer(answer(bytes, ending, read, delay));
+                        DirectEvent end = endOf(body);
+                        boolean isLost =
+                                end instanceof DirectEvent.Failed f
+                                        && f.failure() == Failure.CONNECTION_LOST;
+                        if (!isLost) {
+                            wrong.add(size + " " + read + " " + delay + " " + bytes + ": " + end);
+                        }
+                    }
+                }
+            }
+        }
+        assertThat(wrong).isEmpty();
+    }
+
     /** Guards against losing the answers of servers that begin early and read on. */
     @Test
     void answerThatEndsAfterItsUploadIsWhole() throws Exception {
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/HttpConnector.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/rpc/HttpConnector.java
@@ -12,6 +12,13 @@
 
 /** Opens HTTP/1.1 connections to backend servers. */
 public final class HttpConnector {
+    /**
+     * The system counts bytes as sent that only its buffer has taken. With a buffer of megabytes, a
+     * request would count as sent whole while its server has hardly begun to read it, and whatever
+     * the server sends before it ends the connection would count as the answer.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
+
     private final EventLoops mLoops;
     private final EventLoopGroup mGroup;
     private final int mConnectMillis;
@@ -41,6 +48,7 @@
                 .channel(mLoops.clientType())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mConnectMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .handler(new Pipeline(handler))
                 .connect(address.toSocketAddress());
     }
