Ignore loads that no backend server can have

What callers saw: nothing of it was seen by callers. A server in trouble that reports a negative number of requests, or two whose sum leaves the range, counts as emptier than empty, and all requests are drawn to it.

Cause: the three numbers of the load header were taken as they came; only the fourth was checked.

Change: each is from 0 to 1,000,000, or the header is ignored and logged, as other malformed ones are. The router then relies on its own counts.

Evidence: AnswerReaderTest.impossibleNumberOfRequestsIsIgnored failed on the code before, at the first of its nine headers, and passes now.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/AnswerReader.java
@@ -19,6 +19,10 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final int MISDIRECTED = 421;
     private static final int LOAD_FIELDS = 3;
+
+    /** Far above what any server runs or queues, and small enough to be added up. */
+    private static final int MAX_REQUEST_COUNT = 1_000_000;
+
     private static final int MIN_WORK_TIME_PERCENT = 10;
     private static final int MAX_WORK_TIME_PERCENT = 10_000;
 
@@ -75,9 +79,9 @@
         try {
             return Optional.of(
                     new AnswerMetadata.ReportedLoad(
-                            Integer.parseInt(numbers[0].strip()),
-                            Integer.parseInt(numbers[1].strip()),
-                            Integer.parseInt(numbers[2].strip()),
+                            count(numbers[0].strip()),
+                            count(numbers[1].strip()),
+                            count(numbers[2].strip()),
                             numbers.length > LOAD_FIELDS
                                     ? workTimePercent(numbers[LOAD_FIELDS].strip())
                                     : AnswerMetadata.ReportedLoad.UNKNOWN_WORK_TIME));
@@ -89,6 +93,18 @@
         }
     }
 
+    /**
+     * Reads a number of requests. A negative or enormous one would draw all requests to its server,
+     * or keep all away.
+     */
+    private static int count(String value) {
+        int count = Integer.parseInt(value);
+        if (count < 0 || count > MAX_REQUEST_COUNT) {
+            throw new NumberFormatException("no number of requests: " + value);
+        }
+        return count;
+    }
+
     /** Reads the work time, without which the router relies on the speed that it has learned. */
     private static int workTimePercent(String value) {
         try {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/AnswerReaderTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/AnswerReaderTest.java
@@ -56,6 +56,25 @@
         assertThat(load("3,x,6,250")).isEmpty();
     }
 
+    /** Guards against a number that no server can mean, and that draws all requests to it. */
+    @Test
+    void impossibleNumberOfRequestsIsIgnored() {
+        List<String> headers =
+                List.of(
+                        "-3,1,6",
+                        "3,-1,6",
+                        "3,1,-6",
+                        "2147483647,2147483647,6",
+                        "1000001,0,6",
+                        "99999999999,0,6",
+                        "3.5,1,6",
+                        "0x3,1,6",
+                        ",1,6");
+        assertThat(headers).allMatch(h -> load(h).isEmpty());
+        assertThat(load("1000000,0,6")).contains(new ReportedLoad(1_000_000, 0, 6));
+        assertThat(load("0,0,0")).contains(new ReportedLoad(0, 0, 0));
+    }
+
     /** Guards against the load of the server that has the address now, taken for another's. */
     @Test
     void loadOfAnotherServerAtTheAddressIsIgnored() {
