Ignore token counts that no engine can mean

What callers saw: nothing of it was seen by callers. Negative or enormous counts in the usage that an engine reports became the size of the chat's history in its cache, and counters of tokens ran backwards.

Cause: a sidecar read the numbers as they came; what was no number became 0, what left the range its end.

Change: if one of the three counts is no whole number from 0 to 1,000,000,000, the usage counts as not reported, and the size is estimated from the request as for answers without usage. Counts that are missing or null are 0 as before.

Evidence: BackendCallTest.impossibleUsageIsIgnored failed on the code before, at the first of its six wrong counts, and passes now.

--- a/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/AnswerTail.java
+++ b/org.laurelweir.sidecar/src/main/java/org/laurelweir/sidecar/backend/AnswerTail.java
@@ -15,6 +15,9 @@
     /** Holds the last events of a stream, or a whole answer of a few thousand tokens. */
     private static final int MAX_TAIL_BYTES = 64 << 10;
 
+    /** Far above any prompt or answer, and small enough to be added up. */
+    private static final int MAX_TOKENS = 1_000_000_000;
+
     private static final String DATA_PREFIX = "data:";
     private static final String DONE_MARKER = "[DONE]";
     private static final String USAGE_KEY = "\"usage\"";
@@ -69,16 +72,27 @@
         try {
             // The parser reads one object and ignores the text after it.
             JsonNode usage = JSON.readTree(JSON.createParser(tail.substring(open)));
-            return new Frame.Usage(
-                    usage.path("prompt_tokens").asInt(),
-                    usage.path("prompt_tokens_details").path("cached_tokens").asInt(),
-                    usage.path("completion_tokens").asInt());
+            JsonNode prompt = usage.path("prompt_tokens");
+            JsonNode cached = usage.path("prompt_tokens_details").path("cached_tokens");
+            JsonNode completion = usage.path("completion_tokens");
+            if (!isCount(prompt) || !isCount(cached) || !isCount(completion)) {
+                return Frame.Usage.NONE;
+            }
+            return new Frame.Usage(prompt.asInt(), cached.asInt(), completion.asInt());
         } catch (IOException e) {
             // The key was part of the answer's own text, not a model engine's usage report.
             return Frame.Usage.NONE;
         }
     }
 
+    /** Returns whether a node is missing, or a number of tokens. */
+    private static boolean isCount(JsonNode node) {
+        if (node.isMissingNode() || node.isNull()) {
+            return true;
+        }
+        return node.canConvertToInt() && node.asInt() >= 0 && node.asInt() <= MAX_TOKENS;
+    }
+
     private String text() {
         return new String(mBuffer, 0, mLength, StandardCharsets.UTF_8);
     }
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -30,6 +30,7 @@
     private static final class EndRecorder implements CallListener {
         private End mEnd;
         private List<Header> mHeaders;
+        private Frame.Usage mUsage;
 
         @Override
         public void onHead(int status, List<Header> headers) {
@@ -42,6 +43,7 @@
         @Override
         public void onFinished(Frame.Usage usage) {
             mEnd = End.FINISHED;
+            mUsage = usage;
         }
 
         @Override
@@ -150,6 +152,24 @@
                 .isEqualTo(End.FINISHED);
     }
 
+    private static Frame.Usage usage(String usage) {
+        return call(false, JSON, "", "{\"usage\": {" + usage + "}}").mUsage;
+    }
+
+    /** Guards against numbers of tokens that no server can mean, which count as cached ones. */
+    @Test
+    void impossibleUsageIsIgnored() {
+        assertThat(usage("\"prompt_tokens\": 3, \"completion_tokens\": 2"))
+                .isEqualTo(new Frame.Usage(3, 0, 2));
+        assertThat(usage("\"prompt_tokens\": 3, \"prompt_tokens_details\": null"))
+                .isEqualTo(new Frame.Usage(3, 0, 0));
+        for (String wrong : List.of("-3", "2147483647", "99999999999", "1e99", "\"x\"", "{}")) {
+            assertThat(usage("\"prompt_tokens\": " + wrong + ", \"completion_tokens\": 2"))
+                    .as(wrong)
+                    .isEqualTo(Frame.Usage.NONE);
+        }
+    }
+
     /**
      * Guards against a word of the backend server that is lost with the call that it belongs to.
      */
