Leave out what no test uses of the server that overtakes uploads

Its answers are the same for each request, and it needs neither a count of them nor a way of ending that no test uses. A local name in AnswerFraming was that of a method beside it. No change of what is tested: OvertakingAnswersTest of router and sidecar passed three times.

--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
@@ -8,8 +8,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Function;
 
 /** A fake backend server that answers a request before it has read its body. */
 public final class OvertakingServer implements AutoCloseable {
@@ -21,8 +19,6 @@
         CLOSE,
         /** End the answer's direction, and close the connection a moment later. */
         FIN_THEN_CLOSE,
-        /** End the answer's direction, and read the rest of the request. */
-        FIN_THEN_READ,
         /** Read the rest of the request, and close the connection. */
         READ_THEN_CLOSE
     }
@@ -30,18 +26,17 @@
     /**
      * How requests are answered.
      *
-     * @param bytes returns the bytes of the answer to a request with the given head
+     * @param bytes the bytes of the answer, one character each
      * @param readBytes how much of the request's body is read before the answer
      * @param delayMillis time between the answer and the ending
      */
-    public record Answer(
-            Function<String, String> bytes, Ending ending, int readBytes, long delayMillis) {}
+    public record Answer(String bytes, Ending ending, int readBytes, long delayMillis) {}
 
     private static final long PAUSE_MILLIS = 20;
     private static final String HEAD_END = "\r\n\r\n";
+    private static final String LENGTH_FIELD = "content-length:";
 
     private final ServerSocket mServer;
-    private final AtomicInteger mAnswered = new AtomicInteger();
     private volatile Answer mAnswer;
 
     /** Starts a server on a free port of the loopback address. */
@@ -60,26 +55,11 @@
         return mServer.getLocalPort();
     }
 
-    /** Returns the number of requests whose answers were sent. */
-    public int answered() {
-        return mAnswered.get();
-    }
-
     /** Sets how requests are answered from now on. */
     public void setAnswer(Answer answer) {
         mAnswer = answer;
     }
 
-    /** Returns the value of a field in a head, or an empty text. */
-    public static String field(String head, String name) {
-        String prefix = name.toLowerCase(Locale.ROOT) + ":";
-        return head.lines()
-                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(prefix))
-                .map(l -> l.substring(prefix.length()).strip())
-                .findFirst()
-                .orElse("");
-    }
-
     private static void daemon(Runnable task) {
         Thread thread = new Thread(task, "overtaking-server");
         thread.setDaemon(true);
@@ -104,12 +84,9 @@
             String head = readHead(in);
             Answer answer = mAnswer;
             in.readNBytes(answer.readBytes());
-            byte[] bytes = answer.bytes().apply(head).getBytes(StandardCharsets.ISO_8859_1);
-            socket.getOutputStream().write(bytes);
-            mAnswered.incrementAndGet();
+            socket.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.ISO_8859_1));
             Await.pause(answer.delayMillis());
-            int length = Integer.parseInt(field(head, "Content-Length"));
-            end(socket, answer.ending(), length - answer.readBytes());
+            end(socket, answer.ending(), length(head) - answer.readBytes());
         } catch (IOException e) {
             // The caller closed the connection.
         }
@@ -120,17 +97,24 @@
             // Without a linger time, closing resets the connection.
             socket.setSoLinger(true, 0);
         }
-        if (ending == Ending.FIN_THEN_CLOSE || ending == Ending.FIN_THEN_READ) {
-            socket.shutdownOutput();
-        }
         if (ending == Ending.FIN_THEN_CLOSE) {
+            socket.shutdownOutput();
             Await.pause(PAUSE_MILLIS);
         }
-        if (ending == Ending.FIN_THEN_READ || ending == Ending.READ_THEN_CLOSE) {
+        if (ending == Ending.READ_THEN_CLOSE) {
             socket.getInputStream().readNBytes(unreadBytes);
         }
     }
 
+    /** Returns the length of the body that a head announces. */
+    private static int length(String head) {
+        return head.lines()
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(LENGTH_FIELD))
+                .mapToInt(l -> Integer.parseInt(l.substring(LENGTH_FIELD.length()).strip()))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf(HEAD_END) < 0) {
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/OvertakingAnswersTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/OvertakingAnswersTest.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -48,8 +47,7 @@
 
     private static OvertakingServer.Answer answer(
             String bytes, Ending ending, int readBytes, long delayMillis) {
-        Function<String, String> same = head -> bytes;
-        return new OvertakingServer.Answer(same, ending, readBytes, delayMillis);
+        return new OvertakingServer.Answer(bytes, ending, readBytes, delayMillis);
     }
 
     @AfterEach
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
@@ -86,8 +86,8 @@
                     "the server switches to a protocol nobody asked for");
         }
         boolean isInterim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean hasNoBody = isInterim || status.code() == HttpResponseStatus.NO_CONTENT.code();
-        if (hasNoBody && isChunked || (hasNoBody || forbidsContent(status)) && isNotEmpty) {
+        boolean forbidsBody = isInterim || status.code() == HttpResponseStatus.NO_CONTENT.code();
+        if (forbidsBody && isChunked || (forbidsBody || forbidsContent(status)) && isNotEmpty) {
             throw bodyForbidden();
         }
     }
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/OvertakingAnswersTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/OvertakingAnswersTest.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -64,8 +63,7 @@
     }
 
     private static OvertakingServer.Answer answer(String bytes, Ending ending, int readBytes) {
-        Function<String, String> same = head -> bytes;
-        return new OvertakingServer.Answer(same, ending, readBytes, 0);
+        return new OvertakingServer.Answer(bytes, ending, readBytes, 0);
     }
 
     @AfterEach
