--- a/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
+++ b/org.laurelweir.runtime/src/test/java/org/laurelweir/runtime/answer/AnswerCodecTest.java
@@ -392,18 +392,18 @@
                 "2\r\nhi\r\n0\r\n\n",
                 "2\r\nhi\r\n0\r\n\rx\r\n\r\n",
                 "ffffffffffffffffff\r\nhi\r\n0\r\n\r\n",
-                "8000000000000002\r\nhi\r\n0\r\n\r\n",
-                "100000002\r\nhi\r\n-\r\n\r\n"
+                "8000000000000002\r\nhi\r\n0\r\n\r\n"
             })
     void malformedChunksAreNotWhole(String chunks) {
-        if (chunks.startsWith("100000002")) {
-            // A chunk of 4 GiB that has not come whole: the size must not lose its upper digits.
-            assertThat(decode(CHUNKED + chunks).isWhole()).isFalse();
-            return;
-        }
         assertNotWhole(CHUNKED + chunks);
     }
 
+    /** Guards against a size that loses its upper digits, and with them a part of the body. */
+    @Test
+    void chunkOfFourGibibytesIsNotWholeAfterTwoBytes() {
+        assertThat(decode(CHUNKED + "100000002\r\nhi\r\n0\r\n\r\n").isWhole()).isFalse();
+    }
+
     /** Guards against trailers that are no fields, after which the end is not the server's word. */
     @ParameterizedTest
     @MethodSource("bytesOutsideTokens")
