Refuse heads that hold another one in sidecars, too

What callers would see: 200 for a request that its engine failed. An engine that breaks off within a head and then reports the failure on the same connection makes "HTTP/1.1 200 OKHTTP/1.1 500 Error", which reads as one status line.

Cause: only the router's own connections looked for a status line within a head (ForeignBytes), since they are kept; a sidecar's carries one call, but one call is enough for this.

Change: the decoder of both looks for it.

A legal value that quotes a status line was refused by the router before and is refused by sidecars now.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -87,10 +87,6 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (message instanceof HttpResponse r && ForeignBytes.isIn(r)) {
-                onForeignBytes();
-                return;
-            }
             reportNotice(message);
             if (mExchange == null) {
                 closeAfterUnaskedBytes();
@@ -118,13 +114,6 @@
         mChannel.close();
     }
 
-    private void onForeignBytes() {
-        sLogger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-                "closed a connection to %s: the head of an answer holds another one",
-                mBackend.id());
-        endExchange(x -> x.abandon("the head of the answer holds another one"));
-    }
-
     private void reportNotice(Object message) {
         if (message instanceof HttpResponse r && r.decoderResult().isSuccess()) {
             mNotices.onHead(mBackend, r);
@@ -133,8 +122,7 @@
 
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            String reason = message.decoderResult().cause().getMessage();
-            endExchange(x -> x.abandon("malformed HTTP answer: " + reason));
+            onMalformedAnswer(message.decoderResult().cause().getMessage());
             return;
         }
         if (message instanceof HttpResponse r) {
@@ -145,6 +133,13 @@
         }
     }
 
+    private void onMalformedAnswer(String reason) {
+        String message = "malformed HTTP answer: " + reason;
+        sLogger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "closed a connection to %s: %s", mBackend.id(), message);
+        endExchange(x -> x.abandon(message));
+    }
+
     private void onHead(HttpResponse r) {
         if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingAnswer = true;
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerHead.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerHead.java
@@ -22,8 +22,13 @@
         if (!readStatusLine(input) || !mFields.read(input)) {
             return null;
         }
-        return new DefaultHttpResponse(
-                mStatusLine.version(), mStatusLine.status(), mFields.fields());
+        HttpResponse head =
+                new DefaultHttpResponse(
+                        mStatusLine.version(), mStatusLine.status(), mFields.fields());
+        if (ForeignBytes.isIn(head)) {
+            throw new MalformedAnswerException("the head of the answer holds another one");
+        }
+        return head;
     }
 
     /** Reads the status line. Some servers end a body with an empty line, which comes before it. */
--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/ForeignBytes.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/ForeignBytes.java
@@ -1,4 +1,4 @@
-package org.laurelweir.router.direct;
+package org.laurelweir.runtime.answer;
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
--- a/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
+++ b/org.laurelweir.sidecar/src/test/java/org/laurelweir/sidecar/backend/BackendCallTest.java
@@ -141,6 +141,16 @@
         assertThat(call.mHeaders).isNull();
     }
 
+    /** Guards against a failure that looks like a success, since a head broke off before it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nA: x", "HTTP/1.1 200 "})
+    void headWithinWhichAnotherOneBeginsFailsTheCall(String brokenOff) {
+        EndRecorder call =
+                call(false, brokenOff + "HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nhi");
+        assertThat(call.mEnd).isEqualTo(End.FAILED);
+        assertThat(call.mHeaders).isNull();
+    }
+
     /** Guards against an answer that counts as whole though its end is malformed. */
     @ParameterizedTest
     @ValueSource(strings = {"A b: x\r\n\r\n", "A : x\r\n\r\n", "A: x\0\r\n\r\n", "x\r\n\r\n"})
