Tell again that a connection was closed within the head of an answer

The line that docs/LOGS.md lists went away with the library's decoder, which had told the case apart; half a head and no answer at all had one text since. Which failure it is and what follows from it never changed.

BackendConnectionTest.messageTellsWhetherTheHeadHadBegun failed on and passes now.

--- a/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
+++ b/org.laurelweir.router/src/main/java/org/laurelweir/router/direct/BackendConnection.java
@@ -219,8 +219,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mIdle.remove(this);
+        boolean isWithinHead = !mHeadReceived && mCodec.hasPartialAnswer();
+        String place = isWithinHead ? "within the head" : "before the end";
         endExchange(
-                x -> x.onConnectionLost("the connection was closed before the end of the answer"));
+                x -> x.onConnectionLost("the connection was closed " + place + " of the answer"));
     }
 
     @Override
--- a/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
+++ b/org.laurelweir.router/src/test/java/org/laurelweir/router/direct/BackendConnectionTest.java
@@ -78,6 +78,10 @@
         mChannel.finish();
     }
 
+    private String message() {
+        return ((DirectEvent.Failed) mEvents.get(mEvents.size() - 1)).message();
+    }
+
     private Failure failure() {
         DirectEvent last = mEvents.get(mEvents.size() - 1);
         assertThat(last).isInstanceOf(DirectEvent.Failed.class);
@@ -93,6 +97,17 @@
         assertThat(failure()).isEqualTo(Failure.CONNECTION_LOST);
     }
 
+    /** Guards against a log that no more tells how far the answer of a crashed server had come. */
+    @Test
+    void messageTellsWhetherTheHeadHadBegun() {
+        receive("HTTP/1.1 200 OK\r\nContent-Le");
+        closeByServer();
+        assertThat(message()).isEqualTo("the connection was closed within the head of the answer");
+        send();
+        closeByServer();
+        assertThat(message()).isEqualTo("the connection was closed before the end of the answer");
+    }
+
     @Test
     void connectionClosedAfterTheHeadOfAnotherAnswerIsLost() {
         receive(HEAD_FOR_OTHER_REQUEST + "Content-Length: 9\r\n\r\nhalf");
