--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
@@ -15,7 +15,7 @@
     public enum Ending {
         /** Reset it. */
         RESET,
-        /** Close it. The system resets it, since bytes of the request are unread. */
+        /** Close it while bytes of the request are unread, which ends in a reset. */
         CLOSE,
         /** End the answer's direction, and close the connection a moment later. */
         FIN_THEN_CLOSE,
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerDecoder.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerDecoder.java
@@ -12,9 +12,8 @@
 import java.util.function.Supplier;
 
 /**
- * Decodes the answers of one connection, and refuses bytes that are none by the rules of HTTP. A
- * lenient decoder would make a status, a field or a length of them, and the caller would get that
- * as the word of the server.
+ * Decodes the answers of one connection, and refuses bytes that are no answer by the rules of HTTP.
+ * A lenient decoder would turn them into a status, a field or a length that the server never sent.
  *
  * <p>Malformed bytes are reported once, by a last content with a failed decoder result. Whatever
  * follows them is dropped.
@@ -37,6 +36,10 @@
     /** A head whose body has to be empty, until its end shows that it is. Otherwise null. */
     private HttpResponse mWithheldHead;
 
+    /**
+     * Whether bytes came after the last complete answer. They may have left the buffer: it gives
+     * whole lines of a head away before the head is complete.
+     */
     private boolean mIsWithinAnswer;
 
     /**
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/AnswerFraming.java
@@ -83,7 +83,7 @@
             HttpResponseStatus status, boolean isChunked, boolean isNotEmpty) {
         if (status.code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             throw new MalformedAnswerException(
-                    "the server switches to a protocol nobody asked for");
+                    "the server switches to a protocol that was not requested");
         }
         boolean isInterim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean forbidsBody = isInterim || status.code() == HttpResponseStatus.NO_CONTENT.code();
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/StatusLine.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/StatusLine.java
@@ -8,7 +8,8 @@
 /** The first line of an answer (RFC 9112, 4). */
 record StatusLine(HttpVersion version, HttpResponseStatus status) {
     /**
-     * The minor version, the status and the reason. Some servers send no blank before no reason.
+     * The minor version, the status and the reason. Some servers leave out the blank before an
+     * empty reason.
      */
     private static final Pattern LINE =
             Pattern.compile("HTTP/1\\.([0-9]) ([1-9][0-9]{2})(?: (.*))?", Pattern.DOTALL);
--- a/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/package-info.java
+++ b/org.laurelweir.runtime/src/main/java/org/laurelweir/runtime/answer/package-info.java
@@ -1,2 +1,2 @@
-/** Reads the HTTP answers of backend servers, and refuses bytes that are none. */
+/** Reads the HTTP answers of backend servers, and refuses bytes that are not HTTP. */
 package org.laurelweir.runtime.answer;
