--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/OvertakingServer.java
@@ -2,9 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -32,27 +29,23 @@
      */
     public record Answer(String bytes, Ending ending, int readBytes, long delayMillis) {}
 
+    private static final String THREAD = "overtaking-server";
     private static final long PAUSE_MILLIS = 20;
     private static final String HEAD_END = "\r\n\r\n";
     private static final String LENGTH_FIELD = "content-length:";
 
-    private final ServerSocket mServer;
+    private final LoopbackServer mServer = new LoopbackServer(THREAD);
     private volatile Answer mAnswer;
 
     /** Starts a server on a free port of the loopback address. */
     public OvertakingServer(Answer answer) {
         mAnswer = answer;
-        try {
-            mServer = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        daemon(this::accept);
+        mServer.start(socket -> LoopbackServer.runDaemon(THREAD, () -> serve(socket)));
     }
 
     /** Returns the port that the server listens on. */
     public int port() {
-        return mServer.getLocalPort();
+        return mServer.port();
     }
 
     /** Sets how requests are answered from now on. */
@@ -60,24 +53,6 @@
         mAnswer = answer;
     }
 
-    private static void daemon(Runnable task) {
-        Thread thread = new Thread(task, "overtaking-server");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void accept() {
-        while (!mServer.isClosed()) {
-            try {
-                Socket socket = mServer.accept();
-                daemon(() -> serve(socket));
-            } catch (IOException e) {
-                // The server was closed at the end of the test.
-                return;
-            }
-        }
-    }
-
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
@@ -129,10 +104,6 @@
 
     @Override
     public void close() {
-        try {
-            mServer.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        mServer.close();
     }
 }
--- a/org.laurelweir.junit/src/main/java/org/laurelweir/junit/package-info.java
+++ b/org.laurelweir.junit/src/main/java/org/laurelweir/junit/package-info.java
@@ -1,2 +1,2 @@
-/** Test helpers for the other modules: child processes and waiting for conditions. */
+/** Test helpers for the other modules: child processes, servers and waiting for conditions. */
 package org.laurelweir.junit;
